Lay out the workspace with its shared types

Cause: the parts can only be built side by side once crate borders, wire types and the configuration fold are fixed. Excluded: one crate for everything, since pure decisions must stay free of I/O. Before: empty repository.

--- /dev/null
+++ b/crates/decisions/src/config/config_state.rs
@@ -0,0 +1,79 @@
+//! Folded configuration: every object with its revision.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::{ObjectKey, ObjectSpec};
+use crate::names::VersionName;
+
+/// All objects and trips after some record of the stream.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigState {
+    /// Objects by `kind/name`; deleted ones stay without content so that their
+    /// revision still decides races.
+    pub objects: BTreeMap<String, StoredObject>,
+    /// Tripped roll-outs by version.
+    pub trips: BTreeMap<VersionName, TripFact>,
+}
+
+value_type! {
+    /// One object with its revision.
+    pub struct StoredObject {
+        /// Identity of the object.
+        pub key: ObjectKey,
+        /// Offset of the record that last changed it.
+        pub revision: u64,
+        /// Content; `None` once deleted.
+        pub spec: Option<ObjectSpec>,
+    }
+
+    /// A trip in force.
+    pub struct TripFact {
+        /// Roll-out epoch that tripped.
+        pub epoch: u64,
+        /// Evidence, in words.
+        pub reason: String,
+    }
+}
+
+impl ConfigState {
+    /// Current revision of `key`; `None` when it never existed.
+    pub fn revision(&self, key: &ObjectKey) -> Option<u64> {
+        self.stored(key).map(|object| object.revision)
+    }
+
+    /// Current content of `key`.
+    pub fn spec(&self, key: &ObjectKey) -> Option<&ObjectSpec> {
+        self.stored(key)?.spec.as_ref()
+    }
+
+    /// Stored object `key`, deleted or not.
+    pub fn stored(&self, key: &ObjectKey) -> Option<&StoredObject> {
+        self.objects.get(&key.to_string())
+    }
+
+    /// Objects that exist, in order of their keys.
+    pub fn live(&self) -> impl Iterator<Item = (&ObjectKey, &ObjectSpec)> {
+        self.objects
+            .values()
+            .filter_map(|object| Some((&object.key, object.spec.as_ref()?)))
+    }
+
+    /// SHA-256 of the state in its canonical JSON form, as hexadecimal digits.
+    pub fn hash(&self) -> String {
+        let text = serde_json::to_vec(self).expect("the state has only string keys");
+        hex::encode(Sha256::digest(text))
+    }
+
+    pub(super) fn put(&mut self, key: &ObjectKey, revision: u64, spec: Option<ObjectSpec>) {
+        let object = StoredObject {
+            key: key.clone(),
+            revision,
+            spec,
+        };
+        self.objects.insert(key.to_string(), object);
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/config/object_spec.rs
@@ -0,0 +1,173 @@
+//! Contents of configuration objects as operators write them.
+
+use serde::{Deserialize, Serialize};
+
+use super::ObjectKind;
+use crate::labels::{LabelSelector, LabelSet};
+use crate::names::{ModelName, ServiceName, VersionName};
+
+/// Contents of one object.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ObjectSpec {
+    /// A workspace.
+    Workspace(WorkspaceSpec),
+    /// A model.
+    Model(ModelSpec),
+    /// A version.
+    Version(VersionSpec),
+    /// A cascade.
+    Cascade(CascadeSpec),
+    /// A rule.
+    Rule(RuleSpec),
+}
+
+impl ObjectSpec {
+    /// Kind that this content belongs to.
+    pub fn kind(&self) -> ObjectKind {
+        match self {
+            Self::Workspace(_) => ObjectKind::Workspace,
+            Self::Model(_) => ObjectKind::Model,
+            Self::Version(_) => ObjectKind::Version,
+            Self::Cascade(_) => ObjectKind::Cascade,
+            Self::Rule(_) => ObjectKind::Rule,
+        }
+    }
+}
+
+value_type! {
+    /// A tenant: who may call, and how much.
+    pub struct WorkspaceSpec {
+        /// Labels that rules select on.
+        #[serde(default)]
+        pub labels: LabelSet,
+        /// SHA-256 digests of the workspace's keys, 64 hexadecimal digits each.
+        pub key_digests: Vec<String>,
+        /// Most requests admitted over the whole fleet; unlimited when absent.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub limit: Option<RateLimit>,
+        /// Plain services that the workspace may call.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub services: Vec<ServiceName>,
+    }
+
+    /// Limit on a workspace's offered requests.
+    pub struct RateLimit {
+        /// Requests per second over the whole fleet.
+        pub requests_per_second: f64,
+        /// Requests that may come at once above the rate.
+        pub burst: u32,
+    }
+
+    /// A model: a name that callers ask for.
+    pub struct ModelSpec {
+        /// Labels of the model.
+        #[serde(default)]
+        pub labels: LabelSet,
+    }
+
+    /// A version of a model.
+    pub struct VersionSpec {
+        /// Model that the version belongs to.
+        pub model: ModelName,
+        /// Labels that rules and cascade stages select on.
+        #[serde(default)]
+        pub labels: LabelSet,
+        /// What work the version may receive.
+        #[serde(default)]
+        pub phase: VersionPhase,
+        /// Weight among the serving versions that a request may use, in parts of 10,000.
+        #[serde(default = "full_share")]
+        pub share: u32,
+        /// Price of 1,000 prompt tokens, in millionths of the currency unit.
+        #[serde(default)]
+        pub prompt_price: u64,
+        /// Price of 1,000 completion tokens, in millionths of the currency unit.
+        #[serde(default)]
+        pub completion_price: u64,
+        /// Guarded roll-out that the version is in, if any.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub rollout: Option<RolloutSpec>,
+    }
+
+    /// Bounds on a roll-out.
+    pub struct RolloutSpec {
+        /// Number of this roll-out; a trip stays in force until it changes.
+        pub epoch: u64,
+        /// Most answers of the version that may be unrated at once over the fleet.
+        pub unrated_limit: u32,
+        /// Share of bad answers that the operator accepts, from 0 to 1.
+        pub tolerated_bad: f64,
+        /// Share of bad answers at which the roll-out must stop, from 0 to 1.
+        pub stopping_bad: f64,
+        /// What a trip does to sessions pinned to the version.
+        #[serde(default)]
+        pub on_trip: TripPolicy,
+    }
+
+    /// An ordered list of stages, cheapest first.
+    pub struct CascadeSpec {
+        /// Model whose versions the stages select.
+        pub model: ModelName,
+        /// Stages in the order in which they are tried; at least one.
+        pub stages: Vec<CascadeStage>,
+        /// Score from 0 to 1 at which a stage's answer is accepted.
+        pub quality_target: f64,
+    }
+
+    /// One stage of a cascade.
+    pub struct CascadeStage {
+        /// Versions that the stage may use.
+        pub versions: LabelSelector,
+    }
+
+    /// A rule: traffic that it concerns, versions that it allows and denies.
+    pub struct RuleSpec {
+        /// Workspaces concerned, by label.
+        #[serde(default)]
+        pub workspaces: LabelSelector,
+        /// Requests concerned, by label.
+        #[serde(default)]
+        pub requests: LabelSelector,
+        /// Versions allowed; absent allows none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub allow: Option<LabelSelector>,
+        /// Versions denied, whatever any rule allows.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub deny: Option<LabelSelector>,
+        /// Versions allowed by name in addition to `allow`.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub allow_versions: Vec<VersionName>,
+    }
+}
+
+closed_set! {
+    /// What work a version may receive.
+    #[derive(Default)]
+    pub enum VersionPhase {
+        /// New sessions and all other work.
+        #[default]
+        Serving,
+        /// Work of sessions that are pinned to it, nothing else.
+        Retiring,
+        /// No new work at all.
+        Withdrawn,
+    }
+
+    /// Phase that a tripped version is treated as being in.
+    #[derive(Default)]
+    pub enum TripPolicy {
+        /// Sessions end as on a withdrawn version.
+        #[default]
+        Withdraw,
+        /// Sessions pinned to the version go on.
+        Retire,
+    }
+}
+
+/// Share of a version that takes its full part of the traffic, in parts of 10,000.
+const FULL_SHARE: u32 = 10_000;
+
+fn full_share() -> u32 {
+    FULL_SHARE
+}
--- /dev/null
+++ b/crates/decisions/src/labels.rs
@@ -0,0 +1,7 @@
+//! Labels on objects and requests, and selectors over them.
+
+mod label_selector;
+mod label_set;
+
+pub use label_selector::{LabelExpression, LabelSelector, SelectorOperator};
+pub use label_set::LabelSet;
--- /dev/null
+++ b/crates/decisions/src/names.rs
@@ -0,0 +1,59 @@
+//! Names and identifiers used across the fleet.
+
+use uuid::Uuid;
+
+name_type! {
+    /// Name of a host: a router host or an upstream.
+    HostName;
+    /// Name of an availability zone.
+    ZoneName;
+    /// Name of a workspace.
+    WorkspaceName;
+    /// Name of a model.
+    ModelName;
+    /// Name of a version of a model.
+    VersionName;
+    /// Name of a cascade.
+    CascadeName;
+    /// Name of a selector rule.
+    RuleName;
+    /// Name of a plain service.
+    ServiceName;
+    /// Class of a request: decides its priority and its histogram.
+    ClassName;
+    /// Identifier of a request, chosen by the caller or by the router.
+    RequestId;
+}
+
+/// Random identifier of one life of a router process.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub Uuid);
+
+impl Incarnation {
+    /// Draws a new identifier.
+    pub fn random() -> Self {
+        Self(Uuid::new_v4())
+    }
+}
+
+impl RequestId {
+    /// Makes an identifier whose first bits hold the present time.
+    pub fn generate() -> Self {
+        Self::new(&Uuid::now_v7().to_string())
+    }
+
+    /// Time held in a UUIDv7 identifier, in milliseconds since the epoch.
+    ///
+    /// Returns `None` when the identifier is not a UUIDv7.
+    pub fn time_ms(&self) -> Option<u64> {
+        let uuid = Uuid::parse_str(self.as_str()).ok()?;
+        if uuid.get_version_num() != 7 {
+            return None;
+        }
+        let (seconds, nanos) = uuid.get_timestamp()?.to_unix();
+        Some(seconds * 1_000 + u64::from(nanos) / 1_000_000)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/routing/route_plan.rs
@@ -0,0 +1,242 @@
+//! Route of a request: stages of allowed versions.
+
+use smallvec::SmallVec;
+
+use super::{RouteQuery, WorkKind};
+use crate::config::{ConfigView, RuleSpec, VersionEntry, VersionPhase};
+use crate::labels::LabelSelector;
+use crate::names::{RuleName, VersionName};
+
+/// Versions that a stage usually holds; more are kept on the heap.
+const STAGE_VERSIONS: usize = 4;
+
+/// Stages in the order in which they are tried.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoutePlan {
+    /// Stages; at least one, each with at least one version.
+    pub stages: SmallVec<[RouteStage; 3]>,
+    /// Versions that were not allowed, with the reason.
+    pub excluded: Vec<(VersionName, ExclusionReason)>,
+    /// Whether the target named a cascade.
+    pub cascade: bool,
+}
+
+/// Versions of one stage.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteStage {
+    /// Allowed versions with their shares in parts of 10,000; at least one.
+    pub versions: SmallVec<[(VersionName, u32); STAGE_VERSIONS]>,
+}
+
+/// Why a version is not used.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+#[serde(tag = "reason", rename_all = "snake_case")]
+pub enum ExclusionReason {
+    /// No rule allows it.
+    NotAllowed,
+    /// A rule denies it.
+    Denied {
+        /// The first rule that denies it.
+        rule: RuleName,
+    },
+    /// It takes no new sessions or unpinned work.
+    Retiring,
+    /// It takes no work at all.
+    Withdrawn,
+    /// The guard stopped its roll-out.
+    Tripped,
+    /// Its share is 0, so that it gets no new work.
+    NoShare,
+    /// It is not the version that the session is pinned to.
+    NotPinned,
+}
+
+/// Why a request has no route.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PlanError {
+    /// The target is neither a model, nor a cascade, nor a version.
+    #[error("no model, cascade or version is named {0:?}; ask for one that `GET /v1/models` lists")]
+    UnknownTarget(String),
+    /// Versions exist, but none may be used.
+    #[error("no version of {target:?} is allowed; ask an operator to change the workspace's rules")]
+    NothingAllowed {
+        /// Target that the caller named.
+        target: String,
+        /// Versions with the reason why each is excluded.
+        excluded: Vec<(VersionName, ExclusionReason)>,
+    },
+    /// The version that the session is pinned to takes no more work.
+    #[error("version {0} of this session was withdrawn; start a new session")]
+    SessionVersionWithdrawn(VersionName),
+}
+
+impl RoutePlan {
+    /// Computes the route of `query` under `view`.
+    pub fn compute(view: &ConfigView, query: &RouteQuery<'_>) -> Result<Self, PlanError> {
+        let (candidates, cascade) = candidate_stages(view, query.target)?;
+        let mut excluded = Vec::new();
+        let mut stages = SmallVec::new();
+        for candidate in &candidates {
+            let pinned = pinned_version(query.work, candidate);
+            let mut stage = RouteStage {
+                versions: SmallVec::new(),
+            };
+            for entry in candidate {
+                match exclusion(view, query, entry) {
+                    None => stage.versions.push((entry.name.clone(), entry.spec.share)),
+                    Some(reason) => excluded.push((entry.name.clone(), reason)),
+                }
+            }
+            if let Some(version) = pinned.filter(|_| stage.versions.is_empty()) {
+                return Err(PlanError::SessionVersionWithdrawn(version.clone()));
+            }
+            if !stage.versions.is_empty() {
+                stages.push(stage);
+            }
+        }
+        if stages.is_empty() {
+            if let WorkKind::Session([first, ..]) = query.work {
+                return Err(PlanError::SessionVersionWithdrawn(first.clone()));
+            }
+            let target = query.target.to_owned();
+            return Err(PlanError::NothingAllowed { target, excluded });
+        }
+        Ok(Self {
+            stages,
+            excluded,
+            cascade,
+        })
+    }
+}
+
+impl RouteStage {
+    /// Picks a version by share; `point` is uniform in `0.0..1.0`.
+    pub fn pick(&self, point: f64) -> &VersionName {
+        let total: u64 = self.versions.iter().map(|(_, s)| u64::from(*s)).sum();
+        let mut rest = (point * total as f64) as u64;
+        for (name, share) in &self.versions {
+            if rest < u64::from(*share) {
+                return name;
+            }
+            rest -= u64::from(*share);
+        }
+        &self.versions[0].0
+    }
+}
+
+/// Whether work of `query` may be handed to `version` under `view`; asked again before each dispatch.
+pub fn is_allowed(view: &ConfigView, query: &RouteQuery<'_>, version: &VersionName) -> bool {
+    view.version(version.as_str())
+        .is_some_and(|entry| exclusion(view, query, entry).is_none())
+}
+
+type StageCandidates<'a> = SmallVec<[Vec<&'a VersionEntry>; 3]>;
+
+fn candidate_stages<'a>(
+    view: &'a ConfigView,
+    target: &str,
+) -> Result<(StageCandidates<'a>, bool), PlanError> {
+    if let Some(cascade) = view.cascades.get(target) {
+        let stages = cascade
+            .stages
+            .iter()
+            .map(|stage| versions_of(view, cascade.model.as_str(), &stage.versions))
+            .collect();
+        return Ok((stages, true));
+    }
+    if view.models.contains_key(target) {
+        let every = LabelSelector::default();
+        let stages = SmallVec::from_iter([versions_of(view, target, &every)]);
+        return Ok((stages, false));
+    }
+    match view.version(target) {
+        Some(entry) => Ok((SmallVec::from_iter([vec![entry]]), false)),
+        None => Err(PlanError::UnknownTarget(target.to_owned())),
+    }
+}
+
+fn versions_of<'a>(
+    view: &'a ConfigView,
+    model: &str,
+    selector: &LabelSelector,
+) -> Vec<&'a VersionEntry> {
+    view.versions
+        .iter()
+        .filter(|entry| entry.spec.model.as_str() == model)
+        .filter(|entry| selector.matches(&entry.spec.labels))
+        .collect()
+}
+
+/// The version of `candidate` that the session is pinned to.
+fn pinned_version<'a>(
+    work: WorkKind<'_>,
+    candidate: &[&'a VersionEntry],
+) -> Option<&'a VersionName> {
+    let WorkKind::Session(pins) = work else {
+        return None;
+    };
+    candidate
+        .iter()
+        .map(|entry| &entry.name)
+        .find(|name| pins.contains(name))
+}
+
+fn exclusion(
+    view: &ConfigView,
+    query: &RouteQuery<'_>,
+    entry: &VersionEntry,
+) -> Option<ExclusionReason> {
+    let in_session = match query.work {
+        WorkKind::Session(pins) if !pins.contains(&entry.name) => {
+            return Some(ExclusionReason::NotPinned);
+        }
+        WorkKind::Session(_) => true,
+        WorkKind::New => false,
+    };
+    match entry.phase {
+        _ if entry.tripped && (entry.phase == VersionPhase::Withdrawn || !in_session) => {
+            return Some(ExclusionReason::Tripped);
+        }
+        VersionPhase::Withdrawn => return Some(ExclusionReason::Withdrawn),
+        VersionPhase::Retiring if !in_session => return Some(ExclusionReason::Retiring),
+        VersionPhase::Serving if !in_session && entry.spec.share == 0 => {
+            return Some(ExclusionReason::NoShare);
+        }
+        VersionPhase::Retiring | VersionPhase::Serving => {}
+    }
+    rule_exclusion(view, query, entry)
+}
+
+fn rule_exclusion(
+    view: &ConfigView,
+    query: &RouteQuery<'_>,
+    entry: &VersionEntry,
+) -> Option<ExclusionReason> {
+    let Some(workspace) = view.workspaces.get(query.workspace) else {
+        return Some(ExclusionReason::NotAllowed);
+    };
+    let labels = &workspace.labels;
+    let mut allowed = false;
+    for (name, rule) in &view.rules {
+        if !rule.workspaces.matches(labels) || !rule.requests.matches(query.labels) {
+            continue;
+        }
+        if rule
+            .deny
+            .as_ref()
+            .is_some_and(|d| d.matches(&entry.spec.labels))
+        {
+            return Some(ExclusionReason::Denied { rule: name.clone() });
+        }
+        allowed |= allows(rule, entry);
+    }
+    (!allowed).then_some(ExclusionReason::NotAllowed)
+}
+
+fn allows(rule: &RuleSpec, entry: &VersionEntry) -> bool {
+    let selected = rule
+        .allow
+        .as_ref()
+        .is_some_and(|allow| allow.matches(&entry.spec.labels));
+    selected || rule.allow_versions.contains(&entry.name)
+}
--- /dev/null
+++ b/crates/kernel/src/http/body.rs
@@ -0,0 +1,83 @@
+//! Bodies of requests and responses.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use futures::Stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::{Body, Frame};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+/// Error that ends a body early; the connection is then closed without a final chunk.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Body of any response that the project's servers send.
+pub type HttpBody = UnsyncBoxBody<Bytes, BoxError>;
+
+/// Why a body could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// The body is longer than allowed.
+    #[error("the body is longer than {limit} bytes; send a shorter one")]
+    TooLarge {
+        /// Longest body allowed, in bytes.
+        limit: usize,
+    },
+    /// The body ended before its announced length, or the connection broke.
+    #[error("the body ended early: {0}; send the whole body")]
+    Truncated(String),
+}
+
+/// An empty body.
+pub fn empty() -> HttpBody {
+    Empty::new().map_err(never).boxed_unsync()
+}
+
+/// A body of known content.
+pub fn full(content: impl Into<Bytes>) -> HttpBody {
+    Full::new(content.into()).map_err(never).boxed_unsync()
+}
+
+/// A body whose chunks come from `chunks`; an error breaks the connection off.
+pub fn streamed<S>(chunks: S) -> HttpBody
+where
+    S: Stream<Item = Result<Bytes, BoxError>> + Send + 'static,
+{
+    use futures::StreamExt;
+    StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))).boxed_unsync()
+}
+
+/// A JSON response.
+pub fn json_response(status: StatusCode, content: &impl Serialize) -> Response<HttpBody> {
+    let text = serde_json::to_vec(content).unwrap_or_default();
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `limit` or breaks off.
+pub async fn collect_limited<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body,
+    B::Error: Into<BoxError>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge { limit }),
+        Err(error) => Err(BodyError::Truncated(error.to_string())),
+    }
+}
+
+fn never(error: Infallible) -> BoxError {
+    match error {}
+}
--- /dev/null
+++ b/crates/kernel/src/http/client.rs
@@ -0,0 +1,251 @@
+//! HTTP client with pooled connections.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::body::{BodyError, collect_limited};
+
+/// Longest response read as a whole, in bytes.
+const RESPONSE_LIMIT: usize = 64 * 1024 * 1024;
+/// Time allowed for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// No connection was made, so that the server received nothing.
+    #[error(
+        "cannot connect to {url}: {reason}; check that the server runs and the address is right"
+    )]
+    Connect {
+        /// Address that was called.
+        url: String,
+        /// Message of the transport.
+        reason: String,
+    },
+    /// The connection broke; the server may have received the request.
+    #[error("the call to {url} broke off: {reason}; the server may have received it")]
+    Broken {
+        /// Address that was called.
+        url: String,
+        /// Message of the transport.
+        reason: String,
+    },
+    /// No answer in time; the server may have received the request.
+    #[error("no answer from {url} within {timeout:?}; the server may have received the call")]
+    Timeout {
+        /// Address that was called.
+        url: String,
+        /// Time that was allowed.
+        timeout: Duration,
+    },
+    /// The server answered with an error status.
+    #[error("{url} answered {status}: {body}")]
+    Status {
+        /// Address that was called.
+        url: String,
+        /// Status of the answer.
+        status: StatusCode,
+        /// Body of the answer.
+        body: String,
+    },
+    /// The answer could not be read.
+    #[error(
+        "the answer of {url} cannot be read: {reason}; check that the address is of the right service"
+    )]
+    Unreadable {
+        /// Address that was called.
+        url: String,
+        /// Message of the parser.
+        reason: String,
+    },
+    /// The request could not be built.
+    #[error("{url:?} is not a valid address: {reason}; write http://IP:PORT/PATH")]
+    BadRequest {
+        /// Address as given.
+        url: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// One call: method, address, headers and body.
+#[derive(Debug, Clone)]
+pub struct HttpRequest {
+    /// Method of the call.
+    pub method: Method,
+    /// Whole address, `http://IP:PORT/PATH`.
+    pub url: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl HttpRequest {
+    /// A GET of `url`.
+    pub fn get(url: &str) -> Self {
+        Self::new(Method::GET, url, Bytes::new())
+    }
+
+    /// A POST of `content` as JSON to `url`.
+    pub fn post_json(url: &str, content: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(content).unwrap_or_default();
+        let mut request = Self::new(Method::POST, url, body.into());
+        request
+            .headers
+            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        request
+    }
+
+    /// A call with any method and body.
+    pub fn new(method: Method, url: &str, body: Bytes) -> Self {
+        Self {
+            method,
+            url: url.to_owned(),
+            headers: HeaderMap::new(),
+            body,
+        }
+    }
+
+    /// Adds `Authorization: Bearer TOKEN`.
+    #[must_use]
+    pub fn bearer(mut self, token: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(&format!("Bearer {token}")) {
+            self.headers.insert(AUTHORIZATION, value);
+        }
+        self
+    }
+}
+
+/// Client with a pool of connections; clones share the pool.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let inner = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { inner }
+    }
+}
+
+impl HttpClient {
+    /// Sends `request` and returns as soon as the head of the answer is there, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Connect`] says that nothing was sent; any other error leaves that open.
+    pub async fn send(
+        &self,
+        request: HttpRequest,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, HttpError> {
+        let HttpRequest {
+            method,
+            url,
+            headers,
+            body,
+        } = request;
+        let mut outgoing = Request::builder()
+            .method(method)
+            .uri(&url)
+            .body(Full::new(body))
+            .map_err(|error| HttpError::BadRequest {
+                url: url.clone(),
+                reason: error.to_string(),
+            })?;
+        *outgoing.headers_mut() = headers;
+        match tokio::time::timeout(timeout, self.inner.request(outgoing)).await {
+            Err(_) => Err(HttpError::Timeout { url, timeout }),
+            Ok(Err(error)) => {
+                let reason = error_chain(&error);
+                Err(if error.is_connect() {
+                    HttpError::Connect { url, reason }
+                } else {
+                    HttpError::Broken { url, reason }
+                })
+            }
+            Ok(Ok(response)) => Ok(response),
+        }
+    }
+
+    /// Sends `request` and reads the whole answer, which must have a success status.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`], and when the status is not a success or the body cannot be read.
+    pub async fn fetch(&self, request: HttpRequest, timeout: Duration) -> Result<Bytes, HttpError> {
+        let url = request.url.clone();
+        let whole = async {
+            let response = self.send(request, timeout).await?;
+            let status = response.status();
+            let body = collect_limited(response.into_body(), RESPONSE_LIMIT)
+                .await
+                .map_err(|error: BodyError| HttpError::Broken {
+                    url: url.clone(),
+                    reason: error.to_string(),
+                })?;
+            if status.is_success() {
+                return Ok(body);
+            }
+            Err(HttpError::Status {
+                url: url.clone(),
+                status,
+                body: String::from_utf8_lossy(&body).into_owned(),
+            })
+        };
+        match tokio::time::timeout(timeout, whole).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::Timeout { url, timeout }),
+        }
+    }
+
+    /// Sends `request` and reads the answer as JSON.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::fetch`], and when the body is not a `T`.
+    pub async fn fetch_json<T: DeserializeOwned>(
+        &self,
+        request: HttpRequest,
+        timeout: Duration,
+    ) -> Result<T, HttpError> {
+        let url = request.url.clone();
+        let body = self.fetch(request, timeout).await?;
+        serde_json::from_slice(&body).map_err(|error| HttpError::Unreadable {
+            url,
+            reason: error.to_string(),
+        })
+    }
+}
+
+fn error_chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/kernel/src/http/server.rs
@@ -0,0 +1,137 @@
+//! HTTP server: one task a connection, graceful stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::HttpBody;
+
+/// Time allowed for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head of a request, in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
+/// Pause after a failed accept, for example when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A listening socket that is not yet served.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+}
+
+/// A running server.
+#[derive(Debug, Clone)]
+pub struct ServerHandle {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    stop: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl Server {
+    /// Binds `address`; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use or not of this host.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Self { listener })
+    }
+
+    /// Address that the socket is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket has no address any more.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves every connection with `handler` until the handle is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket has no address any more.
+    pub fn serve<H, F>(self, handler: H) -> std::io::Result<ServerHandle>
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<HttpBody>> + Send + 'static,
+    {
+        let handle = ServerHandle {
+            address: self.address()?,
+            stop: CancellationToken::new(),
+            connections: TaskTracker::new(),
+        };
+        tokio::spawn(accept_loop(self.listener, handle.clone(), handler));
+        Ok(handle)
+    }
+}
+
+impl ServerHandle {
+    /// Stops accepting, lets each connection finish its requests, and waits for them.
+    pub async fn stop(&self) {
+        self.stop.cancel();
+        self.connections.close();
+        self.connections.wait().await;
+    }
+}
+
+async fn accept_loop<H, F>(listener: TcpListener, handle: ServerHandle, handler: H)
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<HttpBody>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = handle.stop.cancelled() => return,
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let stop = handle.stop.clone();
+        let connection = serve_connection(stream, peer, handler.clone(), stop);
+        handle.connections.spawn(connection);
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: H,
+    stop: CancellationToken,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<HttpBody>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = auto::Builder::new(hyper_util::rt::TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT);
+    let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/platform/src/engine/chat_wire.rs
@@ -0,0 +1,132 @@
+//! Messages of the chat completion protocol; unknown fields are kept or ignored, not refused.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// Request for a chat completion.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChatRequest {
+    /// Model that the caller names; the version, once a router hands it to an engine.
+    pub model: String,
+    /// The conversation so far; at least one message.
+    pub messages: Vec<ChatMessage>,
+    /// Whether the answer comes as a stream.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most tokens of the answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u32>,
+    /// All other fields, passed on as they came.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+/// One message of a conversation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChatMessage {
+    /// `system`, `user` or `assistant`.
+    pub role: String,
+    /// Text, or a list of parts as the protocol allows.
+    pub content: Value,
+    /// All other fields, passed on as they came.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+/// Whole answer to a request without streaming.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChatAnswer {
+    /// Identifier of the answer.
+    pub id: String,
+    /// Always `chat.completion`.
+    pub object: String,
+    /// Version that answered.
+    pub model: String,
+    /// Answers; engines here give exactly one.
+    pub choices: Vec<ChatChoice>,
+    /// Tokens used.
+    pub usage: TokenUsage,
+}
+
+/// One answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChatChoice {
+    /// Position, from 0.
+    pub index: u32,
+    /// The message.
+    pub message: ChatMessage,
+    /// Why it ended: `stop` or `length`.
+    pub finish_reason: String,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChatChunk {
+    /// Identifier of the answer.
+    pub id: String,
+    /// Always `chat.completion.chunk`.
+    pub object: String,
+    /// Version that answers.
+    pub model: String,
+    /// Next piece; empty in the last event, which carries the usage.
+    pub choices: Vec<ChunkChoice>,
+    /// Tokens used, in the last event only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<TokenUsage>,
+}
+
+/// Piece of an answer: one token.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChunkChoice {
+    /// Position, from 0.
+    pub index: u32,
+    /// What is added.
+    pub delta: ChatDelta,
+    /// Why the answer ended, in its last piece.
+    #[serde(default)]
+    pub finish_reason: Option<String>,
+}
+
+/// Text that a piece adds.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChatDelta {
+    /// Role, in the first piece.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<String>,
+    /// Text of one token.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content: Option<String>,
+}
+
+/// Tokens of one answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenUsage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+    /// Both together.
+    #[serde(default)]
+    pub total_tokens: u64,
+}
+
+/// Load of an engine as it was some time ago.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests in the running batch.
+    pub running: u32,
+    /// Requests waiting for a place in the batch.
+    pub queued: u32,
+    /// Places of the batch.
+    pub batch_limit: u32,
+    /// Places of the queue.
+    pub queue_limit: u32,
+    /// Duration of an engine step, in milliseconds: one token for every running request.
+    pub step_ms: f64,
+    /// Whether the engine is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Age of these figures, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/crates/platform/src/hosts.rs
@@ -0,0 +1,89 @@
+//! Host list: live and leaving hosts, with a lag.
+//!
+//! - `GET /hosts`: a [`HostListing`].
+//! - `PUT /hosts/{name}`: registers or changes a [`HostEntry`]; `DELETE /hosts/{name}` removes it.
+//!   The platform's own agents call these; the list shows a change only after its lag.
+
+use std::time::Duration;
+
+use ferry_decisions::names::{HostName, ServiceName, VersionName, ZoneName};
+use ferry_decisions::{closed_set, value_type};
+use ferry_kernel::http::{HttpClient, HttpError, HttpRequest};
+
+value_type! {
+    /// The hosts that the platform knows.
+    pub struct HostListing {
+        /// Hosts in order of their names.
+        pub hosts: Vec<HostEntry>,
+    }
+
+    /// One host.
+    pub struct HostEntry {
+        /// Name of the host, unique over all roles.
+        pub name: HostName,
+        /// Availability zone of the host.
+        pub zone: ZoneName,
+        /// What the host does.
+        pub role: HostRole,
+        /// Whether it is leaving.
+        pub state: HostState,
+        /// Address of its main port, `IP:PORT`: the peer port for a router.
+        pub address: String,
+        /// Versions that an engine serves; empty for other roles.
+        #[serde(default)]
+        pub versions: Vec<VersionName>,
+        /// Service that a service host runs.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub service: Option<ServiceName>,
+    }
+}
+
+closed_set! {
+    /// What a host does.
+    pub enum HostRole {
+        /// Runs a router daemon.
+        Router,
+        /// Runs a model engine.
+        Engine,
+        /// Runs a plain service.
+        Service,
+    }
+
+    /// Whether a host stays.
+    pub enum HostState {
+        /// In service.
+        Live,
+        /// About to be taken away; gets no new work.
+        Leaving,
+    }
+}
+
+/// Client of the host list.
+#[derive(Debug, Clone)]
+pub struct HostsClient {
+    http: HttpClient,
+    url: String,
+    timeout: Duration,
+}
+
+impl HostsClient {
+    /// A client of the service at `base`, for example `http://10.0.0.5:7100`.
+    pub fn new(base: &str, timeout: Duration) -> Self {
+        Self {
+            http: HttpClient::default(),
+            url: format!("{}/hosts", base.trim_end_matches('/')),
+            timeout,
+        }
+    }
+
+    /// The list as the platform shows it now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn list(&self) -> Result<HostListing, HttpError> {
+        self.http
+            .fetch_json(HttpRequest::get(&self.url), self.timeout)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/bin/ferry-bench.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ferry-bench`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/ferry-router.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ferry-router`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/ferry-trial.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ferry-trial`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/ferryctl.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ferryctl`.
+
+fn main() {}
