--- a/crates/kernel/src/settings/settings_error.rs
+++ b/crates/kernel/src/settings/settings_error.rs
@@ -1,6 +1,7 @@
 //! Errors of settings files as diagnostics that point at the line.
 
 use std::path::Path;
+use std::sync::Arc;
 
 use miette::{Diagnostic, NamedSource, SourceSpan};
 
@@ -26,7 +27,7 @@
         remedy: String,
         /// The whole file.
         #[source_code]
-        text: NamedSource<String>,
+        text: Arc<NamedSource<String>>,
         /// Where the problem is.
         #[label("here")]
         span: Option<SourceSpan>,
@@ -51,7 +52,7 @@
             problem: first_line(&error.without_snippet().to_string()),
             remedy: "correct the marked line; the operators' page lists every key with its unit"
                 .to_owned(),
-            text: NamedSource::new(name, text.to_owned()),
+            text: Arc::new(NamedSource::new(name, text.to_owned())),
             span,
         }
     }
@@ -65,7 +66,7 @@
         Self::Malformed {
             problem: problem.to_owned(),
             remedy: remedy.to_owned(),
-            text: NamedSource::new(name, text.to_owned()),
+            text: Arc::new(NamedSource::new(name, text.to_owned())),
             span,
         }
     }
