Link routers over authenticated WebSockets

Routers need one transport for heartbeats, configuration records, claims and bills. Each dials its neighbours and accepts what others dial; a link carries CBOR frames of at most 4 MiB after a mutual HMAC challenge. Queues are bounded in frames and bytes, refusals are counted, and an error says whether the peer's handler may have seen the message. A panic of a handler first tore down the link and left it in the table; the test for it failed until the call was guarded.

Tests: cargo test -p ferry-router, 5 passed. Not measured yet: bytes per router at 3, 8 and 16 routers.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The router daemon.
+
+pub mod peer;
--- /dev/null
+++ b/crates/router/src/peer.rs
@@ -0,0 +1,23 @@
+//! Authenticated links between the routers of a fleet.
+//!
+//! A router dials each of its neighbours and accepts the links that others dial. A link is a
+//! WebSocket whose binary messages hold one CBOR frame each; both ends prove that they hold the
+//! fleet's secret before the first frame passes.
+
+mod link_table;
+mod peer_codec;
+mod peer_error;
+mod peer_frame;
+mod peer_handshake;
+mod peer_hub;
+mod peer_link;
+mod peer_metrics;
+mod peer_settings;
+mod peer_topic;
+
+pub use peer_codec::{decode, encode};
+pub use peer_error::{Delivery, PeerError};
+pub use peer_handshake::{PROTOCOL_VERSION, PeerIdentity};
+pub use peer_hub::{PeerHandler, PeerHub, PeerMessage};
+pub use peer_settings::PeerSettings;
+pub use peer_topic::PeerTopic;
--- /dev/null
+++ b/crates/router/src/peer/peer_error.rs
@@ -0,0 +1,148 @@
+//! Errors of the links between routers.
+
+use std::net::SocketAddr;
+
+use ferry_decisions::names::HostName;
+
+/// Whether a message that failed may have reached the peer's handler.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// The handler certainly did not see it.
+    NotDelivered,
+    /// The handler may have seen it.
+    Unknown,
+    /// The handler saw it.
+    Delivered,
+}
+
+/// Why a link or a message failed.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// The peer port cannot be opened.
+    #[error("cannot listen on {address}: {source}; free the port or change `peer.listen`")]
+    Listen {
+        /// Address asked for.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// No link to the host is up.
+    #[error("no link to {0} is up; send again once it is connected, or choose another peer")]
+    NotConnected(HostName),
+    /// The link's send queue is full.
+    #[error("the send queue to {0} is full; send again later")]
+    QueueFull(HostName),
+    /// The message exceeds the limit of a frame.
+    #[error("the message has {size} bytes, over the limit of {limit}; split it")]
+    TooLarge {
+        /// Size of the frame, in bytes.
+        size: usize,
+        /// Largest frame, in bytes.
+        limit: usize,
+    },
+    /// The peer has too many queries at work.
+    #[error("{0} has too many queries at work; ask again later")]
+    Busy(HostName),
+    /// The peer's handler gave no answer to the query.
+    #[error("{0} has no answer to the query; check that it runs the same release")]
+    Unanswered(HostName),
+    /// The link closed while the answer was awaited.
+    #[error("the link to {0} closed before it answered; ask again if the query may be repeated")]
+    LinkLost(HostName),
+    /// The answer did not come in time.
+    #[error("{0} did not answer in time; ask again if the query may be repeated")]
+    TimedOut(HostName),
+    /// The peer answered with something else than the type expected.
+    #[error("the answer of {host} cannot be read: {detail}; check that it runs the same release")]
+    BadAnswer {
+        /// Peer that answered.
+        host: HostName,
+        /// What is wrong.
+        detail: String,
+    },
+    /// Bytes that are not the value expected.
+    #[error("a peer's message is malformed: {0}; check that all routers run the same release")]
+    Malformed(String),
+    /// A value that CBOR cannot hold.
+    #[error("the message cannot be encoded: {0}; this is a defect, report it")]
+    Unencodable(String),
+    /// The other end did not prove that it holds the secret.
+    #[error("the other end does not hold the fleet's secret; set the same `peer.secret` on all")]
+    Unauthenticated,
+    /// The other end speaks another version of the protocol.
+    #[error("the other end speaks protocol {theirs}, this one {ours}; run one release on all")]
+    ProtocolVersion {
+        /// Version of this router.
+        ours: u32,
+        /// Version of the other end.
+        theirs: u32,
+    },
+    /// Another host than the one dialled answered.
+    #[error("{found} answered in place of {expected}; check the host list's addresses")]
+    WrongHost {
+        /// Host that was dialled.
+        expected: HostName,
+        /// Host that answered.
+        found: HostName,
+    },
+    /// The other end closed the link or was silent for too long during the handshake.
+    #[error("the handshake was not completed: {0}; the link is dialled again by itself")]
+    Handshake(String),
+    /// The transport failed.
+    #[error("the link failed: {0}; it is dialled again by itself")]
+    Transport(String),
+    /// The peer sent nothing for too long.
+    #[error("the peer was silent for too long; the link is dialled again by itself")]
+    Silent,
+}
+
+impl PeerError {
+    /// Whether the message may have reached the peer's handler.
+    pub fn delivery(&self) -> Delivery {
+        match self {
+            Self::LinkLost(_) | Self::TimedOut(_) => Delivery::Unknown,
+            Self::Unanswered(_) | Self::BadAnswer { .. } => Delivery::Delivered,
+            Self::Listen { .. }
+            | Self::NotConnected(_)
+            | Self::QueueFull(_)
+            | Self::TooLarge { .. }
+            | Self::Busy(_)
+            | Self::Malformed(_)
+            | Self::Unencodable(_)
+            | Self::Unauthenticated
+            | Self::ProtocolVersion { .. }
+            | Self::WrongHost { .. }
+            | Self::Handshake(_)
+            | Self::Transport(_)
+            | Self::Silent => Delivery::NotDelivered,
+        }
+    }
+
+    /// Whether the peer's handler certainly did not see the message.
+    pub fn is_undelivered(&self) -> bool {
+        self.delivery() == Delivery::NotDelivered
+    }
+
+    /// The kind's name as metric label.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Listen { .. } => "listen",
+            Self::NotConnected(_) => "not_connected",
+            Self::QueueFull(_) => "queue_full",
+            Self::TooLarge { .. } => "too_large",
+            Self::Busy(_) => "busy",
+            Self::Unanswered(_) => "unanswered",
+            Self::LinkLost(_) => "link_lost",
+            Self::TimedOut(_) => "timed_out",
+            Self::BadAnswer { .. } => "bad_answer",
+            Self::Malformed(_) => "malformed",
+            Self::Unencodable(_) => "unencodable",
+            Self::Unauthenticated => "unauthenticated",
+            Self::ProtocolVersion { .. } => "protocol_version",
+            Self::WrongHost { .. } => "wrong_host",
+            Self::Handshake(_) => "handshake",
+            Self::Transport(_) => "transport",
+            Self::Silent => "silent",
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/peer/peer_frame.rs
@@ -0,0 +1,92 @@
+//! Frames of a link: one CBOR value in each WebSocket message.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::{PeerError, PeerTopic, decode, encode};
+
+/// Largest frame, in bytes.
+pub const FRAME_LIMIT: usize = 4 * 1_024 * 1_024;
+
+/// One frame after the handshake.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum PeerFrame {
+    /// A message that wants no answer.
+    Notice {
+        /// What it is about.
+        topic: PeerTopic,
+        /// Content, encoded by the sender's part.
+        body: Bytes,
+    },
+    /// A message that wants a reply with the same id.
+    Query {
+        /// Number of the query on this link.
+        id: u64,
+        /// What it is about.
+        topic: PeerTopic,
+        /// Content, encoded by the sender's part.
+        body: Bytes,
+    },
+    /// The answer to a query.
+    Reply {
+        /// Number of the query.
+        id: u64,
+        /// Topic of the query.
+        topic: PeerTopic,
+        /// How the query went.
+        outcome: QueryOutcome,
+    },
+}
+
+/// How a query went at the peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum QueryOutcome {
+    /// The handler's answer.
+    Answer(Bytes),
+    /// The handler saw the query and gave no answer.
+    Unanswered,
+    /// Too many queries are at work; the handler did not see this one.
+    Busy,
+}
+
+/// A frame as it goes over the wire.
+#[derive(Debug, Clone)]
+pub struct EncodedFrame {
+    /// Topic of the frame.
+    pub topic: PeerTopic,
+    /// Encoded frame, at most [`FRAME_LIMIT`] bytes.
+    pub bytes: Bytes,
+}
+
+impl PeerFrame {
+    /// What the frame is about.
+    pub fn topic(&self) -> PeerTopic {
+        match self {
+            Self::Notice { topic, .. } | Self::Query { topic, .. } | Self::Reply { topic, .. } => {
+                *topic
+            }
+        }
+    }
+
+    /// Encodes the frame and checks its size.
+    pub fn to_wire(&self) -> Result<EncodedFrame, PeerError> {
+        let bytes = encode(self)?;
+        if bytes.len() > FRAME_LIMIT {
+            return Err(PeerError::TooLarge {
+                size: bytes.len(),
+                limit: FRAME_LIMIT,
+            });
+        }
+        Ok(EncodedFrame {
+            topic: self.topic(),
+            bytes,
+        })
+    }
+
+    /// Reads a frame.
+    pub fn from_wire(bytes: &[u8]) -> Result<Self, PeerError> {
+        decode(bytes)
+    }
+}
--- /dev/null
+++ b/crates/router/src/peer/peer_link.rs
@@ -0,0 +1,305 @@
+//! One link: a bounded send queue, the queries at work on it, and its read and write loops.
+
+use std::collections::HashMap;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::HostName;
+use futures::stream::{SplitSink, SplitStream};
+use futures::{FutureExt, SinkExt, StreamExt};
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
+use tokio_util::sync::CancellationToken;
+
+use super::peer_frame::{EncodedFrame, PeerFrame, QueryOutcome};
+use super::{PeerError, PeerHandler, PeerIdentity, PeerMessage, PeerTopic, peer_metrics};
+
+/// Most frames that wait in a send queue.
+const QUEUE_FRAMES: usize = 4_096;
+/// Most bytes that wait in a send queue.
+const QUEUE_BYTES: usize = 16 * 1_024 * 1_024;
+/// Most notices that wait for the handler.
+const INBOX_FRAMES: usize = 4_096;
+/// Most queries of one peer that the handler works on at once.
+const QUERIES_AT_WORK: usize = 1_024;
+/// Time between two pings.
+const PING_PERIOD: Duration = Duration::from_secs(1);
+/// Time without anything read after which a link is given up.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+/// Time that one write may take.
+const WRITE_LIMIT: Duration = Duration::from_secs(4);
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// A link that passed its handshake.
+#[derive(Debug)]
+pub struct PeerLink {
+    peer: PeerIdentity,
+    queue: mpsc::Sender<EncodedFrame>,
+    /// Bytes waiting in `queue`; at most [`QUEUE_BYTES`] plus one frame per sending thread.
+    queued_bytes: AtomicUsize,
+    /// Queries sent whose reply is awaited.
+    pending: Mutex<HashMap<u64, oneshot::Sender<QueryOutcome>>>,
+    next_query: AtomicU64,
+    closing: CancellationToken,
+}
+
+/// The receiving end of a link's send queue.
+pub type FrameQueue = mpsc::Receiver<EncodedFrame>;
+
+impl PeerLink {
+    /// A link to `peer` that ends when `closing` is cancelled.
+    pub fn new(peer: PeerIdentity, closing: CancellationToken) -> (Arc<Self>, FrameQueue) {
+        let (sender, receiver) = mpsc::channel(QUEUE_FRAMES);
+        let link = Self {
+            peer,
+            queue: sender,
+            queued_bytes: AtomicUsize::new(0),
+            pending: Mutex::new(HashMap::new()),
+            next_query: AtomicU64::new(0),
+            closing,
+        };
+        (Arc::new(link), receiver)
+    }
+
+    /// Who is at the other end.
+    pub fn peer(&self) -> &PeerIdentity {
+        &self.peer
+    }
+
+    /// Ends the link once its queue is written.
+    pub fn close(&self) {
+        self.closing.cancel();
+    }
+
+    /// Queues `frame`; refuses it when the queue is full or the link is closing.
+    pub fn send(&self, frame: EncodedFrame) -> Result<(), PeerError> {
+        if self.closing.is_cancelled() {
+            return Err(PeerError::NotConnected(self.host()));
+        }
+        let topic = frame.topic;
+        let size = frame.bytes.len();
+        let queued = self.queued_bytes.fetch_add(size, Ordering::AcqRel);
+        let room = queued + size <= QUEUE_BYTES;
+        if room && self.queue.try_send(frame).is_ok() {
+            return Ok(());
+        }
+        self.queued_bytes.fetch_sub(size, Ordering::AcqRel);
+        peer_metrics::count_refused(topic);
+        Err(PeerError::QueueFull(self.host()))
+    }
+
+    /// Sends a query and waits for its reply.
+    pub async fn ask(
+        &self,
+        topic: PeerTopic,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, PeerError> {
+        let id = self.next_query.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        let frame = PeerFrame::Query { id, topic, body }.to_wire()?;
+        self.pending.lock().insert(id, sender);
+        let _entry = PendingEntry { link: self, id };
+        self.send(frame)?;
+        match timeout(limit, receiver).await {
+            Ok(Ok(QueryOutcome::Answer(body))) => Ok(body),
+            Ok(Ok(QueryOutcome::Unanswered)) => Err(PeerError::Unanswered(self.host())),
+            Ok(Ok(QueryOutcome::Busy)) => Err(PeerError::Busy(self.host())),
+            Ok(Err(_)) => Err(PeerError::LinkLost(self.host())),
+            Err(_) => Err(PeerError::TimedOut(self.host())),
+        }
+    }
+
+    /// Runs the link until it fails or is closed.
+    pub async fn run(
+        self: &Arc<Self>,
+        socket: Socket,
+        queue: FrameQueue,
+        handler: &PeerHandler,
+    ) -> Result<(), PeerError> {
+        let (sink, stream) = socket.split();
+        let (inbox, notices) = mpsc::channel(INBOX_FRAMES);
+        let result = tokio::select! {
+            result = self.write_loop(sink, queue) => result,
+            result = self.read_loop(stream, &inbox, handler) => result,
+            () = handle_notices(notices, handler) => Ok(()),
+        };
+        self.closing.cancel();
+        self.pending.lock().clear();
+        result
+    }
+
+    fn host(&self) -> HostName {
+        self.peer.host.clone()
+    }
+
+    /// Writes queued frames and pings; ends once the link is closing and the queue is written.
+    async fn write_loop(
+        &self,
+        mut sink: SplitSink<Socket, Message>,
+        mut queue: FrameQueue,
+    ) -> Result<(), PeerError> {
+        let mut pings = interval(PING_PERIOD);
+        pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let message = tokio::select! {
+                biased;
+                Some(frame) = queue.recv() => self.take_queued(frame),
+                () = self.closing.cancelled() => break,
+                _ = pings.tick() => Message::Ping(Bytes::new()),
+            };
+            timeout(WRITE_LIMIT, sink.send(message))
+                .await
+                .map_err(|_| PeerError::Silent)?
+                .map_err(|error| PeerError::Transport(error.to_string()))?;
+        }
+        let _ = timeout(WRITE_LIMIT, sink.close()).await;
+        Ok(())
+    }
+
+    fn take_queued(&self, frame: EncodedFrame) -> Message {
+        let size = frame.bytes.len();
+        self.queued_bytes.fetch_sub(size, Ordering::AcqRel);
+        peer_metrics::count_sent(frame.topic, size);
+        Message::Binary(frame.bytes)
+    }
+
+    async fn read_loop(
+        self: &Arc<Self>,
+        mut stream: SplitStream<Socket>,
+        inbox: &mpsc::Sender<PeerMessage>,
+        handler: &PeerHandler,
+    ) -> Result<(), PeerError> {
+        let places = Arc::new(Semaphore::new(QUERIES_AT_WORK));
+        loop {
+            let message = timeout(SILENCE_LIMIT, stream.next())
+                .await
+                .map_err(|_| PeerError::Silent)?;
+            match message {
+                Some(Ok(Message::Binary(bytes))) => {
+                    let frame = PeerFrame::from_wire(&bytes)?;
+                    peer_metrics::count_received(frame.topic(), bytes.len());
+                    self.take_received(frame, inbox, handler, &places);
+                }
+                Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+                Some(Ok(Message::Text(_) | Message::Frame(_))) => {
+                    return Err(PeerError::Malformed("not a binary message".to_owned()));
+                }
+                Some(Ok(Message::Close(_))) | None => return Ok(()),
+                Some(Err(error)) => return Err(read_error(&error)),
+            }
+        }
+    }
+
+    fn take_received(
+        self: &Arc<Self>,
+        frame: PeerFrame,
+        inbox: &mpsc::Sender<PeerMessage>,
+        handler: &PeerHandler,
+        places: &Arc<Semaphore>,
+    ) {
+        match frame {
+            PeerFrame::Notice { topic, body } => {
+                if inbox.try_send(self.message(topic, body)).is_err() {
+                    peer_metrics::count_dropped(topic);
+                }
+            }
+            PeerFrame::Query { id, topic, body } => {
+                self.answer_query(id, self.message(topic, body), handler, places);
+            }
+            PeerFrame::Reply { id, outcome, .. } => {
+                if let Some(waiter) = self.pending.lock().remove(&id) {
+                    let _ = waiter.send(outcome);
+                }
+            }
+        }
+    }
+
+    fn message(&self, topic: PeerTopic, body: Bytes) -> PeerMessage {
+        PeerMessage {
+            from: self.host(),
+            topic,
+            body,
+        }
+    }
+
+    /// Runs the handler on its own task, so that a slow answer holds up nothing else.
+    fn answer_query(
+        self: &Arc<Self>,
+        id: u64,
+        message: PeerMessage,
+        handler: &PeerHandler,
+        places: &Arc<Semaphore>,
+    ) {
+        let topic = message.topic;
+        let Ok(place) = Arc::clone(places).try_acquire_owned() else {
+            self.reply(id, topic, QueryOutcome::Busy);
+            return;
+        };
+        let handler = Arc::clone(handler);
+        let link = Arc::clone(self);
+        tokio::spawn(async move {
+            let outcome = match call_handler(&handler, message).await {
+                Some(body) => QueryOutcome::Answer(body),
+                None => QueryOutcome::Unanswered,
+            };
+            link.reply(id, topic, outcome);
+            drop(place);
+        });
+    }
+
+    fn reply(&self, id: u64, topic: PeerTopic, outcome: QueryOutcome) {
+        let sent = PeerFrame::Reply { id, topic, outcome }
+            .to_wire()
+            .and_then(|frame| self.send(frame));
+        if let Err(error) = sent {
+            spdlog::debug!("a reply was not sent: {}", error);
+        }
+    }
+}
+
+/// Forgets a query's waiter when the asking future ends or is dropped.
+struct PendingEntry<'a> {
+    link: &'a PeerLink,
+    id: u64,
+}
+
+impl Drop for PendingEntry<'_> {
+    fn drop(&mut self) {
+        self.link.pending.lock().remove(&self.id);
+    }
+}
+
+/// Hands notices to the handler in the order in which they came.
+async fn handle_notices(mut notices: mpsc::Receiver<PeerMessage>, handler: &PeerHandler) {
+    while let Some(message) = notices.recv().await {
+        call_handler(handler, message).await;
+    }
+}
+
+/// Runs the handler; a panic in it is logged and counts as no answer.
+async fn call_handler(handler: &PeerHandler, message: PeerMessage) -> Option<Bytes> {
+    let topic = message.topic;
+    let call = AssertUnwindSafe(async { handler(message).await });
+    call.catch_unwind().await.unwrap_or_else(|_| {
+        spdlog::error!("the handler of a peer message panicked", kv: { topic = topic.as_str() });
+        None
+    })
+}
+
+fn read_error(error: &SocketError) -> PeerError {
+    match error {
+        SocketError::Capacity(_) | SocketError::Protocol(_) | SocketError::Utf8(_) => {
+            PeerError::Malformed(error.to_string())
+        }
+        _ => PeerError::Transport(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/router/tests/peer_links.rs
@@ -0,0 +1,195 @@
+//! Links between routers over loopback.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::{HostName, Incarnation, ZoneName};
+use ferry_router::peer::{
+    PeerError, PeerHandler, PeerHub, PeerMessage, PeerSettings, PeerTopic, decode, encode,
+};
+use futures::future::FutureExt;
+use tokio::sync::mpsc;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn settings(host: &str, secret: &str) -> PeerSettings {
+    PeerSettings {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        secret: secret.to_owned(),
+        host: HostName::new(host),
+        zone: ZoneName::new("nasr-hall"),
+        incarnation: Incarnation::random(),
+    }
+}
+
+/// Answers a number with its double, and passes everything on.
+fn doubling() -> (PeerHandler, mpsc::UnboundedReceiver<PeerMessage>) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let handler: PeerHandler = Arc::new(move |message: PeerMessage| {
+        let number: Option<u64> = decode(&message.body).ok();
+        let _ = sender.send(message);
+        async move { number.map(|number| encode(&(number * 2)).unwrap()) }.boxed()
+    });
+    (handler, receiver)
+}
+
+async fn until(mut condition: impl FnMut() -> bool) {
+    tokio::time::timeout(LIMIT, async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await
+    .expect("the condition holds in time");
+}
+
+#[tokio::test]
+async fn carries_notices_in_order_and_answers_queries() {
+    let (handler, mut received) = doubling();
+    let a = PeerHub::start(settings("a", "s"), doubling().0)
+        .await
+        .unwrap();
+    let b = PeerHub::start(settings("b", "s"), handler).await.unwrap();
+    let to = HostName::new("b");
+    a.set_neighbours(&[(to.clone(), b.address())]);
+    until(|| a.connected() == [to.clone()]).await;
+
+    for number in 0..100_u64 {
+        a.notify(&to, PeerTopic::Guard, &number).unwrap();
+    }
+    a.broadcast(PeerTopic::Guard, &100_u64);
+    for number in 0..=100_u64 {
+        let message = received.recv().await.unwrap();
+        assert_eq!(message.from, HostName::new("a"));
+        assert_eq!(decode::<u64>(&message.body).unwrap(), number);
+    }
+    let doubled: u64 = a.ask(&to, PeerTopic::Claims, &21_u64, LIMIT).await.unwrap();
+    assert_eq!(doubled, 42);
+
+    // The accepted link serves the other direction until that side dials.
+    until(|| !b.connected().is_empty()).await;
+    let back = HostName::new("a");
+    let doubled: u64 = b
+        .ask(&back, PeerTopic::Claims, &4_u64, LIMIT)
+        .await
+        .unwrap();
+    assert_eq!(doubled, 8);
+    a.stop().await;
+    b.stop().await;
+    assert!(a.connected().is_empty());
+}
+
+#[tokio::test]
+async fn refuses_a_peer_without_the_secret() {
+    let (handler, mut received) = doubling();
+    let a = PeerHub::start(settings("a", "wrong"), doubling().0)
+        .await
+        .unwrap();
+    let b = PeerHub::start(settings("b", "right"), handler)
+        .await
+        .unwrap();
+    let to = HostName::new("b");
+    a.set_neighbours(&[(to.clone(), b.address())]);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(a.connected().is_empty());
+    assert!(b.connected().is_empty());
+    let error = a.notify(&to, PeerTopic::Config, &1_u64).unwrap_err();
+    assert!(matches!(&error, PeerError::NotConnected(_)));
+    assert!(error.is_undelivered());
+    a.stop().await;
+    b.stop().await;
+    assert!(received.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn survives_a_handler_that_panics() {
+    let panicking: PeerHandler = Arc::new(|message: PeerMessage| {
+        let number: u64 = decode(&message.body).unwrap();
+        assert!(number != 13, "as ordered");
+        async move { Some(message.body) }.boxed()
+    });
+    let a = PeerHub::start(settings("a", "s"), doubling().0)
+        .await
+        .unwrap();
+    let b = PeerHub::start(settings("b", "s"), panicking).await.unwrap();
+    let to = HostName::new("b");
+    a.set_neighbours(&[(to.clone(), b.address())]);
+    until(|| !a.connected().is_empty()).await;
+    a.notify(&to, PeerTopic::Hosts, &13_u64).unwrap();
+    let error = a.ask::<_, u64>(&to, PeerTopic::Hosts, &13_u64, LIMIT).await;
+    assert!(matches!(error, Err(PeerError::Unanswered(_))));
+    let echoed: u64 = a.ask(&to, PeerTopic::Hosts, &1_u64, LIMIT).await.unwrap();
+    assert_eq!(echoed, 1);
+    a.stop().await;
+    b.stop().await;
+}
+
+#[tokio::test]
+async fn redials_a_neighbour_that_comes_back() {
+    let (handler, mut received) = doubling();
+    let a = PeerHub::start(settings("a", "s"), doubling().0)
+        .await
+        .unwrap();
+    let b = PeerHub::start(settings("b", "s"), doubling().0)
+        .await
+        .unwrap();
+    let to = HostName::new("b");
+    let address = b.address();
+    a.set_neighbours(&[(to.clone(), address)]);
+    until(|| !a.connected().is_empty()).await;
+    b.stop().await;
+    drop(b);
+    until(|| a.connected().is_empty()).await;
+
+    let mut again = settings("b", "s");
+    again.listen = address;
+    let b = PeerHub::start(again, handler).await.unwrap();
+    until(|| !a.connected().is_empty()).await;
+    a.notify(&to, PeerTopic::Bills, &7_u64).unwrap();
+    let message = received.recv().await.unwrap();
+    assert_eq!(decode::<u64>(&message.body).unwrap(), 7);
+    a.stop().await;
+    b.stop().await;
+}
+
+#[tokio::test]
+async fn says_whether_a_query_may_have_been_delivered() {
+    let silent: PeerHandler = Arc::new(|message: PeerMessage| {
+        async move {
+            match message.topic {
+                PeerTopic::Claims => std::future::pending().await,
+                PeerTopic::Trail => Some(Bytes::from_static(b"\xff")),
+                _ => None,
+            }
+        }
+        .boxed()
+    });
+    let a = PeerHub::start(settings("a", "s"), doubling().0)
+        .await
+        .unwrap();
+    let b = PeerHub::start(settings("b", "s"), silent).await.unwrap();
+    let to = HostName::new("b");
+    a.set_neighbours(&[(to.clone(), b.address())]);
+    until(|| !a.connected().is_empty()).await;
+
+    let short = Duration::from_millis(50);
+    let error = a.ask::<_, u64>(&to, PeerTopic::Claims, &1_u64, short).await;
+    assert!(matches!(error, Err(PeerError::TimedOut(_))));
+    assert!(!error.unwrap_err().is_undelivered());
+    let error = a.ask::<_, u64>(&to, PeerTopic::Limits, &1_u64, LIMIT).await;
+    assert!(matches!(error, Err(PeerError::Unanswered(_))));
+    let error = a.ask::<_, u64>(&to, PeerTopic::Trail, &1_u64, LIMIT).await;
+    assert!(matches!(error, Err(PeerError::BadAnswer { .. })));
+    let large = vec![0_u64; 5 * 1_024 * 1_024];
+    let error = a.notify(&to, PeerTopic::Config, &large).unwrap_err();
+    assert!(matches!(error, PeerError::TooLarge { .. }));
+
+    let asking = a.ask::<_, u64>(&to, PeerTopic::Claims, &1_u64, LIMIT);
+    let (error, ()) = tokio::join!(asking, async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        b.stop().await;
+    });
+    assert!(matches!(error, Err(PeerError::LinkLost(_))));
+    a.stop().await;
+}
