--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -4,6 +4,8 @@
 mod client;
 mod server;
 
-pub use body::{BodyError, HttpBody, collect_limited, empty, full, json_response, streamed};
+pub use body::{
+    BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
+};
 pub use client::{HttpClient, HttpError, HttpRequest};
 pub use server::{Server, ServerHandle};
--- a/crates/kernel/src/http/client.rs
+++ b/crates/kernel/src/http/client.rs
@@ -144,7 +144,7 @@
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry_canceled_requests(false)
+            .retry_canceled_requests(true)
             .build(connector);
         Self { inner }
     }
--- /dev/null
+++ b/crates/router/src/app.rs
@@ -0,0 +1,74 @@
+//! The program `ferry-router`: command line, settings, signals.
+
+mod flags;
+
+use ferry_kernel::lifecycle::{StopSignal, stop_signals};
+use ferry_kernel::settings::BAD_SETTINGS_EXIT;
+use ferry_kernel::{logs, metrics};
+use miette::{IntoDiagnostic, Report, Result};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::daemon::RouterDaemon;
+use crate::settings::RouterSettings;
+
+/// Exit code after a second SIGINT.
+const INTERRUPTED_EXIT: i32 = 130;
+
+/// Runs the program and exits with 0 after a graceful stop, 1 on a failure, 2 on bad settings.
+pub fn main() {
+    let flags = flags::FerryRouter::from_env_or_exit();
+    let settings = match RouterSettings::read(&flags.settings) {
+        Ok(settings) => settings,
+        Err(error) => exit_with(BAD_SETTINGS_EXIT, &error.into()),
+    };
+    if flags.check_settings {
+        println!("{}: settings are valid", flags.settings.display());
+        return;
+    }
+    if let Err(report) = run(settings) {
+        exit_with(1, &report);
+    }
+}
+
+fn exit_with(code: i32, report: &Report) -> ! {
+    eprintln!("{report:?}");
+    std::process::exit(code)
+}
+
+fn run(settings: RouterSettings) -> Result<()> {
+    logs::install(settings.log_level).into_diagnostic()?;
+    metrics::install();
+    let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: RouterSettings) -> Result<()> {
+    let mut signals = stop_signals().into_diagnostic()?;
+    let daemon = RouterDaemon::start(settings).await?;
+    announce(&daemon);
+    signals.recv().await;
+    tokio::spawn(watch_signals(signals));
+    daemon.stop().await;
+    Ok(())
+}
+
+/// Prints the addresses that were bound, for those who start the program with port 0.
+fn announce(daemon: &RouterDaemon) {
+    let line = json!({
+        "callers": daemon.callers_address(),
+        "admin": daemon.admin_address(),
+        "peers": daemon.peers_address(),
+    });
+    println!("{line}");
+}
+
+/// Answers signals during the stop.
+async fn watch_signals(mut signals: mpsc::Receiver<StopSignal>) {
+    while let Some(signal) = signals.recv().await {
+        match signal {
+            StopSignal::Graceful => spdlog::warn!("already stopping; SIGINT twice exits at once"),
+            StopSignal::Interrupt => std::process::exit(INTERRUPTED_EXIT),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -0,0 +1,268 @@
+//! Refusals: final answers that say whether the request ran and when to come back.
+
+use std::time::Duration;
+
+use ferry_decisions::names::RequestId;
+use ferry_decisions::routing::PlanError;
+use ferry_decisions::session::SessionError;
+use ferry_kernel::http::{BodyError, HttpBody, full};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::claims::ClaimProblem;
+use crate::lease::LeaseProblem;
+
+/// Name of the header that carries a request's identifier.
+pub const REQUEST_ID_ANSWER_HEADER: &str = "ferry-request-id";
+
+/// Whether a refused request ran on an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunState {
+    /// No upstream ran any of it.
+    NotRun,
+    /// An upstream may have run it.
+    MayHaveRun,
+    /// An upstream ran it.
+    Ran,
+}
+
+/// Kinds of refusal; each has its own problem type and remedy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalKind {
+    /// No key, or one that belongs to no workspace.
+    Unauthenticated,
+    /// The workspace may not do this.
+    Forbidden,
+    /// The request is malformed.
+    BadRequest,
+    /// The body is longer than allowed.
+    BodyTooLarge,
+    /// The model, service or path does not exist.
+    Unknown,
+    /// No version may be used.
+    NoVersionAllowed,
+    /// The version of the session takes no more work.
+    SessionVersionWithdrawn,
+    /// The session token is not honoured.
+    BadSession,
+    /// This router does not know whether its configuration is fresh.
+    ConfigurationStale,
+    /// The router stops.
+    Stopping,
+    /// Too much work is in progress.
+    Overloaded,
+    /// The workspace is over its limit.
+    WorkspaceLimit,
+    /// The answer cannot be ready in time.
+    DeadlineTooNear,
+    /// The deadline passed during the run.
+    DeadlinePassed,
+    /// The log is out, which the request needs.
+    LogOut,
+    /// The request was sent before.
+    Duplicate,
+    /// The request crashed upstreams and is not run again.
+    Quarantined,
+    /// No upstream could run the request.
+    NoUpstream,
+    /// The upstream failed.
+    UpstreamFailed,
+    /// The upstream refused the request as it is.
+    UpstreamRefused,
+}
+
+/// A final answer to a request that is not answered.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{detail}")]
+pub struct CallerRefusal {
+    /// Kind of the refusal.
+    pub kind: RefusalKind,
+    /// What is wrong and what to do about it.
+    pub detail: String,
+    /// Whether the request ran.
+    pub run: RunState,
+    /// When to come back; `None` when the same request would be refused again.
+    pub retry_after: Option<Duration>,
+}
+
+/// Body of a refusal: a problem document with the fields that chat clients look for.
+#[derive(Debug, Serialize)]
+struct ProblemDocument<'a> {
+    r#type: String,
+    title: String,
+    status: u16,
+    detail: &'a str,
+    run: RunState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request_id: Option<&'a RequestId>,
+    error: ChatError<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ChatError<'a> {
+    message: &'a str,
+    r#type: RefusalKind,
+}
+
+impl RefusalKind {
+    /// Status of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Unauthenticated | Self::BadSession => StatusCode::UNAUTHORIZED,
+            Self::Forbidden | Self::NoVersionAllowed => StatusCode::FORBIDDEN,
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unknown => StatusCode::NOT_FOUND,
+            Self::SessionVersionWithdrawn => StatusCode::GONE,
+            Self::Duplicate => StatusCode::CONFLICT,
+            Self::Quarantined | Self::UpstreamRefused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
+            Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
+            Self::ConfigurationStale
+            | Self::Stopping
+            | Self::Overloaded
+            | Self::DeadlineTooNear
+            | Self::LogOut
+            | Self::NoUpstream => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Name of the kind, as documents and metrics show it.
+    pub fn name(self) -> String {
+        serde_json::to_value(self)
+            .ok()
+            .and_then(|value| value.as_str().map(str::to_owned))
+            .unwrap_or_default()
+    }
+}
+
+impl CallerRefusal {
+    /// A refusal before any dispatch, which would be repeated if the request came again.
+    pub fn final_one(kind: RefusalKind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            detail: detail.into(),
+            run: RunState::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// A refusal before any dispatch, with the time after which the request may succeed.
+    pub fn come_back(kind: RefusalKind, detail: impl Into<String>, after: Duration) -> Self {
+        Self {
+            retry_after: Some(after),
+            ..Self::final_one(kind, detail)
+        }
+    }
+
+    /// The same refusal with another run state.
+    #[must_use]
+    pub fn with_run(self, run: RunState) -> Self {
+        Self { run, ..self }
+    }
+
+    /// The answer to the caller.
+    pub fn to_response(&self, request_id: Option<&RequestId>) -> Response<HttpBody> {
+        let status = self.kind.status();
+        let name = self.kind.name();
+        let document = ProblemDocument {
+            r#type: format!("urn:ferry:problem:{name}"),
+            title: name.replace('_', " "),
+            status: status.as_u16(),
+            detail: &self.detail,
+            run: self.run,
+            request_id,
+            error: ChatError {
+                message: &self.detail,
+                r#type: self.kind,
+            },
+        };
+        let mut response = Response::new(full(serde_json::to_vec(&document).unwrap_or_default()));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        if let Some(after) = self.retry_after {
+            headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(after)));
+        }
+        if let Some(value) = request_id.and_then(|id| HeaderValue::from_str(id.as_str()).ok()) {
+            headers.insert(REQUEST_ID_ANSWER_HEADER, value);
+        }
+        response
+    }
+}
+
+/// Rounds up, since a caller that comes back too early is refused again.
+fn whole_seconds(duration: Duration) -> u64 {
+    duration.as_millis().div_ceil(1_000).max(1) as u64
+}
+
+/// When to try another router.
+const OTHER_ROUTER_PAUSE: Duration = Duration::from_secs(1);
+
+impl From<LeaseProblem> for CallerRefusal {
+    fn from(problem: LeaseProblem) -> Self {
+        Self::come_back(
+            RefusalKind::ConfigurationStale,
+            problem.to_string(),
+            OTHER_ROUTER_PAUSE,
+        )
+    }
+}
+
+impl From<PlanError> for CallerRefusal {
+    fn from(error: PlanError) -> Self {
+        let kind = match &error {
+            PlanError::UnknownTarget(_) => RefusalKind::Unknown,
+            PlanError::NothingAllowed { .. } => RefusalKind::NoVersionAllowed,
+            PlanError::SessionVersionWithdrawn(_) => RefusalKind::SessionVersionWithdrawn,
+        };
+        Self::final_one(kind, error.to_string())
+    }
+}
+
+impl From<SessionError> for CallerRefusal {
+    fn from(error: SessionError) -> Self {
+        let kind = match error {
+            SessionError::ForeignWorkspace => RefusalKind::Forbidden,
+            SessionError::Malformed | SessionError::UnknownKey(_) | SessionError::BadSignature => {
+                RefusalKind::BadSession
+            }
+        };
+        Self::final_one(kind, error.to_string())
+    }
+}
+
+impl From<BodyError> for CallerRefusal {
+    fn from(error: BodyError) -> Self {
+        let kind = match error {
+            BodyError::TooLarge { .. } => RefusalKind::BodyTooLarge,
+            BodyError::Truncated(_) => RefusalKind::BadRequest,
+        };
+        Self::final_one(kind, error.to_string())
+    }
+}
+
+impl From<ClaimProblem> for CallerRefusal {
+    fn from(problem: ClaimProblem) -> Self {
+        let detail = problem.to_string();
+        match problem {
+            ClaimProblem::LogOut { retry_after } => {
+                Self::come_back(RefusalKind::LogOut, detail, retry_after)
+            }
+            ClaimProblem::BadId(_) => Self::final_one(RefusalKind::BadRequest, detail),
+            ClaimProblem::MayHaveRun => {
+                Self::final_one(RefusalKind::Duplicate, detail).with_run(RunState::MayHaveRun)
+            }
+            ClaimProblem::Ran => {
+                Self::final_one(RefusalKind::Duplicate, detail).with_run(RunState::Ran)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller/caller_request.rs
@@ -0,0 +1,265 @@
+//! What a request says about itself in its headers.
+
+use std::time::Duration;
+
+use ferry_decisions::closed_set;
+use ferry_decisions::labels::LabelSet;
+use ferry_decisions::names::{ClassName, RequestId, WorkspaceName};
+use ferry_decisions::session::SessionToken;
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use tokio::time::Instant;
+
+use super::{CallerRefusal, RefusalKind};
+use crate::core::RouterCore;
+
+/// Longest identifier that a caller may choose, in bytes.
+const ID_LIMIT: usize = 128;
+/// Most labels that a request may carry.
+const LABEL_LIMIT: usize = 32;
+/// Header with the identifier of the request.
+const ID_HEADER: &str = "idempotency-key";
+/// Header that says whether the request may run more than once.
+const IDEMPOTENT_HEADER: &str = "ferry-idempotent";
+/// Header with the time left, in milliseconds.
+const DEADLINE_HEADER: &str = "ferry-deadline-ms";
+/// Header with a session token, or `new`.
+pub const SESSION_HEADER: &str = "ferry-session";
+/// Header with the class of the request.
+const CLASS_HEADER: &str = "ferry-class";
+/// Header with labels, `key=value` separated by commas.
+const LABELS_HEADER: &str = "ferry-labels";
+
+closed_set! {
+    /// Class of a request: decides its priority at engines and its histograms.
+    #[derive(Default)]
+    pub enum RequestClass {
+        /// Somebody waits for the first token.
+        Interactive,
+        /// The next step waits for the answer.
+        #[default]
+        Standard,
+        /// Nobody waits.
+        Batch,
+    }
+}
+
+/// What a request wants of sessions.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SessionAsk {
+    /// No session.
+    None,
+    /// Start one.
+    New,
+    /// Continue this one.
+    Continue(SessionToken),
+}
+
+/// Facts about one request.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// Identifier, the caller's or one made here.
+    pub id: RequestId,
+    /// Workspace that the key belongs to.
+    pub workspace: WorkspaceName,
+    /// Class.
+    pub class: RequestClass,
+    /// Labels that rules select on.
+    pub labels: LabelSet,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When its answer must have ended.
+    pub deadline: Instant,
+    /// What it wants of sessions.
+    pub session: SessionAsk,
+}
+
+impl RequestClass {
+    /// Priority at engines, higher first.
+    pub fn priority(self) -> i32 {
+        match self {
+            Self::Interactive => 10,
+            Self::Standard => 5,
+            Self::Batch => 0,
+        }
+    }
+
+    /// Name, as headers and metrics show it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Interactive => "interactive",
+            Self::Standard => "standard",
+            Self::Batch => "batch",
+        }
+    }
+
+    /// Name as an owned value.
+    pub fn class_name(self) -> ClassName {
+        ClassName::new(self.name())
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        [Self::Interactive, Self::Standard, Self::Batch]
+            .into_iter()
+            .find(|class| class.name() == text)
+    }
+}
+
+impl CallerRequest {
+    /// Reads the headers of a request; `idempotent` applies when they don't say.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that names the header and the remedy.
+    pub fn read(
+        core: &RouterCore,
+        headers: &HeaderMap,
+        idempotent: bool,
+    ) -> Result<Self, CallerRefusal> {
+        let arrived = Instant::now();
+        let workspace = authenticate(core, headers)?;
+        let idempotent = read_idempotent(headers)?.unwrap_or(idempotent);
+        let id = read_id(headers, idempotent)?;
+        let deadline = arrived + read_deadline(core, headers)?;
+        let class = read_class(headers)?;
+        let labels = read_labels(headers)?;
+        let session = read_session(core, headers, &workspace)?;
+        Ok(Self {
+            id,
+            workspace,
+            class,
+            labels,
+            idempotent,
+            arrived,
+            deadline,
+            session,
+        })
+    }
+
+    /// Time left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Identifier that the caller chose, for refusals of requests that cannot be read.
+pub fn claimed_id(headers: &HeaderMap) -> Option<RequestId> {
+    let text = headers.get(ID_HEADER)?.to_str().ok()?;
+    (is_id(text)).then(|| RequestId::new(text))
+}
+
+fn authenticate(core: &RouterCore, headers: &HeaderMap) -> Result<WorkspaceName, CallerRefusal> {
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.strip_prefix("Bearer "));
+    let view = core.config.view();
+    let workspace = key.and_then(|key| view.workspace_of_key(key.trim()));
+    workspace.cloned().ok_or_else(|| {
+        CallerRefusal::final_one(
+            RefusalKind::Unauthenticated,
+            "the key is missing or belongs to no workspace; send `Authorization: Bearer KEY` with a key of your workspace",
+        )
+    })
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, CallerRefusal> {
+    match headers.get(name).map(|value| value.to_str()) {
+        None => Ok(None),
+        Some(Ok(text)) => Ok(Some(text.trim())),
+        Some(Err(_)) => Err(bad_header(name, "write visible ASCII characters only")),
+    }
+}
+
+fn bad_header(name: &str, remedy: &str) -> CallerRefusal {
+    CallerRefusal::final_one(RefusalKind::BadRequest, format!("{name}: {remedy}"))
+}
+
+fn read_idempotent(headers: &HeaderMap) -> Result<Option<bool>, CallerRefusal> {
+    match header(headers, IDEMPOTENT_HEADER)? {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(_) => Err(bad_header(IDEMPOTENT_HEADER, "write true or false")),
+    }
+}
+
+fn read_id(headers: &HeaderMap, idempotent: bool) -> Result<RequestId, CallerRefusal> {
+    let Some(text) = header(headers, ID_HEADER)? else {
+        return Ok(RequestId::generate());
+    };
+    if !is_id(text) {
+        return Err(bad_header(
+            ID_HEADER,
+            "write 1 to 128 visible characters without spaces",
+        ));
+    }
+    let id = RequestId::new(text);
+    if !idempotent && id.time_ms().is_none() {
+        return Err(bad_header(
+            ID_HEADER,
+            "a request that is not idempotent needs a UUIDv7, whose time bounds how long it is remembered",
+        ));
+    }
+    Ok(id)
+}
+
+fn is_id(text: &str) -> bool {
+    !text.is_empty() && text.len() <= ID_LIMIT && text.bytes().all(|b| b.is_ascii_graphic())
+}
+
+fn read_deadline(core: &RouterCore, headers: &HeaderMap) -> Result<Duration, CallerRefusal> {
+    let limits = &core.settings.limits;
+    let Some(text) = header(headers, DEADLINE_HEADER)? else {
+        return Ok(Duration::from_millis(limits.default_deadline_ms));
+    };
+    match text.parse::<u64>() {
+        Ok(ms) if (1..=limits.longest_deadline_ms).contains(&ms) => Ok(Duration::from_millis(ms)),
+        _ => Err(bad_header(
+            DEADLINE_HEADER,
+            &format!(
+                "write whole milliseconds from 1 to {}",
+                limits.longest_deadline_ms
+            ),
+        )),
+    }
+}
+
+fn read_class(headers: &HeaderMap) -> Result<RequestClass, CallerRefusal> {
+    match header(headers, CLASS_HEADER)? {
+        None => Ok(RequestClass::default()),
+        Some(text) => RequestClass::parse(text)
+            .ok_or_else(|| bad_header(CLASS_HEADER, "write interactive, standard or batch")),
+    }
+}
+
+fn read_labels(headers: &HeaderMap) -> Result<LabelSet, CallerRefusal> {
+    let text = header(headers, LABELS_HEADER)?.unwrap_or_default();
+    let pairs = text.split(',').filter(|part| !part.trim().is_empty());
+    let pairs: Option<Vec<_>> = pairs.map(|part| part.trim().split_once('=')).collect();
+    match pairs {
+        Some(pairs) if pairs.len() <= LABEL_LIMIT => Ok(LabelSet::from_iter(pairs)),
+        Some(_) => Err(bad_header(LABELS_HEADER, "send at most 32 labels")),
+        None => Err(bad_header(
+            LABELS_HEADER,
+            "write key=value pairs separated by commas",
+        )),
+    }
+}
+
+fn read_session(
+    core: &RouterCore,
+    headers: &HeaderMap,
+    workspace: &WorkspaceName,
+) -> Result<SessionAsk, CallerRefusal> {
+    match header(headers, SESSION_HEADER)? {
+        None => Ok(SessionAsk::None),
+        Some("new") => Ok(SessionAsk::New),
+        Some(text) => {
+            let token = core.sessions.verify(text, workspace)?;
+            Ok(SessionAsk::Continue(token))
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller/caller_server.rs
@@ -0,0 +1,98 @@
+//! Dispatch of callers' requests by path, and the bounds that hold for all of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::names::{CascadeName, ModelName};
+use ferry_kernel::http::{HttpBody, json_response};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use tokio::sync::OwnedSemaphorePermit;
+
+use super::caller_request::claimed_id;
+use super::{CallerRefusal, CallerRequest, RefusalKind, chat_handler, service_handler};
+use crate::core::{LifePhase, RouterCore};
+
+/// Prefix of paths that lead to plain services.
+pub(super) const SERVICES_PREFIX: &str = "/services/";
+/// When to come back after a refusal for lack of places.
+const OVERLOAD_PAUSE: Duration = Duration::from_secs(1);
+
+/// Answers one request of a caller.
+pub async fn handle(core: Arc<RouterCore>, request: Request<Incoming>) -> Response<HttpBody> {
+    let id = claimed_id(request.headers());
+    match answer(&core, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            count_refusal(&refusal);
+            refusal.to_response(id.as_ref())
+        }
+    }
+}
+
+/// Counts a refusal by its kind.
+pub(super) fn count_refusal(refusal: &CallerRefusal) {
+    metrics::counter!("ferry_refusals_total", "kind" => refusal.kind.name()).increment(1);
+}
+
+async fn answer(
+    core: &Arc<RouterCore>,
+    request: Request<Incoming>,
+) -> Result<Response<HttpBody>, CallerRefusal> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/v1/chat/completions") => {
+            let place = enter(core)?;
+            chat_handler::handle(core, request, place).await
+        }
+        (&Method::GET, "/v1/models") => list_models(core, &request),
+        (_, path) if path.starts_with(SERVICES_PREFIX) => {
+            let place = enter(core)?;
+            service_handler::handle(core, request, place).await
+        }
+        _ => Err(CallerRefusal::final_one(
+            RefusalKind::Unknown,
+            format!(
+                "nothing is served at {path}; use /v1/chat/completions, /v1/models or /services/NAME/PATH"
+            ),
+        )),
+    }
+}
+
+/// Takes a place for one request in progress.
+fn enter(core: &RouterCore) -> Result<OwnedSemaphorePermit, CallerRefusal> {
+    if core.phase() == LifePhase::Draining {
+        return Err(CallerRefusal::come_back(
+            RefusalKind::Stopping,
+            "this router stops; send the request to another one",
+            OVERLOAD_PAUSE,
+        ));
+    }
+    Arc::clone(&core.places).try_acquire_owned().map_err(|_| {
+        CallerRefusal::come_back(
+            RefusalKind::Overloaded,
+            "too many requests are in progress here; send the request again later",
+            OVERLOAD_PAUSE,
+        )
+    })
+}
+
+fn list_models(
+    core: &RouterCore,
+    request: &Request<Incoming>,
+) -> Result<Response<HttpBody>, CallerRefusal> {
+    CallerRequest::read(core, request.headers(), true)?;
+    let view = core.config.view();
+    let models = view.models.keys().map(ModelName::as_str);
+    let cascades = view.cascades.keys().map(CascadeName::as_str);
+    let versions = view.versions.iter().map(|entry| entry.name.as_str());
+    let mut names: Vec<_> = models.chain(cascades).chain(versions).collect();
+    names.sort_unstable();
+    let data: Vec<_> = names
+        .iter()
+        .map(|name| json!({ "id": name, "object": "model" }))
+        .collect();
+    let list = json!({ "object": "list", "data": data });
+    Ok(json_response(StatusCode::OK, &list))
+}
--- /dev/null
+++ b/crates/router/src/caller/service_handler.rs
@@ -0,0 +1,88 @@
+//! Calls to plain services: reads the call, starts its run, answers with its result.
+
+use std::sync::Arc;
+
+use ferry_decisions::names::ServiceName;
+use ferry_kernel::http::{HttpBody, collect_limited, full};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response};
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
+
+use super::caller_refusal::REQUEST_ID_ANSWER_HEADER;
+use super::caller_server::{SERVICES_PREFIX, count_refusal};
+use super::{CallerRefusal, CallerRequest, RefusalKind, RunState};
+use crate::core::RouterCore;
+use crate::dispatch::{ServiceAnswer, ServiceCall, ServiceRun};
+
+/// Answers one call.
+pub async fn handle(
+    core: &Arc<RouterCore>,
+    request: Request<Incoming>,
+    place: OwnedSemaphorePermit,
+) -> Result<Response<HttpBody>, CallerRefusal> {
+    let (head, body) = request.into_parts();
+    let request = CallerRequest::read(core, &head.headers, is_idempotent(&head.method))?;
+    let id = request.id.clone();
+    let (service, path) = split_path(&head)?;
+    let body = collect_limited(body, core.settings.limits.body_bytes).await?;
+    let call = ServiceCall {
+        service,
+        path,
+        method: head.method,
+        headers: head.headers,
+        body,
+    };
+    let (sender, receiver) = oneshot::channel();
+    let run = ServiceRun::new(Arc::clone(core), request, call);
+    core.work.spawn(async move {
+        run.execute(sender).await;
+        drop(place);
+    });
+    match receiver.await {
+        Ok(Ok(answer)) => Ok(to_response(answer, id.as_str())),
+        Ok(Err(refusal)) => {
+            count_refusal(&refusal);
+            Ok(refusal.to_response(Some(&id)))
+        }
+        Err(_) => Err(CallerRefusal::final_one(
+            RefusalKind::UpstreamFailed,
+            "the run ended without an answer; look up its outcome before sending it again",
+        )
+        .with_run(RunState::MayHaveRun)),
+    }
+}
+
+/// What holds for a call that does not say whether it is idempotent.
+fn is_idempotent(method: &Method) -> bool {
+    *method != Method::POST && *method != Method::PATCH
+}
+
+/// Splits `/services/NAME/PATH` into the name and the path with its query.
+fn split_path(head: &Parts) -> Result<(ServiceName, String), CallerRefusal> {
+    let path = head.uri.path();
+    let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if name.is_empty() {
+        return Err(CallerRefusal::final_one(
+            RefusalKind::BadRequest,
+            "the path names no service; write /services/NAME/PATH",
+        ));
+    }
+    let query = head.uri.query().map(|query| format!("?{query}"));
+    let path = format!("/{path}{}", query.unwrap_or_default());
+    Ok((ServiceName::new(name), path))
+}
+
+fn to_response(answer: ServiceAnswer, id: &str) -> Response<HttpBody> {
+    let mut response = Response::new(full(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response
+            .headers_mut()
+            .insert(REQUEST_ID_ANSWER_HEADER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/router/src/config/config_loader.rs
@@ -0,0 +1,76 @@
+//! Reads the retained part of the configuration stream from its start.
+
+use std::time::Duration;
+
+use ferry_decisions::config::{ConfigFold, ConfigRecord, SnapshotRecord};
+use ferry_platform::log::{LogClient, LogError, LogRecord};
+
+use super::CONFIG_STREAM;
+
+/// Records asked for in one read.
+const READ_BATCH: usize = 1_000;
+
+/// Why the stream does not give a configuration.
+#[derive(Debug, thiserror::Error)]
+pub enum LoadError {
+    /// The log cannot be read.
+    #[error(transparent)]
+    Log(#[from] LogError),
+    /// The oldest records are gone and no snapshot covers them.
+    #[error(
+        "the log keeps records from {earliest} on and no snapshot reaches back to it; start a router that still has the configuration, or publish it anew"
+    )]
+    NoSnapshot {
+        /// Offset of the oldest record kept.
+        earliest: u64,
+    },
+}
+
+/// Folds everything that the log retains of the stream.
+pub async fn load(log: &LogClient) -> Result<ConfigFold, LoadError> {
+    let (earliest, records) = read_retained(log).await?;
+    let mut fold = if earliest == 0 {
+        ConfigFold::new()
+    } else {
+        starting_fold(earliest, &records).ok_or(LoadError::NoSnapshot { earliest })?
+    };
+    for record in &records {
+        fold.apply(record.offset, record.data.as_bytes());
+    }
+    Ok(fold)
+}
+
+async fn read_retained(log: &LogClient) -> Result<(u64, Vec<LogRecord>), LogError> {
+    let mut answer = log
+        .read(CONFIG_STREAM, 0, READ_BATCH, Duration::ZERO)
+        .await?;
+    let earliest = answer.earliest;
+    let mut records = std::mem::take(&mut answer.records);
+    while let Some(last) = records.last().filter(|last| last.offset + 1 < answer.next) {
+        let from = last.offset + 1;
+        answer = log
+            .read(CONFIG_STREAM, from, READ_BATCH, Duration::ZERO)
+            .await?;
+        if answer.records.is_empty() || answer.earliest > from {
+            break;
+        }
+        records.append(&mut answer.records);
+    }
+    Ok((earliest, records))
+}
+
+/// The first snapshot that no missing record can have changed.
+fn starting_fold(earliest: u64, records: &[LogRecord]) -> Option<ConfigFold> {
+    records
+        .iter()
+        .filter_map(|record| snapshot_in(&record.data))
+        .filter(|snapshot| snapshot.as_of + 1 >= earliest)
+        .find_map(|snapshot| ConfigFold::from_snapshot(&snapshot))
+}
+
+fn snapshot_in(data: &str) -> Option<SnapshotRecord> {
+    match serde_json::from_str(data).ok()? {
+        ConfigRecord::Snapshot(snapshot) => Some(snapshot),
+        ConfigRecord::Change(_) | ConfigRecord::Trip(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/router/src/core.rs
@@ -0,0 +1,140 @@
+//! State that all parts of a router share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use ferry_decisions::names::Incarnation;
+use ferry_decisions::session::SessionKeys;
+use ferry_kernel::http::HttpClient;
+use ferry_platform::hosts::HostsClient;
+use ferry_platform::log::LogClient;
+use ferry_platform::ratings::RatingsClient;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::bills::BillDesk;
+use crate::claims::ClaimDesk;
+use crate::config::ConfigCell;
+use crate::lease::LeaseCell;
+use crate::membership::MemberTable;
+use crate::peer::PeerHub;
+use crate::settings::RouterSettings;
+use crate::trail::TrailRing;
+use crate::upstream::UpstreamTable;
+
+/// State of one router process.
+pub struct RouterCore {
+    /// Settings as read at the start.
+    pub settings: RouterSettings,
+    /// Identifier of this life of the process.
+    pub incarnation: Incarnation,
+    /// Client of the log service.
+    pub log: LogClient,
+    /// Client of the host list.
+    pub hosts: HostsClient,
+    /// Client of the rating service.
+    pub ratings: RatingsClient,
+    /// Client for upstreams.
+    pub http: HttpClient,
+    /// Configuration in force here.
+    pub config: ConfigCell,
+    /// Freshness of the configuration.
+    pub lease: LeaseCell,
+    /// Router hosts of the fleet.
+    pub members: MemberTable,
+    /// Claims of non-idempotent requests.
+    pub claims: ClaimDesk,
+    /// Bills that are not yet durable.
+    pub bills: BillDesk,
+    /// Upstreams of the deployment.
+    pub upstreams: UpstreamTable,
+    /// Decisions on recent requests.
+    pub trails: TrailRing,
+    /// Keys of session tokens.
+    pub sessions: SessionKeys,
+    /// Places for requests in progress.
+    pub places: Arc<Semaphore>,
+    /// Requests in progress; waited for at a stop.
+    pub work: TaskTracker,
+    /// Ends the background tasks once all work is done.
+    pub closing: CancellationToken,
+    phase: AtomicU8,
+    hub: OnceLock<Arc<PeerHub>>,
+}
+
+/// Phase of a router's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[repr(u8)]
+pub enum LifePhase {
+    /// Accepts requests.
+    Serving = 0,
+    /// Announced its stop; accepts requests until the balancer has noticed.
+    Leaving = 1,
+    /// Accepts no more requests; finishes those in progress.
+    Draining = 2,
+}
+
+impl RouterCore {
+    /// State of a router that has not started its tasks.
+    pub fn new(settings: RouterSettings, sessions: SessionKeys) -> Self {
+        let url = settings.platform.url.clone();
+        let timeout = settings.call_timeout();
+        Self {
+            incarnation: Incarnation::random(),
+            log: LogClient::new(&url, timeout),
+            hosts: HostsClient::new(&url, timeout),
+            ratings: RatingsClient::new(&url),
+            http: HttpClient::default(),
+            config: ConfigCell::default(),
+            lease: LeaseCell::new(settings.freshness()),
+            members: MemberTable::new(&settings.host),
+            claims: ClaimDesk::default(),
+            bills: BillDesk::default(),
+            upstreams: UpstreamTable::default(),
+            trails: TrailRing::default(),
+            sessions,
+            places: Arc::new(Semaphore::new(settings.limits.in_progress)),
+            work: TaskTracker::new(),
+            closing: CancellationToken::new(),
+            phase: AtomicU8::new(LifePhase::Serving as u8),
+            hub: OnceLock::new(),
+            settings,
+        }
+    }
+
+    /// Links to the other routers.
+    ///
+    /// # Panics
+    ///
+    /// Panics before [`RouterCore::connect`]; the daemon connects before it starts any task.
+    pub fn hub(&self) -> &Arc<PeerHub> {
+        self.hub.get().expect("the hub is set before tasks start")
+    }
+
+    /// Sets the links to the other routers, once.
+    pub fn connect(&self, hub: Arc<PeerHub>) {
+        let _ = self.hub.set(hub);
+    }
+
+    /// Address of the peer port, once it is bound.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.hub.get().map(|hub| hub.address())
+    }
+
+    /// Phase of this router's life.
+    pub fn phase(&self) -> LifePhase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => LifePhase::Serving,
+            1 => LifePhase::Leaving,
+            _ => LifePhase::Draining,
+        }
+    }
+
+    /// Moves on to `phase`.
+    pub fn enter(&self, phase: LifePhase) {
+        self.phase.store(phase as u8, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/router/src/daemon.rs
@@ -0,0 +1,158 @@
+//! A running router: starts its parts in order and stops them in reverse.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::session::SessionKeys;
+use ferry_kernel::http::{Server, ServerHandle};
+use tokio::time::sleep;
+
+use crate::core::{LifePhase, RouterCore};
+use crate::peer::{PeerError, PeerHandler, PeerHub, PeerSettings};
+use crate::settings::RouterSettings;
+use crate::{admin, bills, caller, plugin};
+
+/// Why a router does not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum StartError {
+    /// A port cannot be bound.
+    #[error("the {port} port {address} cannot be bound: {reason}; free it or name another one")]
+    Bind {
+        /// Which port.
+        port: &'static str,
+        /// Address as the settings have it.
+        address: SocketAddr,
+        /// Message of the operating system.
+        reason: std::io::Error,
+    },
+    /// The peer port cannot be served.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    /// There is no key for session tokens.
+    #[error("secrets.session_keys is empty; list at least one key")]
+    NoSessionKey,
+}
+
+/// A router that serves its three ports.
+pub struct RouterDaemon {
+    core: Arc<RouterCore>,
+    callers: ServerHandle,
+    admin: ServerHandle,
+}
+
+impl RouterDaemon {
+    /// Binds all ports and starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound.
+    pub async fn start(settings: RouterSettings) -> Result<Self, StartError> {
+        let keys = settings.secrets.session_keys.clone();
+        let sessions = SessionKeys::new(keys).ok_or(StartError::NoSessionKey)?;
+        let callers = bind("callers", settings.listen.callers).await?;
+        let admin = bind("admin", settings.listen.admin).await?;
+        let core = Arc::new(RouterCore::new(settings, sessions));
+        core.connect(start_hub(&core).await?);
+        for plugin in plugin::all() {
+            (plugin.start)(&core);
+        }
+        let admin = serve_admin(admin, &core)?;
+        let callers = serve_callers(callers, &core)?;
+        spdlog::info!("router started", kv: {
+            host = core.settings.host.as_str(),
+            callers = callers.address.to_string(),
+            admin = admin.address.to_string(),
+            peers = core.hub().address().to_string(),
+        });
+        Ok(Self {
+            core,
+            callers,
+            admin,
+        })
+    }
+
+    /// State of the router.
+    pub fn core(&self) -> &Arc<RouterCore> {
+        &self.core
+    }
+
+    /// Address for callers.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers.address
+    }
+
+    /// Address for operators.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address
+    }
+
+    /// Address for other routers.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.core.hub().address()
+    }
+
+    /// Stops gracefully: no request in progress is cut off and no bill is dropped.
+    pub async fn stop(self) {
+        let core = &self.core;
+        core.enter(LifePhase::Leaving);
+        spdlog::info!("router leaves", kv: { in_progress = core.work.len() });
+        sleep(Duration::from_millis(core.settings.stop.balancer_lag_ms)).await;
+        core.enter(LifePhase::Draining);
+        core.work.close();
+        core.work.wait().await;
+        self.callers.stop().await;
+        bills::drain(core).await;
+        core.closing.cancel();
+        core.hub().stop().await;
+        spdlog::info!("router stopped");
+    }
+}
+
+async fn bind(port: &'static str, address: SocketAddr) -> Result<Server, StartError> {
+    Server::bind(address)
+        .await
+        .map_err(|reason| StartError::Bind {
+            port,
+            address,
+            reason,
+        })
+}
+
+async fn start_hub(core: &Arc<RouterCore>) -> Result<Arc<PeerHub>, PeerError> {
+    let settings = PeerSettings {
+        listen: core.settings.listen.peers,
+        secret: core.settings.secrets.peers.clone(),
+        host: core.settings.host.clone(),
+        zone: core.settings.zone.clone(),
+        incarnation: core.incarnation,
+    };
+    let weak = Arc::downgrade(core);
+    let handler: PeerHandler = Arc::new(move |message| {
+        let core = weak.upgrade();
+        Box::pin(async move { plugin::deliver(core?, message).await })
+    });
+    PeerHub::start(settings, handler).await
+}
+
+fn serve_admin(server: Server, core: &Arc<RouterCore>) -> Result<ServerHandle, StartError> {
+    let address = core.settings.listen.admin;
+    let core = Arc::clone(core);
+    let handler = move |request, _| admin::handle(Arc::clone(&core), request);
+    server.serve(handler).map_err(|reason| StartError::Bind {
+        port: "admin",
+        address,
+        reason,
+    })
+}
+
+fn serve_callers(server: Server, core: &Arc<RouterCore>) -> Result<ServerHandle, StartError> {
+    let address = core.settings.listen.callers;
+    let core = Arc::clone(core);
+    let handler = move |request, _| caller::handle(Arc::clone(&core), request);
+    server.serve(handler).map_err(|reason| StartError::Bind {
+        port: "callers",
+        address,
+        reason,
+    })
+}
--- /dev/null
+++ b/crates/router/src/dispatch.rs
@@ -0,0 +1,19 @@
+//! Runs of requests: checks, claims, dispatches, retries, bills.
+
+mod cascade_run;
+mod chat_pump;
+mod chat_run;
+mod engine_call;
+mod engine_stream;
+mod gate;
+mod run_answer;
+mod run_bill;
+mod service_call;
+mod service_run;
+mod stage_run;
+mod upstream_failure;
+
+pub use chat_run::ChatRun;
+pub use run_answer::{EventSender, RunAnswer, RunHead, RunSender, ServiceAnswer};
+pub use service_run::{ServiceCall, ServiceRun};
+pub use upstream_failure::UpstreamFailure;
--- /dev/null
+++ b/crates/router/src/dispatch/cascade_run.rs
@@ -0,0 +1,104 @@
+//! Run of a cascade: cheaper stages first, each answer rated before it is kept.
+
+use std::time::Duration;
+
+use ferry_decisions::names::{CascadeName, VersionName};
+use ferry_platform::ratings::RatingRequest;
+
+use super::chat_run::ChatRun;
+use super::engine_call::EngineReply;
+use super::stage_run::StageAnswer;
+use crate::caller::CallerRefusal;
+use crate::trail::{AttemptNote, AttemptResult};
+
+/// Longest wait for a rating.
+const RATING_TIMEOUT: Duration = Duration::from_secs(2);
+/// Score that keeps an answer when the cascade is gone from the configuration.
+const DEFAULT_TARGET: f64 = 0.5;
+
+/// Runs the stages in order until an answer is kept; the answer of stage `last` always is.
+///
+/// # Errors
+///
+/// The refusal of the last stage.
+pub async fn execute(run: &mut ChatRun, last: usize) -> Result<StageAnswer, CallerRefusal> {
+    for stage in 0..last {
+        let Ok(answer) = run.run_stage(stage, true).await else {
+            continue;
+        };
+        if let Some(kept) = keep_or_escalate(run, stage, answer).await {
+            return Ok(kept);
+        }
+    }
+    run.run_stage(last, false).await
+}
+
+/// The answer if its rating reaches the target; its price is due either way.
+async fn keep_or_escalate(
+    run: &mut ChatRun,
+    stage: usize,
+    answer: StageAnswer,
+) -> Option<StageAnswer> {
+    let version = answer.version;
+    let (reply, text) = whole(run, answer.reply).await?;
+    if let Some(usage) = usage_of(&reply) {
+        run.bill.add(&run.core, &version, usage);
+    }
+    let score = rate(run, &version, text).await;
+    let accepted = score.is_some_and(|score| score >= target(run));
+    run.trail.attempts.push(AttemptNote {
+        stage,
+        version: version.clone(),
+        upstream: run.core.settings.host.clone(),
+        result: AttemptResult::Rated { score, accepted },
+    });
+    run.billed_stage = accepted;
+    accepted.then_some(StageAnswer { version, reply })
+}
+
+async fn whole(run: &ChatRun, reply: EngineReply) -> Option<(EngineReply, String)> {
+    match reply {
+        EngineReply::Whole(whole) => {
+            let text = whole.text.clone();
+            Some((EngineReply::Whole(whole), text))
+        }
+        EngineReply::Stream(stream) => {
+            let limit = run.core.settings.limits.answer_bytes;
+            let mut collected = stream.collect(run.request.deadline, limit).await.ok()?;
+            let text = std::mem::take(&mut collected.text);
+            Some((EngineReply::Collected(collected), text))
+        }
+        EngineReply::Collected(collected) => {
+            Some((EngineReply::Collected(collected), String::new()))
+        }
+    }
+}
+
+fn usage_of(reply: &EngineReply) -> Option<ferry_platform::engine::TokenUsage> {
+    match reply {
+        EngineReply::Whole(whole) => Some(whole.usage),
+        EngineReply::Collected(collected) => Some(collected.usage),
+        EngineReply::Stream(_) => None,
+    }
+}
+
+async fn rate(run: &ChatRun, version: &VersionName, answer: String) -> Option<f64> {
+    let prompt = run.chat.messages.last().and_then(|m| m.content.as_str());
+    let request = RatingRequest {
+        request_id: run.request.id.clone(),
+        version: version.clone(),
+        prompt: prompt.unwrap_or_default().to_owned(),
+        answer,
+    };
+    let timeout = RATING_TIMEOUT.min(run.request.time_left());
+    let rating = run.core.ratings.rate(&request, timeout).await.ok()?;
+    Some(rating.score)
+}
+
+fn target(run: &ChatRun) -> f64 {
+    let view = run.core.config.view();
+    let name = CascadeName::new(&run.chat.model);
+    view.cascades
+        .get(&name)
+        .map_or(DEFAULT_TARGET, |cascade| cascade.quality_target)
+}
--- /dev/null
+++ b/crates/router/src/dispatch/engine_call.rs
@@ -0,0 +1,177 @@
+//! One dispatch of a chat completion to an engine.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::VersionName;
+use ferry_kernel::http::{HttpRequest, collect_limited};
+use ferry_platform::engine::{
+    ChatAnswer, ChatRequest, NOT_RUN_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, TokenUsage,
+};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Response, StatusCode};
+
+use super::UpstreamFailure;
+use super::engine_stream::{CollectedStream, EngineStream};
+use crate::caller::CallerRequest;
+use crate::core::RouterCore;
+use crate::upstream::FlightGuard;
+
+/// Longest part of an error body that is kept, in bytes.
+const ERROR_LIMIT: usize = 4_096;
+
+/// Answer of an engine.
+pub enum EngineReply {
+    /// The whole answer.
+    Whole(WholeReply),
+    /// An answer whose first event has come.
+    Stream(EngineStream),
+    /// A stream that was read to its end before it is passed on.
+    Collected(CollectedStream),
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct WholeReply {
+    /// Body as the engine sent it.
+    pub body: Bytes,
+    /// Text of the answer.
+    pub text: String,
+    /// Tokens used.
+    pub usage: TokenUsage,
+}
+
+/// Dispatches `chat` on `version` to the upstream of `guard`.
+///
+/// # Errors
+///
+/// Says what the failure tells about the run.
+pub async fn call(
+    core: &RouterCore,
+    guard: FlightGuard,
+    request: &CallerRequest,
+    chat: &ChatRequest,
+    version: &VersionName,
+    keep_text: bool,
+) -> Result<EngineReply, UpstreamFailure> {
+    let outgoing = engine_request(&guard.host().url(), request, chat, version);
+    let response = core.http.send(outgoing, request.time_left()).await?;
+    let response = accepted(core, &guard, response).await?;
+    if chat.stream {
+        let mut stream = EngineStream::new(guard, response.into_body(), keep_text);
+        stream.read_ahead(request.deadline).await?;
+        return Ok(EngineReply::Stream(stream));
+    }
+    let limit = core.settings.limits.answer_bytes;
+    let body = tokio::time::timeout_at(
+        request.deadline,
+        collect_limited(response.into_body(), limit),
+    )
+    .await
+    .map_err(|_| UpstreamFailure::DeadlinePassed)?
+    .map_err(|error| UpstreamFailure::Broken(error.to_string()))?;
+    whole_reply(body).map(EngineReply::Whole)
+}
+
+/// Asks the upstream to go on with the answer to `request` after `tokens` tokens.
+///
+/// # Errors
+///
+/// Fails when the upstream no longer has the answer.
+pub async fn resume(
+    core: &RouterCore,
+    stream: &mut EngineStream,
+    request: &CallerRequest,
+) -> Result<(), UpstreamFailure> {
+    let url = format!(
+        "{}/v1/streams/{}?from={}",
+        stream.host_url(),
+        request.id,
+        stream.usage().completion_tokens
+    );
+    let outgoing = HttpRequest::get(&url);
+    let response = core.http.send(outgoing, request.time_left()).await?;
+    if !response.status().is_success() {
+        return Err(UpstreamFailure::Broken(format!(
+            "the stream cannot be resumed ({})",
+            response.status()
+        )));
+    }
+    stream.resume(response.into_body());
+    Ok(())
+}
+
+fn engine_request(
+    url: &str,
+    request: &CallerRequest,
+    chat: &ChatRequest,
+    version: &VersionName,
+) -> HttpRequest {
+    let chat = ChatRequest {
+        model: version.as_str().to_owned(),
+        ..chat.clone()
+    };
+    let url = format!("{url}/v1/chat/completions");
+    let mut outgoing = HttpRequest::post_json(&url, &chat);
+    let priority = HeaderValue::from(request.class.priority());
+    let headers = &mut outgoing.headers;
+    headers.insert(HeaderName::from_static(PRIORITY_HEADER), priority);
+    if let Ok(id) = HeaderValue::from_str(request.id.as_str()) {
+        headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), id);
+    }
+    outgoing
+}
+
+/// Passes successes on and reads what a failure says about the run.
+pub(super) async fn accepted(
+    core: &RouterCore,
+    guard: &FlightGuard,
+    response: Response<Incoming>,
+) -> Result<Response<Incoming>, UpstreamFailure> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    if says_not_run(response.headers()) {
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            guard.host().mark_leaving();
+        }
+        let retry_after = retry_after(response.headers());
+        return Err(UpstreamFailure::NotRun {
+            status,
+            retry_after,
+        });
+    }
+    let body = collect_limited(response.into_body(), ERROR_LIMIT).await;
+    let body = String::from_utf8_lossy(&body.unwrap_or_default()).into_owned();
+    metrics::counter!("ferry_upstream_errors_total", "host" => core.settings.host.to_string())
+        .increment(1);
+    Err(if status.is_client_error() {
+        UpstreamFailure::Refused { status, body }
+    } else {
+        UpstreamFailure::Failed { status, body }
+    })
+}
+
+/// Whether the upstream says that it did not run the request.
+pub(super) fn says_not_run(headers: &HeaderMap) -> bool {
+    headers.get(NOT_RUN_HEADER).is_some_and(|v| v == "true")
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
+
+fn whole_reply(body: Bytes) -> Result<WholeReply, UpstreamFailure> {
+    let answer: ChatAnswer = serde_json::from_slice(&body)
+        .map_err(|error| UpstreamFailure::Broken(format!("the answer is malformed: {error}")))?;
+    let content = answer.choices.first().map(|c| &c.message.content);
+    let text = content.and_then(|c| c.as_str()).unwrap_or_default();
+    Ok(WholeReply {
+        text: text.to_owned(),
+        usage: answer.usage,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/router/src/dispatch/engine_stream.rs
@@ -0,0 +1,186 @@
+//! Events of an engine's answer as they come.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use eventsource_stream::{Event, Eventsource};
+use ferry_platform::engine::{ChatChunk, STREAM_END, TokenUsage};
+use futures::{Stream, StreamExt};
+use http_body_util::BodyDataStream;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::UpstreamFailure;
+use crate::upstream::FlightGuard;
+
+type EventStream = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
+
+/// One step of an answer.
+#[derive(Debug)]
+pub enum StreamStep {
+    /// An event to pass on.
+    Event(Bytes),
+    /// The answer is complete.
+    End,
+}
+
+/// An answer in progress; dropping it cancels the run on the engine.
+pub struct EngineStream {
+    guard: FlightGuard,
+    events: EventStream,
+    /// An event that was read ahead.
+    ahead: Option<Event>,
+    /// Tokens received so far; the engine's own count once it has sent one.
+    usage: TokenUsage,
+    /// Text received so far, kept only if wanted.
+    text: Option<String>,
+    /// Whether the engine has sent its own count.
+    counted: bool,
+}
+
+/// A whole answer that came as a stream.
+#[derive(Debug, Clone)]
+pub struct CollectedStream {
+    /// Events in order, without the end mark.
+    pub events: Vec<Bytes>,
+    /// Text of the answer, if it was kept.
+    pub text: String,
+    /// Tokens used.
+    pub usage: TokenUsage,
+}
+
+impl EngineStream {
+    /// Reads `body`, keeping its text if `keep_text`.
+    pub fn new(guard: FlightGuard, body: Incoming, keep_text: bool) -> Self {
+        Self {
+            guard,
+            events: event_stream(body),
+            ahead: None,
+            usage: TokenUsage::default(),
+            text: keep_text.then(String::new),
+            counted: false,
+        }
+    }
+
+    /// Waits for the first event, which is then given by [`EngineStream::next`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream ends without an event or the deadline passes.
+    pub async fn read_ahead(&mut self, deadline: Instant) -> Result<(), UpstreamFailure> {
+        let event = self.next_event(deadline).await?;
+        self.ahead = Some(event);
+        Ok(())
+    }
+
+    /// The next step of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks before its end mark or the deadline passes.
+    pub async fn next(&mut self, deadline: Instant) -> Result<StreamStep, UpstreamFailure> {
+        let event = match self.ahead.take() {
+            Some(event) => event,
+            None => self.next_event(deadline).await?,
+        };
+        if event.data == STREAM_END {
+            return Ok(StreamStep::End);
+        }
+        self.absorb(&event.data);
+        Ok(StreamStep::Event(encode(&event.data)))
+    }
+
+    /// Reads the rest of the answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`EngineStream::next`], and when the answer is longer than `limit` bytes.
+    pub async fn collect(
+        mut self,
+        deadline: Instant,
+        limit: usize,
+    ) -> Result<CollectedStream, UpstreamFailure> {
+        let mut events = Vec::new();
+        let mut size = 0;
+        while let StreamStep::Event(event) = self.next(deadline).await? {
+            size += event.len();
+            if size > limit {
+                return Err(UpstreamFailure::Broken(format!(
+                    "the answer is longer than {limit} bytes"
+                )));
+            }
+            events.push(event);
+        }
+        Ok(CollectedStream {
+            events,
+            text: self.text.unwrap_or_default(),
+            usage: self.usage,
+        })
+    }
+
+    /// Goes on with `body`, which continues the same answer after a break.
+    pub fn resume(&mut self, body: Incoming) {
+        self.events = event_stream(body);
+    }
+
+    /// Tokens so far.
+    pub fn usage(&self) -> TokenUsage {
+        self.usage
+    }
+
+    /// Address of the upstream, `http://IP:PORT`.
+    pub fn host_url(&self) -> String {
+        self.guard.host().url()
+    }
+
+    async fn next_event(&mut self, deadline: Instant) -> Result<Event, UpstreamFailure> {
+        match timeout_at(deadline, self.events.next()).await {
+            Err(_) => Err(UpstreamFailure::DeadlinePassed),
+            Ok(None) => Err(UpstreamFailure::Broken(
+                "the stream ended before its end mark".to_owned(),
+            )),
+            Ok(Some(Err(reason))) => Err(UpstreamFailure::Broken(reason)),
+            Ok(Some(Ok(event))) => Ok(event),
+        }
+    }
+
+    fn absorb(&mut self, data: &str) {
+        let Ok(chunk) = serde_json::from_str::<ChatChunk>(data) else {
+            return;
+        };
+        if let Some(usage) = chunk.usage {
+            self.usage = usage;
+            self.counted = true;
+        }
+        let Some(piece) = chunk
+            .choices
+            .first()
+            .and_then(|c| c.delta.content.as_deref())
+        else {
+            return;
+        };
+        if !self.counted {
+            self.usage.completion_tokens += 1;
+        }
+        if let Some(text) = &mut self.text {
+            text.push_str(piece);
+        }
+    }
+}
+
+/// One server-sent event with `data`.
+pub fn encode(data: &str) -> Bytes {
+    let mut text = String::with_capacity(data.len() + 8);
+    for line in data.lines() {
+        text.push_str("data: ");
+        text.push_str(line);
+        text.push('\n');
+    }
+    text.push('\n');
+    Bytes::from(text)
+}
+
+fn event_stream(body: Incoming) -> EventStream {
+    let events = BodyDataStream::new(body).eventsource();
+    Box::pin(events.map(|event| event.map_err(|error| error.to_string())))
+}
--- /dev/null
+++ b/crates/router/src/dispatch/gate.rs
@@ -0,0 +1,82 @@
+//! Checks that a request must pass: once on entry, and again before every dispatch.
+
+use ferry_decisions::config::ConfigView;
+use ferry_decisions::names::{ServiceName, VersionName};
+use ferry_decisions::routing::{RoutePlan, RouteQuery, RouteStage, WorkKind};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, SessionAsk};
+use crate::core::RouterCore;
+
+/// Bits of a hash that make a uniform fraction.
+const FRACTION_BITS: u32 = 53;
+
+/// Checks that hold for every dispatch, also of retries and later stages.
+///
+/// # Errors
+///
+/// A refusal for this dispatch; whether earlier ones ran is for the caller to add.
+pub fn check_dispatch(core: &RouterCore, request: &CallerRequest) -> Result<(), CallerRefusal> {
+    core.lease.check()?;
+    if request.time_left().is_zero() {
+        return Err(CallerRefusal::final_one(
+            RefusalKind::DeadlinePassed,
+            "the deadline passed; send a longer Ferry-Deadline-Ms",
+        ));
+    }
+    Ok(())
+}
+
+/// Route of `request` to `target` under `view`.
+///
+/// # Errors
+///
+/// A refusal when no version may be used.
+pub fn plan(
+    view: &ConfigView,
+    request: &CallerRequest,
+    target: &str,
+) -> Result<RoutePlan, CallerRefusal> {
+    let work = match &request.session {
+        SessionAsk::None | SessionAsk::New => WorkKind::New,
+        SessionAsk::Continue(token) => WorkKind::Session(&token.pins),
+    };
+    let query = RouteQuery {
+        workspace: &request.workspace,
+        labels: &request.labels,
+        target,
+        work,
+        idempotent: request.idempotent,
+    };
+    Ok(RoutePlan::compute(view, &query)?)
+}
+
+/// Version of `stage` for `request`: the same one each time while the configuration stays.
+pub fn pick_version<'a>(stage: &'a RouteStage, request: &CallerRequest) -> &'a VersionName {
+    let hash = xxh3_64(request.id.as_str().as_bytes());
+    let point = (hash >> (u64::BITS - FRACTION_BITS)) as f64 / (1_u64 << FRACTION_BITS) as f64;
+    stage.pick(point)
+}
+
+/// Checks that the workspace of `request` may call `service`.
+///
+/// # Errors
+///
+/// A refusal that names the remedy.
+pub fn check_service(
+    core: &RouterCore,
+    request: &CallerRequest,
+    service: &ServiceName,
+) -> Result<(), CallerRefusal> {
+    let view = core.config.view();
+    let workspace = view.workspaces.get(&request.workspace);
+    if workspace.is_some_and(|workspace| workspace.services.contains(service)) {
+        return Ok(());
+    }
+    Err(CallerRefusal::final_one(
+        RefusalKind::Forbidden,
+        format!(
+            "this workspace may not call {service}; ask an operator to list it under the workspace's services"
+        ),
+    ))
+}
--- /dev/null
+++ b/crates/router/src/dispatch/run_bill.rs
@@ -0,0 +1,59 @@
+//! What a run has cost so far, and the bill made from it.
+
+use ferry_decisions::bill::{BillEntry, BillOutcome};
+use ferry_decisions::names::VersionName;
+use ferry_kernel::wall_clock;
+use ferry_platform::engine::TokenUsage;
+
+use crate::caller::CallerRequest;
+use crate::core::RouterCore;
+
+/// Tokens to which prices refer.
+const PRICE_UNIT_TOKENS: u64 = 1_000;
+
+/// Tokens and price of the stages of one run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RunBill {
+    /// Prompt tokens of all stages.
+    pub prompt_tokens: u64,
+    /// Completion tokens of all stages.
+    pub completion_tokens: u64,
+    /// Price of all stages, in millionths of the currency unit.
+    pub cost: u64,
+}
+
+impl RunBill {
+    /// Adds the tokens of one stage at the prices of `version`.
+    pub fn add(&mut self, core: &RouterCore, version: &VersionName, usage: TokenUsage) {
+        self.prompt_tokens += usage.prompt_tokens;
+        self.completion_tokens += usage.completion_tokens;
+        let view = core.config.view();
+        let Some(entry) = view.version(version.as_str()) else {
+            return;
+        };
+        let prompt = usage.prompt_tokens * entry.spec.prompt_price;
+        let completion = usage.completion_tokens * entry.spec.completion_price;
+        self.cost += (prompt + completion).div_ceil(PRICE_UNIT_TOKENS);
+    }
+
+    /// The bill for `request`, answered by `version`.
+    pub fn to_entry(
+        self,
+        core: &RouterCore,
+        request: &CallerRequest,
+        version: &VersionName,
+        outcome: BillOutcome,
+    ) -> BillEntry {
+        BillEntry {
+            request: request.id.clone(),
+            workspace: request.workspace.clone(),
+            version: version.clone(),
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: self.completion_tokens,
+            cost: self.cost,
+            outcome,
+            router: core.settings.host.clone(),
+            time: wall_clock::now(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/dispatch/service_call.rs
@@ -0,0 +1,67 @@
+//! One dispatch of a call to a plain service.
+
+use bytes::Bytes;
+use ferry_kernel::http::{HttpRequest, collect_limited};
+use ferry_platform::engine::REQUEST_ID_HEADER;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Response};
+
+use super::engine_call::says_not_run;
+use super::run_answer::ServiceAnswer;
+use super::service_run::ServiceCall;
+use super::{UpstreamFailure, engine_call};
+use crate::caller::CallerRequest;
+use crate::core::RouterCore;
+use crate::upstream::FlightGuard;
+
+/// Dispatches `call` to the upstream of `guard`; any status that the service chose is an answer.
+///
+/// # Errors
+///
+/// Says what the failure tells about the run.
+pub async fn call(
+    core: &RouterCore,
+    guard: FlightGuard,
+    request: &CallerRequest,
+    call: &ServiceCall,
+) -> Result<ServiceAnswer, UpstreamFailure> {
+    let outgoing = service_request(&guard.host().url(), request, call);
+    let response = core.http.send(outgoing, request.time_left()).await?;
+    if says_not_run(response.headers()) {
+        engine_call::accepted(core, &guard, response).await?;
+        return Err(UpstreamFailure::Broken(
+            "a success that says it did not run".to_owned(),
+        ));
+    }
+    let limit = core.settings.limits.answer_bytes;
+    let (head, body) = Response::into_parts(response);
+    let body = tokio::time::timeout_at(request.deadline, collect_limited(body, limit))
+        .await
+        .map_err(|_| UpstreamFailure::DeadlinePassed)?
+        .map_err(|error| UpstreamFailure::Broken(error.to_string()))?;
+    Ok(ServiceAnswer {
+        status: head.status,
+        headers: content_headers(&head.headers),
+        body,
+    })
+}
+
+fn service_request(url: &str, request: &CallerRequest, call: &ServiceCall) -> HttpRequest {
+    let url = format!("{url}{}", call.path);
+    let mut outgoing = HttpRequest::new(call.method.clone(), &url, Bytes::clone(&call.body));
+    outgoing.headers = content_headers(&call.headers);
+    if let Ok(id) = HeaderValue::from_str(request.id.as_str()) {
+        let name = HeaderName::from_static(REQUEST_ID_HEADER);
+        outgoing.headers.insert(name, id);
+    }
+    outgoing
+}
+
+/// Headers that concern the body and nothing else.
+fn content_headers(headers: &HeaderMap) -> HeaderMap {
+    let content_type = headers.get(CONTENT_TYPE).cloned();
+    content_type
+        .map(|value| (CONTENT_TYPE, value))
+        .into_iter()
+        .collect()
+}
--- /dev/null
+++ b/crates/router/src/dispatch/service_run.rs
@@ -0,0 +1,159 @@
+//! Run of one call to a plain service, from its claim to its bill.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::bill::BillOutcome;
+use ferry_decisions::names::{HostName, ServiceName, VersionName};
+use hyper::{HeaderMap, Method};
+use smallvec::SmallVec;
+use tokio::sync::oneshot;
+
+use super::run_answer::ServiceAnswer;
+use super::run_bill::RunBill;
+use super::stage_run::later_state;
+use super::{UpstreamFailure, gate, service_call};
+use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, RunState};
+use crate::core::RouterCore;
+use crate::trail::{AttemptNote, AttemptResult, DecisionTrail, TrailEnd};
+use crate::upstream::{FlightGuard, choose};
+use crate::{bills, claims, trail};
+
+/// Dispatches of one call, the first included.
+const ATTEMPT_LIMIT: usize = 3;
+/// When to come back if nothing runs the service.
+const UPSTREAM_PAUSE: Duration = Duration::from_secs(1);
+
+/// What is passed on to the service.
+#[derive(Debug, Clone)]
+pub struct ServiceCall {
+    /// Service that is called.
+    pub service: ServiceName,
+    /// Method.
+    pub method: Method,
+    /// Path and query, starting with `/`.
+    pub path: String,
+    /// Headers of the caller.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A call that is being answered; it goes on when its caller disconnects.
+pub struct ServiceRun {
+    core: Arc<RouterCore>,
+    request: CallerRequest,
+    call: ServiceCall,
+    trail: DecisionTrail,
+}
+
+impl ServiceRun {
+    /// A run that has not started.
+    pub fn new(core: Arc<RouterCore>, request: CallerRequest, call: ServiceCall) -> Self {
+        let trail = trail::begin(&core, &request, call.service.as_str());
+        Self {
+            core,
+            request,
+            call,
+            trail,
+        }
+    }
+
+    /// Answers the call to `sender`.
+    pub async fn execute(mut self, sender: oneshot::Sender<Result<ServiceAnswer, CallerRefusal>>) {
+        let result = self.answer().await;
+        let end = match &result {
+            Ok(_) => TrailEnd::Answered { cost: 0 },
+            Err(refusal) => TrailEnd::Refused {
+                kind: refusal.kind.name(),
+                detail: refusal.detail.clone(),
+            },
+        };
+        let _ = sender.send(result);
+        self.trail.end = Some(end);
+        self.core.trails.push(self.trail);
+    }
+
+    async fn answer(&mut self) -> Result<ServiceAnswer, CallerRefusal> {
+        gate::check_dispatch(&self.core, &self.request)?;
+        if self.request.idempotent {
+            return self.run_and_bill().await;
+        }
+        let grant = claims::claim(&self.core, &self.request.id).await?;
+        let result = self.run_and_bill().await;
+        match result {
+            Err(refusal) if refusal.run == RunState::NotRun => {
+                match claims::void(&self.core, &grant).await {
+                    Ok(()) => Err(refusal),
+                    Err(_) => Err(refusal.with_run(RunState::MayHaveRun)),
+                }
+            }
+            other => other,
+        }
+    }
+
+    async fn run_and_bill(&mut self) -> Result<ServiceAnswer, CallerRefusal> {
+        let answer = self.dispatch().await?;
+        let version = VersionName::new(self.call.service.as_str());
+        let outcome = BillOutcome::Answered;
+        let bill = RunBill::default().to_entry(&self.core, &self.request, &version, outcome);
+        bills::release(&self.core, bill).await;
+        Ok(answer)
+    }
+
+    async fn dispatch(&mut self) -> Result<ServiceAnswer, CallerRefusal> {
+        let mut tried: SmallVec<[HostName; ATTEMPT_LIMIT]> = SmallVec::new();
+        let mut run = RunState::NotRun;
+        loop {
+            let guard = self.next_upstream(&tried).map_err(|r| r.with_run(run))?;
+            let host = guard.host().entry.name.clone();
+            match service_call::call(&self.core, guard, &self.request, &self.call).await {
+                Ok(answer) => {
+                    self.note(&host, AttemptResult::Answered);
+                    return Ok(answer);
+                }
+                Err(failure) => {
+                    let reason = failure.to_string();
+                    self.note(&host, AttemptResult::Failed { reason });
+                    run = later_state(run, failure.run_state());
+                    tried.push(host);
+                    if !self.may_retry(&failure, tried.len()) {
+                        return Err(failure.to_refusal().with_run(run));
+                    }
+                }
+            }
+        }
+    }
+
+    fn next_upstream(&self, tried: &[HostName]) -> Result<FlightGuard, CallerRefusal> {
+        gate::check_dispatch(&self.core, &self.request)?;
+        gate::check_service(&self.core, &self.request, &self.call.service)?;
+        let hosts = self.core.upstreams.running(&self.call.service);
+        let host = choose(&hosts, tried).ok_or_else(|| {
+            CallerRefusal::come_back(
+                RefusalKind::NoUpstream,
+                format!(
+                    "no upstream runs {} now; send the call again later",
+                    self.call.service
+                ),
+                UPSTREAM_PAUSE,
+            )
+        })?;
+        Ok(FlightGuard::new(host))
+    }
+
+    fn may_retry(&self, failure: &UpstreamFailure, attempts: usize) -> bool {
+        let safe = self.request.idempotent || failure.run_state() == RunState::NotRun;
+        safe && failure.may_retry() && attempts < ATTEMPT_LIMIT
+    }
+
+    fn note(&mut self, upstream: &HostName, result: AttemptResult) {
+        self.trail.attempts.push(AttemptNote {
+            stage: 0,
+            version: VersionName::new(self.call.service.as_str()),
+            upstream: upstream.clone(),
+            result,
+        });
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,3 +1,18 @@
-//! The router daemon.
+//! The router daemon: answers callers' requests on allowed versions of the upstreams.
 
+pub mod admin;
+pub mod app;
+pub mod bills;
+pub mod caller;
+pub mod claims;
+pub mod config;
+pub mod core;
+pub mod daemon;
+pub mod dispatch;
+pub mod lease;
+pub mod membership;
 pub mod peer;
+pub mod plugin;
+pub mod settings;
+pub mod trail;
+pub mod upstream;
--- /dev/null
+++ b/crates/router/src/plugin.rs
@@ -0,0 +1,42 @@
+//! Registry of plug-ins: parts of the router that register themselves.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use serde_json::Value;
+
+use crate::core::RouterCore;
+use crate::peer::{PeerMessage, PeerTopic};
+
+/// One plug-in.
+pub struct RouterPlugin {
+    /// Name, as the status view shows it.
+    pub name: &'static str,
+    /// Topics of peer messages that it handles; no two plug-ins share one.
+    pub topics: &'static [PeerTopic],
+    /// Starts its tasks; they end when the core's `closing` token is cancelled.
+    pub start: fn(&Arc<RouterCore>),
+    /// Handles a peer message; the answer is sent back if the peer asked for one.
+    pub on_message: fn(Arc<RouterCore>, PeerMessage) -> BoxFuture<'static, Option<Bytes>>,
+    /// Its part of the status view.
+    pub view: fn(&RouterCore) -> Value,
+}
+
+inventory::collect!(RouterPlugin);
+
+/// All plug-ins that are linked into the program.
+pub fn all() -> impl Iterator<Item = &'static RouterPlugin> {
+    inventory::iter::<RouterPlugin>.into_iter()
+}
+
+/// Handler of a plug-in that takes no peer messages.
+pub fn no_messages(_: Arc<RouterCore>, _: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
+    Box::pin(async { None })
+}
+
+/// Passes a peer message to the plug-in that handles its topic.
+pub async fn deliver(core: Arc<RouterCore>, message: PeerMessage) -> Option<Bytes> {
+    let plugin = all().find(|plugin| plugin.topics.contains(&message.topic))?;
+    (plugin.on_message)(core, message).await
+}
--- /dev/null
+++ b/crates/router/src/settings/router_settings.rs
@@ -0,0 +1,277 @@
+//! The settings file of a router.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use ferry_decisions::names::{HostName, ZoneName};
+use ferry_decisions::session::SigningKey;
+use ferry_kernel::logs::LogLevel;
+use ferry_kernel::settings::{self, SettingsError};
+use serde::Deserialize;
+
+/// Shortest secret accepted, in bytes.
+const SECRET_MIN_BYTES: usize = 16;
+
+/// Everything that a router is told at its start.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouterSettings {
+    /// Name of this host, as the platform's host list has it.
+    pub host: HostName,
+    /// Availability zone of this host.
+    pub zone: ZoneName,
+    /// Addresses to listen on.
+    pub listen: ListenSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Secrets shared by the fleet.
+    pub secrets: SecretSettings,
+    /// Bounds on requests.
+    #[serde(default)]
+    pub limits: RequestLimits,
+    /// Age up to which the configuration counts as fresh, in milliseconds.
+    #[serde(default = "default_freshness_ms")]
+    pub freshness_ms: u64,
+    /// How the daemon stops.
+    #[serde(default)]
+    pub stop: StopSettings,
+    /// Least severe log level that is written.
+    #[serde(default)]
+    pub log_level: LogLevel,
+}
+
+/// Addresses that a router listens on; all three differ unless the port is 0.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Port for callers.
+    pub callers: SocketAddr,
+    /// Port for operators.
+    pub admin: SocketAddr,
+    /// Port for other routers.
+    pub peers: SocketAddr,
+}
+
+/// Where the platform is.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Base address of the log, the host list and the rating service.
+    pub url: String,
+    /// Time allowed for one call, in milliseconds.
+    #[serde(default = "default_call_timeout_ms")]
+    pub timeout_ms: u64,
+    /// Appends a second that all routers together may send to the log.
+    #[serde(default = "default_append_budget")]
+    pub appends_per_second: u32,
+}
+
+/// Secrets shared by the fleet.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SecretSettings {
+    /// Secret by which routers know each other.
+    pub peers: String,
+    /// Token that the admin port asks for.
+    pub admin_token: String,
+    /// Keys that sign session tokens; the first signs, all verify.
+    pub session_keys: Vec<SigningKey>,
+}
+
+/// Bounds on requests.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RequestLimits {
+    /// Longest request body, in bytes.
+    pub body_bytes: usize,
+    /// Longest answer that is held as a whole, in bytes.
+    pub answer_bytes: usize,
+    /// Requests in progress at once.
+    pub in_progress: usize,
+    /// Deadline of a request that names none, in milliseconds.
+    pub default_deadline_ms: u64,
+    /// Longest deadline that a request may name, in milliseconds.
+    pub longest_deadline_ms: u64,
+}
+
+/// How the daemon stops.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StopSettings {
+    /// Time for which requests are still accepted after the stop was announced, in milliseconds.
+    pub balancer_lag_ms: u64,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 * 1024 * 1024,
+            answer_bytes: 16 * 1024 * 1024,
+            in_progress: 10_000,
+            default_deadline_ms: 60_000,
+            longest_deadline_ms: 600_000,
+        }
+    }
+}
+
+impl Default for StopSettings {
+    fn default() -> Self {
+        Self {
+            balancer_lag_ms: 2_000,
+        }
+    }
+}
+
+fn default_freshness_ms() -> u64 {
+    3_000
+}
+
+fn default_call_timeout_ms() -> u64 {
+    1_000
+}
+
+fn default_append_budget() -> u32 {
+    200
+}
+
+/// A value that the form of the file allows but a router cannot use.
+struct SettingsProblem {
+    key: &'static str,
+    problem: String,
+    remedy: &'static str,
+}
+
+impl RouterSettings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a diagnostic that points at the line and names the remedy.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|e| SettingsError::unreadable(path, &e))?;
+        Self::parse(&path.display().to_string(), &text)
+    }
+
+    /// Parses and checks `text`, which came from the file `name`.
+    ///
+    /// # Errors
+    ///
+    /// As [`RouterSettings::read`].
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = settings::parse(name, text)?;
+        match settings.problem() {
+            None => Ok(settings),
+            Some(found) => Err(SettingsError::rejected(
+                name,
+                text,
+                found.key,
+                &found.problem,
+                found.remedy,
+            )),
+        }
+    }
+
+    /// Time allowed for one call to the platform.
+    pub fn call_timeout(&self) -> Duration {
+        Duration::from_millis(self.platform.timeout_ms)
+    }
+
+    /// Age up to which the configuration counts as fresh.
+    pub fn freshness(&self) -> Duration {
+        Duration::from_millis(self.freshness_ms)
+    }
+
+    fn problem(&self) -> Option<SettingsProblem> {
+        self.address_problem()
+            .or_else(|| self.secret_problem())
+            .or_else(|| self.limit_problem())
+    }
+
+    fn address_problem(&self) -> Option<SettingsProblem> {
+        let ListenSettings {
+            callers,
+            admin,
+            peers,
+        } = &self.listen;
+        let clash = |a: &SocketAddr, b: &SocketAddr| a == b && a.port() != 0;
+        if clash(callers, admin) {
+            return Some(port_clash("admin", admin));
+        }
+        if clash(callers, peers) || clash(admin, peers) {
+            return Some(port_clash("peers", peers));
+        }
+        let prefix = self.platform.url.starts_with("http://");
+        (!prefix).then(|| SettingsProblem {
+            key: "url",
+            problem: format!(
+                "platform.url {:?} is not an http address",
+                self.platform.url
+            ),
+            remedy: "write http://IP:PORT",
+        })
+    }
+
+    fn secret_problem(&self) -> Option<SettingsProblem> {
+        let short = |secret: &str| secret.len() < SECRET_MIN_BYTES;
+        let secrets = &self.secrets;
+        let key = if short(&secrets.peers) {
+            "peers"
+        } else if short(&secrets.admin_token) {
+            "admin_token"
+        } else if secrets.session_keys.is_empty()
+            || secrets.session_keys.iter().any(|key| short(&key.secret))
+        {
+            "session_keys"
+        } else {
+            return None;
+        };
+        Some(SettingsProblem {
+            key: if key == "peers" { "secrets" } else { key },
+            problem: format!("secrets.{key} is missing or too short"),
+            remedy: "write a random secret of 16 bytes or more",
+        })
+    }
+
+    fn limit_problem(&self) -> Option<SettingsProblem> {
+        let limits = &self.limits;
+        let zero = |key, value: u64| {
+            (value == 0).then(|| SettingsProblem {
+                key,
+                problem: format!("{key} is 0"),
+                remedy: "write a number above 0",
+            })
+        };
+        zero("body_bytes", limits.body_bytes as u64)
+            .or_else(|| zero("answer_bytes", limits.answer_bytes as u64))
+            .or_else(|| zero("in_progress", limits.in_progress as u64))
+            .or_else(|| zero("default_deadline_ms", limits.default_deadline_ms))
+            .or_else(|| zero("freshness_ms", self.freshness_ms))
+            .or_else(|| zero("timeout_ms", self.platform.timeout_ms))
+            .or_else(|| {
+                zero(
+                    "appends_per_second",
+                    self.platform.appends_per_second.into(),
+                )
+            })
+            .or_else(|| self.deadline_problem())
+    }
+
+    fn deadline_problem(&self) -> Option<SettingsProblem> {
+        let limits = &self.limits;
+        (limits.longest_deadline_ms < limits.default_deadline_ms).then(|| SettingsProblem {
+            key: "longest_deadline_ms",
+            problem: "longest_deadline_ms is below default_deadline_ms".to_owned(),
+            remedy: "raise longest_deadline_ms or lower default_deadline_ms",
+        })
+    }
+}
+
+fn port_clash(key: &'static str, address: &SocketAddr) -> SettingsProblem {
+    SettingsProblem {
+        key,
+        problem: format!("{address} is used for two ports"),
+        remedy: "give callers, admin and peers a port each",
+    }
+}
--- /dev/null
+++ b/crates/router/src/upstream/host_poll.rs
@@ -0,0 +1,55 @@
+//! Plug-in that follows the platform's host list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::core::RouterCore;
+use crate::plugin::{RouterPlugin, no_messages};
+
+/// Time between two reads of the host list.
+const POLL_PERIOD: Duration = Duration::from_secs(1);
+
+inventory::submit! {
+    RouterPlugin {
+        name: "host_list",
+        topics: &[],
+        start,
+        on_message: no_messages,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    tokio::spawn(
+        core.closing
+            .clone()
+            .run_until_cancelled_owned(poll(Arc::clone(core))),
+    );
+}
+
+async fn poll(core: Arc<RouterCore>) {
+    let mut ticks = interval(POLL_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match core.hosts.list().await {
+            Ok(listing) => {
+                core.upstreams.update(&listing.hosts);
+                core.members.update(&listing.hosts);
+            }
+            Err(error) => {
+                metrics::counter!("ferry_host_list_failures_total").increment(1);
+                spdlog::debug!("host list not read", kv: { error = error.to_string() });
+            }
+        }
+    }
+}
+
+fn view(core: &RouterCore) -> Value {
+    let hosts = core.upstreams.all();
+    let leaving = hosts.iter().filter(|host| host.is_leaving()).count();
+    json!({ "upstreams": hosts.len(), "leaving": leaving })
+}
--- /dev/null
+++ b/crates/router/src/upstream/load_poll.rs
@@ -0,0 +1,65 @@
+//! Plug-in that reads the load reports of the engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_kernel::http::HttpRequest;
+use ferry_platform::engine::LoadReport;
+use futures::StreamExt;
+use serde_json::{Value, json};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::UpstreamHost;
+use crate::core::RouterCore;
+use crate::plugin::{RouterPlugin, no_messages};
+
+/// Time between two rounds of reads.
+const POLL_PERIOD: Duration = Duration::from_millis(500);
+/// Time allowed for one read.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Reads in progress at once.
+const PARALLEL_READS: usize = 32;
+
+inventory::submit! {
+    RouterPlugin {
+        name: "load_reports",
+        topics: &[],
+        start,
+        on_message: no_messages,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    tokio::spawn(
+        core.closing
+            .clone()
+            .run_until_cancelled_owned(poll(Arc::clone(core))),
+    );
+}
+
+async fn poll(core: Arc<RouterCore>) {
+    let mut ticks = interval(POLL_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let engines = core.upstreams.all().into_iter().filter(|h| h.is_engine());
+        futures::stream::iter(engines)
+            .for_each_concurrent(PARALLEL_READS, |host| read_one(&core, host))
+            .await;
+    }
+}
+
+async fn read_one(core: &RouterCore, host: Arc<UpstreamHost>) {
+    let request = HttpRequest::get(&format!("{}/load", host.url()));
+    let answer = core.http.fetch_json::<LoadReport>(request, READ_TIMEOUT);
+    if let Ok(report) = answer.await {
+        host.set_report(report);
+    }
+}
+
+fn view(core: &RouterCore) -> Value {
+    let hosts = core.upstreams.all();
+    let reported = hosts.iter().filter(|host| host.report().is_some()).count();
+    json!({ "engines_reporting": reported })
+}
--- a/src/bin/ferry-router.rs
+++ b/src/bin/ferry-router.rs
@@ -1,3 +1,5 @@
 //! Entry point of `ferry-router`.
 
-fn main() {}
+fn main() {
+    ferry_router::app::main();
+}
