Add stand-ins for the platform, engines and services

The daemons need something to talk to in tests, trials and benchmarks. Each stand-in keeps the published protocols of the platform crate, runs in-process or as `ferry-standin`, takes fault orders over HTTP and counts per request id what ran. A control port without faults stays reachable in a freeze, an outage and a simulated crash.

The kernel's server gains two things that this needed: a handler can have its connection closed without an answer, and a server can be aborted with everything in flight. The macro `value_type!` now puts its derives before the type's own attributes, since serde's must follow the derive.

Cache events, KV export and orders to engines are not part of the protocol yet and are left out.

--- a/crates/decisions/src/macros.rs
+++ b/crates/decisions/src/macros.rs
@@ -5,9 +5,9 @@
 macro_rules! value_type {
     ($($(#[$meta:meta])* $vis:vis struct $name:ident $body:tt)+) => {
         $(
-            $(#[$meta])*
             #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
             #[serde(deny_unknown_fields)]
+            $(#[$meta])*
             $vis struct $name $body
         )+
     };
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -6,4 +6,4 @@
 
 pub use body::{BodyError, HttpBody, collect_limited, empty, full, json_response, streamed};
 pub use client::{HttpClient, HttpError, HttpRequest};
-pub use server::{Server, ServerHandle};
+pub use server::{Server, ServerHandle, dropped_connection};
--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -1,6 +1,5 @@
 //! HTTP server: one task a connection, graceful stop.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,6 +22,18 @@
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Marks a response in whose place the connection is closed.
+#[derive(Debug, Clone, Copy, thiserror::Error)]
+#[error("the handler closed the connection; call again on a new one")]
+struct ConnectionDrop;
+
+/// A response in whose place the server closes the connection without an answer.
+pub fn dropped_connection() -> Response<HttpBody> {
+    let mut response = Response::new(super::empty());
+    response.extensions_mut().insert(ConnectionDrop);
+    response
+}
+
 /// A listening socket that is not yet served.
 #[derive(Debug)]
 pub struct Server {
@@ -35,7 +46,9 @@
     /// Address that it listens on.
     pub address: SocketAddr,
     stop: CancellationToken,
-    connections: TaskTracker,
+    abort: CancellationToken,
+    /// The accept loop and one task for each connection.
+    tasks: TaskTracker,
 }
 
 impl Server {
@@ -71,9 +84,11 @@
         let handle = ServerHandle {
             address: self.address()?,
             stop: CancellationToken::new(),
-            connections: TaskTracker::new(),
+            abort: CancellationToken::new(),
+            tasks: TaskTracker::new(),
         };
-        tokio::spawn(accept_loop(self.listener, handle.clone(), handler));
+        let accepting = accept_loop(self.listener, handle.clone(), handler);
+        handle.tasks.spawn(accepting);
         Ok(handle)
     }
 }
@@ -82,8 +97,14 @@
     /// Stops accepting, lets each connection finish its requests, and waits for them.
     pub async fn stop(&self) {
         self.stop.cancel();
-        self.connections.close();
-        self.connections.wait().await;
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    /// Stops accepting and closes each connection at once, whatever is in flight on it.
+    pub async fn abort(&self) {
+        self.abort.cancel();
+        self.stop().await;
     }
 }
 
@@ -101,9 +122,8 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let stop = handle.stop.clone();
-        let connection = serve_connection(stream, peer, handler.clone(), stop);
-        handle.connections.spawn(connection);
+        let connection = serve_connection(stream, peer, handler.clone(), handle.clone());
+        handle.tasks.spawn(connection);
     }
 }
 
@@ -111,7 +131,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     handler: H,
-    stop: CancellationToken,
+    handle: ServerHandle,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
@@ -119,7 +139,7 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let answer = handler(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { sendable(answer.await) }
     });
     let mut builder = auto::Builder::new(hyper_util::rt::TokioExecutor::new()).http1_only();
     builder
@@ -131,7 +151,18 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = handle.abort.cancelled() => return,
+        () = handle.stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        _ = connection => {}
+        () = handle.abort.cancelled() => {}
+    }
+}
+
+fn sendable(response: Response<HttpBody>) -> Result<Response<HttpBody>, ConnectionDrop> {
+    match response.extensions().get::<ConnectionDrop>() {
+        Some(drop) => Err(*drop),
+        None => Ok(response),
     }
-    let _ = connection.await;
 }
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,98 @@
+//! Stand-in of a model engine.
+//!
+//! It batches continuously, honours priorities, caches prompt prefixes, and answers with a text that
+//! names the digest of the request, the version and the request id. `GET /standin/counters` gives a
+//! [`CountReport`](crate::counters::CountReport).
+
+mod answer_stream;
+mod answer_text;
+mod batch_queue;
+mod chat_run;
+mod engine_api;
+mod engine_options;
+mod engine_state;
+mod load_board;
+mod prefix_cache;
+mod run_table;
+
+pub use answer_text::{DIGEST_PREFIX, REQUEST_PREFIX, VERSION_PREFIX};
+pub use engine_options::EngineOptions;
+pub(crate) use engine_state::EngineState;
+pub(crate) use load_board::{LoadBoard, keep_board};
+
+use std::ops::Deref;
+use std::sync::Arc;
+
+use ferry_platform::hosts::{HostEntry, HostRole, HostState};
+
+use crate::counters::RunCounters;
+use crate::faults::FaultGate;
+use crate::registration::{HostRegistration, StartError};
+use crate::server::{StandinApi, StandinServer};
+
+/// A running engine.
+#[derive(Debug, Clone)]
+pub struct EngineStandin {
+    server: StandinServer,
+    state: Arc<EngineState>,
+    registration: Option<HostRegistration>,
+}
+
+impl EngineStandin {
+    /// Starts an engine and registers it when its options name a platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the platform does not take the registration.
+    pub async fn start(options: EngineOptions) -> Result<Self, StartError> {
+        let (gate, crashes) = FaultGate::new();
+        let gate = Arc::new(gate);
+        let state = EngineState::start(options.clone(), gate.clone());
+        let api = StandinApi::Engine(state.clone());
+        let server =
+            StandinServer::start(options.listen, api, gate, crashes, options.crash_mode).await?;
+        let registration = match &options.platform {
+            Some(platform) => {
+                let entry = host_entry(&options, &server);
+                Some(HostRegistration::announce(platform, entry).await?)
+            }
+            None => None,
+        };
+        Ok(Self {
+            server,
+            state,
+            registration,
+        })
+    }
+
+    /// What ran.
+    pub fn counters(&self) -> &RunCounters {
+        self.state.counters()
+    }
+
+    /// Announces the stop, finishes requests in flight, and takes the engine off the host list.
+    pub async fn stop(&self) {
+        self.state.leave();
+        HostRegistration::finish(self.registration.as_ref(), self.server.stop()).await;
+    }
+}
+
+impl Deref for EngineStandin {
+    type Target = StandinServer;
+
+    fn deref(&self) -> &StandinServer {
+        &self.server
+    }
+}
+
+fn host_entry(options: &EngineOptions, server: &StandinServer) -> HostEntry {
+    HostEntry {
+        name: options.name.clone(),
+        zone: options.zone.clone(),
+        role: HostRole::Engine,
+        state: HostState::Live,
+        address: server.address().to_string(),
+        versions: options.versions.clone(),
+        service: None,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/answer_stream.rs
@@ -0,0 +1,208 @@
+//! Answers of a run, whole or as server-sent events.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ferry_kernel::http::{HttpBody, dropped_connection, json_response, streamed};
+use ferry_platform::engine::{
+    ChatAnswer, ChatChoice, ChatChunk, ChatDelta, ChatMessage, ChunkChoice, STREAM_END, TokenUsage,
+};
+use futures::stream;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use tokio::sync::watch;
+
+use super::EngineState;
+use super::chat_run::{ChatRun, RunPhase, RunProgress};
+use crate::reply;
+
+/// Reason given at the end of each answer.
+const FINISH_REASON: &str = "stop";
+
+/// Why a stream breaks off.
+#[derive(Debug, Clone, Copy, thiserror::Error)]
+enum BrokenStream {
+    /// The run was cancelled or lost.
+    #[error("the run ended early; resume the stream or send the request again")]
+    RunEnded,
+    /// A fault order breaks streams.
+    #[error("streams break by order; resume the stream")]
+    Ordered,
+}
+
+/// A caller that reads a run; a run that nobody reads any more is suspended.
+#[derive(Debug)]
+pub(super) struct RunReader {
+    state: Arc<EngineState>,
+    run: Arc<ChatRun>,
+    progress: watch::Receiver<RunProgress>,
+}
+
+impl RunReader {
+    pub(super) fn new(state: Arc<EngineState>, run: Arc<ChatRun>) -> Self {
+        run.attach();
+        let progress = run.progress.subscribe();
+        Self {
+            state,
+            run,
+            progress,
+        }
+    }
+
+    /// Waits for the end of the run and answers as a whole.
+    pub(super) async fn answer_whole(mut self) -> Response<HttpBody> {
+        let ended = self.progress.wait_for(|progress| {
+            !matches!(
+                progress.phase,
+                RunPhase::Waiting | RunPhase::Running | RunPhase::Suspended
+            )
+        });
+        let phase = ended
+            .await
+            .map_or(RunPhase::Crashed, |progress| progress.phase);
+        match phase {
+            RunPhase::Finished => json_response(StatusCode::OK, &whole_answer(&self.run)),
+            RunPhase::Cancelled => {
+                let message = "the run was cancelled; send the request again";
+                reply::error(StatusCode::CONFLICT, message)
+            }
+            _ => dropped_connection(),
+        }
+    }
+
+    /// Answers with the events of all tokens from `from` on.
+    pub(super) fn answer_stream(self, from: usize) -> Response<HttpBody> {
+        let cursor = StreamCursor {
+            reader: self,
+            sent: from,
+            ended: false,
+        };
+        let events = stream::unfold(cursor, |mut cursor| async move {
+            let events = cursor.next_events().await?;
+            Some((events.map_err(Into::into), cursor))
+        });
+        let mut response = Response::new(streamed(events));
+        response
+            .headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        response
+    }
+}
+
+impl Drop for RunReader {
+    fn drop(&mut self) {
+        if self.run.detach() {
+            self.state.suspend(&self.run);
+        }
+    }
+}
+
+/// Position of a reader in a stream.
+struct StreamCursor {
+    reader: RunReader,
+    /// Tokens sent or skipped.
+    sent: usize,
+    ended: bool,
+}
+
+impl StreamCursor {
+    /// The events that are ready, once there are some; nothing after the end.
+    async fn next_events(&mut self) -> Option<Result<Bytes, BrokenStream>> {
+        if self.ended {
+            return None;
+        }
+        let sent = self.sent;
+        let ready = self.reader.progress.wait_for(|progress| {
+            progress.made > sent || !matches!(progress.phase, RunPhase::Waiting | RunPhase::Running)
+        });
+        let Ok(progress) = ready.await.map(|progress| *progress) else {
+            self.ended = true;
+            return Some(Err(BrokenStream::RunEnded));
+        };
+        self.reader.state.gate.thawed().await;
+        Some(self.take_events(progress))
+    }
+
+    fn take_events(&mut self, progress: RunProgress) -> Result<Bytes, BrokenStream> {
+        let limit = self.break_limit();
+        let end = progress.made.min(limit).max(self.sent);
+        if end == self.sent && end >= limit {
+            self.ended = true;
+            return Err(BrokenStream::Ordered);
+        }
+        let run = &self.reader.run;
+        let mut text: String = (self.sent..end)
+            .map(|index| token_event(run, index))
+            .collect();
+        self.sent = end;
+        if progress.phase == RunPhase::Finished && end == run.tokens.len() {
+            self.ended = true;
+            text.push_str(&usage_event(run));
+            text.push_str(&event(STREAM_END));
+        } else if text.is_empty() {
+            self.ended = true;
+            return Err(BrokenStream::RunEnded);
+        }
+        Ok(text.into())
+    }
+
+    /// Tokens after which the stream breaks.
+    fn break_limit(&self) -> usize {
+        let limit = self.reader.state.gate.order().break_streams_after;
+        limit.map_or(usize::MAX, |limit| limit.try_into().unwrap_or(usize::MAX))
+    }
+}
+
+fn whole_answer(run: &ChatRun) -> ChatAnswer {
+    ChatAnswer {
+        id: answer_id(run),
+        object: "chat.completion".to_owned(),
+        model: run.version.to_string(),
+        choices: vec![ChatChoice {
+            index: 0,
+            message: ChatMessage {
+                role: "assistant".to_owned(),
+                content: run.tokens.concat().into(),
+                rest: Default::default(),
+            },
+            finish_reason: FINISH_REASON.to_owned(),
+        }],
+        usage: run.usage(),
+    }
+}
+
+fn token_event(run: &ChatRun, index: usize) -> String {
+    let last = index + 1 == run.tokens.len();
+    let choice = ChunkChoice {
+        index: 0,
+        delta: ChatDelta {
+            role: (index == 0).then(|| "assistant".to_owned()),
+            content: run.tokens.get(index).cloned(),
+        },
+        finish_reason: last.then(|| FINISH_REASON.to_owned()),
+    };
+    chunk_event(run, vec![choice], None)
+}
+
+fn usage_event(run: &ChatRun) -> String {
+    chunk_event(run, Vec::new(), Some(run.usage()))
+}
+
+fn chunk_event(run: &ChatRun, choices: Vec<ChunkChoice>, usage: Option<TokenUsage>) -> String {
+    let chunk = ChatChunk {
+        id: answer_id(run),
+        object: "chat.completion.chunk".to_owned(),
+        model: run.version.to_string(),
+        choices,
+        usage,
+    };
+    event(&serde_json::to_string(&chunk).unwrap_or_default())
+}
+
+fn event(data: &str) -> String {
+    format!("data: {data}\n\n")
+}
+
+fn answer_id(run: &ChatRun) -> String {
+    format!("chatcmpl-{}", run.id)
+}
--- /dev/null
+++ b/crates/standin/src/platform/platform_api.rs
@@ -0,0 +1,272 @@
+//! Calls that the platform answers.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use ferry_decisions::names::VersionName;
+use ferry_decisions::value_type;
+use ferry_kernel::http::{HttpBody, json_response};
+use ferry_platform::hosts::HostEntry;
+use ferry_platform::log::AppendAnswer;
+use ferry_platform::ratings::RatingRequest;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use parking_lot::Mutex;
+
+use super::host_table::HostTable;
+use super::rating_desk::RatingDesk;
+use super::stream_store::{AppendError, StreamStore};
+use super::{PlatformOptions, RatingRule, RetentionRule};
+use crate::reply;
+
+/// Longest record, in bytes.
+const RECORD_LIMIT: usize = 16 * 1024 * 1024;
+/// Largest body of all other calls, in bytes.
+const BODY_LIMIT: usize = 1024 * 1024;
+/// Records in one read when the caller names no number, and the most it may name.
+const READ_LIMIT: u64 = 10_000;
+
+value_type! {
+    /// Lags of the platform.
+    #[derive(Default)]
+    pub struct LagOrder {
+        /// Time after which the host list shows a change, in milliseconds.
+        pub hosts_ms: u64,
+        /// Time that a rating takes, in milliseconds.
+        pub ratings_ms: u64,
+    }
+
+    /// Calls answered so far.
+    #[derive(Default)]
+    pub struct PlatformCount {
+        /// Records appended.
+        pub appends: u64,
+        /// Appends refused for their rate.
+        pub refused_appends: u64,
+        /// Reads of streams.
+        pub reads: u64,
+        /// Bytes of records appended.
+        pub appended_bytes: u64,
+        /// Reads of the host list.
+        pub listings: u64,
+        /// Answers rated.
+        pub ratings: u64,
+    }
+}
+
+/// State of the platform.
+#[derive(Debug)]
+pub(crate) struct PlatformState {
+    store: StreamStore,
+    hosts: Mutex<HostTable>,
+    desk: RatingDesk,
+    lags: Mutex<LagOrder>,
+    tally: CallTally,
+}
+
+#[derive(Debug, Default)]
+struct CallTally {
+    appends: AtomicU64,
+    refused_appends: AtomicU64,
+    reads: AtomicU64,
+    appended_bytes: AtomicU64,
+    listings: AtomicU64,
+    ratings: AtomicU64,
+}
+
+impl PlatformState {
+    pub(super) fn new(options: &PlatformOptions) -> Self {
+        let lags = LagOrder {
+            hosts_ms: options.hosts_lag.as_millis() as u64,
+            ratings_ms: options.ratings_lag.as_millis() as u64,
+        };
+        Self {
+            store: StreamStore::new(options.retention.clone(), options.appends_per_second),
+            hosts: Mutex::default(),
+            desk: RatingDesk::default(),
+            lags: Mutex::new(lags),
+            tally: CallTally::default(),
+        }
+    }
+
+    pub(super) fn count(&self) -> PlatformCount {
+        let tally = &self.tally;
+        PlatformCount {
+            appends: tally.appends.load(Ordering::Relaxed),
+            refused_appends: tally.refused_appends.load(Ordering::Relaxed),
+            reads: tally.reads.load(Ordering::Relaxed),
+            appended_bytes: tally.appended_bytes.load(Ordering::Relaxed),
+            listings: tally.listings.load(Ordering::Relaxed),
+            ratings: tally.ratings.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(super) fn set_rating(&self, version: VersionName, rule: RatingRule) -> bool {
+        self.desk.set(version, rule)
+    }
+
+    /// Answers a call of the published protocols.
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let path = request.uri().path().to_owned();
+        if let Some(stream) = stream_name(&path) {
+            return self.answer_stream(stream, request).await;
+        }
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/hosts") => {
+                count(&self.tally.listings);
+                let lag = Duration::from_millis(self.lags.lock().hosts_ms);
+                json_response(StatusCode::OK, &self.hosts.lock().listing(lag))
+            }
+            (&Method::POST, "/ratings") => self.rate(request).await,
+            (_, path) => match path.strip_prefix("/hosts/") {
+                Some(name) => self.change_host(name, request).await,
+                None => not_found(),
+            },
+        }
+    }
+
+    /// Answers a call below `/standin/`.
+    pub(crate) async fn answer_control(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/standin/counters") => json_response(StatusCode::OK, &self.count()),
+            (&Method::PUT, "/standin/retention") => self.order_retention(request).await,
+            (&Method::PUT, "/standin/lags") => self.order_lags(request).await,
+            (&Method::PUT, path) => match path.strip_prefix("/standin/ratings/") {
+                Some(version) => self.order_rating(version, request).await,
+                None => not_found(),
+            },
+            _ => not_found(),
+        }
+    }
+
+    async fn answer_stream(&self, name: &str, request: Request<Incoming>) -> Response<HttpBody> {
+        match *request.method() {
+            Method::POST => self.append(name, request).await,
+            Method::GET => self.read(name, &request).await,
+            _ => not_found(),
+        }
+    }
+
+    async fn append(&self, name: &str, request: Request<Incoming>) -> Response<HttpBody> {
+        let body = match reply::read_body(request.into_body(), RECORD_LIMIT).await {
+            Ok(body) => body,
+            Err(refusal) => return *refusal,
+        };
+        let Ok(data) = String::from_utf8(body.into()) else {
+            let message = "a record must be UTF-8; encode it as text";
+            return reply::error(StatusCode::BAD_REQUEST, message);
+        };
+        let length = data.len() as u64;
+        match self.store.append(name, data) {
+            Ok(offset) => {
+                count(&self.tally.appends);
+                self.tally
+                    .appended_bytes
+                    .fetch_add(length, Ordering::Relaxed);
+                json_response(StatusCode::OK, &AppendAnswer { offset })
+            }
+            Err(problem @ AppendError::TooFast) => {
+                count(&self.tally.refused_appends);
+                reply::retry_later(StatusCode::TOO_MANY_REQUESTS, &problem.to_string())
+            }
+            Err(problem) => reply::error(StatusCode::BAD_REQUEST, &problem.to_string()),
+        }
+    }
+
+    async fn read(&self, name: &str, request: &Request<Incoming>) -> Response<HttpBody> {
+        let query = request.uri().query();
+        let from = reply::query_number(query, "from").unwrap_or(0);
+        let max = reply::query_number(query, "max").unwrap_or(READ_LIMIT);
+        let wait = reply::query_number(query, "wait_ms").unwrap_or(0);
+        count(&self.tally.reads);
+        let max = max.min(READ_LIMIT) as usize;
+        let wait = Duration::from_millis(wait);
+        let answer = self.store.read(name, from, max, wait).await;
+        json_response(StatusCode::OK, &answer)
+    }
+
+    async fn change_host(&self, name: &str, request: Request<Incoming>) -> Response<HttpBody> {
+        match *request.method() {
+            Method::PUT => {
+                let entry: HostEntry = match reply::read_json(request.into_body(), BODY_LIMIT).await
+                {
+                    Ok(entry) => entry,
+                    Err(refusal) => return *refusal,
+                };
+                if entry.name.as_str() != name {
+                    let message = "the entry's name differs from the path's; make them equal";
+                    return reply::error(StatusCode::BAD_REQUEST, message);
+                }
+                self.hosts.lock().put(entry);
+                json_response(StatusCode::OK, &())
+            }
+            Method::DELETE => {
+                self.hosts.lock().remove(name.into());
+                json_response(StatusCode::OK, &())
+            }
+            _ => not_found(),
+        }
+    }
+
+    async fn rate(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let rating: RatingRequest = match reply::read_json(request.into_body(), BODY_LIMIT).await {
+            Ok(rating) => rating,
+            Err(refusal) => return *refusal,
+        };
+        let lag = Duration::from_millis(self.lags.lock().ratings_ms);
+        tokio::time::sleep(lag).await;
+        count(&self.tally.ratings);
+        json_response(StatusCode::OK, &self.desk.rate(&rating))
+    }
+
+    async fn order_retention(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        match reply::read_json::<RetentionRule>(request.into_body(), BODY_LIMIT).await {
+            Ok(rule) if self.store.retain(&rule) => json_response(StatusCode::OK, &()),
+            Ok(_) => {
+                let message = "there are as many retention rules as there can be; change one";
+                reply::error(StatusCode::BAD_REQUEST, message)
+            }
+            Err(refusal) => *refusal,
+        }
+    }
+
+    async fn order_lags(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        match reply::read_json::<LagOrder>(request.into_body(), BODY_LIMIT).await {
+            Ok(lags) => {
+                *self.lags.lock() = lags;
+                json_response(StatusCode::OK, &())
+            }
+            Err(refusal) => *refusal,
+        }
+    }
+
+    async fn order_rating(&self, version: &str, request: Request<Incoming>) -> Response<HttpBody> {
+        let rule: RatingRule = match reply::read_json(request.into_body(), BODY_LIMIT).await {
+            Ok(rule) => rule,
+            Err(refusal) => return *refusal,
+        };
+        if !rule.is_valid() {
+            let message = "score, bad_score and bad_fraction must be from 0 to 1";
+            return reply::error(StatusCode::BAD_REQUEST, message);
+        }
+        if !self.set_rating(version.into(), rule) {
+            let message = "there are as many rating rules as there can be; change one of them";
+            return reply::error(StatusCode::BAD_REQUEST, message);
+        }
+        json_response(StatusCode::OK, &())
+    }
+}
+
+fn stream_name(path: &str) -> Option<&str> {
+    path.strip_prefix("/streams/")?.strip_suffix("/records")
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+fn not_found() -> Response<HttpBody> {
+    let message = "there is no such call; the platform's protocols list them";
+    reply::error(StatusCode::NOT_FOUND, message)
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,262 @@
+//! Server of a stand-in: its own port under the fault gate, and a control port without faults.
+
+mod standin_api;
+
+pub(crate) use standin_api::StandinApi;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_kernel::http::{HttpBody, Server, ServerHandle, dropped_connection, json_response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::faults::{CrashOrder, FaultGate, FaultOrder, OutageAnswer};
+use crate::reply;
+
+/// Start of the paths that control a stand-in.
+const CONTROL_PATH: &str = "/standin/";
+/// Largest order, in bytes.
+const ORDER_LIMIT: usize = 64 * 1024;
+/// Time that requests in flight are given when the stand-in stops.
+const STOP_GRACE: Duration = Duration::from_secs(10);
+/// Pause before the port is bound again after a failed try.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+/// Exit code of a process that crashed.
+const CRASH_EXIT: i32 = 134;
+
+/// What a crash does to the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CrashMode {
+    /// The process goes on; the stand-in refuses connections until its restart.
+    #[default]
+    Simulate,
+    /// The process exits, unless the order says otherwise.
+    Exit,
+}
+
+/// A running stand-in; clones are the same one.
+#[derive(Debug, Clone)]
+pub struct StandinServer {
+    inner: Arc<ServerInner>,
+}
+
+#[derive(Debug)]
+struct ServerInner {
+    address: SocketAddr,
+    control: ServerHandle,
+    /// Server of the main port; absent while crashed.
+    main: Mutex<Option<ServerHandle>>,
+    context: ServerContext,
+    stop: CancellationToken,
+}
+
+#[derive(Debug, Clone)]
+struct ServerContext {
+    api: StandinApi,
+    gate: Arc<FaultGate>,
+    restarts: mpsc::Sender<RestartOrder>,
+}
+
+/// Asks a crashed stand-in to serve again.
+#[derive(Debug)]
+struct RestartOrder;
+
+impl StandinServer {
+    /// Serves `api` at `address`, with its control port on the same IP address.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        api: StandinApi,
+        gate: Arc<FaultGate>,
+        crashes: mpsc::Receiver<CrashOrder>,
+        crash_mode: CrashMode,
+    ) -> io::Result<Self> {
+        let (restarts, restart_orders) = mpsc::channel(1);
+        let context = ServerContext {
+            api,
+            gate,
+            restarts,
+        };
+        let control = context.clone().serve_control(address).await?;
+        let main = context.clone().serve_main(address).await?;
+        let inner = ServerInner {
+            address: main.address,
+            control,
+            main: Mutex::new(Some(main)),
+            context,
+            stop: CancellationToken::new(),
+        };
+        let server = Self {
+            inner: Arc::new(inner),
+        };
+        let supervision = server
+            .clone()
+            .supervise(crashes, restart_orders, crash_mode);
+        let stop = server.inner.stop.clone();
+        tokio::spawn(stop.run_until_cancelled_owned(supervision));
+        Ok(server)
+    }
+
+    /// Address of the main port.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// Address of the control port.
+    pub fn control_address(&self) -> SocketAddr {
+        self.inner.control.address
+    }
+
+    /// Base of the main port's addresses, `http://IP:PORT`.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address())
+    }
+
+    /// Puts `order` in the place of all faults in force; an order without faults lifts them.
+    pub fn set_faults(&self, order: FaultOrder) {
+        self.inner.context.gate.set(order);
+    }
+
+    /// Breaks all connections and refuses new ones until [`StandinServer::restart`].
+    pub async fn crash(&self) {
+        let main = self.inner.main.lock().take();
+        if let Some(main) = main {
+            self.inner.context.api.crash();
+            main.abort().await;
+        }
+    }
+
+    /// Serves again after a crash; otherwise does nothing.
+    pub async fn restart(&self) {
+        if self.inner.main.lock().is_some() {
+            return;
+        }
+        loop {
+            match self.inner.context.clone().serve_main(self.address()).await {
+                Ok(main) => {
+                    *self.inner.main.lock() = Some(main);
+                    return;
+                }
+                Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+            }
+        }
+    }
+
+    /// Takes no new request and waits for those in flight, for a limited time.
+    pub async fn stop(&self) {
+        self.inner.stop.cancel();
+        let main = self.inner.main.lock().take();
+        if let Some(main) = main
+            && tokio::time::timeout(STOP_GRACE, main.stop()).await.is_err()
+        {
+            main.abort().await;
+        }
+        self.inner.context.api.stop();
+        self.inner.control.abort().await;
+    }
+
+    /// Carries out crashes and restarts.
+    async fn supervise(
+        self,
+        mut crashes: mpsc::Receiver<CrashOrder>,
+        mut restarts: mpsc::Receiver<RestartOrder>,
+        mode: CrashMode,
+    ) {
+        while let Some(crash) = crashes.recv().await {
+            if mode == CrashMode::Exit && !crash.simulate {
+                std::process::exit(CRASH_EXIT);
+            }
+            self.crash().await;
+            match crash.restart_ms {
+                Some(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+                None => {
+                    restarts.recv().await;
+                }
+            }
+            self.restart().await;
+        }
+    }
+}
+
+impl ServerContext {
+    async fn serve_main(self, address: SocketAddr) -> io::Result<ServerHandle> {
+        Server::bind(address).await?.serve(move |request, _| {
+            let context = self.clone();
+            async move { context.answer(request).await }
+        })
+    }
+
+    async fn serve_control(self, address: SocketAddr) -> io::Result<ServerHandle> {
+        let address = SocketAddr::new(address.ip(), 0);
+        Server::bind(address).await?.serve(move |request, _| {
+            let context = self.clone();
+            async move { context.answer_control(request).await }
+        })
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        if request.uri().path().starts_with(CONTROL_PATH) {
+            return self.answer_control(request).await;
+        }
+        let path = request.uri().path().to_owned();
+        self.gate.thawed().await;
+        match self.gate.outage(&path) {
+            Some(OutageAnswer::Drop) => return dropped_connection(),
+            Some(OutageAnswer::Unavailable) => {
+                let message = "the service is out; call again later";
+                return reply::error(StatusCode::SERVICE_UNAVAILABLE, message);
+            }
+            None => {}
+        }
+        tokio::time::sleep(self.gate.slowness(&path)).await;
+        let lost = self.gate.take_loss(request.method(), &path);
+        let response = self.api.answer(request).await;
+        self.gate.thawed().await;
+        if lost {
+            drain(response).await;
+            return dropped_connection();
+        }
+        response
+    }
+
+    async fn answer_control(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        match (request.method(), request.uri().path()) {
+            (&Method::PUT, "/standin/faults") => self.order_faults(request).await,
+            (&Method::DELETE, "/standin/faults") => {
+                self.gate.set(FaultOrder::default());
+                json_response(StatusCode::OK, &*self.gate.order())
+            }
+            (&Method::GET, "/standin/faults") => json_response(StatusCode::OK, &*self.gate.order()),
+            (&Method::POST, "/standin/restart") => {
+                // A full queue means that a restart is already ordered.
+                let _ = self.restarts.try_send(RestartOrder);
+                json_response(StatusCode::ACCEPTED, &())
+            }
+            _ => self.api.answer_control(request).await,
+        }
+    }
+
+    async fn order_faults(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let order: FaultOrder = match reply::read_json(request.into_body(), ORDER_LIMIT).await {
+            Ok(order) => order,
+            Err(refusal) => return *refusal,
+        };
+        if let Err(problem) = order.check(self.api.kind()) {
+            return reply::error(StatusCode::BAD_REQUEST, &problem.to_string());
+        }
+        self.gate.set(order);
+        json_response(StatusCode::OK, &*self.gate.order())
+    }
+}
+
+/// Reads a response to its end, so that its effect is complete.
+async fn drain(response: Response<HttpBody>) {
+    let mut body = response.into_body();
+    while let Some(Ok(_)) = body.frame().await {}
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,89 @@
+//! Stand-in of a plain service, whose calls may not all be repeated.
+//!
+//! It answers any call with what it received, as a [`ServiceEcho`], and counts how often each request
+//! id ran. `GET /load` gives a load report that lags, `GET /standin/counters` a
+//! [`CountReport`](crate::counters::CountReport).
+
+mod service_options;
+mod service_state;
+
+pub use service_options::ServiceOptions;
+pub use service_state::ServiceEcho;
+pub(crate) use service_state::ServiceState;
+
+use std::ops::Deref;
+use std::sync::Arc;
+
+use ferry_platform::hosts::{HostEntry, HostRole, HostState};
+
+use crate::counters::RunCounters;
+use crate::faults::FaultGate;
+use crate::registration::{HostRegistration, StartError};
+use crate::server::{StandinApi, StandinServer};
+
+/// A running service.
+#[derive(Debug, Clone)]
+pub struct ServiceStandin {
+    server: StandinServer,
+    state: Arc<ServiceState>,
+    registration: Option<HostRegistration>,
+}
+
+impl ServiceStandin {
+    /// Starts a service and registers it when its options name a platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the platform does not take the registration.
+    pub async fn start(options: ServiceOptions) -> Result<Self, StartError> {
+        let (gate, crashes) = FaultGate::new();
+        let gate = Arc::new(gate);
+        let state = ServiceState::start(options.clone(), gate.clone());
+        let api = StandinApi::Service(state.clone());
+        let server =
+            StandinServer::start(options.listen, api, gate, crashes, options.crash_mode).await?;
+        let registration = match &options.platform {
+            Some(platform) => {
+                let entry = host_entry(&options, &server);
+                Some(HostRegistration::announce(platform, entry).await?)
+            }
+            None => None,
+        };
+        Ok(Self {
+            server,
+            state,
+            registration,
+        })
+    }
+
+    /// What ran.
+    pub fn counters(&self) -> &RunCounters {
+        self.state.counters()
+    }
+
+    /// Announces the stop, finishes calls in flight, and takes the service off the host list.
+    pub async fn stop(&self) {
+        self.state.leave();
+        HostRegistration::finish(self.registration.as_ref(), self.server.stop()).await;
+    }
+}
+
+impl Deref for ServiceStandin {
+    type Target = StandinServer;
+
+    fn deref(&self) -> &StandinServer {
+        &self.server
+    }
+}
+
+fn host_entry(options: &ServiceOptions, server: &StandinServer) -> HostEntry {
+    HostEntry {
+        name: options.name.clone(),
+        zone: options.zone.clone(),
+        role: HostRole::Service,
+        state: HostState::Live,
+        address: server.address().to_string(),
+        versions: Vec::new(),
+        service: Some(options.service.clone()),
+    }
+}
--- a/src/bin/ferry-standin.rs
+++ b/src/bin/ferry-standin.rs
@@ -1,3 +1,5 @@
 //! Entry point of `ferry-standin`.
 
-fn main() {}
+fn main() -> miette::Result<()> {
+    ferry_standin::app::main()
+}
