--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -8,4 +8,4 @@
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
 pub use client::{HttpClient, HttpError, HttpRequest};
-pub use server::{Server, ServerHandle};
+pub use server::{Server, ServerHandle, dropped_connection};
