Serve a request end to end through separate processes

Cause: the parts were only compiled so far; nothing showed that a caller is answered through them. Excluded: in-process fakes in place of the binaries, since kills, freezes and cuts need processes; the rig starts the real ones behind relays that can be cut. Before: no test of the path.

--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,16 @@
+//! Starts a fleet of real processes on loopback addresses for tests: stand-ins, routers, and
+//! relays between them that can be cut.
+
+mod answer;
+mod fleet;
+mod link_relay;
+mod process;
+mod rig_client;
+mod wait;
+
+pub use answer::{ChatResult, Refusal, RigAnswer};
+pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
+pub use link_relay::LinkRelay;
+pub use process::{ChildProcess, RigError};
+pub use rig_client::{ChatCall, RigClient};
+pub use wait::{LONG_WAIT, eventually};
--- /dev/null
+++ b/tests/fleet/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the real binaries: a fleet of processes on loopback addresses.
+
+mod sample;
+mod thin_path;
