Dispatch experiment files of ferry-bench by their kind

An experiment file names its kind (overload, limits or guard); a header with only this key is read first, then the whole file by the kind's own type, so that errors keep their line. Reports are tables, JSON and SVG. The three kinds are empty so far; the guard module is free for its own settings and play function.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Load and experiment tool: plays experiment files and reports policies side by side.
+
+pub mod app;
+pub mod bench_error;
+pub mod experiment;
+pub mod guard;
+pub mod limits;
+pub mod overload;
+pub mod report;
--- a/src/bin/ferry-bench.rs
+++ b/src/bin/ferry-bench.rs
@@ -1,3 +1,5 @@
 //! Entry point of `ferry-bench`.
 
-fn main() {}
+fn main() {
+    ferry_bench::app::main()
+}
