Guard roll-outs with pooled evidence and a shared limit of unrated answers

Each router counts a candidate's answers; counts merge by maximum, and the same sequential test runs over the pool and per workspace. A router uses a part of the limit only after every router on the host list yielded to it, so the parts never add up to more than the limit.

--- /dev/null
+++ b/crates/decisions/src/guard/guard_policy.rs
@@ -0,0 +1,25 @@
+//! Parameters of the guard that operators do not set per roll-out.
+
+/// Parameters shared by every router of a fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GuardPolicy {
+    /// Probability that the test of one router stops a version whose share of bad answers is
+    /// exactly the tolerated one, over the whole roll-out.
+    pub false_stop: f64,
+    /// Unrated answers that the fleet allows before any answer is rated good; grows by one
+    /// with each good answer, up to the limit of the roll-out. At least one for each router
+    /// is allowed, as far as the limit goes.
+    pub ramp_start: u32,
+    /// Whether the test also looks for a change after the first answer.
+    pub detect_change: bool,
+}
+
+impl Default for GuardPolicy {
+    fn default() -> Self {
+        Self {
+            false_stop: 0.005,
+            ramp_start: 1,
+            detect_change: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/guard/guard_pool.rs
@@ -0,0 +1,240 @@
+//! Evidence about all candidates at one router.
+
+use std::collections::BTreeMap;
+
+use super::candidate_pool::CandidatePool;
+use super::{
+    CandidateDelta, FleetView, GuardCounts, GuardDecision, GuardDelta, GuardPolicy, RouterId,
+    TripNotice,
+};
+use crate::config::{RolloutSpec, TripRecord};
+use crate::names::{VersionName, WorkspaceName};
+use crate::time::UnixMillis;
+
+/// Most candidates known at once.
+const CANDIDATE_LIMIT: usize = 64;
+
+closed_set! {
+    /// How a request that was handed to a candidate ended; recorded once for each.
+    pub enum AnswerOutcome {
+        /// Rated good.
+        Good,
+        /// Rated bad.
+        Bad,
+        /// Answered, but the rating never came.
+        GivenUp,
+        /// Ended without an answer to rate.
+        Unanswered,
+    }
+}
+
+/// Pooled evidence, bounded in candidates, routers and workspaces.
+#[derive(Debug)]
+pub struct GuardPool {
+    own: RouterId,
+    policy: GuardPolicy,
+    /// Number of the last change.
+    revision: u64,
+    leaving: bool,
+    candidates: BTreeMap<(VersionName, u64), CandidatePool>,
+}
+
+impl GuardPool {
+    /// An empty pool of the router `own`.
+    pub fn new(own: RouterId, policy: GuardPolicy) -> Self {
+        Self {
+            own,
+            policy,
+            revision: 0,
+            leaving: false,
+            candidates: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a request may be handed to `version` now.
+    ///
+    /// Call [`Self::record_served`] under the same lock when it is.
+    pub fn may_serve(
+        &mut self,
+        version: &VersionName,
+        rollout: &RolloutSpec,
+        fleet: FleetView<'_>,
+    ) -> GuardDecision {
+        let (own, policy, leaving) = (self.own.clone(), self.policy, self.leaving);
+        self.change(
+            version,
+            rollout.epoch,
+            |candidate, revision| match candidate.decide(&own, rollout, fleet, &policy, revision) {
+                GuardDecision::Serve if leaving => GuardDecision::CapReached,
+                decision => decision,
+            },
+        )
+        .unwrap_or(GuardDecision::PoolFull)
+    }
+
+    /// Counts a request that was handed to `version`.
+    pub fn record_served(&mut self, version: &VersionName, epoch: u64, workspace: &WorkspaceName) {
+        let own = self.own.clone();
+        self.change(version, epoch, |candidate, revision| {
+            candidate.record_served(&own, workspace, revision);
+        });
+    }
+
+    /// Counts how such a request ended.
+    pub fn record_outcome(
+        &mut self,
+        version: &VersionName,
+        epoch: u64,
+        workspace: &WorkspaceName,
+        outcome: AnswerOutcome,
+    ) {
+        let own = self.own.clone();
+        self.change(version, epoch, |candidate, revision| {
+            candidate.record_outcome(&own, workspace, outcome, revision);
+        });
+    }
+
+    /// Joins what a peer sent; any order and repetition gives the same evidence.
+    pub fn merge(&mut self, delta: &GuardDelta) {
+        let own = self.own.clone();
+        for candidate_delta in &delta.candidates {
+            let CandidateDelta { version, epoch, .. } = candidate_delta;
+            self.change(version, *epoch, |candidate, revision| {
+                candidate.merge(&own, candidate_delta, revision);
+            });
+        }
+    }
+
+    /// Tests the pooled evidence and returns a trip that was not known before.
+    ///
+    /// `workspaces` is the number of workspaces that the configuration holds. Call this
+    /// after each rating and each merge.
+    pub fn evaluate(
+        &mut self,
+        version: &VersionName,
+        rollout: &RolloutSpec,
+        workspaces: usize,
+        now: UnixMillis,
+    ) -> Option<TripNotice> {
+        let (own, policy) = (self.own.clone(), self.policy);
+        self.change(version, rollout.epoch, |candidate, revision| {
+            candidate.evaluate(&own, rollout, workspaces, &policy, now, revision)
+        })?
+    }
+
+    /// The trip of `version` in `epoch`, if any.
+    pub fn tripped(&self, version: &VersionName, epoch: u64) -> Option<&TripNotice> {
+        self.candidate(version, epoch)?.trip()
+    }
+
+    /// Every known trip in the form that the configuration stream takes.
+    ///
+    /// A router appends those that its folded configuration does not hold yet, also after
+    /// an outage of the log; the fold ignores repeated ones.
+    pub fn trip_records(&self) -> Vec<TripRecord> {
+        self.candidates
+            .iter()
+            .filter_map(|((version, epoch), candidate)| {
+                let trip = candidate.trip()?;
+                Some(TripRecord {
+                    version: version.clone(),
+                    epoch: *epoch,
+                    router: trip.router.clone(),
+                    reason: trip.reason.clone(),
+                    time: trip.time,
+                })
+            })
+            .collect()
+    }
+
+    /// Everything learned after revision `since`, to be sent to a peer.
+    ///
+    /// Ask again from [`Self::revision`] as it was when this was called.
+    pub fn delta_since(&self, since: u64) -> GuardDelta {
+        let candidates = self
+            .candidates
+            .iter()
+            .filter_map(|((version, epoch), candidate)| {
+                let (rows, trip) = candidate.changes(since);
+                (!rows.is_empty() || trip.is_some()).then(|| CandidateDelta {
+                    version: version.clone(),
+                    epoch: *epoch,
+                    rows,
+                    trip,
+                })
+            })
+            .collect();
+        GuardDelta { candidates }
+    }
+
+    /// Number of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Counts of the whole fleet, as far as they are known here.
+    pub fn totals(&self, version: &VersionName, epoch: u64) -> GuardCounts {
+        self.candidate(version, epoch)
+            .map_or_else(GuardCounts::default, CandidatePool::totals)
+    }
+
+    /// Unrated answers of this router that count against the limit.
+    pub fn usage(&self, version: &VersionName, epoch: u64) -> u64 {
+        self.candidate(version, epoch)
+            .map_or(0, |candidate| candidate.usage(&self.own))
+    }
+
+    /// Forgets the candidates that `is_current` denies; call it when the configuration changes.
+    pub fn retain(&mut self, is_current: impl Fn(&VersionName, u64) -> bool) {
+        self.candidates
+            .retain(|(version, epoch), _| is_current(version, *epoch));
+    }
+
+    /// Gives the part of a dead router back to the others.
+    ///
+    /// Call it only for a router that can hand out no more work: off the host list and
+    /// unheard for longer than any freshness lease. Its unrated answers then count no more.
+    pub fn write_off(&mut self, router: &RouterId) {
+        for candidate in self.candidates.values_mut() {
+            candidate.write_off(router);
+        }
+    }
+
+    /// Takes no more work, and frees each part once no answer in it is unrated.
+    ///
+    /// Returns whether every part is free.
+    pub fn leave(&mut self) -> bool {
+        self.leaving = true;
+        self.revision += 1;
+        let (own, revision) = (&self.own, self.revision);
+        let used = self
+            .candidates
+            .values_mut()
+            .filter_map(|candidate| (!candidate.close(own, revision)).then_some(()))
+            .count();
+        used == 0
+    }
+
+    fn candidate(&self, version: &VersionName, epoch: u64) -> Option<&CandidatePool> {
+        self.candidates.get(&(version.clone(), epoch))
+    }
+
+    fn change<R>(
+        &mut self,
+        version: &VersionName,
+        epoch: u64,
+        action: impl FnOnce(&mut CandidatePool, u64) -> R,
+    ) -> Option<R> {
+        let key = (version.clone(), epoch);
+        self.revision += 1;
+        if !self.candidates.contains_key(&key) {
+            if self.candidates.len() >= CANDIDATE_LIMIT {
+                return None;
+            }
+            let candidate = CandidatePool::new(&self.own, self.revision);
+            self.candidates.insert(key.clone(), candidate);
+        }
+        let candidate = self.candidates.get_mut(&key)?;
+        Some(action(candidate, self.revision))
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod bill;
 pub mod claim;
 pub mod config;
+pub mod guard;
 pub mod labels;
 pub mod names;
 pub mod routing;
