Choose cascade stages from pooled pass rates and contain crashing requests

Start stages follow expected cost from decayed pass rates; without ratings, without time or without idempotence one stage answers. Requests in flight on a crashed upstream run apart until one answer clears them; two crashes quarantine.

--- /dev/null
+++ b/crates/decisions/src/cascade.rs
@@ -0,0 +1,13 @@
+//! Cascades: on which stage a request starts, and whether its answer is accepted.
+
+mod answer_verdict;
+mod pass_pool;
+mod rating_health;
+mod stage_choice;
+mod stage_estimate;
+
+pub use answer_verdict::{AnswerVerdict, RatingOutcome, judge_answer, rating_wait_ms};
+pub use pass_pool::{PassDelta, PassPool, PassRow, StageEntry, StageKey};
+pub use rating_health::{RatingHealth, RatingMonitor};
+pub use stage_choice::{CascadeQuery, ChoiceReason, StageChoice};
+pub use stage_estimate::StageEstimate;
--- a/crates/decisions/src/guard/router_id.rs
+++ b/crates/decisions/src/guard/router_id.rs
@@ -13,3 +13,13 @@
     /// Life of the process.
     pub incarnation: Incarnation,
 }
+
+impl RouterId {
+    /// The identity that sorts before all others; no router has it.
+    pub(crate) fn least() -> Self {
+        Self {
+            host: HostName::new(""),
+            incarnation: Incarnation(uuid::Uuid::nil()),
+        }
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,11 +8,13 @@
 mod macros;
 
 pub mod bill;
+pub mod cascade;
 pub mod claim;
 pub mod config;
 pub mod guard;
 pub mod labels;
 pub mod names;
+pub mod quarantine;
 pub mod routing;
 pub mod session;
 pub mod time;
