Fold claim streams and bill streams

Cause: non-idempotent work must run at most once and each request be billed once, whatever routers are lost or paused, so that log order has to decide. Excluded: remembering batch ids, since each claim id already keeps its first fate; keying by the request id alone, since two workspaces may choose one id. Conclusion: a claim is decided by the records before its own and lost for good otherwise, so a repeated batch or a second owner can't revive it.

--- a/crates/decisions/src/bill.rs
+++ b/crates/decisions/src/bill.rs
@@ -1,5 +1,16 @@
 //! Bills: exactly one for each answered request.
+//!
+//! The first bill of a request in log order counts. Whatever repeats it later, as a batch appended
+//! again or as a copy flushed by a peer, changes no total.
 
+mod append_budget;
+mod bill_fold;
 mod bill_record;
+mod ledger_checkpoint;
+mod ledger_report;
 
-pub use bill_record::{BillBatch, BillEntry, BillOutcome};
+pub use append_budget::{AppendBudget, append_rate};
+pub use bill_fold::{BILL_WINDOW_MS, BillAnomaly, BillDecision, BillFold, BillStep};
+pub use bill_record::{BillBatch, BillEntry, BillOutcome, bill_stream};
+pub use ledger_checkpoint::{LEDGER_STREAM, LedgerCheckpoint, RememberedBill};
+pub use ledger_report::{AnomalyCounts, LedgerReport, WorkspaceTotal};
--- a/crates/decisions/src/bill/bill_record.rs
+++ b/crates/decisions/src/bill/bill_record.rs
@@ -5,6 +5,11 @@
 use crate::names::{HostName, RequestId, VersionName, WorkspaceName};
 use crate::time::UnixMillis;
 
+/// Name of the bill stream of `shard`.
+pub fn bill_stream(shard: u16) -> String {
+    format!("bills-{shard}")
+}
+
 value_type! {
     /// One record of a bill stream: bills that were appended together, in order.
     pub struct BillBatch {
--- a/crates/decisions/src/claim.rs
+++ b/crates/decisions/src/claim.rs
@@ -1,5 +1,21 @@
 //! Claims: at most one run of each non-idempotent request.
+//!
+//! Log order is the truth. A claim is decided by the records before its own: it is granted when
+//! no earlier granted claim of its request is unvoided, and lost for good otherwise. Two owners
+//! that append to one stream at once therefore never both grant.
 
+mod claim_fold;
+mod claim_owner;
 mod claim_record;
+mod claim_window;
+mod request_key;
+mod shard_owner;
 
-pub use claim_record::{ClaimBatch, ClaimEntry, SHARD_COUNT, shard_of};
+pub use claim_fold::{ClaimDecision, ClaimFate, ClaimFold, ClaimHolder, ClaimStep};
+pub use claim_owner::{ClaimOwner, ClaimReply};
+pub use claim_record::{ClaimBatch, ClaimEntry, EntryKind, SHARD_COUNT, claim_stream, shard_of};
+pub use claim_window::{
+    CLOCK_SKEW_MS, ID_FUTURE_MS, ID_WINDOW_MS, IdTimeError, READ_BACK_MS, check_id_time,
+};
+pub use request_key::RequestKey;
+pub use shard_owner::{owned_shards, owner_of};
