Fold all bill streams to totals with ferry-ledger

Cause: a billing clerk needs totals that are the same in every run, and anomalies by name, also after bills have expired. Excluded: writing checkpoints in every run, since reading must change nothing.

--- a/src/bin/ferry-ledger.rs
+++ b/src/bin/ferry-ledger.rs
@@ -1,3 +1,5 @@
 //! Entry point of `ferry-ledger`.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    ferry_operator::ledger_app::main()
+}
