Batch claims and bills at shard owners with peer copies

Cause: the stubs appended each claim and bill alone, granted without reading back, and held an answer's end for a whole log outage. Excluded: consensus over owners, since log order already decides; dropping bills on a stop, which waits or hands copies over instead.

--- a/crates/decisions/src/claim/claim_owner.rs
+++ b/crates/decisions/src/claim/claim_owner.rs
@@ -145,7 +145,8 @@
         self.waiting.remove(&(claim, kind));
     }
 
-    fn known_reply(&self, entry: &ClaimEntry) -> Option<ClaimReply> {
+    /// Answer to an entry that needs no record.
+    pub fn known_reply(&self, entry: &ClaimEntry) -> Option<ClaimReply> {
         let request = entry.request();
         let fate = self.fold.fate(request, entry.claim());
         match (entry, fate) {
--- a/crates/router/src/bills/bill_desk.rs
+++ b/crates/router/src/bills/bill_desk.rs
@@ -1,34 +1,81 @@
-//! Makes bills durable.
+//! Bills at this router: its own until they are on the log, and copies of others'.
 
-use std::time::Duration;
+use std::collections::HashMap;
 
-use ferry_decisions::bill::{BillBatch, BillEntry};
-use ferry_decisions::claim::shard_of;
-use tokio::time::sleep;
-use uuid::Uuid;
+use ferry_decisions::bill::BillEntry;
+use ferry_decisions::claim::{RequestKey, SHARD_COUNT, shard_of};
+use parking_lot::Mutex;
 
-use crate::core::RouterCore;
+use super::bill_holds::BillHolds;
+use super::bill_index::BillIndex;
+use super::bill_shard::BillShard;
 
-/// Pause before a bill is appended again.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
-/// Bills of this router that are not yet durable.
-#[derive(Debug, Default)]
-pub struct BillDesk {}
+/// State of this router's part in the bills.
+#[derive(Debug)]
+pub struct BillDesk {
+    /// Streams in the order of shards.
+    shards: Vec<BillShard>,
+    /// Own bills that are not on the log; the value says whether two peers hold a copy.
+    unlogged: Mutex<HashMap<RequestKey, bool>>,
+    holds: BillHolds,
+    index: BillIndex,
+}
 
-/// Returns once `bill` is durable.
-pub async fn release(core: &RouterCore, bill: BillEntry) {
-    let stream = format!("bills-{}", shard_of(&bill.request));
-    let batch = BillBatch {
-        owner: core.settings.host.clone(),
-        batch: Uuid::new_v4(),
-        bills: vec![bill],
-    };
-    let data = serde_json::to_vec(&batch).expect("a batch has only plain fields");
-    while core.log.append(&stream, data.clone()).await.is_err() {
-        sleep(RETRY_PAUSE).await;
+impl Default for BillDesk {
+    fn default() -> Self {
+        Self {
+            shards: (0..SHARD_COUNT).map(BillShard::new).collect(),
+            unlogged: Mutex::default(),
+            holds: BillHolds::default(),
+            index: BillIndex::default(),
+        }
     }
 }
 
-/// Waits until no bill of this router is left that is not durable.
-pub async fn drain(_core: &RouterCore) {}
+impl BillDesk {
+    pub(super) fn shards(&self) -> &[BillShard] {
+        &self.shards
+    }
+
+    pub(super) fn shard(&self, bill: &BillEntry) -> &BillShard {
+        &self.shards[usize::from(shard_of(&bill.request))]
+    }
+
+    pub(super) fn holds(&self) -> &BillHolds {
+        &self.holds
+    }
+
+    pub(super) fn index(&self) -> &BillIndex {
+        &self.index
+    }
+
+    /// Number of own bills that are not on the log.
+    pub fn unlogged(&self) -> usize {
+        self.unlogged.lock().len()
+    }
+
+    /// Number of own bills that would be lost with this host.
+    pub fn at_risk(&self) -> usize {
+        let unlogged = self.unlogged.lock();
+        unlogged.values().filter(|held| !**held).count()
+    }
+
+    /// Whether a bill of `key` is here and not known to be on the log.
+    pub(super) fn has_unlogged(&self, key: &RequestKey) -> bool {
+        self.unlogged.lock().contains_key(key) || self.holds.contains(key)
+    }
+
+    pub(super) fn begin(&self, key: &RequestKey) {
+        self.unlogged.lock().insert(key.clone(), false);
+    }
+
+    pub(super) fn note_held(&self, key: &RequestKey) {
+        if let Some(held) = self.unlogged.lock().get_mut(key) {
+            *held = true;
+        }
+    }
+
+    pub(super) fn note_logged(&self, key: &RequestKey) {
+        self.unlogged.lock().remove(key);
+    }
+}
--- /dev/null
+++ b/crates/router/src/bills/bill_plugin.rs
@@ -0,0 +1,82 @@
+//! Plug-in that appends bills, holds copies for other routers and flushes them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::bill_message::{BillAnswer, BillQuery};
+use super::bill_release::{append_for_peer, flush_holds};
+use crate::core::{LifePhase, RouterCore};
+use crate::peer::{PeerMessage, PeerTopic, decode, encode};
+use crate::plugin::RouterPlugin;
+
+/// Time between two looks at the copies that are held, and at this router's share of appends.
+const UPKEEP_PAUSE: Duration = Duration::from_secs(1);
+
+inventory::submit! {
+    RouterPlugin {
+        name: "bills",
+        topics: &[PeerTopic::Bills],
+        start,
+        on_message,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    for index in 0..core.bills.shards().len() {
+        let shared = Arc::clone(core);
+        tokio::spawn(core.closing.clone().run_until_cancelled_owned(async move {
+            shared.bills.shards()[index].work(&shared).await;
+        }));
+    }
+    let shared = Arc::clone(core);
+    tokio::spawn(
+        core.closing
+            .clone()
+            .run_until_cancelled_owned(upkeep(shared)),
+    );
+}
+
+async fn upkeep(core: Arc<RouterCore>) {
+    loop {
+        core.appends
+            .share(&core.settings.host, &core.members.live());
+        flush_holds(&core, false);
+        sleep(UPKEEP_PAUSE).await;
+    }
+}
+
+fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
+    Box::pin(async move {
+        let answer = match decode(&message.body).ok()? {
+            BillQuery::Append(bill) => append_for_peer(&core, &bill).await,
+            BillQuery::Hold(bill) if core.phase() == LifePhase::Serving => {
+                if core.bills.holds().insert(bill, &message.from) {
+                    BillAnswer::Held
+                } else {
+                    BillAnswer::Refused
+                }
+            }
+            BillQuery::Hold(_) => BillAnswer::Refused,
+            BillQuery::Logged(key) => {
+                core.bills.holds().remove(&key);
+                return None;
+            }
+        };
+        encode(&answer).ok()
+    })
+}
+
+fn view(core: &RouterCore) -> Value {
+    json!({
+        "unlogged": core.bills.unlogged(),
+        "at_risk": core.bills.at_risk(),
+        "copies_held": core.bills.holds().len(),
+        "log_out": core.appends.is_out(),
+    })
+}
--- /dev/null
+++ b/crates/router/src/bills/bill_shard.rs
@@ -0,0 +1,95 @@
+//! One bill stream at this router: appends bills in batches.
+
+use std::time::Duration;
+
+use ferry_decisions::bill::{BillBatch, BillEntry, bill_stream};
+use parking_lot::Mutex;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::sleep;
+use uuid::Uuid;
+
+use crate::core::RouterCore;
+
+/// Bills that may wait at one shard.
+const QUEUE_LIMIT: usize = 16_384;
+/// Bills of one batch.
+const BATCH_LIMIT: usize = 512;
+/// Pause after the log did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// One bill stream.
+#[derive(Debug)]
+pub(super) struct BillShard {
+    shard: u16,
+    queue: Mutex<Vec<QueuedBill>>,
+    wake: Notify,
+}
+
+#[derive(Debug)]
+struct QueuedBill {
+    bill: BillEntry,
+    logged: oneshot::Sender<()>,
+}
+
+impl BillShard {
+    pub(super) fn new(shard: u16) -> Self {
+        Self {
+            shard,
+            queue: Mutex::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Queues `bill`; the receiver resolves once it is on the log. `None` when too many wait.
+    pub(super) fn submit(&self, bill: BillEntry) -> Option<oneshot::Receiver<()>> {
+        let (logged, receiver) = oneshot::channel();
+        let mut queue = self.queue.lock();
+        if queue.len() >= QUEUE_LIMIT {
+            return None;
+        }
+        queue.push(QueuedBill { bill, logged });
+        drop(queue);
+        self.wake.notify_one();
+        Some(receiver)
+    }
+
+    /// Works until cancelled.
+    pub(super) async fn work(&self, core: &RouterCore) {
+        loop {
+            self.wake.notified().await;
+            loop {
+                core.appends.turn().await;
+                let queued = self.next_bills();
+                if queued.is_empty() {
+                    break;
+                }
+                self.append(core, queued).await;
+            }
+        }
+    }
+
+    /// Appends one batch under one identifier until the log confirms it.
+    async fn append(&self, core: &RouterCore, queued: Vec<QueuedBill>) {
+        let batch = BillBatch {
+            owner: core.settings.host.clone(),
+            batch: Uuid::new_v4(),
+            bills: queued.iter().map(|queued| queued.bill.clone()).collect(),
+        };
+        let data = serde_json::to_string(&batch).unwrap_or_default();
+        let stream = bill_stream(self.shard);
+        while let Err(error) = core.appends.append(&core.log, &stream, data.clone()).await {
+            spdlog::debug!("bills wait for the log", kv: { shard = self.shard, error = error.to_string() });
+            sleep(RETRY_PAUSE).await;
+            core.appends.turn().await;
+        }
+        for queued in queued {
+            let _ = queued.logged.send(());
+        }
+    }
+
+    fn next_bills(&self) -> Vec<QueuedBill> {
+        let mut queue = self.queue.lock();
+        let count = queue.len().min(BATCH_LIMIT);
+        queue.drain(..count).collect()
+    }
+}
--- a/crates/router/src/caller/caller_request.rs
+++ b/crates/router/src/caller/caller_request.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ferry_decisions::claim::RequestKey;
 use ferry_decisions::closed_set;
 use ferry_decisions::labels::LabelSet;
 use ferry_decisions::names::{ClassName, RequestId, WorkspaceName};
@@ -108,6 +109,11 @@
 }
 
 impl CallerRequest {
+    /// Key of the request in claims and bills.
+    pub fn key(&self) -> RequestKey {
+        RequestKey::new(&self.workspace, &self.id)
+    }
+
     /// Reads the headers of a request; `idempotent` applies when they don't say.
     ///
     /// # Errors
--- a/crates/router/src/claims/claim_desk.rs
+++ b/crates/router/src/claims/claim_desk.rs
@@ -1,26 +1,40 @@
 //! Asks for claims and gives them up.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_decisions::claim::{ClaimBatch, ClaimEntry, shard_of};
-use ferry_decisions::names::RequestId;
+use ferry_decisions::claim::{
+    ClaimEntry, ClaimHolder, ClaimReply, RequestKey, SHARD_COUNT, check_id_time, owner_of, shard_of,
+};
 use ferry_kernel::wall_clock;
+use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 
+use super::claim_message::{ClaimAnswer, ClaimQuery};
+use super::claim_shard::ClaimShard;
+use crate::bills;
 use crate::core::RouterCore;
+use crate::peer::PeerTopic;
 
 /// When to try again while the log is out.
 const LOG_RETRY: Duration = Duration::from_secs(5);
+/// Calls to the log that an entry may take at its owner: append, read back, one repeat.
+const CALLS_AT_OWNER: u32 = 2;
+/// Claims made for one request when those before were voided meanwhile.
+const CLAIM_TRIES: usize = 3;
 
 /// State of this router's part in the claims.
-#[derive(Debug, Default)]
-pub struct ClaimDesk {}
+#[derive(Debug)]
+pub struct ClaimDesk {
+    /// Streams in the order of shards.
+    shards: Vec<ClaimShard>,
+}
 
 /// Leave to run a request once.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimGrant {
     /// Request that may be run.
-    pub request: RequestId,
+    pub key: RequestKey,
     /// Claim that won.
     pub claim: Uuid,
 }
@@ -47,58 +61,178 @@
     Ran,
 }
 
-/// Claims `request` for this router.
+impl Default for ClaimDesk {
+    fn default() -> Self {
+        Self {
+            shards: (0..SHARD_COUNT).map(ClaimShard::new).collect(),
+        }
+    }
+}
+
+impl ClaimDesk {
+    pub(super) fn shards(&self) -> &[ClaimShard] {
+        &self.shards
+    }
+
+    /// Number of given-up claims whose void is not yet on the log.
+    pub fn open_voids(&self) -> usize {
+        self.shards.iter().map(ClaimShard::open_voids).sum()
+    }
+
+    fn shard(&self, key: &RequestKey) -> &ClaimShard {
+        &self.shards[usize::from(shard_of(&key.request))]
+    }
+}
+
+/// Claims `key` for this router.
 ///
 /// # Errors
 ///
 /// Nothing may be dispatched on any error.
-pub async fn claim(core: &RouterCore, request: &RequestId) -> Result<ClaimGrant, ClaimProblem> {
-    let claim = Uuid::new_v4();
-    let entry = ClaimEntry::Claim {
-        request: request.clone(),
-        claim,
-        router: core.settings.host.clone(),
-        incarnation: core.incarnation,
-        time: wall_clock::now(),
-    };
-    append(core, request, entry).await?;
-    Ok(ClaimGrant {
-        request: request.clone(),
-        claim,
-    })
+pub async fn claim(core: &Arc<RouterCore>, key: &RequestKey) -> Result<ClaimGrant, ClaimProblem> {
+    check_id_time(&key.request, wall_clock::now())
+        .map_err(|error| ClaimProblem::BadId(error.to_string()))?;
+    let asked = Instant::now();
+    let result = claim_once_free(core, key).await;
+    metrics::histogram!("ferry_claim_seconds").record(asked.elapsed().as_secs_f64());
+    result
 }
 
 /// Gives up `grant` after the request was certainly not run.
 ///
 /// # Errors
 ///
-/// On an error "not run" must not be said.
-pub async fn void(core: &RouterCore, grant: &ClaimGrant) -> Result<(), ClaimProblem> {
-    let entry = ClaimEntry::Void {
-        request: grant.request.clone(),
-        claim: grant.claim,
-        time: wall_clock::now(),
-    };
-    append(core, &grant.request, entry).await
+/// On an error "not run" must not be said; the void is appended once the log answers.
+pub async fn void(core: &Arc<RouterCore>, grant: &ClaimGrant) -> Result<(), ClaimProblem> {
+    let entry = void_entry(&grant.key, grant.claim);
+    if let Some(ClaimReply::Voided) = submit(core, entry.clone()).await {
+        return Ok(());
+    }
+    void_later(core, entry);
+    Err(log_out())
+}
+
+async fn claim_once_free(
+    core: &Arc<RouterCore>,
+    key: &RequestKey,
+) -> Result<ClaimGrant, ClaimProblem> {
+    for _ in 0..CLAIM_TRIES {
+        if core.appends.is_out() {
+            return Err(log_out());
+        }
+        let claim = Uuid::new_v4();
+        let entry = claim_entry(core, key, claim);
+        let Some(reply) = submit(core, entry).await else {
+            give_up(core, key, claim);
+            return Err(log_out());
+        };
+        match reply {
+            ClaimReply::Granted => {
+                return Ok(ClaimGrant {
+                    key: key.clone(),
+                    claim,
+                });
+            }
+            ClaimReply::Voided => {}
+            ClaimReply::Held { holder } => return Err(held(core, key, &holder).await),
+            ClaimReply::Overloaded => return Err(log_out()),
+            ClaimReply::OutsideWindow => return Err(outside_window()),
+            ClaimReply::UnknownHistory => return Err(unknown_history()),
+        }
+    }
+    Err(log_out())
+}
+
+/// Has the owner of the shard take `entry`, or this router if the owner does not answer.
+async fn submit(core: &Arc<RouterCore>, entry: ClaimEntry) -> Option<ClaimReply> {
+    let live = core.members.live();
+    let owner = owner_of(shard_of(&entry.request().request), &live)?;
+    if *owner != core.settings.host {
+        let query = ClaimQuery {
+            entry: entry.clone(),
+        };
+        let limit = patience(core);
+        let answer = core
+            .hub()
+            .ask::<_, ClaimAnswer>(owner, PeerTopic::Claims, &query, limit)
+            .await;
+        match answer {
+            Ok(ClaimAnswer { reply: Some(reply) }) => return Some(reply),
+            Ok(ClaimAnswer { reply: None }) if core.appends.is_out() => return None,
+            Ok(_) | Err(_) => {}
+        }
+    }
+    submit_here(core, entry).await
+}
+
+/// Appends `entry` from this router and waits until it was read back.
+pub(super) async fn submit_here(core: &RouterCore, entry: ClaimEntry) -> Option<ClaimReply> {
+    let receiver = core.claims.shard(entry.request()).submit(entry)?;
+    timeout(patience(core), receiver).await.ok()?.ok()
 }
 
-async fn append(
-    core: &RouterCore,
-    request: &RequestId,
-    entry: ClaimEntry,
-) -> Result<(), ClaimProblem> {
-    let batch = ClaimBatch {
-        owner: core.settings.host.clone(),
+/// Time that one owner is given.
+fn patience(core: &RouterCore) -> Duration {
+    core.settings.call_timeout() * CALLS_AT_OWNER
+}
+
+/// Makes sure that a claim whose fate is unknown holds its id no longer than needed.
+fn give_up(core: &Arc<RouterCore>, key: &RequestKey, claim: Uuid) {
+    core.claims.shard(key).withdraw(claim);
+    void_later(core, void_entry(key, claim));
+}
+
+/// Appends a void as soon as the log answers; a stop waits for it.
+fn void_later(core: &Arc<RouterCore>, entry: ClaimEntry) {
+    if core.claims.shard(entry.request()).submit(entry).is_none() {
+        spdlog::warn!("a claim was not voided since too many wait; its id stays claimed");
+    }
+}
+
+async fn held(core: &Arc<RouterCore>, key: &RequestKey, holder: &ClaimHolder) -> ClaimProblem {
+    spdlog::info!("request was claimed before", kv: {
+        request_id = key.request.as_str(),
+        router = holder.router.as_str(),
+        offset = holder.offset,
+    });
+    if bills::is_billed(core, key).await {
+        ClaimProblem::Ran
+    } else {
+        ClaimProblem::MayHaveRun
+    }
+}
+
+fn claim_entry(core: &RouterCore, key: &RequestKey, claim: Uuid) -> ClaimEntry {
+    ClaimEntry::Claim {
+        request: key.clone(),
+        claim,
+        router: core.settings.host.clone(),
         incarnation: core.incarnation,
-        batch: Uuid::new_v4(),
-        entries: vec![entry],
-    };
-    let data = serde_json::to_vec(&batch).expect("a batch has only plain fields");
-    let stream = format!("claims-{}", shard_of(request));
-    match core.log.append(&stream, data).await {
-        Ok(_) => Ok(()),
-        Err(_) => Err(ClaimProblem::LogOut {
-            retry_after: LOG_RETRY,
-        }),
+        time: wall_clock::now(),
     }
 }
+
+fn void_entry(key: &RequestKey, claim: Uuid) -> ClaimEntry {
+    ClaimEntry::Void {
+        request: key.clone(),
+        claim,
+        time: wall_clock::now(),
+    }
+}
+
+fn log_out() -> ClaimProblem {
+    ClaimProblem::LogOut {
+        retry_after: LOG_RETRY,
+    }
+}
+
+fn outside_window() -> ClaimProblem {
+    let text = "the log's time is outside the window of the request id; send a new UUIDv7";
+    ClaimProblem::BadId(text.to_owned())
+}
+
+fn unknown_history() -> ClaimProblem {
+    let text = "the log no longer holds all records that may name this request id; find out \
+                whether an earlier send ran, then send a new UUIDv7";
+    ClaimProblem::BadId(text.to_owned())
+}
--- /dev/null
+++ b/crates/router/src/claims/claim_plugin.rs
@@ -0,0 +1,44 @@
+//! Plug-in that appends and reads back claims, also for other routers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+
+use super::claim_desk;
+use super::claim_message::{ClaimAnswer, ClaimQuery};
+use crate::core::RouterCore;
+use crate::peer::{PeerMessage, PeerTopic, decode, encode};
+use crate::plugin::RouterPlugin;
+
+inventory::submit! {
+    RouterPlugin {
+        name: "claims",
+        topics: &[PeerTopic::Claims],
+        start,
+        on_message,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    for index in 0..core.claims.shards().len() {
+        let shared = Arc::clone(core);
+        tokio::spawn(core.closing.clone().run_until_cancelled_owned(async move {
+            shared.claims.shards()[index].work(&shared).await;
+        }));
+    }
+}
+
+fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
+    Box::pin(async move {
+        let query: ClaimQuery = decode(&message.body).ok()?;
+        let reply = claim_desk::submit_here(&core, query.entry).await;
+        encode(&ClaimAnswer { reply }).ok()
+    })
+}
+
+fn view(core: &RouterCore) -> Value {
+    json!({ "voids_not_on_the_log": core.claims.open_voids() })
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::appends::AppendGate;
 use crate::bills::BillDesk;
 use crate::claims::ClaimDesk;
 use crate::config::ConfigCell;
@@ -44,6 +45,8 @@
     pub lease: LeaseCell,
     /// Router hosts of the fleet.
     pub members: MemberTable,
+    /// Gate of the appends of claims and bills.
+    pub appends: AppendGate,
     /// Claims of non-idempotent requests.
     pub claims: ClaimDesk,
     /// Bills that are not yet durable.
@@ -91,6 +94,7 @@
             config: ConfigCell::default(),
             lease: LeaseCell::new(settings.freshness()),
             members: MemberTable::new(&settings.host),
+            appends: AppendGate::new(f64::from(settings.platform.appends_per_second)),
             claims: ClaimDesk::default(),
             bills: BillDesk::default(),
             upstreams: UpstreamTable::default(),
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -76,7 +76,7 @@
         if self.request.idempotent {
             return Ok(None);
         }
-        let grant = claims::claim(&self.core, &self.request.id).await?;
+        let grant = claims::claim(&self.core, &self.request.key()).await?;
         Ok(Some(grant))
     }
 
--- a/crates/router/src/dispatch/service_run.rs
+++ b/crates/router/src/dispatch/service_run.rs
@@ -80,7 +80,7 @@
         if self.request.idempotent {
             return self.run_and_bill().await;
         }
-        let grant = claims::claim(&self.core, &self.request.id).await?;
+        let grant = claims::claim(&self.core, &self.request.key()).await?;
         let result = self.run_and_bill().await;
         match result {
             Err(refusal) if refusal.run == RunState::NotRun => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod app;
+pub mod appends;
 pub mod bills;
 pub mod caller;
 pub mod claims;
--- a/crates/router/src/settings/router_settings.rs
+++ b/crates/router/src/settings/router_settings.rs
@@ -65,6 +65,10 @@
     /// Appends a second that all routers together may send to the log.
     #[serde(default = "default_append_budget")]
     pub appends_per_second: u32,
+    /// Least time for which the log keeps a record, in milliseconds. A larger value than the
+    /// log's own would let a request run twice.
+    #[serde(default = "default_retention_ms")]
+    pub retention_ms: u64,
 }
 
 /// Secrets shared by the fleet.
@@ -131,6 +135,10 @@
     1_000
 }
 
+fn default_retention_ms() -> u64 {
+    3_600_000
+}
+
 fn default_append_budget() -> u32 {
     200
 }
