Add upstream choice, deadline admission, retry budgets and pooled limits

Pure parts of the decision core: power of two choices on a corrected load report (with round robin, random and least-reported load beside it), deadline admission with a computed Retry-After and max-min fair parts, retry budgets with the state of the run, workspace limits from pooled offered demand (with limit/n beside it).

A measured queue wait is excluded as a forecast: refusing on it leaves nothing to measure, and the refusals would not end. The wait follows from the present load instead.

Found by the property test of the limit: a bucket that is clamped at zero forgives what a lump of peer counts brings, and 1802 of 1200 permitted requests were admitted at twice the limit over two routers.

--- /dev/null
+++ b/crates/decisions/src/admission.rs
@@ -0,0 +1,19 @@
+//! Deadline admission: refuses at once what cannot be answered in time.
+//!
+//! The wait follows from the upstream's present load, the service time from a quantile of what
+//! was seen lately. A wait that was measured is not used as a forecast: once it led to refusals,
+//! nothing new would be measured and the refusals would never end.
+
+mod admission_config;
+mod deadline_admission;
+mod decaying_histogram;
+mod fair_share;
+mod service_estimate;
+
+pub use admission_config::{AdmissionConfig, PriorityClass};
+pub use deadline_admission::{
+    AdmissionQuery, AdmissionRefusal, DeadlineAdmission, FinishEstimate, RefusalReason,
+};
+pub use decaying_histogram::DecayingHistogram;
+pub use fair_share::{FairLevel, FairStanding, WorkspaceDemand};
+pub use service_estimate::{ServiceEstimate, ServiceHistory};
--- /dev/null
+++ b/crates/decisions/src/admission/decaying_histogram.rs
@@ -0,0 +1,107 @@
+//! Histogram of durations in bounded memory, in which old samples count less.
+
+use std::time::Duration;
+
+/// Buckets; each one's upper bound is `BUCKET_GROWTH` times the previous one's.
+const BUCKETS: usize = 96;
+/// Upper bound of the first bucket, in milliseconds.
+const FIRST_BOUND_MS: f64 = 1.0;
+/// Ratio of the bounds of neighbouring buckets: the relative error of a quantile.
+const BUCKET_GROWTH: f64 = 1.15;
+/// Time in which the weight of a sample halves.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+/// Weights are brought up to date when they are older than this.
+const DECAY_STEP: Duration = Duration::from_millis(500);
+/// Total weight below which there is no estimate.
+const LEAST_WEIGHT: f64 = 3.0;
+
+/// Durations from 1 ms to about 10 minutes; longer ones count as the longest.
+#[derive(Debug, Clone)]
+pub struct DecayingHistogram {
+    /// Decayed number of samples per bucket; never negative.
+    weights: [f32; BUCKETS],
+    /// Sum of `weights`.
+    total: f64,
+    /// Decayed sum of the samples, in milliseconds.
+    sum_ms: f64,
+    /// Time up to which the weights are decayed.
+    decayed_to: Duration,
+    /// Time of the newest sample.
+    newest: Option<Duration>,
+}
+
+impl Default for DecayingHistogram {
+    fn default() -> Self {
+        Self {
+            weights: [0.0; BUCKETS],
+            total: 0.0,
+            sum_ms: 0.0,
+            decayed_to: Duration::ZERO,
+            newest: None,
+        }
+    }
+}
+
+impl DecayingHistogram {
+    /// Adds the sample `value`, seen at `now`.
+    pub fn record(&mut self, now: Duration, value: Duration) {
+        self.decay(now);
+        let ms = value.as_secs_f64() * 1_000.0;
+        self.weights[bucket_of(ms)] += 1.0;
+        self.total += 1.0;
+        self.sum_ms += ms;
+        self.newest = Some(now);
+    }
+
+    /// Duration that the part `quantile` of the samples did not exceed; `None` with few samples.
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+        if self.total < LEAST_WEIGHT {
+            return None;
+        }
+        let target = quantile.clamp(0.0, 1.0) * self.total;
+        let mut seen = 0.0;
+        let bucket = self.weights.iter().position(|weight| {
+            seen += f64::from(*weight);
+            seen >= target
+        });
+        Some(bound_of(bucket.unwrap_or(BUCKETS - 1)))
+    }
+
+    /// Mean of the samples; `None` with few samples.
+    pub fn mean(&self) -> Option<Duration> {
+        (self.total >= LEAST_WEIGHT)
+            .then(|| Duration::from_secs_f64(self.sum_ms / self.total / 1_000.0))
+    }
+
+    /// Time since the newest sample; `None` without any.
+    pub fn newest_age(&self, now: Duration) -> Option<Duration> {
+        self.newest.map(|time| now.saturating_sub(time))
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.decayed_to);
+        if age < DECAY_STEP {
+            return;
+        }
+        let factor = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        for weight in &mut self.weights {
+            *weight *= factor as f32;
+        }
+        self.total = self.weights.iter().map(|w| f64::from(*w)).sum();
+        self.sum_ms *= factor;
+        self.decayed_to = now;
+    }
+}
+
+fn bucket_of(ms: f64) -> usize {
+    if ms <= FIRST_BOUND_MS {
+        return 0;
+    }
+    let exponent = (ms / FIRST_BOUND_MS).ln() / BUCKET_GROWTH.ln();
+    (exponent.ceil() as usize).min(BUCKETS - 1)
+}
+
+fn bound_of(bucket: usize) -> Duration {
+    let ms = FIRST_BOUND_MS * BUCKET_GROWTH.powi(bucket as i32);
+    Duration::from_secs_f64(ms / 1_000.0)
+}
--- /dev/null
+++ b/crates/decisions/src/choice.rs
@@ -0,0 +1,11 @@
+//! Choice of an upstream among the replicas of a version.
+
+mod choice_policy;
+mod flight_history;
+mod upstream_choice;
+mod upstream_view;
+
+pub use choice_policy::{ChoiceConfig, ChoicePolicy};
+pub use flight_history::FlightHistory;
+pub use upstream_choice::{ChoicePoints, ChoiceQuery, NoUpstream, UpstreamChoice};
+pub use upstream_view::{ReportedLoad, UpstreamLoad, UpstreamState, UpstreamView};
--- /dev/null
+++ b/crates/decisions/src/choice/upstream_view.rs
@@ -0,0 +1,98 @@
+//! What a router knows of one upstream when it chooses.
+
+use crate::names::{HostName, ZoneName};
+
+/// One candidate.
+#[derive(Debug, Clone, Copy)]
+pub struct UpstreamView<'a> {
+    /// Name of the upstream.
+    pub name: &'a HostName,
+    /// Availability zone of the upstream.
+    pub zone: &'a ZoneName,
+    /// Whether it may get new work.
+    pub state: UpstreamState,
+    /// How loaded it is.
+    pub load: UpstreamLoad,
+}
+
+closed_set! {
+    /// Whether an upstream may get new work.
+    #[derive(Default)]
+    pub enum UpstreamState {
+        /// In service.
+        #[default]
+        Live,
+        /// Leaving: gets no new work.
+        Leaving,
+        /// Suspected to be dead, or kept apart for a suspect request.
+        Suspect,
+    }
+}
+
+/// Load of an upstream as far as a router knows it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UpstreamLoad {
+    /// Requests that this router has in flight there now.
+    pub own_in_flight: u32,
+    /// Requests that this router had in flight there when the report was taken.
+    pub own_at_report: u32,
+    /// The last report; absent when none arrived yet.
+    pub report: Option<ReportedLoad>,
+    /// Step duration that this router observed since, in milliseconds.
+    pub observed_step_ms: Option<f64>,
+}
+
+/// The part of a load report that decisions use.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ReportedLoad {
+    /// Requests in the running batch.
+    pub running: u32,
+    /// Requests waiting for a place in the batch.
+    pub queued: u32,
+    /// Places of the batch.
+    pub batch_limit: u32,
+    /// Places of the queue.
+    pub queue_limit: u32,
+    /// Duration of an engine step, in milliseconds.
+    pub step_ms: f64,
+}
+
+/// Step duration that is assumed before the first report, in milliseconds.
+const ASSUMED_STEP_MS: f64 = 10.0;
+/// Places of a batch that are assumed before the first report.
+const ASSUMED_BATCH: u32 = 8;
+
+impl UpstreamLoad {
+    /// Requests on the upstream now: others' at the report, and this router's present ones.
+    pub fn corrected(&self) -> u32 {
+        let reported = self.report.map_or(0, |r| r.running + r.queued);
+        reported.saturating_sub(self.own_at_report) + self.own_in_flight
+    }
+
+    /// Requests on the upstream as it reported them, without any correction.
+    pub fn reported(&self) -> u32 {
+        self.report.map_or(0, |r| r.running + r.queued)
+    }
+
+    /// Places of the batch.
+    pub fn batch_limit(&self) -> u32 {
+        self.report.map_or(ASSUMED_BATCH, |r| r.batch_limit.max(1))
+    }
+
+    /// Duration of an engine step in milliseconds: observed, else reported, else assumed.
+    pub fn step_ms(&self) -> f64 {
+        let reported = self.report.map(|r| r.step_ms);
+        let step = self.observed_step_ms.or(reported);
+        step.filter(|ms| *ms > 0.0).unwrap_or(ASSUMED_STEP_MS)
+    }
+
+    /// Requests that wait for a place in the batch now.
+    pub fn waiting(&self) -> u32 {
+        self.corrected().saturating_sub(self.batch_limit())
+    }
+
+    /// Cost of one more request: its part of the batch, weighted by the step duration.
+    pub fn cost(&self) -> f64 {
+        f64::from(self.corrected() + 1) / f64::from(self.batch_limit()) * self.step_ms()
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,11 +7,15 @@
 #[macro_use]
 mod macros;
 
+pub mod admission;
 pub mod bill;
+pub mod choice;
 pub mod claim;
 pub mod config;
 pub mod labels;
+pub mod limits;
 pub mod names;
+pub mod retry;
 pub mod routing;
 pub mod session;
 pub mod time;
--- /dev/null
+++ b/crates/decisions/src/retry.rs
@@ -0,0 +1,9 @@
+//! Retries: what may be sent again where, and how many of them a workspace may cause.
+
+mod retry_budget;
+mod retry_policy;
+mod upstream_failure;
+
+pub use retry_budget::{RetryBudget, RetryBudgetConfig};
+pub use retry_policy::{GiveUpReason, RetryPolicy, RetryQuery, RetryVerdict};
+pub use upstream_failure::{RunState, UpstreamFailure};
--- /dev/null
+++ b/crates/decisions/tests/retry.rs
@@ -0,0 +1,126 @@
+//! Retries: budgets, what may be sent again, and what the caller is told.
+
+use std::time::Duration;
+
+use ferry_decisions::retry::{
+    GiveUpReason, RetryBudget, RetryBudgetConfig, RetryPolicy, RetryQuery, RetryVerdict, RunState,
+    UpstreamFailure,
+};
+use proptest::prelude::*;
+
+const FAILURES: [UpstreamFailure; 10] = [
+    UpstreamFailure::ConnectFailed,
+    UpstreamFailure::QueueFull,
+    UpstreamFailure::Leaving,
+    UpstreamFailure::RefusedNotRun,
+    UpstreamFailure::BrokenBeforeAnswer,
+    UpstreamFailure::BrokenInAnswer,
+    UpstreamFailure::ServerError,
+    UpstreamFailure::MalformedAnswer,
+    UpstreamFailure::TimedOut,
+    UpstreamFailure::BadRequest,
+];
+
+fn query(failure: UpstreamFailure) -> RetryQuery {
+    RetryQuery {
+        failure,
+        earlier: RunState::NotRun,
+        idempotent: true,
+        answer_begun: false,
+        attempts: 1,
+        time_left: Some(Duration::from_secs(5)),
+        time_needed: Duration::from_secs(1),
+    }
+}
+
+fn decide(query: &RetryQuery) -> RetryVerdict {
+    let mut budget = RetryBudget::new(RetryBudgetConfig::default());
+    RetryPolicy::default().decide(query, &mut budget)
+}
+
+fn give_up(run: RunState, reason: GiveUpReason) -> RetryVerdict {
+    RetryVerdict::GiveUp { run, reason }
+}
+
+proptest! {
+    #[test]
+    fn retries_stay_a_fraction_of_fresh_requests(
+        steps in prop::collection::vec(any::<bool>(), 0..2_000),
+        fraction in 0.0..0.5_f64,
+        reserve in 1.0..20.0_f64,
+    ) {
+        let mut budget = RetryBudget::new(RetryBudgetConfig { fraction, reserve });
+        let (mut fresh, mut retries) = (0_u32, 0_u32);
+        for is_fresh in steps {
+            if is_fresh {
+                budget.fund();
+                fresh += 1;
+            } else if budget.spend() {
+                retries += 1;
+            }
+            prop_assert!(f64::from(retries) <= reserve + fraction * f64::from(fresh) + 1e-6);
+        }
+    }
+
+    #[test]
+    fn what_may_have_run_and_is_not_idempotent_never_runs_again(
+        failure in prop::sample::select(&FAILURES[..]),
+        earlier in prop::sample::select(&[RunState::NotRun, RunState::MayHaveRun, RunState::Ran][..]),
+        attempts in 1_u32..5,
+    ) {
+        let query = RetryQuery { idempotent: false, earlier, attempts, ..query(failure) };
+        let run = earlier.max(failure.run_state());
+        match decide(&query) {
+            RetryVerdict::RetryElsewhere => prop_assert_eq!(run, RunState::NotRun),
+            RetryVerdict::GiveUp { run: told, .. } => prop_assert_eq!(told, run),
+        }
+    }
+}
+
+#[test]
+fn nothing_is_retried_past_its_deadline_attempts_or_answer() {
+    let base = query(UpstreamFailure::QueueFull);
+    assert_eq!(decide(&base), RetryVerdict::RetryElsewhere);
+    let late = RetryQuery {
+        time_left: Some(Duration::from_millis(900)),
+        ..base
+    };
+    assert_eq!(
+        decide(&late),
+        give_up(RunState::NotRun, GiveUpReason::DeadlineTooNear)
+    );
+    let tired = RetryQuery {
+        attempts: 3,
+        ..base
+    };
+    assert_eq!(
+        decide(&tired),
+        give_up(RunState::NotRun, GiveUpReason::AttemptsUsed)
+    );
+    let begun = RetryQuery {
+        answer_begun: true,
+        ..query(UpstreamFailure::BrokenInAnswer)
+    };
+    assert_eq!(
+        decide(&begun),
+        give_up(RunState::Ran, GiveUpReason::AnswerBegun)
+    );
+}
+
+#[test]
+fn a_used_up_budget_is_told_apart() {
+    let mut budget = RetryBudget::new(RetryBudgetConfig {
+        fraction: 0.1,
+        reserve: 1.0,
+    });
+    let policy = RetryPolicy::default();
+    let query = query(UpstreamFailure::ServerError);
+    assert_eq!(
+        policy.decide(&query, &mut budget),
+        RetryVerdict::RetryElsewhere
+    );
+    assert_eq!(
+        policy.decide(&query, &mut budget),
+        give_up(RunState::MayHaveRun, GiveUpReason::BudgetUsed)
+    );
+}
