--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -1,28 +1,20 @@
-//! Experiments of the kind `overload`.
+//! Experiments of the kind `overload`: choice, admission and retries at and beyond capacity.
+//!
+//! Several routers' decision state runs against one pool of fake engines on a virtual clock. Each
+//! policy sees the same arrivals and faults.
 
-use ferry_decisions::value_type;
+mod arrival_trace;
+mod event_queue;
+mod overload_experiment;
+mod overload_report;
+mod overload_run;
+mod phase_figures;
+mod router_state;
+mod virtual_engine;
+mod work_item;
 
-use crate::experiment::ExperimentKind;
-use crate::report::ExperimentReport;
-
-value_type! {
-    /// Settings of the experiment.
-    pub struct OverloadExperiment {
-        /// Always `overload`.
-        pub kind: ExperimentKind,
-        /// Name of the experiment.
-        pub name: String,
-        /// Seeds to play.
-        pub seeds: Vec<u64>,
-    }
-}
-
-/// Plays `experiment` for each seed.
-pub fn play(experiment: &OverloadExperiment) -> ExperimentReport {
-    ExperimentReport {
-        name: experiment.name.clone(),
-        seeds: experiment.seeds.clone(),
-        tables: Vec::new(),
-        plots: Vec::new(),
-    }
-}
+pub use overload_experiment::{
+    AdmissionMode, ClassLoad, EngineFault, EnginePool, FaultKind, OverloadExperiment, PhaseLoad,
+    PolicyArm, RetryMode, RouterFleet,
+};
+pub use overload_report::play;
--- /dev/null
+++ b/crates/bench/src/overload/overload_report.rs
@@ -0,0 +1,130 @@
+//! Plays all policies and seeds of an experiment, and lays out the figures.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use super::OverloadExperiment;
+use super::overload_run::{self, RunFigures};
+use super::phase_figures::PhaseFigures;
+use crate::report::{ExperimentReport, PlotSeries, ReportPlot, ReportTable};
+
+/// Columns of the tables.
+const COLUMNS: [&str; 10] = [
+    "offered/s",
+    "in time/s",
+    "in time %",
+    "refused %",
+    "in 50 ms %",
+    "late %",
+    "p50 ms",
+    "p95 ms",
+    "p99 ms",
+    "retries/req",
+];
+
+/// Plays `experiment` for each policy and seed.
+pub fn play(experiment: &OverloadExperiment) -> ExperimentReport {
+    let done = &AtomicUsize::new(0);
+    let total = experiment.arms.len() * experiment.seeds.len();
+    let results: Vec<RunFigures> = std::thread::scope(|scope| {
+        let played: Vec<_> = (0..experiment.arms.len())
+            .map(|arm| scope.spawn(move || play_arm(experiment, arm, done, total)))
+            .collect();
+        let joined = played.into_iter().map(|thread| thread.join());
+        joined.map(|figures| figures.unwrap_or_default()).collect()
+    });
+    ExperimentReport {
+        name: experiment.name.clone(),
+        seeds: experiment.seeds.clone(),
+        tables: tables(experiment, &results),
+        plots: vec![answer_plot(experiment, &results)],
+    }
+}
+
+fn play_arm(
+    experiment: &OverloadExperiment,
+    arm: usize,
+    done: &AtomicUsize,
+    total: usize,
+) -> RunFigures {
+    let mut sum = RunFigures::default();
+    for seed in &experiment.seeds {
+        sum.add(&overload_run::play(
+            experiment,
+            &experiment.arms[arm],
+            *seed,
+        ));
+        let count = done.fetch_add(1, Ordering::Relaxed) + 1;
+        eprintln!("run {count} of {total} is done");
+    }
+    sum
+}
+
+fn tables(experiment: &OverloadExperiment, results: &[RunFigures]) -> Vec<ReportTable> {
+    let mut tables = Vec::new();
+    for (index, phase) in experiment.phases.iter().enumerate() {
+        let load = phase.load + phase.burst;
+        let title = format!("Phase {}: load {load} of capacity", index + 1);
+        tables.push(table(experiment, &title, phase.seconds, results, |r| {
+            &r.phases[index]
+        }));
+    }
+    let seconds = experiment.duration().as_secs();
+    let large = "First workspace, all phases";
+    tables.push(table(experiment, large, seconds, results, |r| &r.large));
+    let modest = "Other workspaces, all phases";
+    tables.push(table(experiment, modest, seconds, results, |r| &r.modest));
+    tables
+}
+
+fn table(
+    experiment: &OverloadExperiment,
+    title: &str,
+    seconds: u64,
+    results: &[RunFigures],
+    select: impl Fn(&RunFigures) -> &PhaseFigures,
+) -> ReportTable {
+    let mut table = ReportTable::new(title, &COLUMNS);
+    let run_seconds = (seconds * experiment.seeds.len() as u64) as f64;
+    for (arm, result) in experiment.arms.iter().zip(results) {
+        table.push(&arm.name, &row(select(result), run_seconds));
+    }
+    table
+}
+
+fn row(figures: &PhaseFigures, seconds: f64) -> [f64; 10] {
+    let offered = figures.offered.max(1) as f64;
+    let answered = figures.answered() as f64;
+    let refused = figures.refused as f64;
+    let prompt = figures.refused_promptly as f64 / refused.max(1.0);
+    [
+        figures.offered as f64 / seconds,
+        answered / seconds,
+        answered / offered * 100.0,
+        refused / offered * 100.0,
+        prompt * 100.0,
+        figures.late as f64 / offered * 100.0,
+        figures.latency_ms(0.5),
+        figures.latency_ms(0.95),
+        figures.latency_ms(0.99),
+        figures.retries as f64 / offered,
+    ]
+}
+
+fn answer_plot(experiment: &OverloadExperiment, results: &[RunFigures]) -> ReportPlot {
+    let seeds = experiment.seeds.len() as f64;
+    let series = experiment.arms.iter().zip(results).map(|(arm, result)| {
+        let seconds = result.answers_by_second.iter().enumerate();
+        PlotSeries {
+            name: arm.name.clone(),
+            points: seconds
+                .map(|(s, count)| (s as f64, *count as f64 / seeds))
+                .collect(),
+        }
+    });
+    ReportPlot {
+        title: format!("{}: answers in time", experiment.name),
+        x_label: "time, s".to_owned(),
+        y_label: "answers per second".to_owned(),
+        series: series.collect(),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/overload/router_state.rs
@@ -0,0 +1,266 @@
+//! Decision state of one router.
+
+use std::time::Duration;
+
+use ferry_decisions::admission::{
+    AdmissionQuery, DeadlineAdmission, FairLevel, FairStanding, PriorityClass, ServiceHistory,
+    WorkspaceDemand,
+};
+use ferry_decisions::choice::{
+    ChoicePoints, ChoiceQuery, FlightHistory, ReportedLoad, UpstreamChoice, UpstreamLoad,
+    UpstreamState, UpstreamView,
+};
+use ferry_decisions::limits::{OfferedCount, PooledDemand};
+use ferry_decisions::names::{HostName, ZoneName};
+use ferry_decisions::retry::{
+    RetryBudget, RetryBudgetConfig, RetryPolicy, RetryQuery, RetryVerdict, UpstreamFailure,
+};
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::work_item::WorkItem;
+use super::{AdmissionMode, PolicyArm, RetryMode};
+
+/// Time for which an upstream that broke a connection gets no work.
+const SUSPECT_TIME: Duration = Duration::from_secs(2);
+
+/// What a router knows of one engine.
+#[derive(Debug)]
+pub(super) struct KnownEngine {
+    pub(super) name: HostName,
+    pub(super) zone: ZoneName,
+    /// Own requests on it.
+    pub(super) own: FlightHistory,
+    /// Other routers' requests on it.
+    pub(super) peers: FlightHistory,
+    /// Last report, with the time at which it was taken.
+    pub(super) report: Option<(Duration, ReportedLoad)>,
+    /// Step duration seen in own streams, in milliseconds.
+    pub(super) observed_step_ms: Option<f64>,
+    /// Time until which it gets no work.
+    suspect_until: Duration,
+}
+
+impl KnownEngine {
+    /// An engine of which nothing is known yet.
+    pub(super) fn new(name: HostName, zone: ZoneName) -> Self {
+        Self {
+            name,
+            zone,
+            own: FlightHistory::default(),
+            peers: FlightHistory::default(),
+            report: None,
+            observed_step_ms: None,
+            suspect_until: Duration::ZERO,
+        }
+    }
+
+    fn view(&self, now: Duration) -> UpstreamView<'_> {
+        let state = if now < self.suspect_until {
+            UpstreamState::Suspect
+        } else {
+            UpstreamState::Live
+        };
+        UpstreamView {
+            name: &self.name,
+            zone: &self.zone,
+            state,
+            load: self.load(),
+        }
+    }
+
+    fn load(&self) -> UpstreamLoad {
+        let taken = self.report.map(|report| report.0).unwrap_or_default();
+        UpstreamLoad {
+            own_in_flight: self.own.current(),
+            own_at_report: self.own.at(taken),
+            peers_in_flight: self.peers.current(),
+            peers_at_report: self.peers.at(taken),
+            report: self.report.map(|report| report.1),
+            observed_step_ms: self.observed_step_ms,
+        }
+    }
+}
+
+/// One router.
+#[derive(Debug)]
+pub(super) struct RouterState {
+    arm: PolicyArm,
+    zone: ZoneName,
+    rng: StdRng,
+    pub(super) engines: Vec<KnownEngine>,
+    /// Steps of the answers that it passed on.
+    history: ServiceHistory,
+    /// Retry budget per workspace.
+    budgets: Vec<RetryBudget>,
+    /// Demand per workspace, over all routers.
+    demands: Vec<PooledDemand>,
+    fair_level: FairLevel,
+    admission: DeadlineAdmission,
+    turn: u64,
+}
+
+impl RouterState {
+    /// A router that just started.
+    pub(super) fn new(
+        arm: &PolicyArm,
+        zone: ZoneName,
+        rng: StdRng,
+        engines: Vec<KnownEngine>,
+        workspaces: usize,
+    ) -> Self {
+        Self {
+            arm: arm.clone(),
+            zone,
+            rng,
+            engines,
+            history: ServiceHistory::default(),
+            budgets: vec![RetryBudget::new(RetryBudgetConfig::default()); workspaces],
+            demands: vec![PooledDemand::default(); workspaces],
+            fair_level: FairLevel(f64::INFINITY),
+            admission: DeadlineAdmission::default(),
+            turn: 0,
+        }
+    }
+
+    /// Counts a fresh request of `workspace`.
+    pub(super) fn offer(&mut self, now: Duration, workspace: usize) {
+        self.budgets[workspace].fund();
+        self.demands[workspace].offer(now);
+    }
+
+    /// The engine that gets `item`, or none when it is refused.
+    pub(super) fn place(
+        &mut self,
+        now: Duration,
+        item: &WorkItem,
+        class: PriorityClass,
+    ) -> Option<usize> {
+        let points = ChoicePoints {
+            first: self.rng.random(),
+            second: self.rng.random(),
+            turn: self.turn,
+        };
+        self.turn += 1;
+        let (fair_point, point) = (self.rng.random(), self.rng.random());
+        let standing = self.standing(now, item.entry.workspace, fair_point);
+        let views: Vec<UpstreamView<'_>> = self.engines.iter().map(|e| e.view(now)).collect();
+        let query = ChoiceQuery {
+            zone: &self.zone,
+            affinity: None,
+            tried: &item.tried,
+        };
+        let choice = UpstreamChoice {
+            policy: self.arm.choice,
+            ..UpstreamChoice::default()
+        };
+        let chosen = choice.choose(&views, &query, points).ok()?;
+        if self.admits(now, item, class, standing, &views[chosen].load, point) {
+            return Some(chosen);
+        }
+        let cheapest = choice.cheapest(&views, &query).ok()?;
+        self.admits(now, item, class, standing, &views[cheapest].load, point)
+            .then_some(cheapest)
+    }
+
+    fn admits(
+        &self,
+        now: Duration,
+        item: &WorkItem,
+        class: PriorityClass,
+        standing: FairStanding,
+        load: &UpstreamLoad,
+        point: f64,
+    ) -> bool {
+        if self.arm.admission == AdmissionMode::None {
+            return true;
+        }
+        let config = &self.admission.config;
+        let query = AdmissionQuery {
+            time_left: Some(item.deadline.saturating_sub(now)),
+            class,
+            standing,
+            load: *load,
+            service: self.history.estimate(now, config, load.step_ms(), None),
+            point,
+        };
+        self.admission.decide(&query).is_ok()
+    }
+
+    fn standing(&self, now: Duration, workspace: usize, point: f64) -> FairStanding {
+        if self.arm.admission != AdmissionMode::Fair {
+            return FairStanding::Within;
+        }
+        let demand = self.demand(now, workspace);
+        self.fair_level.standing(&demand, point)
+    }
+
+    fn demand(&self, now: Duration, workspace: usize) -> WorkspaceDemand {
+        WorkspaceDemand {
+            weight: 1.0,
+            offered: self.demands[workspace].rate(now),
+        }
+    }
+
+    /// Requests that this router was offered for `workspace`.
+    pub(super) fn offered_total(&self, workspace: usize) -> u64 {
+        self.demands[workspace].own_total()
+    }
+
+    /// Takes over a peer's count for `workspace`.
+    pub(super) fn merge(&mut self, now: Duration, workspace: usize, count: OfferedCount) {
+        self.demands[workspace].merge(now, count);
+    }
+
+    /// Computes the fair parts anew.
+    pub(super) fn share_out(&mut self, now: Duration) {
+        let Some(steps) = self.history.mean_steps() else {
+            return;
+        };
+        let rate =
+            |load: UpstreamLoad| f64::from(load.batch_limit()) * 1_000.0 / (steps * load.step_ms());
+        let live = self.engines.iter().filter(|e| now >= e.suspect_until);
+        let capacity: f64 = live.map(|e| rate(e.load())).sum();
+        let demands: Vec<WorkspaceDemand> = (0..self.demands.len())
+            .map(|workspace| self.demand(now, workspace))
+            .collect();
+        let target = self.admission.config.target_utilisation;
+        self.fair_level = FairLevel::compute(capacity * target, &demands);
+    }
+
+    /// Learns from an answer that took `steps`.
+    pub(super) fn learn(&mut self, now: Duration, steps: u32) {
+        self.history.record(now, steps);
+    }
+
+    /// Whether the failed `item` is sent elsewhere.
+    pub(super) fn retries(
+        &mut self,
+        now: Duration,
+        item: &WorkItem,
+        engine: usize,
+        failure: UpstreamFailure,
+    ) -> bool {
+        if failure.makes_suspect() {
+            self.engines[engine].suspect_until = now + SUSPECT_TIME;
+        }
+        let policy = RetryPolicy::default();
+        if self.arm.retry == RetryMode::Fixed {
+            return item.attempts < policy.most_attempts;
+        }
+        let step_ms = self.engines[engine].load().step_ms();
+        let config = &self.admission.config;
+        let service = self.history.estimate(now, config, step_ms, None);
+        let query = RetryQuery {
+            failure,
+            earlier: item.run,
+            idempotent: true,
+            answer_begun: false,
+            attempts: item.attempts,
+            time_left: Some(item.deadline.saturating_sub(now)),
+            time_needed: service.map(|s| s.mean).unwrap_or_default(),
+        };
+        let budget = &mut self.budgets[item.entry.workspace];
+        policy.decide(&query, budget) == RetryVerdict::RetryElsewhere
+    }
+}
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -1,7 +1,7 @@
 //! Deadline admission: refuses at once what cannot be answered in time.
 //!
-//! The wait follows from the upstream's present load, the service time from a quantile of what
-//! was seen lately. A wait that was measured is not used as a forecast: once it led to refusals,
+//! The wait follows from the upstream's present load, the service time from a quantile of the
+//! steps that recent answers took and the present step duration. A wait that was measured is not used as a forecast: once it led to refusals,
 //! nothing new would be measured and the refusals would never end.
 
 mod admission_config;
--- a/crates/decisions/src/admission/decaying_histogram.rs
+++ b/crates/decisions/src/admission/decaying_histogram.rs
@@ -1,11 +1,11 @@
-//! Histogram of durations in bounded memory, in which old samples count less.
+//! Histogram of amounts in bounded memory, in which old samples count less.
 
 use std::time::Duration;
 
 /// Buckets; each one's upper bound is `BUCKET_GROWTH` times the previous one's.
 const BUCKETS: usize = 96;
-/// Upper bound of the first bucket, in milliseconds.
-const FIRST_BOUND_MS: f64 = 1.0;
+/// Upper bound of the first bucket.
+const FIRST_BOUND: f64 = 1.0;
 /// Ratio of the bounds of neighbouring buckets: the relative error of a quantile.
 const BUCKET_GROWTH: f64 = 1.15;
 /// Time in which the weight of a sample halves.
@@ -15,15 +15,15 @@
 /// Total weight below which there is no estimate.
 const LEAST_WEIGHT: f64 = 3.0;
 
-/// Durations from 1 ms to about 10 minutes; longer ones count as the longest.
+/// Amounts from 1 to about half a million; larger ones count as the largest.
 #[derive(Debug, Clone)]
 pub struct DecayingHistogram {
     /// Decayed number of samples per bucket; never negative.
     weights: [f32; BUCKETS],
     /// Sum of `weights`.
     total: f64,
-    /// Decayed sum of the samples, in milliseconds.
-    sum_ms: f64,
+    /// Decayed sum of the samples.
+    sum: f64,
     /// Time up to which the weights are decayed.
     decayed_to: Duration,
     /// Time of the newest sample.
@@ -35,7 +35,7 @@
         Self {
             weights: [0.0; BUCKETS],
             total: 0.0,
-            sum_ms: 0.0,
+            sum: 0.0,
             decayed_to: Duration::ZERO,
             newest: None,
         }
@@ -44,17 +44,16 @@
 
 impl DecayingHistogram {
     /// Adds the sample `value`, seen at `now`.
-    pub fn record(&mut self, now: Duration, value: Duration) {
+    pub fn record(&mut self, now: Duration, value: f64) {
         self.decay(now);
-        let ms = value.as_secs_f64() * 1_000.0;
-        self.weights[bucket_of(ms)] += 1.0;
+        self.weights[bucket_of(value)] += 1.0;
         self.total += 1.0;
-        self.sum_ms += ms;
+        self.sum += value;
         self.newest = Some(now);
     }
 
-    /// Duration that the part `quantile` of the samples did not exceed; `None` with few samples.
-    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+    /// Amount that the part `quantile` of the samples did not exceed; `None` with few samples.
+    pub fn quantile(&self, quantile: f64) -> Option<f64> {
         if self.total < LEAST_WEIGHT {
             return None;
         }
@@ -68,9 +67,8 @@
     }
 
     /// Mean of the samples; `None` with few samples.
-    pub fn mean(&self) -> Option<Duration> {
-        (self.total >= LEAST_WEIGHT)
-            .then(|| Duration::from_secs_f64(self.sum_ms / self.total / 1_000.0))
+    pub fn mean(&self) -> Option<f64> {
+        (self.total >= LEAST_WEIGHT).then(|| self.sum / self.total)
     }
 
     /// Time since the newest sample; `None` without any.
@@ -88,20 +86,19 @@
             *weight *= factor as f32;
         }
         self.total = self.weights.iter().map(|w| f64::from(*w)).sum();
-        self.sum_ms *= factor;
+        self.sum *= factor;
         self.decayed_to = now;
     }
 }
 
-fn bucket_of(ms: f64) -> usize {
-    if ms <= FIRST_BOUND_MS {
+fn bucket_of(value: f64) -> usize {
+    if value <= FIRST_BOUND {
         return 0;
     }
-    let exponent = (ms / FIRST_BOUND_MS).ln() / BUCKET_GROWTH.ln();
+    let exponent = (value / FIRST_BOUND).ln() / BUCKET_GROWTH.ln();
     (exponent.ceil() as usize).min(BUCKETS - 1)
 }
 
-fn bound_of(bucket: usize) -> Duration {
-    let ms = FIRST_BOUND_MS * BUCKET_GROWTH.powi(bucket as i32);
-    Duration::from_secs_f64(ms / 1_000.0)
+fn bound_of(bucket: usize) -> f64 {
+    FIRST_BOUND * BUCKET_GROWTH.powi(bucket as i32)
 }
--- a/crates/decisions/src/choice/flight_history.rs
+++ b/crates/decisions/src/choice/flight_history.rs
@@ -1,4 +1,4 @@
-//! Own requests in flight over the last seconds, to line them up with a lagging report.
+//! Requests in flight over the last seconds, to line them up with a lagging report.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 /// Slots kept: reports up to 6.4 s old can be corrected.
 const SLOTS: usize = 64;
 
-/// Number of own requests in flight on one upstream, now and in the recent past.
+/// Number of requests in flight on one upstream, now and in the recent past.
 #[derive(Debug, Clone)]
 pub struct FlightHistory {
     /// Requests in flight at the end of each slot; slot `n` is at index `n % SLOTS`.
@@ -43,6 +43,13 @@
         self.store();
     }
 
+    /// Takes over a number that another router counted.
+    pub fn set(&mut self, now: Duration, count: u32) {
+        self.advance(now);
+        self.current = count;
+        self.store();
+    }
+
     /// Requests in flight now.
     pub fn current(&self) -> u32 {
         self.current
--- a/crates/decisions/src/choice/upstream_choice.rs
+++ b/crates/decisions/src/choice/upstream_choice.rs
@@ -88,6 +88,27 @@
         Ok(index)
     }
 
+    /// Index in `views` of the upstream with the least cost of all.
+    ///
+    /// A request is refused only when it would be late even there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when every upstream is leaving, suspect or tried.
+    pub fn cheapest(
+        &self,
+        views: &[UpstreamView<'_>],
+        query: &ChoiceQuery<'_>,
+    ) -> Result<usize, NoUpstream> {
+        let open = open_upstreams(views, query.tried)?;
+        let cost = |index: &usize| self.cost(&views[*index], query.zone);
+        let least = open
+            .iter()
+            .copied()
+            .min_by(|a, b| f64::total_cmp(&cost(a), &cost(b)));
+        Ok(least.unwrap_or(open[0]))
+    }
+
     /// The upstream that `query.affinity` maps to, unless it is much more loaded than the others.
     fn affine(
         &self,
--- a/crates/decisions/src/choice/upstream_view.rs
+++ b/crates/decisions/src/choice/upstream_view.rs
@@ -36,6 +36,10 @@
     pub own_in_flight: u32,
     /// Requests that this router had in flight there when the report was taken.
     pub own_at_report: u32,
+    /// Requests that the other routers have in flight there, as they last said; 0 when unknown.
+    pub peers_in_flight: u32,
+    /// Requests that the other routers had in flight there when the report was taken.
+    pub peers_at_report: u32,
     /// The last report; absent when none arrived yet.
     pub report: Option<ReportedLoad>,
     /// Step duration that this router observed since, in milliseconds.
@@ -63,10 +67,10 @@
 const ASSUMED_BATCH: u32 = 8;
 
 impl UpstreamLoad {
-    /// Requests on the upstream now: others' at the report, and this router's present ones.
+    /// Requests on the upstream now: unknown ones of the report, and the routers' present ones.
     pub fn corrected(&self) -> u32 {
-        let reported = self.report.map_or(0, |r| r.running + r.queued);
-        reported.saturating_sub(self.own_at_report) + self.own_in_flight
+        let known = self.own_at_report + self.peers_at_report;
+        self.reported().saturating_sub(known) + self.own_in_flight + self.peers_in_flight
     }
 
     /// Requests on the upstream as it reported them, without any correction.
--- a/crates/decisions/tests/admission.rs
+++ b/crates/decisions/tests/admission.rs
@@ -47,12 +47,12 @@
     ) {
         let mut histogram = DecayingHistogram::default();
         for value in &values {
-            histogram.record(Duration::ZERO, Duration::from_millis(*value));
+            histogram.record(Duration::ZERO, *value as f64);
         }
         values.sort_unstable();
         let rank = ((quantile * values.len() as f64).ceil() as usize).clamp(1, values.len());
         let exact = values[rank - 1] as f64;
-        let estimate = histogram.quantile(quantile).unwrap().as_secs_f64() * 1_000.0;
+        let estimate = histogram.quantile(quantile).unwrap();
         prop_assert!(estimate >= exact * 0.999 && estimate <= exact * 1.151, "{estimate} for {exact}");
     }
 
@@ -140,10 +140,15 @@
     let admission = DeadlineAdmission::default();
     let mut history = ServiceHistory::default();
     for _ in 0..20 {
-        history.record(Duration::from_secs(1), Duration::from_secs(9));
+        history.record(Duration::from_secs(1), 900);
     }
     let decide = |now: u64, point: f64| {
-        let service = history.estimate(Duration::from_secs(now), &AdmissionConfig::default());
+        let service = history.estimate(
+            Duration::from_secs(now),
+            &AdmissionConfig::default(),
+            10.0,
+            None,
+        );
         admission.decide(&AdmissionQuery {
             service,
             point,
@@ -154,3 +159,24 @@
     assert!(decide(8, 0.05).is_ok());
     assert!(decide(8, 0.5).is_err());
 }
+
+#[test]
+fn an_estimate_follows_the_step_duration_and_the_request_s_own_bound() {
+    let config = AdmissionConfig::default();
+    let mut history = ServiceHistory::default();
+    assert_eq!(history.estimate(Duration::ZERO, &config, 10.0, None), None);
+    for _ in 0..10 {
+        history.record(Duration::ZERO, 100);
+    }
+    let estimate = |step_ms, bound| {
+        history
+            .estimate(Duration::ZERO, &config, step_ms, bound)
+            .unwrap()
+    };
+    assert_eq!(estimate(10.0, None).mean, Duration::from_secs(1));
+    assert_eq!(estimate(50.0, None).mean, Duration::from_secs(5));
+    assert_eq!(
+        estimate(10.0, Some(20)).quantile,
+        Duration::from_millis(200)
+    );
+}
--- a/crates/decisions/tests/choice.rs
+++ b/crates/decisions/tests/choice.rs
@@ -186,6 +186,12 @@
         "a report can miss own requests"
     );
     assert_eq!(UpstreamLoad::default().corrected(), 0);
+    let pooled = UpstreamLoad {
+        peers_in_flight: 9,
+        peers_at_report: 5,
+        ..load(10, 4, 7)
+    };
+    assert_eq!(pooled.corrected(), 17);
 }
 
 #[test]
@@ -205,3 +211,18 @@
     assert_eq!(choose(load(5, 0, 0)), Ok(0));
     assert_eq!(choose(load(1, 0, 0)), Ok(1));
 }
+
+#[test]
+fn the_cheapest_upstream_counts_the_step_duration() {
+    let zone = ZoneName::new("a");
+    let hosts = names(3);
+    let query = ChoiceQuery {
+        zone: &zone,
+        affinity: None,
+        tried: &hosts[2..],
+    };
+    let mut slow = load(2, 0, 0);
+    slow.observed_step_ms = Some(80.0);
+    let views = views(&hosts, &zone, &[slow, load(9, 0, 0), load(0, 0, 0)]);
+    assert_eq!(UpstreamChoice::default().cheapest(&views, &query), Ok(1));
+}
