--- a/crates/bench/src/overload/overload_report.rs
+++ b/crates/bench/src/overload/overload_report.rs
@@ -29,8 +29,8 @@
         let played: Vec<_> = (0..experiment.arms.len())
             .map(|arm| scope.spawn(move || play_arm(experiment, arm, done, total)))
             .collect();
-        let joined = played.into_iter().map(|thread| thread.join());
-        joined.map(|figures| figures.unwrap_or_default()).collect()
+        let joined = played.into_iter().map(std::thread::ScopedJoinHandle::join);
+        joined.map(std::result::Result::unwrap_or_default).collect()
     });
     ExperimentReport {
         name: experiment.name.clone(),
