--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -72,7 +72,6 @@
 
     /// Announces the stop, finishes requests in flight, and takes the engine off the host list.
     pub async fn stop(&self) {
-        self.state.leave();
         HostRegistration::finish(self.registration.as_ref(), self.server.stop()).await;
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -21,6 +21,8 @@
 use std::ops::Deref;
 use std::sync::Arc;
 
+use ferry_platform::hosts::HostEntry;
+
 use crate::faults::FaultGate;
 use crate::server::{CrashMode, StandinApi, StandinServer};
 
@@ -53,6 +55,11 @@
         self.state.count()
     }
 
+    /// Registers or changes a host, which the list shows after its lag.
+    pub fn put_host(&self, entry: HostEntry) {
+        self.state.put_host(entry);
+    }
+
     /// Sets how answers of a version are scored.
     pub fn rate_version(&self, version: &str, rule: RatingRule) {
         self.state.set_rating(version.into(), rule);
--- a/crates/standin/src/platform/platform_api.rs
+++ b/crates/standin/src/platform/platform_api.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
 
 use super::host_table::HostTable;
 use super::rating_desk::RatingDesk;
@@ -62,6 +63,8 @@
     desk: RatingDesk,
     lags: Mutex<LagOrder>,
     tally: CallTally,
+    /// Set before a stop, so that reads no longer wait.
+    stop: CancellationToken,
 }
 
 #[derive(Debug, Default)]
@@ -86,9 +89,15 @@
             desk: RatingDesk::default(),
             lags: Mutex::new(lags),
             tally: CallTally::default(),
+            stop: CancellationToken::new(),
         }
     }
 
+    /// Ends reads that wait for a record, now and later.
+    pub(crate) fn end_waits(&self) {
+        self.stop.cancel();
+    }
+
     pub(super) fn count(&self) -> PlatformCount {
         let tally = &self.tally;
         PlatformCount {
@@ -101,6 +110,10 @@
         }
     }
 
+    pub(super) fn put_host(&self, entry: HostEntry) {
+        self.hosts.lock().put(entry);
+    }
+
     pub(super) fn set_rating(&self, version: VersionName, rule: RatingRule) -> bool {
         self.desk.set(version, rule)
     }
@@ -181,8 +194,9 @@
         let wait = reply::query_number(query, "wait_ms").unwrap_or(0);
         count(&self.tally.reads);
         let max = max.min(READ_LIMIT) as usize;
-        let wait = Duration::from_millis(wait);
-        let answer = self.store.read(name, from, max, wait).await;
+        let grown = self.store.grown(name, from, Duration::from_millis(wait));
+        self.stop.run_until_cancelled(grown).await;
+        let answer = self.store.read(name, from, max);
         json_response(StatusCode::OK, &answer)
     }
 
@@ -198,7 +212,7 @@
                     let message = "the entry's name differs from the path's; make them equal";
                     return reply::error(StatusCode::BAD_REQUEST, message);
                 }
-                self.hosts.lock().put(entry);
+                self.put_host(entry);
                 json_response(StatusCode::OK, &())
             }
             Method::DELETE => {
--- a/crates/standin/src/platform/stream_store.rs
+++ b/crates/standin/src/platform/stream_store.rs
@@ -7,6 +7,7 @@
 use ferry_kernel::wall_clock;
 use ferry_platform::log::ReadAnswer;
 use parking_lot::Mutex;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::log_stream::LogStream;
@@ -109,22 +110,16 @@
         Ok(offset)
     }
 
-    /// Reads from the stream `name`, waiting up to `wait` for a record at `from`.
-    pub(super) async fn read(
-        &self,
-        name: &str,
-        from: u64,
-        max: usize,
-        wait: Duration,
-    ) -> ReadAnswer {
+    /// Waits up to `wait` until the stream `name` has a record at `from`.
+    pub(super) async fn grown(&self, name: &str, from: u64, wait: Duration) {
         if let Some(mut growth) = self.growth(name) {
             let grown = growth.wait_for(|next| *next > from);
             let _ = tokio::time::timeout(wait.min(WAIT_LIMIT), grown).await;
         }
-        self.read_now(name, from, max)
     }
 
-    fn read_now(&self, name: &str, from: u64, max: usize) -> ReadAnswer {
+    /// At most `max` records of the stream `name` from offset `from` on.
+    pub(super) fn read(&self, name: &str, from: u64, max: usize) -> ReadAnswer {
         let rule = self.rule_for(name);
         let mut streams = self.streams.lock();
         match streams.get_mut(name) {
@@ -141,7 +136,7 @@
     }
 
     /// Growth of the stream `name`, which is created for the wait if there is room.
-    fn growth(&self, name: &str) -> Option<tokio::sync::watch::Receiver<u64>> {
+    fn growth(&self, name: &str) -> Option<watch::Receiver<u64>> {
         let mut streams = self.streams.lock();
         let room = streams.len() < STREAM_LIMIT && is_stream_name(name);
         if !streams.contains_key(name) && !room {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -148,9 +148,11 @@
         }
     }
 
-    /// Takes no new request and waits for those in flight, for a limited time.
+    /// Lifts all faults, takes no new request and waits for those in flight, for a limited time.
     pub async fn stop(&self) {
         self.inner.stop.cancel();
+        self.inner.context.api.leave();
+        self.set_faults(FaultOrder::default());
         let main = self.inner.main.lock().take();
         if let Some(main) = main
             && tokio::time::timeout(STOP_GRACE, main.stop()).await.is_err()
--- a/crates/standin/src/server/standin_api.rs
+++ b/crates/standin/src/server/standin_api.rs
@@ -58,6 +58,15 @@
         }
     }
 
+    /// Refuses new work, and ends calls that only wait, before a stop.
+    pub(crate) fn leave(&self) {
+        match self {
+            Self::Platform(state) => state.end_waits(),
+            Self::Engine(state) => state.leave(),
+            Self::Service(state) => state.leave(),
+        }
+    }
+
     /// Ends background tasks.
     pub(crate) fn stop(&self) {
         match self {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -63,7 +63,6 @@
 
     /// Announces the stop, finishes calls in flight, and takes the service off the host list.
     pub async fn stop(&self) {
-        self.state.leave();
         HostRegistration::finish(self.registration.as_ref(), self.server.stop()).await;
     }
 }
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -2,5 +2,7 @@
 
 mod calls;
 mod engine;
+mod faults;
 mod platform;
+mod relay;
 mod service;
