Start stand-in processes through the rig in their tests

Excluded: naming the library again, since the rig has the same code already. Before: tests/standin_process.rs did not compile. Conclusion: one piece of code starts, signals and waits for processes.

--- a/tests/standin_process.rs
+++ b/tests/standin_process.rs
@@ -1,92 +1,82 @@
 //! `ferry-standin` as a process: addresses on standard output, stop by signal, crash by order.
 
-use std::io::{BufRead, BufReader};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::path::Path;
 use std::time::Duration;
 
 use ferry_kernel::http::{HttpClient, HttpRequest};
+use ferry_rig::ChildProcess;
 use hyper::Method;
 use serde_json::{Value, json};
+use tempfile::TempDir;
 
 /// Limit of every call; reached only when a test fails.
 const LONG: Duration = Duration::from_secs(30);
 /// Exit code of a stand-in that crashed.
 const CRASH_EXIT: i32 = 134;
 
-/// A running process with the base of its addresses.
-struct StandinProcess {
-    child: Child,
-    url: String,
+/// A platform and an engine that is registered with it.
+struct Standins {
+    platform: ChildProcess,
+    engine: ChildProcess,
+    _folder: TempDir,
 }
 
-impl StandinProcess {
-    fn start(args: &[&str]) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_ferry-standin"))
-            .args(args)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        let stdout = child.stdout.take().unwrap();
-        BufReader::new(stdout).read_line(&mut line).unwrap();
-        let addresses: Value = serde_json::from_str(&line).unwrap();
-        let url = format!("http://{}", addresses["listening"].as_str().unwrap());
-        Self { child, url }
-    }
-
-    fn engine(platform: &Self) -> Self {
-        let listen = ["engine", "--listen", "127.0.0.1:0", "--platform"];
+impl Standins {
+    async fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let platform = ["platform", "--listen", "127.0.0.1:0", "--hosts-lag-ms", "0"];
+        let platform = start(folder.path(), &platform).await;
+        let url = url_of(&platform);
+        let engine = ["engine", "--listen", "127.0.0.1:0", "--platform", &url];
         let identity = ["--name", "e1", "--zone", "nasr-hall", "--version", "v1"];
-        Self::start(&[&listen[..], &[platform.url.as_str()], &identity[..]].concat())
-    }
-
-    fn platform() -> Self {
-        Self::start(&["platform", "--listen", "127.0.0.1:0", "--hosts-lag-ms", "0"])
+        let engine = start(folder.path(), &[&engine[..], &identity[..]].concat()).await;
+        Self {
+            platform,
+            engine,
+            _folder: folder,
+        }
     }
+}
 
-    fn terminate(mut self) -> ExitStatus {
-        let pid = self.child.id().try_into().unwrap();
-        // SAFETY: sends a signal to a child that has not been waited for.
-        assert_eq!(unsafe { libc::kill(pid, libc::SIGTERM) }, 0);
-        self.child.wait().unwrap()
-    }
+async fn start(folder: &Path, arguments: &[&str]) -> ChildProcess {
+    let program = Path::new(env!("CARGO_BIN_EXE_ferry-standin"));
+    let arguments: Vec<_> = arguments.iter().map(|text| (*text).to_owned()).collect();
+    let log = folder.join(format!("{}.log", arguments[0]));
+    ChildProcess::start(program, &arguments, &log)
+        .await
+        .unwrap()
 }
 
-impl Drop for StandinProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+fn url_of(process: &ChildProcess) -> String {
+    format!("http://{}", process.address("listening"))
 }
 
 #[tokio::test]
 async fn a_terminated_engine_leaves_the_list_and_exits_cleanly() {
-    let platform = StandinProcess::platform();
-    let engine = StandinProcess::engine(&platform);
+    let mut standins = Standins::start().await;
     let client = HttpClient::default();
-    let hosts = HttpRequest::get(&format!("{}/hosts", platform.url));
+    let hosts = HttpRequest::get(&format!("{}/hosts", url_of(&standins.platform)));
     let listing: Value = client.fetch_json(hosts.clone(), LONG).await.unwrap();
     assert_eq!(listing["hosts"][0]["name"], "e1");
-    assert_eq!(engine.terminate().code(), Some(0));
+    standins.engine.terminate();
+    assert_eq!(standins.engine.wait().await, Some(0));
     let listing: Value = client.fetch_json(hosts, LONG).await.unwrap();
     assert_eq!(listing["hosts"], json!([]));
-    assert_eq!(platform.terminate().code(), Some(0));
+    standins.platform.terminate();
+    assert_eq!(standins.platform.wait().await, Some(0));
 }
 
 #[tokio::test]
 async fn a_crash_ends_the_process() {
-    let platform = StandinProcess::platform();
-    let mut engine = StandinProcess::engine(&platform);
+    let mut standins = Standins::start().await;
     let client = HttpClient::default();
+    let url = url_of(&standins.engine);
     let order = json!({"crash": {"marker": "POISON"}});
-    let mut order = HttpRequest::post_json(&format!("{}/standin/faults", engine.url), &order);
+    let mut order = HttpRequest::post_json(&format!("{url}/standin/faults"), &order);
     order.method = Method::PUT;
     client.fetch(order, LONG).await.unwrap();
     let chat = json!({"model": "v1", "messages": [{"role": "user", "content": "POISON"}]});
-    let url = format!("{}/v1/chat/completions", engine.url);
-    let poison = client
-        .fetch(HttpRequest::post_json(&url, &chat), LONG)
-        .await;
-    assert!(poison.is_err());
-    assert_eq!(engine.child.wait().unwrap().code(), Some(CRASH_EXIT));
+    let poison = HttpRequest::post_json(&format!("{url}/v1/chat/completions"), &chat);
+    assert!(client.fetch(poison, LONG).await.is_err());
+    assert_eq!(standins.engine.wait().await, Some(CRASH_EXIT));
 }
