Add ferryctl: apply, get, withdraw, retire, status, explain, watch, check

Cause: operators had no tool; tests published records by hand. Excluded: one router's view of the fleet for the state of a change, since a router that is cut off would then speak for the others; every router is asked. Before: no binary. Conclusion: published, accepted and in force are told apart by name of host.

--- /dev/null
+++ b/crates/operator/src/ctl_app/apply_command.rs
@@ -0,0 +1,106 @@
+//! `ferryctl apply`, `delete`, `withdraw` and `retire`: publish changes.
+
+use std::time::Duration;
+
+use ferry_decisions::config::{ObjectKey, ObjectKind, ObjectSpec, VersionPhase};
+
+use super::flags::{Apply, Delete};
+use super::{CtlError, get_command};
+use crate::config_file::ConfigFile;
+use crate::fleet::FleetClient;
+use crate::publish::{ChangeDraft, ChangeProgress, ChangeStage, PublishError, publish};
+
+/// Time for which a change is followed unless the command line says otherwise.
+const DEFAULT_WAIT: Duration = Duration::from_secs(9);
+/// Exit code when a change is not yet in force everywhere.
+const NOT_IN_FORCE_EXIT: u8 = 4;
+
+/// Publishes the objects of a file.
+pub async fn apply(fleet: &FleetClient, command: &Apply, json: bool) -> Result<u8, CtlError> {
+    let file = ConfigFile::read(&command.file)?;
+    let mut draft = draft(fleet).await?;
+    for (key, spec) in file.objects() {
+        draft.set(key, spec);
+    }
+    let wait = command.wait.map_or(DEFAULT_WAIT, Duration::from_secs);
+    send(fleet, draft, wait, json).await
+}
+
+/// Deletes an object.
+pub async fn delete(fleet: &FleetClient, command: &Delete, json: bool) -> Result<u8, CtlError> {
+    let kind = get_command::parse_kind(&command.kind)?;
+    let mut draft = draft(fleet).await?;
+    draft.delete(ObjectKey::new(kind, &command.name))?;
+    send(fleet, draft, DEFAULT_WAIT, json).await
+}
+
+/// Stops all new work of `version`.
+pub async fn withdraw(fleet: &FleetClient, version: &str, json: bool) -> Result<u8, CtlError> {
+    set_phase(fleet, version, VersionPhase::Withdrawn, json).await
+}
+
+/// Keeps `version` for its sessions only.
+pub async fn retire(fleet: &FleetClient, version: &str, json: bool) -> Result<u8, CtlError> {
+    set_phase(fleet, version, VersionPhase::Retiring, json).await
+}
+
+async fn set_phase(
+    fleet: &FleetClient,
+    version: &str,
+    phase: VersionPhase,
+    json: bool,
+) -> Result<u8, CtlError> {
+    let mut draft = draft(fleet).await?;
+    let key = ObjectKey::new(ObjectKind::Version, version);
+    if let ObjectSpec::Version(spec) = draft.seen(&key)?.clone() {
+        let mut spec = spec;
+        spec.phase = phase;
+        draft.set(key, ObjectSpec::Version(spec));
+    }
+    send(fleet, draft, DEFAULT_WAIT, json).await
+}
+
+async fn draft(fleet: &FleetClient) -> Result<ChangeDraft, CtlError> {
+    let seen = fleet.newest_config().await.map_err(PublishError::from)?;
+    Ok(ChangeDraft::new(seen.as_ref()))
+}
+
+async fn send(
+    fleet: &FleetClient,
+    draft: ChangeDraft,
+    wait: Duration,
+    json: bool,
+) -> Result<u8, CtlError> {
+    if draft.is_empty() {
+        println!("nothing to change");
+        return Ok(0);
+    }
+    let change = draft.finish(&fleet.settings.operator)?;
+    let show = |progress: &ChangeProgress| show(progress, json);
+    let progress = publish(fleet, &change, wait, show).await?;
+    Ok(match progress.stage {
+        ChangeStage::InForce => 0,
+        ChangeStage::Published | ChangeStage::Accepted => NOT_IN_FORCE_EXIT,
+    })
+}
+
+fn show(progress: &ChangeProgress, json: bool) {
+    if json {
+        println!("{}", serde_json::json!(progress));
+        return;
+    }
+    let offset = progress.offset;
+    match progress.stage {
+        ChangeStage::Published => println!("published at offset {offset}"),
+        ChangeStage::Accepted => println!(
+            "accepted, in force on {}; waiting for {}",
+            progress.confirmed.join(", "),
+            progress.waiting.join(", ")
+        ),
+        ChangeStage::InForce if progress.lapsed.is_empty() => println!("in force everywhere"),
+        ChangeStage::InForce => println!(
+            "in force everywhere; {} admit no work until they have read it",
+            progress.lapsed.join(", ")
+        ),
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,4 +1,8 @@
 //! Tools of operators and billing clerks.
 
+pub mod config_file;
+pub mod ctl_app;
+pub mod fleet;
 pub mod ledger;
 pub mod ledger_app;
+pub mod publish;
--- /dev/null
+++ b/crates/operator/src/publish/publisher.rs
@@ -0,0 +1,100 @@
+//! Appends a change and waits until it is in force.
+
+use std::time::Duration;
+
+use ferry_decisions::config::{ChangeSet, ConfigRecord, ConfigVerdict};
+use ferry_platform::log::LogError;
+use ferry_router::config::CONFIG_STREAM;
+use tokio::time::{Instant, sleep};
+
+use super::{ChangeProgress, ChangeStage, PublishError};
+use crate::fleet::FleetClient;
+
+/// Pause between two looks at the routers.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a change that the log did not confirm is looked for.
+const READ_BACK_TIME: Duration = Duration::from_secs(3);
+
+/// Publishes `change` and follows it for at most `wait`; `seen` gets each new progress.
+///
+/// # Errors
+///
+/// Fails when the change was refused or its fate is not known. A change that is accepted but not
+/// in force in time is no error: the progress names the hosts that it waits for.
+pub async fn publish(
+    fleet: &FleetClient,
+    change: &ChangeSet,
+    wait: Duration,
+    mut seen: impl FnMut(&ChangeProgress),
+) -> Result<ChangeProgress, PublishError> {
+    let offset = append(fleet, change).await?;
+    let deadline = Instant::now() + wait;
+    let freshness = Duration::from_millis(fleet.settings.freshness_ms);
+    let mut accepted_at = None;
+    let mut last: Option<ChangeProgress> = None;
+    loop {
+        let lapsed = accepted_at.is_some_and(|at: Instant| at.elapsed() > freshness);
+        let progress = look(fleet, change, offset, lapsed).await?;
+        if progress.stage >= ChangeStage::Accepted {
+            accepted_at.get_or_insert_with(Instant::now);
+        }
+        if last.as_ref() != Some(&progress) {
+            seen(&progress);
+        }
+        if progress.stage == ChangeStage::InForce || Instant::now() >= deadline {
+            return Ok(progress);
+        }
+        last = Some(progress);
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Appends the change; after a lost answer its own id tells whether the log has it.
+async fn append(fleet: &FleetClient, change: &ChangeSet) -> Result<u64, PublishError> {
+    let record = ConfigRecord::Change(change.clone());
+    let data = serde_json::to_vec(&record).expect("a record has only plain fields");
+    match fleet.log.append(CONFIG_STREAM, data).await {
+        Ok(offset) => Ok(offset),
+        Err(LogError::Unconfirmed(reason)) => read_back(fleet, change, &reason).await,
+        Err(error) => Err(PublishError::NotPublished(error.to_string())),
+    }
+}
+
+async fn read_back(
+    fleet: &FleetClient,
+    change: &ChangeSet,
+    reason: &str,
+) -> Result<u64, PublishError> {
+    let limit = Instant::now() + READ_BACK_TIME;
+    while Instant::now() < limit {
+        let verdicts = fleet.verdicts(change.id).await;
+        if let Some(answer) = verdicts.values().next() {
+            return Ok(answer.offset);
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    Err(PublishError::Unknown(reason.to_owned()))
+}
+
+async fn look(
+    fleet: &FleetClient,
+    change: &ChangeSet,
+    offset: u64,
+    leases_lapsed: bool,
+) -> Result<ChangeProgress, PublishError> {
+    let verdicts = fleet.verdicts(change.id).await;
+    for answer in verdicts.values() {
+        match &answer.verdict {
+            ConfigVerdict::Accepted => {}
+            ConfigVerdict::Conflict { key, .. } => return Err(PublishError::Conflict(key.clone())),
+            ConfigVerdict::Invalid { problem } => {
+                return Err(PublishError::Invalid(problem.clone()));
+            }
+        }
+    }
+    let hosts = fleet.settings.routers.keys();
+    let folded = hosts
+        .map(|host| (host.clone(), verdicts.contains_key(host)))
+        .collect();
+    Ok(ChangeProgress::assess(offset, &folded, leases_lapsed))
+}
--- a/src/bin/ferryctl.rs
+++ b/src/bin/ferryctl.rs
@@ -1,3 +1,5 @@
 //! Entry point of `ferryctl`.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    ferry_operator::ctl_app::main()
+}
