--- a/crates/bench/src/overload/overload_report.rs
+++ b/crates/bench/src/overload/overload_report.rs
@@ -29,8 +29,10 @@
         let played: Vec<_> = (0..experiment.arms.len())
             .map(|arm| scope.spawn(move || play_arm(experiment, arm, done, total)))
             .collect();
-        let joined = played.into_iter().map(|thread| thread.join());
-        joined.map(|figures| figures.unwrap_or_default()).collect()
+        played
+            .into_iter()
+            .map(|thread| thread.join().expect("a run does not panic"))
+            .collect()
     });
     ExperimentReport {
         name: experiment.name.clone(),
@@ -69,6 +71,12 @@
         }));
     }
     let seconds = experiment.duration().as_secs();
+    for (index, class) in experiment.classes.iter().enumerate() {
+        let title = format!("Class {:?}, all phases", class.priority);
+        tables.push(table(experiment, &title, seconds, results, |r| {
+            &r.classes[index]
+        }));
+    }
     let large = "First workspace, all phases";
     tables.push(table(experiment, large, seconds, results, |r| &r.large));
     let modest = "Other workspaces, all phases";
--- a/crates/bench/src/overload/overload_run.rs
+++ b/crates/bench/src/overload/overload_run.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ferry_decisions::choice::RankCounts;
 use ferry_decisions::limits::OfferedCount;
 use ferry_decisions::names::{HostName, Incarnation, ZoneName};
 use ferry_decisions::retry::UpstreamFailure;
@@ -27,6 +28,8 @@
 pub(super) struct RunFigures {
     /// Per phase, by time of arrival.
     pub(super) phases: Vec<PhaseFigures>,
+    /// Per class, over all phases.
+    pub(super) classes: Vec<PhaseFigures>,
     /// The first workspace, over all phases.
     pub(super) large: PhaseFigures,
     /// All other workspaces.
@@ -40,6 +43,7 @@
         let seconds = experiment.duration().as_secs() as usize;
         Self {
             phases: vec![PhaseFigures::default(); experiment.phases.len()],
+            classes: vec![PhaseFigures::default(); experiment.classes.len()],
             answers_by_second: vec![0; seconds],
             ..Self::default()
         }
@@ -54,6 +58,9 @@
         for (phase, more) in self.phases.iter_mut().zip(&other.phases) {
             phase.add(more);
         }
+        for (class, more) in self.classes.iter_mut().zip(&other.classes) {
+            class.add(more);
+        }
         self.large.add(&other.large);
         self.modest.add(&other.modest);
         for (count, more) in self
@@ -67,6 +74,7 @@
 
     fn update(&mut self, entry: &ArrivalEntry, change: impl Fn(&mut PhaseFigures)) {
         change(&mut self.phases[entry.phase]);
+        change(&mut self.classes[entry.class]);
         if entry.workspace == 0 {
             change(&mut self.large);
         } else {
@@ -172,13 +180,14 @@
         let work = &mut self.items[item];
         let class = self.experiment.classes[work.entry.class].priority;
         let router = &mut self.routers[work.entry.router];
-        let Some(engine) = router.place(self.now, work, class) else {
+        let Some((engine, rank)) = router.place(self.now, work, class) else {
             return self.finish(item, WorkOutcome::Refused);
         };
         let known = &mut router.engines[engine];
-        known.own.begin(self.now);
+        known.own.begin(self.now, rank);
         work.tried.push(known.name.clone());
         work.engine = Some(engine);
+        work.rank = rank;
         work.attempts += 1;
         let attempt = work.attempts;
         let at = self.now + self.delay(item);
@@ -205,7 +214,7 @@
         let job = EngineJob {
             item,
             attempt,
-            priority: self.experiment.classes[work.entry.class].priority,
+            rank: work.rank,
             steps_left: work.entry.steps,
         };
         if !self.engines[engine].is_alive() {
@@ -295,7 +304,7 @@
         let engine = work.engine.take().unwrap_or_default();
         self.routers[work.entry.router].engines[engine]
             .own
-            .end(self.now);
+            .end(self.now, work.rank);
         engine
     }
 
@@ -337,11 +346,17 @@
             return;
         }
         for engine in 0..self.engines.len() {
-            let own = |router: &RouterState| router.engines[engine].own.current();
-            let total: u32 = self.routers.iter().map(own).sum();
+            let mut total = RankCounts::default();
+            for router in &self.routers {
+                let own = router.engines[engine].own.by_rank();
+                total.iter_mut().zip(own).for_each(|(t, o)| *t += o);
+            }
             for router in &mut self.routers {
                 let known = &mut router.engines[engine];
-                known.peers.set(self.now, total - known.own.current());
+                let mut others = total;
+                let own = known.own.by_rank();
+                others.iter_mut().zip(own).for_each(|(t, o)| *t -= o);
+                known.peers.set(self.now, others);
             }
         }
     }
--- a/crates/bench/src/overload/phase_figures.rs
+++ b/crates/bench/src/overload/phase_figures.rs
@@ -54,7 +54,7 @@
     /// Counts one request that ended `after` its arrival.
     pub(super) fn record(&mut self, outcome: WorkOutcome, after: Duration) {
         match outcome {
-            WorkOutcome::Answered => self.latency.saturating_record(after.as_micros() as u64),
+            WorkOutcome::Answered => self.record_latency(after),
             WorkOutcome::Late => self.late += 1,
             WorkOutcome::Refused => {
                 self.refused += 1;
@@ -63,6 +63,13 @@
         }
     }
 
+    fn record_latency(&mut self, after: Duration) {
+        let micros = after.as_micros() as u64;
+        self.latency
+            .record(micros)
+            .expect("the histogram grows as needed");
+    }
+
     /// Adds the figures of another run.
     pub(super) fn add(&mut self, other: &Self) {
         self.offered += other.offered;
@@ -70,7 +77,9 @@
         self.refused_promptly += other.refused_promptly;
         self.late += other.late;
         self.retries += other.retries;
-        self.latency += &other.latency;
+        self.latency
+            .add(&other.latency)
+            .expect("the histogram grows as needed");
     }
 
     /// Requests answered in time.
--- a/crates/bench/src/overload/router_state.rs
+++ b/crates/bench/src/overload/router_state.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ferry_decisions::admission::{
-    AdmissionQuery, DeadlineAdmission, FairLevel, FairStanding, PriorityClass, ServiceHistory,
-    WorkspaceDemand,
+    AdmissionQuery, DeadlineAdmission, FairLevel, FairStanding, PriorityClass, QueueRank,
+    ServiceHistory, WorkspaceDemand,
 };
 use ferry_decisions::choice::{
     ChoicePoints, ChoiceQuery, FlightHistory, ReportedLoad, UpstreamChoice, UpstreamLoad,
@@ -55,7 +55,7 @@
         }
     }
 
-    fn view(&self, now: Duration) -> UpstreamView<'_> {
+    fn view(&self, now: Duration, rank: QueueRank) -> UpstreamView<'_> {
         let state = if now < self.suspect_until {
             UpstreamState::Suspect
         } else {
@@ -65,17 +65,18 @@
             name: &self.name,
             zone: &self.zone,
             state,
-            load: self.load(),
+            load: self.load(rank),
         }
     }
 
-    fn load(&self) -> UpstreamLoad {
+    fn load(&self, rank: QueueRank) -> UpstreamLoad {
         let taken = self.report.map(|report| report.0).unwrap_or_default();
         UpstreamLoad {
             own_in_flight: self.own.current(),
             own_at_report: self.own.at(taken),
             peers_in_flight: self.peers.current(),
             peers_at_report: self.peers.at(taken),
+            mix: self.own.mix_around(rank) + self.peers.mix_around(rank),
             report: self.report.map(|report| report.1),
             observed_step_ms: self.observed_step_ms,
         }
@@ -129,13 +130,13 @@
         self.demands[workspace].offer(now);
     }
 
-    /// The engine that gets `item`, or none when it is refused.
+    /// The engine that gets `item` with its rank there, or none when it is refused.
     pub(super) fn place(
         &mut self,
         now: Duration,
         item: &WorkItem,
         class: PriorityClass,
-    ) -> Option<usize> {
+    ) -> Option<(usize, QueueRank)> {
         let points = ChoicePoints {
             first: self.rng.random(),
             second: self.rng.random(),
@@ -144,7 +145,9 @@
         self.turn += 1;
         let (fair_point, point) = (self.rng.random(), self.rng.random());
         let standing = self.standing(now, item.entry.workspace, fair_point);
-        let views: Vec<UpstreamView<'_>> = self.engines.iter().map(|e| e.view(now)).collect();
+        let rank = QueueRank::new(class, standing);
+        let engines = self.engines.iter();
+        let views: Vec<UpstreamView<'_>> = engines.map(|e| e.view(now, rank)).collect();
         let query = ChoiceQuery {
             zone: &self.zone,
             affinity: None,
@@ -156,11 +159,11 @@
         };
         let chosen = choice.choose(&views, &query, points).ok()?;
         if self.admits(now, item, class, standing, &views[chosen].load, point) {
-            return Some(chosen);
+            return Some((chosen, rank));
         }
         let cheapest = choice.cheapest(&views, &query).ok()?;
         self.admits(now, item, class, standing, &views[cheapest].load, point)
-            .then_some(cheapest)
+            .then_some((cheapest, rank))
     }
 
     fn admits(
@@ -219,8 +222,9 @@
         };
         let rate =
             |load: UpstreamLoad| f64::from(load.batch_limit()) * 1_000.0 / (steps * load.step_ms());
+        let rank = QueueRank::new(PriorityClass::Normal, FairStanding::Within);
         let live = self.engines.iter().filter(|e| now >= e.suspect_until);
-        let capacity: f64 = live.map(|e| rate(e.load())).sum();
+        let capacity: f64 = live.map(|e| rate(e.load(rank))).sum();
         let demands: Vec<WorkspaceDemand> = (0..self.demands.len())
             .map(|workspace| self.demand(now, workspace))
             .collect();
@@ -248,7 +252,7 @@
         if self.arm.retry == RetryMode::Fixed {
             return item.attempts < policy.most_attempts;
         }
-        let step_ms = self.engines[engine].load().step_ms();
+        let step_ms = self.engines[engine].load(item.rank).step_ms();
         let config = &self.admission.config;
         let service = self.history.estimate(now, config, step_ms, None);
         let query = RetryQuery {
--- a/crates/bench/src/overload/virtual_engine.rs
+++ b/crates/bench/src/overload/virtual_engine.rs
@@ -1,9 +1,9 @@
-//! Fake engine: a continuous batch, a bounded queue by priority, reports that lag.
+//! Fake engine: a continuous batch, a bounded queue by rank, reports that lag.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use ferry_decisions::admission::PriorityClass;
+use ferry_decisions::admission::QueueRank;
 use ferry_decisions::choice::ReportedLoad;
 
 use super::EnginePool;
@@ -15,8 +15,8 @@
     pub(super) item: usize,
     /// Number of the attempt.
     pub(super) attempt: u32,
-    /// Priority in the queue.
-    pub(super) priority: PriorityClass,
+    /// Rank in the queue.
+    pub(super) rank: QueueRank,
     /// Steps until the answer is whole.
     pub(super) steps_left: u32,
 }
@@ -73,7 +73,7 @@
         if self.queue.len() >= self.pool.queue as usize {
             return false;
         }
-        let after = self.queue.iter().position(|q| q.priority < job.priority);
+        let after = self.queue.iter().position(|q| q.rank < job.rank);
         self.queue.insert(after.unwrap_or(self.queue.len()), job);
         true
     }
--- a/crates/bench/src/overload/work_item.rs
+++ b/crates/bench/src/overload/work_item.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ferry_decisions::admission::{FairStanding, PriorityClass, QueueRank};
 use ferry_decisions::names::HostName;
 use ferry_decisions::retry::RunState;
 use smallvec::SmallVec;
@@ -19,6 +20,8 @@
     pub(super) attempts: u32,
     /// Engine of the attempt under way.
     pub(super) engine: Option<usize>,
+    /// Rank of the attempt under way.
+    pub(super) rank: QueueRank,
     /// Engines that had the request.
     pub(super) tried: SmallVec<[HostName; 3]>,
     /// What the failed attempts left behind.
@@ -35,6 +38,7 @@
             deadline,
             attempts: 0,
             engine: None,
+            rank: QueueRank::new(PriorityClass::Normal, FairStanding::Within),
             tried: SmallVec::new(),
             run: RunState::NotRun,
             done: false,
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -8,6 +8,7 @@
 mod deadline_admission;
 mod decaying_histogram;
 mod fair_share;
+mod queue_rank;
 mod service_estimate;
 
 pub use admission_config::{AdmissionConfig, PriorityClass};
@@ -16,4 +17,5 @@
 };
 pub use decaying_histogram::DecayingHistogram;
 pub use fair_share::{FairLevel, FairStanding, WorkspaceDemand};
+pub use queue_rank::QueueRank;
 pub use service_estimate::{ServiceEstimate, ServiceHistory};
--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -18,17 +18,6 @@
     }
 }
 
-impl PriorityClass {
-    /// Priority as engines take it: higher first.
-    pub fn engine_priority(self) -> u32 {
-        match self {
-            Self::Batch => 0,
-            Self::Normal => 1,
-            Self::Urgent => 2,
-        }
-    }
-}
-
 /// Constants of deadline admission.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/decisions/src/admission/deadline_admission.rs
+++ b/crates/decisions/src/admission/deadline_admission.rs
@@ -7,6 +7,8 @@
 
 /// Random part that is added to a Retry-After time, so that callers do not return together.
 const RETRY_SPREAD: f64 = 0.25;
+/// Least part of a batch that is assumed to be left by work of higher rank.
+const LEAST_PART_LEFT: f64 = 0.02;
 /// Shortest Retry-After time.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
@@ -120,13 +122,16 @@
     }
 }
 
-/// Wait of a request behind those that already wait: a batch place frees up every `mean / places`.
+/// Wait of a request behind those that are not of lower rank: every `mean / places` a place of the
+/// batch frees up, and work of higher rank that is still to come takes its part of these.
 fn expected_wait(load: &UpstreamLoad, mean: Duration) -> Duration {
-    let (total, places) = (load.corrected(), load.batch_limit());
-    if total < places {
+    let places = load.batch_limit();
+    if load.corrected() < places {
         return Duration::ZERO;
     }
-    mean.mul_f64(f64::from(load.waiting() + 1) / f64::from(places))
+    let turns = (load.waiting_ahead() + 1.0) / f64::from(places);
+    let left = (1.0 - load.higher_part()).max(LEAST_PART_LEFT);
+    mean.mul_f64(turns / left)
 }
 
 fn spread(time: Duration, point: f64) -> Duration {
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -6,6 +6,6 @@
 mod upstream_view;
 
 pub use choice_policy::{ChoiceConfig, ChoicePolicy};
-pub use flight_history::FlightHistory;
+pub use flight_history::{FlightHistory, RankCounts};
 pub use upstream_choice::{ChoicePoints, ChoiceQuery, NoUpstream, UpstreamChoice};
-pub use upstream_view::{ReportedLoad, UpstreamLoad, UpstreamState, UpstreamView};
+pub use upstream_view::{RankMix, ReportedLoad, UpstreamLoad, UpstreamState, UpstreamView};
--- a/crates/decisions/src/choice/flight_history.rs
+++ b/crates/decisions/src/choice/flight_history.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+use super::RankMix;
+use crate::admission::QueueRank;
+
+/// Requests in flight by rank, lowest rank first.
+pub type RankCounts = [u32; QueueRank::COUNT];
+
 /// Duration of one slot.
 const SLOT: Duration = Duration::from_millis(100);
 /// Slots kept: reports up to 6.4 s old can be corrected.
@@ -15,7 +21,7 @@
     /// The slot that `current` belongs to.
     slot: u64,
     /// Requests in flight now.
-    current: u32,
+    current: RankCounts,
 }
 
 impl Default for FlightHistory {
@@ -23,43 +29,59 @@
         Self {
             counts: [0; SLOTS],
             slot: 0,
-            current: 0,
+            current: RankCounts::default(),
         }
     }
 }
 
 impl FlightHistory {
     /// Counts one dispatched request.
-    pub fn begin(&mut self, now: Duration) {
+    pub fn begin(&mut self, now: Duration, rank: QueueRank) {
         self.advance(now);
-        self.current += 1;
+        self.current[rank.index()] += 1;
         self.store();
     }
 
     /// Counts one ended request.
-    pub fn end(&mut self, now: Duration) {
+    pub fn end(&mut self, now: Duration, rank: QueueRank) {
         self.advance(now);
-        self.current = self.current.saturating_sub(1);
+        let count = &mut self.current[rank.index()];
+        *count = count.saturating_sub(1);
         self.store();
     }
 
-    /// Takes over a number that another router counted.
-    pub fn set(&mut self, now: Duration, count: u32) {
+    /// Takes over numbers that other routers counted.
+    pub fn set(&mut self, now: Duration, counts: RankCounts) {
         self.advance(now);
-        self.current = count;
+        self.current = counts;
         self.store();
     }
 
     /// Requests in flight now.
     pub fn current(&self) -> u32 {
+        self.current.iter().sum()
+    }
+
+    /// Requests in flight now by rank.
+    pub fn by_rank(&self) -> RankCounts {
         self.current
     }
 
+    /// Requests in flight now, compared with `rank`.
+    pub fn mix_around(&self, rank: QueueRank) -> RankMix {
+        let (lower, rest) = self.current.split_at(rank.index());
+        RankMix {
+            lower: lower.iter().sum(),
+            same: rest[0],
+            higher: rest[1..].iter().sum(),
+        }
+    }
+
     /// Requests in flight at `time`, or at the oldest time that is kept.
     pub fn at(&self, time: Duration) -> u32 {
         let slot = slot_of(time);
         if slot >= self.slot {
-            return self.current;
+            return self.current();
         }
         let oldest = self.slot.saturating_sub(SLOTS as u64 - 1);
         self.counts[index_of(slot.max(oldest))]
@@ -67,16 +89,16 @@
 
     /// Fills the slots up to `now` with the present number.
     fn advance(&mut self, now: Duration) {
-        let target = slot_of(now).max(self.slot);
+        let (count, target) = (self.current(), slot_of(now).max(self.slot));
         let first = (self.slot + 1).max(target.saturating_sub(SLOTS as u64 - 1));
         for slot in first..=target {
-            self.counts[index_of(slot)] = self.current;
+            self.counts[index_of(slot)] = count;
         }
         self.slot = target;
     }
 
     fn store(&mut self) {
-        self.counts[index_of(self.slot)] = self.current;
+        self.counts[index_of(self.slot)] = self.current();
     }
 }
 
--- a/crates/decisions/src/choice/upstream_view.rs
+++ b/crates/decisions/src/choice/upstream_view.rs
@@ -40,12 +40,54 @@
     pub peers_in_flight: u32,
     /// Requests that the other routers had in flight there when the report was taken.
     pub peers_at_report: u32,
+    /// Known requests in flight by their rank against the request to be placed.
+    pub mix: RankMix,
     /// The last report; absent when none arrived yet.
     pub report: Option<ReportedLoad>,
     /// Step duration that this router observed since, in milliseconds.
     pub observed_step_ms: Option<f64>,
 }
 
+/// Requests that the routers know to be in flight on one upstream, compared by rank.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RankMix {
+    /// Requests of lower rank.
+    pub lower: u32,
+    /// Requests of the same rank.
+    pub same: u32,
+    /// Requests of higher rank.
+    pub higher: u32,
+}
+
+impl RankMix {
+    /// Part of the requests that are of lower rank, from 0 to 1.
+    pub fn lower_part(&self) -> f64 {
+        self.part(self.lower)
+    }
+
+    /// Part of the requests that are of higher rank, from 0 to 1.
+    pub fn higher_part(&self) -> f64 {
+        self.part(self.higher)
+    }
+
+    fn part(&self, count: u32) -> f64 {
+        let total = self.lower + self.same + self.higher;
+        f64::from(count) / f64::from(total.max(1))
+    }
+}
+
+impl std::ops::Add for RankMix {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            lower: self.lower + other.lower,
+            same: self.same + other.same,
+            higher: self.higher + other.higher,
+        }
+    }
+}
+
 /// The part of a load report that decisions use.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ReportedLoad {
@@ -90,9 +132,16 @@
         step.filter(|ms| *ms > 0.0).unwrap_or(ASSUMED_STEP_MS)
     }
 
-    /// Requests that wait for a place in the batch now.
-    pub fn waiting(&self) -> u32 {
-        self.corrected().saturating_sub(self.batch_limit())
+    /// Requests that wait for a place in the batch now and go before the one to be placed.
+    pub fn waiting_ahead(&self) -> f64 {
+        let ahead = f64::from(self.corrected()) * (1.0 - self.mix.lower_part());
+        (ahead - f64::from(self.batch_limit())).max(0.0)
+    }
+
+    /// Part of the batch that work of higher rank takes, and will go on taking, from 0 to 1.
+    pub fn higher_part(&self) -> f64 {
+        let higher = f64::from(self.corrected()) * self.mix.higher_part();
+        (higher / f64::from(self.batch_limit())).min(1.0)
     }
 
     /// Cost of one more request: its part of the batch, weighted by the step duration.
--- a/crates/decisions/tests/admission.rs
+++ b/crates/decisions/tests/admission.rs
@@ -4,9 +4,9 @@
 
 use ferry_decisions::admission::{
     AdmissionConfig, AdmissionQuery, DeadlineAdmission, DecayingHistogram, FairLevel, FairStanding,
-    PriorityClass, RefusalReason, ServiceEstimate, ServiceHistory, WorkspaceDemand,
+    PriorityClass, QueueRank, RefusalReason, ServiceEstimate, ServiceHistory, WorkspaceDemand,
 };
-use ferry_decisions::choice::{ReportedLoad, UpstreamLoad};
+use ferry_decisions::choice::{RankMix, ReportedLoad, UpstreamLoad};
 use proptest::prelude::*;
 
 fn query(queued: u32, time_left_ms: u64) -> AdmissionQuery {
@@ -180,3 +180,39 @@
         Duration::from_millis(200)
     );
 }
+
+#[test]
+fn work_within_the_fair_part_ranks_before_any_beyond_it() {
+    let rank = |class, standing| QueueRank::new(class, standing);
+    let least_within = rank(PriorityClass::Batch, FairStanding::Within);
+    assert!(rank(PriorityClass::Urgent, FairStanding::Beyond) < least_within);
+    assert!(rank(PriorityClass::Normal, FairStanding::Within) > least_within);
+}
+
+#[test]
+fn work_of_lower_rank_does_not_count_as_waiting_ahead() {
+    let admission = DeadlineAdmission::default();
+    let mut query = query(60, 5_000);
+    assert!(admission.decide(&query).is_err());
+    query.load.mix = RankMix {
+        lower: 55,
+        same: 15,
+        higher: 0,
+    };
+    let estimate = admission.decide(&query).unwrap();
+    assert!(estimate.wait > Duration::ZERO);
+}
+
+#[test]
+fn work_of_higher_rank_that_is_still_to_come_lengthens_the_wait() {
+    let admission = DeadlineAdmission::default();
+    let mut query = query(10, 60_000);
+    let alone = admission.decide(&query).unwrap();
+    query.load.mix = RankMix {
+        lower: 0,
+        same: 10,
+        higher: 5,
+    };
+    let overtaken = admission.decide(&query).unwrap();
+    assert!(overtaken.wait > alone.wait.mul_f64(2.0));
+}
--- a/crates/decisions/tests/choice.rs
+++ b/crates/decisions/tests/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ferry_decisions::admission::{FairStanding, PriorityClass, QueueRank};
 use ferry_decisions::choice::{
     ChoiceConfig, ChoicePoints, ChoicePolicy, ChoiceQuery, FlightHistory, NoUpstream, ReportedLoad,
     UpstreamChoice, UpstreamLoad, UpstreamState, UpstreamView,
@@ -119,16 +120,17 @@
         events in prop::collection::vec((0_u64..400, any::<bool>()), 1..60),
         back in 0_u64..5_000,
     ) {
+        let rank = QueueRank::new(PriorityClass::Normal, FairStanding::Within);
         let mut history = FlightHistory::default();
         let mut record = vec![(Duration::ZERO, 0_u32)];
         let (mut now, mut flying) = (Duration::ZERO, 0_u32);
         for (gap, begins) in events {
             now += Duration::from_millis(gap);
             if begins {
-                history.begin(now);
+                history.begin(now, rank);
                 flying += 1;
             } else {
-                history.end(now);
+                history.end(now, rank);
                 flying = flying.saturating_sub(1);
             }
             record.push((now, flying));
