--- a/crates/bench/src/overload/overload_experiment.rs
+++ b/crates/bench/src/overload/overload_experiment.rs
@@ -164,9 +164,13 @@
         let parts: f64 = self.classes.iter().map(|c| c.part).sum();
         let tokens: f64 = self.classes.iter().map(|c| c.part * c.capped_mean()).sum();
         let steps = tokens / parts + f64::from(self.engines.prefill_steps);
-        let service_s = steps * self.engines.step_with(self.engines.batch) / 1_000.0;
+        self.steps_per_second() / steps
+    }
+
+    /// Engine steps of requests per second that the healthy pool makes with full batches.
+    pub fn steps_per_second(&self) -> f64 {
         let places = self.engines.count as f64 * f64::from(self.engines.batch);
-        places / service_s
+        places / self.engines.step_with(self.engines.batch) * 1_000.0
     }
 
     /// Time at which the last phase ends.
--- a/crates/bench/src/overload/phase_figures.rs
+++ b/crates/bench/src/overload/phase_figures.rs
@@ -31,6 +31,8 @@
     pub(super) refused_promptly: u64,
     /// Requests whose deadline passed.
     pub(super) late: u64,
+    /// Engine steps of the answers in time.
+    pub(super) work: u64,
     /// Attempts after the first.
     pub(super) retries: u64,
     /// Microseconds from arrival to the whole answer.
@@ -44,6 +46,7 @@
             refused: 0,
             refused_promptly: 0,
             late: 0,
+            work: 0,
             retries: 0,
             latency: Histogram::new(DIGITS).expect("three digits are within the library's range"),
         }
@@ -76,6 +79,7 @@
         self.refused += other.refused;
         self.refused_promptly += other.refused_promptly;
         self.late += other.late;
+        self.work += other.work;
         self.retries += other.retries;
         self.latency
             .add(&other.latency)
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -16,6 +16,6 @@
     AdmissionQuery, AdmissionRefusal, DeadlineAdmission, FinishEstimate, RefusalReason,
 };
 pub use decaying_histogram::DecayingHistogram;
-pub use fair_share::{FairLevel, FairStanding, WorkspaceDemand};
+pub use fair_share::{ClassRates, FairLevel, FairStanding, WorkspaceDemand};
 pub use queue_rank::QueueRank;
-pub use service_estimate::{ServiceEstimate, ServiceHistory};
+pub use service_estimate::{ServiceEstimate, ServiceHistory, ServiceQuery};
--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -18,6 +18,23 @@
     }
 }
 
+impl PriorityClass {
+    /// Number of priorities.
+    pub const COUNT: usize = 3;
+
+    /// All priorities, lowest first.
+    pub const ALL: [Self; Self::COUNT] = [Self::Batch, Self::Normal, Self::Urgent];
+
+    /// Position among the priorities, lowest first; below [`Self::COUNT`].
+    pub fn index(self) -> usize {
+        match self {
+            Self::Batch => 0,
+            Self::Normal => 1,
+            Self::Urgent => 2,
+        }
+    }
+}
+
 /// Constants of deadline admission.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/decisions/src/admission/fair_share.rs
+++ b/crates/decisions/src/admission/fair_share.rs
@@ -2,13 +2,25 @@
 
 use smallvec::SmallVec;
 
+use super::PriorityClass;
+
+/// Offered work per second by priority, lowest first.
+pub type ClassRates = [f64; PriorityClass::COUNT];
+
 /// Demand of one workspace, as all routers together see it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WorkspaceDemand {
     /// Weight of the workspace; positive.
     pub weight: f64,
     /// Offered work per second, before any refusal.
-    pub offered: f64,
+    pub offered: ClassRates,
+}
+
+impl WorkspaceDemand {
+    /// Offered work per second of all classes.
+    pub fn total(&self) -> f64 {
+        self.offered.iter().sum()
+    }
 }
 
 closed_set! {
@@ -38,25 +50,34 @@
             if per_weight(demand) * weights > rest {
                 return Self(rest.max(0.0) / weights);
             }
-            rest -= demand.offered;
+            rest -= demand.total();
             weights -= demand.weight;
         }
         Self(f64::INFINITY)
     }
 
-    /// Part of the requests of `demand` that are within its fair part, from 0 to 1.
-    pub fn fraction(self, demand: &WorkspaceDemand) -> f64 {
-        let part = self.0 * demand.weight;
-        if demand.offered <= part {
+    /// Part of the requests of `class` that are within the fair part of `demand`, from 0 to 1.
+    ///
+    /// A workspace's higher priorities fill its part first.
+    pub fn fraction(self, demand: &WorkspaceDemand, class: PriorityClass) -> f64 {
+        let higher: f64 = demand.offered[class.index() + 1..].iter().sum();
+        let left = self.0 * demand.weight - higher;
+        let offered = demand.offered[class.index()];
+        if offered <= left {
             1.0
         } else {
-            part / demand.offered
+            left.max(0.0) / offered
         }
     }
 
     /// Standing of one request; `point` is uniform in `0.0..1.0`.
-    pub fn standing(self, demand: &WorkspaceDemand, point: f64) -> FairStanding {
-        if point < self.fraction(demand) {
+    pub fn standing(
+        self,
+        demand: &WorkspaceDemand,
+        class: PriorityClass,
+        point: f64,
+    ) -> FairStanding {
+        if point < self.fraction(demand, class) {
             FairStanding::Within
         } else {
             FairStanding::Beyond
@@ -65,5 +86,5 @@
 }
 
 fn per_weight(demand: &WorkspaceDemand) -> f64 {
-    demand.offered / demand.weight
+    demand.total() / demand.weight
 }
--- a/crates/decisions/src/admission/queue_rank.rs
+++ b/crates/decisions/src/admission/queue_rank.rs
@@ -6,35 +6,27 @@
 ///
 /// Work beyond its workspace's fair part ranks below all work within it, whatever its class.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct QueueRank(u8);
+pub struct QueueRank(usize);
 
 impl QueueRank {
     /// Number of ranks.
-    pub const COUNT: usize = 6;
-
-    /// Ranks of one standing.
-    const CLASSES: u8 = 3;
+    pub const COUNT: usize = 2 * PriorityClass::COUNT;
 
     /// Rank of a request.
     pub fn new(class: PriorityClass, standing: FairStanding) -> Self {
-        let class = match class {
-            PriorityClass::Batch => 0,
-            PriorityClass::Normal => 1,
-            PriorityClass::Urgent => 2,
-        };
         match standing {
-            FairStanding::Beyond => Self(class),
-            FairStanding::Within => Self(class + Self::CLASSES),
+            FairStanding::Beyond => Self(class.index()),
+            FairStanding::Within => Self(class.index() + PriorityClass::COUNT),
         }
     }
 
     /// Position among the ranks, lowest first; below [`Self::COUNT`].
     pub fn index(self) -> usize {
-        usize::from(self.0)
+        self.0
     }
 
     /// Priority as engines take it: a whole number, higher first.
     pub fn engine_priority(self) -> u32 {
-        u32::from(self.0)
+        self.0 as u32
     }
 }
