--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -19,8 +19,14 @@
 }
 
 impl PriorityClass {
-    /// Priority as engines take it: higher first.
-    pub fn engine_priority(self) -> u32 {
+    /// Number of priorities.
+    pub const COUNT: usize = 3;
+
+    /// All priorities, lowest first.
+    pub const ALL: [Self; Self::COUNT] = [Self::Batch, Self::Normal, Self::Urgent];
+
+    /// Position among the priorities, lowest first; below [`Self::COUNT`].
+    pub fn index(self) -> usize {
         match self {
             Self::Batch => 0,
             Self::Normal => 1,
