--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod limits;
 pub mod overload;
 pub mod report;
+pub mod seed_runs;
--- a/crates/decisions/src/guard/harm_test.rs
+++ b/crates/decisions/src/guard/harm_test.rs
@@ -9,6 +9,8 @@
 
 /// Weight of the hypothesis that the version was bad from its first answer.
 const FIRST_START_WEIGHT: f64 = 0.5;
+/// Number of alternatives to the tolerated share.
+const ALTERNATIVES: usize = 3;
 /// Smallest and largest share that the likelihoods use, so that no logarithm is infinite.
 const SHARE_RANGE: (f64, f64) = (1e-4, 1.0 - 1e-4);
 
@@ -18,7 +20,7 @@
     good: u64,
     bad: u64,
     /// Natural logarithm of the evidence of each alternative; `None` before the first answer.
-    evidence: Option<[f64; 2]>,
+    evidence: Option<[f64; ALTERNATIVES]>,
 }
 
 impl HarmTest {
@@ -34,20 +36,20 @@
         let earlier = self.good + self.bad;
         let weight = start_weight(earlier, earlier + more_good + more_bad, detect_change);
         let ratios = step_ratios(rollout, more_good as f64, more_bad as f64);
-        let evidence = self.evidence.unwrap_or([f64::NEG_INFINITY; 2]);
-        let half = (weight / 2.0).ln();
-        self.evidence = Some([
-            ln_add(evidence[0], half) + ratios[0],
-            ln_add(evidence[1], half) + ratios[1],
-        ]);
+        let part = (weight / ALTERNATIVES as f64).ln();
+        let mut evidence = self.evidence.unwrap_or([f64::NEG_INFINITY; ALTERNATIVES]);
+        for (value, ratio) in evidence.iter_mut().zip(ratios) {
+            *value = ln_add(*value, part) + ratio;
+        }
+        self.evidence = Some(evidence);
         self.good = self.good.max(good);
         self.bad = self.bad.max(bad);
     }
 
     /// Natural logarithm of the evidence that the version is bad.
     pub fn ln_evidence(&self) -> f64 {
-        self.evidence
-            .map_or(f64::NEG_INFINITY, |[first, second]| ln_add(first, second))
+        let values = self.evidence.into_iter().flatten();
+        values.fold(f64::NEG_INFINITY, ln_add)
     }
 
     /// Whether the evidence suffices at `level`, the accepted probability of a false stop.
@@ -72,13 +74,21 @@
     (1.0 - FIRST_START_WEIGHT) / (1.0 + (answers as f64).ln_1p())
 }
 
-/// Log likelihood ratios of a step against the tolerated share: for the stopping share, and
-/// for the middle between it and 1, which finds a very bad version with fewer answers.
-fn step_ratios(rollout: &RolloutSpec, good: f64, bad: f64) -> [f64; 2] {
+/// Log likelihood ratios of a step against the tolerated share.
+///
+/// The alternatives are the geometric mean of the tolerated and the stopping share, which
+/// finds a slow drift early, the stopping share, and the middle between it and 1, which finds
+/// a very bad version with few answers.
+fn step_ratios(rollout: &RolloutSpec, good: f64, bad: f64) -> [f64; ALTERNATIVES] {
     let (low, high) = SHARE_RANGE;
     let tolerated = rollout.tolerated_bad.clamp(low, high);
     let stopping = rollout.stopping_bad.clamp(low, high);
-    [stopping, (1.0 + stopping) / 2.0].map(|share| {
+    let alternatives = [
+        (tolerated * stopping).sqrt(),
+        stopping,
+        f64::midpoint(stopping, 1.0),
+    ];
+    alternatives.map(|share| {
         let share = share.min(high);
         bad * (share / tolerated).ln() + good * ((1.0 - share) / (1.0 - tolerated)).ln()
     })
