Kill and freeze routers at every step of a call that may run once

Cause: claims and bills had only been proved against a model of the log. Excluded: timing by sleeps; each step is found by the stand-ins' counters.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
+mod letters;
+mod run_once;
 mod sample;
 mod thin_path;
--- /dev/null
+++ b/tests/fleet/run_once.rs
@@ -0,0 +1,196 @@
+//! Calls that may run only once, with routers killed or frozen at every step.
+
+use std::time::Duration;
+
+use ferry_decisions::claim::{owner_of, shard_of};
+use ferry_decisions::names::{HostName, RequestId};
+use ferry_rig::{FleetRig, eventually};
+use futures::future::join_all;
+use serde_json::json;
+
+use crate::letters::{
+    LetterAnswer, appends, billed, ledger, letter_fleet, send_in_background, send_letter,
+    send_until_settled, service_count,
+};
+use crate::sample::client;
+
+const SHORT_CALL: Duration = Duration::from_millis(5);
+const LONG_CALL: Duration = Duration::from_secs(3);
+
+/// Step of a call at which its router is killed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum KillStep {
+    BeforeClaim,
+    AfterClaim,
+    AfterDispatch,
+    BeforeBill,
+    BeforeEnd,
+}
+
+fn refused(run: &str) -> LetterAnswer {
+    LetterAnswer::Refused(run.to_owned())
+}
+
+async fn slow_path(rig: &FleetRig, path: &str, ms: u64) {
+    let faults = json!({ "slow": { "ms": ms, "path": path } });
+    rig.platform_faults(&faults).await;
+}
+
+/// Orders what keeps a call at `step` until it is killed there.
+async fn hold_at(rig: &FleetRig, step: KillStep) {
+    match step {
+        KillStep::BeforeClaim => slow_path(rig, "/streams/claims", 800).await,
+        KillStep::AfterClaim => slow_path(rig, "/streams/claims", 400).await,
+        KillStep::AfterDispatch => {}
+        KillStep::BeforeBill => slow_path(rig, "/streams/bills", 800).await,
+        KillStep::BeforeEnd => {
+            let loss = json!({ "lose_answers": { "count": 1_000, "path": "/streams/bills" } });
+            rig.platform_faults(&loss).await;
+        }
+    }
+}
+
+/// Waits until the call has come to `step`.
+async fn until_at(rig: &FleetRig, step: KillStep, id: &str, before: u64) {
+    eventually("the call comes to its step", || async {
+        let arrived = match step {
+            KillStep::BeforeClaim => {
+                let status = rig.admin(0, "/status").await?;
+                status["in_progress"].as_u64()? > 0
+            }
+            KillStep::AfterClaim => appends(rig).await > before,
+            KillStep::AfterDispatch => service_count(rig, id, "started").await > 0,
+            KillStep::BeforeBill => service_count(rig, id, "finished").await > 0,
+            KillStep::BeforeEnd => appends(rig).await > before + 1,
+        };
+        arrived.then_some(())
+    })
+    .await;
+}
+
+/// Kills router 0 at `step` of a call; gives the answer of router 1 to the second send.
+async fn kill_and_send_again(step: KillStep) -> (FleetRig, String, LetterAnswer) {
+    let duration = match step {
+        KillStep::AfterDispatch => LONG_CALL,
+        _ => SHORT_CALL,
+    };
+    let mut rig = letter_fleet(2, duration).await;
+    let id = RequestId::generate().to_string();
+    hold_at(&rig, step).await;
+    let before = appends(&rig).await;
+    let first = send_in_background(&rig, 0, &id);
+    until_at(&rig, step, &id, before).await;
+    rig.routers[0].process.kill().await;
+    assert_eq!(first.await.unwrap(), LetterAnswer::Broken, "{step:?}");
+    rig.platform_heal().await;
+    let second = send_until_settled(&rig, 1, &id).await;
+    (rig, id, second)
+}
+
+#[tokio::test]
+async fn a_router_killed_before_its_claim_leaves_the_call_to_another() {
+    let (rig, id, second) = kill_and_send_again(KillStep::BeforeClaim).await;
+    assert_eq!(second, LetterAnswer::Answered);
+    assert_eq!(service_count(&rig, &id, "started").await, 1);
+    assert_eq!(billed(&rig).await, 1);
+}
+
+#[tokio::test]
+async fn a_router_killed_after_its_claim_leaves_it_open_whether_the_call_ran() {
+    let (rig, id, second) = kill_and_send_again(KillStep::AfterClaim).await;
+    assert_eq!(second, refused("may_have_run"));
+    assert_eq!(service_count(&rig, &id, "started").await, 0);
+    assert_eq!(billed(&rig).await, 0);
+}
+
+#[tokio::test]
+async fn a_router_killed_after_its_dispatch_does_not_let_the_call_run_again() {
+    let (rig, id, second) = kill_and_send_again(KillStep::AfterDispatch).await;
+    assert_eq!(second, refused("may_have_run"));
+    assert_eq!(service_count(&rig, &id, "started").await, 1);
+    assert_eq!(billed(&rig).await, 0);
+}
+
+#[tokio::test]
+async fn a_router_killed_before_its_bill_does_not_let_the_call_run_again() {
+    let (rig, id, second) = kill_and_send_again(KillStep::BeforeBill).await;
+    assert_eq!(second, refused("may_have_run"));
+    assert_eq!(service_count(&rig, &id, "started").await, 1);
+    assert!(billed(&rig).await <= 1);
+}
+
+#[tokio::test]
+async fn a_router_killed_after_its_bill_lets_the_next_send_know_that_the_call_ran() {
+    let (rig, id, second) = kill_and_send_again(KillStep::BeforeEnd).await;
+    assert_eq!(second, refused("ran"));
+    assert_eq!(service_count(&rig, &id, "started").await, 1);
+    assert_eq!(billed(&rig).await, 1);
+}
+
+#[tokio::test]
+async fn a_call_sent_through_all_routers_at_once_runs_once() {
+    let rig = letter_fleet(3, SHORT_CALL).await;
+    let ids: Vec<_> = (0..20).map(|_| RequestId::generate().to_string()).collect();
+    let sends = ids
+        .iter()
+        .flat_map(|id| (0..3).map(|index| send_in_background(&rig, index, id)));
+    let answers = join_all(sends).await;
+    for (id, answers) in ids.iter().zip(answers.chunks(3)) {
+        let answered =
+            |answer: &&Result<LetterAnswer, _>| matches!(answer, Ok(LetterAnswer::Answered));
+        assert_eq!(answers.iter().filter(answered).count(), 1, "{answers:?}");
+        assert_eq!(service_count(&rig, id, "started").await, 1);
+    }
+    let report = ledger(&rig).await;
+    assert_eq!(report.workspaces["clinic"].requests, 20);
+    assert!(!report.counts.need_attention(), "{:?}", report.anomalies);
+}
+
+#[tokio::test]
+async fn an_owner_that_is_frozen_and_thawed_grants_nothing_twice() {
+    let rig = letter_fleet(3, SHORT_CALL).await;
+    let hosts: Vec<_> = rig
+        .routers
+        .iter()
+        .map(|node| HostName::new(&node.host))
+        .collect();
+    let owned_by_first = |id: &RequestId| owner_of(shard_of(id), &hosts) == Some(&hosts[0]);
+    let ids: Vec<_> = std::iter::repeat_with(RequestId::generate)
+        .filter(owned_by_first)
+        .take(8)
+        .map(|id| id.to_string())
+        .collect();
+    slow_path(&rig, "/streams/claims", 300).await;
+    let before = appends(&rig).await;
+    let early: Vec<_> = ids
+        .iter()
+        .map(|id| send_in_background(&rig, 0, id))
+        .collect();
+    eventually("the owner appends a claim", || async {
+        (appends(&rig).await > before).then_some(())
+    })
+    .await;
+    rig.routers[0].process.freeze();
+    rig.platform_heal().await;
+    let (caller, address) = (client(), rig.callers(1));
+    let late = ids.iter().map(|id| send_letter(&caller, &address, id));
+    let late = join_all(late).await;
+    rig.routers[0].process.thaw();
+    let early = join_all(early).await;
+    for ((id, early), late) in ids.iter().zip(early).zip(late) {
+        let runs = service_count(&rig, id, "started").await;
+        let answers = [early.unwrap(), late];
+        let answered = answers
+            .iter()
+            .filter(|answer| **answer == LetterAnswer::Answered)
+            .count() as u64;
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert_eq!(answered, runs, "{id}: {answers:?}");
+    }
+    let answered: u64 = billed(&rig).await;
+    let mut runs = 0;
+    for id in &ids {
+        runs += service_count(&rig, id, "started").await;
+    }
+    assert_eq!(answered, runs);
+}
