Tell lost answers from a log outage and prove claims and bills on linked routers

Excluded: probing the log before each claim, which adds a round trip. Conclusion: only appends that fail for a second count as an outage.

--- a/crates/decisions/tests/bills.rs
+++ b/crates/decisions/tests/bills.rs
@@ -186,11 +186,12 @@
     let data = record(&[bill(0, 5)]);
     fold.apply(0, START.plus_ms(HOUR_MS), &data);
     let last = START.plus_ms(BILL_WINDOW_MS);
-    let BillStep::Folded { decisions, .. } = fold.apply(1, last, &data) else {
+    fold.apply(1, last, "not a bill");
+    let BillStep::Folded { decisions, .. } = fold.apply(2, last, &data) else {
         panic!("the record is a batch");
     };
     assert_eq!(decisions.as_slice(), [BillDecision::Repeat]);
-    let BillStep::Folded { decisions, .. } = fold.apply(2, last.plus_ms(2 * HOUR_MS), &data) else {
+    let BillStep::Folded { decisions, .. } = fold.apply(3, last.plus_ms(2 * HOUR_MS), &data) else {
         panic!("the record is a batch");
     };
     assert_eq!(decisions.as_slice(), [BillDecision::Late]);
--- a/crates/decisions/tests/claims.rs
+++ b/crates/decisions/tests/claims.rs
@@ -457,6 +457,20 @@
     assert_eq!(fold.gaps(), 1);
 }
 
+#[test]
+fn reading_back_the_window_is_enough_to_grant_every_id_in_it() {
+    let now = START_MS;
+    let claim = Uuid::from_u128(1);
+    for time in [now - ID_WINDOW_MS, now, now + ID_FUTURE_MS] {
+        let key = key_at(time, 1);
+        let mut fold = ClaimFold::new(SHARD);
+        fold.skip_to(7, UnixMillis(now - READ_BACK_MS));
+        let data = record(vec![claim_entry(&key, claim)]);
+        fold.apply(7, UnixMillis(now), &data);
+        assert_eq!(fold.fate(&key, claim), Some(ClaimFate::Granted));
+    }
+}
+
 #[test]
 fn equal_ids_of_two_workspaces_do_not_meet() {
     let key = key_at(START_MS, 1);
--- a/crates/router/src/appends/append_gate.rs
+++ b/crates/router/src/appends/append_gate.rs
@@ -9,16 +9,16 @@
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep};
 
-/// Time for which failed appends count as an outage.
+/// Time over which all appends must have failed to count as an outage, which lost answers do not.
+const OUTAGE_AFTER: Duration = Duration::from_secs(1);
+/// Time after the last failure for which the outage is taken to last.
 const OUTAGE_MEMORY: Duration = Duration::from_secs(1);
-/// Appends that fail one after the other in an outage.
-const OUTAGE_FAILURES: u32 = 2;
 
 /// Appends that failed since the last one that succeeded.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Copy)]
 struct FailureRow {
-    count: u32,
-    last: Option<Instant>,
+    first: Instant,
+    last: Instant,
 }
 
 /// Gate that every append of claims and bills passes.
@@ -32,7 +32,8 @@
     rate: Mutex<f64>,
     /// Held while an append waits for its turn, so that turns come in order.
     budget: tokio::sync::Mutex<AppendBudget>,
-    failures: Mutex<FailureRow>,
+    /// `None` while appends succeed.
+    failures: Mutex<Option<FailureRow>>,
 }
 
 impl AppendGate {
@@ -84,20 +85,17 @@
         result
     }
 
-    /// Whether the log took none of the last appends, a short time ago.
+    /// Whether the log took no append for some time, up to now.
     pub fn is_out(&self) -> bool {
-        let failures = self.failures.lock();
-        let recent = |last: Instant| last.elapsed() < OUTAGE_MEMORY;
-        failures.count >= OUTAGE_FAILURES && failures.last.is_some_and(recent)
+        self.failures.lock().is_some_and(|row| {
+            row.last - row.first >= OUTAGE_AFTER && row.last.elapsed() < OUTAGE_MEMORY
+        })
     }
 
     fn note(&self, taken: bool) {
         let mut failures = self.failures.lock();
-        if taken {
-            *failures = FailureRow::default();
-        } else {
-            failures.count += 1;
-            failures.last = Some(Instant::now());
-        }
+        let last = Instant::now();
+        let first = failures.map_or(last, |row| row.first);
+        *failures = (!taken).then_some(FailureRow { first, last });
     }
 }
