Decide freshness leases and membership from dated statements

A router must know when its configuration is fresh without a coordination service. Evidence is dated from the moment it was asked for, on a signed monotonic clock, so transit and pauses only age it.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod claim;
 pub mod config;
 pub mod labels;
+pub mod lease;
+pub mod membership;
 pub mod names;
 pub mod routing;
 pub mod session;
--- /dev/null
+++ b/crates/decisions/src/membership/member_row.rs
@@ -0,0 +1,91 @@
+//! What a router says about itself in a heartbeat.
+
+use std::net::SocketAddr;
+
+use crate::lease::LogSighting;
+use crate::names::{HostName, Incarnation, ZoneName};
+
+/// Hexadecimal digits of a configuration's hash that a heartbeat carries.
+const HASH_DIGITS: usize = 16;
+
+value_type! {
+    /// One router's own statement; short field names keep heartbeats small.
+    pub struct MemberRow {
+        /// Name of the host.
+        #[serde(rename = "h")]
+        pub host: HostName,
+        /// Availability zone of the host.
+        #[serde(rename = "z")]
+        pub zone: ZoneName,
+        /// Life of the process.
+        #[serde(rename = "i")]
+        pub incarnation: Incarnation,
+        /// Orders the lives of one host: a later life has a greater number.
+        #[serde(rename = "g")]
+        pub generation: u64,
+        /// Address of the peer port.
+        #[serde(rename = "p")]
+        pub address: SocketAddr,
+        /// Number of the statement within the life; later ones are greater.
+        #[serde(rename = "s")]
+        pub sequence: u64,
+        /// Configuration that the process holds.
+        #[serde(rename = "c")]
+        pub config: ConfigMark,
+        /// Newest read of the log's tail.
+        #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+        pub log: Option<LogSighting>,
+        /// Whether the last read of the log succeeded.
+        #[serde(rename = "w", default)]
+        pub log_working: bool,
+        /// Whether the process is stopping.
+        #[serde(rename = "q", default)]
+        pub leaving: bool,
+        /// Whether it holds all that the host's earlier lives confirmed.
+        #[serde(rename = "r", default)]
+        pub recovered: bool,
+    }
+
+    /// Position in the configuration stream with a digest of the state there.
+    #[derive(Eq, Copy, Default)]
+    pub struct ConfigMark {
+        /// Offset of the record needed next.
+        #[serde(rename = "n")]
+        pub next_offset: u64,
+        /// First bytes of the state's hash.
+        #[serde(rename = "d")]
+        pub digest: u64,
+    }
+}
+
+impl MemberRow {
+    /// Order of the lives of one host.
+    pub fn life(&self) -> (u64, Incarnation) {
+        (self.generation, self.incarnation)
+    }
+
+    /// Whether the two differ in more than the number and the time of the statement.
+    pub fn differs(&self, other: &Self) -> bool {
+        self.life() != other.life()
+            || self.address != other.address
+            || self.config != other.config
+            || self.leaving != other.leaving
+            || self.recovered != other.recovered
+    }
+}
+
+impl ConfigMark {
+    /// The mark of a state with the hexadecimal `hash`.
+    pub fn new(next_offset: u64, hash: &str) -> Self {
+        let digits = hash.get(..HASH_DIGITS).unwrap_or(hash);
+        Self {
+            next_offset,
+            digest: u64::from_str_radix(digits, 16).unwrap_or_default(),
+        }
+    }
+
+    /// Whether the two states differ although they end at the same offset.
+    pub fn contradicts(&self, other: &Self) -> bool {
+        self.next_offset == other.next_offset && self.digest != other.digest
+    }
+}
--- a/crates/decisions/src/time.rs
+++ b/crates/decisions/src/time.rs
@@ -1,5 +1,7 @@
 //! Clock values that decisions take as arguments.
 
+use std::time::Duration;
+
 /// Wall-clock time, in milliseconds since the Unix epoch.
 #[derive(
     Debug,
@@ -28,3 +30,62 @@
         Self(self.0.saturating_add(ms))
     }
 }
+
+/// Time on this process's monotonic clock, in microseconds from an arbitrary origin.
+///
+/// Signed, so that an event before the origin keeps its true age.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct MonotonicTime(pub i64);
+
+impl MonotonicTime {
+    /// This time moved back by `age`.
+    pub fn before(self, age: Duration) -> Self {
+        Self(self.0.saturating_sub(micros(age)))
+    }
+
+    /// This time moved forward by `span`.
+    pub fn after(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(micros(span)))
+    }
+
+    /// Time from `earlier` to `self`, zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        let span = self.0.saturating_sub(earlier.0).max(0);
+        Duration::from_micros(span as u64)
+    }
+}
+
+/// Microseconds of `span`, at most what an `i64` holds.
+fn micros(span: Duration) -> i64 {
+    i64::try_from(span.as_micros()).unwrap_or(i64::MAX)
+}
+
+/// Serde form of a [`Duration`] as whole microseconds.
+pub mod duration_micros {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    /// Writes the duration.
+    pub fn serialize<S: Serializer>(span: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Reads a duration.
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        u64::deserialize(deserializer).map(Duration::from_micros)
+    }
+}
