--- /dev/null
+++ b/crates/standin/tests/standin/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the stand-ins over their published protocols.
+
+mod calls;
+mod engine;
+mod faults;
+mod platform;
+mod relay;
+mod service;
