--- a/crates/router/tests/peer_links.rs
+++ b/crates/router/tests/peer_links.rs
@@ -6,10 +6,16 @@
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, Incarnation, ZoneName};
 use ferry_router::peer::{
-    PeerError, PeerHandler, PeerHub, PeerMessage, PeerSettings, PeerTopic, decode, encode,
+    PROTOCOL_VERSION, PeerError, PeerHandler, PeerHub, PeerIdentity, PeerMessage, PeerSettings,
+    PeerTopic, decode, encode,
 };
 use futures::future::FutureExt;
+use futures::{SinkExt, StreamExt};
+use serde::Serialize;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio_tungstenite::client_async;
+use tokio_tungstenite::tungstenite::Message;
 
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -80,25 +86,77 @@
     assert!(a.connected().is_empty());
 }
 
+/// First message of a link, as a foreign program would write it.
+#[derive(Serialize)]
+struct ForgedHello {
+    protocol: u32,
+    identity: PeerIdentity,
+    nonce: uuid::Uuid,
+}
+
+#[derive(Serialize)]
+struct ForgedProof {
+    proof: Bytes,
+}
+
+fn forged_hello(protocol: u32) -> Message {
+    let identity = PeerIdentity::of(&settings("a", "unused"));
+    let nonce = uuid::Uuid::new_v4();
+    let hello = ForgedHello {
+        protocol,
+        identity,
+        nonce,
+    };
+    Message::Binary(encode(&hello).unwrap())
+}
+
+/// Sends `messages` over a raw socket; returns once the hub has closed it.
+async fn send_raw(hub: &PeerHub, messages: Vec<Message>) {
+    let stream = TcpStream::connect(hub.address()).await.unwrap();
+    let url = format!("ws://{}/peer", hub.address());
+    let (mut socket, _) = client_async(url, stream).await.unwrap();
+    for message in messages {
+        let _ = socket.send(message).await;
+    }
+    let closed = async { while let Some(Ok(_)) = socket.next().await {} };
+    tokio::time::timeout(LIMIT, closed)
+        .await
+        .expect("the hub closes the socket");
+}
+
 #[tokio::test]
-async fn refuses_a_peer_without_the_secret() {
+async fn refuses_peers_without_the_secret_and_malformed_messages() {
     let (handler, mut received) = doubling();
-    let a = PeerHub::start(settings("a", "wrong"), doubling().0)
+    let hub = PeerHub::start(settings("b", "right"), handler)
         .await
         .unwrap();
-    let b = PeerHub::start(settings("b", "right"), handler)
+    let proof = Bytes::from_static(&[7; 32]);
+    let proof = Message::Binary(encode(&ForgedProof { proof }).unwrap());
+    let garbage = Message::Binary(Bytes::from_static(b"\xff\x00garbage"));
+    let notice = Message::Binary(encode(&("notice", 1_u64)).unwrap());
+    let attempts = [
+        vec![forged_hello(PROTOCOL_VERSION), proof, notice.clone()],
+        vec![forged_hello(PROTOCOL_VERSION + 1)],
+        vec![garbage],
+        vec![Message::text("hello")],
+        vec![notice],
+        vec![Message::Binary(vec![0; 5 * 1_024 * 1_024].into())],
+    ];
+    for attempt in attempts {
+        send_raw(&hub, attempt).await;
+        assert!(hub.connected().is_empty());
+    }
+
+    let wrong = PeerHub::start(settings("a", "wrong"), doubling().0)
         .await
         .unwrap();
     let to = HostName::new("b");
-    a.set_neighbours(&[(to.clone(), b.address())]);
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    assert!(a.connected().is_empty());
-    assert!(b.connected().is_empty());
-    let error = a.notify(&to, PeerTopic::Config, &1_u64).unwrap_err();
+    wrong.set_neighbours(&[(to.clone(), hub.address())]);
+    let error = wrong.notify(&to, PeerTopic::Config, &1_u64).unwrap_err();
     assert!(matches!(&error, PeerError::NotConnected(_)));
     assert!(error.is_undelivered());
-    a.stop().await;
-    b.stop().await;
+    wrong.stop().await;
+    hub.stop().await;
     assert!(received.try_recv().is_err());
 }
 
