Prove ferryctl and the checked settings against real processes

Cause: the operators' tool and the settings checks had no test. Excluded: tests of the library alone, since exit codes and diagnostics are what operators see. Before: no test of either.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -32,6 +32,8 @@
     pub router: PathBuf,
     /// `ferry-standin`.
     pub standin: PathBuf,
+    /// `ferryctl`.
+    pub ctl: PathBuf,
 }
 
 /// A router with its relays.
@@ -64,8 +66,8 @@
 /// The whole fleet; all processes end when it is dropped.
 #[derive(Debug)]
 pub struct FleetRig {
-    programs: Programs,
-    folder: tempfile::TempDir,
+    pub(crate) programs: Programs,
+    pub(crate) folder: tempfile::TempDir,
     http: HttpClient,
     /// The platform.
     pub platform: ChildProcess,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod fleet;
 mod link_relay;
+mod operator_tool;
 mod process;
 mod rig_client;
 mod wait;
@@ -11,6 +12,7 @@
 pub use answer::{ChatResult, Refusal, RigAnswer};
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
 pub use link_relay::LinkRelay;
+pub use operator_tool::ToolOutput;
 pub use process::{ChildProcess, RigError};
 pub use rig_client::{ChatCall, RigClient};
 pub use wait::{LONG_WAIT, eventually};
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
 mod letters;
+mod operator;
 mod run_once;
 mod sample;
 mod thin_path;
--- a/tests/fleet/sample.rs
+++ b/tests/fleet/sample.rs
@@ -15,6 +15,7 @@
     Programs {
         router: env!("CARGO_BIN_EXE_ferry-router").into(),
         standin: env!("CARGO_BIN_EXE_ferry-standin").into(),
+        ctl: env!("CARGO_BIN_EXE_ferryctl").into(),
     }
 }
 
