Use 16 shards, so that a loaded fleet batches more in each append

Cause: with 64 shards the append budget is spread over 128 streams, and entries wait for their stream's turn. Excluded: 8 shards, which leave routers without any share at 8 routers. Conclusion: 16 shards; streams claims-0..15 and bills-0..15.

--- a/crates/decisions/src/claim/claim_record.rs
+++ b/crates/decisions/src/claim/claim_record.rs
@@ -9,7 +9,7 @@
 use crate::time::UnixMillis;
 
 /// Number of claim streams, and of bill streams.
-pub const SHARD_COUNT: u16 = 64;
+pub const SHARD_COUNT: u16 = 16;
 
 /// Shard that the records of `request` belong to.
 pub fn shard_of(request: &RequestId) -> u16 {
