--- a/crates/bench/src/overload/phase_figures.rs
+++ b/crates/bench/src/overload/phase_figures.rs
@@ -31,6 +31,8 @@
     pub(super) refused_promptly: u64,
     /// Requests whose deadline passed.
     pub(super) late: u64,
+    /// Engine steps of the answers in time.
+    pub(super) work: u64,
     /// Attempts after the first.
     pub(super) retries: u64,
     /// Microseconds from arrival to the whole answer.
@@ -44,6 +46,7 @@
             refused: 0,
             refused_promptly: 0,
             late: 0,
+            work: 0,
             retries: 0,
             latency: Histogram::new(DIGITS).expect("three digits are within the library's range"),
         }
@@ -54,7 +57,7 @@
     /// Counts one request that ended `after` its arrival.
     pub(super) fn record(&mut self, outcome: WorkOutcome, after: Duration) {
         match outcome {
-            WorkOutcome::Answered => self.latency.saturating_record(after.as_micros() as u64),
+            WorkOutcome::Answered => self.record_latency(after),
             WorkOutcome::Late => self.late += 1,
             WorkOutcome::Refused => {
                 self.refused += 1;
@@ -63,14 +66,24 @@
         }
     }
 
+    fn record_latency(&mut self, after: Duration) {
+        let micros = after.as_micros() as u64;
+        self.latency
+            .record(micros)
+            .expect("the histogram grows as needed");
+    }
+
     /// Adds the figures of another run.
     pub(super) fn add(&mut self, other: &Self) {
         self.offered += other.offered;
         self.refused += other.refused;
         self.refused_promptly += other.refused_promptly;
         self.late += other.late;
+        self.work += other.work;
         self.retries += other.retries;
-        self.latency += &other.latency;
+        self.latency
+            .add(&other.latency)
+            .expect("the histogram grows as needed");
     }
 
     /// Requests answered in time.
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -8,6 +8,7 @@
 mod deadline_admission;
 mod decaying_histogram;
 mod fair_share;
+mod queue_rank;
 mod service_estimate;
 
 pub use admission_config::{AdmissionConfig, PriorityClass};
@@ -15,5 +16,6 @@
     AdmissionQuery, AdmissionRefusal, DeadlineAdmission, FinishEstimate, RefusalReason,
 };
 pub use decaying_histogram::DecayingHistogram;
-pub use fair_share::{FairLevel, FairStanding, WorkspaceDemand};
-pub use service_estimate::{ServiceEstimate, ServiceHistory};
+pub use fair_share::{ClassRates, FairLevel, FairStanding, WorkspaceDemand};
+pub use queue_rank::QueueRank;
+pub use service_estimate::{ServiceEstimate, ServiceHistory, ServiceQuery};
