Give up idle connections before the server closes them

Clients kept an idle connection for 20 s while servers close theirs after 10 s, since hyper runs the timer of the request head on idle connections too. A call sent at that moment met the close on its way and came back as Broken, so that a call which is not idempotent was reported as one that may have run. One constant now gives the server's time, and the client's is half of it. Upstreams with a shorter keep-alive than 5 s are not covered.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -4,6 +4,12 @@
 mod client;
 mod server;
 
+use std::time::Duration;
+
+/// Time after which a server closes a connection on which no head of a request came, idle ones
+/// included. Clients give idle connections up earlier, so that no call meets the close on its way.
+pub const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
 pub use body::{
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
--- a/crates/kernel/src/http/client.rs
+++ b/crates/kernel/src/http/client.rs
@@ -13,14 +13,15 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::KEEP_ALIVE;
 use super::body::{BodyError, collect_limited};
 
 /// Longest response read as a whole, in bytes.
 const RESPONSE_LIMIT: usize = 64 * 1024 * 1024;
 /// Time allowed for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which an idle connection is closed: half of what a server grants.
+const IDLE_TIMEOUT: Duration = KEEP_ALIVE.checked_div(2).unwrap();
 
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -13,10 +13,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::HttpBody;
+use super::{HttpBody, KEEP_ALIVE};
 
-/// Time allowed for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest head of a request, in bytes.
 const HEAD_LIMIT: usize = 64 * 1024;
 /// Pause after a failed accept, for example when no file descriptor is free.
@@ -145,7 +143,7 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(KEEP_ALIVE)
         .max_buf_size(HEAD_LIMIT);
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     tokio::pin!(connection);
