Keep one relay, in the rig, and let it stall links too

The stand-ins had a relay of their own beside the rig's, with the same job. The rig's is the one that fleets use, so the other is gone together with `ferry-standin relay`. The delay is dropped: nothing used or tested it.

--- a/crates/rig/src/link_relay.rs
+++ b/crates/rig/src/link_relay.rs
@@ -1,19 +1,27 @@
-//! A TCP relay between two processes that can be cut, whole or for single sources.
+//! A TCP relay between two processes that can be cut, whole or for single sources, or stalled.
+
+mod link_copy;
 
 use std::collections::HashSet;
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use link_copy::copy_both;
+
 /// Relay in front of one port.
 #[derive(Debug, Clone)]
 pub struct LinkRelay {
     /// Address that stands for the port.
     pub address: SocketAddr,
     state: Arc<Mutex<RelayState>>,
+    /// Whether data is held back while connections stay open.
+    stalled: Arc<watch::Sender<bool>>,
 }
 
 #[derive(Debug, Default)]
@@ -36,6 +44,7 @@
         let relay = Self {
             address: listener.local_addr()?,
             state: Arc::default(),
+            stalled: Arc::default(),
         };
         tokio::spawn(relay.clone().accept(listener));
         Ok(relay)
@@ -61,8 +70,14 @@
         open.for_each(|(_, token)| token.cancel());
     }
 
-    /// Lifts all cuts.
+    /// Keeps connections open but passes nothing on.
+    pub fn stall(&self) {
+        self.stalled.send_replace(true);
+    }
+
+    /// Lifts all cuts and the stall.
     pub fn heal(&self) {
+        self.stalled.send_replace(false);
         let mut state = self.state.lock();
         state.all_cut = false;
         state.cut_sources.clear();
@@ -71,7 +86,8 @@
     async fn accept(self, listener: TcpListener) {
         while let Ok((stream, source)) = listener.accept().await {
             if let Some((target, token)) = self.admit(source.ip()) {
-                tokio::spawn(relay(stream, target, token));
+                let copying = copy_both(stream, target, self.stalled.subscribe());
+                tokio::spawn(copy_until_cut(copying, token));
             }
         }
     }
@@ -89,13 +105,7 @@
     }
 }
 
-async fn relay(mut stream: TcpStream, target: SocketAddr, token: CancellationToken) {
+async fn copy_until_cut(copying: impl Future<Output = io::Result<()>>, token: CancellationToken) {
     let _finished = token.clone().drop_guard();
-    let Ok(mut upstream) = TcpStream::connect(target).await else {
-        return;
-    };
-    let _ = stream.set_nodelay(true);
-    let _ = upstream.set_nodelay(true);
-    let copy = tokio::io::copy_bidirectional(&mut stream, &mut upstream);
-    let _ = token.run_until_cancelled(copy).await;
+    let _ = token.run_until_cancelled(copying).await;
 }
--- /dev/null
+++ b/crates/rig/src/link_relay/link_copy.rs
@@ -0,0 +1,45 @@
+//! Copies one connection in both directions, and holds its data back while the link is stalled.
+
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Bytes that are copied at once.
+const CHUNK: usize = 64 * 1024;
+
+/// Copies between `client` and `target` until both directions end.
+pub(super) async fn copy_both(
+    client: TcpStream,
+    target: SocketAddr,
+    stalled: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let server = TcpStream::connect(target).await?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (client_in, client_out) = client.into_split();
+    let (server_in, server_out) = server.into_split();
+    let forth = copy_one(client_in, server_out, stalled.clone());
+    let back = copy_one(server_in, client_out, stalled);
+    tokio::try_join!(forth, back).map(drop)
+}
+
+async fn copy_one(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    mut stalled: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        let length = from.read(&mut chunk).await?;
+        if stalled.wait_for(|stalled| !stalled).await.is_err() {
+            return Ok(());
+        }
+        if length == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk[..length]).await?;
+    }
+}
--- a/crates/standin/src/app.rs
+++ b/crates/standin/src/app.rs
@@ -13,10 +13,9 @@
 use crate::platform::RetentionRule;
 use crate::server::{CrashMode, StandinServer};
 use crate::{
-    EngineOptions, EngineStandin, PlatformOptions, PlatformStandin, RelayOptions, RelayStandin,
-    ServiceOptions, ServiceStandin,
+    EngineOptions, EngineStandin, PlatformOptions, PlatformStandin, ServiceOptions, ServiceStandin,
 };
-use standin_flags::{Engine, FerryStandin, FerryStandinCmd, Platform, Relay, Service};
+use standin_flags::{Engine, FerryStandin, FerryStandinCmd, Platform, Service};
 
 /// Line that tells the addresses once the stand-in serves.
 #[derive(Debug, Serialize)]
@@ -67,24 +66,15 @@
             signals.recv().await;
             standin.stop().await;
         }
-        FerryStandinCmd::Relay(flags) => {
-            let relay = RelayStandin::start(relay_options(&flags))
-                .await
-                .into_diagnostic()?;
-            print_line(relay.address(), relay.control_address())?;
-            signals.recv().await;
-            relay.stop().await;
-        }
     }
     Ok(())
 }
 
 fn print_addresses(server: &StandinServer) -> Result<()> {
-    print_line(server.address(), server.control_address())
-}
-
-fn print_line(listening: SocketAddr, control: SocketAddr) -> Result<()> {
-    let line = ListenLine { listening, control };
+    let line = ListenLine {
+        listening: server.address(),
+        control: server.control_address(),
+    };
     println!("{}", serde_json::to_string(&line).into_diagnostic()?);
     Ok(())
 }
@@ -145,13 +135,6 @@
     }
 }
 
-fn relay_options(flags: &Relay) -> RelayOptions {
-    RelayOptions {
-        listen: flags.listen,
-        to: flags.to,
-    }
-}
-
 fn millis_or(ms: Option<u64>, default: Duration) -> Duration {
     ms.map_or(default, Duration::from_millis)
 }
--- a/crates/standin/src/app/standin_flags.rs
+++ b/crates/standin/src/app/standin_flags.rs
@@ -68,12 +68,5 @@
             /// Age of the load reports, in milliseconds.
             optional --load-lag-ms ms: u64
         }
-        /// A network link: passes connections on until a fault is ordered.
-        cmd relay {
-            /// Address to listen on, IP:PORT; port 0 takes any free port.
-            required --listen listen: SocketAddr
-            /// Address to which connections are passed on, IP:PORT.
-            required --to address: SocketAddr
-        }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,7 +1,7 @@
 //! Emulator of what the fleet is served by: the platform, model engines and plain services.
 //!
 //! Each stand-in runs in-process through its `start` function or as a process of its own through
-//! [`app`]. A relay stands in for the link between two processes. All of them answer below `/standin/`: fault orders, and counters that say what ran.
+//! [`app`]. All of them answer below `/standin/`: fault orders, and counters that say what ran.
 
 pub mod app;
 pub mod counters;
@@ -10,7 +10,6 @@
 pub mod faults;
 pub mod platform;
 mod registration;
-pub mod relay;
 mod reply;
 pub mod server;
 pub mod service;
@@ -19,6 +18,5 @@
 pub use faults::FaultOrder;
 pub use platform::{PlatformOptions, PlatformStandin};
 pub use registration::StartError;
-pub use relay::{LinkOrder, RelayOptions, RelayStandin};
 pub use server::{CrashMode, StandinServer};
 pub use service::{ServiceOptions, ServiceStandin};
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -4,5 +4,4 @@
 mod engine;
 mod faults;
 mod platform;
-mod relay;
 mod service;
