--- a/crates/bench/src/overload/router_state.rs
+++ b/crates/bench/src/overload/router_state.rs
@@ -4,7 +4,7 @@
 
 use ferry_decisions::admission::{
     AdmissionQuery, DeadlineAdmission, FairLevel, FairStanding, PriorityClass, QueueRank,
-    ServiceEstimate, ServiceHistory, ServiceQuery, WorkspaceDemand,
+    ServiceEstimate, ServiceHistory, ServiceQuery, WorkspaceDemand, higher_part,
 };
 use ferry_decisions::choice::{
     ChoicePoints, ChoiceQuery, FlightHistory, ReportedLoad, UpstreamChoice, UpstreamLoad,
@@ -158,35 +158,29 @@
             ..UpstreamChoice::default()
         };
         let chosen = choice.choose(&views, &query, points).ok()?;
-        if self.admits(now, item, class, standing, &views[chosen].load, point) {
-            return Some((chosen, rank));
-        }
-        let cheapest = choice.cheapest(&views, &query).ok()?;
-        self.admits(now, item, class, standing, &views[cheapest].load, point)
-            .then_some((cheapest, rank))
-    }
-
-    fn admits(
-        &self,
-        now: Duration,
-        item: &WorkItem,
-        class: PriorityClass,
-        standing: FairStanding,
-        load: &UpstreamLoad,
-        point: f64,
-    ) -> bool {
         if self.arm.admission == AdmissionMode::None {
-            return true;
+            return Some((chosen, rank));
         }
-        let query = AdmissionQuery {
+        let mut query_of = AdmissionQuery {
             time_left: Some(item.deadline.saturating_sub(now)),
             class,
             standing,
-            load: *load,
-            service: self.service(now, class, load),
+            load: views[chosen].load,
+            higher_part: higher_part(&views),
+            service: None,
             point,
         };
-        self.admission.decide(&query).is_ok()
+        if self.admits(now, &mut query_of) {
+            return Some((chosen, rank));
+        }
+        let cheapest = choice.cheapest(&views, &query).ok()?;
+        query_of.load = views[cheapest].load;
+        self.admits(now, &mut query_of).then_some((cheapest, rank))
+    }
+
+    fn admits(&self, now: Duration, query: &mut AdmissionQuery) -> bool {
+        query.service = self.service(now, query.class, &query.load);
+        self.admission.decide(query).is_ok()
     }
 
     fn service(
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -13,7 +13,7 @@
 
 pub use admission_config::{AdmissionConfig, PriorityClass};
 pub use deadline_admission::{
-    AdmissionQuery, AdmissionRefusal, DeadlineAdmission, FinishEstimate, RefusalReason,
+    AdmissionQuery, AdmissionRefusal, DeadlineAdmission, FinishEstimate, RefusalReason, higher_part,
 };
 pub use decaying_histogram::DecayingHistogram;
 pub use fair_share::{ClassRates, FairLevel, FairStanding, WorkspaceDemand};
--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -62,9 +62,9 @@
         Self {
             service_quantile: 0.9,
             normal_wait: 0.9,
-            batch_wait: 0.5,
+            batch_wait: 0.8,
             beyond_fair_wait: 0.5,
-            target_utilisation: 0.95,
+            target_utilisation: 0.85,
             undated_wait_ms: 10_000,
             sample_life_ms: 5_000,
             probe_fraction: 0.1,
--- a/crates/decisions/src/admission/deadline_admission.rs
+++ b/crates/decisions/src/admission/deadline_admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{AdmissionConfig, FairStanding, PriorityClass, ServiceEstimate};
-use crate::choice::UpstreamLoad;
+use crate::choice::{UpstreamLoad, UpstreamView};
 
 /// Random part that is added to a Retry-After time, so that callers do not return together.
 const RETRY_SPREAD: f64 = 0.25;
@@ -23,7 +23,9 @@
     pub standing: FairStanding,
     /// Load of the upstream.
     pub load: UpstreamLoad,
-    /// Service times of the upstream, or of its version; absent when too few were seen.
+    /// Part of the version's batches that work of higher rank takes, from 0 to 1.
+    pub higher_part: f64,
+    /// Service times of the version; absent when too few were seen.
     pub service: Option<ServiceEstimate>,
     /// Spreads retries and draws probes; uniform in `0.0..1.0`.
     pub point: f64,
@@ -62,6 +64,14 @@
     pub estimate: FinishEstimate,
 }
 
+/// Part of the batches of `views` that work of higher rank takes, from 0 to 1.
+///
+/// The mean over all upstreams: new work of higher rank is spread over all of them.
+pub fn higher_part(views: &[UpstreamView<'_>]) -> f64 {
+    let total: f64 = views.iter().map(|view| view.load.higher_part()).sum();
+    total / views.len().max(1) as f64
+}
+
 /// Decides by deadline.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct DeadlineAdmission {
@@ -80,7 +90,7 @@
             return Ok(FinishEstimate::default());
         };
         let estimate = FinishEstimate {
-            wait: expected_wait(&query.load, service.mean),
+            wait: expected_wait(query, service.mean),
             service: service.quantile,
         };
         let permitted = match query.time_left {
@@ -124,13 +134,14 @@
 
 /// Wait of a request behind those that are not of lower rank: every `mean / places` a place of the
 /// batch frees up, and work of higher rank that is still to come takes its part of these.
-fn expected_wait(load: &UpstreamLoad, mean: Duration) -> Duration {
+fn expected_wait(query: &AdmissionQuery, mean: Duration) -> Duration {
+    let load = &query.load;
     let places = load.batch_limit();
     if load.corrected() < places {
         return Duration::ZERO;
     }
     let turns = (load.waiting_ahead() + 1.0) / f64::from(places);
-    let left = (1.0 - load.higher_part()).max(LEAST_PART_LEFT);
+    let left = (1.0 - query.higher_part).max(LEAST_PART_LEFT);
     mean.mul_f64(turns / left)
 }
 
--- a/crates/decisions/src/choice/upstream_view.rs
+++ b/crates/decisions/src/choice/upstream_view.rs
@@ -144,8 +144,12 @@
         (higher / f64::from(self.batch_limit())).min(1.0)
     }
 
-    /// Cost of one more request: its part of the batch, weighted by the step duration.
+    /// Cost of the request to be placed: its place in the order, in batches, times the step
+    /// duration. What runs already comes before it, whatever its rank.
     pub fn cost(&self) -> f64 {
-        f64::from(self.corrected() + 1) / f64::from(self.batch_limit()) * self.step_ms()
+        let places = f64::from(self.batch_limit());
+        let running = f64::from(self.corrected()).min(places);
+        let place = running + self.waiting_ahead() + 1.0;
+        place / places * self.step_ms()
     }
 }
--- a/crates/decisions/tests/admission.rs
+++ b/crates/decisions/tests/admission.rs
@@ -25,6 +25,7 @@
             }),
             ..UpstreamLoad::default()
         },
+        higher_part: 0.0,
         service: Some(ServiceEstimate {
             mean: Duration::from_millis(1_000),
             quantile: Duration::from_millis(1_500),
@@ -233,11 +234,7 @@
     let admission = DeadlineAdmission::default();
     let mut query = query(10, 60_000);
     let alone = admission.decide(&query).unwrap();
-    query.load.mix = RankMix {
-        lower: 0,
-        same: 10,
-        higher: 5,
-    };
+    query.higher_part = 0.6;
     let overtaken = admission.decide(&query).unwrap();
     assert!(overtaken.wait > alone.wait.mul_f64(2.0));
 }
