--- a/crates/bench/src/overload/router_state.rs
+++ b/crates/bench/src/overload/router_state.rs
@@ -24,6 +24,9 @@
 /// Time for which an upstream that broke a connection gets no work.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
 
+/// Time constant of the demand that fair parts follow from.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
+
 /// What a router knows of one engine.
 #[derive(Debug)]
 pub(super) struct KnownEngine {
@@ -117,7 +120,7 @@
             engines,
             history: ServiceHistory::default(),
             budgets: vec![RetryBudget::new(RetryBudgetConfig::default()); workspaces],
-            demands: vec![<[PooledDemand; PriorityClass::COUNT]>::default(); workspaces],
+            demands: vec![PriorityClass::ALL.map(|_| PooledDemand::new(DEMAND_WINDOW)); workspaces],
             fair_level: FairLevel(f64::INFINITY),
             admission: DeadlineAdmission::default(),
             turn: 0,
--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -63,7 +63,7 @@
             service_quantile: 0.9,
             normal_wait: 0.9,
             batch_wait: 0.8,
-            beyond_fair_wait: 0.5,
+            beyond_fair_wait: 0.3,
             target_utilisation: 0.85,
             undated_wait_ms: 10_000,
             sample_life_ms: 5_000,
--- a/crates/decisions/src/limits/pooled_demand.rs
+++ b/crates/decisions/src/limits/pooled_demand.rs
@@ -6,8 +6,6 @@
 
 use crate::names::Incarnation;
 
-/// Time constant of the rate estimate.
-const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Most lives of router processes that are told apart; the ones heard longest ago go first.
 const MOST_ROUTERS: usize = 512;
 
@@ -30,17 +28,30 @@
 }
 
 /// Offered requests of all routers, and their rate.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct PooledDemand {
+    /// Time constant of the rate estimate: longer is smoother and slower.
+    window: Duration,
     own: u64,
     others: SmallVec<[HeardCount; 8]>,
-    /// Decayed number of requests; the rate times `RATE_WINDOW`.
+    /// Decayed number of requests; the rate times `window`.
     recent: f64,
     /// Time up to which `recent` is decayed.
     decayed_to: Duration,
 }
 
 impl PooledDemand {
+    /// No demand so far; `window` is the time constant of the rate estimate.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            own: 0,
+            others: SmallVec::new(),
+            recent: 0.0,
+            decayed_to: Duration::ZERO,
+        }
+    }
+
     /// Counts one request that this router was offered.
     pub fn offer(&mut self, now: Duration) {
         self.own += 1;
@@ -74,20 +85,25 @@
 
     /// Requests per second over all routers.
     pub fn rate(&self, now: Duration) -> f64 {
-        self.recent * decay_factor(now.saturating_sub(self.decayed_to)) / RATE_WINDOW.as_secs_f64()
+        self.recent * self.decay_to(now) / self.window.as_secs_f64()
     }
 
     /// Time in which the rate falls from `rate` to `target` when nothing more is offered.
-    pub fn time_to_fall(rate: f64, target: f64) -> Duration {
-        RATE_WINDOW.mul_f64((rate / target).ln().max(0.0))
+    pub fn time_to_fall(&self, rate: f64, target: f64) -> Duration {
+        self.window.mul_f64((rate / target).ln().max(0.0))
     }
 
     fn add(&mut self, now: Duration, amount: u64) {
-        let age = now.saturating_sub(self.decayed_to);
-        self.recent = self.recent * decay_factor(age) + amount as f64;
+        self.recent = self.recent * self.decay_to(now) + amount as f64;
         self.decayed_to = self.decayed_to.max(now);
     }
 
+    /// Factor by which `recent` decays from its time to `now`.
+    fn decay_to(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.decayed_to);
+        (-age.as_secs_f64() / self.window.as_secs_f64()).exp()
+    }
+
     fn remember(&mut self, heard: HeardCount) {
         if self.others.len() >= MOST_ROUTERS {
             let oldest = (0..self.others.len()).min_by_key(|i| self.others[*i].heard);
@@ -96,7 +112,3 @@
         self.others.push(heard);
     }
 }
-
-fn decay_factor(age: Duration) -> f64 {
-    (-age.as_secs_f64() / RATE_WINDOW.as_secs_f64()).exp()
-}
--- a/crates/decisions/src/limits/pooled_limit.rs
+++ b/crates/decisions/src/limits/pooled_limit.rs
@@ -12,6 +12,8 @@
 
 use super::{OfferedCount, PooledDemand};
 
+/// Time constant of the demand's rate.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Part of a token that sums of floating-point numbers may be off by.
 const ROUNDING: f64 = 1e-6;
 
@@ -70,7 +72,7 @@
     pub fn new(config: LimitConfig, now: Duration) -> Self {
         Self {
             config,
-            demand: PooledDemand::default(),
+            demand: PooledDemand::new(RATE_WINDOW),
             tokens: config.bucket_size(),
             filled_to: now,
             credit: 0.0,
@@ -105,7 +107,7 @@
         }
         let rate = self.demand.rate(now);
         Err(LimitRefusal {
-            retry_after: PooledDemand::time_to_fall(rate, self.config.rate),
+            retry_after: self.demand.time_to_fall(rate, self.config.rate),
         })
     }
 
