--- /dev/null
+++ b/crates/bench/tests/decide.rs
@@ -0,0 +1,90 @@
+//! Experiments on the decision core: repeatable, and the policy keeps its promises.
+
+use std::path::PathBuf;
+
+use ferry_bench::limits::LimitsExperiment;
+use ferry_bench::overload::OverloadExperiment;
+use ferry_bench::report::{ExperimentReport, ReportRow};
+use ferry_bench::{experiment, limits, overload};
+use ferry_kernel::settings;
+
+fn committed(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../../experiments")
+        .join(name)
+}
+
+fn short_overload() -> OverloadExperiment {
+    let path = committed("overload-steps.yaml");
+    let mut experiment: OverloadExperiment = settings::read_file(&path).unwrap();
+    experiment.seeds = vec![11, 12];
+    experiment.phases.remove(0);
+    let last = experiment.arms.pop().unwrap();
+    experiment.arms.truncate(1);
+    experiment.arms.push(last);
+    experiment
+}
+
+fn row<'a>(report: &'a ExperimentReport, table: &str, label: &str) -> &'a ReportRow {
+    let table = report.tables.iter().find(|t| t.title.starts_with(table));
+    let rows = &table.unwrap().rows;
+    rows.iter().find(|row| row.label == label).unwrap()
+}
+
+fn value(report: &ExperimentReport, table: &str, label: &str, column: &str) -> f64 {
+    let found = report.tables.iter().find(|t| t.title.starts_with(table));
+    let columns = &found.unwrap().columns;
+    let index = columns.iter().position(|c| c == column).unwrap();
+    row(report, table, label).values[index]
+}
+
+#[test]
+fn a_run_is_repeatable_and_keeps_its_goodput_beyond_capacity() {
+    let experiment = short_overload();
+    let report = overload::play(&experiment);
+    assert_eq!(report, overload::play(&experiment));
+
+    let whole = |table, column| value(&report, table, "whole policy", column);
+    let full = whole("Phase 1", "in time/s");
+    let beyond = whole("Phase 2", "in time/s");
+    assert!(beyond >= 0.95 * full, "{beyond} after {full} per second");
+    assert_eq!(whole("Phase 2", "in 50 ms %"), 100.0);
+    let late = value(&report, "Phase 2", "round robin", "late %");
+    assert!(whole("Phase 2", "late %") < late / 4.0);
+    let retries = whole("Phase 2", "retries/req");
+    assert!(retries <= 0.1, "{retries} retries per request");
+}
+
+#[test]
+fn a_pooled_limit_refuses_nothing_within_it_and_holds_beyond_it() {
+    let path = committed("limits-skew.yaml");
+    let mut experiment: LimitsExperiment = settings::read_file(&path).unwrap();
+    experiment.seeds = vec![21, 22];
+    let report = limits::play(&experiment);
+    let refused = |label| value(&report, "Phase 1", label, "refused within limit");
+    assert_eq!(refused("pooled offered"), 0.0);
+    assert!(refused("equal parts") > 0.0);
+    let held = value(&report, "Phase 2", "pooled offered", "of limit %");
+    assert!((95.0..110.0).contains(&held), "{held} % of the limit");
+}
+
+#[test]
+fn reports_are_readable_by_people_and_programs() {
+    let path = committed("limits-skew.yaml");
+    let mut experiment: LimitsExperiment = settings::read_file(&path).unwrap();
+    experiment.seeds = vec![1];
+    let report = limits::play(&experiment);
+    assert!(report.to_text().contains("pooled offered"));
+    let json: serde_json::Value = serde_json::from_str(&report.to_json()).unwrap();
+    assert_eq!(json["seeds"], serde_json::json!([1]));
+    assert!(report.to_svg().unwrap().contains("</svg>"));
+}
+
+#[test]
+fn an_unknown_kind_is_refused() {
+    let path = std::env::temp_dir().join(format!("ferry-bench-kind-{}.yaml", std::process::id()));
+    std::fs::write(&path, "kind: weather\nname: x\nseeds: [1]\n").unwrap();
+    let error = experiment::play_file(&path).unwrap_err();
+    std::fs::remove_file(&path).unwrap();
+    assert!(error.to_string().contains("weather"), "{error}");
+}
--- a/crates/decisions/src/limits/pooled_limit.rs
+++ b/crates/decisions/src/limits/pooled_limit.rs
@@ -13,7 +13,7 @@
 use super::{OfferedCount, PooledDemand};
 
 /// Time constant of the demand's rate.
-const RATE_WINDOW: Duration = Duration::from_secs(1);
+const RATE_WINDOW: Duration = Duration::from_millis(500);
 /// Part of a token that sums of floating-point numbers may be off by.
 const ROUNDING: f64 = 1e-6;
 
@@ -128,10 +128,15 @@
     }
 
     /// Takes `amount` tokens; false, and down to the deepest debt, when there are fewer.
+    ///
+    /// The debt ends once the demand is back within the limit.
     fn take(&mut self, now: Duration, amount: f64) -> bool {
         let added = now.saturating_sub(self.filled_to).as_secs_f64() * self.config.rate;
         self.tokens = (self.tokens + added).min(self.config.bucket_size());
         self.filled_to = self.filled_to.max(now);
+        if self.demand.rate(now) <= self.config.rate {
+            self.tokens = self.tokens.max(0.0);
+        }
         let enough = self.tokens + ROUNDING >= amount;
         self.tokens = (self.tokens - amount).max(-self.config.deepest_debt());
         enough
