--- a/crates/bench/src/guard/guard_fleet.rs
+++ b/crates/bench/src/guard/guard_fleet.rs
@@ -1,6 +1,7 @@
 //! Routers of one roll-out with their guards and the messages between them.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use ferry_decisions::config::RolloutSpec;
 use ferry_decisions::guard::{
@@ -17,7 +18,7 @@
 struct Message {
     arrives_ms: u64,
     to: usize,
-    delta: GuardDelta,
+    delta: Arc<GuardDelta>,
 }
 
 /// Routers of one roll-out.
@@ -109,7 +110,7 @@
             return;
         }
         for from in 0..self.pools.len() {
-            let delta = self.pools[from].delta_since(self.sent[from]);
+            let delta = Arc::new(self.pools[from].delta_since(self.sent[from]));
             self.sent[from] = self.pools[from].revision();
             if delta.candidates.is_empty() {
                 continue;
@@ -163,7 +164,7 @@
             self.logged = Some(Message {
                 arrives_ms: now + self.log_delay_ms,
                 to: router,
-                delta: self.trip_delta(trip),
+                delta: Arc::new(self.trip_delta(trip)),
             });
         }
     }
--- a/crates/decisions/src/guard.rs
+++ b/crates/decisions/src/guard.rs
@@ -11,6 +11,7 @@
 mod guard_policy;
 mod guard_pool;
 mod harm_test;
+mod pooled_totals;
 mod router_id;
 mod seat_parts;
 
--- a/crates/decisions/src/guard/candidate_pool.rs
+++ b/crates/decisions/src/guard/candidate_pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::pooled_totals::PooledTotals;
 use super::seat_parts::seat_part;
 use super::{
     AnswerOutcome, CandidateDelta, FleetView, GuardCounts, GuardDecision, GuardPolicy, GuardRow,
@@ -25,6 +26,8 @@
 pub(super) struct CandidatePool {
     /// Rows by router, this router's own included.
     rows: BTreeMap<RouterId, StampedRow>,
+    /// Sums of the rows; `None` after a change until they are needed.
+    totals: Option<PooledTotals>,
     /// Routers that share the limit. Only grows, so that this router's part only shrinks.
     seats: BTreeSet<RouterId>,
     /// Seats of dead routers, whose parts the others use again.
@@ -36,6 +39,10 @@
     trip: Option<TripNotice>,
     /// Revision of the pool at which the trip was learned.
     trip_revision: u64,
+    /// Whether a count grew since the tests last ran.
+    untested: bool,
+    /// How near the tests are to a trip, from 0 to 1.
+    caution: f64,
     pooled_test: HarmTest,
     workspace_tests: BTreeMap<WorkspaceName, HarmTest>,
 }
@@ -51,12 +58,15 @@
     pub(super) fn new(own: &RouterId, revision: u64) -> Self {
         let mut pool = Self {
             rows: BTreeMap::new(),
+            totals: None,
             seats: BTreeSet::from([own.clone()]),
             written_off: BTreeSet::new(),
             entitled: false,
             limit: 0,
             trip: None,
             trip_revision: 0,
+            untested: true,
+            caution: 0.0,
             pooled_test: HarmTest::default(),
             workspace_tests: BTreeMap::new(),
         };
@@ -157,12 +167,14 @@
 
     fn merge_row(&mut self, row: &GuardRow, revision: u64) {
         let stamped = self.stamped(&row.router);
-        if stamped.row.join(row) {
-            stamped.revision = revision;
+        if !stamped.row.join(row) {
+            return;
         }
+        stamped.revision = revision;
         while stamped.row.cells.len() > WORKSPACE_LIMIT + 1 {
             stamped.row.cells.pop_last();
         }
+        self.note_growth();
     }
 
     /// Runs the tests over the pooled counts and returns a new trip.
@@ -176,9 +188,10 @@
         revision: u64,
     ) -> Option<TripNotice> {
         self.limit = rollout.unrated_limit;
-        if self.trip.is_some() {
+        if self.trip.is_some() || !self.untested {
             return None;
         }
+        self.untested = false;
         let reason = self.harm_found(rollout, workspaces, policy)?;
         let trip = TripNotice {
             time: now,
@@ -189,31 +202,28 @@
         Some(trip)
     }
 
+    /// Runs the tests, sets the caution, and describes the harm if one trips.
     fn harm_found(
         &mut self,
         rollout: &RolloutSpec,
         workspaces: usize,
         policy: &GuardPolicy,
     ) -> Option<String> {
-        let by_workspace = self.workspace_totals();
-        let total = sum_of(by_workspace.values());
+        let PooledTotals { all, by_workspace } = self.pooled_totals().clone();
         let change = policy.detect_change;
         let level = policy.false_stop / 2.0;
-        self.pooled_test
-            .observe(total.good, total.bad, rollout, change);
+        self.pooled_test.observe(all.good, all.bad, rollout, change);
+        self.caution = self.pooled_test.progress(level);
         if self.pooled_test.trips(level) {
-            let GuardCounts { good, bad, .. } = total;
-            return Some(format!("{bad} bad and {good} good answers over the fleet"));
+            return Some(harm_text(&all, "over the fleet"));
         }
         let level = level / workspaces.max(by_workspace.len()).max(1) as f64;
         for (workspace, counts) in by_workspace {
             let test = self.workspace_tests.entry(workspace.clone()).or_default();
             test.observe(counts.good, counts.bad, rollout, change);
+            self.caution = self.caution.max(test.progress(level));
             if test.trips(level) {
-                let GuardCounts { good, bad, .. } = counts;
-                return Some(format!(
-                    "{bad} bad and {good} good answers for workspace {workspace}"
-                ));
+                return Some(harm_text(&counts, &format!("for workspace {workspace}")));
             }
         }
         None
@@ -262,24 +272,30 @@
         total.unrated().saturating_sub(total.given_up.min(made_up))
     }
 
+    /// Counts of the whole fleet.
     pub(super) fn totals(&self) -> GuardCounts {
-        sum_of(self.workspace_totals().values())
+        PooledTotals::of(self.rows.values().map(|stamped| &stamped.row)).all
     }
 
-    fn workspace_totals(&self) -> BTreeMap<WorkspaceName, GuardCounts> {
-        let mut totals: BTreeMap<WorkspaceName, GuardCounts> = BTreeMap::new();
-        for (workspace, counts) in self.rows.values().flat_map(|s| &s.row.cells) {
-            totals.entry(workspace.clone()).or_default().add(counts);
-        }
-        totals
+    fn note_growth(&mut self) {
+        self.totals = None;
+        self.untested = true;
+    }
+
+    fn pooled_totals(&mut self) -> &PooledTotals {
+        let rows = self.rows.values().map(|stamped| &stamped.row);
+        self.totals.get_or_insert_with(|| PooledTotals::of(rows))
     }
 
-    /// Part of the limit in force at this moment of the roll-out.
-    fn ramped_part(&self, own: &RouterId, policy: &GuardPolicy) -> u64 {
+    /// Part of the limit in force now: it opens with good answers, and closes again as the
+    /// tests come nearer to a trip.
+    fn ramped_part(&mut self, own: &RouterId, policy: &GuardPolicy) -> u64 {
         let seats = self.sharing_seats();
         let start = u64::from(policy.ramp_start).max(seats.len() as u64);
-        let ramped = start.saturating_add(self.totals().good);
-        let limit = u64::from(self.limit).min(ramped) as u32;
+        let ramped = start.saturating_add(self.pooled_totals().all.good);
+        let open = u64::from(self.limit).min(ramped) as f64;
+        let closed = (start as f64).min(open);
+        let limit = (open - (open - closed) * self.caution.sqrt()) as u32;
         u64::from(seat_part(limit, &seats, own))
     }
 
@@ -325,6 +341,7 @@
         workspace: &WorkspaceName,
         revision: u64,
     ) -> &mut GuardCounts {
+        self.note_growth();
         let stamped = self.stamped(own);
         stamped.revision = revision;
         let cells = &mut stamped.row.cells;
@@ -347,9 +364,7 @@
     }
 }
 
-fn sum_of<'a>(counts: impl Iterator<Item = &'a GuardCounts>) -> GuardCounts {
-    counts.fold(GuardCounts::default(), |mut sum, cell| {
-        sum.add(cell);
-        sum
-    })
+fn harm_text(counts: &GuardCounts, scope: &str) -> String {
+    let GuardCounts { good, bad, .. } = counts;
+    format!("{bad} bad and {good} good answers {scope}")
 }
--- a/crates/decisions/src/guard/harm_test.rs
+++ b/crates/decisions/src/guard/harm_test.rs
@@ -9,6 +9,8 @@
 
 /// Weight of the hypothesis that the version was bad from its first answer.
 const FIRST_START_WEIGHT: f64 = 0.5;
+/// Answers over which half of the weight of the later starts is spread, nearly evenly.
+const USUAL_ANSWERS: f64 = 2_000.0;
 /// Number of alternatives to the tolerated share.
 const ALTERNATIVES: usize = 3;
 /// Smallest and largest share that the likelihoods use, so that no logarithm is infinite.
@@ -52,6 +54,11 @@
         values.fold(f64::NEG_INFINITY, ln_add)
     }
 
+    /// How near the evidence is to a trip at `level`, from 0 to 1.
+    pub fn progress(&self, level: f64) -> f64 {
+        (self.ln_evidence() / -level.ln()).clamp(0.0, 1.0)
+    }
+
     /// Whether the evidence suffices at `level`, the accepted probability of a false stop.
     pub fn trips(&self, level: f64) -> bool {
         self.ln_evidence() >= -level.ln()
@@ -69,9 +76,9 @@
     first + later_weight(from) - later_weight(to)
 }
 
-/// Weight of all starts after `answers` answers; falls slowly, so that late changes are found.
+/// Weight of all starts after `answers` answers.
 fn later_weight(answers: u64) -> f64 {
-    (1.0 - FIRST_START_WEIGHT) / (1.0 + (answers as f64).ln_1p())
+    (1.0 - FIRST_START_WEIGHT) * USUAL_ANSWERS / (USUAL_ANSWERS + answers as f64)
 }
 
 /// Log likelihood ratios of a step against the tolerated share.
--- a/crates/decisions/tests/guard_pool.rs
+++ b/crates/decisions/tests/guard_pool.rs
@@ -339,6 +339,36 @@
     assert_eq!(pools[1].trip_records().len(), 1);
 }
 
+#[test]
+fn a_decision_between_merge_and_test_hides_nothing() {
+    let mut pools: Vec<GuardPool> = (0..2).map(pool).collect();
+    (0..9).for_each(|_| rate(&mut pools[0], AnswerOutcome::Bad));
+    send(&mut pools, 0, 1);
+    serve(&mut pools[1], LIMIT, &[router(1)]);
+    assert!(evaluate(&mut pools[1]));
+}
+
+#[test]
+fn the_part_shrinks_as_the_evidence_grows() {
+    let mut pool = GuardPool::new(router(0), GuardPolicy::default());
+    let alone = [router(0)];
+    for _ in 0..20 {
+        rate(&mut pool, AnswerOutcome::Good);
+    }
+    let served = |pool: &mut GuardPool| {
+        let mut served = 0;
+        while serve(pool, 20, &alone) == GuardDecision::Serve {
+            served += 1;
+        }
+        (0..served).for_each(|_| rate(pool, AnswerOutcome::Unanswered));
+        served
+    };
+    assert_eq!(served(&mut pool), 20);
+    (0..5).for_each(|_| rate(&mut pool, AnswerOutcome::Bad));
+    assert!(!evaluate(&mut pool));
+    assert!(served(&mut pool) < 15);
+}
+
 #[test]
 fn a_version_bad_for_one_workspace_trips() {
     let mut pool = pool(0);
