--- a/crates/decisions/tests/guard_pool.rs
+++ b/crates/decisions/tests/guard_pool.rs
@@ -352,9 +352,11 @@
 fn the_part_shrinks_as_the_evidence_grows() {
     let mut pool = GuardPool::new(router(0), GuardPolicy::default());
     let alone = [router(0)];
-    for _ in 0..20 {
-        rate(&mut pool, AnswerOutcome::Good);
-    }
+    let answer = |pool: &mut GuardPool, outcome| {
+        pool.record_served(&candidate(), EPOCH, &workspace(0));
+        rate(pool, outcome);
+    };
+    (0..20).for_each(|_| answer(&mut pool, AnswerOutcome::Good));
     let served = |pool: &mut GuardPool| {
         let mut served = 0;
         while serve(pool, 20, &alone) == GuardDecision::Serve {
@@ -364,7 +366,7 @@
         served
     };
     assert_eq!(served(&mut pool), 20);
-    (0..5).for_each(|_| rate(&mut pool, AnswerOutcome::Bad));
+    (0..5).for_each(|_| answer(&mut pool, AnswerOutcome::Bad));
     assert!(!evaluate(&mut pool));
     assert!(served(&mut pool) < 15);
 }
