Measure the choice of cascade stages against plain baselines

Always-strong, always-cheap-first and the choice by pass rates (alone and pooled) play the same requests; scenarios cover drift, late and missing ratings and near deadlines.

--- /dev/null
+++ b/crates/bench/src/cascade/cascade_router.rs
@@ -0,0 +1,109 @@
+//! Evidence of one router about the stages.
+
+use ferry_decisions::cascade::{
+    CascadeQuery, PassDelta, PassPool, RatingMonitor, StageChoice, StageEntry, StageEstimate,
+    StageKey,
+};
+use ferry_decisions::guard::RouterId;
+use ferry_decisions::names::{ClassName, HostName, Incarnation, VersionName};
+use ferry_decisions::time::UnixMillis;
+use uuid::Uuid;
+
+use super::CascadeExperiment;
+
+/// Factor from the mean to the time within which most answers are complete.
+const MOST_ANSWERS: f64 = 1.5;
+/// Longest time that an answer waits for its rating, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 2_000;
+/// Name of the only cascade.
+const CASCADE: &str = "cascade";
+
+/// One router.
+pub(super) struct CascadeRouter {
+    pub(super) pool: PassPool,
+    pub(super) monitor: RatingMonitor,
+    /// Revision that the peers were last sent.
+    sent: u64,
+}
+
+impl CascadeRouter {
+    pub(super) fn new(index: usize) -> Self {
+        let own = RouterId {
+            host: HostName::new(&format!("router-{index}")),
+            incarnation: Incarnation(Uuid::from_u128(index as u128 + 1)),
+        };
+        Self {
+            pool: PassPool::new(own),
+            monitor: RatingMonitor::default(),
+            sent: 0,
+        }
+    }
+
+    pub(super) fn estimates(
+        &self,
+        experiment: &CascadeExperiment,
+        class: usize,
+        now: u64,
+    ) -> Vec<StageEstimate> {
+        let class = ClassName::new(&experiment.classes[class].name);
+        let stages = experiment.stages.iter().enumerate();
+        stages
+            .map(|(index, stage)| {
+                let (first_pass, escalated_pass) =
+                    self.pool
+                        .rates(&CASCADE.into(), &class, &version(index), UnixMillis(now));
+                StageEstimate {
+                    cost: stage.cost,
+                    first_pass,
+                    escalated_pass,
+                    latency_ms: (stage.latency_ms as f64 * MOST_ANSWERS) as u64,
+                }
+            })
+            .collect()
+    }
+
+    pub(super) fn choose(
+        &self,
+        stages: &[StageEstimate],
+        idempotent: bool,
+        deadline_ms: u64,
+    ) -> StageChoice {
+        let query = CascadeQuery {
+            stages,
+            idempotent,
+            time_left_ms: Some(deadline_ms),
+            health: self.monitor.health(LONGEST_WAIT_MS),
+            rating_ms: self.monitor.delay_ms(),
+        };
+        StageChoice::compute(&query).expect("an experiment has stages")
+    }
+
+    pub(super) fn record(
+        &mut self,
+        experiment: &CascadeExperiment,
+        class: usize,
+        stage: usize,
+        entry: StageEntry,
+        passed: bool,
+        now: u64,
+    ) {
+        let key = StageKey {
+            cascade: CASCADE.into(),
+            class: ClassName::new(&experiment.classes[class].name),
+            version: version(stage),
+            entry,
+        };
+        self.pool.record(&key, passed, UnixMillis(now));
+    }
+
+    /// Rows that the peers have not been sent.
+    pub(super) fn news(&mut self) -> PassDelta {
+        let delta = self.pool.delta_since(self.sent);
+        self.sent = self.pool.revision();
+        delta
+    }
+}
+
+fn version(stage: usize) -> VersionName {
+    VersionName::new(&format!("stage-{stage}"))
+}
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 use crate::bench_error::BenchError;
+use crate::cascade;
 use crate::guard;
 use crate::limits;
 use crate::overload;
@@ -21,6 +22,8 @@
         Limits,
         /// Bad answers served before a roll-out stops.
         Guard,
+        /// Cost, quality and latency of choosing stages.
+        Cascade,
     }
 }
 
@@ -41,6 +44,7 @@
         ExperimentKind::Overload => overload::play(&settings::read_file(path)?),
         ExperimentKind::Limits => limits::play(&settings::read_file(path)?),
         ExperimentKind::Guard => guard::play(&settings::read_file(path)?),
+        ExperimentKind::Cascade => cascade::play(&settings::read_file(path)?),
     };
     Ok(report)
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod app;
 pub mod bench_error;
+pub mod cascade;
 pub mod experiment;
 pub mod guard;
 pub mod limits;
