Let a second send join the run of the same claimed call

Cause: a caller that lost its connection was told may_have_run although the run's router was alive and had the answer moments later. Excluded: keeping answers after the run, since the bill then says ran; joining streamed completions, whose parts are not kept. Conclusion: service calls are joined over peer links; without a link or an answer the call stays in doubt.

--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -7,5 +7,9 @@
 mod claim_message;
 mod claim_plugin;
 mod claim_shard;
+mod joined_answer;
+mod run_table;
 
-pub use claim_desk::{ClaimDesk, ClaimGrant, ClaimProblem, claim, void};
+pub use claim_desk::{ClaimDesk, ClaimGrant, ClaimProblem, ClaimStart, claim, claim_or_join, void};
+pub use joined_answer::JoinedAnswer;
+pub use run_table::RunTicket;
--- a/crates/router/src/claims/claim_desk.rs
+++ b/crates/router/src/claims/claim_desk.rs
@@ -10,8 +10,10 @@
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 
-use super::claim_message::{ClaimAnswer, ClaimQuery};
+use super::JoinedAnswer;
+use super::claim_message::{ClaimAnswer, ClaimQuery, RunQuery};
 use super::claim_shard::ClaimShard;
+use super::run_table::{RunTable, RunTicket, open_run};
 use crate::bills;
 use crate::core::RouterCore;
 use crate::peer::PeerTopic;
@@ -28,6 +30,8 @@
 pub struct ClaimDesk {
     /// Streams in the order of shards.
     shards: Vec<ClaimShard>,
+    /// Claimed requests that run here.
+    runs: RunTable,
 }
 
 /// Leave to run a request once.
@@ -39,6 +43,22 @@
     pub claim: Uuid,
 }
 
+/// How a claimed request goes on.
+pub enum ClaimStart {
+    /// It may be run here; others may join through the ticket.
+    Granted(ClaimGrant, RunTicket),
+    /// It ran elsewhere, and this is its answer.
+    Joined(JoinedAnswer),
+}
+
+/// What keeps a claim from being granted.
+enum ClaimBarrier {
+    /// Another claim holds the request.
+    Held(ClaimHolder),
+    /// Anything else.
+    Problem(ClaimProblem),
+}
+
 /// Why a request may not be run here.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ClaimProblem {
@@ -65,6 +85,7 @@
     fn default() -> Self {
         Self {
             shards: (0..SHARD_COUNT).map(ClaimShard::new).collect(),
+            runs: RunTable::default(),
         }
     }
 }
@@ -74,6 +95,10 @@
         &self.shards
     }
 
+    pub(super) fn runs(&self) -> &RunTable {
+        &self.runs
+    }
+
     /// Number of given-up claims whose void is not yet on the log.
     pub fn open_voids(&self) -> usize {
         self.shards.iter().map(ClaimShard::open_voids).sum()
@@ -90,14 +115,75 @@
 ///
 /// Nothing may be dispatched on any error.
 pub async fn claim(core: &Arc<RouterCore>, key: &RequestKey) -> Result<ClaimGrant, ClaimProblem> {
+    match checked_claim(core, key).await {
+        Ok(grant) => Ok(grant),
+        Err(ClaimBarrier::Held(holder)) => Err(held(core, key, &holder).await),
+        Err(ClaimBarrier::Problem(problem)) => Err(problem),
+    }
+}
+
+/// Claims `key` for this router, or joins the run that holds it until `deadline`.
+///
+/// # Errors
+///
+/// Nothing may be dispatched on any error.
+pub async fn claim_or_join(
+    core: &Arc<RouterCore>,
+    key: &RequestKey,
+    deadline: Instant,
+) -> Result<ClaimStart, ClaimProblem> {
+    let holder = match checked_claim(core, key).await {
+        Ok(grant) => {
+            let ticket = open_run(core, &grant);
+            return Ok(ClaimStart::Granted(grant, ticket));
+        }
+        Err(ClaimBarrier::Held(holder)) => holder,
+        Err(ClaimBarrier::Problem(problem)) => return Err(problem),
+    };
+    match join(core, key, &holder, deadline).await {
+        Some(answer) => Ok(ClaimStart::Joined(answer)),
+        None => Err(held(core, key, &holder).await),
+    }
+}
+
+async fn checked_claim(
+    core: &Arc<RouterCore>,
+    key: &RequestKey,
+) -> Result<ClaimGrant, ClaimBarrier> {
     check_id_time(&key.request, wall_clock::now())
-        .map_err(|error| ClaimProblem::BadId(error.to_string()))?;
+        .map_err(|error| ClaimBarrier::Problem(ClaimProblem::BadId(error.to_string())))?;
     let asked = Instant::now();
     let result = claim_once_free(core, key).await;
     metrics::histogram!("ferry_claim_seconds").record(asked.elapsed().as_secs_f64());
     result
 }
 
+/// Waits for the answer of the run that holds `key`, if its router lives.
+async fn join(
+    core: &Arc<RouterCore>,
+    key: &RequestKey,
+    holder: &ClaimHolder,
+    deadline: Instant,
+) -> Option<JoinedAnswer> {
+    if holder.router == core.settings.host {
+        return core.claims.runs.join(key, holder.claim, deadline).await;
+    }
+    let wait = deadline.saturating_duration_since(Instant::now());
+    let query = ClaimQuery::Join(RunQuery {
+        key: key.clone(),
+        claim: holder.claim,
+        wait_ms: wait.as_millis() as u64,
+    });
+    let answer = core
+        .hub()
+        .ask(&holder.router, PeerTopic::Claims, &query, wait)
+        .await;
+    match answer {
+        Ok(ClaimAnswer::Joined(answer)) => answer,
+        Ok(ClaimAnswer::Submitted(_)) | Err(_) => None,
+    }
+}
+
 /// Gives up `grant` after the request was certainly not run.
 ///
 /// # Errors
@@ -115,16 +201,16 @@
 async fn claim_once_free(
     core: &Arc<RouterCore>,
     key: &RequestKey,
-) -> Result<ClaimGrant, ClaimProblem> {
+) -> Result<ClaimGrant, ClaimBarrier> {
     for _ in 0..CLAIM_TRIES {
         if core.appends.is_out() {
-            return Err(log_out());
+            return Err(ClaimBarrier::Problem(log_out()));
         }
         let claim = Uuid::new_v4();
         let entry = claim_entry(core, key, claim);
         let Some(reply) = submit(core, entry).await else {
             give_up(core, key, claim);
-            return Err(log_out());
+            return Err(ClaimBarrier::Problem(log_out()));
         };
         match reply {
             ClaimReply::Granted => {
@@ -134,13 +220,13 @@
                 });
             }
             ClaimReply::Voided => {}
-            ClaimReply::Held { holder } => return Err(held(core, key, &holder).await),
-            ClaimReply::Overloaded => return Err(log_out()),
-            ClaimReply::OutsideWindow => return Err(outside_window()),
-            ClaimReply::UnknownHistory => return Err(unknown_history()),
+            ClaimReply::Held { holder } => return Err(ClaimBarrier::Held(holder)),
+            ClaimReply::Overloaded => return Err(ClaimBarrier::Problem(log_out())),
+            ClaimReply::OutsideWindow => return Err(ClaimBarrier::Problem(outside_window())),
+            ClaimReply::UnknownHistory => return Err(ClaimBarrier::Problem(unknown_history())),
         }
     }
-    Err(log_out())
+    Err(ClaimBarrier::Problem(log_out()))
 }
 
 /// Has the owner of the shard take `entry`, or this router if the owner does not answer.
@@ -148,17 +234,15 @@
     let live = core.members.live();
     let owner = owner_of(shard_of(&entry.request().request), &live)?;
     if *owner != core.settings.host {
-        let query = ClaimQuery {
-            entry: entry.clone(),
-        };
+        let query = ClaimQuery::Submit(entry.clone());
         let limit = patience(core);
         let answer = core
             .hub()
             .ask::<_, ClaimAnswer>(owner, PeerTopic::Claims, &query, limit)
             .await;
         match answer {
-            Ok(ClaimAnswer { reply: Some(reply) }) => return Some(reply),
-            Ok(ClaimAnswer { reply: None }) if core.appends.is_out() => return None,
+            Ok(ClaimAnswer::Submitted(Some(reply))) => return Some(reply),
+            Ok(ClaimAnswer::Submitted(None)) if core.appends.is_out() => return None,
             Ok(_) | Err(_) => {}
         }
     }
--- a/crates/router/src/claims/claim_plugin.rs
+++ b/crates/router/src/claims/claim_plugin.rs
@@ -1,10 +1,12 @@
 //! Plug-in that appends and reads back claims, also for other routers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
 use super::claim_desk;
 use super::claim_message::{ClaimAnswer, ClaimQuery};
@@ -33,9 +35,17 @@
 
 fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
     Box::pin(async move {
-        let query: ClaimQuery = decode(&message.body).ok()?;
-        let reply = claim_desk::submit_here(&core, query.entry).await;
-        encode(&ClaimAnswer { reply }).ok()
+        let answer = match decode(&message.body).ok()? {
+            ClaimQuery::Submit(entry) => {
+                ClaimAnswer::Submitted(claim_desk::submit_here(&core, entry).await)
+            }
+            ClaimQuery::Join(query) => {
+                let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
+                let runs = core.claims.runs();
+                ClaimAnswer::Joined(runs.join(&query.key, query.claim, deadline).await)
+            }
+        };
+        encode(&answer).ok()
     })
 }
 
--- /dev/null
+++ b/crates/router/src/claims/joined_answer.rs
@@ -0,0 +1,51 @@
+//! Answer of a run, as it is passed to a second send of the same request.
+
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use serde::{Deserialize, Serialize};
+
+use hyper::StatusCode;
+
+use crate::dispatch::ServiceAnswer;
+
+/// A whole answer in a form that peers can exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JoinedAnswer {
+    status: u16,
+    headers: Vec<JoinedHeader>,
+    body: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct JoinedHeader {
+    name: String,
+    value: Vec<u8>,
+}
+
+impl JoinedAnswer {
+    /// A copy of `answer`.
+    pub fn of(answer: &ServiceAnswer) -> Self {
+        let headers = answer.headers.iter().map(|(name, value)| JoinedHeader {
+            name: name.to_string(),
+            value: value.as_bytes().to_vec(),
+        });
+        Self {
+            status: answer.status.as_u16(),
+            headers: headers.collect(),
+            body: answer.body.to_vec(),
+        }
+    }
+
+    /// The answer for a caller; `None` when a peer sent what is no answer.
+    pub fn into_answer(self) -> Option<ServiceAnswer> {
+        let mut headers = HeaderMap::new();
+        for header in &self.headers {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            headers.append(name, HeaderValue::from_bytes(&header.value).ok()?);
+        }
+        Some(ServiceAnswer {
+            status: StatusCode::from_u16(self.status).ok()?,
+            headers,
+            body: self.body.into(),
+        })
+    }
+}
--- a/crates/router/src/dispatch/service_run.rs
+++ b/crates/router/src/dispatch/service_run.rs
@@ -15,6 +15,7 @@
 use super::stage_run::later_state;
 use super::{UpstreamFailure, gate, service_call};
 use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, RunState};
+use crate::claims::{ClaimProblem, ClaimStart, JoinedAnswer};
 use crate::core::RouterCore;
 use crate::trail::{AttemptNote, AttemptResult, DecisionTrail, TrailEnd};
 use crate::upstream::{FlightGuard, choose};
@@ -80,8 +81,16 @@
         if self.request.idempotent {
             return self.run_and_bill().await;
         }
-        let grant = claims::claim(&self.core, &self.request.key()).await?;
+        let key = self.request.key();
+        let start = claims::claim_or_join(&self.core, &key, self.request.deadline).await?;
+        let (grant, ticket) = match start {
+            ClaimStart::Granted(grant, ticket) => (grant, ticket),
+            ClaimStart::Joined(answer) => return joined(answer),
+        };
         let result = self.run_and_bill().await;
+        if let Ok(answer) = &result {
+            ticket.finish(JoinedAnswer::of(answer));
+        }
         match result {
             Err(refusal) if refusal.run == RunState::NotRun => {
                 match claims::void(&self.core, &grant).await {
@@ -157,3 +166,9 @@
         });
     }
 }
+
+/// Answer of the run that the call joined.
+fn joined(answer: JoinedAnswer) -> Result<ServiceAnswer, CallerRefusal> {
+    let answer = answer.into_answer();
+    answer.ok_or_else(|| ClaimProblem::Ran.into())
+}
