Check bills after a log outage under load with a router replaced

Cause: nothing showed with real processes that bills are exact after an outage. Excluded: comparing totals only; each request's bill is held against what its caller was told. Conclusion: every answered request has one bill, none refused as not run has any.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
 mod letters;
+mod log_outage;
 mod operator;
 mod run_once;
 mod sample;
