Play a tour of a whole deployment with ferry-trial

A newcomer had no command that shows the system at work. The trial starts the platform, five engines of three versions, a service and three routers in one process, each router in a runtime of its own so that it can be killed, and checks nine steps: readiness, streams, a cascade, a session, a withdrawal, a refusal, a repeated call, a router's death, and the bills against what callers got. The caller is the rig's, not a second one.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -12,5 +12,5 @@
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
 pub use link_relay::LinkRelay;
 pub use process::{ChildProcess, RigError};
-pub use rig_client::{ChatCall, RigClient};
+pub use rig_client::{ChatCall, RigClient, read_refusal};
 pub use wait::{LONG_WAIT, eventually};
--- /dev/null
+++ b/crates/trial/src/steps/refusal_step.rs
@@ -0,0 +1,36 @@
+//! The session on the withdrawn version is refused, with what to do about it.
+
+use ferry_rig::{ChatCall, ChatResult};
+
+use super::StepReport;
+use super::session_step::SESSION_HEADER;
+use crate::trial_run::TrialRun;
+
+/// Kind of the refusal that is due.
+const KIND: &str = "session_version_withdrawn";
+
+/// Sends one more request of the session.
+pub async fn play(run: &TrialRun) -> StepReport {
+    let Some(session) = &run.session else {
+        return StepReport::failed("no session was started");
+    };
+    let next = ChatCall::new("assistant", "Next").header(SESSION_HEADER, &session.token);
+    let mut report = StepReport::default();
+    match run.ask_new(1, next).await {
+        ChatResult::Refused(refusal) => {
+            let seen = format!(
+                "status {}, kind {}, run \"{}\"",
+                refusal.status,
+                refusal.kind(),
+                refusal.run
+            );
+            report.check(refusal.kind() == KIND && refusal.run == "not_run", seen);
+            report.check(
+                !refusal.detail.is_empty(),
+                format!("\"{}\"", refusal.detail),
+            );
+        }
+        other => report.check(false, format!("{other:?}")),
+    }
+    report
+}
--- /dev/null
+++ b/crates/trial/src/steps/withdrawal_step.rs
@@ -0,0 +1,87 @@
+//! The operator withdraws the version of the session; no router uses it any more.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ferry_decisions::config::{ObjectKey, ObjectKind, ObjectSpec, VersionPhase};
+use ferry_operator::publish::{ChangeProgress, ChangeStage};
+use ferry_rig::{ChatCall, ChatResult};
+use tokio::time::Instant;
+
+use super::StepReport;
+use crate::deployment::TrialError;
+use crate::trial_run::TrialRun;
+
+/// Requests sent to each router after the withdrawal.
+const CALLS: usize = 6;
+
+/// Withdraws the version, measures the time until it is in force, and sends more work.
+pub async fn play(run: &TrialRun) -> StepReport {
+    let Some(session) = &run.session else {
+        return StepReport::failed("no session was started, so that there is nothing to withdraw");
+    };
+    let mut report = StepReport::default();
+    match withdraw(run, &session.version).await {
+        Ok((progress, elapsed)) => {
+            let seen = format!(
+                "{} withdrawn in log record {}; in force on {} after {} ms",
+                session.version,
+                progress.offset,
+                progress.confirmed.join(", "),
+                elapsed.as_millis()
+            );
+            let everywhere = progress.confirmed.len() == run.deployment.routers.len();
+            report.check(everywhere && progress.stage == ChangeStage::InForce, seen);
+        }
+        Err(error) => return StepReport::failed(error.to_string()),
+    }
+    let versions = ask_everywhere(run).await;
+    let answered: usize = versions.values().sum();
+    let expected = CALLS * run.deployment.routers.len();
+    let held = answered == expected && !versions.contains_key(&session.version);
+    let counts: Vec<_> = versions
+        .iter()
+        .map(|(name, count)| format!("{count} by {name}"))
+        .collect();
+    report.check(
+        held,
+        format!("{expected} requests sent afterwards: {}", counts.join(", ")),
+    );
+    report
+}
+
+async fn withdraw(run: &TrialRun, version: &str) -> Result<(ChangeProgress, Duration), TrialError> {
+    let key = ObjectKey::new(ObjectKind::Version, version);
+    let known = run.deployment.fleet.newest_config().await?;
+    let spec = known
+        .as_ref()
+        .and_then(|known| known.state.spec(&key))
+        .cloned();
+    let changes = match spec {
+        Some(ObjectSpec::Version(mut spec)) => {
+            spec.phase = VersionPhase::Withdrawn;
+            vec![(key, ObjectSpec::Version(spec))]
+        }
+        _ => Vec::new(),
+    };
+    let begun = Instant::now();
+    let progress = run.deployment.publish(changes, |_| {}).await?;
+    Ok((progress, begun.elapsed()))
+}
+
+/// Answers by version of several requests at each router.
+async fn ask_everywhere(run: &TrialRun) -> BTreeMap<String, usize> {
+    let mut versions = BTreeMap::new();
+    for index in 0..run.deployment.routers.len() {
+        for number in 0..CALLS {
+            let call = ChatCall::new("assistant", &format!("Letter {number}"));
+            let name = match run.ask_new(index, call).await {
+                ChatResult::Answered(answer) => answer.version,
+                ChatResult::Refused(refusal) => refusal.kind().to_owned(),
+                ChatResult::Broken(reason) => reason,
+            };
+            *versions.entry(name).or_default() += 1;
+        }
+    }
+    versions
+}
--- a/src/bin/ferry-trial.rs
+++ b/src/bin/ferry-trial.rs
@@ -1,3 +1,5 @@
 //! Entry point of `ferry-trial`.
 
-fn main() {}
+fn main() -> miette::Result<std::process::ExitCode> {
+    ferry_trial::app::main()
+}
--- /dev/null
+++ b/tests/trial.rs
@@ -0,0 +1,112 @@
+//! The trial as a newcomer runs it.
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use ferry_kernel::http::{HttpClient, HttpRequest};
+use hyper::Method;
+
+/// Limit of a call; reached only when a test fails.
+const LONG: Duration = Duration::from_secs(30);
+/// Headings of all steps.
+const HEADINGS: [&str; 9] = [
+    "1. Three routers are up",
+    "2. Answers come as streams",
+    "3. A cascade asks the small versions first",
+    "4. A session keeps its version on every router",
+    "5. A withdrawal takes hold on all routers",
+    "6. A refusal names its remedy",
+    "7. A call that is not idempotent, sent twice, runs once",
+    "8. A router is killed while streams run",
+    "9. The bills add up",
+];
+/// Lines and columns of one screen.
+const SCREEN: (usize, usize) = (45, 100);
+
+/// A trial that was left up; killed when it is dropped.
+struct KeptTrial(Child);
+
+impl KeptTrial {
+    fn start() -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ferry-trial"));
+        command.arg("--keep").stdout(Stdio::piped());
+        Self(command.spawn().unwrap())
+    }
+
+    /// Reads the screen up to the line that starts with `last`.
+    fn read_until(&mut self, last: &str) -> Vec<String> {
+        let mut lines = BufReader::new(self.0.stdout.as_mut().unwrap()).lines();
+        let mut seen = Vec::new();
+        while let Some(Ok(line)) = lines.next() {
+            let found = line.starts_with(last);
+            seen.push(line);
+            if found {
+                return seen;
+            }
+        }
+        panic!("the trial ended before {last:?}: {seen:#?}");
+    }
+
+    fn interrupt(&self) {
+        let pid = self.0.id().try_into().unwrap();
+        // SAFETY: sends a signal to a child that has not been waited for.
+        assert_eq!(unsafe { libc::kill(pid, libc::SIGINT) }, 0);
+    }
+}
+
+impl Drop for KeptTrial {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// The request that a line for `curl` makes.
+fn request_of(line: &str) -> HttpRequest {
+    let quoted: Vec<_> = line.split('\'').collect();
+    let url = line.split(' ').find(|word| word.starts_with("http://"));
+    let key = quoted[1].strip_prefix("Authorization: Bearer ").unwrap();
+    let body = quoted[3].to_owned();
+    HttpRequest::new(Method::POST, url.unwrap(), body.into()).bearer(key)
+}
+
+#[test]
+fn every_step_of_the_tour_holds() {
+    let mut trial = Command::new(env!("CARGO_BIN_EXE_ferry-trial"));
+    let output = trial.output().unwrap();
+    let screen = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{screen}");
+    for heading in HEADINGS {
+        assert!(
+            screen.lines().any(|line| line == heading),
+            "{heading}\n{screen}"
+        );
+    }
+    assert!(screen.contains("9 of 9 steps held"), "{screen}");
+    assert!(!screen.contains("FAILED"), "{screen}");
+    let (lines, columns) = SCREEN;
+    assert!(screen.lines().count() <= lines, "{screen}");
+    assert!(
+        screen.lines().all(|line| line.chars().count() <= columns),
+        "{screen}"
+    );
+}
+
+#[tokio::test]
+async fn a_kept_trial_answers_the_line_that_it_prints() {
+    let mut trial = KeptTrial::start();
+    let screen = trial.read_until("Press Ctrl-C");
+    let line = screen
+        .iter()
+        .find(|line| line.starts_with("curl "))
+        .unwrap();
+    let answer = HttpClient::default().fetch(request_of(line), LONG).await;
+    let answer = String::from_utf8(answer.unwrap().to_vec()).unwrap();
+    assert!(answer.contains("chat.completion.chunk"), "{answer}");
+    assert!(answer.trim_end().ends_with("data: [DONE]"), "{answer}");
+
+    trial.interrupt();
+    trial.read_until("Stopping");
+    assert_eq!(trial.0.wait().unwrap().code(), Some(0));
+}
