--- a/crates/bench/src/overload/overload_report.rs
+++ b/crates/bench/src/overload/overload_report.rs
@@ -8,7 +8,7 @@
 use crate::report::{ExperimentReport, PlotSeries, ReportPlot, ReportTable};
 
 /// Columns of the tables.
-const COLUMNS: [&str; 10] = [
+const COLUMNS: [&str; 11] = [
     "offered/s",
     "in time/s",
     "in time %",
@@ -19,6 +19,7 @@
     "p95 ms",
     "p99 ms",
     "retries/req",
+    "work %",
 ];
 
 /// Plays `experiment` for each policy and seed.
@@ -29,8 +30,10 @@
         let played: Vec<_> = (0..experiment.arms.len())
             .map(|arm| scope.spawn(move || play_arm(experiment, arm, done, total)))
             .collect();
-        let joined = played.into_iter().map(std::thread::ScopedJoinHandle::join);
-        joined.map(std::result::Result::unwrap_or_default).collect()
+        played
+            .into_iter()
+            .map(|thread| thread.join().expect("a run does not panic"))
+            .collect()
     });
     ExperimentReport {
         name: experiment.name.clone(),
@@ -69,6 +72,12 @@
         }));
     }
     let seconds = experiment.duration().as_secs();
+    for (index, class) in experiment.classes.iter().enumerate() {
+        let title = format!("Class {:?}, all phases", class.priority);
+        tables.push(table(experiment, &title, seconds, results, |r| {
+            &r.classes[index]
+        }));
+    }
     let large = "First workspace, all phases";
     tables.push(table(experiment, large, seconds, results, |r| &r.large));
     let modest = "Other workspaces, all phases";
@@ -86,12 +95,14 @@
     let mut table = ReportTable::new(title, &COLUMNS);
     let run_seconds = (seconds * experiment.seeds.len() as u64) as f64;
     for (arm, result) in experiment.arms.iter().zip(results) {
-        table.push(&arm.name, &row(select(result), run_seconds));
+        let figures = select(result);
+        let work = figures.work as f64 / (run_seconds * experiment.steps_per_second()) * 100.0;
+        table.push(&arm.name, &row(figures, run_seconds, work));
     }
     table
 }
 
-fn row(figures: &PhaseFigures, seconds: f64) -> [f64; 10] {
+fn row(figures: &PhaseFigures, seconds: f64, work: f64) -> [f64; 11] {
     let offered = figures.offered.max(1) as f64;
     let answered = figures.answered() as f64;
     let refused = figures.refused as f64;
@@ -107,6 +118,7 @@
         figures.latency_ms(0.95),
         figures.latency_ms(0.99),
         figures.retries as f64 / offered,
+        work,
     ]
 }
 
--- a/crates/bench/src/overload/overload_run.rs
+++ b/crates/bench/src/overload/overload_run.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use ferry_decisions::admission::PriorityClass;
+use ferry_decisions::choice::RankCounts;
 use ferry_decisions::limits::OfferedCount;
 use ferry_decisions::names::{HostName, Incarnation, ZoneName};
 use ferry_decisions::retry::UpstreamFailure;
@@ -27,6 +29,8 @@
 pub(super) struct RunFigures {
     /// Per phase, by time of arrival.
     pub(super) phases: Vec<PhaseFigures>,
+    /// Per class, over all phases.
+    pub(super) classes: Vec<PhaseFigures>,
     /// The first workspace, over all phases.
     pub(super) large: PhaseFigures,
     /// All other workspaces.
@@ -40,6 +44,7 @@
         let seconds = experiment.duration().as_secs() as usize;
         Self {
             phases: vec![PhaseFigures::default(); experiment.phases.len()],
+            classes: vec![PhaseFigures::default(); experiment.classes.len()],
             answers_by_second: vec![0; seconds],
             ..Self::default()
         }
@@ -54,6 +59,9 @@
         for (phase, more) in self.phases.iter_mut().zip(&other.phases) {
             phase.add(more);
         }
+        for (class, more) in self.classes.iter_mut().zip(&other.classes) {
+            class.add(more);
+        }
         self.large.add(&other.large);
         self.modest.add(&other.modest);
         for (count, more) in self
@@ -67,6 +75,7 @@
 
     fn update(&mut self, entry: &ArrivalEntry, change: impl Fn(&mut PhaseFigures)) {
         change(&mut self.phases[entry.phase]);
+        change(&mut self.classes[entry.class]);
         if entry.workspace == 0 {
             change(&mut self.large);
         } else {
@@ -164,21 +173,27 @@
         let entry = work.entry;
         self.events.push(work.deadline, RunEvent::Deadline(item));
         self.figures.update(&entry, |f| f.offered += 1);
-        self.routers[entry.router].offer(self.now, entry.workspace);
+        let class = self.class_of(&entry);
+        self.routers[entry.router].offer(self.now, entry.workspace, class);
         self.dispatch(item);
     }
 
+    fn class_of(&self, entry: &ArrivalEntry) -> PriorityClass {
+        self.experiment.classes[entry.class].priority
+    }
+
     fn dispatch(&mut self, item: usize) {
+        let class = self.class_of(&self.items[item].entry);
         let work = &mut self.items[item];
-        let class = self.experiment.classes[work.entry.class].priority;
         let router = &mut self.routers[work.entry.router];
-        let Some(engine) = router.place(self.now, work, class) else {
+        let Some((engine, rank)) = router.place(self.now, work, class) else {
             return self.finish(item, WorkOutcome::Refused);
         };
         let known = &mut router.engines[engine];
-        known.own.begin(self.now);
+        known.own.begin(self.now, rank);
         work.tried.push(known.name.clone());
         work.engine = Some(engine);
+        work.rank = rank;
         work.attempts += 1;
         let attempt = work.attempts;
         let at = self.now + self.delay(item);
@@ -205,7 +220,7 @@
         let job = EngineJob {
             item,
             attempt,
-            priority: self.experiment.classes[work.entry.class].priority,
+            rank: work.rank,
             steps_left: work.entry.steps,
         };
         if !self.engines[engine].is_alive() {
@@ -251,9 +266,12 @@
             return;
         }
         let entry = self.items[item].entry;
-        self.routers[entry.router].learn(self.now, entry.steps);
+        let class = self.class_of(&entry);
+        self.routers[entry.router].learn(self.now, class, entry.steps);
         self.release(item);
         self.finish(item, WorkOutcome::Answered);
+        self.figures
+            .update(&entry, |f| f.work += u64::from(entry.steps));
         let second = self.now.as_secs() as usize;
         if let Some(count) = self.figures.answers_by_second.get_mut(second) {
             *count += 1;
@@ -266,7 +284,9 @@
         }
         let engine = self.release(item);
         let work = &self.items[item];
-        let retries = self.routers[work.entry.router].retries(self.now, work, engine, failure);
+        let class = self.class_of(&work.entry);
+        let router = &mut self.routers[work.entry.router];
+        let retries = router.retries(self.now, work, class, engine, failure);
         let work = &mut self.items[item];
         work.run = work.run.max(failure.run_state());
         if retries {
@@ -295,7 +315,7 @@
         let engine = work.engine.take().unwrap_or_default();
         self.routers[work.entry.router].engines[engine]
             .own
-            .end(self.now);
+            .end(self.now, work.rank);
         engine
     }
 
@@ -337,30 +357,25 @@
             return;
         }
         for engine in 0..self.engines.len() {
-            let own = |router: &RouterState| router.engines[engine].own.current();
-            let total: u32 = self.routers.iter().map(own).sum();
+            let mut total = RankCounts::default();
+            for router in &self.routers {
+                let own = router.engines[engine].own.by_rank();
+                total.iter_mut().zip(own).for_each(|(t, o)| *t += o);
+            }
             for router in &mut self.routers {
                 let known = &mut router.engines[engine];
-                known.peers.set(self.now, total - known.own.current());
+                let mut others = total;
+                let own = known.own.by_rank();
+                others.iter_mut().zip(own).for_each(|(t, o)| *t -= o);
+                known.peers.set(self.now, others);
             }
         }
     }
 
     fn exchange_demand(&mut self) {
         for workspace in 0..self.experiment.workspaces.len() {
-            let totals: Vec<u64> = self
-                .routers
-                .iter()
-                .map(|r| r.offered_total(workspace))
-                .collect();
-            for (index, router) in self.routers.iter_mut().enumerate() {
-                for (peer, total) in totals.iter().enumerate().filter(|(p, _)| *p != index) {
-                    let count = OfferedCount {
-                        router: Incarnation(Uuid::from_u128(peer as u128)),
-                        total: *total,
-                    };
-                    router.merge(self.now, workspace, count);
-                }
+            for class in PriorityClass::ALL {
+                self.exchange_counts(workspace, class);
             }
         }
         for router in &mut self.routers {
@@ -368,6 +383,20 @@
         }
     }
 
+    fn exchange_counts(&mut self, workspace: usize, class: PriorityClass) {
+        let total = |router: &RouterState| router.offered_total(workspace, class);
+        let totals: Vec<u64> = self.routers.iter().map(total).collect();
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            for (peer, total) in totals.iter().enumerate().filter(|(p, _)| *p != index) {
+                let count = OfferedCount {
+                    router: Incarnation(Uuid::from_u128(peer as u128)),
+                    total: *total,
+                };
+                router.merge(self.now, workspace, class, count);
+            }
+        }
+    }
+
     fn begin_fault(&mut self, index: usize) {
         let fault = &self.experiment.faults[index];
         match fault.fault {
--- a/crates/bench/src/overload/router_state.rs
+++ b/crates/bench/src/overload/router_state.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ferry_decisions::admission::{
-    AdmissionQuery, DeadlineAdmission, FairLevel, FairStanding, PriorityClass, ServiceHistory,
-    WorkspaceDemand,
+    AdmissionQuery, DeadlineAdmission, FairLevel, FairStanding, PriorityClass, QueueRank,
+    ServiceEstimate, ServiceHistory, ServiceQuery, WorkspaceDemand, higher_part,
 };
 use ferry_decisions::choice::{
     ChoicePoints, ChoiceQuery, FlightHistory, ReportedLoad, UpstreamChoice, UpstreamLoad,
@@ -55,7 +55,7 @@
         }
     }
 
-    fn view(&self, now: Duration) -> UpstreamView<'_> {
+    fn view(&self, now: Duration, rank: QueueRank) -> UpstreamView<'_> {
         let state = if now < self.suspect_until {
             UpstreamState::Suspect
         } else {
@@ -65,17 +65,18 @@
             name: &self.name,
             zone: &self.zone,
             state,
-            load: self.load(),
+            load: self.load(rank),
         }
     }
 
-    fn load(&self) -> UpstreamLoad {
+    fn load(&self, rank: QueueRank) -> UpstreamLoad {
         let taken = self.report.map(|report| report.0).unwrap_or_default();
         UpstreamLoad {
             own_in_flight: self.own.current(),
             own_at_report: self.own.at(taken),
             peers_in_flight: self.peers.current(),
             peers_at_report: self.peers.at(taken),
+            mix: self.own.mix_around(rank) + self.peers.mix_around(rank),
             report: self.report.map(|report| report.1),
             observed_step_ms: self.observed_step_ms,
         }
@@ -93,8 +94,8 @@
     history: ServiceHistory,
     /// Retry budget per workspace.
     budgets: Vec<RetryBudget>,
-    /// Demand per workspace, over all routers.
-    demands: Vec<PooledDemand>,
+    /// Demand per workspace and priority, over all routers.
+    demands: Vec<[PooledDemand; PriorityClass::COUNT]>,
     fair_level: FairLevel,
     admission: DeadlineAdmission,
     turn: u64,
@@ -116,7 +117,7 @@
             engines,
             history: ServiceHistory::default(),
             budgets: vec![RetryBudget::new(RetryBudgetConfig::default()); workspaces],
-            demands: vec![PooledDemand::default(); workspaces],
+            demands: vec![<[PooledDemand; PriorityClass::COUNT]>::default(); workspaces],
             fair_level: FairLevel(f64::INFINITY),
             admission: DeadlineAdmission::default(),
             turn: 0,
@@ -124,18 +125,18 @@
     }
 
     /// Counts a fresh request of `workspace`.
-    pub(super) fn offer(&mut self, now: Duration, workspace: usize) {
+    pub(super) fn offer(&mut self, now: Duration, workspace: usize, class: PriorityClass) {
         self.budgets[workspace].fund();
-        self.demands[workspace].offer(now);
+        self.demands[workspace][class.index()].offer(now);
     }
 
-    /// The engine that gets `item`, or none when it is refused.
+    /// The engine that gets `item` with its rank there, or none when it is refused.
     pub(super) fn place(
         &mut self,
         now: Duration,
         item: &WorkItem,
         class: PriorityClass,
-    ) -> Option<usize> {
+    ) -> Option<(usize, QueueRank)> {
         let points = ChoicePoints {
             first: self.rng.random(),
             second: self.rng.random(),
@@ -143,8 +144,10 @@
         };
         self.turn += 1;
         let (fair_point, point) = (self.rng.random(), self.rng.random());
-        let standing = self.standing(now, item.entry.workspace, fair_point);
-        let views: Vec<UpstreamView<'_>> = self.engines.iter().map(|e| e.view(now)).collect();
+        let standing = self.standing(now, item.entry.workspace, class, fair_point);
+        let rank = QueueRank::new(class, standing);
+        let engines = self.engines.iter();
+        let views: Vec<UpstreamView<'_>> = engines.map(|e| e.view(now, rank)).collect();
         let query = ChoiceQuery {
             zone: &self.zone,
             affinity: None,
@@ -155,72 +158,95 @@
             ..UpstreamChoice::default()
         };
         let chosen = choice.choose(&views, &query, points).ok()?;
-        if self.admits(now, item, class, standing, &views[chosen].load, point) {
-            return Some(chosen);
+        if self.arm.admission == AdmissionMode::None {
+            return Some((chosen, rank));
+        }
+        let mut query_of = AdmissionQuery {
+            time_left: Some(item.deadline.saturating_sub(now)),
+            class,
+            standing,
+            load: views[chosen].load,
+            higher_part: higher_part(&views),
+            service: None,
+            point,
+        };
+        if self.admits(now, &mut query_of) {
+            return Some((chosen, rank));
         }
         let cheapest = choice.cheapest(&views, &query).ok()?;
-        self.admits(now, item, class, standing, &views[cheapest].load, point)
-            .then_some(cheapest)
+        query_of.load = views[cheapest].load;
+        self.admits(now, &mut query_of).then_some((cheapest, rank))
     }
 
-    fn admits(
+    fn admits(&self, now: Duration, query: &mut AdmissionQuery) -> bool {
+        query.service = self.service(now, query.class, &query.load);
+        self.admission.decide(query).is_ok()
+    }
+
+    fn service(
         &self,
         now: Duration,
-        item: &WorkItem,
         class: PriorityClass,
-        standing: FairStanding,
         load: &UpstreamLoad,
-        point: f64,
-    ) -> bool {
-        if self.arm.admission == AdmissionMode::None {
-            return true;
-        }
-        let config = &self.admission.config;
-        let query = AdmissionQuery {
-            time_left: Some(item.deadline.saturating_sub(now)),
+    ) -> Option<ServiceEstimate> {
+        let query = ServiceQuery {
             class,
-            standing,
-            load: *load,
-            service: self.history.estimate(now, config, load.step_ms(), None),
-            point,
+            step_ms: load.step_ms(),
+            most_steps: None,
         };
-        self.admission.decide(&query).is_ok()
+        let config = &self.admission.config;
+        self.history.estimate(now, config, &query)
     }
 
-    fn standing(&self, now: Duration, workspace: usize, point: f64) -> FairStanding {
+    fn standing(
+        &self,
+        now: Duration,
+        workspace: usize,
+        class: PriorityClass,
+        point: f64,
+    ) -> FairStanding {
         if self.arm.admission != AdmissionMode::Fair {
             return FairStanding::Within;
         }
         let demand = self.demand(now, workspace);
-        self.fair_level.standing(&demand, point)
+        self.fair_level.standing(&demand, class, point)
     }
 
+    /// Offered engine steps per second of `workspace`.
     fn demand(&self, now: Duration, workspace: usize) -> WorkspaceDemand {
+        let offered = PriorityClass::ALL.map(|class| {
+            let rate = self.demands[workspace][class.index()].rate(now);
+            rate * self.history.mean_steps(class).unwrap_or(0.0)
+        });
         WorkspaceDemand {
             weight: 1.0,
-            offered: self.demands[workspace].rate(now),
+            offered,
         }
     }
 
-    /// Requests that this router was offered for `workspace`.
-    pub(super) fn offered_total(&self, workspace: usize) -> u64 {
-        self.demands[workspace].own_total()
+    /// Requests of `class` that this router was offered for `workspace`.
+    pub(super) fn offered_total(&self, workspace: usize, class: PriorityClass) -> u64 {
+        self.demands[workspace][class.index()].own_total()
     }
 
-    /// Takes over a peer's count for `workspace`.
-    pub(super) fn merge(&mut self, now: Duration, workspace: usize, count: OfferedCount) {
-        self.demands[workspace].merge(now, count);
+    /// Takes over a peer's count for `workspace` and `class`.
+    pub(super) fn merge(
+        &mut self,
+        now: Duration,
+        workspace: usize,
+        class: PriorityClass,
+        count: OfferedCount,
+    ) {
+        self.demands[workspace][class.index()].merge(now, count);
     }
 
     /// Computes the fair parts anew.
     pub(super) fn share_out(&mut self, now: Duration) {
-        let Some(steps) = self.history.mean_steps() else {
-            return;
-        };
-        let rate =
-            |load: UpstreamLoad| f64::from(load.batch_limit()) * 1_000.0 / (steps * load.step_ms());
+        let rank = QueueRank::new(PriorityClass::Normal, FairStanding::Within);
+        let steps_per_second =
+            |load: UpstreamLoad| f64::from(load.batch_limit()) * 1_000.0 / load.step_ms();
         let live = self.engines.iter().filter(|e| now >= e.suspect_until);
-        let capacity: f64 = live.map(|e| rate(e.load())).sum();
+        let capacity: f64 = live.map(|e| steps_per_second(e.load(rank))).sum();
         let demands: Vec<WorkspaceDemand> = (0..self.demands.len())
             .map(|workspace| self.demand(now, workspace))
             .collect();
@@ -229,8 +255,8 @@
     }
 
     /// Learns from an answer that took `steps`.
-    pub(super) fn learn(&mut self, now: Duration, steps: u32) {
-        self.history.record(now, steps);
+    pub(super) fn learn(&mut self, now: Duration, class: PriorityClass, steps: u32) {
+        self.history.record(now, class, steps);
     }
 
     /// Whether the failed `item` is sent elsewhere.
@@ -238,6 +264,7 @@
         &mut self,
         now: Duration,
         item: &WorkItem,
+        class: PriorityClass,
         engine: usize,
         failure: UpstreamFailure,
     ) -> bool {
@@ -248,9 +275,8 @@
         if self.arm.retry == RetryMode::Fixed {
             return item.attempts < policy.most_attempts;
         }
-        let step_ms = self.engines[engine].load().step_ms();
-        let config = &self.admission.config;
-        let service = self.history.estimate(now, config, step_ms, None);
+        let load = self.engines[engine].load(item.rank);
+        let service = self.service(now, class, &load);
         let query = RetryQuery {
             failure,
             earlier: item.run,
--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -8,12 +8,14 @@
 mod deadline_admission;
 mod decaying_histogram;
 mod fair_share;
+mod queue_rank;
 mod service_estimate;
 
 pub use admission_config::{AdmissionConfig, PriorityClass};
 pub use deadline_admission::{
-    AdmissionQuery, AdmissionRefusal, DeadlineAdmission, FinishEstimate, RefusalReason,
+    AdmissionQuery, AdmissionRefusal, DeadlineAdmission, FinishEstimate, RefusalReason, higher_part,
 };
 pub use decaying_histogram::DecayingHistogram;
-pub use fair_share::{FairLevel, FairStanding, WorkspaceDemand};
-pub use service_estimate::{ServiceEstimate, ServiceHistory};
+pub use fair_share::{ClassRates, FairLevel, FairStanding, WorkspaceDemand};
+pub use queue_rank::QueueRank;
+pub use service_estimate::{ServiceEstimate, ServiceHistory, ServiceQuery};
--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -19,8 +19,14 @@
 }
 
 impl PriorityClass {
-    /// Priority as engines take it: higher first.
-    pub fn engine_priority(self) -> u32 {
+    /// Number of priorities.
+    pub const COUNT: usize = 3;
+
+    /// All priorities, lowest first.
+    pub const ALL: [Self; Self::COUNT] = [Self::Batch, Self::Normal, Self::Urgent];
+
+    /// Position among the priorities, lowest first; below [`Self::COUNT`].
+    pub fn index(self) -> usize {
         match self {
             Self::Batch => 0,
             Self::Normal => 1,
@@ -56,9 +62,9 @@
         Self {
             service_quantile: 0.9,
             normal_wait: 0.9,
-            batch_wait: 0.5,
+            batch_wait: 0.8,
             beyond_fair_wait: 0.5,
-            target_utilisation: 0.95,
+            target_utilisation: 0.85,
             undated_wait_ms: 10_000,
             sample_life_ms: 5_000,
             probe_fraction: 0.1,
