--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! relays between them that can be cut.
 
 mod answer;
+mod curl_line;
 mod fleet;
 mod link_relay;
 mod operator_tool;
@@ -10,6 +11,7 @@
 mod wait;
 
 pub use answer::{ChatResult, Refusal, RigAnswer};
+pub use curl_line::curl_request;
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
 pub use link_relay::LinkRelay;
 pub use operator_tool::ToolOutput;
--- a/tests/trial.rs
+++ b/tests/trial.rs
@@ -4,8 +4,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use ferry_kernel::http::{HttpClient, HttpRequest};
-use hyper::Method;
+use ferry_kernel::http::HttpClient;
+use ferry_rig::curl_request;
 
 /// Limit of a call; reached only when a test fails.
 const LONG: Duration = Duration::from_secs(30);
@@ -62,15 +62,6 @@
     }
 }
 
-/// The request that a line for `curl` makes.
-fn request_of(line: &str) -> HttpRequest {
-    let quoted: Vec<_> = line.split('\'').collect();
-    let url = line.split(' ').find(|word| word.starts_with("http://"));
-    let key = quoted[1].strip_prefix("Authorization: Bearer ").unwrap();
-    let body = quoted[3].to_owned();
-    HttpRequest::new(Method::POST, url.unwrap(), body.into()).bearer(key)
-}
-
 #[test]
 fn every_step_of_the_tour_holds() {
     let mut trial = Command::new(env!("CARGO_BIN_EXE_ferry-trial"));
@@ -101,7 +92,7 @@
         .iter()
         .find(|line| line.starts_with("curl "))
         .unwrap();
-    let answer = HttpClient::default().fetch(request_of(line), LONG).await;
+    let answer = HttpClient::default().fetch(curl_request(line), LONG).await;
     let answer = String::from_utf8(answer.unwrap().to_vec()).unwrap();
     assert!(answer.contains("chat.completion.chunk"), "{answer}");
     assert!(answer.trim_end().ends_with("data: [DONE]"), "{answer}");
