Wire membership, the freshness lease and configuration catch-up into the router

Until now a router held its lease from its own reads of the log only and knew its peers from the host list only. Heartbeats now carry each router's configuration mark, its reads of the log and whether it leaves; the lease rests on the log, on a peer's read or on a majority, always dated from the question. A router that is behind asks a peer that is ahead for the records or for its state, so one that starts in an outage gets the configuration.

A router states its read of the log only while it reads it, so that the majority rule can follow on without a gap of one heartbeat. The decisions' rule itself is unchanged. Excluded: pushing records unasked, since each router that reads the log would send what the others read as well.

--- a/crates/decisions/src/membership/membership_table.rs
+++ b/crates/decisions/src/membership/membership_table.rs
@@ -118,6 +118,11 @@
         });
     }
 
+    /// Sets the address of this router's peer port, once it is bound.
+    pub fn set_address(&mut self, address: SocketAddr) {
+        self.own.address = address;
+    }
+
     /// Makes a new statement of this router.
     pub fn report_own(&mut self, report: &OwnReport) -> &MemberRow {
         self.own.sequence += 1;
@@ -203,8 +208,13 @@
 
     /// Health of another host; `None` when nothing was heard of it.
     pub fn health(&self, now: MonotonicTime, host: &HostName) -> Option<HostHealth> {
+        self.silence(now, host).map(HostHealth::after)
+    }
+
+    /// Time without news of another host; `None` when nothing was heard of it.
+    pub fn silence(&self, now: MonotonicTime, host: &HostName) -> Option<Duration> {
         let entry = self.members.get(host)?;
-        Some(HostHealth::after(now.since(entry.heard)))
+        Some(now.since(entry.heard))
     }
 
     /// Hosts that take work: heard lately and not leaving, this one included; sorted.
@@ -249,13 +259,14 @@
 
     /// Hosts to exchange heartbeats with, and their peer ports.
     pub fn neighbours(&self, now: MonotonicTime) -> Vec<(HostName, SocketAddr)> {
-        neighbours(&self.own.host, &self.known(now))
-            .into_iter()
-            .filter_map(|host| {
-                let address = self.address(&host)?;
-                Some((host, address))
-            })
-            .collect()
+        self.with_addresses(neighbours(&self.own.host, &self.known(now)))
+    }
+
+    /// Peer ports of all other hosts listed or heard of and not dead.
+    pub fn directory(&self, now: MonotonicTime) -> Vec<(HostName, SocketAddr)> {
+        let mut others = self.known(now);
+        others.retain(|host| *host != self.own.host);
+        self.with_addresses(others)
     }
 
     /// The statement of this router as of `now`.
@@ -270,9 +281,20 @@
             .map(|entry| statement(&entry.row, entry.asked))
     }
 
+    fn with_addresses(&self, hosts: Vec<HostName>) -> Vec<(HostName, SocketAddr)> {
+        hosts
+            .into_iter()
+            .filter_map(|host| {
+                let address = self.address(&host)?;
+                Some((host, address))
+            })
+            .collect()
+    }
+
+    /// Address of a host's peer port: as the platform lists it, else as the host says itself.
     fn address(&self, host: &HostName) -> Option<SocketAddr> {
-        let heard = self.members.get(host).map(|entry| entry.row.address);
-        heard.or_else(|| self.listed.get(host).map(|router| router.address))
+        let listed = self.listed.get(host).map(|router| router.address);
+        listed.or_else(|| self.members.get(host).map(|entry| entry.row.address))
     }
 
     fn apply_row(
--- a/crates/router/src/admin/admin_server.rs
+++ b/crates/router/src/admin/admin_server.rs
@@ -1,8 +1,8 @@
 //! Requests of operators.
 //!
 //! - `GET /healthz`, `GET /readyz`: without a token.
-//! - `GET /metrics`, `GET /status`, `GET /config`, `GET /verdicts/{change}`,
-//!   `GET /explain/{request}`: with `Authorization: Bearer ADMIN_TOKEN`.
+//! - `GET /metrics`, `GET /status`, `GET /config`, `GET /config/spread/{offset}`,
+//!   `GET /verdicts/{change}`, `GET /explain/{request}`: with `Authorization: Bearer ADMIN_TOKEN`.
 
 use std::sync::Arc;
 
@@ -79,12 +79,26 @@
             None => error(StatusCode::NOT_FOUND, "this router has not read the change"),
         };
     }
+    if let Some(offset) = path.strip_prefix("/config/spread/") {
+        return spread(core, offset);
+    }
     error(
         StatusCode::NOT_FOUND,
-        "use /status, /config, /metrics, /explain/REQUEST or /verdicts/CHANGE",
+        "use /status, /config, /config/spread/OFFSET, /metrics, /explain/REQUEST or /verdicts/CHANGE",
     )
 }
 
+/// How far the configuration record at `offset` has spread.
+fn spread(core: &RouterCore, offset: &str) -> Response<HttpBody> {
+    match offset.parse() {
+        Ok(offset) => {
+            let status = core.members.spread(offset, core.config.mark());
+            json_response(StatusCode::OK, &status)
+        }
+        Err(_) => error(StatusCode::BAD_REQUEST, "write the offset as a number"),
+    }
+}
+
 fn readiness(core: &RouterCore) -> Response<HttpBody> {
     if core.phase() != LifePhase::Serving {
         return error(StatusCode::SERVICE_UNAVAILABLE, "the router stops");
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -1,10 +1,20 @@
-//! Configuration in this router: the cell that requests read and the tail of the log.
+//! Configuration in this router: the cell that requests read, the tail of the log, and what routers
+//! tell one another when the log does not.
 
+mod catch_up;
 mod config_cell;
 mod config_loader;
+mod config_message;
 mod config_tail;
+mod hash_audit;
+mod record_ring;
+mod snapshot_schedule;
+mod snapshot_writer;
 
+pub use catch_up::compare_with_peers;
 pub use config_cell::{ConfigCell, ConfigStatus};
+pub use config_message::{ConfigAnswer, ConfigQuery};
+pub use snapshot_schedule::SnapshotSchedule;
 
 /// Stream of the log that holds configuration records.
 pub const CONFIG_STREAM: &str = "config";
--- a/crates/router/src/config/config_cell.rs
+++ b/crates/router/src/config/config_cell.rs
@@ -4,18 +4,40 @@
 
 use arc_swap::ArcSwap;
 use ferry_decisions::config::{
-    ConfigFold, ConfigState, ConfigVerdict, ConfigView, RecordOutcome, SnapshotRecord,
+    ConfigFold, ConfigRecord, ConfigState, ConfigVerdict, ConfigView, RecordOutcome, SnapshotRecord,
 };
+use ferry_decisions::membership::ConfigMark;
+use ferry_decisions::time::UnixMillis;
+use ferry_platform::log::LogRecord;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 use uuid::Uuid;
 
+use super::hash_audit::HashAudit;
+use super::record_ring::RecordRing;
+use super::{ConfigAnswer, SnapshotSchedule};
+
 /// Fold of the configuration stream with the view built from it.
 #[derive(Debug)]
 pub struct ConfigCell {
-    /// Locked for changes only; its `next_offset` never goes back.
-    fold: Mutex<ConfigFold>,
+    /// Locked for changes only.
+    folded: Mutex<FoldedLog>,
     view: ArcSwap<ConfigView>,
+    /// Compares the hash with those of other routers.
+    pub audit: HashAudit,
+    /// Signalled when another router holds more.
+    pub behind: Notify,
+}
+
+/// The fold with the records that it came from.
+#[derive(Debug)]
+struct FoldedLog {
+    /// Its `next_offset` never goes back.
+    fold: ConfigFold,
+    /// Ends with the record before the fold's `next_offset`, or is empty.
+    ring: RecordRing,
+    schedule: SnapshotSchedule,
 }
 
 /// How far the configuration of a router is.
@@ -31,8 +53,17 @@
     fn default() -> Self {
         let fold = ConfigFold::new();
         let view = ArcSwap::from_pointee(ConfigView::build(&fold));
-        let fold = Mutex::new(fold);
-        Self { fold, view }
+        let folded = FoldedLog {
+            fold,
+            ring: RecordRing::default(),
+            schedule: SnapshotSchedule::default(),
+        };
+        Self {
+            folded: Mutex::new(folded),
+            view,
+            audit: HashAudit::default(),
+            behind: Notify::new(),
+        }
     }
 }
 
@@ -42,28 +73,63 @@
         self.view.load_full()
     }
 
-    /// Folds the record at `offset` and puts the result in force.
-    pub fn apply(&self, offset: u64, data: &[u8]) -> RecordOutcome {
-        let mut fold = self.fold.lock();
-        let outcome = fold.apply(offset, data);
-        self.view.store(Arc::new(ConfigView::build(&fold)));
+    /// Folds `record` and puts the result in force.
+    pub fn apply(&self, record: &LogRecord) -> RecordOutcome {
+        let mut folded = self.folded.lock();
+        let outcome = folded.fold.apply(record.offset, record.data.as_bytes());
+        if record.offset + 1 == folded.fold.next_offset() {
+            folded.note(record);
+        }
+        self.view.store(Arc::new(ConfigView::build(&folded.fold)));
         outcome
     }
 
-    /// Takes over `other` if it has read further; returns whether it did.
-    pub fn adopt(&self, other: ConfigFold) -> bool {
-        let mut fold = self.fold.lock();
-        if other.next_offset() <= fold.next_offset() {
+    /// Takes over `other`, which `records` led to, if it has read further; returns whether it did.
+    pub fn adopt(&self, other: ConfigFold, records: &[LogRecord]) -> bool {
+        let mut folded = self.folded.lock();
+        if other.next_offset() <= folded.fold.next_offset() {
             return false;
         }
-        *fold = other;
-        self.view.store(Arc::new(ConfigView::build(&fold)));
+        folded.fold = other;
+        folded.ring = RecordRing::default();
+        for record in records {
+            folded.note(record);
+        }
+        self.view.store(Arc::new(ConfigView::build(&folded.fold)));
         true
     }
 
+    /// What a router that needs the record `from` next lacks.
+    pub fn answer(&self, from: u64) -> ConfigAnswer {
+        let folded = self.folded.lock();
+        let records = folded.ring.since(from);
+        let is_ahead = folded.fold.next_offset() > from;
+        let snapshot = (records.is_none() && is_ahead).then(|| folded.fold.snapshot());
+        ConfigAnswer {
+            records: records.unwrap_or_default(),
+            snapshot: snapshot.flatten(),
+        }
+    }
+
+    /// Takes the bounds of the stream that a read showed.
+    pub fn note_bounds(&self, earliest: u64, next: u64) {
+        self.folded.lock().schedule.note_bounds(earliest, next);
+    }
+
+    /// Whether the state has to be appended to a log that keeps records for `retention_ms`.
+    pub fn snapshot_due(&self, now: UnixMillis, retention_ms: u64) -> bool {
+        self.folded.lock().schedule.is_due(now, retention_ms)
+    }
+
+    /// Position with a digest of the state, as heartbeats carry it.
+    pub fn mark(&self) -> ConfigMark {
+        let folded = self.folded.lock();
+        ConfigMark::new(folded.fold.next_offset(), folded.fold.hash())
+    }
+
     /// How far the fold is.
     pub fn status(&self) -> ConfigStatus {
-        let fold = self.fold.lock();
+        let fold = &self.folded.lock().fold;
         ConfigStatus {
             next_offset: fold.next_offset(),
             hash: fold.hash().to_owned(),
@@ -72,18 +138,30 @@
 
     /// The folded state.
     pub fn state(&self) -> ConfigState {
-        self.fold.lock().state().clone()
+        self.folded.lock().fold.state().clone()
     }
 
     /// The folded state as a snapshot; `None` before the first record.
     pub fn snapshot(&self) -> Option<SnapshotRecord> {
-        self.fold.lock().snapshot()
+        self.folded.lock().fold.snapshot()
     }
 
     /// Verdict on the change `id` with its offset, while it is remembered.
     pub fn verdict(&self, id: Uuid) -> Option<(u64, ConfigVerdict)> {
-        let fold = self.fold.lock();
+        let fold = &self.folded.lock().fold;
         let (offset, verdict) = fold.verdict(id)?;
         Some((offset, verdict.clone()))
     }
 }
+
+impl FoldedLog {
+    /// Keeps a record that the fold includes.
+    fn note(&mut self, record: &LogRecord) {
+        self.ring.push(record);
+        let as_of = match serde_json::from_str(&record.data) {
+            Ok(ConfigRecord::Snapshot(snapshot)) => Some(snapshot.as_of),
+            Ok(ConfigRecord::Change(_) | ConfigRecord::Trip(_)) | Err(_) => None,
+        };
+        self.schedule.note_record(record.offset, record.time, as_of);
+    }
+}
--- a/crates/router/src/config/config_loader.rs
+++ b/crates/router/src/config/config_loader.rs
@@ -26,8 +26,17 @@
     },
 }
 
+/// What the log retains of the stream, folded.
+#[derive(Debug)]
+pub struct LoadedConfig {
+    /// The fold.
+    pub fold: ConfigFold,
+    /// Records retained.
+    pub records: Vec<LogRecord>,
+}
+
 /// Folds everything that the log retains of the stream.
-pub async fn load(log: &LogClient) -> Result<ConfigFold, LoadError> {
+pub async fn load(log: &LogClient) -> Result<LoadedConfig, LoadError> {
     let (earliest, records) = read_retained(log).await?;
     let mut fold = if earliest == 0 {
         ConfigFold::new()
@@ -37,7 +46,7 @@
     for record in &records {
         fold.apply(record.offset, record.data.as_bytes());
     }
-    Ok(fold)
+    Ok(LoadedConfig { fold, records })
 }
 
 async fn read_retained(log: &LogClient) -> Result<(u64, Vec<LogRecord>), LogError> {
--- a/crates/router/src/config/config_tail.rs
+++ b/crates/router/src/config/config_tail.rs
@@ -1,16 +1,17 @@
-//! Plug-in that follows the configuration stream.
+//! Plug-in that follows the configuration stream of the log.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_decisions::config::{ConfigVerdict, RecordOutcome};
-use ferry_platform::log::ReadAnswer;
+use ferry_decisions::config::{ConfigFold, ConfigVerdict, RecordOutcome};
+use ferry_platform::log::LogRecord;
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-use super::{CONFIG_STREAM, config_loader};
+use super::{CONFIG_STREAM, catch_up, config_loader, snapshot_writer};
 use crate::core::RouterCore;
-use crate::plugin::{RouterPlugin, no_messages};
+use crate::peer::PeerTopic;
+use crate::plugin::RouterPlugin;
 
 /// Longest time that one read waits for a record; well below the freshness.
 const READ_WAIT: Duration = Duration::from_millis(500);
@@ -22,19 +23,21 @@
 inventory::submit! {
     RouterPlugin {
         name: "config",
-        topics: &[],
+        topics: &[PeerTopic::Config],
         start,
-        on_message: no_messages,
+        on_message: catch_up::on_message,
         view,
     }
 }
 
 fn start(core: &Arc<RouterCore>) {
-    tokio::spawn(
-        core.closing
-            .clone()
-            .run_until_cancelled_owned(follow(Arc::clone(core))),
-    );
+    spawn(core, follow(Arc::clone(core)));
+    spawn(core, catch_up::run(Arc::clone(core)));
+    spawn(core, snapshot_writer::run(Arc::clone(core)));
+}
+
+fn spawn(core: &RouterCore, task: impl Future<Output = ()> + Send + 'static) {
+    tokio::spawn(core.closing.clone().run_until_cancelled_owned(task));
 }
 
 async fn follow(core: Arc<RouterCore>) {
@@ -47,23 +50,25 @@
 
 /// Reads on from the fold's position; returns whether the read succeeded.
 async fn follow_once(core: &RouterCore) -> bool {
-    let from = core.config.status().next_offset;
-    let asked = Instant::now();
+    let from = core.config.mark().next_offset;
+    let asked = core.clock.now();
     let wait = if from == 0 { Duration::ZERO } else { READ_WAIT };
     let answer = match core.log.read(CONFIG_STREAM, from, READ_BATCH, wait).await {
         Ok(answer) => answer,
         Err(error) => {
             metrics::counter!("ferry_config_read_failures_total").increment(1);
             spdlog::debug!("configuration not read", kv: { error = error.to_string() });
+            core.lease.log_failed();
             return false;
         }
     };
+    core.config.note_bounds(answer.earliest, answer.next);
+    core.lease.log_read(asked, answer.next);
     if answer.earliest > from {
         return reload(core).await;
     }
-    fold_records(core, &answer);
-    if core.config.status().next_offset >= answer.next {
-        core.lease.log_read(asked);
+    for record in &answer.records {
+        fold_record(core, record);
     }
     true
 }
@@ -71,7 +76,7 @@
 /// Starts over from a snapshot, since retention has passed the fold's position.
 async fn reload(core: &RouterCore) -> bool {
     match config_loader::load(&core.log).await {
-        Ok(fold) => core.config.adopt(fold),
+        Ok(loaded) => adopt(core, loaded.fold, &loaded.records),
         Err(error) => {
             spdlog::error!("configuration not loaded", kv: { error = error.to_string() });
             false
@@ -79,13 +84,34 @@
     }
 }
 
-fn fold_records(core: &RouterCore, answer: &ReadAnswer) {
-    for record in &answer.records {
-        let outcome = core.config.apply(record.offset, record.data.as_bytes());
-        report(record.offset, &outcome);
+/// Puts a state in force that is further on; returns whether it is.
+pub fn adopt(core: &RouterCore, fold: ConfigFold, records: &[LogRecord]) -> bool {
+    let is_newer = core.config.adopt(fold, records);
+    if is_newer {
+        advance(core);
+    }
+    is_newer
+}
+
+/// Folds one record and lets the other routers know.
+pub fn fold_record(core: &RouterCore, record: &LogRecord) {
+    let before = core.config.mark().next_offset;
+    let outcome = core.config.apply(record);
+    report(record.offset, &outcome);
+    if let RecordOutcome::Change(..) | RecordOutcome::Tripped(_) = outcome {
+        core.members.follow_spread(record.offset);
+    }
+    if core.config.mark().next_offset > before {
+        advance(core);
     }
 }
 
+/// Tells the lease and the neighbours how far the configuration is.
+fn advance(core: &RouterCore) {
+    core.lease.advance(core.config.mark().next_offset);
+    core.members.wake();
+}
+
 fn report(offset: u64, outcome: &RecordOutcome) {
     match outcome {
         RecordOutcome::Change(id, ConfigVerdict::Accepted) => {
--- /dev/null
+++ b/crates/router/src/config/snapshot_writer.rs
@@ -0,0 +1,56 @@
+//! Appends the folded state before retention reaches the records that it was folded from.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::config::ConfigRecord;
+use ferry_kernel::wall_clock;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::CONFIG_STREAM;
+use crate::core::RouterCore;
+
+/// Time between two looks; also the least time between two snapshots of one router.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Looks again and again whether a snapshot is due and this router's to append.
+pub async fn run(core: Arc<RouterCore>) {
+    let mut ticks = interval(LOOK_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let retention_ms = core.settings.platform.retention_ms;
+        let is_due = core.config.snapshot_due(wall_clock::now(), retention_ms);
+        if is_due && is_writer(&core) {
+            append(&core).await;
+        }
+    }
+}
+
+/// Whether this router is the first live one that reads the log. Two writers at once do no harm.
+fn is_writer(core: &RouterCore) -> bool {
+    let own = &core.settings.host;
+    let rows = core.members.live_rows();
+    let reads_earlier = rows
+        .iter()
+        .any(|row| row.log_working && !row.leaving && row.host < *own);
+    core.lease.log_works() && !reads_earlier
+}
+
+async fn append(core: &RouterCore) {
+    let Some(snapshot) = core.config.snapshot() else {
+        return;
+    };
+    let as_of = snapshot.as_of;
+    let record = ConfigRecord::Snapshot(snapshot);
+    let data = serde_json::to_vec(&record).expect("a record has only plain fields");
+    match core.log.append(CONFIG_STREAM, data).await {
+        Ok(offset) => {
+            spdlog::info!("snapshot appended", kv: { offset = offset, as_of = as_of });
+        }
+        Err(error) => {
+            metrics::counter!("ferry_config_snapshot_failures_total").increment(1);
+            spdlog::warn!("snapshot not appended", kv: { error = error.to_string() });
+        }
+    }
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -4,9 +4,12 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, OnceLock};
 
+use ferry_decisions::lease::LeaseOwner;
+use ferry_decisions::membership::{ConfigMark, MemberRow};
 use ferry_decisions::names::Incarnation;
 use ferry_decisions::session::SessionKeys;
 use ferry_kernel::http::HttpClient;
+use ferry_kernel::wall_clock;
 use ferry_platform::hosts::HostsClient;
 use ferry_platform::log::LogClient;
 use ferry_platform::ratings::RatingsClient;
@@ -19,7 +22,7 @@
 use crate::claims::ClaimDesk;
 use crate::config::ConfigCell;
 use crate::lease::LeaseCell;
-use crate::membership::MemberTable;
+use crate::membership::{MemberTable, ProcessClock};
 use crate::peer::PeerHub;
 use crate::settings::RouterSettings;
 use crate::trail::TrailRing;
@@ -31,6 +34,8 @@
     pub settings: RouterSettings,
     /// Identifier of this life of the process.
     pub incarnation: Incarnation,
+    /// Monotonic clock of this process.
+    pub clock: ProcessClock,
     /// Client of the log service.
     pub log: LogClient,
     /// Client of the host list.
@@ -85,15 +90,25 @@
     pub fn new(settings: RouterSettings, sessions: SessionKeys) -> Self {
         let url = settings.platform.url.clone();
         let timeout = settings.call_timeout();
+        let incarnation = Incarnation::random();
+        let clock = ProcessClock::start();
+        let freshness = settings.freshness();
+        let own = own_row(&settings, incarnation);
+        let owner = LeaseOwner {
+            host: settings.host.clone(),
+            born: clock.now(),
+            freshness,
+        };
         Self {
-            incarnation: Incarnation::random(),
+            incarnation,
+            clock,
             log: LogClient::new(&url, timeout),
             hosts: HostsClient::new(&url, timeout),
             ratings: RatingsClient::new(&url),
             http: HttpClient::default(),
             config: ConfigCell::default(),
-            lease: LeaseCell::new(settings.freshness()),
-            members: MemberTable::new(&settings.host),
+            lease: LeaseCell::new(owner, clock),
+            members: MemberTable::new(own, freshness, clock),
             appends: AppendGate::new(f64::from(settings.platform.appends_per_second)),
             claims: ClaimDesk::default(),
             bills: BillDesk::default(),
@@ -120,6 +135,7 @@
 
     /// Sets the links to the other routers, once.
     pub fn connect(&self, hub: Arc<PeerHub>) {
+        self.members.set_address(hub.address());
         let _ = self.hub.set(hub);
     }
 
@@ -142,3 +158,20 @@
         self.phase.store(phase as u8, Ordering::Release);
     }
 }
+
+/// What a process says about itself at its start.
+fn own_row(settings: &RouterSettings, incarnation: Incarnation) -> MemberRow {
+    MemberRow {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        incarnation,
+        generation: wall_clock::now().0,
+        address: settings.listen.peers,
+        sequence: 0,
+        config: ConfigMark::default(),
+        log: None,
+        log_working: false,
+        leaving: false,
+        recovered: false,
+    }
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -96,6 +96,7 @@
     pub async fn stop(self) {
         let core = &self.core;
         core.enter(LifePhase::Leaving);
+        core.members.wake();
         spdlog::info!("router leaves", kv: { in_progress = core.work.len() });
         sleep(Duration::from_millis(core.settings.stop.balancer_lag_ms)).await;
         core.enter(LifePhase::Draining);
--- /dev/null
+++ b/crates/router/src/membership/member_view.rs
@@ -0,0 +1,58 @@
+//! One router host as the status view shows it.
+
+use std::time::Duration;
+
+use ferry_decisions::membership::{HostHealth, MemberRow};
+use ferry_decisions::names::HostName;
+use serde::Serialize;
+
+/// What is known of a router host.
+#[derive(Debug, Clone, Serialize)]
+pub struct MemberView {
+    /// Name of the host.
+    pub host: HostName,
+    /// Whether the platform lists it.
+    pub listed: bool,
+    /// Health by the time without news; `None` if it was never heard of.
+    pub health: Option<HostHealth>,
+    /// Time since the last news, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// Offset of the configuration record that it needs next.
+    pub next_offset: Option<u64>,
+    /// First digits of the hash of its configuration.
+    pub hash: Option<String>,
+    /// Whether it reads the log.
+    pub log_working: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+}
+
+impl MemberView {
+    /// View of a host that last said `row`.
+    pub fn new(row: &MemberRow, silence: Option<Duration>, listed: bool) -> Self {
+        Self {
+            host: row.host.clone(),
+            listed,
+            health: silence.map(HostHealth::after),
+            age_ms: silence.map(|silence| silence.as_millis() as u64),
+            next_offset: Some(row.config.next_offset),
+            hash: Some(format!("{:016x}", row.config.digest)),
+            log_working: row.log_working,
+            leaving: row.leaving,
+        }
+    }
+
+    /// View of a listed host that was never heard of.
+    pub fn unheard(host: &HostName) -> Self {
+        Self {
+            host: host.clone(),
+            listed: true,
+            health: None,
+            age_ms: None,
+            next_offset: None,
+            hash: None,
+            log_working: false,
+            leaving: false,
+        }
+    }
+}
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -4,6 +4,7 @@
 //! WebSocket whose binary messages hold one CBOR frame each; both ends prove that they hold the
 //! fleet's secret before the first frame passes.
 
+mod demand_links;
 mod link_table;
 mod peer_codec;
 mod peer_error;
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -1,7 +1,7 @@
 //! All links of one router: listens, dials its neighbours, and sends on the links that are up.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use rand::Rng;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -20,10 +20,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::demand_links::DemandLinks;
 use super::link_table::{LinkSide, LinkTable};
 use super::peer_frame::{EncodedFrame, FRAME_LIMIT, PeerFrame};
 use super::peer_handshake::{accept_handshake, dial_handshake};
-use super::peer_link::PeerLink;
+use super::peer_link::{FrameQueue, PeerLink};
 use super::{PeerError, PeerIdentity, PeerSettings, PeerTopic, decode, encode, peer_metrics};
 
 /// Time that a connection and its handshake may take.
@@ -36,6 +37,8 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
 /// Wait after a failed accept.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+/// Time after which a link to a host that is no neighbour is closed.
+const DEMAND_LIFE: Duration = Duration::from_secs(600);
 /// Time that a stop waits for the links to write what is queued.
 const STOP_LIMIT: Duration = Duration::from_secs(5);
 
@@ -63,6 +66,9 @@
     links: RwLock<LinkTable>,
     /// Neighbours that are dialled until they are dropped from the list.
     dialers: Mutex<HashMap<HostName, PeerDialer>>,
+    /// Peer ports of hosts that are dialled only when they are asked something.
+    directory: RwLock<HashMap<HostName, SocketAddr>>,
+    demand: DemandLinks,
     stopping: CancellationToken,
     tasks: TaskTracker,
 }
@@ -97,6 +103,8 @@
             address,
             links: RwLock::default(),
             dialers: Mutex::default(),
+            directory: RwLock::default(),
+            demand: DemandLinks::default(),
             stopping: CancellationToken::new(),
             tasks: TaskTracker::new(),
         });
@@ -139,6 +147,11 @@
         }
     }
 
+    /// Sets where hosts that are no neighbours are reached when they are asked something.
+    pub fn set_directory(&self, hosts: &[(HostName, SocketAddr)]) {
+        *self.directory.write() = hosts.iter().cloned().collect();
+    }
+
     /// Sends `body` to every neighbour with a link; full queues are counted and skipped.
     pub fn broadcast(&self, topic: PeerTopic, body: &impl Serialize) {
         let frame = match notice(topic, body) {
@@ -170,20 +183,20 @@
         self.link(to)?.send(frame)
     }
 
-    /// Asks one host and waits for its answer.
+    /// Asks one host and waits for its answer; dials it first if it is no neighbour.
     ///
     /// # Errors
     ///
     /// [`PeerError::delivery`] says whether the host may have seen the query.
     pub async fn ask<Q: Serialize, R: DeserializeOwned>(
-        &self,
+        self: &Arc<Self>,
         to: &HostName,
         topic: PeerTopic,
         query: &Q,
         timeout: Duration,
     ) -> Result<R, PeerError> {
         let body = encode(query)?;
-        let link = self.link(to)?;
+        let link = self.link_on_demand(to).await?;
         let answer = link.ask(topic, body, timeout).await?;
         decode(&answer).map_err(|error| PeerError::BadAnswer {
             host: to.clone(),
@@ -211,6 +224,37 @@
         link.ok_or_else(|| PeerError::NotConnected(host.clone()))
     }
 
+    /// The link to `host`; dials a host that is no neighbour but in the directory.
+    async fn link_on_demand(self: &Arc<Self>, host: &HostName) -> Result<Arc<PeerLink>, PeerError> {
+        let missing = match self.link(host) {
+            Ok(link) => return Ok(link),
+            Err(error) => error,
+        };
+        let address = self.directory.read().get(host).copied();
+        let Some(address) = address.filter(|_| !self.dialers.lock().contains_key(host)) else {
+            return Err(missing);
+        };
+        let _turn = self.demand.turn(host).await;
+        if let Ok(link) = self.link(host) {
+            return Ok(link);
+        }
+        let place = self.demand.place().ok_or(missing)?;
+        let (socket, peer) = timeout(HANDSHAKE_LIMIT, self.dial(host, address))
+            .await
+            .map_err(|_| handshake_timeout())??;
+        let closing = self.stopping.child_token();
+        let (link, queue) = self.add_link(LinkSide::Dialled, peer, closing);
+        let hub = Arc::clone(self);
+        let running = Arc::clone(&link);
+        self.tasks.spawn(async move {
+            let run = hub.run_link(LinkSide::Dialled, &running, socket, queue);
+            let result = running.within(DEMAND_LIFE, run).await;
+            report(result, Some(&running.peer().host));
+            drop(place);
+        });
+        Ok(link)
+    }
+
     async fn accept_loop(self: Arc<Self>, listener: TcpListener) {
         let places = Arc::new(Semaphore::new(HANDSHAKES_AT_ONCE));
         loop {
@@ -235,8 +279,8 @@
                 let result = match opened {
                     Ok(Ok((socket, peer))) => {
                         let closing = hub.stopping.child_token();
-                        hub.run_link(LinkSide::Accepted, socket, peer, closing)
-                            .await
+                        let (link, queue) = hub.add_link(LinkSide::Accepted, peer, closing);
+                        hub.run_link(LinkSide::Accepted, &link, socket, queue).await
                     }
                     Ok(Err(error)) => Err(error),
                     Err(_) => Err(handshake_timeout()),
@@ -274,8 +318,8 @@
                 Ok(Ok((socket, peer))) => {
                     backoff = BACKOFF_MIN;
                     let closing = stopping.child_token();
-                    self.run_link(LinkSide::Dialled, socket, peer, closing)
-                        .await
+                    let (link, queue) = self.add_link(LinkSide::Dialled, peer, closing);
+                    self.run_link(LinkSide::Dialled, &link, socket, queue).await
                 }
                 Ok(Err(error)) => Err(error),
                 Err(_) => Err(handshake_timeout()),
@@ -295,7 +339,7 @@
         host: &HostName,
         address: SocketAddr,
     ) -> Result<(WebSocketStream<TcpStream>, PeerIdentity), PeerError> {
-        let stream = TcpStream::connect(address)
+        let stream = connect_from(self.settings.listen.ip(), address)
             .await
             .map_err(|error| PeerError::Transport(error.to_string()))?;
         let _ = stream.set_nodelay(true);
@@ -307,23 +351,45 @@
         Ok((socket, peer))
     }
 
-    async fn run_link(
+    /// Makes a link and puts it into the table.
+    fn add_link(
         &self,
         side: LinkSide,
-        socket: WebSocketStream<TcpStream>,
         peer: PeerIdentity,
         closing: CancellationToken,
-    ) -> Result<(), PeerError> {
+    ) -> (Arc<PeerLink>, FrameQueue) {
         let (link, queue) = PeerLink::new(peer, closing);
         if let Some(replaced) = self.links.write().insert(side, Arc::clone(&link)) {
             replaced.close();
         }
+        (link, queue)
+    }
+
+    async fn run_link(
+        &self,
+        side: LinkSide,
+        link: &Arc<PeerLink>,
+        socket: WebSocketStream<TcpStream>,
+        queue: FrameQueue,
+    ) -> Result<(), PeerError> {
         let result = link.run(socket, queue, &self.handler).await;
-        self.links.write().remove(side, &link);
+        self.links.write().remove(side, link);
         result
     }
 }
 
+/// Connects to `address` from `own`, so that the other end sees the address that is listed.
+async fn connect_from(own: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if own.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(own, 0))?;
+    }
+    socket.connect(address).await
+}
+
 fn notice(topic: PeerTopic, body: &impl Serialize) -> Result<EncodedFrame, PeerError> {
     let body = encode(body)?;
     PeerFrame::Notice { topic, body }.to_wire()
--- a/crates/router/src/peer/peer_link.rs
+++ b/crates/router/src/peer/peer_link.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
 use tokio_util::sync::CancellationToken;
@@ -137,6 +137,16 @@
         result
     }
 
+    /// Runs `work`, and asks the link to end once `life` has passed.
+    pub async fn within<T>(&self, life: Duration, work: impl Future<Output = T>) -> T {
+        tokio::pin!(work);
+        tokio::select! {
+            result = &mut work => return result,
+            () = sleep(life) => self.close(),
+        }
+        work.await
+    }
+
     fn host(&self) -> HostName {
         self.peer.host.clone()
     }
