--- a/crates/router/src/bills/bill_release.rs
+++ b/crates/router/src/bills/bill_release.rs
@@ -151,7 +151,9 @@
 
 /// Returns once enough peers in other availability zones hold a copy, which `holders` lists.
 async fn hold_copies(core: &RouterCore, bill: &BillEntry, holders: &Mutex<HolderList>) {
-    sleep(HOLD_AFTER).await;
+    if !core.appends.is_out() {
+        sleep(HOLD_AFTER).await;
+    }
     loop {
         let taken = holders.lock().clone();
         for peer in candidates(core, &taken) {
--- a/crates/router/src/bills/bill_shard.rs
+++ b/crates/router/src/bills/bill_shard.rs
@@ -57,12 +57,9 @@
     pub(super) async fn work(&self, core: &RouterCore) {
         loop {
             self.wake.notified().await;
-            loop {
+            while !self.queue.lock().is_empty() {
                 core.appends.turn().await;
                 let queued = self.next_bills();
-                if queued.is_empty() {
-                    break;
-                }
                 self.append(core, queued).await;
             }
         }
--- a/crates/router/src/claims/claim_desk.rs
+++ b/crates/router/src/claims/claim_desk.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ferry_decisions::claim::{
-    ClaimEntry, ClaimHolder, ClaimReply, RequestKey, SHARD_COUNT, check_id_time, owner_of, shard_of,
+    ClaimEntry, ClaimHolder, ClaimReply, EntryKind, RequestKey, SHARD_COUNT, check_id_time,
+    owner_of, shard_of,
 };
 use ferry_kernel::wall_clock;
 use tokio::time::{Instant, timeout};
@@ -251,8 +252,18 @@
 
 /// Appends `entry` from this router and waits until it was read back.
 pub(super) async fn submit_here(core: &RouterCore, entry: ClaimEntry) -> Option<ClaimReply> {
-    let receiver = core.claims.shard(entry.request()).submit(entry)?;
-    timeout(patience(core), receiver).await.ok()?.ok()
+    let shard = core.claims.shard(entry.request());
+    let (claim, kind) = (entry.claim(), entry.kind());
+    let receiver = shard.submit(entry)?;
+    match timeout(patience(core), receiver).await {
+        Ok(reply) => reply.ok(),
+        Err(_) => {
+            if kind == EntryKind::Claim {
+                shard.withdraw(claim);
+            }
+            None
+        }
+    }
 }
 
 /// Time that one owner is given.
@@ -262,7 +273,6 @@
 
 /// Makes sure that a claim whose fate is unknown holds its id no longer than needed.
 fn give_up(core: &Arc<RouterCore>, key: &RequestKey, claim: Uuid) {
-    core.claims.shard(key).withdraw(claim);
     void_later(core, void_entry(key, claim));
 }
 
--- a/crates/router/src/claims/claim_shard.rs
+++ b/crates/router/src/claims/claim_shard.rs
@@ -75,15 +75,14 @@
         Some(receiver)
     }
 
-    /// Takes back a claim that nobody waits for any more; returns whether it was in no batch.
-    pub(super) fn withdraw(&self, claim: Uuid) -> bool {
+    /// Takes back a claim that nobody waits for any more, unless it is in a batch.
+    pub(super) fn withdraw(&self, claim: Uuid) {
+        let ticket = (claim, EntryKind::Claim);
         let mut state = self.state.lock();
-        state.askers.remove(&(claim, EntryKind::Claim));
-        let before = state.inbox.len();
+        state.askers.remove(&ticket);
         state
             .inbox
-            .retain(|entry| (entry.claim(), entry.kind()) != (claim, EntryKind::Claim));
-        state.inbox.len() < before
+            .retain(|entry| (entry.claim(), entry.kind()) != ticket);
     }
 
     /// Number of voids that are not yet on the log.
