Measure crash containment against plain retries

Poison requests are sent again by their callers beside other traffic while routers contain nothing, contain alone or pool what they saw.

--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -11,6 +11,7 @@
 use crate::guard;
 use crate::limits;
 use crate::overload;
+use crate::quarantine;
 use crate::report::ExperimentReport;
 
 closed_set! {
@@ -24,6 +25,8 @@
         Guard,
         /// Cost, quality and latency of choosing stages.
         Cascade,
+        /// Upstreams lost to requests that crash them.
+        Quarantine,
     }
 }
 
@@ -45,6 +48,7 @@
         ExperimentKind::Limits => limits::play(&settings::read_file(path)?),
         ExperimentKind::Guard => guard::play(&settings::read_file(path)?),
         ExperimentKind::Cascade => cascade::play(&settings::read_file(path)?),
+        ExperimentKind::Quarantine => quarantine::play(&settings::read_file(path)?),
     };
     Ok(report)
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod guard;
 pub mod limits;
 pub mod overload;
+pub mod quarantine;
 pub mod report;
 pub mod seed_runs;
