--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -8,8 +8,10 @@
 mod overload_experiment;
 mod overload_report;
 mod overload_run;
+mod peer_exchange;
 mod phase_figures;
 mod router_state;
+mod run_figures;
 mod virtual_engine;
 mod work_item;
 
--- a/crates/bench/src/overload/overload_report.rs
+++ b/crates/bench/src/overload/overload_report.rs
@@ -3,8 +3,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::OverloadExperiment;
-use super::overload_run::{self, RunFigures};
+use super::overload_run;
 use super::phase_figures::PhaseFigures;
+use super::run_figures::RunFigures;
 use crate::report::{ExperimentReport, PlotSeries, ReportPlot, ReportTable};
 
 /// Columns of the tables.
--- a/crates/bench/src/overload/overload_run.rs
+++ b/crates/bench/src/overload/overload_run.rs
@@ -3,18 +3,17 @@
 use std::time::Duration;
 
 use ferry_decisions::admission::PriorityClass;
-use ferry_decisions::choice::RankCounts;
-use ferry_decisions::limits::OfferedCount;
-use ferry_decisions::names::{HostName, Incarnation, ZoneName};
+use ferry_decisions::names::{HostName, ZoneName};
 use ferry_decisions::retry::UpstreamFailure;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use uuid::Uuid;
 
 use super::arrival_trace::{self, ArrivalEntry};
 use super::event_queue::{EventQueue, RunEvent};
-use super::phase_figures::{PhaseFigures, WorkOutcome};
+use super::peer_exchange;
+use super::phase_figures::WorkOutcome;
 use super::router_state::{KnownEngine, RouterState};
+use super::run_figures::RunFigures;
 use super::virtual_engine::{EngineJob, VirtualEngine};
 use super::work_item::WorkItem;
 use super::{FaultKind, OverloadExperiment, PolicyArm};
@@ -24,66 +23,6 @@
 /// One-way delay between availability zones.
 const ZONE_DELAY: Duration = Duration::from_micros(1_500);
 
-/// Figures of one run, or of several that were added up.
-#[derive(Debug, Clone, Default)]
-pub(super) struct RunFigures {
-    /// Per phase, by time of arrival.
-    pub(super) phases: Vec<PhaseFigures>,
-    /// Per class, over all phases.
-    pub(super) classes: Vec<PhaseFigures>,
-    /// The first workspace, over all phases.
-    pub(super) large: PhaseFigures,
-    /// All other workspaces.
-    pub(super) modest: PhaseFigures,
-    /// Answers per second of the run.
-    pub(super) answers_by_second: Vec<u64>,
-}
-
-impl RunFigures {
-    fn new(experiment: &OverloadExperiment) -> Self {
-        let seconds = experiment.duration().as_secs() as usize;
-        Self {
-            phases: vec![PhaseFigures::default(); experiment.phases.len()],
-            classes: vec![PhaseFigures::default(); experiment.classes.len()],
-            answers_by_second: vec![0; seconds],
-            ..Self::default()
-        }
-    }
-
-    /// Adds the figures of another run of the same experiment.
-    pub(super) fn add(&mut self, other: &Self) {
-        if self.phases.is_empty() {
-            *self = other.clone();
-            return;
-        }
-        for (phase, more) in self.phases.iter_mut().zip(&other.phases) {
-            phase.add(more);
-        }
-        for (class, more) in self.classes.iter_mut().zip(&other.classes) {
-            class.add(more);
-        }
-        self.large.add(&other.large);
-        self.modest.add(&other.modest);
-        for (count, more) in self
-            .answers_by_second
-            .iter_mut()
-            .zip(&other.answers_by_second)
-        {
-            *count += more;
-        }
-    }
-
-    fn update(&mut self, entry: &ArrivalEntry, change: impl Fn(&mut PhaseFigures)) {
-        change(&mut self.phases[entry.phase]);
-        change(&mut self.classes[entry.class]);
-        if entry.workspace == 0 {
-            change(&mut self.large);
-        } else {
-            change(&mut self.modest);
-        }
-    }
-}
-
 /// State of the run.
 struct OverloadRun<'a> {
     experiment: &'a OverloadExperiment,
@@ -331,72 +270,21 @@
         for engine in &mut self.engines {
             engine.sample(self.now);
         }
-        self.read_reports();
-        self.exchange_flights();
-        self.exchange_demand();
+        peer_exchange::read_reports(self.now, &mut self.engines, &mut self.routers);
+        if self.arm.pooled {
+            peer_exchange::share_flights(self.now, &mut self.routers);
+        }
+        peer_exchange::share_demand(
+            self.now,
+            &mut self.routers,
+            self.experiment.workspaces.len(),
+        );
         let next = self.now + Duration::from_millis(self.experiment.routers.tick_ms);
         if next < self.end {
             self.events.push(next, RunEvent::Tick);
         }
     }
 
-    fn read_reports(&mut self) {
-        for (index, engine) in self.engines.iter_mut().enumerate() {
-            let shown = engine.shown_report(self.now);
-            let step_ms = engine.last_step().as_secs_f64() * 1_000.0;
-            for router in &mut self.routers {
-                let known = &mut router.engines[index];
-                known.report = shown;
-                known.observed_step_ms = (known.own.current() > 0).then_some(step_ms);
-            }
-        }
-    }
-
-    fn exchange_flights(&mut self) {
-        if !self.arm.pooled {
-            return;
-        }
-        for engine in 0..self.engines.len() {
-            let mut total = RankCounts::default();
-            for router in &self.routers {
-                let own = router.engines[engine].own.by_rank();
-                total.iter_mut().zip(own).for_each(|(t, o)| *t += o);
-            }
-            for router in &mut self.routers {
-                let known = &mut router.engines[engine];
-                let mut others = total;
-                let own = known.own.by_rank();
-                others.iter_mut().zip(own).for_each(|(t, o)| *t -= o);
-                known.peers.set(self.now, others);
-            }
-        }
-    }
-
-    fn exchange_demand(&mut self) {
-        for workspace in 0..self.experiment.workspaces.len() {
-            for class in PriorityClass::ALL {
-                self.exchange_counts(workspace, class);
-            }
-        }
-        for router in &mut self.routers {
-            router.share_out(self.now);
-        }
-    }
-
-    fn exchange_counts(&mut self, workspace: usize, class: PriorityClass) {
-        let total = |router: &RouterState| router.offered_total(workspace, class);
-        let totals: Vec<u64> = self.routers.iter().map(total).collect();
-        for (index, router) in self.routers.iter_mut().enumerate() {
-            for (peer, total) in totals.iter().enumerate().filter(|(p, _)| *p != index) {
-                let count = OfferedCount {
-                    router: Incarnation(Uuid::from_u128(peer as u128)),
-                    total: *total,
-                };
-                router.merge(self.now, workspace, class, count);
-            }
-        }
-    }
-
     fn begin_fault(&mut self, index: usize) {
         let fault = &self.experiment.faults[index];
         match fault.fault {
