Choose upstreams, admit by deadline and bound retries in the router

Cause: the router took the upstream with the fewest own requests, admitted everything, retried without a budget and knew no workspace limit, while the decisions for all four were proved but not wired. Run states, failure kinds and classes also stood twice, in the router and in the decisions. Excluded: keeping the router's own kinds and converting, since two lists of the same failures drift apart; a 4xx without the not-run header counted as not run in the decisions, which no upstream had said, and counts as may-have-run now. Before: a workspace 30 times beyond its limit got all answers.

--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -25,6 +25,20 @@
     /// All priorities, lowest first.
     pub const ALL: [Self; Self::COUNT] = [Self::Batch, Self::Normal, Self::Urgent];
 
+    /// Name, as requests and metrics show it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Batch => "batch",
+            Self::Normal => "normal",
+            Self::Urgent => "urgent",
+        }
+    }
+
+    /// The priority with the name `text`.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|class| class.name() == text)
+    }
+
     /// Position among the priorities, lowest first; below [`Self::COUNT`].
     pub fn index(self) -> usize {
         match self {
--- a/crates/decisions/src/retry/upstream_failure.rs
+++ b/crates/decisions/src/retry/upstream_failure.rs
@@ -33,7 +33,7 @@
         MalformedAnswer,
         /// No answer came in the time that the attempt had.
         TimedOut,
-        /// The upstream said that the request itself is wrong.
+        /// The upstream said that the request itself is wrong, not that it did not run it.
         BadRequest,
     }
 }
@@ -42,12 +42,12 @@
     /// What this failure tells about the run.
     pub fn run_state(self) -> RunState {
         match self {
-            Self::ConnectFailed
-            | Self::QueueFull
-            | Self::Leaving
-            | Self::RefusedNotRun
-            | Self::BadRequest => RunState::NotRun,
-            Self::BrokenBeforeAnswer | Self::ServerError | Self::TimedOut => RunState::MayHaveRun,
+            Self::ConnectFailed | Self::QueueFull | Self::Leaving | Self::RefusedNotRun => {
+                RunState::NotRun
+            }
+            Self::BrokenBeforeAnswer | Self::ServerError | Self::TimedOut | Self::BadRequest => {
+                RunState::MayHaveRun
+            }
             Self::BrokenInAnswer | Self::MalformedAnswer => RunState::Ran,
         }
     }
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -6,6 +6,6 @@
 mod chat_handler;
 mod service_handler;
 
-pub use caller_refusal::{CallerRefusal, RefusalKind, RunState};
-pub use caller_request::{CallerRequest, RequestClass, SessionAsk};
+pub use caller_refusal::{CallerRefusal, RefusalKind};
+pub use caller_request::{CallerRequest, SessionAsk};
 pub use caller_server::handle;
--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::RequestId;
+use ferry_decisions::retry::RunState;
 use ferry_decisions::routing::PlanError;
 use ferry_decisions::session::SessionError;
 use ferry_kernel::http::{BodyError, HttpBody, full};
@@ -16,18 +17,6 @@
 /// Name of the header that carries a request's identifier.
 pub const REQUEST_ID_ANSWER_HEADER: &str = "ferry-request-id";
 
-/// Whether a refused request ran on an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RunState {
-    /// No upstream ran any of it.
-    NotRun,
-    /// An upstream may have run it.
-    MayHaveRun,
-    /// An upstream ran it.
-    Ran,
-}
-
 /// Kinds of refusal; each has its own problem type and remedy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/router/src/caller/caller_request.rs
+++ b/crates/router/src/caller/caller_request.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use ferry_decisions::admission::PriorityClass;
 use ferry_decisions::claim::RequestKey;
-use ferry_decisions::closed_set;
 use ferry_decisions::labels::LabelSet;
-use ferry_decisions::names::{ClassName, RequestId, WorkspaceName};
+use ferry_decisions::names::{RequestId, WorkspaceName};
 use ferry_decisions::session::SessionToken;
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
@@ -31,20 +31,6 @@
 /// Header with labels, `key=value` separated by commas.
 const LABELS_HEADER: &str = "ferry-labels";
 
-closed_set! {
-    /// Class of a request: decides its priority at engines and its histograms.
-    #[derive(Default)]
-    pub enum RequestClass {
-        /// Somebody waits for the first token.
-        Interactive,
-        /// The next step waits for the answer.
-        #[default]
-        Standard,
-        /// Nobody waits.
-        Batch,
-    }
-}
-
 /// What a request wants of sessions.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SessionAsk {
@@ -64,7 +50,7 @@
     /// Workspace that the key belongs to.
     pub workspace: WorkspaceName,
     /// Class.
-    pub class: RequestClass,
+    pub class: PriorityClass,
     /// Labels that rules select on.
     pub labels: LabelSet,
     /// Whether it may run more than once.
@@ -77,37 +63,6 @@
     pub session: SessionAsk,
 }
 
-impl RequestClass {
-    /// Priority at engines, higher first.
-    pub fn priority(self) -> i32 {
-        match self {
-            Self::Interactive => 10,
-            Self::Standard => 5,
-            Self::Batch => 0,
-        }
-    }
-
-    /// Name, as headers and metrics show it.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Interactive => "interactive",
-            Self::Standard => "standard",
-            Self::Batch => "batch",
-        }
-    }
-
-    /// Name as an owned value.
-    pub fn class_name(self) -> ClassName {
-        ClassName::new(self.name())
-    }
-
-    fn parse(text: &str) -> Option<Self> {
-        [Self::Interactive, Self::Standard, Self::Batch]
-            .into_iter()
-            .find(|class| class.name() == text)
-    }
-}
-
 impl CallerRequest {
     /// Key of the request in claims and bills.
     pub fn key(&self) -> RequestKey {
@@ -233,11 +188,11 @@
     }
 }
 
-fn read_class(headers: &HeaderMap) -> Result<RequestClass, CallerRefusal> {
+fn read_class(headers: &HeaderMap) -> Result<PriorityClass, CallerRefusal> {
     match header(headers, CLASS_HEADER)? {
-        None => Ok(RequestClass::default()),
-        Some(text) => RequestClass::parse(text)
-            .ok_or_else(|| bad_header(CLASS_HEADER, "write interactive, standard or batch")),
+        None => Ok(PriorityClass::default()),
+        Some(text) => PriorityClass::parse(text)
+            .ok_or_else(|| bad_header(CLASS_HEADER, "write urgent, normal or batch")),
     }
 }
 
--- a/crates/router/src/caller/chat_handler.rs
+++ b/crates/router/src/caller/chat_handler.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use ferry_decisions::retry::RunState;
 use ferry_kernel::http::{HttpBody, collect_limited, full, streamed};
 use ferry_platform::engine::ChatRequest;
 use futures::StreamExt;
@@ -96,5 +97,5 @@
         RefusalKind::UpstreamFailed,
         "the run ended without an answer; send the request again under the same id",
     )
-    .with_run(super::RunState::MayHaveRun)
+    .with_run(RunState::MayHaveRun)
 }
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ferry_decisions::names::ServiceName;
+use ferry_decisions::retry::RunState;
 use ferry_kernel::http::{HttpBody, collect_limited, full};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -12,7 +13,7 @@
 
 use super::caller_refusal::REQUEST_ID_ANSWER_HEADER;
 use super::caller_server::{SERVICES_PREFIX, count_refusal};
-use super::{CallerRefusal, CallerRequest, RefusalKind, RunState};
+use super::{CallerRefusal, CallerRequest, RefusalKind};
 use crate::core::RouterCore;
 use crate::dispatch::{ServiceAnswer, ServiceCall, ServiceRun};
 
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -21,6 +21,7 @@
 use crate::bills::BillDesk;
 use crate::claims::ClaimDesk;
 use crate::config::ConfigCell;
+use crate::intake::IntakeDesk;
 use crate::lease::LeaseCell;
 use crate::membership::{MemberTable, ProcessClock};
 use crate::peer::PeerHub;
@@ -56,6 +57,8 @@
     pub claims: ClaimDesk,
     /// Bills that are not yet durable.
     pub bills: BillDesk,
+    /// Which requests are taken in.
+    pub intake: IntakeDesk,
     /// Upstreams of the deployment.
     pub upstreams: UpstreamTable,
     /// Decisions on recent requests.
@@ -112,6 +115,7 @@
             appends: AppendGate::new(f64::from(settings.platform.appends_per_second)),
             claims: ClaimDesk::default(),
             bills: BillDesk::default(),
+            intake: IntakeDesk::default(),
             upstreams: UpstreamTable::default(),
             trails: TrailRing::default(),
             sessions,
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,8 +1,10 @@
 //! Runs of requests: checks, claims, dispatches, retries, bills.
 
+mod attempt_log;
 mod cascade_run;
 mod chat_pump;
 mod chat_run;
+mod dispatch_failure;
 mod engine_call;
 mod engine_stream;
 mod gate;
@@ -11,9 +13,8 @@
 mod service_call;
 mod service_run;
 mod stage_run;
-mod upstream_failure;
 
 pub use chat_run::ChatRun;
+pub use dispatch_failure::DispatchFailure;
 pub use run_answer::{EventSender, RunAnswer, RunHead, RunSender, ServiceAnswer};
 pub use service_run::{ServiceCall, ServiceRun};
-pub use upstream_failure::UpstreamFailure;
--- a/crates/router/src/dispatch/chat_pump.rs
+++ b/crates/router/src/dispatch/chat_pump.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ferry_decisions::bill::BillOutcome;
+use ferry_decisions::retry::UpstreamFailure;
 use ferry_platform::engine::STREAM_END;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -11,7 +12,7 @@
 use super::chat_run::ChatRun;
 use super::engine_stream::{CollectedStream, EngineStream, StreamStep, encode};
 use super::run_answer::{EventSender, RunAnswer, RunHead, RunSender};
-use super::{UpstreamFailure, engine_call};
+use super::{DispatchFailure, engine_call};
 use crate::trail::TrailEnd;
 
 /// Events in transit to one caller.
@@ -24,7 +25,7 @@
     /// The caller went away.
     CallerGone,
     /// The answer cannot be completed.
-    Broken(UpstreamFailure),
+    Broken(DispatchFailure),
 }
 
 /// Times of the tokens of one answer.
@@ -48,6 +49,7 @@
     run.bill.add(&run.core, &version, stream.usage());
     match end {
         PumpEnd::Complete => {
+            run.learn(&version, stream.usage());
             run.settle(&version, BillOutcome::Answered).await;
             let _ = events.send(Ok(encode(STREAM_END))).await;
         }
@@ -107,7 +109,7 @@
                     return PumpEnd::CallerGone;
                 }
             }
-            Err(failure @ UpstreamFailure::Broken(_)) if resumable => {
+            Err(failure) if resumable && failure.kind == UpstreamFailure::BrokenInAnswer => {
                 resumable = false;
                 if engine_call::resume(&run.core, stream, &run.request)
                     .await
@@ -122,7 +124,7 @@
 }
 
 /// Ends the stream so that no caller can take it for a whole answer.
-async fn break_off(events: &EventSender, failure: &UpstreamFailure) {
+async fn break_off(events: &EventSender, failure: &DispatchFailure) {
     let refusal = failure.to_refusal();
     let event =
         json!({ "error": { "message": refusal.detail, "type": refusal.kind, "run": refusal.run } });
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -4,10 +4,11 @@
 
 use ferry_decisions::bill::BillOutcome;
 use ferry_decisions::names::VersionName;
+use ferry_decisions::retry::RunState;
 use ferry_decisions::routing::{RoutePlan, RouteStage};
 use ferry_decisions::session::SessionToken;
 use ferry_kernel::wall_clock;
-use ferry_platform::engine::ChatRequest;
+use ferry_platform::engine::{ChatRequest, TokenUsage};
 use uuid::Uuid;
 
 use super::engine_call::{EngineReply, WholeReply};
@@ -15,11 +16,11 @@
 use super::run_bill::RunBill;
 use super::stage_run::{StageAnswer, StageRun};
 use super::{cascade_run, chat_pump, gate};
-use crate::caller::{CallerRefusal, CallerRequest, RunState, SessionAsk};
+use crate::caller::{CallerRefusal, CallerRequest, SessionAsk};
 use crate::claims::{self, ClaimGrant};
 use crate::core::RouterCore;
 use crate::trail::{DecisionTrail, TrailEnd};
-use crate::{bills, trail};
+use crate::{bills, intake, trail};
 
 /// A chat completion that is being answered; it goes on when its caller disconnects, so that
 /// whatever ran is billed.
@@ -73,6 +74,7 @@
     async fn claim(&self) -> Result<Option<ClaimGrant>, CallerRefusal> {
         gate::check_dispatch(&self.core, &self.request)?;
         gate::plan(&self.core.config.view(), &self.request, &self.chat.model)?;
+        intake::offer(&self.core, &self.request)?;
         if self.request.idempotent {
             return Ok(None);
         }
@@ -121,6 +123,7 @@
     }
 
     async fn deliver_whole(mut self, head: RunHead, reply: WholeReply, sender: RunSender) {
+        self.learn(&head.version, reply.usage);
         if !self.billed_stage {
             self.bill.add(&self.core, &head.version, reply.usage);
         }
@@ -134,6 +137,14 @@
         let _ = sender.send(Ok(RunAnswer::Whole { head, body }));
     }
 
+    /// Learns from a whole answer how long answers of `version` take.
+    pub(super) fn learn(&self, version: &VersionName, usage: TokenUsage) {
+        let steps = u32::try_from(usage.completion_tokens).unwrap_or(u32::MAX);
+        let (now, class) = (self.core.clock.elapsed(), self.request.class);
+        let intake = &self.core.intake;
+        intake.with_version(version, |pool| pool.learn(now, class, steps));
+    }
+
     /// Makes the bill durable and closes the trail.
     pub(super) async fn settle(self, version: &VersionName, outcome: BillOutcome) {
         let entry = self
--- a/crates/router/src/dispatch/engine_call.rs
+++ b/crates/router/src/dispatch/engine_call.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::VersionName;
+use ferry_decisions::retry::UpstreamFailure;
 use ferry_kernel::http::{HttpRequest, collect_limited};
 use ferry_platform::engine::{
     ChatAnswer, ChatRequest, NOT_RUN_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, TokenUsage,
@@ -12,7 +13,7 @@
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Response, StatusCode};
 
-use super::UpstreamFailure;
+use super::DispatchFailure;
 use super::engine_stream::{CollectedStream, EngineStream};
 use crate::caller::CallerRequest;
 use crate::core::RouterCore;
@@ -54,8 +55,8 @@
     chat: &ChatRequest,
     version: &VersionName,
     keep_text: bool,
-) -> Result<EngineReply, UpstreamFailure> {
-    let outgoing = engine_request(&guard.host().url(), request, chat, version);
+) -> Result<EngineReply, DispatchFailure> {
+    let outgoing = engine_request(&guard, request, chat, version);
     let response = core.http.send(outgoing, request.time_left()).await?;
     let response = accepted(core, &guard, response).await?;
     if chat.stream {
@@ -69,8 +70,8 @@
         collect_limited(response.into_body(), limit),
     )
     .await
-    .map_err(|_| UpstreamFailure::DeadlinePassed)?
-    .map_err(|error| UpstreamFailure::Broken(error.to_string()))?;
+    .map_err(|_| DispatchFailure::deadline_passed())?
+    .map_err(|error| DispatchFailure::broken_answer(&error.to_string()))?;
     whole_reply(body).map(EngineReply::Whole)
 }
 
@@ -83,7 +84,7 @@
     core: &RouterCore,
     stream: &mut EngineStream,
     request: &CallerRequest,
-) -> Result<(), UpstreamFailure> {
+) -> Result<(), DispatchFailure> {
     let url = format!(
         "{}/v1/streams/{}?from={}",
         stream.host_url(),
@@ -93,7 +94,7 @@
     let outgoing = HttpRequest::get(&url);
     let response = core.http.send(outgoing, request.time_left()).await?;
     if !response.status().is_success() {
-        return Err(UpstreamFailure::Broken(format!(
+        return Err(DispatchFailure::broken_answer(&format!(
             "the stream cannot be resumed ({})",
             response.status()
         )));
@@ -103,7 +104,7 @@
 }
 
 fn engine_request(
-    url: &str,
+    guard: &FlightGuard,
     request: &CallerRequest,
     chat: &ChatRequest,
     version: &VersionName,
@@ -112,9 +113,9 @@
         model: version.as_str().to_owned(),
         ..chat.clone()
     };
-    let url = format!("{url}/v1/chat/completions");
+    let url = format!("{}/v1/chat/completions", guard.host().url());
     let mut outgoing = HttpRequest::post_json(&url, &chat);
-    let priority = HeaderValue::from(request.class.priority());
+    let priority = HeaderValue::from(guard.rank().engine_priority());
     let headers = &mut outgoing.headers;
     headers.insert(HeaderName::from_static(PRIORITY_HEADER), priority);
     if let Ok(id) = HeaderValue::from_str(request.id.as_str()) {
@@ -128,7 +129,7 @@
     core: &RouterCore,
     guard: &FlightGuard,
     response: Response<Incoming>,
-) -> Result<Response<Incoming>, UpstreamFailure> {
+) -> Result<Response<Incoming>, DispatchFailure> {
     let status = response.status();
     if status.is_success() {
         return Ok(response);
@@ -138,20 +139,13 @@
             guard.host().mark_leaving();
         }
         let retry_after = retry_after(response.headers());
-        return Err(UpstreamFailure::NotRun {
-            status,
-            retry_after,
-        });
+        return Err(DispatchFailure::not_run(status, retry_after));
     }
     let body = collect_limited(response.into_body(), ERROR_LIMIT).await;
     let body = String::from_utf8_lossy(&body.unwrap_or_default()).into_owned();
     metrics::counter!("ferry_upstream_errors_total", "host" => core.settings.host.to_string())
         .increment(1);
-    Err(if status.is_client_error() {
-        UpstreamFailure::Refused { status, body }
-    } else {
-        UpstreamFailure::Failed { status, body }
-    })
+    Err(DispatchFailure::error_status(status, &body))
 }
 
 /// Whether the upstream says that it did not run the request.
@@ -164,9 +158,8 @@
     text.parse().ok().map(Duration::from_secs)
 }
 
-fn whole_reply(body: Bytes) -> Result<WholeReply, UpstreamFailure> {
-    let answer: ChatAnswer = serde_json::from_slice(&body)
-        .map_err(|error| UpstreamFailure::Broken(format!("the answer is malformed: {error}")))?;
+fn whole_reply(body: Bytes) -> Result<WholeReply, DispatchFailure> {
+    let answer: ChatAnswer = serde_json::from_slice(&body).map_err(|error| malformed(&error))?;
     let content = answer.choices.first().map(|c| &c.message.content);
     let text = content.and_then(|c| c.as_str()).unwrap_or_default();
     Ok(WholeReply {
@@ -175,3 +168,8 @@
         body,
     })
 }
+
+fn malformed(error: &serde_json::Error) -> DispatchFailure {
+    let detail = format!("the upstream's answer is malformed: {error}");
+    DispatchFailure::new(UpstreamFailure::MalformedAnswer, detail)
+}
--- a/crates/router/src/dispatch/engine_stream.rs
+++ b/crates/router/src/dispatch/engine_stream.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use super::UpstreamFailure;
+use super::DispatchFailure;
 use crate::upstream::FlightGuard;
 
 type EventStream = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
@@ -67,7 +67,7 @@
     /// # Errors
     ///
     /// Fails when the stream ends without an event or the deadline passes.
-    pub async fn read_ahead(&mut self, deadline: Instant) -> Result<(), UpstreamFailure> {
+    pub async fn read_ahead(&mut self, deadline: Instant) -> Result<(), DispatchFailure> {
         let event = self.next_event(deadline).await?;
         self.ahead = Some(event);
         Ok(())
@@ -78,7 +78,7 @@
     /// # Errors
     ///
     /// Fails when the stream breaks before its end mark or the deadline passes.
-    pub async fn next(&mut self, deadline: Instant) -> Result<StreamStep, UpstreamFailure> {
+    pub async fn next(&mut self, deadline: Instant) -> Result<StreamStep, DispatchFailure> {
         let event = match self.ahead.take() {
             Some(event) => event,
             None => self.next_event(deadline).await?,
@@ -99,14 +99,14 @@
         mut self,
         deadline: Instant,
         limit: usize,
-    ) -> Result<CollectedStream, UpstreamFailure> {
+    ) -> Result<CollectedStream, DispatchFailure> {
         let mut events = Vec::new();
         let mut size = 0;
         while let StreamStep::Event(event) = self.next(deadline).await? {
             size += event.len();
             if size > limit {
-                return Err(UpstreamFailure::Broken(format!(
-                    "the answer is longer than {limit} bytes"
+                return Err(DispatchFailure::broken_answer(&format!(
+                    "it is longer than {limit} bytes"
                 )));
             }
             events.push(event);
@@ -133,13 +133,13 @@
         self.guard.host().url()
     }
 
-    async fn next_event(&mut self, deadline: Instant) -> Result<Event, UpstreamFailure> {
+    async fn next_event(&mut self, deadline: Instant) -> Result<Event, DispatchFailure> {
         match timeout_at(deadline, self.events.next()).await {
-            Err(_) => Err(UpstreamFailure::DeadlinePassed),
-            Ok(None) => Err(UpstreamFailure::Broken(
-                "the stream ended before its end mark".to_owned(),
+            Err(_) => Err(DispatchFailure::deadline_passed()),
+            Ok(None) => Err(DispatchFailure::broken_answer(
+                "the stream ended before its end mark",
             )),
-            Ok(Some(Err(reason))) => Err(UpstreamFailure::Broken(reason)),
+            Ok(Some(Err(reason))) => Err(DispatchFailure::broken_answer(&reason)),
             Ok(Some(Ok(event))) => Ok(event),
         }
     }
--- a/crates/router/src/dispatch/service_call.rs
+++ b/crates/router/src/dispatch/service_call.rs
@@ -9,7 +9,7 @@
 use super::engine_call::says_not_run;
 use super::run_answer::ServiceAnswer;
 use super::service_run::ServiceCall;
-use super::{UpstreamFailure, engine_call};
+use super::{DispatchFailure, engine_call};
 use crate::caller::CallerRequest;
 use crate::core::RouterCore;
 use crate::upstream::FlightGuard;
@@ -24,21 +24,21 @@
     guard: FlightGuard,
     request: &CallerRequest,
     call: &ServiceCall,
-) -> Result<ServiceAnswer, UpstreamFailure> {
+) -> Result<ServiceAnswer, DispatchFailure> {
     let outgoing = service_request(&guard.host().url(), request, call);
     let response = core.http.send(outgoing, request.time_left()).await?;
     if says_not_run(response.headers()) {
         engine_call::accepted(core, &guard, response).await?;
-        return Err(UpstreamFailure::Broken(
-            "a success that says it did not run".to_owned(),
+        return Err(DispatchFailure::broken_answer(
+            "a success that says it did not run",
         ));
     }
     let limit = core.settings.limits.answer_bytes;
     let (head, body) = Response::into_parts(response);
     let body = tokio::time::timeout_at(request.deadline, collect_limited(body, limit))
         .await
-        .map_err(|_| UpstreamFailure::DeadlinePassed)?
-        .map_err(|error| UpstreamFailure::Broken(error.to_string()))?;
+        .map_err(|_| DispatchFailure::deadline_passed())?
+        .map_err(|error| DispatchFailure::broken_answer(&error.to_string()))?;
     Ok(ServiceAnswer {
         status: head.status,
         headers: content_headers(&head.headers),
--- a/crates/router/src/dispatch/service_run.rs
+++ b/crates/router/src/dispatch/service_run.rs
@@ -1,30 +1,24 @@
 //! Run of one call to a plain service, from its claim to its bill.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_decisions::bill::BillOutcome;
 use ferry_decisions::names::{HostName, ServiceName, VersionName};
+use ferry_decisions::retry::RunState;
 use hyper::{HeaderMap, Method};
-use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
+use super::attempt_log::AttemptLog;
 use super::run_answer::ServiceAnswer;
 use super::run_bill::RunBill;
-use super::stage_run::later_state;
-use super::{UpstreamFailure, gate, service_call};
-use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, RunState};
+use super::{gate, service_call};
+use crate::caller::{CallerRefusal, CallerRequest};
 use crate::claims::{ClaimProblem, ClaimStart, JoinedAnswer};
 use crate::core::RouterCore;
 use crate::trail::{AttemptNote, AttemptResult, DecisionTrail, TrailEnd};
-use crate::upstream::{FlightGuard, choose};
-use crate::{bills, claims, trail};
-
-/// Dispatches of one call, the first included.
-const ATTEMPT_LIMIT: usize = 3;
-/// When to come back if nothing runs the service.
-const UPSTREAM_PAUSE: Duration = Duration::from_secs(1);
+use crate::upstream::{FlightGuard, place_call};
+use crate::{bills, claims, intake, trail};
 
 /// What is passed on to the service.
 #[derive(Debug, Clone)]
@@ -78,6 +72,7 @@
 
     async fn answer(&mut self) -> Result<ServiceAnswer, CallerRefusal> {
         gate::check_dispatch(&self.core, &self.request)?;
+        intake::offer(&self.core, &self.request)?;
         if self.request.idempotent {
             return self.run_and_bill().await;
         }
@@ -112,24 +107,20 @@
     }
 
     async fn dispatch(&mut self) -> Result<ServiceAnswer, CallerRefusal> {
-        let mut tried: SmallVec<[HostName; ATTEMPT_LIMIT]> = SmallVec::new();
-        let mut run = RunState::NotRun;
+        let mut log = AttemptLog::default();
         loop {
-            let guard = self.next_upstream(&tried).map_err(|r| r.with_run(run))?;
-            let host = guard.host().entry.name.clone();
+            let guard = self.next_upstream(log.tried());
+            let guard = guard.map_err(|refusal| log.refuse(refusal))?;
+            let host = Arc::clone(guard.host());
             match service_call::call(&self.core, guard, &self.request, &self.call).await {
                 Ok(answer) => {
-                    self.note(&host, AttemptResult::Answered);
+                    self.note(&host.entry.name, AttemptResult::Answered);
                     return Ok(answer);
                 }
                 Err(failure) => {
                     let reason = failure.to_string();
-                    self.note(&host, AttemptResult::Failed { reason });
-                    run = later_state(run, failure.run_state());
-                    tried.push(host);
-                    if !self.may_retry(&failure, tried.len()) {
-                        return Err(failure.to_refusal().with_run(run));
-                    }
+                    self.note(&host.entry.name, AttemptResult::Failed { reason });
+                    log.fail(&self.core, &self.request, &host, failure)?;
                 }
             }
         }
@@ -139,22 +130,7 @@
         gate::check_dispatch(&self.core, &self.request)?;
         gate::check_service(&self.core, &self.request, &self.call.service)?;
         let hosts = self.core.upstreams.running(&self.call.service);
-        let host = choose(&hosts, tried).ok_or_else(|| {
-            CallerRefusal::come_back(
-                RefusalKind::NoUpstream,
-                format!(
-                    "no upstream runs {} now; send the call again later",
-                    self.call.service
-                ),
-                UPSTREAM_PAUSE,
-            )
-        })?;
-        Ok(FlightGuard::new(host))
-    }
-
-    fn may_retry(&self, failure: &UpstreamFailure, attempts: usize) -> bool {
-        let safe = self.request.idempotent || failure.run_state() == RunState::NotRun;
-        safe && failure.may_retry() && attempts < ATTEMPT_LIMIT
+        place_call(&self.core, &hosts, self.request.class, tried)
     }
 
     fn note(&mut self, upstream: &HostName, result: AttemptResult) {
--- a/crates/router/src/dispatch/stage_run.rs
+++ b/crates/router/src/dispatch/stage_run.rs
@@ -1,22 +1,21 @@
 //! Dispatches of one stage: checks, choice of an upstream, retries elsewhere.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use ferry_decisions::names::{HostName, VersionName};
 use ferry_platform::engine::ChatRequest;
-use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
+use super::attempt_log::AttemptLog;
 use super::engine_call::{self, EngineReply};
-use super::{UpstreamFailure, gate};
-use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, RunState};
+use super::{DispatchFailure, gate};
+use crate::caller::{CallerRefusal, CallerRequest, SessionAsk};
 use crate::core::RouterCore;
 use crate::trail::{AttemptNote, AttemptResult, DecisionTrail};
-use crate::upstream::{FlightGuard, choose};
+use crate::upstream::{FlightGuard, PlacementQuery, place};
 
-/// Dispatches of one stage, the first included.
-const ATTEMPT_LIMIT: usize = 4;
-/// When to come back if no upstream serves the version.
-const UPSTREAM_PAUSE: Duration = Duration::from_secs(1);
+/// Bytes of a prompt's start that requests with a common prefix share.
+const PREFIX_BYTES: usize = 1_024;
 
 /// What a stage needs of its run.
 pub struct StageRun<'a> {
@@ -49,29 +48,20 @@
     ///
     /// A refusal whose run state covers all dispatches of the stage.
     pub async fn execute(mut self) -> Result<StageAnswer, CallerRefusal> {
-        let mut tried: SmallVec<[HostName; ATTEMPT_LIMIT]> = SmallVec::new();
-        let mut last: Option<UpstreamFailure> = None;
-        let mut run = RunState::NotRun;
+        let mut log = AttemptLog::default();
         loop {
-            let (version, guard) = match self.next_target(&tried) {
-                Ok(target) => target,
-                Err(refusal) => return Err(worst(refusal, run, last.as_ref())),
-            };
-            let host = guard.host().entry.name.clone();
+            let target = self.next_target(log.tried());
+            let (version, guard) = target.map_err(|refusal| log.refuse(refusal))?;
+            let host = Arc::clone(guard.host());
             match self.dispatch(guard, &version).await {
                 Ok(reply) => {
-                    self.note(&version, &host, AttemptResult::Answered);
+                    self.note(&version, &host.entry.name, AttemptResult::Answered);
                     return Ok(StageAnswer { version, reply });
                 }
                 Err(failure) => {
                     let reason = failure.to_string();
-                    self.note(&version, &host, AttemptResult::Failed { reason });
-                    run = later_state(run, failure.run_state());
-                    tried.push(host);
-                    if !self.may_retry(&failure, tried.len()) {
-                        return Err(failure.to_refusal().with_run(run));
-                    }
-                    last = Some(failure);
+                    self.note(&version, &host.entry.name, AttemptResult::Failed { reason });
+                    log.fail(self.core, self.request, &host, failure)?;
                 }
             }
         }
@@ -89,16 +79,32 @@
         self.trail.config_offset = view.next_offset;
         let stage = &plan.stages[self.stage.min(plan.stages.len() - 1)];
         let version = gate::pick_version(stage, self.request).clone();
-        let hosts = self.core.upstreams.serving(&version);
-        let host = choose(&hosts, tried).ok_or_else(|| no_upstream(&version))?;
-        Ok((version, FlightGuard::new(host)))
+        let query = PlacementQuery {
+            request: self.request,
+            version: &version,
+            most_steps: self.chat.max_tokens,
+            affinity: self.affinity(),
+            tried,
+        };
+        let guard = place(self.core, &query)?;
+        Ok((version, guard))
+    }
+
+    /// Hash of the session, or else of the start of a prompt that is long enough to be worth it.
+    fn affinity(&self) -> Option<u64> {
+        if let SessionAsk::Continue(token) = &self.request.session {
+            return Some(xxh3_64(token.id.as_bytes()));
+        }
+        let first = self.chat.messages.first()?.content.as_str()?;
+        let prefix = first.as_bytes().get(..PREFIX_BYTES)?;
+        Some(xxh3_64(prefix))
     }
 
     async fn dispatch(
         &self,
         guard: FlightGuard,
         version: &VersionName,
-    ) -> Result<EngineReply, UpstreamFailure> {
+    ) -> Result<EngineReply, DispatchFailure> {
         engine_call::call(
             self.core,
             guard,
@@ -110,11 +116,6 @@
         .await
     }
 
-    fn may_retry(&self, failure: &UpstreamFailure, attempts: usize) -> bool {
-        let safe = self.request.idempotent || failure.run_state() == RunState::NotRun;
-        safe && failure.may_retry() && attempts < ATTEMPT_LIMIT
-    }
-
     fn note(&mut self, version: &VersionName, upstream: &HostName, result: AttemptResult) {
         self.trail.attempts.push(AttemptNote {
             stage: self.stage,
@@ -124,30 +125,3 @@
         });
     }
 }
-
-/// The state that covers an earlier and a later dispatch.
-pub fn later_state(earlier: RunState, later: RunState) -> RunState {
-    match (earlier, later) {
-        (RunState::Ran, _) | (_, RunState::Ran) => RunState::Ran,
-        (RunState::MayHaveRun, _) | (_, RunState::MayHaveRun) => RunState::MayHaveRun,
-        (RunState::NotRun, RunState::NotRun) => RunState::NotRun,
-    }
-}
-
-/// Prefers the failure of an earlier dispatch over "no other upstream".
-fn worst(refusal: CallerRefusal, run: RunState, last: Option<&UpstreamFailure>) -> CallerRefusal {
-    match last {
-        Some(failure) if refusal.kind == RefusalKind::NoUpstream => {
-            failure.to_refusal().with_run(run)
-        }
-        _ => refusal.with_run(run),
-    }
-}
-
-fn no_upstream(version: &VersionName) -> CallerRefusal {
-    CallerRefusal::come_back(
-        RefusalKind::NoUpstream,
-        format!("no upstream serves version {version} now; send the request again later"),
-        UPSTREAM_PAUSE,
-    )
-}
--- /dev/null
+++ b/crates/router/src/intake/intake_plugin.rs
@@ -0,0 +1,75 @@
+//! Plug-in that exchanges counts of offered requests and shares out capacity.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::admission::AdmissionConfig;
+use ferry_decisions::names::VersionName;
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::intake_message::IntakeReport;
+use crate::core::RouterCore;
+use crate::peer::{PeerMessage, PeerTopic, decode};
+use crate::plugin::RouterPlugin;
+
+/// Time between two reports to the peers.
+const REPORT_PERIOD: Duration = Duration::from_millis(250);
+/// Milliseconds of a second.
+const SECOND_MS: f64 = 1_000.0;
+
+inventory::submit! {
+    RouterPlugin {
+        name: "intake",
+        topics: &[PeerTopic::Limits],
+        start,
+        on_message,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    tokio::spawn(
+        core.closing
+            .clone()
+            .run_until_cancelled_owned(exchange(Arc::clone(core))),
+    );
+}
+
+async fn exchange(core: Arc<RouterCore>) {
+    let mut ticks = interval(REPORT_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let report = core.intake.report(&core);
+        core.hub().broadcast(PeerTopic::Limits, &report);
+        core.intake
+            .share_out(&core, |version| capacity(&core, version));
+    }
+}
+
+fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
+    Box::pin(async move {
+        if let Ok(report) = decode::<IntakeReport>(&message.body) {
+            core.intake.merge(&core, &report);
+        }
+        None
+    })
+}
+
+/// Engine steps per second that may be shared out for `version`.
+fn capacity(core: &RouterCore, version: &VersionName) -> f64 {
+    let hosts = core.upstreams.serving(version);
+    let steps = hosts.iter().map(|host| {
+        let load = host.load(core.clock.elapsed(), None);
+        f64::from(load.batch_limit()) * SECOND_MS / load.step_ms()
+    });
+    steps.sum::<f64>() * AdmissionConfig::default().target_utilisation
+}
+
+fn view(core: &RouterCore) -> Value {
+    let report = core.intake.report(core);
+    json!({ "limited_workspaces": report.workspaces.len(), "demands": report.demands.len() })
+}
--- a/crates/router/src/membership/process_clock.rs
+++ b/crates/router/src/membership/process_clock.rs
@@ -1,5 +1,7 @@
 //! This process's monotonic clock in the form that decisions take.
 
+use std::time::Duration;
+
 use ferry_decisions::time::MonotonicTime;
 use tokio::time::Instant;
 
@@ -17,6 +19,11 @@
         }
     }
 
+    /// Time since the start of the process.
+    pub fn elapsed(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
     /// The present time.
     pub fn now(&self) -> MonotonicTime {
         let micros = self.origin.elapsed().as_micros();
--- a/crates/router/src/trail.rs
+++ b/crates/router/src/trail.rs
@@ -16,7 +16,7 @@
     DecisionTrail {
         request: request.id.clone(),
         workspace: request.workspace.clone(),
-        class: request.class.class_name(),
+        class: request.class,
         target: target.to_owned(),
         router: core.settings.host.clone(),
         arrived: wall_clock::now(),
--- a/crates/router/src/trail/decision_trail.rs
+++ b/crates/router/src/trail/decision_trail.rs
@@ -1,6 +1,7 @@
 //! Trail of one request.
 
-use ferry_decisions::names::{ClassName, HostName, RequestId, VersionName, WorkspaceName};
+use ferry_decisions::admission::PriorityClass;
+use ferry_decisions::names::{HostName, RequestId, VersionName, WorkspaceName};
 use ferry_decisions::routing::ExclusionReason;
 use ferry_decisions::time::UnixMillis;
 use serde::Serialize;
@@ -13,7 +14,7 @@
     /// Workspace of the caller.
     pub workspace: WorkspaceName,
     /// Class of the request.
-    pub class: ClassName,
+    pub class: PriorityClass,
     /// Model, cascade, version or service that the caller named.
     pub target: String,
     /// Router host that decided.
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -2,10 +2,10 @@
 
 mod host_poll;
 mod load_poll;
-mod upstream_choice;
+mod placement;
 mod upstream_host;
 mod upstream_table;
 
-pub use upstream_choice::choose;
+pub use placement::{PlacementQuery, place, place_call};
 pub use upstream_host::{FlightGuard, UpstreamHost};
 pub use upstream_table::UpstreamTable;
--- a/crates/router/src/upstream/load_poll.rs
+++ b/crates/router/src/upstream/load_poll.rs
@@ -54,12 +54,12 @@
     let request = HttpRequest::get(&format!("{}/load", host.url()));
     let answer = core.http.fetch_json::<LoadReport>(request, READ_TIMEOUT);
     if let Ok(report) = answer.await {
-        host.set_report(report);
+        host.set_report(core.clock.elapsed(), report);
     }
 }
 
 fn view(core: &RouterCore) -> Value {
     let hosts = core.upstreams.all();
-    let reported = hosts.iter().filter(|host| host.report().is_some()).count();
+    let reported = hosts.iter().filter(|host| host.has_reported()).count();
     json!({ "engines_reporting": reported })
 }
