Hand copies of bills over to routers that have none

Cause: a stopping router passed its copies to the first router that said "held", which also a router said that had the bill already, or that had answered the request itself. Fewer hosts were left with the bill than before the stop. A stop that began before the outage was noticed never handed anything over.

A router now says whether it had the bill.

--- a/crates/router/src/bills.rs
+++ b/crates/router/src/bills.rs
@@ -4,6 +4,7 @@
 //! Whoever holds it flushes it when the log answers; the fold counts the first one only.
 
 mod bill_desk;
+mod bill_drain;
 mod bill_holds;
 mod bill_index;
 mod bill_message;
@@ -12,5 +13,6 @@
 mod bill_shard;
 
 pub use bill_desk::BillDesk;
+pub use bill_drain::drain;
 pub use bill_index::is_billed;
-pub use bill_release::{drain, release};
+pub use bill_release::release;
--- a/crates/router/src/bills/bill_desk.rs
+++ b/crates/router/src/bills/bill_desk.rs
@@ -4,10 +4,12 @@
 
 use ferry_decisions::bill::BillEntry;
 use ferry_decisions::claim::{RequestKey, SHARD_COUNT, shard_of};
+use ferry_decisions::names::HostName;
 use parking_lot::Mutex;
 
 use super::bill_holds::BillHolds;
 use super::bill_index::BillIndex;
+use super::bill_message::BillAnswer;
 use super::bill_shard::BillShard;
 
 /// State of this router's part in the bills.
@@ -65,6 +67,15 @@
         self.unlogged.lock().contains_key(key) || self.holds.contains(key)
     }
 
+    /// Holds a copy of `bill` for `origin`.
+    pub(super) fn hold(&self, bill: BillEntry, origin: &HostName) -> BillAnswer {
+        let key = RequestKey::new(&bill.workspace, &bill.request);
+        if self.unlogged.lock().contains_key(&key) {
+            return BillAnswer::AlreadyHeld;
+        }
+        self.holds.insert(bill, origin)
+    }
+
     pub(super) fn begin(&self, key: &RequestKey) {
         self.unlogged.lock().insert(key.clone(), false);
     }
--- a/crates/router/src/bills/bill_holds.rs
+++ b/crates/router/src/bills/bill_holds.rs
@@ -9,6 +9,8 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use super::bill_message::BillAnswer;
+
 /// Copies that one router holds at most.
 const HOLD_LIMIT: usize = 100_000;
 /// Age after which a copy is flushed even if its router is there.
@@ -31,20 +33,24 @@
 }
 
 impl BillHolds {
-    /// Takes a copy of `bill`; returns whether there was room.
-    pub(super) fn insert(&self, bill: BillEntry, origin: &HostName) -> bool {
+    /// Takes a copy of `bill` for `origin`, unless too many are held.
+    pub(super) fn insert(&self, bill: BillEntry, origin: &HostName) -> BillAnswer {
         let key = RequestKey::new(&bill.workspace, &bill.request);
         let mut held = self.held.lock();
-        if held.len() >= HOLD_LIMIT && !held.contains_key(&key) {
-            return false;
+        if held.contains_key(&key) {
+            return BillAnswer::AlreadyHeld;
+        }
+        if held.len() >= HOLD_LIMIT {
+            return BillAnswer::Refused;
         }
-        held.entry(key).or_insert_with(|| HeldBill {
+        let copy = HeldBill {
             bill,
             origin: origin.clone(),
             since: Instant::now(),
             flushing: false,
-        });
-        true
+        };
+        held.insert(key, copy);
+        BillAnswer::Held
     }
 
     /// Drops the copy of a bill that is on the log.
--- a/crates/router/src/bills/bill_message.rs
+++ b/crates/router/src/bills/bill_message.rs
@@ -20,8 +20,10 @@
 pub(super) enum BillAnswer {
     /// The bill is on the log.
     Logged,
-    /// A copy is held here.
+    /// A copy is held here from now on.
     Held,
+    /// The bill was here before: as a copy, or because its request was answered here.
+    AlreadyHeld,
     /// Neither; ask another router.
     Refused,
 }
--- a/crates/router/src/bills/bill_plugin.rs
+++ b/crates/router/src/bills/bill_plugin.rs
@@ -56,11 +56,7 @@
         let answer = match decode(&message.body).ok()? {
             BillQuery::Append(bill) => append_for_peer(&core, &bill).await,
             BillQuery::Hold(bill) if core.phase() == LifePhase::Serving => {
-                if core.bills.holds().insert(bill, &message.from) {
-                    BillAnswer::Held
-                } else {
-                    BillAnswer::Refused
-                }
+                core.bills.hold(bill, &message.from)
             }
             BillQuery::Hold(_) => BillAnswer::Refused,
             BillQuery::Logged(key) => {
--- a/crates/router/src/bills/bill_release.rs
+++ b/crates/router/src/bills/bill_release.rs
@@ -17,7 +17,7 @@
 use crate::peer::PeerTopic;
 
 /// Copies in other availability zones that make a bill durable.
-const COPIES: usize = 2;
+pub(super) const COPIES: usize = 2;
 /// Time that the log is given before copies are sent to peers.
 const HOLD_AFTER: Duration = Duration::from_millis(100);
 /// Time that the owner of a shard is given before this router appends the bill itself.
@@ -26,10 +26,6 @@
 const HOLD_LIMIT: Duration = Duration::from_millis(500);
 /// Pause before copies are sent again.
 const HOLD_PAUSE: Duration = Duration::from_millis(200);
-/// Time between two log lines about bills that a stop waits for.
-const DRAIN_REPORT: Duration = Duration::from_secs(5);
-/// Time between two looks at the bills that a stop waits for.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// Peers that took a copy.
 type HolderList = SmallVec<[HostName; COPIES]>;
@@ -45,26 +41,6 @@
     metrics::histogram!("ferry_bill_release_seconds").record(asked.elapsed().as_secs_f64());
 }
 
-/// Waits until no bill of this router, nor a copy here, would be lost with this host.
-pub async fn drain(core: &Arc<RouterCore>) {
-    flush_holds(core, true);
-    if core.appends.is_out() {
-        hand_over(core).await;
-    }
-    let mut reported = Instant::now();
-    while core.bills.at_risk() > 0 || core.bills.holds().len() > 0 || core.claims.open_voids() > 0 {
-        if reported.elapsed() >= DRAIN_REPORT {
-            reported = Instant::now();
-            spdlog::warn!("the stop waits for bills and voids that are not on the log", kv: {
-                bills = core.bills.at_risk(),
-                copies = core.bills.holds().len(),
-                voids = core.claims.open_voids(),
-            });
-        }
-        sleep(DRAIN_POLL).await;
-    }
-}
-
 /// Appends the copies whose routers are gone, or all of them.
 pub(super) fn flush_holds(core: &Arc<RouterCore>, all: bool) {
     let present = core.hub().connected();
@@ -157,7 +133,8 @@
     loop {
         let taken = holders.lock().clone();
         for peer in candidates(core, &taken) {
-            if hold_copy(core, &peer, bill).await {
+            let answer = ask_to_hold(core, &peer, bill).await;
+            if matches!(answer, Some(BillAnswer::Held | BillAnswer::AlreadyHeld)) {
                 holders.lock().push(peer);
             }
             if holders.lock().len() >= COPIES {
@@ -168,26 +145,18 @@
     }
 }
 
-/// Asks `peer` to hold a copy; returns whether it does.
-async fn hold_copy(core: &RouterCore, peer: &HostName, bill: &BillEntry) -> bool {
+/// Asks `peer` to hold a copy; `None` when it does not answer.
+pub(super) async fn ask_to_hold(
+    core: &RouterCore,
+    peer: &HostName,
+    bill: &BillEntry,
+) -> Option<BillAnswer> {
     let query = BillQuery::Hold(bill.clone());
     let answer = core
         .hub()
-        .ask::<_, BillAnswer>(peer, PeerTopic::Bills, &query, HOLD_LIMIT)
+        .ask(peer, PeerTopic::Bills, &query, HOLD_LIMIT)
         .await;
-    matches!(answer, Ok(BillAnswer::Held))
-}
-
-/// Passes the copies held here on to other routers.
-async fn hand_over(core: &RouterCore) {
-    for (key, bill) in core.bills.holds().copies() {
-        for peer in core.hub().connected() {
-            if hold_copy(core, &peer, &bill).await {
-                core.bills.holds().remove(&key);
-                break;
-            }
-        }
-    }
+    answer.ok()
 }
 
 /// Linked, live routers in other availability zones that hold no copy yet.
--- /dev/null
+++ b/crates/router/tests/claims_and_bills/claims.rs
@@ -0,0 +1,146 @@
+//! Claims between linked routers.
+
+use ferry_decisions::claim::shard_of;
+use ferry_router::claims::{ClaimProblem, ClaimStart, JoinedAnswer, claim, claim_or_join, void};
+use ferry_router::dispatch::ServiceAnswer;
+use ferry_standin::FaultOrder;
+use ferry_standin::faults::AnswerLoss;
+use futures::future::join_all;
+use hyper::{HeaderMap, StatusCode};
+use tokio::time::Instant;
+
+use crate::linked_routers::{
+    LIMIT, LinkedRouters, QUIET, bill_of, key_owned_by, new_key, release, start_router, until,
+};
+
+#[tokio::test]
+async fn claims_of_all_routers_are_granted_once_and_batched_by_the_owner() {
+    let linked = LinkedRouters::start(3).await;
+    let first = key_owned_by(1, 3);
+    let shard = shard_of(&first.request);
+    let keys: Vec<_> = std::iter::repeat_with(new_key)
+        .filter(|key| shard_of(&key.request) == shard)
+        .take(40)
+        .collect();
+    let before = linked.platform.counters().appends;
+    let asked = keys
+        .iter()
+        .flat_map(|key| (0..3).map(|index| claim(linked.core(index), key)));
+    let results = join_all(asked).await;
+    for results in results.chunks(3) {
+        assert_eq!(results.iter().filter(|result| result.is_ok()).count(), 1);
+        let refused = results.iter().filter_map(|result| result.as_ref().err());
+        for problem in refused {
+            assert_eq!(*problem, ClaimProblem::MayHaveRun);
+        }
+    }
+    let appends = linked.platform.counters().appends - before;
+    assert!(appends <= 10, "{appends} appends for 40 requests");
+}
+
+#[tokio::test]
+async fn a_second_send_joins_the_run_of_another_router() {
+    let linked = LinkedRouters::start(3).await;
+    let key = new_key();
+    let deadline = Instant::now() + LIMIT;
+    let start = claim_or_join(linked.core(0), &key, deadline).await;
+    let Ok(ClaimStart::Granted(_, ticket)) = start else {
+        panic!("the first claim is granted");
+    };
+    let answer = ServiceAnswer {
+        status: StatusCode::CREATED,
+        headers: HeaderMap::new(),
+        body: "sent".into(),
+    };
+    let joins = (0..3).map(|index| claim_or_join(linked.core(index), &key, deadline));
+    let finish = async {
+        tokio::time::sleep(QUIET).await;
+        ticket.finish(JoinedAnswer::of(&answer));
+    };
+    let (joined, ()) = tokio::join!(join_all(joins), finish);
+    for start in joined {
+        let Ok(ClaimStart::Joined(joined)) = start else {
+            panic!("the second sends join");
+        };
+        assert_eq!(joined, JoinedAnswer::of(&answer));
+    }
+}
+
+#[tokio::test]
+async fn a_run_that_ends_without_an_answer_leaves_second_sends_in_doubt() {
+    let linked = LinkedRouters::start(2).await;
+    let key = new_key();
+    let deadline = Instant::now() + LIMIT;
+    let start = claim_or_join(linked.core(0), &key, deadline).await.ok();
+    let drop_it = async {
+        tokio::time::sleep(QUIET).await;
+        drop(start);
+    };
+    let (second, ()) = tokio::join!(claim_or_join(linked.core(1), &key, deadline), drop_it);
+    assert_eq!(second.err(), Some(ClaimProblem::MayHaveRun));
+}
+
+#[tokio::test]
+async fn a_voided_id_can_be_claimed_again_elsewhere() {
+    let linked = LinkedRouters::start(3).await;
+    let key = new_key();
+    let grant = claim(linked.core(0), &key).await.unwrap();
+    assert_eq!(
+        claim(linked.core(1), &key).await,
+        Err(ClaimProblem::MayHaveRun)
+    );
+    void(linked.core(0), &grant).await.unwrap();
+    claim(linked.core(1), &key).await.unwrap();
+}
+
+#[tokio::test]
+async fn lost_answers_of_appends_change_nothing() {
+    let linked = LinkedRouters::start(3).await;
+    linked.platform.set_faults(FaultOrder {
+        lose_answers: Some(AnswerLoss {
+            count: 6,
+            path: "/streams/".to_owned(),
+        }),
+        ..FaultOrder::default()
+    });
+    let keys: Vec<_> = (0..6).map(|index| key_owned_by(index % 3, 3)).collect();
+    for (index, key) in keys.iter().enumerate() {
+        claim(linked.core(index % 3), key).await.unwrap();
+        release(linked.core(index % 3), bill_of(key)).await;
+        let again = claim(linked.core((index + 1) % 3), key).await;
+        assert_eq!(again, Err(ClaimProblem::Ran));
+    }
+    let report = linked.until_billed(6).await;
+    assert_eq!(report.workspaces["clinic"].requests, 6);
+    assert!(!report.counts.need_attention());
+}
+
+#[tokio::test]
+async fn a_new_owner_reads_the_window_back() {
+    let mut linked = LinkedRouters::start(1).await;
+    let [open, billed] = [new_key(), new_key()];
+    claim(linked.core(0), &open).await.unwrap();
+    claim(linked.core(0), &billed).await.unwrap();
+    release(linked.core(0), bill_of(&billed)).await;
+    linked.kill(0).await;
+    let fresh = start_router(&linked.platform.url(), 1).await;
+    linked.routers.push(fresh);
+    assert_eq!(
+        claim(linked.core(1), &open).await,
+        Err(ClaimProblem::MayHaveRun)
+    );
+    assert_eq!(claim(linked.core(1), &billed).await, Err(ClaimProblem::Ran));
+}
+
+#[tokio::test]
+async fn a_claim_refused_in_a_log_outage_leaves_its_id_free() {
+    let linked = LinkedRouters::start(3).await;
+    let key = new_key();
+    linked.log_outage();
+    let refused = claim(linked.core(0), &key).await.unwrap_err();
+    assert!(matches!(refused, ClaimProblem::LogOut { .. }));
+    linked.heal();
+    until(|| linked.core(0).claims.open_voids() == 0).await;
+    until(|| !linked.core(1).appends.is_out()).await;
+    claim(linked.core(1), &key).await.unwrap();
+}
--- /dev/null
+++ b/crates/router/tests/claims_and_bills/steady_load.rs
@@ -0,0 +1,49 @@
+//! Time that claims and bills add, and the appends that they take.
+
+use std::time::Duration;
+
+use ferry_router::claims::claim;
+use tokio::time::Instant;
+
+use crate::linked_routers::{LinkedRouters, bill_of, new_key, release};
+
+/// Prints the time that claims and bills add, with the log up and in an outage.
+#[tokio::test]
+async fn claims_and_bills_of_a_steady_load_stay_within_the_budget() {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let linked = LinkedRouters::start(4).await;
+    let started = Instant::now();
+    let before = linked.platform.counters().appends;
+    let (mut claims, mut bills_up, mut bills_out) = (Vec::new(), Vec::new(), Vec::new());
+    for index in 0..200 {
+        let (core, key) = (linked.core(index % 4), new_key());
+        let asked = Instant::now();
+        claim(core, &key).await.unwrap();
+        claims.push(asked.elapsed());
+        let asked = Instant::now();
+        release(core, bill_of(&key)).await;
+        bills_up.push(asked.elapsed());
+        tokio::time::sleep(PAUSE).await;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let appends = linked.platform.counters().appends - before;
+    linked.log_outage();
+    for index in 0..30 {
+        let asked = Instant::now();
+        release(linked.core(index % 4), bill_of(&new_key())).await;
+        bills_out.push(asked.elapsed());
+    }
+    linked.heal();
+    linked.until_billed(230).await;
+    println!("claim, log up: {}", percentiles(&mut claims));
+    println!("bill, log up: {}", percentiles(&mut bills_up));
+    println!("bill, log out: {}", percentiles(&mut bills_out));
+    println!("appends a second: {:.1}", appends as f64 / seconds);
+    assert!(appends as f64 <= 200.0 * (seconds + 1.0));
+}
+
+fn percentiles(times: &mut [Duration]) -> String {
+    times.sort_unstable();
+    let at = |hundredth: usize| times[(times.len() - 1) * hundredth / 100];
+    format!("p50 {:?} p99 {:?} max {:?}", at(50), at(99), at(100))
+}
