Tell callers about endpoints, headers, sessions and refusals

The callers' page covers what a caller sends and gets, each kind of refusal with its status, run state and remedy, and when to send again. Another test has a row for each kind of refusal with its status, and does not compile when a kind is added without one.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
+mod documented_calls;
 mod letters;
 mod operator;
 mod run_once;
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use ferry_router::caller::RefusalKind;
+
 /// Starts of the paths that pages name.
 const FOLDERS: [&str; 5] = ["crates/", "src/", "tests/", "examples/", ".ci/"];
 
@@ -37,3 +39,40 @@
     }
     assert_paths_exist("README.md");
 }
+
+/// The kind after `kind` in their list; the compiler asks for each new one here.
+fn next_kind(kind: RefusalKind) -> Option<RefusalKind> {
+    match kind {
+        RefusalKind::Unauthenticated => Some(RefusalKind::Forbidden),
+        RefusalKind::Forbidden => Some(RefusalKind::BadRequest),
+        RefusalKind::BadRequest => Some(RefusalKind::BodyTooLarge),
+        RefusalKind::BodyTooLarge => Some(RefusalKind::Unknown),
+        RefusalKind::Unknown => Some(RefusalKind::NoVersionAllowed),
+        RefusalKind::NoVersionAllowed => Some(RefusalKind::SessionVersionWithdrawn),
+        RefusalKind::SessionVersionWithdrawn => Some(RefusalKind::BadSession),
+        RefusalKind::BadSession => Some(RefusalKind::ConfigurationStale),
+        RefusalKind::ConfigurationStale => Some(RefusalKind::Stopping),
+        RefusalKind::Stopping => Some(RefusalKind::Overloaded),
+        RefusalKind::Overloaded => Some(RefusalKind::WorkspaceLimit),
+        RefusalKind::WorkspaceLimit => Some(RefusalKind::DeadlineTooNear),
+        RefusalKind::DeadlineTooNear => Some(RefusalKind::DeadlinePassed),
+        RefusalKind::DeadlinePassed => Some(RefusalKind::LogOut),
+        RefusalKind::LogOut => Some(RefusalKind::Duplicate),
+        RefusalKind::Duplicate => Some(RefusalKind::Quarantined),
+        RefusalKind::Quarantined => Some(RefusalKind::NoUpstream),
+        RefusalKind::NoUpstream => Some(RefusalKind::UpstreamFailed),
+        RefusalKind::UpstreamFailed => Some(RefusalKind::UpstreamRefused),
+        RefusalKind::UpstreamRefused => None,
+    }
+}
+
+#[test]
+fn the_callers_page_has_a_row_for_each_kind_of_refusal() {
+    let text = page("docs/CALLERS.md");
+    let kinds = std::iter::successors(Some(RefusalKind::Unauthenticated), |kind| next_kind(*kind));
+    for kind in kinds {
+        let row = format!("| `{}` | {} |", kind.name(), kind.status().as_u16());
+        assert!(text.contains(&row), "{row}");
+    }
+    assert_paths_exist("docs/CALLERS.md");
+}
