Tell contributors about the layout, plug-ins, fleet tests and stand-ins

CONTRIBUTING.md says where things are and how to add a plug-in, a test on a fleet, and how to run stand-ins by hand.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod documented_calls;
 mod letters;
 mod operator;
+mod router_kill;
 mod run_once;
 mod sample;
 mod thin_path;
--- /dev/null
+++ b/tests/fleet/router_kill.rs
@@ -0,0 +1,14 @@
+//! A router is killed; the example of the contributors' page.
+
+use ferry_rig::ChatCall;
+
+use crate::sample::{client, fleet};
+
+#[tokio::test]
+async fn the_other_router_answers_after_a_kill() {
+    let mut rig = fleet(2).await;
+    rig.routers[0].process.kill().await;
+    let call = ChatCall::new("assistant", "Summarise the file");
+    let result = client().chat(&rig.callers(1), &call).await;
+    assert_eq!(result.answer().completion_tokens, 8);
+}
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -76,3 +76,15 @@
     }
     assert_paths_exist("docs/CALLERS.md");
 }
+
+#[test]
+fn the_contributors_page_shows_a_test_that_exists() {
+    let text = page("CONTRIBUTING.md");
+    let (_, rest) = text.split_once("```rust\n").unwrap();
+    let (snippet, _) = rest.split_once("```").unwrap();
+    assert!(
+        page("tests/fleet/router_kill.rs").contains(snippet),
+        "{snippet}"
+    );
+    assert_paths_exist("CONTRIBUTING.md");
+}
