Prove that a step of the trial fails when a finding does

The exit code rests on the report of each step, which had no test of its own. The tests cover an empty report, a failed finding among good ones, and the breaking of long lines.

--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,7 +1,7 @@
 //! The trial: a whole deployment in one process, and a tour of what it does.
 
 pub mod app;
-mod bills;
-mod deployment;
-mod steps;
-mod trial_run;
+pub mod bills;
+pub mod deployment;
+pub mod steps;
+pub mod trial_run;
--- /dev/null
+++ b/crates/trial/tests/step_report.rs
@@ -0,0 +1,31 @@
+//! A step holds only if something was seen and all of it was as it must be.
+
+use ferry_trial::steps::StepReport;
+
+#[test]
+fn a_report_without_findings_does_not_hold() {
+    assert!(!StepReport::default().held());
+}
+
+#[test]
+fn one_failed_finding_fails_the_step_and_is_marked() {
+    let mut report = StepReport::default();
+    report.check(true, "two routers answered");
+    assert!(report.held());
+    report.check(false, "router-3 was silent");
+    report.check(true, "the log answered");
+    assert!(!report.held());
+    let screen =
+        "    ok  two routers answered\nFAILED  router-3 was silent\n    ok  the log answered\n";
+    assert_eq!(report.to_string(), screen);
+}
+
+#[test]
+fn long_findings_are_broken_between_words() {
+    let mut report = StepReport::default();
+    report.check(true, "word ".repeat(60));
+    let screen = report.to_string();
+    assert_eq!(screen.matches("word").count(), 60);
+    assert!(screen.lines().count() > 1);
+    assert!(screen.lines().all(|line| line.len() <= 100), "{screen}");
+}
