--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod documented_calls;
 mod letters;
+mod log_outage;
 mod operator;
 mod router_kill;
 mod run_once;
