Count only unexplained crashes towards a quarantine

A crash now counts only if no culprit explains it, a culprit being a request that crashed an upstream as its only suspect.

--- a/crates/decisions/src/quarantine/crash_delta.rs
+++ b/crates/decisions/src/quarantine/crash_delta.rs
@@ -14,6 +14,8 @@
         pub upstream: HostName,
         /// Request that was in flight there.
         pub fingerprint: RequestFingerprint,
+        /// Whether it ran there as the only suspect.
+        pub isolated: bool,
     }
 
     /// A suspect was answered by an upstream that stayed up.
--- a/crates/decisions/src/quarantine/crash_pool.rs
+++ b/crates/decisions/src/quarantine/crash_pool.rs
@@ -97,6 +97,8 @@
     }
 
     /// Takes in that `upstream` crashed with these requests of this router in flight.
+    ///
+    /// Call it before [`Self::finish_run`] for the suspect that ran there.
     pub fn record_crash(
         &mut self,
         upstream: &HostName,
@@ -104,7 +106,12 @@
         now: UnixMillis,
     ) {
         for fingerprint in in_flight {
-            self.add_crash(*fingerprint, &(now, upstream.clone()));
+            let site = CrashSite {
+                at: now,
+                upstream: upstream.clone(),
+                isolated: self.runs_alone(fingerprint, upstream, now),
+            };
+            self.add_crash(*fingerprint, &site);
         }
     }
 
@@ -113,10 +120,11 @@
         let Some(entry) = self.entries.get(fingerprint) else {
             return Suspicion::Clear;
         };
-        if entry.is_quarantined(now) {
+        let is_explained = |site: &CrashSite| self.is_explained(fingerprint, site, now);
+        if entry.is_quarantined(now, is_explained) || entry.is_culprit(now) {
             return Suspicion::Quarantined;
         }
-        let unexplained = entry.open_crashes().any(|site| !self.explains(site, now));
+        let unexplained = entry.open_crashes().any(|site| !is_explained(site));
         if unexplained && !entry.is_expired(now) {
             Suspicion::Suspect
         } else {
@@ -188,7 +196,12 @@
     /// Joins what a peer sent; any order and repetition gives the same pool.
     pub fn merge(&mut self, delta: &CrashDelta) {
         for crash in &delta.crashes {
-            self.add_crash(crash.fingerprint, &(crash.at, crash.upstream.clone()));
+            let site = CrashSite {
+                at: crash.at,
+                upstream: crash.upstream.clone(),
+                isolated: crash.isolated,
+            };
+            self.add_crash(crash.fingerprint, &site);
         }
         for survival in &delta.survivals {
             self.add_survival(survival.fingerprint, survival.at);
@@ -203,14 +216,13 @@
         let mut delta = CrashDelta::default();
         for (fingerprint, entry) in self.entries.iter().filter(|(_, e)| e.revision > since) {
             let fingerprint = *fingerprint;
-            let crashes = entry.crashes().iter().cloned();
-            delta
-                .crashes
-                .extend(crashes.map(|(at, upstream)| CrashRecord {
-                    at,
-                    upstream,
-                    fingerprint,
-                }));
+            let crashes = entry.crashes().iter().map(|site| CrashRecord {
+                at: site.at,
+                upstream: site.upstream.clone(),
+                fingerprint,
+                isolated: site.isolated,
+            });
+            delta.crashes.extend(crashes);
             let survival = entry.survived();
             delta
                 .survivals
@@ -236,17 +248,35 @@
     /// Requests that are quarantined.
     pub fn quarantined(&self, now: UnixMillis) -> impl Iterator<Item = &RequestFingerprint> {
         self.entries
-            .iter()
-            .filter(move |(_, entry)| entry.is_quarantined(now))
-            .map(|(fingerprint, _)| fingerprint)
+            .keys()
+            .filter(move |fingerprint| self.suspicion(fingerprint, now) == Suspicion::Quarantined)
     }
 
-    /// Whether a quarantined request explains the crash at `site`.
-    fn explains(&self, site: &CrashSite, now: UnixMillis) -> bool {
+    /// Whether another request is known to have caused the crash of `fingerprint` at `site`.
+    fn is_explained(
+        &self,
+        fingerprint: &RequestFingerprint,
+        site: &CrashSite,
+        now: UnixMillis,
+    ) -> bool {
         self.entries
-            .values()
-            .filter(|entry| entry.is_quarantined(now))
-            .any(|entry| entry.crashes().iter().any(|own| is_same_crash(own, site)))
+            .iter()
+            .filter(|(other, entry)| *other != fingerprint && entry.is_culprit(now))
+            .any(|(_, entry)| entry.crashes().iter().any(|own| is_same_crash(own, site)))
+    }
+
+    /// Whether this router runs `fingerprint` on `upstream` as the only suspect.
+    fn runs_alone(
+        &self,
+        fingerprint: &RequestFingerprint,
+        upstream: &HostName,
+        now: UnixMillis,
+    ) -> bool {
+        self.active_runs(now).any(|run| {
+            run.fingerprint == *fingerprint
+                && run.router == self.own
+                && run.state == RunState::Running(upstream.clone())
+        })
     }
 
     /// Milliseconds until every report of the last crash of `fingerprint` is in.
--- a/crates/decisions/src/quarantine/suspect_entry.rs
+++ b/crates/decisions/src/quarantine/suspect_entry.rs
@@ -16,8 +16,16 @@
 /// Time for which a request stays a suspect, in milliseconds.
 const SUSPICION_MS: u64 = 600_000;
 
-/// A crash: when and where.
-pub(super) type CrashSite = (UnixMillis, HostName);
+/// One crash with a request in flight.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct CrashSite {
+    /// When it was seen.
+    pub(super) at: UnixMillis,
+    /// Upstream that crashed.
+    pub(super) upstream: HostName,
+    /// Whether the request ran there as the only suspect.
+    pub(super) isolated: bool,
+}
 
 /// What is known of one request.
 #[derive(Debug, Default, PartialEq)]
@@ -54,14 +62,27 @@
         news
     }
 
-    /// Whether it crashed two upstreams, or one upstream twice, since it last was answered.
-    pub(super) fn is_quarantined(&self, now: UnixMillis) -> bool {
-        !self.is_expired(now) && self.distinct_crashes() >= QUARANTINE_CRASHES
+    /// Whether it crashed two upstreams, or one upstream twice, since it last was answered;
+    /// crashes that `is_explained` says another request caused do not count.
+    pub(super) fn is_quarantined(
+        &self,
+        now: UnixMillis,
+        is_explained: impl Fn(&CrashSite) -> bool,
+    ) -> bool {
+        let count = self.distinct_crashes(|site| !is_explained(site));
+        !self.is_expired(now) && count >= QUARANTINE_CRASHES
+    }
+
+    /// Whether it crashed that often and ran as the only suspect in one of the crashes.
+    pub(super) fn is_culprit(&self, now: UnixMillis) -> bool {
+        !self.is_expired(now)
+            && self.distinct_crashes(|_| true) >= QUARANTINE_CRASHES
+            && self.open_crashes().any(|site| site.isolated)
     }
 
     /// Whether nothing needs to be known of it any more.
     pub(super) fn is_expired(&self, now: UnixMillis) -> bool {
-        let keep_ms = if self.distinct_crashes() >= QUARANTINE_CRASHES {
+        let keep_ms = if self.distinct_crashes(|_| true) >= QUARANTINE_CRASHES {
             QUARANTINE_MS
         } else {
             SUSPICION_MS
@@ -71,33 +92,31 @@
     }
 
     pub(super) fn last_crash(&self) -> Option<UnixMillis> {
-        self.crashes.last().map(|(at, _)| *at)
+        self.crashes.last().map(|site| site.at)
     }
 
     /// Crashes after the last run that its upstream survived.
     pub(super) fn open_crashes(&self) -> impl Iterator<Item = &CrashSite> {
         self.crashes
             .iter()
-            .filter(|(at, _)| self.survived.is_none_or(|end| end < *at))
+            .filter(|site| self.survived.is_none_or(|end| end < site.at))
     }
 
     pub(super) fn crashed(&self, upstream: &HostName) -> bool {
-        self.crashes.iter().any(|(_, host)| host == upstream)
+        self.crashes.iter().any(|site| site.upstream == *upstream)
     }
 
-    fn distinct_crashes(&self) -> usize {
-        self.open_crashes()
-            .filter(|site| {
-                !self
-                    .open_crashes()
-                    .any(|other| other < *site && is_same_crash(other, site))
-            })
-            .count()
+    /// Number of open crashes that `counts` takes, each once however many routers saw it.
+    fn distinct_crashes(&self, counts: impl Fn(&CrashSite) -> bool) -> usize {
+        let counted = || self.open_crashes().filter(|site| counts(site));
+        let is_first =
+            |site: &&CrashSite| !counted().any(|other| other < *site && is_same_crash(other, site));
+        counted().filter(is_first).count()
     }
 }
 
 /// Whether two routers saw the same crash.
 pub(super) fn is_same_crash(one: &CrashSite, other: &CrashSite) -> bool {
-    let apart = one.0.0.abs_diff(other.0.0);
-    one.1 == other.1 && apart <= CRASH_SPAN_MS
+    let apart = one.at.0.abs_diff(other.at.0);
+    one.upstream == other.upstream && apart <= CRASH_SPAN_MS
 }
--- a/crates/decisions/tests/quarantine.rs
+++ b/crates/decisions/tests/quarantine.rs
@@ -52,6 +52,8 @@
         assert_eq!(suspicion(0), Suspicion::Suspect);
         assert_eq!(suspicion(1), Suspicion::Suspect);
     }
+    let placed = pools[1].place(&fingerprint(0), &[host(1)], SETTLED);
+    assert!(matches!(placed, Placement::Isolated { .. }));
     pools[1].record_crash(&host(1), &[fingerprint(0), fingerprint(2)], SETTLED);
     exchange(&mut pools);
     for pool in &mut pools {
@@ -64,6 +66,44 @@
     }
 }
 
+/// Two culprits, each with a crash beside others and one alone, and an innocent beside both.
+fn two_culprits() -> CrashPool {
+    let mut pool = pool(0);
+    for (culprit, at) in [(0, 0), (1, 20_000)] {
+        let beside = [fingerprint(culprit), fingerprint(9)];
+        pool.record_crash(&host(culprit), &beside, UnixMillis(at));
+        let upstream = [host(culprit + 2)];
+        let later = UnixMillis(at + 1_000);
+        let placed = pool.place(&fingerprint(culprit), &upstream, later);
+        assert!(matches!(placed, Placement::Isolated { .. }));
+        pool.record_crash(&upstream[0], &[fingerprint(culprit)], later);
+        pool.finish_run(&fingerprint(culprit), RunOutcome::Crashed, later);
+    }
+    pool
+}
+
+#[test]
+fn an_innocent_beside_two_culprits_is_not_quarantined() {
+    let pool = two_culprits();
+    let now = UnixMillis(30_000);
+    for culprit in [0, 1] {
+        let suspicion = pool.suspicion(&fingerprint(culprit), now);
+        assert_eq!(suspicion, Suspicion::Quarantined);
+    }
+    assert_eq!(pool.suspicion(&fingerprint(9), now), Suspicion::Clear);
+}
+
+#[test]
+fn two_crashes_beside_others_quarantine_too() {
+    let mut pools = vec![pool(0), pool(1)];
+    pools[0].record_crash(&host(0), &[fingerprint(0), fingerprint(1)], UnixMillis(0));
+    pools[1].record_crash(&host(1), &[fingerprint(0), fingerprint(2)], SETTLED);
+    exchange(&mut pools);
+    let suspicion = |index| pools[0].suspicion(&fingerprint(index), SETTLED);
+    assert_eq!(suspicion(0), Suspicion::Quarantined);
+    assert_eq!(suspicion(1), Suspicion::Suspect);
+}
+
 #[test]
 fn one_crash_seen_by_two_routers_counts_once() {
     let mut pools = vec![pool(0), pool(1)];
