Send only the router's own guard row to peers that hear everyone

In a full mesh each row reached a peer from every router, eight times; a router now can send its own row and the trips alone. The whole of a pool is still sent to peers that may miss routers.

--- a/crates/bench/src/guard/guard_fleet.rs
+++ b/crates/bench/src/guard/guard_fleet.rs
@@ -110,7 +110,7 @@
             return;
         }
         for from in 0..self.pools.len() {
-            let delta = Arc::new(self.pools[from].delta_since(self.sent[from]));
+            let delta = Arc::new(self.pools[from].own_delta_since(self.sent[from]));
             self.sent[from] = self.pools[from].revision();
             if delta.candidates.is_empty() {
                 continue;
--- a/crates/decisions/src/guard/candidate_pool.rs
+++ b/crates/decisions/src/guard/candidate_pool.rs
@@ -229,12 +229,16 @@
         None
     }
 
-    /// Rows and trip learned after `since`.
-    pub(super) fn changes(&self, since: u64) -> (Vec<GuardRow>, Option<TripNotice>) {
+    /// Rows of the routers that `includes` takes, and trip, learned after `since`.
+    pub(super) fn changes(
+        &self,
+        since: u64,
+        includes: impl Fn(&RouterId) -> bool,
+    ) -> (Vec<GuardRow>, Option<TripNotice>) {
         let rows = self
             .rows
             .values()
-            .filter(|stamped| stamped.revision > since)
+            .filter(|stamped| stamped.revision > since && includes(&stamped.row.router))
             .map(|stamped| stamped.row.clone())
             .collect();
         let trip = self.trip.clone().filter(|_| self.trip_revision > since);
--- a/crates/decisions/src/guard/guard_pool.rs
+++ b/crates/decisions/src/guard/guard_pool.rs
@@ -147,15 +147,25 @@
             .collect()
     }
 
-    /// Everything learned after revision `since`, to be sent to a peer.
+    /// Everything learned after revision `since`, to be sent to a peer that may not hear every router.
     ///
     /// Ask again from [`Self::revision`] as it was when this was called.
     pub fn delta_since(&self, since: u64) -> GuardDelta {
+        self.delta_of(since, |_| true)
+    }
+
+    /// This router's own row and the trips learned after revision `since`, which suffice for a
+    /// peer that hears every router itself.
+    pub fn own_delta_since(&self, since: u64) -> GuardDelta {
+        self.delta_of(since, |router| *router == self.own)
+    }
+
+    fn delta_of(&self, since: u64, includes: impl Fn(&RouterId) -> bool) -> GuardDelta {
         let candidates = self
             .candidates
             .iter()
             .filter_map(|((version, epoch), candidate)| {
-                let (rows, trip) = candidate.changes(since);
+                let (rows, trip) = candidate.changes(since, &includes);
                 (!rows.is_empty() || trip.is_some()).then(|| CandidateDelta {
                     version: version.clone(),
                     epoch: *epoch,
