--- /dev/null
+++ b/crates/decisions/src/choice/flight_history.rs
@@ -0,0 +1,111 @@
+//! Requests in flight over the last seconds, to line them up with a lagging report.
+
+use std::time::Duration;
+
+use super::RankMix;
+use crate::admission::QueueRank;
+
+/// Requests in flight by rank, lowest rank first.
+pub type RankCounts = [u32; QueueRank::COUNT];
+
+/// Duration of one slot.
+const SLOT: Duration = Duration::from_millis(100);
+/// Slots kept: reports up to 6.4 s old can be corrected.
+const SLOTS: usize = 64;
+
+/// Number of requests in flight on one upstream, now and in the recent past.
+#[derive(Debug, Clone)]
+pub struct FlightHistory {
+    /// Requests in flight at the end of each slot; slot `n` is at index `n % SLOTS`.
+    counts: [u32; SLOTS],
+    /// The slot that `current` belongs to.
+    slot: u64,
+    /// Requests in flight now.
+    current: RankCounts,
+}
+
+impl Default for FlightHistory {
+    fn default() -> Self {
+        Self {
+            counts: [0; SLOTS],
+            slot: 0,
+            current: RankCounts::default(),
+        }
+    }
+}
+
+impl FlightHistory {
+    /// Counts one dispatched request.
+    pub fn begin(&mut self, now: Duration, rank: QueueRank) {
+        self.advance(now);
+        self.current[rank.index()] += 1;
+        self.store();
+    }
+
+    /// Counts one ended request.
+    pub fn end(&mut self, now: Duration, rank: QueueRank) {
+        self.advance(now);
+        let count = &mut self.current[rank.index()];
+        *count = count.saturating_sub(1);
+        self.store();
+    }
+
+    /// Takes over numbers that other routers counted.
+    pub fn set(&mut self, now: Duration, counts: RankCounts) {
+        self.advance(now);
+        self.current = counts;
+        self.store();
+    }
+
+    /// Requests in flight now.
+    pub fn current(&self) -> u32 {
+        self.current.iter().sum()
+    }
+
+    /// Requests in flight now by rank.
+    pub fn by_rank(&self) -> RankCounts {
+        self.current
+    }
+
+    /// Requests in flight now, compared with `rank`.
+    pub fn mix_around(&self, rank: QueueRank) -> RankMix {
+        let (lower, rest) = self.current.split_at(rank.index());
+        RankMix {
+            lower: lower.iter().sum(),
+            same: rest[0],
+            higher: rest[1..].iter().sum(),
+        }
+    }
+
+    /// Requests in flight at `time`, or at the oldest time that is kept.
+    pub fn at(&self, time: Duration) -> u32 {
+        let slot = slot_of(time);
+        if slot >= self.slot {
+            return self.current();
+        }
+        let oldest = self.slot.saturating_sub(SLOTS as u64 - 1);
+        self.counts[index_of(slot.max(oldest))]
+    }
+
+    /// Fills the slots up to `now` with the present number.
+    fn advance(&mut self, now: Duration) {
+        let (count, target) = (self.current(), slot_of(now).max(self.slot));
+        let first = (self.slot + 1).max(target.saturating_sub(SLOTS as u64 - 1));
+        for slot in first..=target {
+            self.counts[index_of(slot)] = count;
+        }
+        self.slot = target;
+    }
+
+    fn store(&mut self) {
+        self.counts[index_of(self.slot)] = self.current();
+    }
+}
+
+fn slot_of(time: Duration) -> u64 {
+    (time.as_millis() / SLOT.as_millis()) as u64
+}
+
+fn index_of(slot: u64) -> usize {
+    (slot % SLOTS as u64) as usize
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,14 +7,20 @@
 #[macro_use]
 mod macros;
 
+pub mod admission;
 pub mod bill;
 pub mod cascade;
+pub mod choice;
 pub mod claim;
 pub mod config;
 pub mod guard;
 pub mod labels;
+pub mod lease;
+pub mod limits;
+pub mod membership;
 pub mod names;
 pub mod quarantine;
+pub mod retry;
 pub mod routing;
 pub mod session;
 pub mod time;
--- /dev/null
+++ b/crates/router/src/claims/claim_plugin.rs
@@ -0,0 +1,54 @@
+//! Plug-in that appends and reads back claims, also for other routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::claim_desk;
+use super::claim_message::{ClaimAnswer, ClaimQuery};
+use crate::core::RouterCore;
+use crate::peer::{PeerMessage, PeerTopic, decode, encode};
+use crate::plugin::RouterPlugin;
+
+inventory::submit! {
+    RouterPlugin {
+        name: "claims",
+        topics: &[PeerTopic::Claims],
+        start,
+        on_message,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    for index in 0..core.claims.shards().len() {
+        let shared = Arc::clone(core);
+        tokio::spawn(core.closing.clone().run_until_cancelled_owned(async move {
+            shared.claims.shards()[index].work(&shared).await;
+        }));
+    }
+}
+
+fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
+    Box::pin(async move {
+        let answer = match decode(&message.body).ok()? {
+            ClaimQuery::Submit(entry) => {
+                ClaimAnswer::Submitted(claim_desk::submit_here(&core, entry).await)
+            }
+            ClaimQuery::Join(query) => {
+                let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
+                let runs = core.claims.runs();
+                ClaimAnswer::Joined(runs.join(&query.key, query.claim, deadline).await)
+            }
+        };
+        encode(&answer).ok()
+    })
+}
+
+fn view(core: &RouterCore) -> Value {
+    json!({ "voids_not_on_the_log": core.claims.open_voids() })
+}
