--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -8,6 +8,7 @@
 mod crash_delta;
 mod crash_pool;
 mod request_fingerprint;
+mod run_table;
 mod suspect_entry;
 
 pub use crash_delta::{CrashDelta, CrashRecord, RunState, SurvivalRecord, SuspectRun};
--- a/crates/decisions/src/quarantine/crash_pool.rs
+++ b/crates/decisions/src/quarantine/crash_pool.rs
@@ -4,25 +4,18 @@
 
 use smallvec::SmallVec;
 
+use super::run_table::RunTable;
 use super::suspect_entry::{CrashSite, SuspectEntry, is_same_crash};
-use super::{CrashDelta, CrashRecord, RequestFingerprint, RunState, SurvivalRecord, SuspectRun};
+use super::{CrashDelta, CrashRecord, RequestFingerprint, RunState, SurvivalRecord};
 use crate::names::HostName;
 use crate::time::UnixMillis;
 
 /// Most requests remembered.
 const ENTRY_LIMIT: usize = 4_096;
-/// Most runs of suspects remembered.
-const RUN_LIMIT: usize = 1_024;
 /// Time after a crash within which every router's report of it arrives, in milliseconds.
 const SETTLE_MS: u64 = 200;
 /// Time after which a held suspect asks again, in milliseconds.
 const RETRY_MS: u64 = 50;
-/// Time after which a waiting mark is renewed, in milliseconds.
-const RENEW_MS: u64 = 1_000;
-/// Time after which a waiting mark that was not renewed no longer counts, in milliseconds.
-const WAITING_MS: u64 = 5_000;
-/// Time after which a run counts as ended, for example since its router died, in milliseconds.
-const RUNNING_MS: u64 = 120_000;
 /// Longest time for which a suspect waits for other requests to leave its upstream, in milliseconds.
 const DRAIN_MS: u64 = 1_000;
 
@@ -77,22 +70,19 @@
 /// Crashes and suspects, bounded and expiring.
 #[derive(Debug)]
 pub struct CrashPool {
-    own: HostName,
     /// Number of the last change.
     revision: u64,
     entries: BTreeMap<RequestFingerprint, SuspectEntry>,
-    /// Latest run of a suspect at a router, with the revision of the change.
-    runs: BTreeMap<(RequestFingerprint, HostName), (SuspectRun, u64)>,
+    runs: RunTable,
 }
 
 impl CrashPool {
     /// An empty pool of the router on host `own`.
     pub fn new(own: HostName) -> Self {
         Self {
-            own,
             revision: 0,
             entries: BTreeMap::new(),
-            runs: BTreeMap::new(),
+            runs: RunTable::new(own),
         }
     }
 
@@ -109,7 +99,7 @@
             let site = CrashSite {
                 at: now,
                 upstream: upstream.clone(),
-                isolated: self.runs_alone(fingerprint, upstream, now),
+                isolated: self.runs.holds(fingerprint, upstream, now),
             };
             self.add_crash(*fingerprint, &site);
         }
@@ -144,7 +134,7 @@
         match self.suspicion(fingerprint, now) {
             Suspicion::Quarantined => Placement::Quarantined,
             Suspicion::Clear => Placement::Shared {
-                avoid: self.suspect_upstreams(now).cloned().collect(),
+                avoid: self.runs.upstreams(now).cloned().collect(),
             },
             Suspicion::Suspect => self.place_suspect(fingerprint, upstreams, now),
         }
@@ -156,21 +146,22 @@
         upstreams: &[HostName],
         now: UnixMillis,
     ) -> Placement {
-        self.renew_waiting(fingerprint, now);
+        self.change_runs(|runs, revision| runs.renew_waiting(fingerprint, now, revision));
         let wait = |ask_again_ms| Placement::Wait { ask_again_ms };
         let settled = self.settle_time(fingerprint, now);
         if settled > 0 {
             return wait(settled);
         }
-        if self.is_running(fingerprint, now) {
+        if self.runs.is_running(fingerprint, now) {
             return wait(RETRY_MS);
         }
         let free = self.free_upstreams(fingerprint, upstreams, now);
-        let rank = self.waiting_rank(fingerprint, now);
+        let rank = self.runs.waiting_rank(fingerprint, now);
         let Some(upstream) = free.get(rank).map(|host| (*host).clone()) else {
             return wait(RETRY_MS);
         };
-        self.mark(fingerprint, RunState::Running(upstream.clone()), now);
+        let state = RunState::Running(upstream.clone());
+        self.change_runs(|runs, revision| runs.mark(fingerprint, state, now, revision));
         Placement::Isolated {
             upstream,
             drain_ms: DRAIN_MS,
@@ -184,10 +175,7 @@
         outcome: RunOutcome,
         now: UnixMillis,
     ) {
-        let key = (*fingerprint, self.own.clone());
-        if self.runs.contains_key(&key) {
-            self.mark(fingerprint, RunState::Ended, now);
-        }
+        self.change_runs(|runs, revision| runs.end(fingerprint, now, revision));
         if outcome == RunOutcome::Survived {
             self.add_survival(*fingerprint, now);
         }
@@ -207,7 +195,7 @@
             self.add_survival(survival.fingerprint, survival.at);
         }
         for run in &delta.runs {
-            self.put_run(run.clone());
+            self.change_runs(|runs, revision| runs.put(run.clone(), revision));
         }
     }
 
@@ -228,8 +216,7 @@
                 .survivals
                 .extend(survival.map(|at| SurvivalRecord { fingerprint, at }));
         }
-        let runs = self.runs.values().filter(|(_, rev)| *rev > since);
-        delta.runs = runs.map(|(run, _)| run.clone()).collect();
+        delta.runs = self.runs.changed_since(since);
         delta
     }
 
@@ -241,8 +228,7 @@
     /// Forgets what is expired; call it every few seconds.
     pub fn expire(&mut self, now: UnixMillis) {
         self.entries.retain(|_, entry| !entry.is_expired(now));
-        self.runs
-            .retain(|_, (run, _)| now.since(run.at) < RUNNING_MS);
+        self.runs.expire(now);
     }
 
     /// Requests that are quarantined.
@@ -265,20 +251,6 @@
             .any(|(_, entry)| entry.crashes().iter().any(|own| is_same_crash(own, site)))
     }
 
-    /// Whether this router runs `fingerprint` on `upstream` as the only suspect.
-    fn runs_alone(
-        &self,
-        fingerprint: &RequestFingerprint,
-        upstream: &HostName,
-        now: UnixMillis,
-    ) -> bool {
-        self.active_runs(now).any(|run| {
-            run.fingerprint == *fingerprint
-                && run.router == self.own
-                && run.state == RunState::Running(upstream.clone())
-        })
-    }
-
     /// Milliseconds until every report of the last crash of `fingerprint` is in.
     fn settle_time(&self, fingerprint: &RequestFingerprint, now: UnixMillis) -> u64 {
         let entry = self.entries.get(fingerprint);
@@ -293,7 +265,7 @@
         upstreams: &'a [HostName],
         now: UnixMillis,
     ) -> Vec<&'a HostName> {
-        let taken: Vec<&HostName> = self.suspect_upstreams(now).collect();
+        let taken: Vec<&HostName> = self.runs.upstreams(now).collect();
         let entry = self.entries.get(fingerprint);
         let mut free: Vec<&HostName> = upstreams
             .iter()
@@ -303,69 +275,10 @@
         free
     }
 
-    /// Place of `fingerprint` among the suspects that wait, the same on every router.
-    fn waiting_rank(&self, fingerprint: &RequestFingerprint, now: UnixMillis) -> usize {
-        let mut waiting: Vec<&RequestFingerprint> = self
-            .active_runs(now)
-            .filter(|run| run.state == RunState::Waiting && run.fingerprint < *fingerprint)
-            .map(|run| &run.fingerprint)
-            .collect();
-        waiting.dedup();
-        waiting.len()
-    }
-
-    fn suspect_upstreams(&self, now: UnixMillis) -> impl Iterator<Item = &HostName> {
-        self.active_runs(now).filter_map(|run| match &run.state {
-            RunState::Running(upstream) => Some(upstream),
-            RunState::Waiting | RunState::Ended => None,
-        })
-    }
-
-    fn is_running(&self, fingerprint: &RequestFingerprint, now: UnixMillis) -> bool {
-        self.active_runs(now)
-            .any(|run| run.fingerprint == *fingerprint && matches!(run.state, RunState::Running(_)))
-    }
-
-    fn active_runs(&self, now: UnixMillis) -> impl Iterator<Item = &SuspectRun> {
-        self.runs
-            .values()
-            .map(|(run, _)| run)
-            .filter(move |run| is_active(run, now))
-    }
-
-    fn renew_waiting(&mut self, fingerprint: &RequestFingerprint, now: UnixMillis) {
-        let known = self.runs.get(&(*fingerprint, self.own.clone()));
-        let is_fresh = known.is_some_and(|(run, _)| match run.state {
-            RunState::Waiting => now.since(run.at) < RENEW_MS,
-            RunState::Running(_) => is_active(run, now),
-            RunState::Ended => false,
-        });
-        if !is_fresh {
-            self.mark(fingerprint, RunState::Waiting, now);
-        }
-    }
-
-    fn mark(&mut self, fingerprint: &RequestFingerprint, state: RunState, now: UnixMillis) {
-        let known = self.runs.get(&(*fingerprint, self.own.clone()));
-        let last = known.map_or(0, |(run, _)| run.sequence);
-        let run = SuspectRun {
-            fingerprint: *fingerprint,
-            router: self.own.clone(),
-            sequence: now.0.max(last + 1),
-            state,
-            at: now,
-        };
-        self.put_run(run);
-    }
-
-    fn put_run(&mut self, run: SuspectRun) {
-        let key = (run.fingerprint, run.router.clone());
-        let known = self.runs.get(&key);
-        let is_news = known.is_none_or(|(known, _)| known.sequence < run.sequence);
-        if is_news && (known.is_some() || self.runs.len() < RUN_LIMIT) {
-            self.revision += 1;
-            self.runs.insert(key, (run, self.revision));
-        }
+    /// Lets `change` change the runs under a new revision.
+    fn change_runs(&mut self, change: impl FnOnce(&mut RunTable, u64)) {
+        self.revision += 1;
+        change(&mut self.runs, self.revision);
     }
 
     fn add_crash(&mut self, fingerprint: RequestFingerprint, site: &CrashSite) {
@@ -400,12 +313,3 @@
         }
     }
 }
-
-fn is_active(run: &SuspectRun, now: UnixMillis) -> bool {
-    let lifetime_ms = match run.state {
-        RunState::Waiting => WAITING_MS,
-        RunState::Running(_) => RUNNING_MS,
-        RunState::Ended => 0,
-    };
-    now.since(run.at) < lifetime_ms
-}
--- /dev/null
+++ b/crates/decisions/src/quarantine/run_table.rs
@@ -0,0 +1,159 @@
+//! Runs of suspects over the fleet.
+
+use std::collections::BTreeMap;
+
+use super::{RequestFingerprint, RunState, SuspectRun};
+use crate::names::HostName;
+use crate::time::UnixMillis;
+
+/// Most runs remembered.
+const RUN_LIMIT: usize = 1_024;
+/// Time after which a waiting mark is renewed, in milliseconds.
+const RENEW_MS: u64 = 1_000;
+/// Time after which a waiting mark that was not renewed no longer counts, in milliseconds.
+const WAITING_MS: u64 = 5_000;
+/// Time after which a run counts as ended, for example since its router died, in milliseconds.
+const RUNNING_MS: u64 = 120_000;
+
+/// Latest run of each suspect at each router.
+#[derive(Debug)]
+pub(super) struct RunTable {
+    own: HostName,
+    /// Runs with the revision of the pool at which they last changed.
+    runs: BTreeMap<(RequestFingerprint, HostName), (SuspectRun, u64)>,
+}
+
+impl RunTable {
+    pub(super) fn new(own: HostName) -> Self {
+        Self {
+            own,
+            runs: BTreeMap::new(),
+        }
+    }
+
+    /// Joins a run; the higher sequence number replaces the other.
+    pub(super) fn put(&mut self, run: SuspectRun, revision: u64) {
+        let key = (run.fingerprint, run.router.clone());
+        let known = self.runs.get(&key);
+        let is_news = known.is_none_or(|(known, _)| known.sequence < run.sequence);
+        if is_news && (known.is_some() || self.runs.len() < RUN_LIMIT) {
+            self.runs.insert(key, (run, revision));
+        }
+    }
+
+    /// Notes what this router does with `fingerprint`.
+    pub(super) fn mark(
+        &mut self,
+        fingerprint: &RequestFingerprint,
+        state: RunState,
+        now: UnixMillis,
+        revision: u64,
+    ) {
+        let last = self.own_run(fingerprint).map_or(0, |run| run.sequence);
+        let run = SuspectRun {
+            fingerprint: *fingerprint,
+            router: self.own.clone(),
+            sequence: now.0.max(last + 1),
+            state,
+            at: now,
+        };
+        self.put(run, revision);
+    }
+
+    /// Notes that this router holds `fingerprint`, unless that was noted lately.
+    pub(super) fn renew_waiting(
+        &mut self,
+        fingerprint: &RequestFingerprint,
+        now: UnixMillis,
+        revision: u64,
+    ) {
+        let is_fresh = self
+            .own_run(fingerprint)
+            .is_some_and(|run| match run.state {
+                RunState::Waiting => now.since(run.at) < RENEW_MS,
+                RunState::Running(_) => is_active(run, now),
+                RunState::Ended => false,
+            });
+        if !is_fresh {
+            self.mark(fingerprint, RunState::Waiting, now, revision);
+        }
+    }
+
+    /// Notes that this router holds `fingerprint` no more, if it did.
+    pub(super) fn end(&mut self, fingerprint: &RequestFingerprint, now: UnixMillis, revision: u64) {
+        if self.own_run(fingerprint).is_some() {
+            self.mark(fingerprint, RunState::Ended, now, revision);
+        }
+    }
+
+    /// Place of `fingerprint` among the suspects that wait, the same on every router.
+    pub(super) fn waiting_rank(&self, fingerprint: &RequestFingerprint, now: UnixMillis) -> usize {
+        let mut waiting: Vec<&RequestFingerprint> = self
+            .active(now)
+            .filter(|run| run.state == RunState::Waiting && run.fingerprint < *fingerprint)
+            .map(|run| &run.fingerprint)
+            .collect();
+        waiting.dedup();
+        waiting.len()
+    }
+
+    /// Upstreams that run suspects.
+    pub(super) fn upstreams(&self, now: UnixMillis) -> impl Iterator<Item = &HostName> {
+        self.active(now).filter_map(|run| match &run.state {
+            RunState::Running(upstream) => Some(upstream),
+            RunState::Waiting | RunState::Ended => None,
+        })
+    }
+
+    /// Whether any router runs `fingerprint`.
+    pub(super) fn is_running(&self, fingerprint: &RequestFingerprint, now: UnixMillis) -> bool {
+        self.active(now)
+            .any(|run| run.fingerprint == *fingerprint && matches!(run.state, RunState::Running(_)))
+    }
+
+    /// Whether this router runs `fingerprint` on `upstream` as the only suspect.
+    pub(super) fn holds(
+        &self,
+        fingerprint: &RequestFingerprint,
+        upstream: &HostName,
+        now: UnixMillis,
+    ) -> bool {
+        let run = self.own_run(fingerprint);
+        run.is_some_and(|run| {
+            is_active(run, now) && run.state == RunState::Running(upstream.clone())
+        })
+    }
+
+    /// Runs that changed after revision `since`.
+    pub(super) fn changed_since(&self, since: u64) -> Vec<SuspectRun> {
+        let changed = self.runs.values().filter(|(_, revision)| *revision > since);
+        changed.map(|(run, _)| run.clone()).collect()
+    }
+
+    /// Forgets runs that ended long ago.
+    pub(super) fn expire(&mut self, now: UnixMillis) {
+        self.runs
+            .retain(|_, (run, _)| now.since(run.at) < RUNNING_MS);
+    }
+
+    fn own_run(&self, fingerprint: &RequestFingerprint) -> Option<&SuspectRun> {
+        let known = self.runs.get(&(*fingerprint, self.own.clone()));
+        known.map(|(run, _)| run)
+    }
+
+    fn active(&self, now: UnixMillis) -> impl Iterator<Item = &SuspectRun> {
+        self.runs
+            .values()
+            .map(|(run, _)| run)
+            .filter(move |run| is_active(run, now))
+    }
+}
+
+fn is_active(run: &SuspectRun, now: UnixMillis) -> bool {
+    let lifetime_ms = match run.state {
+        RunState::Waiting => WAITING_MS,
+        RunState::Running(_) => RUNNING_MS,
+        RunState::Ended => 0,
+    };
+    now.since(run.at) < lifetime_ms
+}
