Drop claims of dead routers, report waiting stops, test linked fleets

Cause: with linked routers a_router_killed_before_its_claim_... failed: the dead router's claim was waiting at the owner of its shard, which appended it afterwards, so that the id stayed claimed by nobody and the second send was told may_have_run. An owner now drops waiting claims of routers to which no link is left; a router that lost only its link appends its claim itself. The kill steps use ids that the killed router owns, so that each step is what its name says; the case of another owner has tests of its own, in the fleet and between linked routers. A stop whose request waited for its bill in a log outage said nothing in its log, since it waited for the request before it came to the drain. It now says so every five seconds.

Excluded: a lost grant as the cause; the service had started no run and the log held one claim.

--- a/crates/router/src/claims/claim_desk.rs
+++ b/crates/router/src/claims/claim_desk.rs
@@ -105,6 +105,11 @@
         self.shards.iter().map(ClaimShard::open_voids).sum()
     }
 
+    /// Number of claims and voids here that are in no batch yet.
+    pub fn waiting(&self) -> usize {
+        self.shards.iter().map(ClaimShard::waiting).sum()
+    }
+
     fn shard(&self, key: &RequestKey) -> &ClaimShard {
         &self.shards[usize::from(shard_of(&key.request))]
     }
--- a/crates/router/src/claims/claim_plugin.rs
+++ b/crates/router/src/claims/claim_plugin.rs
@@ -50,5 +50,8 @@
 }
 
 fn view(core: &RouterCore) -> Value {
-    json!({ "voids_not_on_the_log": core.claims.open_voids() })
+    json!({
+        "waiting": core.claims.waiting(),
+        "voids_not_on_the_log": core.claims.open_voids(),
+    })
 }
--- a/crates/router/src/claims/claim_shard.rs
+++ b/crates/router/src/claims/claim_shard.rs
@@ -6,6 +6,7 @@
 use ferry_decisions::claim::{
     ClaimEntry, ClaimOwner, ClaimReply, EntryKind, READ_BACK_MS, claim_stream,
 };
+use ferry_decisions::names::HostName;
 use ferry_decisions::time::UnixMillis;
 use ferry_kernel::wall_clock;
 use ferry_platform::log::LogError;
@@ -92,6 +93,11 @@
         open.filter(|(_, kind)| *kind == EntryKind::Void).count()
     }
 
+    /// Number of entries that are in no batch yet.
+    pub(super) fn waiting(&self) -> usize {
+        self.state.lock().inbox.len()
+    }
+
     /// Works until cancelled.
     pub(super) async fn work(&self, core: &RouterCore) {
         loop {
@@ -122,6 +128,7 @@
             return Ok(());
         }
         core.appends.turn().await;
+        self.drop_abandoned(core);
         let Some(data) = self.next_batch() else {
             return Ok(());
         };
@@ -214,6 +221,25 @@
         });
     }
 
+    /// Drops claims of other routers to which no link is left: nobody hears of their grant, and an
+    /// appended claim would keep the id. A router that lost only its link appends its claim itself.
+    fn drop_abandoned(&self, core: &RouterCore) {
+        let connected = core.hub().connected();
+        let is_near = |host: &HostName| *host == core.settings.host || connected.contains(host);
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.inbox.retain(|entry| match entry {
+            ClaimEntry::Void { .. } => true,
+            ClaimEntry::Claim { router, claim, .. } => {
+                let keep = is_near(router);
+                if !keep {
+                    state.askers.remove(&(*claim, EntryKind::Claim));
+                }
+                keep
+            }
+        });
+    }
+
     /// The batch to append now, as text: the one in doubt, else a new one.
     fn next_batch(&self) -> Option<String> {
         let mut state = self.state.lock();
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use ferry_decisions::session::SessionKeys;
 use ferry_kernel::http::{Server, ServerHandle};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::core::{LifePhase, RouterCore};
 use crate::peer::{PeerError, PeerHandler, PeerHub, PeerSettings};
@@ -34,6 +34,9 @@
     NoSessionKey,
 }
 
+/// Time between two log lines about requests that a stop waits for.
+const STOP_REPORT: Duration = Duration::from_secs(5);
+
 /// A router that serves its three ports.
 pub struct RouterDaemon {
     core: Arc<RouterCore>,
@@ -101,7 +104,7 @@
         sleep(Duration::from_millis(core.settings.stop.balancer_lag_ms)).await;
         core.enter(LifePhase::Draining);
         core.work.close();
-        core.work.wait().await;
+        finish_work(core).await;
         self.callers.stop().await;
         bills::drain(core).await;
         core.closing.cancel();
@@ -110,6 +113,17 @@
     }
 }
 
+/// Waits for the requests in progress, and says so while it takes long.
+async fn finish_work(core: &RouterCore) {
+    while timeout(STOP_REPORT, core.work.wait()).await.is_err() {
+        spdlog::warn!("the stop waits for requests in progress", kv: {
+            in_progress = core.work.len(),
+            bills = core.bills.at_risk(),
+            log_out = core.appends.is_out(),
+        });
+    }
+}
+
 async fn bind(port: &'static str, address: SocketAddr) -> Result<Server, StartError> {
     Server::bind(address)
         .await
--- a/crates/router/tests/claims_and_bills/claims.rs
+++ b/crates/router/tests/claims_and_bills/claims.rs
@@ -1,5 +1,7 @@
 //! Claims between linked routers.
 
+use std::sync::Arc;
+
 use ferry_decisions::claim::shard_of;
 use ferry_router::claims::{ClaimProblem, ClaimStart, JoinedAnswer, claim, claim_or_join, void};
 use ferry_router::dispatch::ServiceAnswer;
@@ -11,6 +13,7 @@
 
 use crate::linked_routers::{
     LIMIT, LinkedRouters, QUIET, bill_of, key_owned_by, new_key, release, start_router, until,
+    waiting_claims,
 };
 
 #[tokio::test]
@@ -93,6 +96,21 @@
     claim(linked.core(1), &key).await.unwrap();
 }
 
+#[tokio::test]
+async fn a_claim_whose_router_died_before_its_append_leaves_the_id_free() {
+    let linked = LinkedRouters::start(2).await;
+    let key = key_owned_by(1, 2);
+    linked.log_outage();
+    let (core, asked) = (Arc::clone(linked.core(0)), key.clone());
+    let first = tokio::spawn(async move { claim(&core, &asked).await });
+    until(|| waiting_claims(&linked, 1) == 1).await;
+    linked.kill(0).await;
+    until(|| linked.core(1).hub().connected().is_empty()).await;
+    first.abort();
+    linked.heal();
+    claim(linked.core(1), &key).await.unwrap();
+}
+
 #[tokio::test]
 async fn lost_answers_of_appends_change_nothing() {
     let linked = LinkedRouters::start(3).await;
--- a/crates/router/tests/claims_and_bills/linked_routers.rs
+++ b/crates/router/tests/claims_and_bills/linked_routers.rs
@@ -194,10 +194,17 @@
 }
 
 pub fn copies_at(linked: &LinkedRouters, index: usize) -> u64 {
+    count_at(linked, index, PeerTopic::Bills, "copies_held")
+}
+
+pub fn waiting_claims(linked: &LinkedRouters, index: usize) -> u64 {
+    count_at(linked, index, PeerTopic::Claims, "waiting")
+}
+
+/// A number in the admin view of the plug-in for `topic`.
+fn count_at(linked: &LinkedRouters, index: usize, topic: PeerTopic, field: &str) -> u64 {
     let plugin = ferry_router::plugin::all()
-        .find(|plugin| plugin.topics.contains(&PeerTopic::Bills))
+        .find(|plugin| plugin.topics.contains(&topic))
         .unwrap();
-    (plugin.view)(linked.core(index))["copies_held"]
-        .as_u64()
-        .unwrap()
+    (plugin.view)(linked.core(index))[field].as_u64().unwrap()
 }
--- a/tests/fleet/log_outage.rs
+++ b/tests/fleet/log_outage.rs
@@ -1,18 +1,17 @@
 //! Bills through an outage of the log under load, with a router replaced meanwhile.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-use ferry_decisions::bill::{BillBatch, bill_stream};
-use ferry_decisions::claim::SHARD_COUNT;
 use ferry_decisions::names::RequestId;
-use ferry_rig::{ChatCall, ChatResult, FleetRig, eventually};
+use ferry_rig::{ChatCall, ChatResult, eventually};
 use futures::future::join_all;
 use serde_json::json;
 
 use crate::letters::{LetterAnswer, ledger, send_letter};
+use crate::logged_bills::{bills_on_the_log, until_flushed};
 use crate::sample::{client, fleet};
 
 /// Length of the outage before the router is killed, and after it is back.
@@ -63,6 +62,8 @@
 struct SteadyLoad {
     stop: Arc<AtomicBool>,
     answered: Arc<AtomicUsize>,
+    /// Callers' addresses of the routers, as a balancer knows them.
+    addresses: Arc<Mutex<Vec<String>>>,
     senders: Vec<tokio::task::JoinHandle<CallerView>>,
 }
 
@@ -71,19 +72,30 @@
     fn start(addresses: &[String]) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let answered = Arc::new(AtomicUsize::new(0));
+        let shared = Arc::new(Mutex::new(addresses.to_vec()));
         let senders = (0..SENDERS).map(|sender| {
-            let address = addresses[sender % addresses.len()].clone();
             let (stop, answered) = (Arc::clone(&stop), Arc::clone(&answered));
+            let addresses = Arc::clone(&shared);
+            let address = move || {
+                let addresses = addresses.lock().unwrap();
+                addresses[sender % addresses.len()].clone()
+            };
             tokio::spawn(send_steadily(address, stop, answered))
         });
         let senders = senders.collect();
         Self {
             stop,
             answered,
+            addresses: shared,
             senders,
         }
     }
 
+    /// Sends to the new address of a router from now on.
+    fn replace_address(&self, index: usize, address: String) {
+        self.addresses.lock().unwrap()[index] = address;
+    }
+
     fn answered(&self) -> usize {
         self.answered.load(Ordering::Relaxed)
     }
@@ -99,7 +111,7 @@
 }
 
 async fn send_steadily(
-    address: String,
+    address: impl Fn() -> String,
     stop: Arc<AtomicBool>,
     answered: Arc<AtomicUsize>,
 ) -> CallerView {
@@ -108,6 +120,7 @@
     while !stop.load(Ordering::Relaxed) {
         let id = RequestId::generate().to_string();
         let before = view.answered.len();
+        let address = address();
         if turn % 3 == 2 {
             let answer = send_letter(&caller, &address, &id).await;
             view.note_letter(id, &answer);
@@ -126,45 +139,6 @@
     view
 }
 
-/// How many bills each request has on the log, repeats of one and the same bill not counted.
-async fn bills_on_the_log(rig: &FleetRig) -> BTreeMap<String, usize> {
-    let mut bills = BTreeMap::<String, BTreeSet<String>>::new();
-    for shard in 0..SHARD_COUNT {
-        let stream = bill_stream(shard);
-        let page = rig.log().read(&stream, 0, 10_000, Duration::ZERO).await;
-        let page = page.unwrap();
-        assert_eq!(
-            page.records.len() as u64,
-            page.next,
-            "the stream is read whole"
-        );
-        for record in page.records {
-            let batch: BillBatch = serde_json::from_str(&record.data).unwrap();
-            for bill in batch.bills {
-                let content = serde_json::to_string(&bill).unwrap();
-                let known = bills.entry(bill.request.to_string()).or_default();
-                known.insert(content);
-            }
-        }
-    }
-    let counts = bills.into_iter().map(|(id, known)| (id, known.len()));
-    counts.collect()
-}
-
-/// Waits until no router has a bill, a copy or a void that is not on the log.
-async fn until_flushed(rig: &FleetRig) {
-    for index in 0..rig.routers.len() {
-        eventually("the router has flushed its bills", || async move {
-            let status = rig.admin(index, "/status").await?;
-            let bills = &status["plugins"]["bills"];
-            let voids = &status["plugins"]["claims"]["voids_not_on_the_log"];
-            let open = [&bills["unlogged"], &bills["copies_held"], voids];
-            open.iter().all(|count| **count == 0).then_some(())
-        })
-        .await;
-    }
-}
-
 #[tokio::test]
 async fn bills_are_exact_after_a_log_outage_in_which_a_router_is_replaced() {
     let mut rig = fleet(4).await;
@@ -178,10 +152,15 @@
     rig.platform_faults(&outage).await;
     let at_start = load.answered();
     tokio::time::sleep(OUTAGE_HALF).await;
+    let killed = Instant::now();
     rig.routers[KILLED].process.kill().await;
     rig.restart_router(KILLED).await.unwrap();
+    load.replace_address(KILLED, rig.callers(KILLED));
+    let replaced = killed.elapsed();
+    let at_kill = load.answered();
     tokio::time::sleep(OUTAGE_HALF).await;
     let in_outage = load.answered() - at_start;
+    assert!(load.answered() > at_kill, "answers after the kill");
     rig.platform_heal().await;
     rig.until_ready(5).await;
     let after = load.answered();
@@ -190,10 +169,10 @@
     })
     .await;
     let view = load.finish().await;
-    until_flushed(&rig).await;
+    until_flushed(&rig, 0..rig.routers.len()).await;
     let bills = bills_on_the_log(&rig).await;
     println!(
-        "answered {} ({in_outage} in the outage), refused as not run {}, open {}, billed {}",
+        "answered {} ({in_outage} in the outage), router replaced in {replaced:?}, refused as not run {}, open {}, billed {}",
         view.answered.len(),
         view.not_run.len(),
         view.open.len(),
--- /dev/null
+++ b/tests/fleet/logged_bills.rs
@@ -0,0 +1,47 @@
+//! Bills on the log, as the tests count them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use ferry_decisions::bill::{BillBatch, bill_stream};
+use ferry_decisions::claim::SHARD_COUNT;
+use ferry_rig::{FleetRig, eventually};
+
+/// How many bills each request has on the log, repeats of one and the same bill not counted.
+pub async fn bills_on_the_log(rig: &FleetRig) -> BTreeMap<String, usize> {
+    let mut bills = BTreeMap::<String, BTreeSet<String>>::new();
+    for shard in 0..SHARD_COUNT {
+        let stream = bill_stream(shard);
+        let page = rig.log().read(&stream, 0, 10_000, Duration::ZERO).await;
+        let page = page.unwrap();
+        assert_eq!(
+            page.records.len() as u64,
+            page.next,
+            "the stream is read whole"
+        );
+        for record in page.records {
+            let batch: BillBatch = serde_json::from_str(&record.data).unwrap();
+            for bill in batch.bills {
+                let content = serde_json::to_string(&bill).unwrap();
+                let known = bills.entry(bill.request.to_string()).or_default();
+                known.insert(content);
+            }
+        }
+    }
+    let counts = bills.into_iter().map(|(id, known)| (id, known.len()));
+    counts.collect()
+}
+
+/// Waits until none of the routers `indexes` has a bill, a copy or a void that is not on the log.
+pub async fn until_flushed(rig: &FleetRig, indexes: impl IntoIterator<Item = usize>) {
+    for index in indexes {
+        eventually("the router has flushed its bills", || async move {
+            let status = rig.admin(index, "/status").await?;
+            let bills = &status["plugins"]["bills"];
+            let voids = &status["plugins"]["claims"]["voids_not_on_the_log"];
+            let open = [&bills["unlogged"], &bills["copies_held"], voids];
+            open.iter().all(|count| **count == 0).then_some(())
+        })
+        .await;
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,7 +3,9 @@
 mod ledger_tool;
 mod letters;
 mod log_outage;
+mod logged_bills;
 mod operator;
+mod planned_stop;
 mod run_once;
 mod sample;
 mod thin_path;
--- a/tests/fleet/run_once.rs
+++ b/tests/fleet/run_once.rs
@@ -36,6 +36,27 @@
     rig.platform_faults(&faults).await;
 }
 
+/// Request ids of the shards that router `index` owns while all routers live.
+fn ids_owned_by(rig: &FleetRig, index: usize) -> impl Iterator<Item = String> {
+    let names = rig.routers.iter().map(|node| HostName::new(&node.host));
+    let hosts: Vec<_> = names.collect();
+    std::iter::repeat_with(RequestId::generate)
+        .filter(move |id| owner_of(shard_of(id), &hosts) == Some(&hosts[index]))
+        .map(|id| id.to_string())
+}
+
+/// Waits until router `index` no longer counts router `gone` among the live ones.
+async fn until_gone(rig: &FleetRig, index: usize, gone: usize) {
+    let host = &rig.routers[gone].host;
+    eventually("the router is taken for dead", || async move {
+        let status = rig.admin(index, "/status").await?;
+        let live = status["plugins"]["membership"]["live"].as_array()?;
+        let is_gone = live.iter().all(|name| name != host.as_str());
+        is_gone.then_some(())
+    })
+    .await;
+}
+
 /// Orders what keeps a call at `step` until it is killed there.
 async fn hold_at(rig: &FleetRig, step: KillStep) {
     match step {
@@ -75,7 +96,7 @@
         _ => SHORT_CALL,
     };
     let mut rig = letter_fleet(2, duration).await;
-    let id = RequestId::generate().to_string();
+    let id = ids_owned_by(&rig, 0).next().unwrap();
     hold_at(&rig, step).await;
     let before = appends(&rig).await;
     let first = send_in_background(&rig, 0, &id);
@@ -95,6 +116,24 @@
     assert_eq!(billed(&rig).await, 1);
 }
 
+#[tokio::test]
+async fn a_router_killed_while_the_owner_has_its_claim_leaves_the_call_to_another() {
+    let mut rig = letter_fleet(2, SHORT_CALL).await;
+    let id = ids_owned_by(&rig, 1).next().unwrap();
+    let outage = json!({ "outage": { "answer": "drop", "path": "/streams/claims" } });
+    rig.platform_faults(&outage).await;
+    let first = send_in_background(&rig, 0, &id);
+    until_at(&rig, KillStep::BeforeClaim, &id, 0).await;
+    rig.routers[0].process.kill().await;
+    assert_eq!(first.await.unwrap(), LetterAnswer::Broken);
+    until_gone(&rig, 1, 0).await;
+    rig.platform_heal().await;
+    let second = send_until_settled(&rig, 1, &id).await;
+    assert_eq!(second, LetterAnswer::Answered);
+    assert_eq!(service_count(&rig, &id, "started").await, 1);
+    assert_eq!(billed(&rig).await, 1);
+}
+
 #[tokio::test]
 async fn a_router_killed_after_its_claim_leaves_it_open_whether_the_call_ran() {
     let (rig, id, second) = kill_and_send_again(KillStep::AfterClaim).await;
@@ -150,17 +189,7 @@
 #[tokio::test]
 async fn an_owner_that_is_frozen_and_thawed_grants_nothing_twice() {
     let rig = letter_fleet(3, SHORT_CALL).await;
-    let hosts: Vec<_> = rig
-        .routers
-        .iter()
-        .map(|node| HostName::new(&node.host))
-        .collect();
-    let owned_by_first = |id: &RequestId| owner_of(shard_of(id), &hosts) == Some(&hosts[0]);
-    let ids: Vec<_> = std::iter::repeat_with(RequestId::generate)
-        .filter(owned_by_first)
-        .take(8)
-        .map(|id| id.to_string())
-        .collect();
+    let ids: Vec<_> = ids_owned_by(&rig, 0).take(8).collect();
     slow_path(&rig, "/streams/claims", 300).await;
     let before = appends(&rig).await;
     let early: Vec<_> = ids
@@ -195,3 +224,39 @@
     }
     assert_eq!(answered, runs);
 }
+
+#[tokio::test]
+async fn an_owner_that_thaws_after_its_take_over_keeps_to_what_was_granted_meanwhile() {
+    let rig = letter_fleet(3, SHORT_CALL).await;
+    let mut ids = ids_owned_by(&rig, 0);
+    let early: Vec<_> = ids.by_ref().take(4).collect();
+    for id in &early {
+        let answer = send_letter(&client(), &rig.callers(1), id).await;
+        assert_eq!(answer, LetterAnswer::Answered, "the owner grants");
+    }
+    rig.routers[0].process.freeze();
+    until_gone(&rig, 1, 0).await;
+    let meanwhile: Vec<_> = ids.by_ref().take(4).collect();
+    for id in &meanwhile {
+        let answer = send_letter(&client(), &rig.callers(1), id).await;
+        assert_eq!(answer, LetterAnswer::Answered, "the new owner grants");
+    }
+    rig.routers[0].process.thaw();
+    for id in early.iter().chain(&meanwhile) {
+        let answer = send_until_settled(&rig, 0, id).await;
+        assert_eq!(answer, refused("ran"), "{id}");
+    }
+    let fresh: Vec<_> = ids.take(8).collect();
+    let sends = fresh
+        .iter()
+        .flat_map(|id| (0..3).map(|index| send_in_background(&rig, index, id)));
+    let answers = join_all(sends).await;
+    for answer in answers {
+        let answer = answer.unwrap();
+        assert!(answer != refused("not_run") && answer != LetterAnswer::Broken);
+    }
+    for id in early.iter().chain(&meanwhile).chain(&fresh) {
+        assert_eq!(service_count(&rig, id, "started").await, 1, "{id}");
+    }
+    assert_eq!(billed(&rig).await, 16);
+}
