--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -86,3 +86,19 @@
     assert_eq!(output.status.code(), BAD_INPUT);
     assert!(String::from_utf8_lossy(&output.stderr).contains("no-such-file.yaml"));
 }
+
+#[test]
+fn the_operators_page_names_every_settings_key() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(root.join("docs/OPERATORS.md")).unwrap();
+    let text = example("router.yaml");
+    let keys = text.lines().filter_map(|line| {
+        let key = line.split('#').next()?.split(':').next()?;
+        let key = key.trim().trim_start_matches("- ");
+        (!key.is_empty()).then_some(key)
+    });
+    for key in keys {
+        let named = [format!("`{key}`"), format!(".{key}`"), format!("`{key}.")];
+        assert!(named.iter().any(|name| page.contains(name)), "{key}");
+    }
+}
