--- a/crates/operator/src/ctl_app/apply_command.rs
+++ b/crates/operator/src/ctl_app/apply_command.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use ferry_decisions::config::{ObjectKey, ObjectKind, ObjectSpec, VersionPhase};
+use ferry_decisions::lease::SpreadStage;
+use ferry_decisions::names::HostName;
 
 use super::flags::{Apply, Delete};
 use super::{CtlError, get_command};
 use crate::config_file::ConfigFile;
 use crate::fleet::FleetClient;
-use crate::publish::{ChangeDraft, ChangeProgress, ChangeStage, PublishError, publish};
+use crate::publish::{ChangeDraft, ChangeProgress, PublishError, publish};
 
 /// Time for which a change is followed unless the command line says otherwise.
 const DEFAULT_WAIT: Duration = Duration::from_secs(9);
@@ -79,8 +81,8 @@
     let show = |progress: &ChangeProgress| show(progress, json);
     let progress = publish(fleet, &change, wait, show).await?;
     Ok(match progress.stage {
-        ChangeStage::InForce => 0,
-        ChangeStage::Published | ChangeStage::Accepted => NOT_IN_FORCE_EXIT,
+        SpreadStage::InForce => 0,
+        SpreadStage::Published | SpreadStage::Accepted => NOT_IN_FORCE_EXIT,
     })
 }
 
@@ -91,16 +93,21 @@
     }
     let offset = progress.offset;
     match progress.stage {
-        ChangeStage::Published => println!("published at offset {offset}"),
-        ChangeStage::Accepted => println!(
+        SpreadStage::Published => println!("published at offset {offset}"),
+        SpreadStage::Accepted => println!(
             "accepted, in force on {}; waiting for {}",
-            progress.confirmed.join(", "),
-            progress.waiting.join(", ")
+            names(&progress.confirmed),
+            names(&progress.waiting)
         ),
-        ChangeStage::InForce if progress.lapsed.is_empty() => println!("in force everywhere"),
-        ChangeStage::InForce => println!(
+        SpreadStage::InForce if progress.lapsed.is_empty() => println!("in force everywhere"),
+        SpreadStage::InForce => println!(
             "in force everywhere; {} admit no work until they have read it",
-            progress.lapsed.join(", ")
+            names(&progress.lapsed)
         ),
     }
 }
+
+fn names(hosts: &[HostName]) -> String {
+    let names: Vec<&str> = hosts.iter().map(HostName::as_str).collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/operator/src/publish/change_follower.rs
@@ -0,0 +1,106 @@
+//! Follows one change over the routers, by the rule that the routers follow themselves.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ferry_decisions::lease::{PeerStatement, SpreadStage, SpreadTracker};
+use ferry_decisions::names::HostName;
+use ferry_decisions::time::MonotonicTime;
+use ferry_router::admin::RouterStatus;
+use ferry_router::membership::{MemberView, ProcessClock};
+
+use super::ChangeProgress;
+use crate::fleet::FleetClient;
+
+/// Follower of the change at one offset.
+#[derive(Debug)]
+pub struct ChangeFollower {
+    clock: ProcessClock,
+    offset: u64,
+    tracker: SpreadTracker,
+    /// Hosts seen to hold the change.
+    confirmed: BTreeSet<HostName>,
+    /// Hosts that the platform lists, as the routers see it.
+    listed: BTreeSet<HostName>,
+    /// Hosts listed, heard of by a router, or named in the settings.
+    known: BTreeSet<HostName>,
+}
+
+impl ChangeFollower {
+    /// Follows the change at `offset`.
+    pub fn new(offset: u64, freshness: Duration) -> Self {
+        Self {
+            clock: ProcessClock::start(),
+            offset,
+            tracker: SpreadTracker::new(offset, freshness),
+            confirmed: BTreeSet::new(),
+            listed: BTreeSet::new(),
+            known: BTreeSet::new(),
+        }
+    }
+
+    /// Asks every router once how far it is.
+    pub async fn look(&mut self, fleet: &FleetClient) -> ChangeProgress {
+        let asked = self.clock.now();
+        let names = fleet.settings.routers.keys();
+        self.known.extend(names.map(|name| HostName::new(name)));
+        for router in fleet.statuses().await {
+            if let Ok(status) = router.answer {
+                self.observe(asked, &status);
+            }
+        }
+        self.progress()
+    }
+
+    fn observe(&mut self, asked: MonotonicTime, status: &RouterStatus) {
+        for member in member_views(status) {
+            if member.listed {
+                self.listed.insert(member.host.clone());
+            }
+            self.known.insert(member.host);
+        }
+        let statement = PeerStatement {
+            host: status.host.clone(),
+            incarnation: status.incarnation,
+            asked,
+            next_offset: status.config.next_offset,
+            log: None,
+            recovered: true,
+        };
+        if status.config.next_offset > self.offset {
+            self.confirmed.insert(status.host.clone());
+        }
+        self.tracker.observe(self.clock.now(), &statement);
+    }
+
+    fn progress(&mut self) -> ChangeProgress {
+        let known: Vec<HostName> = self.known.iter().cloned().collect();
+        let listed: Vec<HostName> = if self.listed.is_empty() {
+            known.clone()
+        } else {
+            self.listed.iter().cloned().collect()
+        };
+        let status = self.tracker.status(self.clock.now(), &listed, &known);
+        let is_missing = |host: &&HostName| !self.confirmed.contains(*host);
+        let lapsed = match status.stage {
+            SpreadStage::InForce => known.iter().filter(is_missing).cloned().collect(),
+            SpreadStage::Published | SpreadStage::Accepted => Vec::new(),
+        };
+        ChangeProgress {
+            stage: status.stage,
+            offset: self.offset,
+            confirmed: self.confirmed.iter().cloned().collect(),
+            lapsed,
+            waiting: status.waiting,
+        }
+    }
+}
+
+/// What a router shows of the fleet's members; nothing if it is of another release.
+fn member_views(status: &RouterStatus) -> Vec<MemberView> {
+    let plugin = status.plugins.get("membership");
+    let members = plugin.and_then(|view| view.get("members"));
+    members
+        .and_then(|members| serde_json::from_value(members.clone()).ok())
+        .unwrap_or_default()
+}
--- a/crates/operator/src/publish/publisher.rs
+++ b/crates/operator/src/publish/publisher.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use ferry_decisions::config::{ChangeSet, ConfigRecord, ConfigVerdict};
+use ferry_decisions::lease::SpreadStage;
 use ferry_platform::log::LogError;
 use ferry_router::config::CONFIG_STREAM;
 use tokio::time::{Instant, sleep};
 
-use super::{ChangeProgress, ChangeStage, PublishError};
+use super::{ChangeFollower, ChangeProgress, PublishError};
 use crate::fleet::FleetClient;
 
 /// Pause between two looks at the routers.
@@ -30,18 +31,17 @@
     let offset = append(fleet, change).await?;
     let deadline = Instant::now() + wait;
     let freshness = Duration::from_millis(fleet.settings.freshness_ms);
-    let mut accepted_at = None;
+    let mut follower = ChangeFollower::new(offset, freshness);
     let mut last: Option<ChangeProgress> = None;
     loop {
-        let lapsed = accepted_at.is_some_and(|at: Instant| at.elapsed() > freshness);
-        let progress = look(fleet, change, offset, lapsed).await?;
-        if progress.stage >= ChangeStage::Accepted {
-            accepted_at.get_or_insert_with(Instant::now);
+        let mut progress = follower.look(fleet).await;
+        if !check_verdict(fleet, change).await? {
+            progress.stage = SpreadStage::Published;
         }
         if last.as_ref() != Some(&progress) {
             seen(&progress);
         }
-        if progress.stage == ChangeStage::InForce || Instant::now() >= deadline {
+        if progress.stage == SpreadStage::InForce || Instant::now() >= deadline {
             return Ok(progress);
         }
         last = Some(progress);
@@ -76,12 +76,8 @@
     Err(PublishError::Unknown(reason.to_owned()))
 }
 
-async fn look(
-    fleet: &FleetClient,
-    change: &ChangeSet,
-    offset: u64,
-    leases_lapsed: bool,
-) -> Result<ChangeProgress, PublishError> {
+/// Whether a router has accepted the change; fails when one has refused it.
+async fn check_verdict(fleet: &FleetClient, change: &ChangeSet) -> Result<bool, PublishError> {
     let verdicts = fleet.verdicts(change.id).await;
     for answer in verdicts.values() {
         match &answer.verdict {
@@ -92,9 +88,5 @@
             }
         }
     }
-    let hosts = fleet.settings.routers.keys();
-    let folded = hosts
-        .map(|host| (host.clone(), verdicts.contains_key(host)))
-        .collect();
-    Ok(ChangeProgress::assess(offset, &folded, leases_lapsed))
+    Ok(!verdicts.is_empty())
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -219,6 +219,23 @@
         }
     }
 
+    /// Cuts the links between two groups of routers, in both directions.
+    pub fn cut_between(&self, group: &[usize], others: &[usize]) {
+        let pairs = group.iter().flat_map(|a| others.iter().map(|b| (*a, *b)));
+        for (a, b) in pairs {
+            let (a, b) = (&self.routers[a], &self.routers[b]);
+            a.peer_link.cut_source(b.ip);
+            b.peer_link.cut_source(a.ip);
+        }
+    }
+
+    /// Lifts all cuts between routers.
+    pub fn heal_peers(&self) {
+        for node in &self.routers {
+            node.peer_link.heal();
+        }
+    }
+
     /// Lifts all cuts between routers and to the platform.
     pub fn heal(&self) {
         for node in &self.routers {
--- a/crates/router/src/membership/member_view.rs
+++ b/crates/router/src/membership/member_view.rs
@@ -4,10 +4,10 @@
 
 use ferry_decisions::membership::{HostHealth, MemberRow};
 use ferry_decisions::names::HostName;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// What is known of a router host.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberView {
     /// Name of the host.
     pub host: HostName,
