--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -7,9 +7,11 @@
 use serde::Deserialize;
 
 use crate::bench_error::BenchError;
+use crate::cascade;
 use crate::guard;
 use crate::limits;
 use crate::overload;
+use crate::quarantine;
 use crate::report::ExperimentReport;
 
 closed_set! {
@@ -21,6 +23,10 @@
         Limits,
         /// Bad answers served before a roll-out stops.
         Guard,
+        /// Cost, quality and latency of choosing stages.
+        Cascade,
+        /// Upstreams lost to requests that crash them.
+        Quarantine,
     }
 }
 
@@ -41,6 +47,8 @@
         ExperimentKind::Overload => overload::play(&settings::read_file(path)?),
         ExperimentKind::Limits => limits::play(&settings::read_file(path)?),
         ExperimentKind::Guard => guard::play(&settings::read_file(path)?),
+        ExperimentKind::Cascade => cascade::play(&settings::read_file(path)?),
+        ExperimentKind::Quarantine => quarantine::play(&settings::read_file(path)?),
     };
     Ok(report)
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,9 +2,11 @@
 
 pub mod app;
 pub mod bench_error;
+pub mod cascade;
 pub mod experiment;
 pub mod guard;
 pub mod limits;
 pub mod overload;
+pub mod quarantine;
 pub mod report;
 pub mod seed_runs;
--- a/crates/decisions/src/admission/admission_config.rs
+++ b/crates/decisions/src/admission/admission_config.rs
@@ -25,6 +25,20 @@
     /// All priorities, lowest first.
     pub const ALL: [Self; Self::COUNT] = [Self::Batch, Self::Normal, Self::Urgent];
 
+    /// Name, as requests and metrics show it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Batch => "batch",
+            Self::Normal => "normal",
+            Self::Urgent => "urgent",
+        }
+    }
+
+    /// The priority with the name `text`.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|class| class.name() == text)
+    }
+
     /// Position among the priorities, lowest first; below [`Self::COUNT`].
     pub fn index(self) -> usize {
         match self {
@@ -62,9 +76,9 @@
         Self {
             service_quantile: 0.9,
             normal_wait: 0.9,
-            batch_wait: 0.5,
-            beyond_fair_wait: 0.5,
-            target_utilisation: 0.95,
+            batch_wait: 0.8,
+            beyond_fair_wait: 0.3,
+            target_utilisation: 0.85,
             undated_wait_ms: 10_000,
             sample_life_ms: 5_000,
             probe_fraction: 0.1,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,15 +2,19 @@
 //! relays between them that can be cut.
 
 mod answer;
+mod curl_line;
 mod fleet;
 mod link_relay;
+mod operator_tool;
 mod process;
 mod rig_client;
 mod wait;
 
 pub use answer::{ChatResult, Refusal, RigAnswer};
+pub use curl_line::curl_request;
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
 pub use link_relay::LinkRelay;
+pub use operator_tool::ToolOutput;
 pub use process::{ChildProcess, RigError};
-pub use rig_client::{ChatCall, RigClient};
+pub use rig_client::{ChatCall, RigClient, read_refusal};
 pub use wait::{LONG_WAIT, eventually};
