--- a/crates/trial/src/steps/withdrawal_step.rs
+++ b/crates/trial/src/steps/withdrawal_step.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ferry_decisions::config::{ObjectKey, ObjectKind, ObjectSpec, VersionPhase};
-use ferry_operator::publish::{ChangeProgress, ChangeStage};
+use ferry_decisions::lease::SpreadStage;
+use ferry_operator::publish::ChangeProgress;
 use ferry_rig::{ChatCall, ChatResult};
 use tokio::time::Instant;
 
@@ -31,7 +32,7 @@
                 elapsed.as_millis()
             );
             let everywhere = progress.confirmed.len() == run.deployment.routers.len();
-            report.check(everywhere && progress.stage == ChangeStage::InForce, seen);
+            report.check(everywhere && progress.stage == SpreadStage::InForce, seen);
         }
         Err(error) => return StepReport::failed(error.to_string()),
     }
