--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
 mod documented_calls;
+mod ledger_tool;
 mod letters;
 mod log_outage;
 mod operator;
