Send open-loop load to real routers and measure growing state

`ferry-bench load FILE` starts platform, engines and routers in one process (or takes addresses and process ids), sends calls at random times at a given rate whether or not earlier ones ended, first straight to the engines and then to the routers, and checks that each answer carries the digest of its own prompt. `ferry-bench capacity` times the folds and pooled counters and measures their memory at three sizes or more.

Excluded: timing from the send, which hides queues in the caller; times count from the moment a call was due.

--- a/crates/bench/src/app.rs
+++ b/crates/bench/src/app.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 
 use crate::bench_error::BenchError;
+use crate::capacity;
 use crate::experiment;
+use crate::load::{self, LoadExperiment};
 use crate::report::ExperimentReport;
 
 mod flags {
@@ -23,6 +25,22 @@
                 /// Writes the plot to this file as SVG.
                 optional --svg path: PathBuf
             }
+            /// Sends calls to real routers over loopback at a given rate.
+            cmd load {
+                /// Load file (YAML).
+                required file: PathBuf
+                /// Writes all figures to this file as JSON.
+                optional --json path: PathBuf
+                /// Writes the plot to this file as SVG.
+                optional --svg path: PathBuf
+            }
+            /// Measures time and memory of the state that grows with the deployment.
+            cmd capacity {
+                /// Writes all figures to this file as JSON.
+                optional --json path: PathBuf
+                /// Writes the plot to this file as SVG.
+                optional --svg path: PathBuf
+            }
         }
     }
 }
@@ -35,6 +53,8 @@
     let flags = flags::FerryBench::from_env_or_exit();
     let outcome = match flags.subcommand {
         flags::FerryBenchCmd::Decide(decide) => decide_file(&decide),
+        flags::FerryBenchCmd::Load(load) => load_file(&load),
+        flags::FerryBenchCmd::Capacity(capacity) => measure_capacity(&capacity),
     };
     match outcome {
         Ok(()) => std::process::exit(0),
@@ -51,6 +71,20 @@
     write_files(&report, flags.json.as_ref(), flags.svg.as_ref())
 }
 
+fn load_file(flags: &flags::Load) -> Result<(), BenchError> {
+    let experiment = LoadExperiment::read(&flags.file)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(BenchError::NoThreads)?;
+    let report = runtime.block_on(load::play(&experiment))?;
+    print!("{}", report.to_text());
+    write_files(&report, flags.json.as_ref(), flags.svg.as_ref())
+}
+
+fn measure_capacity(flags: &flags::Capacity) -> Result<(), BenchError> {
+    let report = capacity::measure();
+    print!("{}", report.to_text());
+    write_files(&report, flags.json.as_ref(), flags.svg.as_ref())
+}
+
 fn write_files(
     report: &ExperimentReport,
     json: Option<&PathBuf>,
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -5,6 +5,8 @@
 use ferry_kernel::settings::SettingsError;
 use miette::Diagnostic;
 
+use crate::load::LoadError;
+
 /// Why an experiment was not played to its end.
 #[derive(Debug, thiserror::Error, Diagnostic)]
 pub enum BenchError {
@@ -12,6 +14,13 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     BadFile(#[from] SettingsError),
+    /// A load run did not take place.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Load(#[from] LoadError),
+    /// The system refuses threads.
+    #[error("cannot start threads: {0}; raise the limit of processes")]
+    NoThreads(std::io::Error),
     /// An output file cannot be written.
     #[error("cannot write {path}: {reason}; name a path in a directory that exists")]
     Unwritable {
--- /dev/null
+++ b/crates/bench/src/capacity/memory_growth.rs
@@ -0,0 +1,19 @@
+//! Resident memory that a value takes.
+
+/// Size of a page, in bytes.
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// Makes a value; gives the growth of the resident memory, in bytes.
+///
+/// The value is never freed: a later measurement would be served from its memory and not grow.
+pub(super) fn growth_of<T>(make: impl FnOnce() -> T) -> f64 {
+    let before = resident_bytes();
+    std::mem::forget(make());
+    (resident_bytes() - before).max(0.0)
+}
+
+fn resident_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|field| field.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod app;
 pub mod bench_error;
+pub mod capacity;
 pub mod cascade;
 pub mod experiment;
 pub mod guard;
 pub mod limits;
+pub mod load;
 pub mod overload;
 pub mod quarantine;
 pub mod report;
--- /dev/null
+++ b/crates/bench/src/load/load_call.rs
@@ -0,0 +1,168 @@
+//! One call: sent, read to its end, and timed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_decisions::names::RequestId;
+use ferry_kernel::http::{HttpClient, HttpRequest, collect_limited};
+use ferry_platform::engine::{ChatMessage, STREAM_END};
+use ferry_router::caller::RequestClass;
+use ferry_standin::digest::message_digest;
+use futures::StreamExt;
+use http_body_util::BodyDataStream;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::LoadStream;
+
+/// Time allowed until the head of an answer, and for a pause within it.
+const CALL_WAIT: Duration = Duration::from_secs(60);
+/// Longest refusal read, in bytes.
+const REFUSAL_LIMIT: usize = 64 * 1024;
+
+/// A call to be sent.
+#[derive(Debug, Clone)]
+pub(super) struct LoadCall {
+    pub(super) target: SocketAddr,
+    pub(super) model: String,
+    pub(super) key: String,
+    pub(super) class: RequestClass,
+    pub(super) stream: bool,
+    pub(super) tokens: u32,
+    /// Text that no other call of the run has.
+    pub(super) prompt: String,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub(super) enum CallOutcome {
+    /// The whole answer arrived.
+    Answered(CallTimes),
+    /// The whole answer arrived, but it belongs to another request.
+    Foreign,
+    /// A refusal of this kind.
+    Refused(String),
+    /// The connection failed or the answer ended early.
+    Broken,
+}
+
+/// Times of an answered call.
+#[derive(Debug, Default)]
+pub(super) struct CallTimes {
+    /// From the call's arrival to the first piece of its answer.
+    pub(super) first: Duration,
+    /// From the call's arrival to the end of its answer.
+    pub(super) total: Duration,
+    /// Between pieces of a stream.
+    pub(super) gaps: Vec<Duration>,
+}
+
+/// The part of a refusal that is counted.
+#[derive(Deserialize)]
+struct RefusalDocument {
+    error: RefusalError,
+}
+
+#[derive(Deserialize)]
+struct RefusalError {
+    r#type: String,
+}
+
+impl LoadCall {
+    /// Call number `index` of `part` to `target`.
+    pub(super) fn new(part: &LoadStream, target: SocketAddr, seed: u64, index: usize) -> Self {
+        Self {
+            target,
+            model: part.model.clone(),
+            key: part.bearer_key(),
+            class: part.class,
+            stream: part.stream,
+            tokens: part.tokens,
+            prompt: format!("load {seed} call {index}"),
+        }
+    }
+
+    /// Sends the call, which was due at `due`.
+    pub(super) async fn send(self, http: &HttpClient, due: Instant) -> CallOutcome {
+        match http.send(self.request(), CALL_WAIT).await {
+            Ok(response) if response.status().is_success() => self.read(response, due).await,
+            Ok(response) => read_refusal(response).await,
+            Err(_) => CallOutcome::Broken,
+        }
+    }
+
+    fn request(&self) -> HttpRequest {
+        let body = json!({
+            "model": self.model,
+            "messages": [{ "role": "user", "content": self.prompt }],
+            "stream": self.stream,
+            "max_tokens": self.tokens,
+        });
+        let url = format!("http://{}/v1/chat/completions", self.target);
+        let mut request = HttpRequest::post_json(&url, &body).bearer(&self.key);
+        let headers = [
+            ("idempotency-key", RequestId::generate().as_str().to_owned()),
+            ("ferry-class", self.class.name().to_owned()),
+        ];
+        for (name, text) in headers {
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                request.headers.insert(name, value);
+            }
+        }
+        request
+    }
+
+    async fn read(&self, response: Response<Incoming>, due: Instant) -> CallOutcome {
+        let mut times = CallTimes::default();
+        let mut text = Vec::new();
+        let mut last = None;
+        let mut body = BodyDataStream::new(response.into_body());
+        loop {
+            let next = tokio::time::timeout(CALL_WAIT, body.next());
+            match next.await {
+                Ok(Some(Ok(piece))) => {
+                    let now = Instant::now();
+                    match last.replace(now) {
+                        None => times.first = now - due,
+                        Some(before) => times.gaps.push(now - before),
+                    }
+                    text.extend_from_slice(&piece);
+                }
+                Ok(None) => break,
+                Ok(Some(Err(_))) | Err(_) => return CallOutcome::Broken,
+            }
+        }
+        times.total = due.elapsed();
+        self.judge(&String::from_utf8_lossy(&text), times)
+    }
+
+    fn judge(&self, text: &str, times: CallTimes) -> CallOutcome {
+        if self.stream && !text.contains(STREAM_END) {
+            return CallOutcome::Broken;
+        }
+        let message = ChatMessage {
+            role: "user".to_owned(),
+            content: self.prompt.as_str().into(),
+            rest: Default::default(),
+        };
+        if text.contains(&message_digest(&[message])) {
+            CallOutcome::Answered(times)
+        } else {
+            CallOutcome::Foreign
+        }
+    }
+}
+
+async fn read_refusal(response: Response<Incoming>) -> CallOutcome {
+    let status = response.status();
+    let Ok(body) = collect_limited(response.into_body(), REFUSAL_LIMIT).await else {
+        return CallOutcome::Broken;
+    };
+    let document = serde_json::from_slice::<RefusalDocument>(&body);
+    let kind = document.map_or_else(|_| status.to_string(), |refusal| refusal.error.r#type);
+    CallOutcome::Refused(kind)
+}
