Join sends in flight, compare their content, bill a repeat once

Cause: a second send of an idempotent request ran again beside the first, and its bill differed from the first one, which the ledger listed. A second send of a claimed call with another body got the first one's answer through the peer link: another request's bytes.

Sends of one workspace and id now share the run in progress at a router, whole or streamed, from its first byte; a run is cancelled only when its last caller leaves. A digest of the content is kept with each run, also with those that are joined over the peer link, and a send that differs is refused as bad_request, not_run. The owner of a bill's shard appends one bill for a request.

Excluded: a look-up of the bill before each run (a read of the log for each request).

--- a/crates/router/src/admin/router_status.rs
+++ b/crates/router/src/admin/router_status.rs
@@ -27,6 +27,8 @@
     pub lease_problem: Option<String>,
     /// Requests in progress.
     pub in_progress: usize,
+    /// Sends that joined a run since the start.
+    pub joined_sends: u64,
     /// Parts of the plug-ins, by name.
     pub plugins: BTreeMap<String, Value>,
 }
@@ -41,6 +43,7 @@
         config: core.config.status(),
         lease_problem: core.lease.check().err().map(|problem| problem.to_string()),
         in_progress: core.work.len(),
+        joined_sends: core.joins.joined(),
         plugins: plugin::all()
             .map(|plugin| (plugin.name.to_owned(), (plugin.view)(core)))
             .collect(),
--- a/crates/router/src/bills.rs
+++ b/crates/router/src/bills.rs
@@ -11,6 +11,7 @@
 mod bill_plugin;
 mod bill_release;
 mod bill_shard;
+mod logged_keys;
 
 pub use bill_desk::BillDesk;
 pub use bill_drain::drain;
--- a/crates/router/src/bills/bill_shard.rs
+++ b/crates/router/src/bills/bill_shard.rs
@@ -1,13 +1,16 @@
-//! One bill stream at this router: appends bills in batches.
+//! One bill stream at this router: appends bills in batches, one for each request.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use ferry_decisions::bill::{BillBatch, BillEntry, bill_stream};
+use ferry_decisions::claim::RequestKey;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::sleep;
 use uuid::Uuid;
 
+use super::logged_keys::LoggedKeys;
 use crate::core::RouterCore;
 
 /// Bills that may wait at one shard.
@@ -22,6 +25,8 @@
 pub(super) struct BillShard {
     shard: u16,
     queue: Mutex<Vec<QueuedBill>>,
+    /// Requests that need no further bill.
+    logged: Mutex<LoggedKeys>,
     wake: Notify,
 }
 
@@ -36,6 +41,7 @@
         Self {
             shard,
             queue: Mutex::default(),
+            logged: Mutex::default(),
             wake: Notify::new(),
         }
     }
@@ -67,10 +73,32 @@
 
     /// Appends one batch under one identifier until the log confirms it.
     async fn append(&self, core: &RouterCore, queued: Vec<QueuedBill>) {
+        let bills = self.first_bills(&queued);
+        if !bills.is_empty() {
+            self.append_batch(core, bills).await;
+        }
+        for queued in queued {
+            let _ = queued.logged.send(());
+        }
+    }
+
+    /// Those of the `queued` bills whose request has no earlier bill, as far as is known here.
+    fn first_bills(&self, queued: &[QueuedBill]) -> Vec<BillEntry> {
+        let logged = self.logged.lock();
+        let mut taken = HashSet::new();
+        let mut is_first = |bill: &&BillEntry| {
+            let key = RequestKey::new(&bill.workspace, &bill.request);
+            !logged.contains(&key) && taken.insert(key)
+        };
+        let bills = queued.iter().map(|queued| &queued.bill);
+        bills.filter(|bill| is_first(bill)).cloned().collect()
+    }
+
+    async fn append_batch(&self, core: &RouterCore, bills: Vec<BillEntry>) {
         let batch = BillBatch {
             owner: core.settings.host.clone(),
             batch: Uuid::new_v4(),
-            bills: queued.iter().map(|queued| queued.bill.clone()).collect(),
+            bills,
         };
         let data = serde_json::to_string(&batch).unwrap_or_default();
         let stream = bill_stream(self.shard);
@@ -79,8 +107,9 @@
             sleep(RETRY_PAUSE).await;
             core.appends.turn().await;
         }
-        for queued in queued {
-            let _ = queued.logged.send(());
+        let mut logged = self.logged.lock();
+        for bill in &batch.bills {
+            logged.insert(RequestKey::new(&bill.workspace, &bill.request));
         }
     }
 
--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -256,7 +256,9 @@
             ClaimProblem::LogOut { retry_after } => {
                 Self::come_back(RefusalKind::LogOut, detail, retry_after)
             }
-            ClaimProblem::BadId(_) => Self::final_one(RefusalKind::BadRequest, detail),
+            ClaimProblem::BadId(_) | ClaimProblem::OtherRequest => {
+                Self::final_one(RefusalKind::BadRequest, detail)
+            }
             ClaimProblem::MayHaveRun => {
                 Self::final_one(RefusalKind::Duplicate, detail).with_run(RunState::MayHaveRun)
             }
--- a/crates/router/src/caller/caller_server.rs
+++ b/crates/router/src/caller/caller_server.rs
@@ -11,9 +11,11 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::caller_request::claimed_id;
-use super::{CallerRefusal, CallerRequest, RefusalKind, chat_handler, service_handler};
+use super::{CallerRefusal, CallerRequest, RefusalKind, RunState, chat_handler, service_handler};
 use crate::core::{LifePhase, RouterCore};
 
+/// Path of chat completions.
+pub(super) const COMPLETIONS_PATH: &str = "/v1/chat/completions";
 /// Prefix of paths that lead to plain services.
 pub(super) const SERVICES_PREFIX: &str = "/services/";
 /// When to come back after a refusal for lack of places.
@@ -36,13 +38,22 @@
     metrics::counter!("ferry_refusals_total", "kind" => refusal.kind.name()).increment(1);
 }
 
+/// Refusal of a send whose deadline passed before the run that it joined had answered.
+pub(super) fn join_too_slow() -> CallerRefusal {
+    CallerRefusal::final_one(
+        RefusalKind::DeadlinePassed,
+        "an earlier send of this request is still running; send it again under the same id with a longer Ferry-Deadline-Ms",
+    )
+    .with_run(RunState::MayHaveRun)
+}
+
 async fn answer(
     core: &Arc<RouterCore>,
     request: Request<Incoming>,
 ) -> Result<Response<HttpBody>, CallerRefusal> {
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
-        (&Method::POST, "/v1/chat/completions") => {
+        (&Method::POST, COMPLETIONS_PATH) => {
             let place = enter(core)?;
             chat_handler::handle(core, request, place).await
         }
--- a/crates/router/src/caller/chat_handler.rs
+++ b/crates/router/src/caller/chat_handler.rs
@@ -9,14 +9,17 @@
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
-use tokio_stream::wrappers::ReceiverStream;
+use tokio::time::timeout_at;
 
 use super::caller_refusal::REQUEST_ID_ANSWER_HEADER;
 use super::caller_request::SESSION_HEADER;
-use super::caller_server::count_refusal;
+use super::caller_server::{COMPLETIONS_PATH, count_refusal, join_too_slow};
 use super::{CallerRefusal, CallerRequest, RefusalKind};
 use crate::core::RouterCore;
-use crate::dispatch::{ChatRun, RunAnswer, RunHead};
+use crate::dispatch::{ChatRun, RunHead};
+use crate::joins::{
+    JoinStart, RequestFingerprint, RunFeed, RunListener, SharedHead, other_request,
+};
 
 /// Answers one chat completion.
 pub async fn handle(
@@ -29,21 +32,65 @@
     let id = request.id.clone();
     let body = collect_limited(body, core.settings.limits.body_bytes).await?;
     let chat = parse_chat(&body)?;
+    let fingerprint = RequestFingerprint::new("POST", COMPLETIONS_PATH, &head.headers, &body);
+    let deadline = request.deadline;
+    let answer = match core.joins.enter(&request.key(), fingerprint)? {
+        JoinStart::First(feed, listener) => {
+            start(core, request, chat, feed, place);
+            answer_from(listener, None).await
+        }
+        JoinStart::Joined(listener) => {
+            let answer = timeout_at(deadline, answer_from(listener, Some(place)));
+            answer.await.unwrap_or_else(|_| Err(join_too_slow()))
+        }
+    };
+    answer.or_else(|refusal| {
+        count_refusal(&refusal);
+        Ok(refusal.to_response(Some(&id)))
+    })
+}
+
+/// Starts the run of `request`, whose answer goes to all who listen to `feed`.
+fn start(
+    core: &Arc<RouterCore>,
+    request: CallerRequest,
+    chat: ChatRequest,
+    feed: RunFeed,
+    place: OwnedSemaphorePermit,
+) {
     let (sender, receiver) = oneshot::channel();
     let run = ChatRun::new(Arc::clone(core), request, chat);
     core.work.spawn(async move {
         run.execute(sender).await;
         drop(place);
     });
-    let answer = match receiver.await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(refusal)) => {
-            count_refusal(&refusal);
-            return Ok(refusal.to_response(Some(&id)));
+    tokio::spawn(feed.completion(receiver, run_lost()));
+}
+
+/// Response from what `listener` hears; `place` is kept until its end.
+async fn answer_from(
+    mut listener: RunListener,
+    place: Option<OwnedSemaphorePermit>,
+) -> Result<Response<HttpBody>, CallerRefusal> {
+    match listener.head().await? {
+        SharedHead::Whole(head, body) => {
+            let mut response = Response::new(full(body));
+            set_headers(&mut response, &head, "application/json");
+            Ok(response)
         }
-        Err(_) => return Err(run_lost()),
-    };
-    Ok(to_response(answer))
+        SharedHead::Stream(head) => {
+            let events = listener.into_events().map(move |event| {
+                let _kept = &place;
+                event
+            });
+            let mut response = Response::new(streamed(events));
+            set_headers(&mut response, &head, "text/event-stream");
+            let no_cache = HeaderValue::from_static("no-cache");
+            response.headers_mut().insert(CACHE_CONTROL, no_cache);
+            Ok(response)
+        }
+        SharedHead::Service(_) => Err(other_request()),
+    }
 }
 
 fn parse_chat(body: &[u8]) -> Result<ChatRequest, CallerRefusal> {
@@ -59,23 +106,6 @@
     Ok(chat)
 }
 
-fn to_response(answer: RunAnswer) -> Response<HttpBody> {
-    match answer {
-        RunAnswer::Whole { head, body } => {
-            let mut response = Response::new(full(body));
-            set_headers(&mut response, &head, "application/json");
-            response
-        }
-        RunAnswer::Stream { head, events } => {
-            let mut response = Response::new(streamed(ReceiverStream::new(events).boxed()));
-            set_headers(&mut response, &head, "text/event-stream");
-            let no_cache = HeaderValue::from_static("no-cache");
-            response.headers_mut().insert(CACHE_CONTROL, no_cache);
-            response
-        }
-    }
-}
-
 fn set_headers(response: &mut Response<HttpBody>, head: &RunHead, content: &'static str) {
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(content));
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -9,12 +9,14 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::time::timeout_at;
 
 use super::caller_refusal::REQUEST_ID_ANSWER_HEADER;
-use super::caller_server::{SERVICES_PREFIX, count_refusal};
+use super::caller_server::{SERVICES_PREFIX, count_refusal, join_too_slow};
 use super::{CallerRefusal, CallerRequest, RefusalKind, RunState};
 use crate::core::RouterCore;
 use crate::dispatch::{ServiceAnswer, ServiceCall, ServiceRun};
+use crate::joins::{JoinStart, RunFeed, SharedHead, other_request};
 
 /// Answers one call.
 pub async fn handle(
@@ -34,24 +36,51 @@
         headers: head.headers,
         body,
     };
+    let fingerprint = call.fingerprint();
+    let deadline = request.deadline;
+    let answer = match core.joins.enter(&request.key(), fingerprint)? {
+        JoinStart::First(feed, mut listener) => {
+            start(core, request, call, feed, place);
+            listener.head().await
+        }
+        JoinStart::Joined(mut listener) => {
+            let head = timeout_at(deadline, listener.head()).await;
+            head.unwrap_or_else(|_| Err(join_too_slow()))
+        }
+    };
+    match answer {
+        Ok(SharedHead::Service(answer)) => Ok(to_response(answer, id.as_str())),
+        Ok(SharedHead::Whole(..) | SharedHead::Stream(_)) => Err(other_request()),
+        Err(refusal) => {
+            count_refusal(&refusal);
+            Ok(refusal.to_response(Some(&id)))
+        }
+    }
+}
+
+/// Starts the run of `call`, whose answer goes to all who listen to `feed`.
+fn start(
+    core: &Arc<RouterCore>,
+    request: CallerRequest,
+    call: ServiceCall,
+    feed: RunFeed,
+    place: OwnedSemaphorePermit,
+) {
     let (sender, receiver) = oneshot::channel();
     let run = ServiceRun::new(Arc::clone(core), request, call);
     core.work.spawn(async move {
         run.execute(sender).await;
         drop(place);
     });
-    match receiver.await {
-        Ok(Ok(answer)) => Ok(to_response(answer, id.as_str())),
-        Ok(Err(refusal)) => {
-            count_refusal(&refusal);
-            Ok(refusal.to_response(Some(&id)))
-        }
-        Err(_) => Err(CallerRefusal::final_one(
-            RefusalKind::UpstreamFailed,
-            "the run ended without an answer; look up its outcome before sending it again",
-        )
-        .with_run(RunState::MayHaveRun)),
-    }
+    tokio::spawn(feed.service(receiver, run_lost()));
+}
+
+fn run_lost() -> CallerRefusal {
+    CallerRefusal::final_one(
+        RefusalKind::UpstreamFailed,
+        "the run ended without an answer; look up its outcome before sending it again",
+    )
+    .with_run(RunState::MayHaveRun)
 }
 
 /// What holds for a call that does not say whether it is idempotent.
--- a/crates/router/src/claims/claim_desk.rs
+++ b/crates/router/src/claims/claim_desk.rs
@@ -7,16 +7,18 @@
     ClaimEntry, ClaimHolder, ClaimReply, EntryKind, RequestKey, SHARD_COUNT, check_id_time,
     owner_of, shard_of,
 };
+use ferry_decisions::names::HostName;
 use ferry_kernel::wall_clock;
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 
 use super::JoinedAnswer;
-use super::claim_message::{ClaimAnswer, ClaimQuery, RunQuery};
+use super::claim_message::{ClaimAnswer, ClaimQuery, RunJoin, RunQuery};
 use super::claim_shard::ClaimShard;
 use super::run_table::{RunTable, RunTicket, open_run};
 use crate::bills;
 use crate::core::RouterCore;
+use crate::joins::RequestFingerprint;
 use crate::peer::PeerTopic;
 
 /// When to try again while the log is out.
@@ -77,6 +79,11 @@
         "an earlier send of this request may have run; look up its outcome before sending it under a new id"
     )]
     MayHaveRun,
+    /// A request with other content runs under the identifier.
+    #[error(
+        "idempotency-key: another request runs under this id; send this one under an id of its own"
+    )]
+    OtherRequest,
     /// Another send of the request was answered and billed.
     #[error("an earlier send of this request was answered; do not send it again")]
     Ran,
@@ -136,19 +143,28 @@
 pub async fn claim_or_join(
     core: &Arc<RouterCore>,
     key: &RequestKey,
+    fingerprint: RequestFingerprint,
     deadline: Instant,
 ) -> Result<ClaimStart, ClaimProblem> {
     let holder = match checked_claim(core, key).await {
         Ok(grant) => {
-            let ticket = open_run(core, &grant);
+            let ticket = open_run(core, &grant, fingerprint);
             return Ok(ClaimStart::Granted(grant, ticket));
         }
         Err(ClaimBarrier::Held(holder)) => holder,
         Err(ClaimBarrier::Problem(problem)) => return Err(problem),
     };
-    match join(core, key, &holder, deadline).await {
-        Some(answer) => Ok(ClaimStart::Joined(answer)),
-        None => Err(held(core, key, &holder).await),
+    let wait = deadline.saturating_duration_since(Instant::now());
+    let query = RunQuery {
+        key: key.clone(),
+        claim: holder.claim,
+        fingerprint,
+        wait_ms: wait.as_millis() as u64,
+    };
+    match join(core, query, &holder.router, deadline).await {
+        RunJoin::Answered(answer) => Ok(ClaimStart::Joined(answer)),
+        RunJoin::OtherRequest => Err(ClaimProblem::OtherRequest),
+        RunJoin::Unknown => Err(held(core, key, &holder).await),
     }
 }
 
@@ -164,29 +180,25 @@
     result
 }
 
-/// Waits for the answer of the run that holds `key`, if its router lives.
+/// Waits for the answer of the run at `router`, if it lives.
 async fn join(
     core: &Arc<RouterCore>,
-    key: &RequestKey,
-    holder: &ClaimHolder,
+    query: RunQuery,
+    router: &HostName,
     deadline: Instant,
-) -> Option<JoinedAnswer> {
-    if holder.router == core.settings.host {
-        return core.claims.runs.join(key, holder.claim, deadline).await;
+) -> RunJoin {
+    if *router == core.settings.host {
+        return core.claims.runs.join(&query, deadline).await;
     }
     let wait = deadline.saturating_duration_since(Instant::now());
-    let query = ClaimQuery::Join(RunQuery {
-        key: key.clone(),
-        claim: holder.claim,
-        wait_ms: wait.as_millis() as u64,
-    });
+    let query = ClaimQuery::Join(query);
     let answer = core
         .hub()
-        .ask(&holder.router, PeerTopic::Claims, &query, wait)
+        .ask(router, PeerTopic::Claims, &query, wait)
         .await;
     match answer {
-        Ok(ClaimAnswer::Joined(answer)) => answer,
-        Ok(ClaimAnswer::Submitted(_)) | Err(_) => None,
+        Ok(ClaimAnswer::Joined(joined)) => joined,
+        Ok(ClaimAnswer::Submitted(_)) | Err(_) => RunJoin::Unknown,
     }
 }
 
--- a/crates/router/src/claims/claim_message.rs
+++ b/crates/router/src/claims/claim_message.rs
@@ -5,6 +5,7 @@
 use uuid::Uuid;
 
 use super::JoinedAnswer;
+use crate::joins::RequestFingerprint;
 
 /// What a router wants of another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -22,6 +23,8 @@
     pub key: RequestKey,
     /// Claim under which it runs.
     pub claim: Uuid,
+    /// What the second send asks for.
+    pub fingerprint: RequestFingerprint,
     /// Time that the second send has left, in milliseconds.
     pub wait_ms: u64,
 }
@@ -31,6 +34,17 @@
 pub(super) enum ClaimAnswer {
     /// What became of the entry; `None` when the log did not confirm it in time.
     Submitted(Option<ClaimReply>),
-    /// The run's answer; `None` when it is not known here.
-    Joined(Option<JoinedAnswer>),
+    /// What came of the join.
+    Joined(RunJoin),
+}
+
+/// What a second send gets of the run that it wants to join.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) enum RunJoin {
+    /// The run's answer.
+    Answered(JoinedAnswer),
+    /// The run is of a request with other content.
+    OtherRequest,
+    /// There is no such run, or it ended without an answer.
+    Unknown,
 }
--- a/crates/router/src/claims/claim_plugin.rs
+++ b/crates/router/src/claims/claim_plugin.rs
@@ -41,8 +41,7 @@
             }
             ClaimQuery::Join(query) => {
                 let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
-                let runs = core.claims.runs();
-                ClaimAnswer::Joined(runs.join(&query.key, query.claim, deadline).await)
+                ClaimAnswer::Joined(core.claims.runs().join(&query, deadline).await)
             }
         };
         encode(&answer).ok()
--- a/crates/router/src/claims/run_table.rs
+++ b/crates/router/src/claims/run_table.rs
@@ -9,8 +9,10 @@
 use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
+use super::claim_message::{RunJoin, RunQuery};
 use super::{ClaimGrant, JoinedAnswer};
 use crate::core::RouterCore;
+use crate::joins::RequestFingerprint;
 
 /// Answer of a run, once it is there.
 type RunOutcome = Option<Arc<JoinedAnswer>>;
@@ -24,6 +26,7 @@
 #[derive(Debug)]
 struct OpenRun {
     claim: Uuid,
+    fingerprint: RequestFingerprint,
     outcome: watch::Receiver<RunOutcome>,
 }
 
@@ -35,10 +38,15 @@
 }
 
 /// Lets second sends join the run that `grant` allows.
-pub(super) fn open_run(core: &Arc<RouterCore>, grant: &ClaimGrant) -> RunTicket {
+pub(super) fn open_run(
+    core: &Arc<RouterCore>,
+    grant: &ClaimGrant,
+    fingerprint: RequestFingerprint,
+) -> RunTicket {
     let (outcome, receiver) = watch::channel(None);
     let run = OpenRun {
         claim: grant.claim,
+        fingerprint,
         outcome: receiver,
     };
     let table = core.claims.runs();
@@ -68,21 +76,23 @@
 }
 
 impl RunTable {
-    /// Waits for the answer of the run under `claim`; `None` when there is no such run or it ends
-    /// without an answer.
-    pub(super) async fn join(
-        &self,
-        key: &RequestKey,
-        claim: Uuid,
-        deadline: Instant,
-    ) -> Option<JoinedAnswer> {
+    /// Waits until `deadline` for the answer of the run that `query` names.
+    pub(super) async fn join(&self, query: &RunQuery, deadline: Instant) -> RunJoin {
         let mut outcome = {
             let runs = self.runs.lock();
-            let run = runs.get(key).filter(|run| run.claim == claim)?;
-            run.outcome.clone()
+            match runs.get(&query.key).filter(|run| run.claim == query.claim) {
+                None => return RunJoin::Unknown,
+                Some(run) if run.fingerprint != query.fingerprint => return RunJoin::OtherRequest,
+                Some(run) => run.outcome.clone(),
+            }
         };
         let answered = outcome.wait_for(Option::is_some);
-        let answer = timeout_at(deadline, answered).await.ok()?.ok()?;
-        answer.as_deref().cloned()
+        match timeout_at(deadline, answered).await {
+            Ok(Ok(answer)) => {
+                let answer = answer.as_deref().cloned();
+                answer.map_or(RunJoin::Unknown, RunJoin::Answered)
+            }
+            Ok(Err(_)) | Err(_) => RunJoin::Unknown,
+        }
     }
 }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -21,6 +21,7 @@
 use crate::bills::BillDesk;
 use crate::claims::ClaimDesk;
 use crate::config::ConfigCell;
+use crate::joins::JoinTable;
 use crate::lease::LeaseCell;
 use crate::membership::{MemberTable, ProcessClock};
 use crate::peer::PeerHub;
@@ -54,6 +55,8 @@
     pub appends: AppendGate,
     /// Claims of non-idempotent requests.
     pub claims: ClaimDesk,
+    /// Runs in progress that further sends may join.
+    pub joins: Arc<JoinTable>,
     /// Bills that are not yet durable.
     pub bills: BillDesk,
     /// Upstreams of the deployment.
@@ -111,6 +114,7 @@
             members: MemberTable::new(own, freshness, clock),
             appends: AppendGate::new(f64::from(settings.platform.appends_per_second)),
             claims: ClaimDesk::default(),
+            joins: Arc::default(),
             bills: BillDesk::default(),
             upstreams: UpstreamTable::default(),
             trails: TrailRing::default(),
--- a/crates/router/src/dispatch/run_answer.rs
+++ b/crates/router/src/dispatch/run_answer.rs
@@ -45,7 +45,7 @@
 }
 
 /// Answer of a plain service, already billed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ServiceAnswer {
     /// Status of the service.
     pub status: StatusCode,
--- a/crates/router/src/dispatch/service_run.rs
+++ b/crates/router/src/dispatch/service_run.rs
@@ -17,6 +17,7 @@
 use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, RunState};
 use crate::claims::{ClaimProblem, ClaimStart, JoinedAnswer};
 use crate::core::RouterCore;
+use crate::joins::RequestFingerprint;
 use crate::trail::{AttemptNote, AttemptResult, DecisionTrail, TrailEnd};
 use crate::upstream::{FlightGuard, choose};
 use crate::{bills, claims, trail};
@@ -41,6 +42,14 @@
     pub body: Bytes,
 }
 
+impl ServiceCall {
+    /// Digest of what the call asks for.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let target = format!("{}{}", self.service, self.path);
+        RequestFingerprint::new(self.method.as_str(), &target, &self.headers, &self.body)
+    }
+}
+
 /// A call that is being answered; it goes on when its caller disconnects.
 pub struct ServiceRun {
     core: Arc<RouterCore>,
@@ -82,7 +91,8 @@
             return self.run_and_bill().await;
         }
         let key = self.request.key();
-        let start = claims::claim_or_join(&self.core, &key, self.request.deadline).await?;
+        let print = self.call.fingerprint();
+        let start = claims::claim_or_join(&self.core, &key, print, self.request.deadline).await?;
         let (grant, ticket) = match start {
             ClaimStart::Granted(grant, ticket) => (grant, ticket),
             ClaimStart::Joined(answer) => return joined(answer),
--- /dev/null
+++ b/crates/router/src/joins/run_listener.rs
@@ -0,0 +1,67 @@
+//! One caller's reading of a run that others may read too.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ferry_kernel::http::BoxError;
+use futures::Stream;
+use tokio::sync::watch;
+
+use super::SharedHead;
+use super::shared_run::SharedRun;
+use crate::caller::CallerRefusal;
+
+/// Reads one run; the run is cancelled when its last listener is dropped.
+#[derive(Debug)]
+pub struct RunListener {
+    run: Arc<SharedRun>,
+    slot: usize,
+    changed: watch::Receiver<()>,
+}
+
+impl RunListener {
+    pub(super) fn new(run: Arc<SharedRun>, slot: usize, changed: watch::Receiver<()>) -> Self {
+        Self { run, slot, changed }
+    }
+
+    /// Start of the answer, or the refusal of the request.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the run ended with.
+    pub async fn head(&mut self) -> Result<SharedHead, CallerRefusal> {
+        loop {
+            if let Some(head) = self.run.head() {
+                return head;
+            }
+            let _ = self.changed.changed().await;
+        }
+    }
+
+    /// Events of the stream; an error breaks it off.
+    pub fn into_events(self) -> impl Stream<Item = Result<Bytes, BoxError>> + Send + 'static {
+        futures::stream::unfold(Some(self), |listener| async move {
+            let mut listener = listener?;
+            match listener.next().await {
+                Ok(event) => Some((Ok(event), Some(listener))),
+                Err(Ok(())) => None,
+                Err(Err(reason)) => Some((Err(reason.into()), None)),
+            }
+        })
+    }
+
+    async fn next(&mut self) -> Result<Bytes, Result<(), String>> {
+        loop {
+            if let Some(step) = self.run.take(self.slot) {
+                return step;
+            }
+            let _ = self.changed.changed().await;
+        }
+    }
+}
+
+impl Drop for RunListener {
+    fn drop(&mut self) {
+        self.run.leave(self.slot);
+    }
+}
--- a/crates/router/tests/claims_and_bills/bills.rs
+++ b/crates/router/tests/claims_and_bills/bills.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use ferry_decisions::bill::BillEntry;
 use ferry_router::bills;
 use futures::future::join_all;
 use tokio::time::timeout;
@@ -27,6 +28,26 @@
     assert!(!report.counts.need_attention(), "{:?}", report.anomalies);
 }
 
+#[tokio::test]
+async fn a_request_that_is_answered_again_gets_no_second_bill() {
+    let linked = LinkedRouters::start(3).await;
+    let key = new_key();
+    let bills = (0..6).map(|cost| BillEntry {
+        cost,
+        ..bill_of(&key)
+    });
+    let mut bills: Vec<_> = bills.collect();
+    let later = bills.split_off(3);
+    let at_once = bills.into_iter().enumerate();
+    join_all(at_once.map(|(index, bill)| release(linked.core(index), bill))).await;
+    for (index, bill) in later.into_iter().enumerate() {
+        release(linked.core(index), bill).await;
+    }
+    let report = linked.until_billed(1).await;
+    assert_eq!(report.workspaces["clinic"].requests, 1);
+    assert!(!report.counts.need_attention(), "{:?}", report.anomalies);
+}
+
 #[tokio::test]
 async fn without_peers_a_bill_is_released_only_by_the_log() {
     let linked = LinkedRouters::start(1).await;
--- a/crates/router/tests/claims_and_bills/claims.rs
+++ b/crates/router/tests/claims_and_bills/claims.rs
@@ -5,6 +5,7 @@
 use ferry_decisions::claim::shard_of;
 use ferry_router::claims::{ClaimProblem, ClaimStart, JoinedAnswer, claim, claim_or_join, void};
 use ferry_router::dispatch::ServiceAnswer;
+use ferry_router::joins::RequestFingerprint;
 use ferry_standin::FaultOrder;
 use ferry_standin::faults::AnswerLoss;
 use futures::future::join_all;
@@ -16,6 +17,11 @@
     waiting_claims,
 };
 
+/// What all sends of these tests ask for.
+fn print() -> RequestFingerprint {
+    RequestFingerprint::new("POST", "letters/send", &HeaderMap::new(), b"{}")
+}
+
 #[tokio::test]
 async fn claims_of_all_routers_are_granted_once_and_batched_by_the_owner() {
     let linked = LinkedRouters::start(3).await;
@@ -46,7 +52,7 @@
     let linked = LinkedRouters::start(3).await;
     let key = new_key();
     let deadline = Instant::now() + LIMIT;
-    let start = claim_or_join(linked.core(0), &key, deadline).await;
+    let start = claim_or_join(linked.core(0), &key, print(), deadline).await;
     let Ok(ClaimStart::Granted(_, ticket)) = start else {
         panic!("the first claim is granted");
     };
@@ -55,7 +61,7 @@
         headers: HeaderMap::new(),
         body: "sent".into(),
     };
-    let joins = (0..3).map(|index| claim_or_join(linked.core(index), &key, deadline));
+    let joins = (0..3).map(|index| claim_or_join(linked.core(index), &key, print(), deadline));
     let finish = async {
         tokio::time::sleep(QUIET).await;
         ticket.finish(JoinedAnswer::of(&answer));
@@ -74,12 +80,17 @@
     let linked = LinkedRouters::start(2).await;
     let key = new_key();
     let deadline = Instant::now() + LIMIT;
-    let start = claim_or_join(linked.core(0), &key, deadline).await.ok();
+    let start = claim_or_join(linked.core(0), &key, print(), deadline)
+        .await
+        .ok();
     let drop_it = async {
         tokio::time::sleep(QUIET).await;
         drop(start);
     };
-    let (second, ()) = tokio::join!(claim_or_join(linked.core(1), &key, deadline), drop_it);
+    let (second, ()) = tokio::join!(
+        claim_or_join(linked.core(1), &key, print(), deadline),
+        drop_it
+    );
     assert_eq!(second.err(), Some(ClaimProblem::MayHaveRun));
 }
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
+mod joined_sends;
 mod ledger_tool;
 mod letters;
 mod log_outage;
