--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod documented_calls;
 mod intake;
+mod joined_sends;
 mod ledger_tool;
 mod letters;
 mod log_outage;
