--- a/crates/bench/src/guard.rs
+++ b/crates/bench/src/guard.rs
@@ -59,6 +59,9 @@
         pub bad_start: f64,
         /// Share of bad answers after the drift.
         pub bad_end: f64,
+        /// Time until the share begins to move, in seconds.
+        #[serde(default)]
+        pub drift_from_s: u64,
         /// Time over which the share moves from start to end, in seconds.
         #[serde(default)]
         pub drift_s: u64,
@@ -88,9 +91,11 @@
         if self.bad_workspace.is_some_and(|bad| bad != workspace) {
             return self.good_share;
         }
+        let drifted_ms = now_ms as f64 - (self.drift_from_s * 1_000) as f64;
         let progress = match self.drift_s {
+            _ if drifted_ms < 0.0 => 0.0,
             0 => 1.0,
-            drift_s => (now_ms as f64 / (drift_s * 1_000) as f64).min(1.0),
+            drift_s => (drifted_ms / (drift_s * 1_000) as f64).min(1.0),
         };
         self.bad_start + (self.bad_end - self.bad_start) * progress
     }
