--- a/crates/bench/src/load/load_call.rs
+++ b/crates/bench/src/load/load_call.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ferry_decisions::admission::PriorityClass;
 use ferry_decisions::names::RequestId;
 use ferry_kernel::http::{HttpClient, HttpRequest, collect_limited};
 use ferry_platform::engine::{ChatMessage, STREAM_END};
-use ferry_router::caller::RequestClass;
 use ferry_standin::digest::message_digest;
 use futures::StreamExt;
 use http_body_util::BodyDataStream;
@@ -30,7 +30,7 @@
     pub(super) target: SocketAddr,
     pub(super) model: String,
     pub(super) key: String,
-    pub(super) class: RequestClass,
+    pub(super) class: PriorityClass,
     pub(super) stream: bool,
     pub(super) tokens: u32,
     /// Text that no other call of the run has.
--- a/crates/bench/src/load/load_experiment.rs
+++ b/crates/bench/src/load/load_experiment.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use ferry_decisions::admission::PriorityClass;
 use ferry_decisions::{closed_set, value_type};
 use ferry_kernel::settings::{self, SettingsError};
-use ferry_router::caller::RequestClass;
 
 /// Longest measured step, in seconds.
 const LONGEST_STEP: u64 = 600;
@@ -63,7 +63,7 @@
         #[serde(default)]
         pub key: Option<String>,
         /// Class of the requests.
-        pub class: RequestClass,
+        pub class: PriorityClass,
         /// Part of the traffic, relative to the other streams.
         pub weight: f64,
         /// Whether answers come as streams.
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -12,8 +12,8 @@
 baseline: true
 engines: {count: 2, batch: 16, step_ms: 1}
 mix:
-  - {workspace: clinic, class: interactive, weight: 1, stream: true, tokens: 8}
-  - {workspace: depot, class: standard, weight: 1, stream: false, tokens: 4}
+  - {workspace: clinic, class: urgent, weight: 1, stream: true, tokens: 8}
+  - {workspace: depot, class: normal, weight: 1, stream: false, tokens: 4}
 ";
 
 fn value(report: &ExperimentReport, table: &str, label: &str, column: &str) -> f64 {
@@ -37,7 +37,7 @@
     let first = value(
         &report,
         "Times",
-        "40/s routers clinic interactive",
+        "40/s routers clinic urgent",
         "first p50 ms",
     );
     assert!(first > 0.0);
