Read every committed load file in a test

Excluded: playing each file in a test, which takes a minute apiece. Conclusion: a renamed key or class now fails the tests.

--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -57,3 +57,18 @@
     let error = LoadExperiment::parse("endless.yaml", &endless).unwrap_err();
     assert!(error.to_string().contains("seconds"), "{error}");
 }
+
+#[test]
+fn the_committed_load_files_are_read() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../experiments");
+    let files = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap());
+    let is_load = |name: &str| name.starts_with("load-");
+    let paths: Vec<_> = files
+        .filter(|file| file.file_name().to_str().is_some_and(is_load))
+        .map(|file| file.path())
+        .collect();
+    assert!(!paths.is_empty());
+    for path in paths {
+        LoadExperiment::read(&path).unwrap();
+    }
+}
