--- a/crates/router/src/caller/caller_server.rs
+++ b/crates/router/src/caller/caller_server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::{CascadeName, ModelName};
+use ferry_decisions::retry::RunState;
 use ferry_kernel::http::{HttpBody, json_response};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -11,7 +12,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::caller_request::claimed_id;
-use super::{CallerRefusal, CallerRequest, RefusalKind, RunState, chat_handler, service_handler};
+use super::{CallerRefusal, CallerRequest, RefusalKind, chat_handler, service_handler};
 use crate::core::{LifePhase, RouterCore};
 
 /// Path of chat completions.
--- a/crates/router/src/claims/claim_desk.rs
+++ b/crates/router/src/claims/claim_desk.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use ferry_decisions::claim::{
-    ClaimEntry, ClaimHolder, ClaimReply, EntryKind, RequestKey, SHARD_COUNT, check_id_time,
-    owner_of, shard_of,
+    ClaimEntry, ClaimHolder, ClaimReply, EntryKind, IdTimeError, RequestKey, SHARD_COUNT,
+    check_id_time, owner_of, shard_of,
 };
 use ferry_decisions::names::HostName;
 use ferry_kernel::wall_clock;
@@ -74,6 +74,9 @@
     /// The identifier cannot be claimed.
     #[error("{0}")]
     BadId(String),
+    /// The identifier is one whose earlier sends nobody remembers any more.
+    #[error("{0}")]
+    ForgottenId(String),
     /// Another send of the request was dispatched; its outcome is not known here.
     #[error(
         "an earlier send of this request may have run; look up its outcome before sending it under a new id"
@@ -173,7 +176,7 @@
     key: &RequestKey,
 ) -> Result<ClaimGrant, ClaimBarrier> {
     check_id_time(&key.request, wall_clock::now())
-        .map_err(|error| ClaimBarrier::Problem(ClaimProblem::BadId(error.to_string())))?;
+        .map_err(|error| ClaimBarrier::Problem(bad_time(&error)))?;
     let asked = Instant::now();
     let result = claim_once_free(core, key).await;
     metrics::histogram!("ferry_claim_seconds").record(asked.elapsed().as_secs_f64());
@@ -337,13 +340,22 @@
     }
 }
 
+fn bad_time(error: &IdTimeError) -> ClaimProblem {
+    let text = error.to_string();
+    match error {
+        IdTimeError::TooOld { .. } => ClaimProblem::ForgottenId(text),
+        IdTimeError::NotTimed { .. } | IdTimeError::TooNew { .. } => ClaimProblem::BadId(text),
+    }
+}
+
 fn outside_window() -> ClaimProblem {
-    let text = "the log's time is outside the window of the request id; send a new UUIDv7";
-    ClaimProblem::BadId(text.to_owned())
+    let text = "the log's time is outside the window of the request id; find out whether an \
+                earlier send ran, then send a new UUIDv7";
+    ClaimProblem::ForgottenId(text.to_owned())
 }
 
 fn unknown_history() -> ClaimProblem {
     let text = "the log no longer holds all records that may name this request id; find out \
                 whether an earlier send ran, then send a new UUIDv7";
-    ClaimProblem::BadId(text.to_owned())
+    ClaimProblem::ForgottenId(text.to_owned())
 }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -21,6 +21,7 @@
 use crate::bills::BillDesk;
 use crate::claims::ClaimDesk;
 use crate::config::ConfigCell;
+use crate::intake::IntakeDesk;
 use crate::joins::JoinTable;
 use crate::lease::LeaseCell;
 use crate::membership::{MemberTable, ProcessClock};
@@ -59,6 +60,8 @@
     pub joins: Arc<JoinTable>,
     /// Bills that are not yet durable.
     pub bills: BillDesk,
+    /// Which requests are taken in.
+    pub intake: IntakeDesk,
     /// Upstreams of the deployment.
     pub upstreams: UpstreamTable,
     /// Decisions on recent requests.
@@ -116,6 +119,7 @@
             claims: ClaimDesk::default(),
             joins: Arc::default(),
             bills: BillDesk::default(),
+            intake: IntakeDesk::default(),
             upstreams: UpstreamTable::default(),
             trails: TrailRing::default(),
             sessions,
--- a/crates/router/src/joins/join_table.rs
+++ b/crates/router/src/joins/join_table.rs
@@ -1,19 +1,22 @@
 //! Runs in progress at this router, by request.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use ferry_decisions::claim::RequestKey;
+use ferry_decisions::retry::RunState;
 use ferry_kernel::shards::ShardMap;
 
 use super::shared_run::{JoinRefusal, SharedRun};
 use super::{RequestFingerprint, RunFeed, RunListener};
-use crate::caller::{CallerRefusal, RefusalKind, RunState};
+use crate::caller::{CallerRefusal, RefusalKind};
 
 /// Runs that further sends may join; one entry for each request in progress.
 #[derive(Debug, Default)]
 pub struct JoinTable {
     runs: ShardMap<RequestKey, Arc<SharedRun>>,
+    /// Bytes of answers that all runs hold.
+    total: Arc<AtomicUsize>,
     /// Sends that joined a run so far.
     joined: AtomicU64,
 }
@@ -50,7 +53,7 @@
                     Err(JoinRefusal::TooLate) => return Err(too_late()),
                 }
             }
-            let (run, listener) = SharedRun::open(fingerprint);
+            let (run, listener) = SharedRun::open(fingerprint, Arc::clone(&self.total));
             runs.insert(key.clone(), Arc::clone(&run));
             let feed = RunFeed::new(Arc::clone(self), key.clone(), run);
             Ok(JoinStart::First(feed, listener))
--- a/crates/router/src/joins/shared_run.rs
+++ b/crates/router/src/joins/shared_run.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -14,6 +15,10 @@
 
 /// Bytes of a stream that are kept for sends that come later, and for slow listeners.
 const BUFFER_BYTES: usize = 128 * 1024;
+/// The same while all runs together hold [`TOTAL_BYTES`].
+const SCARCE_BYTES: usize = 4 * 1024;
+/// Bytes that all runs may hold before each of them is kept short.
+const TOTAL_BYTES: usize = 64 * 1024 * 1024;
 
 /// Start of an answer.
 #[derive(Debug, Clone)]
@@ -45,6 +50,8 @@
 pub(super) struct SharedRun {
     fingerprint: RequestFingerprint,
     state: Mutex<SharedState>,
+    /// Bytes that all runs hold.
+    total: Arc<AtomicUsize>,
     changed: watch::Sender<()>,
 }
 
@@ -64,7 +71,10 @@
 
 impl SharedRun {
     /// A run with its first listener.
-    pub(super) fn open(fingerprint: RequestFingerprint) -> (Arc<Self>, RunListener) {
+    pub(super) fn open(
+        fingerprint: RequestFingerprint,
+        total: Arc<AtomicUsize>,
+    ) -> (Arc<Self>, RunListener) {
         let state = SharedState {
             cursors: SmallVec::from_iter([Some(0)]),
             ..SharedState::default()
@@ -72,6 +82,7 @@
         let run = Arc::new(Self {
             fingerprint,
             state: Mutex::new(state),
+            total,
             changed: watch::channel(()).0,
         });
         let listener = RunListener::new(Arc::clone(&run), 0, run.changed.subscribe());
@@ -113,7 +124,9 @@
 
     /// Whether another event may be kept.
     pub(super) fn has_room(&self) -> bool {
-        self.state.lock().kept < BUFFER_BYTES
+        let mut state = self.state.lock();
+        self.trim(&mut state);
+        state.kept < self.limit()
     }
 
     pub(super) fn set_head(&self, head: Result<SharedHead, CallerRefusal>) {
@@ -124,8 +137,9 @@
     pub(super) fn push(&self, event: Bytes) {
         let mut state = self.state.lock();
         state.kept += event.len();
+        self.total.fetch_add(event.len(), Ordering::Relaxed);
         state.events.push_back(event);
-        state.trim();
+        self.trim(&mut state);
         drop(state);
         self.changed.send_replace(());
     }
@@ -147,10 +161,10 @@
             return state.end.clone().map(Err);
         };
         state.cursors[slot] = Some(cursor + 1);
-        let was_full = state.kept >= BUFFER_BYTES;
-        state.trim();
+        let may_wait = state.kept >= SCARCE_BYTES;
+        self.trim(&mut state);
         drop(state);
-        if was_full {
+        if may_wait {
             self.changed.send_replace(());
         }
         Some(Ok(event))
@@ -160,27 +174,44 @@
     pub(super) fn leave(&self, slot: usize) {
         let mut state = self.state.lock();
         state.cursors[slot] = None;
-        state.trim();
+        self.trim(&mut state);
         drop(state);
         self.changed.send_replace(());
     }
-}
 
-impl SharedState {
-    fn is_abandoned(&self) -> bool {
-        self.cursors.iter().all(Option::is_none)
+    /// Bytes that this run may hold now.
+    fn limit(&self) -> usize {
+        if self.total.load(Ordering::Relaxed) < TOTAL_BYTES {
+            BUFFER_BYTES
+        } else {
+            SCARCE_BYTES
+        }
     }
 
     /// Drops events that all listeners had, once the buffer is full.
-    fn trim(&mut self) {
-        let slowest = self.cursors.iter().flatten().min();
+    fn trim(&self, state: &mut SharedState) {
+        let slowest = state.cursors.iter().flatten().min();
         let slowest = slowest.copied().unwrap_or(usize::MAX);
-        while self.kept >= BUFFER_BYTES && self.first < slowest {
-            let Some(event) = self.events.pop_front() else {
+        while state.kept >= self.limit() && state.first < slowest {
+            let Some(event) = state.events.pop_front() else {
                 return;
             };
-            self.kept -= event.len();
-            self.first += 1;
+            state.kept -= event.len();
+            state.first += 1;
+            self.total.fetch_sub(event.len(), Ordering::Relaxed);
         }
     }
 }
+
+impl Drop for SharedRun {
+    fn drop(&mut self) {
+        let kept = self.state.get_mut().kept;
+        self.total.fetch_sub(kept, Ordering::Relaxed);
+    }
+}
+
+impl SharedState {
+    fn is_abandoned(&self) -> bool {
+        self.cursors.iter().all(Option::is_none)
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,9 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
+mod added_time;
+mod documented_calls;
+mod id_window;
+mod intake;
 mod joined_sends;
 mod ledger_tool;
 mod letters;
@@ -7,6 +11,7 @@
 mod logged_bills;
 mod operator;
 mod planned_stop;
+mod router_kill;
 mod run_once;
 mod sample;
 mod thin_path;
