--- a/tests/fleet/logged_bills.rs
+++ b/tests/fleet/logged_bills.rs
@@ -45,3 +45,15 @@
         .await;
     }
 }
+
+/// Waits until all routers know all others, and so agree on the owners of shards.
+pub async fn until_linked(rig: &FleetRig) {
+    for index in 0..rig.routers.len() {
+        eventually("the routers know one another", || async move {
+            let status = rig.admin(index, "/status").await?;
+            let live = status["plugins"]["membership"]["live"].as_array()?;
+            (live.len() == rig.routers.len()).then_some(())
+        })
+        .await;
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
+mod added_time;
 mod documented_calls;
+mod id_window;
 mod intake;
 mod joined_sends;
 mod ledger_tool;
