Prove that sessions keep their version and leaving engines get nothing

Cause: the scenario of a session named the version itself, so that it would pass without pins, and the one of a leaving engine passes on retries alone. Excluded: weakening nothing; the former steps stay and new ones follow. Conclusion: both promises have a witness of their own.

--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -37,8 +37,10 @@
   Scenario: An engine that is leaving gets no new work
     Given a fleet of 2 routers
     When engine 1 says that it is leaving
+    And all routers know that 1 upstream is leaving
     And callers stream "small-1" through all routers
     Then every caller got its own whole answer
+    And engine 1 was handed nothing since it was known to leave
 
   Scenario: A stream that breaks on its way is resumed
     Given a fleet of 1 routers
--- a/tests/features/versions.feature
+++ b/tests/features/versions.feature
@@ -24,6 +24,12 @@
     And the caller continues the session through router 3
     Then the request is refused as "session_version_withdrawn" and was "not_run"
 
+  Scenario: A session on a model keeps the version that it started on
+    Given a fleet of 3 routers
+    When the caller starts a session on "assistant" through router 1
+    And the caller continues the session 12 times through all routers
+    Then every answer of the session came from its first version
+
   Scenario: An altered session token is refused
     Given a fleet of 1 routers
     When the caller starts a session on "small-1" through router 1
--- a/tests/scenarios/caller_steps.rs
+++ b/tests/scenarios/caller_steps.rs
@@ -24,10 +24,32 @@
 async fn start_session(world: &mut ScenarioWorld, model: String, router: usize) {
     let call = ChatCall::new(&model, "First").header("ferry-session", "new");
     let result = client().chat(&world.callers(router), &call).await;
-    world.session = result.clone().answer().session;
+    let answer = result.clone().answer();
+    world.session_versions = vec![answer.version];
+    world.session = answer.session;
     world.last = Some(result);
 }
 
+#[when(expr = "the caller continues the session {int} times through all routers")]
+async fn continue_often(world: &mut ScenarioWorld, times: usize) {
+    for number in 0..times {
+        let router = number % world.rig().routers.len() + 1;
+        continue_session(world, router).await;
+        let answer = world.last.take().expect("a request was sent").answer();
+        world.session_versions.push(answer.version);
+    }
+}
+
+#[then("every answer of the session came from its first version")]
+async fn one_version(world: &mut ScenarioWorld) {
+    let first = &world.session_versions[0];
+    let same = world
+        .session_versions
+        .iter()
+        .all(|version| version == first);
+    assert!(same, "{:?}", world.session_versions);
+}
+
 #[when(expr = "the caller continues the session through router {int}")]
 async fn continue_session(world: &mut ScenarioWorld, router: usize) {
     let token = world.session.clone().expect("a session was started");
--- a/tests/scenarios/fault_steps.rs
+++ b/tests/scenarios/fault_steps.rs
@@ -1,6 +1,7 @@
 //! Steps of what fails: processes, links, the platform.
 
 use cucumber::{then, when};
+use ferry_rig::eventually;
 use serde_json::json;
 
 use crate::scenario_world::ScenarioWorld;
@@ -78,6 +79,31 @@
     order_engine(world, engine, &json!({ "leaving": true })).await;
 }
 
+#[when(expr = "all routers know that {int} upstream(s) is/are leaving")]
+async fn leaving_known(world: &mut ScenarioWorld, count: u64) {
+    for index in 0..world.rig().routers.len() {
+        eventually("the router knows who is leaving", || async {
+            let status = world.rig().admin(index, "/status").await?;
+            (status["plugins"]["host_list"]["leaving"] == count).then_some(())
+        })
+        .await;
+    }
+    world.handed_before = handed(world, 1).await;
+}
+
+#[then(expr = "engine {int} was handed nothing since it was known to leave")]
+async fn handed_nothing(world: &mut ScenarioWorld, engine: usize) {
+    assert_eq!(handed(world, engine).await, world.handed_before);
+}
+
+/// Requests that the engine started or refused.
+async fn handed(world: &ScenarioWorld, engine: usize) -> u64 {
+    let address = world.rig().engines[engine - 1].process.address("control");
+    let counters = world.rig().counters(&address).await;
+    let count = |name: &str| counters["totals"][name].as_u64().unwrap_or_default();
+    count("started") + count("refused")
+}
+
 #[when(expr = "engine {int} is killed")]
 async fn kill_engine(world: &mut ScenarioWorld, engine: usize) {
     world.rig_mut().engines[engine - 1].process.kill().await;
--- a/tests/scenarios/scenario_world.rs
+++ b/tests/scenarios/scenario_world.rs
@@ -18,6 +18,10 @@
     rig: Option<FleetRig>,
     /// Last chat completion.
     pub last: Option<ChatResult>,
+    /// Versions that answered the requests of the session, in order.
+    pub session_versions: Vec<String>,
+    /// Requests that the leaving engine had been handed when all routers knew.
+    pub handed_before: u64,
     /// Token of the session that was started.
     pub session: Option<String>,
     /// Load in progress.
