--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -248,6 +248,9 @@
             ClaimProblem::BadId(_) | ClaimProblem::OtherRequest => {
                 Self::final_one(RefusalKind::BadRequest, detail)
             }
+            ClaimProblem::ForgottenId(_) => {
+                Self::final_one(RefusalKind::BadRequest, detail).with_run(RunState::MayHaveRun)
+            }
             ClaimProblem::MayHaveRun => {
                 Self::final_one(RefusalKind::Duplicate, detail).with_run(RunState::MayHaveRun)
             }
--- a/crates/router/src/joins/join_table.rs
+++ b/crates/router/src/joins/join_table.rs
@@ -1,7 +1,7 @@
 //! Runs in progress at this router, by request.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use ferry_decisions::claim::RequestKey;
 use ferry_decisions::retry::RunState;
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct JoinTable {
     runs: ShardMap<RequestKey, Arc<SharedRun>>,
+    /// Bytes of answers that all runs hold.
+    total: Arc<AtomicUsize>,
     /// Sends that joined a run so far.
     joined: AtomicU64,
 }
@@ -51,7 +53,7 @@
                     Err(JoinRefusal::TooLate) => return Err(too_late()),
                 }
             }
-            let (run, listener) = SharedRun::open(fingerprint);
+            let (run, listener) = SharedRun::open(fingerprint, Arc::clone(&self.total));
             runs.insert(key.clone(), Arc::clone(&run));
             let feed = RunFeed::new(Arc::clone(self), key.clone(), run);
             Ok(JoinStart::First(feed, listener))
--- a/tests/fleet/joined_sends.rs
+++ b/tests/fleet/joined_sends.rs
@@ -8,6 +8,7 @@
 use hyper::Method;
 
 use crate::letters::{LetterAnswer, ledger, letter_fleet, send_in_background, service_count};
+use crate::logged_bills::until_linked;
 use crate::sample::{client, configuration, programs};
 
 /// Tokens of an answer that takes about a second.
@@ -53,18 +54,6 @@
     .await;
 }
 
-/// Waits until all routers know all others, and so agree on the owners of shards.
-async fn until_linked(rig: &FleetRig) {
-    for index in 0..rig.routers.len() {
-        eventually("the routers know one another", || async move {
-            let status = rig.admin(index, "/status").await?;
-            let live = status["plugins"]["membership"]["live"].as_array()?;
-            (live.len() == rig.routers.len()).then_some(())
-        })
-        .await;
-    }
-}
-
 /// Checks that `count` requests are billed, each once.
 async fn assert_billed(rig: &FleetRig, count: u64) {
     let report = ledger(rig).await;
