--- a/crates/router/src/claims/claim_desk.rs
+++ b/crates/router/src/claims/claim_desk.rs
@@ -4,19 +4,21 @@
 use std::time::Duration;
 
 use ferry_decisions::claim::{
-    ClaimEntry, ClaimHolder, ClaimReply, EntryKind, RequestKey, SHARD_COUNT, check_id_time,
-    owner_of, shard_of,
+    ClaimEntry, ClaimHolder, ClaimReply, EntryKind, IdTimeError, RequestKey, SHARD_COUNT,
+    check_id_time, owner_of, shard_of,
 };
+use ferry_decisions::names::HostName;
 use ferry_kernel::wall_clock;
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 
 use super::JoinedAnswer;
-use super::claim_message::{ClaimAnswer, ClaimQuery, RunQuery};
+use super::claim_message::{ClaimAnswer, ClaimQuery, RunJoin, RunQuery};
 use super::claim_shard::ClaimShard;
 use super::run_table::{RunTable, RunTicket, open_run};
 use crate::bills;
 use crate::core::RouterCore;
+use crate::joins::RequestFingerprint;
 use crate::peer::PeerTopic;
 
 /// When to try again while the log is out.
@@ -72,11 +74,19 @@
     /// The identifier cannot be claimed.
     #[error("{0}")]
     BadId(String),
+    /// The identifier is one whose earlier sends nobody remembers any more.
+    #[error("{0}")]
+    ForgottenId(String),
     /// Another send of the request was dispatched; its outcome is not known here.
     #[error(
         "an earlier send of this request may have run; look up its outcome before sending it under a new id"
     )]
     MayHaveRun,
+    /// A request with other content runs under the identifier.
+    #[error(
+        "idempotency-key: another request runs under this id; send this one under an id of its own"
+    )]
+    OtherRequest,
     /// Another send of the request was answered and billed.
     #[error("an earlier send of this request was answered; do not send it again")]
     Ran,
@@ -105,6 +115,11 @@
         self.shards.iter().map(ClaimShard::open_voids).sum()
     }
 
+    /// Number of claims and voids here that are in no batch yet.
+    pub fn waiting(&self) -> usize {
+        self.shards.iter().map(ClaimShard::waiting).sum()
+    }
+
     fn shard(&self, key: &RequestKey) -> &ClaimShard {
         &self.shards[usize::from(shard_of(&key.request))]
     }
@@ -131,19 +146,28 @@
 pub async fn claim_or_join(
     core: &Arc<RouterCore>,
     key: &RequestKey,
+    fingerprint: RequestFingerprint,
     deadline: Instant,
 ) -> Result<ClaimStart, ClaimProblem> {
     let holder = match checked_claim(core, key).await {
         Ok(grant) => {
-            let ticket = open_run(core, &grant);
+            let ticket = open_run(core, &grant, fingerprint);
             return Ok(ClaimStart::Granted(grant, ticket));
         }
         Err(ClaimBarrier::Held(holder)) => holder,
         Err(ClaimBarrier::Problem(problem)) => return Err(problem),
     };
-    match join(core, key, &holder, deadline).await {
-        Some(answer) => Ok(ClaimStart::Joined(answer)),
-        None => Err(held(core, key, &holder).await),
+    let wait = deadline.saturating_duration_since(Instant::now());
+    let query = RunQuery {
+        key: key.clone(),
+        claim: holder.claim,
+        fingerprint,
+        wait_ms: wait.as_millis() as u64,
+    };
+    match join(core, query, &holder.router, deadline).await {
+        RunJoin::Answered(answer) => Ok(ClaimStart::Joined(answer)),
+        RunJoin::OtherRequest => Err(ClaimProblem::OtherRequest),
+        RunJoin::Unknown => Err(held(core, key, &holder).await),
     }
 }
 
@@ -152,36 +176,32 @@
     key: &RequestKey,
 ) -> Result<ClaimGrant, ClaimBarrier> {
     check_id_time(&key.request, wall_clock::now())
-        .map_err(|error| ClaimBarrier::Problem(ClaimProblem::BadId(error.to_string())))?;
+        .map_err(|error| ClaimBarrier::Problem(bad_time(&error)))?;
     let asked = Instant::now();
     let result = claim_once_free(core, key).await;
     metrics::histogram!("ferry_claim_seconds").record(asked.elapsed().as_secs_f64());
     result
 }
 
-/// Waits for the answer of the run that holds `key`, if its router lives.
+/// Waits for the answer of the run at `router`, if it lives.
 async fn join(
     core: &Arc<RouterCore>,
-    key: &RequestKey,
-    holder: &ClaimHolder,
+    query: RunQuery,
+    router: &HostName,
     deadline: Instant,
-) -> Option<JoinedAnswer> {
-    if holder.router == core.settings.host {
-        return core.claims.runs.join(key, holder.claim, deadline).await;
+) -> RunJoin {
+    if *router == core.settings.host {
+        return core.claims.runs.join(&query, deadline).await;
     }
     let wait = deadline.saturating_duration_since(Instant::now());
-    let query = ClaimQuery::Join(RunQuery {
-        key: key.clone(),
-        claim: holder.claim,
-        wait_ms: wait.as_millis() as u64,
-    });
+    let query = ClaimQuery::Join(query);
     let answer = core
         .hub()
-        .ask(&holder.router, PeerTopic::Claims, &query, wait)
+        .ask(router, PeerTopic::Claims, &query, wait)
         .await;
     match answer {
-        Ok(ClaimAnswer::Joined(answer)) => answer,
-        Ok(ClaimAnswer::Submitted(_)) | Err(_) => None,
+        Ok(ClaimAnswer::Joined(joined)) => joined,
+        Ok(ClaimAnswer::Submitted(_)) | Err(_) => RunJoin::Unknown,
     }
 }
 
@@ -320,13 +340,22 @@
     }
 }
 
+fn bad_time(error: &IdTimeError) -> ClaimProblem {
+    let text = error.to_string();
+    match error {
+        IdTimeError::TooOld { .. } => ClaimProblem::ForgottenId(text),
+        IdTimeError::NotTimed { .. } | IdTimeError::TooNew { .. } => ClaimProblem::BadId(text),
+    }
+}
+
 fn outside_window() -> ClaimProblem {
-    let text = "the log's time is outside the window of the request id; send a new UUIDv7";
-    ClaimProblem::BadId(text.to_owned())
+    let text = "the log's time is outside the window of the request id; find out whether an \
+                earlier send ran, then send a new UUIDv7";
+    ClaimProblem::ForgottenId(text.to_owned())
 }
 
 fn unknown_history() -> ClaimProblem {
     let text = "the log no longer holds all records that may name this request id; find out \
                 whether an earlier send ran, then send a new UUIDv7";
-    ClaimProblem::BadId(text.to_owned())
+    ClaimProblem::ForgottenId(text.to_owned())
 }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -22,6 +22,7 @@
 use crate::claims::ClaimDesk;
 use crate::config::ConfigCell;
 use crate::intake::IntakeDesk;
+use crate::joins::JoinTable;
 use crate::lease::LeaseCell;
 use crate::membership::{MemberTable, ProcessClock};
 use crate::peer::PeerHub;
@@ -55,6 +56,8 @@
     pub appends: AppendGate,
     /// Claims of non-idempotent requests.
     pub claims: ClaimDesk,
+    /// Runs in progress that further sends may join.
+    pub joins: Arc<JoinTable>,
     /// Bills that are not yet durable.
     pub bills: BillDesk,
     /// Which requests are taken in.
@@ -114,6 +117,7 @@
             members: MemberTable::new(own, freshness, clock),
             appends: AppendGate::new(f64::from(settings.platform.appends_per_second)),
             claims: ClaimDesk::default(),
+            joins: Arc::default(),
             bills: BillDesk::default(),
             intake: IntakeDesk::default(),
             upstreams: UpstreamTable::default(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod intake;
+pub mod joins;
 pub mod lease;
 pub mod membership;
 pub mod peer;
