Wire the roll-out guard into the router

Cause: the guard's decisions existed only as a pure crate; a router handed any version in a roll-out all the work that its share gave it.

Each dispatch now asks the guard, counts the request under the same lock, and records one outcome when the counted request is dropped, so cancellations and failed dispatches count as unanswered. Counts go to the neighbours every 100 ms when they changed and in full each second; a trip is sent at once and appended to the configuration stream until the fold has it.

Not done: an older life of a router whose host is still listed keeps its part of the limit until a new epoch; an answer is good from a score of 0.5, which is fixed.

--- a/crates/decisions/src/routing/route_plan.rs
+++ b/crates/decisions/src/routing/route_plan.rs
@@ -45,6 +45,8 @@
     Withdrawn,
     /// The guard stopped its roll-out.
     Tripped,
+    /// As many of its answers are unrated as its roll-out allows this router.
+    UnratedLimit,
     /// Its share is 0, so that it gets no new work.
     NoShare,
     /// It is not the version that the session is pinned to.
--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -33,6 +33,8 @@
     Unknown,
     /// No version may be used.
     NoVersionAllowed,
+    /// As many answers of a version in roll-out are unrated as may be.
+    RolloutLimit,
     /// The version of the session takes no more work.
     SessionVersionWithdrawn,
     /// The session token is not honoured.
@@ -114,6 +116,7 @@
             Self::ConfigurationStale
             | Self::Stopping
             | Self::Overloaded
+            | Self::RolloutLimit
             | Self::DeadlineTooNear
             | Self::LogOut
             | Self::NoUpstream => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, OnceLock};
 
+use ferry_decisions::guard::RouterId;
 use ferry_decisions::lease::LeaseOwner;
 use ferry_decisions::membership::{ConfigMark, MemberRow};
 use ferry_decisions::names::Incarnation;
@@ -21,6 +22,7 @@
 use crate::bills::BillDesk;
 use crate::claims::ClaimDesk;
 use crate::config::ConfigCell;
+use crate::guard::GuardDesk;
 use crate::intake::IntakeDesk;
 use crate::joins::JoinTable;
 use crate::lease::LeaseCell;
@@ -62,6 +64,8 @@
     pub bills: BillDesk,
     /// Which requests are taken in.
     pub intake: IntakeDesk,
+    /// Evidence about versions in a roll-out.
+    pub guard: Arc<GuardDesk>,
     /// Upstreams of the deployment.
     pub upstreams: UpstreamTable,
     /// Decisions on recent requests.
@@ -100,6 +104,10 @@
         let clock = ProcessClock::start();
         let freshness = settings.freshness();
         let own = own_row(&settings, incarnation);
+        let router = RouterId {
+            host: settings.host.clone(),
+            incarnation,
+        };
         let owner = LeaseOwner {
             host: settings.host.clone(),
             born: clock.now(),
@@ -120,6 +128,7 @@
             joins: Arc::default(),
             bills: BillDesk::default(),
             intake: IntakeDesk::default(),
+            guard: Arc::new(GuardDesk::new(router)),
             upstreams: UpstreamTable::default(),
             trails: TrailRing::default(),
             sessions,
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -7,7 +7,7 @@
 mod dispatch_failure;
 mod engine_call;
 mod engine_stream;
-mod gate;
+pub(crate) mod gate;
 mod run_answer;
 mod run_bill;
 mod service_call;
--- a/crates/router/src/dispatch/cascade_run.rs
+++ b/crates/router/src/dispatch/cascade_run.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use ferry_decisions::names::{CascadeName, VersionName};
-use ferry_platform::ratings::RatingRequest;
 
 use super::chat_run::ChatRun;
 use super::engine_call::EngineReply;
 use super::stage_run::StageAnswer;
 use crate::caller::CallerRefusal;
+use crate::guard;
 use crate::trail::{AttemptNote, AttemptResult};
 
 /// Longest wait for a rating.
@@ -39,12 +39,19 @@
     stage: usize,
     answer: StageAnswer,
 ) -> Option<StageAnswer> {
-    let version = answer.version;
-    let (reply, text) = whole(run, answer.reply).await?;
+    let StageAnswer {
+        version,
+        reply,
+        served,
+    } = answer;
+    let (reply, text) = whole(run, reply).await?;
     if let Some(usage) = usage_of(&reply) {
         run.bill.add(&run.core, &version, usage);
     }
     let score = rate(run, &version, text).await;
+    if let Some(served) = served {
+        guard::settle(&run.core, served, score);
+    }
     let accepted = score.is_some_and(|score| score >= target(run));
     run.trail.attempts.push(AttemptNote {
         stage,
@@ -53,7 +60,11 @@
         result: AttemptResult::Rated { score, accepted },
     });
     run.billed_stage = accepted;
-    accepted.then_some(StageAnswer { version, reply })
+    accepted.then_some(StageAnswer {
+        version,
+        reply,
+        served: None,
+    })
 }
 
 async fn whole(run: &ChatRun, reply: EngineReply) -> Option<(EngineReply, String)> {
@@ -83,13 +94,7 @@
 }
 
 async fn rate(run: &ChatRun, version: &VersionName, answer: String) -> Option<f64> {
-    let prompt = run.chat.messages.last().and_then(|m| m.content.as_str());
-    let request = RatingRequest {
-        request_id: run.request.id.clone(),
-        version: version.clone(),
-        prompt: prompt.unwrap_or_default().to_owned(),
-        answer,
-    };
+    let request = run.rating_request(version, answer);
     let timeout = RATING_TIMEOUT.min(run.request.time_left());
     let rating = run.core.ratings.rate(&request, timeout).await.ok()?;
     Some(rating.score)
--- a/crates/router/src/dispatch/chat_pump.rs
+++ b/crates/router/src/dispatch/chat_pump.rs
@@ -50,6 +50,7 @@
     match end {
         PumpEnd::Complete => {
             run.learn(&version, stream.usage());
+            run.rate(stream.take_text());
             run.settle(&version, BillOutcome::Answered).await;
             let _ = events.send(Ok(encode(STREAM_END))).await;
         }
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -9,6 +9,7 @@
 use ferry_decisions::session::SessionToken;
 use ferry_kernel::wall_clock;
 use ferry_platform::engine::{ChatRequest, TokenUsage};
+use ferry_platform::ratings::RatingRequest;
 use uuid::Uuid;
 
 use super::engine_call::{EngineReply, WholeReply};
@@ -19,6 +20,7 @@
 use crate::caller::{CallerRefusal, CallerRequest, SessionAsk};
 use crate::claims::{self, ClaimGrant};
 use crate::core::RouterCore;
+use crate::guard::{self, ServedRequest};
 use crate::trail::{DecisionTrail, TrailEnd};
 use crate::{bills, intake, trail};
 
@@ -37,6 +39,8 @@
     pub bill: RunBill,
     /// Whether `bill` already holds the stage that is delivered.
     pub billed_stage: bool,
+    /// The answer that is delivered, as counted by the guard.
+    pub served: Option<ServedRequest>,
 }
 
 impl ChatRun {
@@ -53,6 +57,7 @@
             trail,
             bill: RunBill::default(),
             billed_stage: false,
+            served: None,
         }
     }
 
@@ -109,8 +114,9 @@
         run.execute().await
     }
 
-    async fn deliver(self, answer: StageAnswer, sender: RunSender) {
+    async fn deliver(mut self, answer: StageAnswer, sender: RunSender) {
         let head = self.head(&answer.version);
+        self.served = answer.served;
         match answer.reply {
             EngineReply::Whole(reply) => self.deliver_whole(head, reply, sender).await,
             EngineReply::Stream(stream) => {
@@ -124,6 +130,7 @@
 
     async fn deliver_whole(mut self, head: RunHead, reply: WholeReply, sender: RunSender) {
         self.learn(&head.version, reply.usage);
+        self.rate(reply.text);
         if !self.billed_stage {
             self.bill.add(&self.core, &head.version, reply.usage);
         }
@@ -145,6 +152,25 @@
         intake.with_version(version, |pool| pool.learn(now, class, steps));
     }
 
+    /// Has the whole answer `text` rated if the guard counts it.
+    pub(super) fn rate(&mut self, text: String) {
+        if let Some(served) = self.served.take() {
+            let request = self.rating_request(served.version(), text);
+            guard::rate(&self.core, served, request);
+        }
+    }
+
+    /// Asks for the rating of `answer`.
+    pub(super) fn rating_request(&self, version: &VersionName, answer: String) -> RatingRequest {
+        let prompt = self.chat.messages.last().and_then(|m| m.content.as_str());
+        RatingRequest {
+            request_id: self.request.id.clone(),
+            version: version.clone(),
+            prompt: prompt.unwrap_or_default().to_owned(),
+            answer,
+        }
+    }
+
     /// Makes the bill durable and closes the trail.
     pub(super) async fn settle(self, version: &VersionName, outcome: BillOutcome) {
         let entry = self
--- a/crates/router/src/dispatch/engine_stream.rs
+++ b/crates/router/src/dispatch/engine_stream.rs
@@ -123,6 +123,11 @@
         self.events = event_stream(body);
     }
 
+    /// Takes the text so far; empty if it was not kept.
+    pub fn take_text(&mut self) -> String {
+        self.text.take().unwrap_or_default()
+    }
+
     /// Tokens so far.
     pub fn usage(&self) -> TokenUsage {
         self.usage
--- a/crates/router/src/dispatch/stage_run.rs
+++ b/crates/router/src/dispatch/stage_run.rs
@@ -11,6 +11,7 @@
 use super::{DispatchFailure, gate};
 use crate::caller::{CallerRefusal, CallerRequest, SessionAsk};
 use crate::core::RouterCore;
+use crate::guard::{self, ServedRequest};
 use crate::trail::{AttemptNote, AttemptResult, DecisionTrail};
 use crate::upstream::{FlightGuard, PlacementQuery, place};
 
@@ -39,6 +40,8 @@
     pub version: VersionName,
     /// Its answer.
     pub reply: EngineReply,
+    /// The request as counted by the guard; `None` outside of roll-outs.
+    pub served: Option<ServedRequest>,
 }
 
 impl StageRun<'_> {
@@ -51,12 +54,16 @@
         let mut log = AttemptLog::default();
         loop {
             let target = self.next_target(log.tried());
-            let (version, guard) = target.map_err(|refusal| log.refuse(refusal))?;
+            let (version, guard, served) = target.map_err(|refusal| log.refuse(refusal))?;
             let host = Arc::clone(guard.host());
-            match self.dispatch(guard, &version).await {
+            match self.dispatch(guard, &version, served.is_some()).await {
                 Ok(reply) => {
                     self.note(&version, &host.entry.name, AttemptResult::Answered);
-                    return Ok(StageAnswer { version, reply });
+                    return Ok(StageAnswer {
+                        version,
+                        reply,
+                        served,
+                    });
                 }
                 Err(failure) => {
                     let reason = failure.to_string();
@@ -71,14 +78,17 @@
     fn next_target(
         &mut self,
         tried: &[HostName],
-    ) -> Result<(VersionName, FlightGuard), CallerRefusal> {
+    ) -> Result<(VersionName, FlightGuard, Option<ServedRequest>), CallerRefusal> {
         gate::check_dispatch(self.core, self.request)?;
         let view = self.core.config.view();
         let plan = gate::plan(&view, self.request, &self.chat.model)?;
-        self.trail.exclude(&plan.excluded);
         self.trail.config_offset = view.next_offset;
         let stage = &plan.stages[self.stage.min(plan.stages.len() - 1)];
-        let version = gate::pick_version(stage, self.request).clone();
+        let mut excluded = plan.excluded.clone();
+        let pick = guard::pick(self.core, &view, self.request, stage, &mut excluded);
+        self.trail.exclude(&excluded);
+        let pick = pick?;
+        let version = pick.version;
         let query = PlacementQuery {
             request: self.request,
             version: &version,
@@ -87,7 +97,7 @@
             tried,
         };
         let guard = place(self.core, &query)?;
-        Ok((version, guard))
+        Ok((version, guard, pick.served))
     }
 
     /// Hash of the session, or else of the start of a prompt that is long enough to be worth it.
@@ -104,6 +114,7 @@
         &self,
         guard: FlightGuard,
         version: &VersionName,
+        is_rated: bool,
     ) -> Result<EngineReply, DispatchFailure> {
         engine_call::call(
             self.core,
@@ -111,7 +122,7 @@
             self.request,
             self.chat,
             version,
-            self.keep_text,
+            self.keep_text || is_rated,
         )
         .await
     }
--- /dev/null
+++ b/crates/router/src/guard.rs
@@ -0,0 +1,16 @@
+//! Roll-out guard: admits requests to versions in a roll-out, rates their answers, and pools the
+//! evidence with the other routers.
+
+mod answer_rating;
+mod fleet_identity;
+mod guard_desk;
+mod guard_exchange;
+mod guard_plugin;
+mod served_request;
+mod stage_guard;
+mod trip_writer;
+
+pub use answer_rating::{rate, settle};
+pub use guard_desk::GuardDesk;
+pub use served_request::ServedRequest;
+pub use stage_guard::{GuardedPick, pick};
--- /dev/null
+++ b/crates/router/src/guard/answer_rating.rs
@@ -0,0 +1,41 @@
+//! Ratings of answers in the background.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::guard::AnswerOutcome;
+use ferry_platform::ratings::RatingRequest;
+
+use super::ServedRequest;
+use crate::core::RouterCore;
+
+/// Longest wait for a rating.
+const RATING_TIMEOUT: Duration = Duration::from_secs(30);
+/// Score from which an answer is good.
+const GOOD_SCORE: f64 = 0.5;
+
+/// Rates the answer to `served` in the background; without a place for it, it goes unrated.
+pub fn rate(core: &Arc<RouterCore>, mut served: ServedRequest, request: RatingRequest) {
+    served.set_outcome(AnswerOutcome::GivenUp);
+    let Ok(place) = Arc::clone(&core.guard.ratings).try_acquire_owned() else {
+        metrics::counter!("ferry_guard_ratings_skipped_total").increment(1);
+        return;
+    };
+    let shared = Arc::clone(core);
+    tokio::spawn(core.closing.clone().run_until_cancelled_owned(async move {
+        let rating = shared.ratings.rate(&request, RATING_TIMEOUT).await;
+        drop(place);
+        settle(&shared, served, rating.ok().map(|rating| rating.score));
+    }));
+}
+
+/// Records the rating of the answer to `served`; `None` when none came.
+pub fn settle(core: &RouterCore, mut served: ServedRequest, score: Option<f64>) {
+    served.set_outcome(match score {
+        Some(score) if score >= GOOD_SCORE => AnswerOutcome::Good,
+        Some(_) => AnswerOutcome::Bad,
+        None => AnswerOutcome::GivenUp,
+    });
+    drop(served);
+    core.guard.evaluate(&core.config.view());
+}
--- /dev/null
+++ b/crates/router/src/guard/guard_exchange.rs
@@ -0,0 +1,59 @@
+//! Exchange of evidence with the other routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use super::fleet_identity::FleetIdentity;
+use crate::core::{LifePhase, RouterCore};
+use crate::peer::PeerTopic;
+
+/// Least time between two messages about changes, but for trips.
+const CHANGE_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two messages with everything known.
+const FULL_PERIOD: Duration = Duration::from_secs(1);
+
+/// Follows configuration and fleet, and sends changes to the neighbours.
+pub async fn run(core: Arc<RouterCore>) {
+    let mut ticks = interval(CHANGE_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut sent = 0;
+    let mut full_at = Instant::now();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = core.guard.tripped.notified() => {}
+        }
+        let view = core.config.view();
+        let fleet = FleetIdentity::read(&core);
+        let own_only = core.hub().connected().len() + 1 >= fleet.routers.len();
+        let leaving = core.phase() != LifePhase::Serving;
+        core.guard.follow(&view, fleet, leaving);
+        let is_full = Instant::now() >= full_at;
+        let (delta, revision) = if is_full {
+            full_at = Instant::now() + FULL_PERIOD;
+            measure(&core);
+            core.guard.changes(0, false)
+        } else {
+            core.guard.changes(sent, own_only)
+        };
+        sent = revision;
+        if !delta.candidates.is_empty() {
+            core.hub().broadcast(PeerTopic::Guard, &delta);
+        }
+    }
+}
+
+fn measure(core: &RouterCore) {
+    for candidate in core.guard.candidates(&core.config.view()) {
+        let counts = &candidate.counts;
+        let gauge = |name: &'static str, value: u64| {
+            metrics::gauge!(name, "version" => candidate.version.to_string()).set(value as f64);
+        };
+        gauge("ferry_guard_served", counts.served);
+        gauge("ferry_guard_rated", counts.rated());
+        gauge("ferry_guard_bad", counts.bad);
+        gauge("ferry_guard_unrated", counts.unrated());
+    }
+}
--- /dev/null
+++ b/crates/router/src/guard/guard_plugin.rs
@@ -0,0 +1,44 @@
+//! Plug-in that pools the evidence of the guard and logs its trips.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ferry_decisions::guard::GuardDelta;
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+
+use super::{guard_exchange, trip_writer};
+use crate::core::RouterCore;
+use crate::peer::{PeerMessage, PeerTopic, decode};
+use crate::plugin::RouterPlugin;
+
+inventory::submit! {
+    RouterPlugin {
+        name: "guard",
+        topics: &[PeerTopic::Guard],
+        start,
+        on_message,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    let closing = &core.closing;
+    let exchange = guard_exchange::run(Arc::clone(core));
+    tokio::spawn(closing.clone().run_until_cancelled_owned(exchange));
+    let writer = trip_writer::run(Arc::clone(core));
+    tokio::spawn(closing.clone().run_until_cancelled_owned(writer));
+}
+
+fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
+    Box::pin(async move {
+        if let Ok(delta) = decode::<GuardDelta>(&message.body) {
+            core.guard.merge(&core.config.view(), delta);
+        }
+        None
+    })
+}
+
+fn view(core: &RouterCore) -> Value {
+    json!({ "candidates": core.guard.candidates(&core.config.view()) })
+}
--- /dev/null
+++ b/crates/router/src/guard/stage_guard.rs
@@ -0,0 +1,100 @@
+//! Picks a version of a stage that the guard lets serve.
+
+use std::time::Duration;
+
+use ferry_decisions::config::{ConfigView, TripPolicy};
+use ferry_decisions::guard::GuardDecision;
+use ferry_decisions::names::VersionName;
+use ferry_decisions::routing::{ExclusionReason, RouteStage};
+
+use super::ServedRequest;
+use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, SessionAsk};
+use crate::core::RouterCore;
+use crate::dispatch::gate;
+
+/// When to come back after the limit on unrated answers was reached.
+const LIMIT_PAUSE: Duration = Duration::from_secs(1);
+
+/// A version to dispatch to.
+#[derive(Debug)]
+pub struct GuardedPick {
+    /// The version.
+    pub version: VersionName,
+    /// The request as counted by the guard; `None` outside of roll-outs.
+    pub served: Option<ServedRequest>,
+}
+
+/// Picks one of the versions of `stage` that may serve now; adds the others to `excluded`.
+///
+/// # Errors
+///
+/// A refusal when none may.
+pub fn pick(
+    core: &RouterCore,
+    view: &ConfigView,
+    request: &CallerRequest,
+    stage: &RouteStage,
+    excluded: &mut Vec<(VersionName, ExclusionReason)>,
+) -> Result<GuardedPick, CallerRefusal> {
+    let mut stage = stage.clone();
+    let known = excluded.len();
+    while !stage.versions.is_empty() {
+        let version = gate::pick_version(&stage, request).clone();
+        match admit(core, view, request, &version) {
+            Ok(served) => {
+                return Ok(GuardedPick { version, served });
+            }
+            Err(reason) => {
+                stage.versions.retain(|(name, _)| *name != version);
+                excluded.push((version, reason));
+            }
+        }
+    }
+    Err(refusal(request, &excluded[known..]))
+}
+
+fn admit(
+    core: &RouterCore,
+    view: &ConfigView,
+    request: &CallerRequest,
+    version: &VersionName,
+) -> Result<Option<ServedRequest>, ExclusionReason> {
+    let entry = view.version(version.as_str());
+    let Some(rollout) = entry.and_then(|entry| entry.spec.rollout.as_ref()) else {
+        return Ok(None);
+    };
+    match core.guard.admit(version, rollout, &request.workspace) {
+        Ok(served) => Ok(Some(served)),
+        Err(GuardDecision::Tripped) => {
+            let keeps_sessions = rollout.on_trip == TripPolicy::Retire;
+            let in_session = matches!(request.session, SessionAsk::Continue(_));
+            if keeps_sessions && in_session {
+                return Ok(None);
+            }
+            Err(ExclusionReason::Tripped)
+        }
+        Err(_) => Err(ExclusionReason::UnratedLimit),
+    }
+}
+
+fn refusal(request: &CallerRequest, excluded: &[(VersionName, ExclusionReason)]) -> CallerRefusal {
+    let is_limit =
+        |(_, reason): &(VersionName, ExclusionReason)| *reason == ExclusionReason::UnratedLimit;
+    if excluded.iter().any(is_limit) {
+        return CallerRefusal::come_back(
+            RefusalKind::RolloutLimit,
+            "as many answers of the version in roll-out wait for their rating as may; send the request again later",
+            LIMIT_PAUSE,
+        );
+    }
+    if matches!(request.session, SessionAsk::Continue(_)) {
+        return CallerRefusal::final_one(
+            RefusalKind::SessionVersionWithdrawn,
+            "the roll-out of the session's version was stopped; start a new session with `Ferry-Session: new`",
+        );
+    }
+    CallerRefusal::final_one(
+        RefusalKind::NoVersionAllowed,
+        "the roll-out of every allowed version was stopped; ask an operator for another version",
+    )
+}
--- /dev/null
+++ b/crates/router/src/guard/trip_writer.rs
@@ -0,0 +1,37 @@
+//! Appends trips to the configuration stream until the fold has them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::config::{ConfigRecord, TripRecord};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::config::CONFIG_STREAM;
+use crate::core::RouterCore;
+
+/// Time between two looks; the fold ignores a trip that several routers append.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Looks again and again for trips that the folded configuration lacks.
+pub async fn run(core: Arc<RouterCore>) {
+    let mut ticks = interval(LOOK_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = core.guard.found.notified() => {}
+        }
+        for record in core.guard.unlogged_trips(&core.config.view()) {
+            append(&core, record).await;
+        }
+    }
+}
+
+async fn append(core: &RouterCore, record: TripRecord) {
+    let record = ConfigRecord::Trip(record);
+    let data = serde_json::to_vec(&record).expect("a record has only plain fields");
+    if let Err(error) = core.log.append(CONFIG_STREAM, data).await {
+        metrics::counter!("ferry_guard_trip_append_failures_total").increment(1);
+        spdlog::warn!("trip not appended; it is tried again", kv: { error = error.to_string() });
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod daemon;
 pub mod dispatch;
+pub mod guard;
 pub mod intake;
 pub mod joins;
 pub mod lease;
--- a/crates/router/src/membership/member_table.rs
+++ b/crates/router/src/membership/member_table.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ferry_decisions::guard::RouterId;
 use ferry_decisions::lease::{PeerStatement, SpreadStatus};
 use ferry_decisions::membership::{
     AppliedDelta, ConfigMark, HostHealth, ListedRouter, MemberRow, MembershipDelta,
@@ -15,7 +16,7 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
 
-use super::{MemberView, ProcessClock, SpreadTable};
+use super::{KnownRouter, MemberView, ProcessClock, SpreadTable};
 
 /// Router hosts by name.
 #[derive(Debug)]
@@ -190,6 +191,29 @@
         tracker.status(now, &listed, &known)
     }
 
+    /// Lives of the routers known, this one included.
+    pub fn known_routers(&self) -> Vec<KnownRouter> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let listed = state.table.listed();
+        let own = state.table.own();
+        let known = |row: &MemberRow, silence| KnownRouter {
+            router: RouterId {
+                host: row.host.clone(),
+                incarnation: row.incarnation,
+            },
+            listed: listed.contains(&row.host),
+            silence,
+            health: HostHealth::after(silence),
+        };
+        let others = state.table.rows().filter(|row| row.host != own.host);
+        let others = others.map(|row| {
+            let silence = state.table.silence(now, &row.host);
+            known(row, silence.unwrap_or(Duration::MAX))
+        });
+        others.chain([known(own, Duration::ZERO)]).collect()
+    }
+
     /// All hosts known, for the status view.
     pub fn view(&self) -> Vec<MemberView> {
         let now = self.clock.now();
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod added_time;
 mod documented_calls;
+mod guard;
 mod id_window;
 mod intake;
 mod joined_sends;
