Contain requests that crash engines, pooled over the routers

The plug-in `quarantine` holds the pool, tells peers each change at once and everything every 5 s. Each dispatch asks it first: it avoids engines that run suspects, runs a suspect alone, waits within its deadline, or refuses it as `quarantined` (`may_have_run`, or `ran` if a stream of this run had begun). A crash is a dispatch or stream that broke off and an upstream that then takes no connection; a stream that resumes is none. A crash counts neither as an attempt nor towards the retry budget; ConnectFailed still does both. Load reads that find no listener mark the upstream suspect, so that dead engines get no tries while others live.

Excluded: an own table of requests in flight per upstream, since each request that breaks reports itself; continuing a stream elsewhere after its first event: it breaks off visibly and its caller sends it again. Calls of plain services are not covered.

Conclusion: one such request costs two engines and no other idempotent request its answer, for completions.

--- a/crates/decisions/src/retry/retry_policy.rs
+++ b/crates/decisions/src/retry/retry_policy.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Decides after a crash of the upstream, which takes nothing out of the budget.
+    pub fn decide_after_crash(&self, query: &RetryQuery) -> RetryVerdict {
+        let run = query.earlier.max(query.failure.run_state());
+        match self.obstacle(query, run) {
+            Some(reason) => RetryVerdict::GiveUp { run, reason },
+            None => RetryVerdict::RetryElsewhere,
+        }
+    }
+
     fn obstacle(&self, query: &RetryQuery, run: RunState) -> Option<GiveUpReason> {
         let too_near = query.time_left.is_some_and(|t| t < query.time_needed);
         match query.failure {
--- a/crates/decisions/tests/retry.rs
+++ b/crates/decisions/tests/retry.rs
@@ -124,3 +124,21 @@
         give_up(RunState::MayHaveRun, GiveUpReason::BudgetUsed)
     );
 }
+
+#[test]
+fn a_crash_of_the_upstream_needs_no_budget() {
+    let policy = RetryPolicy::default();
+    let broken = query(UpstreamFailure::BrokenBeforeAnswer);
+    assert_eq!(
+        policy.decide_after_crash(&broken),
+        RetryVerdict::RetryElsewhere
+    );
+    let only_once = RetryQuery {
+        idempotent: false,
+        ..broken
+    };
+    assert_eq!(
+        policy.decide_after_crash(&only_once),
+        give_up(RunState::MayHaveRun, GiveUpReason::MayHaveRun)
+    );
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -26,6 +26,7 @@
 use crate::lease::LeaseCell;
 use crate::membership::{MemberTable, ProcessClock};
 use crate::peer::PeerHub;
+use crate::quarantine::CrashDesk;
 use crate::settings::RouterSettings;
 use crate::trail::TrailRing;
 use crate::upstream::UpstreamTable;
@@ -62,6 +63,8 @@
     pub bills: BillDesk,
     /// Which requests are taken in.
     pub intake: IntakeDesk,
+    /// Crashes of upstreams, and the requests suspected of them.
+    pub crashes: CrashDesk,
     /// Upstreams of the deployment.
     pub upstreams: UpstreamTable,
     /// Decisions on recent requests.
@@ -120,6 +123,7 @@
             joins: Arc::default(),
             bills: BillDesk::default(),
             intake: IntakeDesk::default(),
+            crashes: CrashDesk::new(settings.host.clone()),
             upstreams: UpstreamTable::default(),
             trails: TrailRing::default(),
             sessions,
--- a/crates/router/src/dispatch/attempt_log.rs
+++ b/crates/router/src/dispatch/attempt_log.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::HostName;
-use ferry_decisions::retry::{RetryQuery, RetryVerdict, RunState};
+use ferry_decisions::retry::{RetryPolicy, RetryQuery, RetryVerdict, RunState};
 use smallvec::SmallVec;
 
 use super::DispatchFailure;
@@ -22,6 +22,8 @@
     /// What all attempts together say about the run.
     run: RunState,
     last: Option<DispatchFailure>,
+    /// Attempts that ended in a crash of the upstream.
+    crashes: u32,
 }
 
 impl AttemptLog {
@@ -32,6 +34,9 @@
 
     /// Notes a failed attempt on `host`; on `Ok` the request is to be sent elsewhere.
     ///
+    /// A crash counts neither as one of the attempts nor towards the budget of the workspace: the
+    /// quarantine bounds the runs that follow it.
+    ///
     /// # Errors
     ///
     /// The final refusal, when it is not.
@@ -41,22 +46,29 @@
         request: &CallerRequest,
         host: &UpstreamHost,
         failure: DispatchFailure,
+        crashed: bool,
     ) -> Result<(), CallerRefusal> {
         if failure.kind.makes_suspect() {
             host.mark_suspect(core.clock.elapsed());
         }
         self.tried.push(host.entry.name.clone());
+        self.crashes += u32::from(crashed);
         let query = RetryQuery {
             failure: failure.kind,
             earlier: self.run,
             idempotent: request.idempotent,
             answer_begun: false,
-            attempts: self.tried.len() as u32,
+            attempts: self.tried.len() as u32 - self.crashes,
             time_left: Some(request.time_left()),
             time_needed: Duration::ZERO,
         };
         self.run = self.run.max(failure.run_state());
-        match core.intake.decide_retry(&request.workspace, &query) {
+        let verdict = if crashed {
+            RetryPolicy::default().decide_after_crash(&query)
+        } else {
+            core.intake.decide_retry(&request.workspace, &query)
+        };
+        match verdict {
             RetryVerdict::RetryElsewhere => {
                 metrics::counter!("ferry_retries_total", "workspace" => request.workspace.to_string())
                     .increment(1);
@@ -73,7 +85,10 @@
             Some(failure) if refusal.kind == RefusalKind::NoUpstream => {
                 failure.to_refusal().with_run(self.run)
             }
-            _ => refusal.with_run(self.run),
+            _ => {
+                let run = self.run.max(refusal.run);
+                refusal.with_run(run)
+            }
         }
     }
 }
--- a/crates/router/src/dispatch/cascade_run.rs
+++ b/crates/router/src/dispatch/cascade_run.rs
@@ -1,5 +1,6 @@
 //! Run of a cascade: cheaper stages first, each answer rated before it is kept.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use ferry_decisions::names::{CascadeName, VersionName};
@@ -56,7 +57,7 @@
     accepted.then_some(StageAnswer { version, reply })
 }
 
-async fn whole(run: &ChatRun, reply: EngineReply) -> Option<(EngineReply, String)> {
+async fn whole(run: &mut ChatRun, reply: EngineReply) -> Option<(EngineReply, String)> {
     match reply {
         EngineReply::Whole(whole) => {
             let text = whole.text.clone();
@@ -64,7 +65,15 @@
         }
         EngineReply::Stream(stream) => {
             let limit = run.core.settings.limits.answer_bytes;
-            let mut collected = stream.collect(run.request.deadline, limit).await.ok()?;
+            let host = Arc::clone(stream.host());
+            let mut collected = match stream.collect(run.request.deadline, limit).await {
+                Ok(collected) => collected,
+                Err(failure) => {
+                    run.turn.judge(&host, &failure).await;
+                    return None;
+                }
+            };
+            run.turn.survive();
             let text = std::mem::take(&mut collected.text);
             Some((EngineReply::Collected(collected), text))
         }
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -19,6 +19,7 @@
 use crate::caller::{CallerRefusal, CallerRequest, SessionAsk};
 use crate::claims::{self, ClaimGrant};
 use crate::core::RouterCore;
+use crate::quarantine::SuspectTurn;
 use crate::trail::{DecisionTrail, TrailEnd};
 use crate::{bills, intake, trail};
 
@@ -35,6 +36,8 @@
     pub trail: DecisionTrail,
     /// Tokens and price so far.
     pub bill: RunBill,
+    /// Its dealings with the crash pool.
+    pub turn: SuspectTurn,
     /// Whether `bill` already holds the stage that is delivered.
     pub billed_stage: bool,
 }
@@ -46,11 +49,13 @@
             chat.model.clone_from(&token.target);
         }
         let trail = trail::begin(&core, &request, &chat.model);
+        let turn = SuspectTurn::new(Arc::clone(&core), &request.workspace, &chat);
         Self {
             core,
             request,
             chat,
             trail,
+            turn,
             bill: RunBill::default(),
             billed_stage: false,
         }
@@ -105,6 +110,7 @@
             stage,
             keep_text,
             trail: &mut self.trail,
+            turn: &mut self.turn,
         };
         run.execute().await
     }
@@ -146,7 +152,10 @@
     }
 
     /// Makes the bill durable and closes the trail.
-    pub(super) async fn settle(self, version: &VersionName, outcome: BillOutcome) {
+    pub(super) async fn settle(mut self, version: &VersionName, outcome: BillOutcome) {
+        if outcome == BillOutcome::Answered {
+            self.turn.survive();
+        }
         let entry = self
             .bill
             .to_entry(&self.core, &self.request, version, outcome);
--- a/crates/router/src/dispatch/engine_stream.rs
+++ b/crates/router/src/dispatch/engine_stream.rs
@@ -1,6 +1,7 @@
 //! Events of an engine's answer as they come.
 
 use std::pin::Pin;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
@@ -11,7 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::DispatchFailure;
-use crate::upstream::FlightGuard;
+use crate::upstream::{FlightGuard, UpstreamHost};
 
 type EventStream = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
 
@@ -128,6 +129,11 @@
         self.usage
     }
 
+    /// The upstream.
+    pub fn host(&self) -> &Arc<UpstreamHost> {
+        self.guard.host()
+    }
+
     /// Address of the upstream, `http://IP:PORT`.
     pub fn host_url(&self) -> String {
         self.guard.host().url()
--- a/crates/router/src/dispatch/service_run.rs
+++ b/crates/router/src/dispatch/service_run.rs
@@ -130,7 +130,7 @@
                 Err(failure) => {
                     let reason = failure.to_string();
                     self.note(&host.entry.name, AttemptResult::Failed { reason });
-                    log.fail(&self.core, &self.request, &host, failure)?;
+                    log.fail(&self.core, &self.request, &host, failure, false)?;
                 }
             }
         }
--- a/crates/router/src/dispatch/stage_run.rs
+++ b/crates/router/src/dispatch/stage_run.rs
@@ -1,22 +1,32 @@
 //! Dispatches of one stage: checks, choice of an upstream, retries elsewhere.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_decisions::names::{HostName, VersionName};
+use ferry_decisions::quarantine::Placement;
+use ferry_decisions::retry::RunState;
 use ferry_platform::engine::ChatRequest;
+use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt_log::AttemptLog;
 use super::engine_call::{self, EngineReply};
 use super::{DispatchFailure, gate};
-use crate::caller::{CallerRefusal, CallerRequest, SessionAsk};
+use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, SessionAsk};
 use crate::core::RouterCore;
+use crate::quarantine::SuspectTurn;
 use crate::trail::{AttemptNote, AttemptResult, DecisionTrail};
-use crate::upstream::{FlightGuard, PlacementQuery, place};
+use crate::upstream::{FlightGuard, PlaceRule, PlacementQuery, UpstreamHost, place};
 
 /// Bytes of a prompt's start that requests with a common prefix share.
 const PREFIX_BYTES: usize = 1_024;
 
+/// Time between two looks at an upstream that is to become idle.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// When to come back after waiting in vain for an upstream of one's own.
+const SUSPECT_PAUSE: Duration = Duration::from_secs(2);
+
 /// What a stage needs of its run.
 pub struct StageRun<'a> {
     /// State of the router.
@@ -31,6 +41,8 @@
     pub keep_text: bool,
     /// Decisions so far.
     pub trail: &'a mut DecisionTrail,
+    /// Its dealings with the crash pool.
+    pub turn: &'a mut SuspectTurn,
 }
 
 /// Answer of a stage.
@@ -50,46 +62,120 @@
     pub async fn execute(mut self) -> Result<StageAnswer, CallerRefusal> {
         let mut log = AttemptLog::default();
         loop {
-            let target = self.next_target(log.tried());
+            let target = self.next_target(log.tried()).await;
             let (version, guard) = target.map_err(|refusal| log.refuse(refusal))?;
             let host = Arc::clone(guard.host());
             match self.dispatch(guard, &version).await {
                 Ok(reply) => {
+                    if matches!(reply, EngineReply::Whole(_)) {
+                        self.turn.survive();
+                    }
                     self.note(&version, &host.entry.name, AttemptResult::Answered);
                     return Ok(StageAnswer { version, reply });
                 }
                 Err(failure) => {
                     let reason = failure.to_string();
                     self.note(&version, &host.entry.name, AttemptResult::Failed { reason });
-                    log.fail(self.core, self.request, &host, failure)?;
+                    let crashed = self.turn.judge(&host, &failure).await;
+                    log.fail(self.core, self.request, &host, failure, crashed)?;
                 }
             }
         }
     }
 
     /// Version and upstream of the next dispatch under the newest configuration.
-    fn next_target(
+    async fn next_target(
         &mut self,
         tried: &[HostName],
     ) -> Result<(VersionName, FlightGuard), CallerRefusal> {
+        loop {
+            let version = self.next_version()?;
+            let open = self.open_upstreams(&version, tried);
+            match self.turn.place(&open) {
+                Placement::Shared { avoid } => {
+                    return self.place(version, tried, PlaceRule::Avoid(&avoid));
+                }
+                Placement::Isolated { upstream, drain_ms } => {
+                    self.drain(&version, &upstream, drain_ms).await;
+                    if self.next_version()? == version {
+                        return self.place(version, tried, PlaceRule::Only(&upstream));
+                    }
+                }
+                Placement::Wait { .. } if open.is_empty() => {
+                    return self.place(version, tried, PlaceRule::Avoid(&[]));
+                }
+                Placement::Wait { ask_again_ms } => self.pause(ask_again_ms).await?,
+                Placement::Quarantined => return Err(quarantined()),
+            }
+        }
+    }
+
+    /// Version of the next dispatch under the newest configuration.
+    fn next_version(&mut self) -> Result<VersionName, CallerRefusal> {
         gate::check_dispatch(self.core, self.request)?;
         let view = self.core.config.view();
         let plan = gate::plan(&view, self.request, &self.chat.model)?;
         self.trail.exclude(&plan.excluded);
         self.trail.config_offset = view.next_offset;
         let stage = &plan.stages[self.stage.min(plan.stages.len() - 1)];
-        let version = gate::pick_version(stage, self.request).clone();
+        Ok(gate::pick_version(stage, self.request).clone())
+    }
+
+    fn place(
+        &self,
+        version: VersionName,
+        tried: &[HostName],
+        rule: PlaceRule<'_>,
+    ) -> Result<(VersionName, FlightGuard), CallerRefusal> {
         let query = PlacementQuery {
             request: self.request,
             version: &version,
             most_steps: self.chat.max_tokens,
             affinity: self.affinity(),
             tried,
+            rule,
         };
         let guard = place(self.core, &query)?;
         Ok((version, guard))
     }
 
+    /// Upstreams of `version` that did not have the request and take connections.
+    fn open_upstreams(&self, version: &VersionName, tried: &[HostName]) -> Vec<HostName> {
+        let now = self.core.clock.elapsed();
+        let hosts = self.core.upstreams.serving(version);
+        let is_open =
+            |host: &UpstreamHost| !tried.contains(&host.entry.name) && !host.is_suspect(now);
+        let open = hosts.iter().filter(|host| is_open(host));
+        open.map(|host| host.entry.name.clone()).collect()
+    }
+
+    /// Waits until `upstream` has no other request, at most for `drain_ms`.
+    async fn drain(&self, version: &VersionName, upstream: &HostName, drain_ms: u64) {
+        let hosts = self.core.upstreams.serving(version);
+        let Some(host) = hosts.iter().find(|host| host.entry.name == *upstream) else {
+            return;
+        };
+        let limit = Duration::from_millis(drain_ms).min(self.request.time_left());
+        let limit = Instant::now() + limit;
+        while Instant::now() < limit && !is_idle(self.core, host) {
+            sleep(DRAIN_PAUSE).await;
+        }
+    }
+
+    /// Waits before the pool is asked again.
+    async fn pause(&self, ask_again_ms: u64) -> Result<(), CallerRefusal> {
+        let pause = Duration::from_millis(ask_again_ms);
+        if self.request.time_left() <= pause {
+            return Err(CallerRefusal::come_back(
+                RefusalKind::NoUpstream,
+                "no upstream was free to run the request alone after a crash; send it again later",
+                SUSPECT_PAUSE,
+            ));
+        }
+        sleep(pause).await;
+        Ok(())
+    }
+
     /// Hash of the session, or else of the start of a prompt that is long enough to be worth it.
     fn affinity(&self) -> Option<u64> {
         if let SessionAsk::Continue(token) = &self.request.session {
@@ -125,3 +211,21 @@
         });
     }
 }
+
+/// Whether `host` runs nothing, as far as this router knows.
+fn is_idle(core: &RouterCore, host: &UpstreamHost) -> bool {
+    let load = host.load(core.clock.elapsed(), None);
+    let reported = load
+        .report
+        .map_or(0, |report| report.running + report.queued);
+    load.own_in_flight == 0 && reported == 0
+}
+
+/// The final answer to a request that crashes what runs it.
+fn quarantined() -> CallerRefusal {
+    CallerRefusal::final_one(
+        RefusalKind::Quarantined,
+        "the request crashed the upstreams that ran it; change it before you send it again",
+    )
+    .with_run(RunState::MayHaveRun)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod peer;
 pub mod plugin;
+pub mod quarantine;
 pub mod settings;
 pub mod trail;
 pub mod upstream;
--- /dev/null
+++ b/crates/router/src/quarantine/quarantine_plugin.rs
@@ -0,0 +1,61 @@
+//! Plug-in that pools crashes and suspects over the routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::quarantine::{CrashDelta, CrashPool};
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::core::RouterCore;
+use crate::peer::{PeerMessage, PeerTopic, decode};
+use crate::plugin::RouterPlugin;
+
+/// Time between two reports of everything known, for routers that joined or missed a change.
+const REPORT_PERIOD: Duration = Duration::from_secs(5);
+
+inventory::submit! {
+    RouterPlugin {
+        name: "quarantine",
+        topics: &[PeerTopic::Quarantine],
+        start,
+        on_message,
+        view,
+    }
+}
+
+fn start(core: &Arc<RouterCore>) {
+    tokio::spawn(
+        core.closing
+            .clone()
+            .run_until_cancelled_owned(report(Arc::clone(core))),
+    );
+}
+
+async fn report(core: Arc<RouterCore>) {
+    let mut ticks = interval(REPORT_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        core.crashes.with(&core, CrashPool::expire);
+        let whole = core.crashes.whole();
+        if whole != CrashDelta::default() {
+            core.hub().broadcast(PeerTopic::Quarantine, &whole);
+        }
+    }
+}
+
+fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
+    Box::pin(async move {
+        if let Ok(delta) = decode::<CrashDelta>(&message.body) {
+            core.crashes.with(&core, |pool, _| pool.merge(&delta));
+        }
+        None
+    })
+}
+
+fn view(core: &RouterCore) -> Value {
+    json!({ "quarantined": core.crashes.quarantined() })
+}
--- /dev/null
+++ b/crates/router/src/quarantine/suspect_turn.rs
@@ -0,0 +1,105 @@
+//! One request's dealings with the crash pool, from its first placement to its end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::names::{HostName, WorkspaceName};
+use ferry_decisions::quarantine::{Placement, RequestFingerprint, RunOutcome};
+use ferry_decisions::retry::UpstreamFailure;
+use ferry_kernel::http::{HttpError, HttpRequest};
+use ferry_platform::engine::ChatRequest;
+
+use crate::core::RouterCore;
+use crate::dispatch::DispatchFailure;
+use crate::upstream::UpstreamHost;
+
+/// Time allowed for the probe of an upstream that broke a connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Places one request; an isolated place is given back at the latest when this is dropped.
+pub struct SuspectTurn {
+    core: Arc<RouterCore>,
+    fingerprint: RequestFingerprint,
+    /// Whether the request has an upstream of its own.
+    isolated: bool,
+}
+
+impl SuspectTurn {
+    /// The turn of `chat`, a request of `workspace`.
+    pub fn new(core: Arc<RouterCore>, workspace: &WorkspaceName, chat: &ChatRequest) -> Self {
+        let body = serde_json::to_vec(chat).unwrap_or_default();
+        Self {
+            core,
+            fingerprint: RequestFingerprint::of(workspace, &chat.model, &body),
+            isolated: false,
+        }
+    }
+
+    /// Where the request may run next, given the `upstreams` that are open to it.
+    pub fn place(&mut self, upstreams: &[HostName]) -> Placement {
+        self.end(RunOutcome::Abandoned);
+        let placement = self.core.crashes.with(&self.core, |pool, now| {
+            pool.place(&self.fingerprint, upstreams, now)
+        });
+        self.isolated = matches!(placement, Placement::Isolated { .. });
+        placement
+    }
+
+    /// Whether `failure` was a crash of `host`; a crash is held against the request.
+    pub async fn judge(&mut self, host: &UpstreamHost, failure: &DispatchFailure) -> bool {
+        if !breaks_off(failure.kind) || !self.is_down(host).await {
+            return false;
+        }
+        host.mark_suspect(self.core.clock.elapsed());
+        let upstream = &host.entry.name;
+        spdlog::warn!("an upstream crashed under a request", kv: {
+            upstream = upstream.as_str(),
+            fingerprint = self.fingerprint.to_string()
+        });
+        metrics::counter!("ferry_upstream_crashes_total", "upstream" => upstream.to_string())
+            .increment(1);
+        self.core.crashes.with(&self.core, |pool, now| {
+            pool.record_crash(upstream, &[self.fingerprint], now);
+        });
+        self.end(RunOutcome::Crashed);
+        true
+    }
+
+    /// Notes that the request was answered whole.
+    pub fn survive(&mut self) {
+        self.end(RunOutcome::Survived);
+    }
+
+    fn end(&mut self, outcome: RunOutcome) {
+        if !std::mem::take(&mut self.isolated) {
+            return;
+        }
+        self.core.crashes.with(&self.core, |pool, now| {
+            pool.finish_run(&self.fingerprint, outcome, now);
+        });
+    }
+
+    /// Whether `host` takes no connection.
+    async fn is_down(&self, host: &UpstreamHost) -> bool {
+        let request = HttpRequest::get(&format!("{}/load", host.url()));
+        let answer = self.core.http.send(request, PROBE_TIMEOUT).await;
+        matches!(
+            answer,
+            Err(HttpError::Connect { .. } | HttpError::Broken { .. })
+        )
+    }
+}
+
+impl Drop for SuspectTurn {
+    fn drop(&mut self) {
+        self.end(RunOutcome::Abandoned);
+    }
+}
+
+/// Whether a failure is what a crash of the upstream looks like.
+fn breaks_off(kind: UpstreamFailure) -> bool {
+    matches!(
+        kind,
+        UpstreamFailure::BrokenBeforeAnswer | UpstreamFailure::BrokenInAnswer
+    )
+}
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -6,6 +6,6 @@
 mod upstream_host;
 mod upstream_table;
 
-pub use placement::{PlacementQuery, place, place_call};
+pub use placement::{PlaceRule, PlacementQuery, place, place_call};
 pub use upstream_host::{FlightGuard, UpstreamHost};
 pub use upstream_table::UpstreamTable;
--- a/crates/router/src/upstream/load_poll.rs
+++ b/crates/router/src/upstream/load_poll.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_kernel::http::HttpRequest;
+use ferry_kernel::http::{HttpError, HttpRequest};
 use ferry_platform::engine::LoadReport;
 use futures::StreamExt;
 use serde_json::{Value, json};
@@ -53,8 +53,10 @@
 async fn read_one(core: &RouterCore, host: Arc<UpstreamHost>) {
     let request = HttpRequest::get(&format!("{}/load", host.url()));
     let answer = core.http.fetch_json::<LoadReport>(request, READ_TIMEOUT);
-    if let Ok(report) = answer.await {
-        host.set_report(core.clock.elapsed(), report);
+    match answer.await {
+        Ok(report) => host.set_report(core.clock.elapsed(), report),
+        Err(HttpError::Connect { .. }) => host.mark_suspect(core.clock.elapsed()),
+        Err(_) => {}
     }
 }
 
--- a/crates/router/src/upstream/placement.rs
+++ b/crates/router/src/upstream/placement.rs
@@ -38,6 +38,17 @@
     pub affinity: Option<u64>,
     /// Upstreams that had the request before.
     pub tried: &'a [HostName],
+    /// What the crash pool says about upstreams.
+    pub rule: PlaceRule<'a>,
+}
+
+/// Upstreams that crash containment keeps a request on or away from.
+#[derive(Debug, Clone, Copy)]
+pub enum PlaceRule<'a> {
+    /// Not on these as long as another takes requests.
+    Avoid(&'a [HostName]),
+    /// On this one alone.
+    Only(&'a HostName),
 }
 
 /// Upstreams as one choice sees them.
@@ -49,7 +60,7 @@
 ///
 /// A refusal when no upstream may take it, or none would answer in time.
 pub fn place(core: &RouterCore, query: &PlacementQuery<'_>) -> Result<FlightGuard, CallerRefusal> {
-    let hosts = core.upstreams.serving(query.version);
+    let hosts = candidates(core, query);
     let rank = rank_of(core, query);
     let views = views(core, &hosts, rank);
     let choice_query = ChoiceQuery {
@@ -96,6 +107,25 @@
     Ok(FlightGuard::new(&hosts[chosen], core.clock, rank))
 }
 
+/// Upstreams of the version that the query's rule leaves.
+fn candidates(core: &RouterCore, query: &PlacementQuery<'_>) -> UpstreamList {
+    let mut hosts = core.upstreams.serving(query.version);
+    match query.rule {
+        PlaceRule::Only(name) => hosts.retain(|host| host.entry.name == *name),
+        PlaceRule::Avoid(names) => {
+            let now = core.clock.elapsed();
+            let takes = |host: &UpstreamHost| {
+                let name = &host.entry.name;
+                !names.contains(name) && !query.tried.contains(name) && !host.is_suspect(now)
+            };
+            if hosts.iter().any(|host| takes(host)) {
+                hosts.retain(|host| !names.contains(&host.entry.name));
+            }
+        }
+    }
+    hosts
+}
+
 /// Rank of the request in the queue of an upstream.
 fn rank_of(core: &RouterCore, query: &PlacementQuery<'_>) -> QueueRank {
     let PlacementQuery {
--- a/crates/router/src/upstream/upstream_host.rs
+++ b/crates/router/src/upstream/upstream_host.rs
@@ -71,6 +71,11 @@
         self.state.lock().suspect_until = now + SUSPECT_TIME;
     }
 
+    /// Whether it broke a connection shortly before `now`.
+    pub fn is_suspect(&self, now: Duration) -> bool {
+        now < self.state.lock().suspect_until
+    }
+
     /// Whether it is a model engine.
     pub fn is_engine(&self) -> bool {
         self.entry.role == HostRole::Engine
--- /dev/null
+++ b/tests/fleet/containment.rs
@@ -0,0 +1,116 @@
+//! A request that crashes each engine that runs it, sent again and again beside other requests.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use ferry_decisions::names::RequestId;
+use ferry_rig::{ChatCall, ChatResult, FleetRig};
+use futures::future::join_all;
+use hyper::Method;
+use serde_json::json;
+
+use crate::logged_bills::until_linked;
+use crate::sample::{client, configuration, programs};
+
+/// Text that crashes the engines.
+const MARKER: &str = "crash-this-engine";
+/// Engines that one such request may cost.
+const MOST_LOST: usize = 2;
+/// Times that its caller sends it.
+const POISON_SENDS: usize = 12;
+/// Callers of other requests; every second one reads a stream.
+const CALLERS: usize = 12;
+/// Requests that each of them sends at least.
+const LEAST_ANSWERS: usize = 8;
+/// Tokens of their answers.
+const TOKENS: u32 = 40;
+/// Sends of a stream that broke off visibly before the test fails.
+const MOST_SENDS: usize = 6;
+const DEADLINE_MS: &str = "60000";
+
+async fn fleet() -> FleetRig {
+    let mut rig = FleetRig::start(programs(), &[]).await.unwrap();
+    for host in ["engine-1", "engine-2", "engine-3", "engine-4"] {
+        let flags = ["--step-ms", "5"];
+        rig.add_engine(host, &["small-1"], &flags).await.unwrap();
+    }
+    for _ in 0..3 {
+        rig.add_router().await.unwrap();
+    }
+    rig.until_ready(4).await;
+    rig.publish_everywhere(configuration()).await;
+    until_linked(&rig).await;
+    let crash = json!({ "crash": { "marker": MARKER } });
+    for engine in &rig.engines {
+        let address = engine.process.address("listening");
+        rig.order(&address, Method::PUT, "/standin/faults", &crash)
+            .await;
+    }
+    rig
+}
+
+fn call(text: &str) -> ChatCall {
+    ChatCall::new("small-1", text)
+        .tokens(TOKENS)
+        .header("ferry-deadline-ms", DEADLINE_MS)
+}
+
+/// Sends requests until `stop`, and enough of them; a whole answer must come at the first send, a stream may break off
+/// visibly and is then sent again. Gives the number of answers and of further sends.
+async fn innocent(number: usize, addresses: Vec<String>, stop: Arc<AtomicBool>) -> (usize, usize) {
+    let (caller, mut answers, mut resends) = (client(), 0, 0);
+    while answers < LEAST_ANSWERS || !stop.load(Ordering::Acquire) {
+        let text = format!("caller {number}, question {answers}");
+        let id = RequestId::generate();
+        let mut chat = call(&text).id(id.as_str());
+        chat.stream = number.is_multiple_of(2);
+        let mut sends = 0;
+        let answer = loop {
+            let address = &addresses[(number + answers + sends) % addresses.len()];
+            match caller.chat(address, &chat).await {
+                ChatResult::Answered(answer) => break answer,
+                ChatResult::Broken(_) if chat.stream && sends < MOST_SENDS => sends += 1,
+                other => panic!("{text}, stream {}: {other:?}", chat.stream),
+            }
+        };
+        assert_eq!(answer.completion_tokens, u64::from(TOKENS), "{text}");
+        answers += 1;
+        resends += sends;
+    }
+    (answers, resends)
+}
+
+#[tokio::test]
+async fn one_request_costs_two_engines_at_most_and_no_other_request() {
+    let mut rig = fleet().await;
+    let addresses: Vec<_> = (0..3).map(|index| rig.callers(index)).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = (0..CALLERS).map(|number| {
+        let (addresses, stop) = (addresses.clone(), Arc::clone(&stop));
+        tokio::spawn(innocent(number, addresses, stop))
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut ends = Vec::new();
+    for send in 0..POISON_SENDS {
+        let poison = call(MARKER);
+        let result = client().chat(&addresses[send % 3], &poison).await;
+        ends.push(match result {
+            ChatResult::Refused(refusal) => (refusal.kind().to_owned(), refusal.run),
+            other => panic!("expected a refusal, got {other:?}"),
+        });
+    }
+    stop.store(true, Ordering::Release);
+    let results = join_all(callers).await;
+    let lost = rig
+        .engines
+        .iter_mut()
+        .map(|engine| engine.process.is_running());
+    let lost = lost.filter(|running| !running).count();
+    println!("lost {lost} engines; ends of the poison request: {ends:?}");
+    let totals: Vec<_> = results.into_iter().map(Result::unwrap).collect();
+    println!("answers and further sends per caller: {totals:?}");
+    assert!(lost <= MOST_LOST, "{lost} engines were lost");
+    assert!(lost > 0, "the request crashed nothing");
+    let quarantined = ("quarantined".to_owned(), "may_have_run".to_owned());
+    assert_eq!(ends.last(), Some(&quarantined), "{ends:?}");
+}
