--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -28,6 +28,7 @@
 use crate::lease::LeaseCell;
 use crate::membership::{MemberTable, ProcessClock};
 use crate::peer::PeerHub;
+use crate::quarantine::CrashDesk;
 use crate::settings::RouterSettings;
 use crate::trail::TrailRing;
 use crate::upstream::UpstreamTable;
@@ -66,6 +67,8 @@
     pub intake: IntakeDesk,
     /// Evidence about versions in a roll-out.
     pub guard: Arc<GuardDesk>,
+    /// Crashes of upstreams, and the requests suspected of them.
+    pub crashes: CrashDesk,
     /// Upstreams of the deployment.
     pub upstreams: UpstreamTable,
     /// Decisions on recent requests.
@@ -129,6 +132,7 @@
             bills: BillDesk::default(),
             intake: IntakeDesk::default(),
             guard: Arc::new(GuardDesk::new(router)),
+            crashes: CrashDesk::new(settings.host.clone()),
             upstreams: UpstreamTable::default(),
             trails: TrailRing::default(),
             sessions,
