--- a/crates/bench/src/load/load_deployment.rs
+++ b/crates/bench/src/load/load_deployment.rs
@@ -155,7 +155,7 @@
 impl LoadRouter {
     async fn start(index: usize, url: &str) -> Result<Self, LoadError> {
         let host = format!("{ROUTER_THREADS}{index}");
-        let settings = RouterSettings::parse(&host, &settings_text(&host, url))?;
+        let settings = RouterSettings::parse(&host, &settings_text(&host, &zone_of(index), url))?;
         let failed = |error: &dyn ToString| LoadError::not_started("router", &error.to_string());
         let runtime = Builder::new_multi_thread()
             .worker_threads(ROUTER_WORKERS)
@@ -194,10 +194,15 @@
     }
 }
 
+/// Each router is in an availability zone of its own, so that it may hold others' bills.
+fn zone_of(index: usize) -> String {
+    format!("zone-{index}")
+}
+
 fn host_entry(index: usize, daemon: &RouterDaemon) -> HostEntry {
     HostEntry {
         name: format!("{ROUTER_THREADS}{index}").as_str().into(),
-        zone: "zone".into(),
+        zone: zone_of(index).as_str().into(),
         role: HostRole::Router,
         state: HostState::Live,
         address: daemon.peers_address().to_string(),
@@ -268,10 +273,10 @@
     }
 }
 
-fn settings_text(host: &str, url: &str) -> String {
+fn settings_text(host: &str, zone: &str, url: &str) -> String {
     format!(
         "host: {host}
-zone: zone
+zone: {zone}
 listen: {{callers: '127.0.0.1:0', admin: '127.0.0.1:0', peers: '127.0.0.1:0'}}
 platform: {{url: '{url}'}}
 secrets:
