Say that a cascade ran when one of its stages did

Cause: the refusal of a cascade carried the run state of its last stage only, so that a request whose first stage had answered below the target was refused as not run when no upstream of the last stage could be reached. Found by reading. Excluded: returning the weaker answer, which the operator's quality target rules out. Before: tests/fleet/cascades.rs saw not_run where the request had run (failed first). Conclusion: the run state of a refusal covers all stages, as it covers all attempts.

--- a/crates/router/src/dispatch/cascade_run.rs
+++ b/crates/router/src/dispatch/cascade_run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::{CascadeName, VersionName};
+use ferry_decisions::retry::RunState;
 
 use super::chat_run::ChatRun;
 use super::engine_call::EngineReply;
@@ -21,17 +22,25 @@
 ///
 /// # Errors
 ///
-/// The refusal of the last stage.
+/// The refusal of the last stage, whose run state covers all stages.
 pub async fn execute(run: &mut ChatRun, last: usize) -> Result<StageAnswer, CallerRefusal> {
+    let mut state = RunState::NotRun;
     for stage in 0..last {
-        let Ok(answer) = run.run_stage(stage, true).await else {
-            continue;
-        };
-        if let Some(kept) = keep_or_escalate(run, stage, answer).await {
-            return Ok(kept);
+        match run.run_stage(stage, true).await {
+            Ok(answer) => {
+                state = RunState::Ran;
+                if let Some(kept) = keep_or_escalate(run, stage, answer).await {
+                    return Ok(kept);
+                }
+            }
+            Err(refusal) => state = state.max(refusal.run),
         }
     }
-    run.run_stage(last, false).await
+    let answer = run.run_stage(last, false).await;
+    answer.map_err(|refusal| {
+        let state = state.max(refusal.run);
+        refusal.with_run(state)
+    })
 }
 
 /// The answer if its rating reaches the target; its price is due either way.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real binaries: a fleet of processes on loopback addresses.
 
 mod added_time;
+mod cascades;
 mod containment;
 mod documented_calls;
 mod guard;
