Prove that a truncated body is refused and runs nothing

Cause: of the forms of bad input, the truncated body had no test. Excluded: a client library, which would not send less than it announced. Before: no test. Conclusion: the behaviour was right; it is now held.

--- a/tests/fleet/thin_path.rs
+++ b/tests/fleet/thin_path.rs
@@ -5,7 +5,10 @@
 use ferry_rig::{ChatCall, ChatResult};
 use hyper::Method;
 
-use crate::sample::{client, fleet, version};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::sample::{KEY, client, fleet, version};
 
 #[tokio::test]
 async fn completions_and_service_calls_are_answered() {
@@ -122,3 +125,24 @@
         .unwrap();
     assert_eq!(oversize.0, 413);
 }
+
+#[tokio::test]
+async fn a_truncated_body_is_refused_and_runs_nothing() {
+    let rig = fleet(1).await;
+    let mut stream = TcpStream::connect(rig.callers(0)).await.unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {KEY}\r\ncontent-length: 500\r\n\r\n"
+    );
+    let body = r#"{"model": "small-1", "messages": [{"role": "user""#;
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body.as_bytes()).await.unwrap();
+    stream.shutdown().await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("send the whole body"), "{answer}");
+    for engine in &rig.engines {
+        let counters = rig.counters(&engine.process.address("control")).await;
+        assert_eq!(counters["totals"]["started"], 0);
+    }
+}
