Make the regular ticks of background work in one place

Cause: a last reading found nine loops of the router that each made an interval and set the same way to treat late ticks.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod metrics;
 pub mod settings;
 pub mod shards;
+pub mod ticks;
 pub mod wall_clock;
--- a/crates/router/src/config/snapshot_writer.rs
+++ b/crates/router/src/config/snapshot_writer.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use ferry_decisions::config::ConfigRecord;
+use ferry_kernel::ticks;
 use ferry_kernel::wall_clock;
-use tokio::time::{MissedTickBehavior, interval};
 
 use super::CONFIG_STREAM;
 use crate::core::RouterCore;
@@ -15,8 +15,7 @@
 
 /// Looks again and again whether a snapshot is due and this router's to append.
 pub async fn run(core: Arc<RouterCore>) {
-    let mut ticks = interval(LOOK_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(LOOK_PERIOD);
     loop {
         ticks.tick().await;
         let retention_ms = core.settings.platform.retention_ms;
--- a/crates/router/src/guard/guard_exchange.rs
+++ b/crates/router/src/guard/guard_exchange.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use ferry_kernel::ticks;
+use tokio::time::Instant;
 
 use super::fleet_identity::FleetIdentity;
 use crate::core::{LifePhase, RouterCore};
@@ -16,8 +17,7 @@
 
 /// Follows configuration and fleet, and sends changes to the neighbours.
 pub async fn run(core: Arc<RouterCore>) {
-    let mut ticks = interval(CHANGE_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(CHANGE_PERIOD);
     let mut sent = 0;
     let mut full_at = Instant::now();
     loop {
--- a/crates/router/src/guard/trip_writer.rs
+++ b/crates/router/src/guard/trip_writer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::config::{ConfigRecord, TripRecord};
-use tokio::time::{MissedTickBehavior, interval};
+use ferry_kernel::ticks;
 
 use crate::config::CONFIG_STREAM;
 use crate::core::RouterCore;
@@ -14,8 +14,7 @@
 
 /// Looks again and again for trips that the folded configuration lacks.
 pub async fn run(core: Arc<RouterCore>) {
-    let mut ticks = interval(LOOK_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(LOOK_PERIOD);
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
--- a/crates/router/src/intake/intake_plugin.rs
+++ b/crates/router/src/intake/intake_plugin.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use ferry_decisions::admission::AdmissionConfig;
 use ferry_decisions::names::VersionName;
+use ferry_kernel::ticks;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
-use tokio::time::{MissedTickBehavior, interval};
 
 use super::intake_message::IntakeReport;
 use crate::core::RouterCore;
@@ -35,8 +35,7 @@
 }
 
 async fn exchange(core: Arc<RouterCore>) {
-    let mut ticks = interval(REPORT_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(REPORT_PERIOD);
     loop {
         ticks.tick().await;
         let report = core.intake.report(&core);
--- a/crates/router/src/membership/heartbeat.rs
+++ b/crates/router/src/membership/heartbeat.rs
@@ -8,9 +8,10 @@
     AppliedDelta, MemberChange, MembershipDelta, MembershipQuery, OwnReport,
 };
 use ferry_decisions::names::HostName;
+use ferry_kernel::ticks;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::sleep;
 
 use crate::config;
 use crate::core::{LifePhase, RouterCore};
@@ -39,8 +40,7 @@
 }
 
 async fn beat(core: Arc<RouterCore>) {
-    let mut ticks = interval(ROUND_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(ROUND_PERIOD);
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
--- a/crates/router/src/peer/peer_link.rs
+++ b/crates/router/src/peer/peer_link.rs
@@ -8,12 +8,13 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
+use ferry_kernel::ticks;
 use futures::stream::{SplitSink, SplitStream};
 use futures::{FutureExt, SinkExt, StreamExt};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
 use tokio_util::sync::CancellationToken;
@@ -157,8 +158,7 @@
         mut sink: SplitSink<Socket, Message>,
         mut queue: FrameQueue,
     ) -> Result<(), PeerError> {
-        let mut pings = interval(PING_PERIOD);
-        pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pings = ticks::every(PING_PERIOD);
         loop {
             let message = tokio::select! {
                 biased;
--- a/crates/router/src/quarantine/quarantine_plugin.rs
+++ b/crates/router/src/quarantine/quarantine_plugin.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use ferry_decisions::quarantine::{CrashDelta, CrashPool};
+use ferry_kernel::ticks;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
-use tokio::time::{MissedTickBehavior, interval};
 
 use crate::core::RouterCore;
 use crate::peer::{PeerMessage, PeerTopic, decode};
@@ -31,8 +31,7 @@
 }
 
 async fn report(core: Arc<RouterCore>) {
-    let mut ticks = interval(REPORT_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(REPORT_PERIOD);
     loop {
         ticks.tick().await;
         core.crashes.with(&core, CrashPool::expire);
--- a/crates/router/src/upstream/host_poll.rs
+++ b/crates/router/src/upstream/host_poll.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ferry_kernel::ticks;
 use serde_json::{Value, json};
-use tokio::time::{MissedTickBehavior, interval};
 
 use crate::core::RouterCore;
 use crate::plugin::{RouterPlugin, no_messages};
@@ -27,8 +27,7 @@
 }
 
 async fn poll(core: Arc<RouterCore>) {
-    let mut ticks = interval(POLL_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(POLL_PERIOD);
     loop {
         ticks.tick().await;
         match core.hosts.list().await {
--- a/crates/router/src/upstream/load_poll.rs
+++ b/crates/router/src/upstream/load_poll.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use ferry_kernel::http::{HttpError, HttpRequest};
+use ferry_kernel::ticks;
 use ferry_platform::engine::LoadReport;
 use futures::StreamExt;
 use serde_json::{Value, json};
-use tokio::time::{MissedTickBehavior, interval};
 
 use super::UpstreamHost;
 use crate::core::RouterCore;
@@ -35,8 +35,7 @@
 }
 
 async fn poll(core: Arc<RouterCore>) {
-    let mut ticks = interval(POLL_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = ticks::every(POLL_PERIOD);
     loop {
         ticks.tick().await;
         let engines = core.upstreams.all().into_iter().filter(|h| h.is_engine());
