--- a/crates/bench/src/overload/router_state.rs
+++ b/crates/bench/src/overload/router_state.rs
@@ -290,6 +290,6 @@
             time_needed: service.map(|s| s.mean).unwrap_or_default(),
         };
         let budget = &mut self.budgets[item.entry.workspace];
-        policy.decide(&query, budget) == RetryVerdict::RetryElsewhere
+        policy.decide(&query, || budget.spend()) == RetryVerdict::RetryElsewhere
     }
 }
--- a/crates/decisions/src/retry/retry_policy.rs
+++ b/crates/decisions/src/retry/retry_policy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{RetryBudget, RunState, UpstreamFailure};
+use super::{RunState, UpstreamFailure};
 
 /// Facts about a request whose attempt failed.
 #[derive(Debug, Clone, Copy)]
@@ -69,13 +69,14 @@
 }
 
 impl RetryPolicy {
-    /// Decides, and takes a retry out of `budget` when the verdict is to retry.
-    pub fn decide(&self, query: &RetryQuery, budget: &mut RetryBudget) -> RetryVerdict {
+    /// Decides; `spend` takes a retry out of a budget if it is covered, and is called only when
+    /// nothing else is in the way.
+    pub fn decide(&self, query: &RetryQuery, spend: impl FnOnce() -> bool) -> RetryVerdict {
         let run = query.earlier.max(query.failure.run_state());
         let reason = self.obstacle(query, run);
         match reason {
             Some(reason) => RetryVerdict::GiveUp { run, reason },
-            None if budget.spend() => RetryVerdict::RetryElsewhere,
+            None if spend() => RetryVerdict::RetryElsewhere,
             None => RetryVerdict::GiveUp {
                 run,
                 reason: GiveUpReason::BudgetUsed,
--- a/crates/decisions/tests/retry.rs
+++ b/crates/decisions/tests/retry.rs
@@ -35,7 +35,7 @@
 
 fn decide(query: &RetryQuery) -> RetryVerdict {
     let mut budget = RetryBudget::new(RetryBudgetConfig::default());
-    RetryPolicy::default().decide(query, &mut budget)
+    RetryPolicy::default().decide(query, || budget.spend())
 }
 
 fn give_up(run: RunState, reason: GiveUpReason) -> RetryVerdict {
@@ -116,11 +116,11 @@
     let policy = RetryPolicy::default();
     let query = query(UpstreamFailure::ServerError);
     assert_eq!(
-        policy.decide(&query, &mut budget),
+        policy.decide(&query, || budget.spend()),
         RetryVerdict::RetryElsewhere
     );
     assert_eq!(
-        policy.decide(&query, &mut budget),
+        policy.decide(&query, || budget.spend()),
         give_up(RunState::MayHaveRun, GiveUpReason::BudgetUsed)
     );
 }
--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -15,8 +15,8 @@
 
 use super::{HttpBody, KEEP_ALIVE};
 
-/// Largest head of a request, in bytes.
-const HEAD_LIMIT: usize = 64 * 1024;
+/// Least buffer for a head that `hyper` takes, in bytes.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -32,10 +32,29 @@
     response
 }
 
+/// Bounds on each connection of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Largest head of a request, in bytes; `hyper` takes no less than 8 KiB.
+    pub head_bytes: usize,
+    /// Time after which a connection without the head of a request is closed, idle ones included.
+    pub head_wait: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 64 * 1024,
+            head_wait: KEEP_ALIVE,
+        }
+    }
+}
+
 /// A listening socket that is not yet served.
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
+    limits: ServerLimits,
 }
 
 /// A running server.
@@ -45,6 +64,7 @@
     pub address: SocketAddr,
     stop: CancellationToken,
     abort: CancellationToken,
+    limits: ServerLimits,
     /// The accept loop and one task for each connection.
     tasks: TaskTracker,
 }
@@ -57,7 +77,17 @@
     /// Fails when the address is in use or not of this host.
     pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        Ok(Self { listener })
+        Ok(Self {
+            listener,
+            limits: ServerLimits::default(),
+        })
+    }
+
+    /// Sets the bounds on each connection.
+    #[must_use]
+    pub fn with_limits(mut self, limits: ServerLimits) -> Self {
+        self.limits = limits;
+        self
     }
 
     /// Address that the socket is bound to.
@@ -83,6 +113,7 @@
             address: self.address()?,
             stop: CancellationToken::new(),
             abort: CancellationToken::new(),
+            limits: self.limits,
             tasks: TaskTracker::new(),
         };
         let accepting = accept_loop(self.listener, handle.clone(), handler);
@@ -143,8 +174,8 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(KEEP_ALIVE)
-        .max_buf_size(HEAD_LIMIT);
+        .header_read_timeout(handle.limits.head_wait)
+        .max_buf_size(handle.limits.head_bytes.max(LEAST_HEAD_BYTES));
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
--- a/crates/kernel/src/logs.rs
+++ b/crates/kernel/src/logs.rs
@@ -1,9 +1,11 @@
-//! Structured logs: one JSON object a line on standard error.
+//! Structured logs: one JSON object a line.
+
+mod line_queue;
 
 use std::sync::Arc;
 
 use spdlog::formatter::JsonFormatter;
-use spdlog::sink::StdStreamSink;
+use spdlog::sink::{Sink, StdStreamSink, WriteSink};
 use spdlog::{Level, LevelFilter, Logger};
 
 /// Least severe level that is written.
@@ -32,7 +34,7 @@
     }
 }
 
-/// Makes JSON lines the process's default log.
+/// Makes JSON lines on standard error the process's default log.
 ///
 /// # Errors
 ///
@@ -42,6 +44,27 @@
         .stderr()
         .formatter(JsonFormatter::new())
         .build_arc()?;
+    set_default(sink, level)
+}
+
+/// Makes JSON lines on standard output the process's default log.
+///
+/// Lines pass through a bounded queue: when standard output is not read, they are dropped and
+/// counted in `ferry_log_lines_dropped_total`, and no thread that logs ever waits.
+///
+/// # Errors
+///
+/// Fails when the thread that writes the lines cannot be started.
+pub fn install_queued(level: LogLevel) -> Result<(), spdlog::Error> {
+    let queue = line_queue::LineQueue::start().map_err(spdlog::Error::WriteRecord)?;
+    let sink = WriteSink::builder()
+        .target(queue)
+        .formatter(JsonFormatter::new())
+        .build_arc()?;
+    set_default(sink, level)
+}
+
+fn set_default(sink: Arc<dyn Sink>, level: LogLevel) -> Result<(), spdlog::Error> {
     let logger = Logger::builder()
         .sink(sink)
         .level_filter(level.filter())
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -98,6 +98,17 @@
     Draining = 2,
 }
 
+impl LifePhase {
+    /// The phase with this number; any other number is the last phase's.
+    pub fn from_number(number: u8) -> Self {
+        match number {
+            0 => Self::Serving,
+            1 => Self::Leaving,
+            _ => Self::Draining,
+        }
+    }
+}
+
 impl RouterCore {
     /// State of a router that has not started its tasks.
     pub fn new(settings: RouterSettings, sessions: SessionKeys) -> Self {
@@ -172,11 +183,7 @@
 
     /// Phase of this router's life.
     pub fn phase(&self) -> LifePhase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => LifePhase::Serving,
-            1 => LifePhase::Leaving,
-            _ => LifePhase::Draining,
-        }
+        LifePhase::from_number(self.phase.load(Ordering::Acquire))
     }
 
     /// Moves on to `phase`.
--- a/crates/router/src/intake/intake_desk.rs
+++ b/crates/router/src/intake/intake_desk.rs
@@ -55,7 +55,9 @@
     /// Decides whether a failed request is sent elsewhere, at the expense of `workspace`.
     pub fn decide_retry(&self, workspace: &WorkspaceName, query: &RetryQuery) -> RetryVerdict {
         let policy = RetryPolicy::default();
-        self.with_workspace(workspace, |intake| policy.decide(query, &mut intake.budget))
+        self.with_workspace(workspace, |intake| {
+            policy.decide(query, || intake.budget.spend())
+        })
     }
 
     /// This router's counts.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod peer;
 pub mod plugin;
 pub mod quarantine;
+pub mod relay;
 pub mod settings;
 pub mod trail;
 pub mod upstream;
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,16 @@
+//! The path of opaque requests on the users' platform: a request is matched to a rule, bound to
+//! one upstream, and its answer passed on.
+
+pub mod relay_app;
+mod relay_core;
+mod relay_daemon;
+mod relay_flags;
+mod request;
+mod rollouts;
+mod run;
+mod store_contact;
+mod upstreams;
+mod watch;
+
+pub use relay_core::RelayCore;
+pub use relay_daemon::{RelayDaemon, RelayError, RelayOptions};
--- /dev/null
+++ b/crates/router/src/relay/relay_app.rs
@@ -0,0 +1,122 @@
+//! The program `ferry-relay`: command line, settings, signals.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+use ferry_kernel::lifecycle::{StopSignal, stop_signals};
+use ferry_kernel::logs::LogLevel;
+use ferry_kernel::settings::BAD_SETTINGS_EXIT;
+use ferry_kernel::{logs, metrics, ticks};
+use ferry_platform::host_settings::{HostSettings, HostSettingsError, SETTINGS_VARIABLE};
+use miette::{IntoDiagnostic, Report, Result, miette};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use super::relay_flags::FerryRelay;
+use super::{RelayDaemon, RelayOptions};
+
+/// Exit code after a second SIGINT.
+const INTERRUPTED_EXIT: i32 = 130;
+/// Time between two looks at the settings file.
+const FILE_CHECK: Duration = Duration::from_secs(1);
+
+/// Runs the program and exits with 0 after a graceful stop, 1 on a failure, 2 on bad settings.
+pub fn main() {
+    let flags = FerryRelay::from_env_or_exit();
+    let path = match settings_path(&flags) {
+        Ok(path) => path,
+        Err(error) => exit_with(BAD_SETTINGS_EXIT, &error.into()),
+    };
+    let settings = match HostSettings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => exit_with(BAD_SETTINGS_EXIT, &error.into()),
+    };
+    let level = match log_level(flags.log_level.as_deref()) {
+        Ok(level) => level,
+        Err(report) => exit_with(BAD_SETTINGS_EXIT, &report),
+    };
+    if flags.check_settings {
+        println!("{}: settings are valid", path.display());
+        return;
+    }
+    let options = RelayOptions {
+        metrics_port: flags.metrics_port,
+    };
+    if let Err(report) = run(&path, settings, options, level) {
+        exit_with(1, &report);
+    }
+}
+
+fn settings_path(flags: &FerryRelay) -> Result<PathBuf, HostSettingsError> {
+    let named = flags.settings.clone();
+    named
+        .or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or(HostSettingsError::NoPath)
+}
+
+fn log_level(name: Option<&str>) -> Result<LogLevel> {
+    match name {
+        None | Some("info") => Ok(LogLevel::Info),
+        Some("debug") => Ok(LogLevel::Debug),
+        Some("warn") => Ok(LogLevel::Warn),
+        Some("error") => Ok(LogLevel::Error),
+        Some(other) => Err(miette!(
+            "{other:?} is no log level; write debug, info, warn or error"
+        )),
+    }
+}
+
+fn exit_with(code: i32, report: &Report) -> ! {
+    eprintln!("{report:?}");
+    std::process::exit(code)
+}
+
+/// Serves on one thread: a host has a fraction of a core.
+fn run(path: &Path, settings: HostSettings, options: RelayOptions, level: LogLevel) -> Result<()> {
+    metrics::install();
+    logs::install_queued(level).into_diagnostic()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    runtime.block_on(serve(path, settings, options))
+}
+
+async fn serve(path: &Path, settings: HostSettings, options: RelayOptions) -> Result<()> {
+    let mut stops = stop_signals().into_diagnostic()?;
+    let mut reloads = signal(SignalKind::hangup()).into_diagnostic()?;
+    let daemon = RelayDaemon::start(settings, options).await?;
+    let mut checks = ticks::every(FILE_CHECK);
+    let mut changed = modified(path);
+    loop {
+        tokio::select! {
+            _ = stops.recv() => break,
+            _ = reloads.recv() => daemon.reload(HostSettings::read(path)),
+            _ = checks.tick() => {
+                let latest = modified(path);
+                if latest != changed {
+                    changed = latest;
+                    daemon.reload(HostSettings::read(path));
+                }
+            }
+        }
+    }
+    tokio::spawn(watch_signals(stops));
+    daemon.stop().await;
+    Ok(())
+}
+
+/// When the file was last written, as far as that can be told.
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).ok()?.modified().ok()
+}
+
+/// Answers signals during the stop.
+async fn watch_signals(mut signals: mpsc::Receiver<StopSignal>) {
+    while let Some(signal) = signals.recv().await {
+        match signal {
+            StopSignal::Graceful => spdlog::warn!("already stopping; SIGINT twice exits at once"),
+            StopSignal::Interrupt => std::process::exit(INTERRUPTED_EXIT),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/relay_core.rs
@@ -0,0 +1,128 @@
+//! State that all parts of the relay share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use ferry_decisions::names::ServiceName;
+use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
+use ferry_decisions::ruleset::RuleSet;
+use ferry_platform::host_settings::HostSettings;
+use ferry_platform::store::StoreClient;
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::rollouts::RolloutDesk;
+use super::store_contact::StoreContact;
+use super::upstreams::UpstreamDirectory;
+use crate::core::LifePhase;
+use crate::membership::ProcessClock;
+
+/// Time allowed for a call to the store.
+const STORE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
+/// Routers among which the fleet's burst of repeated sends is divided.
+const BURST_PARTS: f64 = 12.0;
+/// Part of the allowed ratio of repeated sends that is used.
+const RATIO_PART: f64 = 0.9;
+
+/// State of one relay process.
+pub struct RelayCore {
+    /// Settings, read again when their file changes.
+    pub settings: ArcSwap<HostSettings>,
+    /// Clock of this process.
+    pub clock: ProcessClock,
+    /// Client of the platform's store.
+    pub store: StoreClient,
+    /// Rules in force here; absent until they are first read.
+    pub rules: ArcSwapOption<RuleSet>,
+    /// When the rules were last confirmed.
+    pub contact: StoreContact,
+    /// Upstreams by service.
+    pub upstreams: UpstreamDirectory,
+    /// Roll-outs under way.
+    pub rollouts: RolloutDesk,
+    /// Requests in progress; waited for at a stop.
+    pub work: TaskTracker,
+    /// Ends the background tasks.
+    pub closing: CancellationToken,
+    budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
+    phase: AtomicU8,
+}
+
+impl RelayCore {
+    /// State of a relay that has not started its tasks.
+    pub fn new(settings: HostSettings) -> Self {
+        Self {
+            clock: ProcessClock::start(),
+            store: StoreClient::new(settings.store, STORE_TIMEOUT),
+            settings: ArcSwap::from_pointee(settings),
+            rules: ArcSwapOption::empty(),
+            contact: StoreContact::default(),
+            upstreams: UpstreamDirectory::default(),
+            rollouts: RolloutDesk::default(),
+            work: TaskTracker::new(),
+            closing: CancellationToken::new(),
+            budgets: Mutex::default(),
+            phase: AtomicU8::new(LifePhase::Serving as u8),
+        }
+    }
+
+    /// Whether requests can be answered: rules and upstreams are known and the rules are fresh.
+    pub fn is_ready(&self) -> bool {
+        let revocation = self.settings.load().bounds.revocation;
+        self.phase() == LifePhase::Serving
+            && self.rules.load().is_some()
+            && self.upstreams.is_listed()
+            && self.contact.covers(revocation)
+    }
+
+    /// Phase of the relay's life.
+    pub fn phase(&self) -> LifePhase {
+        LifePhase::from_number(self.phase.load(Ordering::Acquire))
+    }
+
+    /// Moves on to `phase`.
+    pub fn enter(&self, phase: LifePhase) {
+        self.phase.store(phase as u8, Ordering::Release);
+    }
+
+    /// Runs `task` until it ends or the relay closes.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        tokio::spawn(self.closing.clone().run_until_cancelled_owned(task));
+    }
+
+    /// Counts a request of `service` towards its budget of repeated sends.
+    pub fn fund_repeats(&self, service: &ServiceName) {
+        let (config, now) = (self.repeat_bounds(), self.clock.now());
+        let mut budgets = self.budgets.lock();
+        match budgets.get_mut(service) {
+            Some(budget) => budget.fund(&config, now),
+            None => budgets
+                .entry(service.clone())
+                .or_default()
+                .fund(&config, now),
+        }
+    }
+
+    /// Counts a repeated send to `service` if the budget covers it and `spared` more.
+    pub fn spend_repeat(&self, service: &ServiceName, spared: f64) -> bool {
+        let (config, now) = (self.repeat_bounds(), self.clock.now());
+        let mut budgets = self.budgets.lock();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.spend(&config, spared, now)
+    }
+
+    fn repeat_bounds(&self) -> WindowBudgetConfig {
+        let bounds = self.settings.load().bounds;
+        WindowBudgetConfig {
+            ratio: bounds.retry_ratio * RATIO_PART,
+            burst: bounds.retry_burst / BURST_PARTS,
+            window: bounds.retry_window,
+        }
+    }
+}
+
+/// Shared state of the relay.
+pub type SharedCore = Arc<RelayCore>;
--- /dev/null
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -0,0 +1,186 @@
+//! A running relay: starts its parts in order and stops them in reverse.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_kernel::http::{HttpBody, Server, ServerHandle, ServerLimits, empty, full};
+use ferry_kernel::metrics;
+use ferry_platform::headers::READINESS_PATH;
+use ferry_platform::host_settings::{HostSettings, HostSettingsError};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use super::relay_core::{RelayCore, SharedCore};
+use super::{request, watch};
+use crate::core::LifePhase;
+
+/// Longest head of a request that is read, in bytes; the rules may allow less.
+const HEAD_BYTES: usize = 64 * 1024;
+/// Time for which an idle caller's connection is kept.
+const IDLE_WAIT: Duration = Duration::from_secs(60);
+/// Time for which new requests are taken after the request to stop, until the balancer noticed.
+const BALANCER_LAG: Duration = Duration::from_millis(3_000);
+/// Time kept free at the end of the grace for closing down.
+const CLOSING_TIME: Duration = Duration::from_millis(400);
+
+/// How a relay is started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayOptions {
+    /// Port of the metrics at the callers' address; none are served without it.
+    pub metrics_port: Option<u16>,
+}
+
+/// Why a relay does not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum RelayError {
+    /// A port cannot be bound.
+    #[error("the {port} port {address} cannot be bound: {reason}; free it or name another one")]
+    Bind {
+        /// Which port.
+        port: &'static str,
+        /// Address as the settings have it.
+        address: SocketAddr,
+        /// Message of the operating system.
+        reason: std::io::Error,
+    },
+}
+
+/// A relay that serves its ports.
+pub struct RelayDaemon {
+    core: SharedCore,
+    callers: ServerHandle,
+}
+
+impl RelayDaemon {
+    /// Binds the ports and starts to follow the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound.
+    pub async fn start(settings: HostSettings, options: RelayOptions) -> Result<Self, RelayError> {
+        let core = Arc::new(RelayCore::new(settings));
+        let settings = core.settings.load_full();
+        watch::start(&core);
+        serve_readiness(&core, settings.readiness).await?;
+        if let Some(port) = options.metrics_port {
+            serve_metrics(SocketAddr::new(settings.callers.ip(), port)).await?;
+        }
+        let callers = serve_callers(&core, settings.callers).await?;
+        spdlog::info!("relay started", kv: {
+            host = settings.host.as_str(),
+            zone = settings.zone.as_str(),
+            callers = callers.address.to_string(),
+            store = settings.store.to_string(),
+        });
+        Ok(Self { core, callers })
+    }
+
+    /// Address for callers.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers.address
+    }
+
+    /// Takes over settings that were read again; addresses stay as they are.
+    pub fn reload(&self, settings: Result<HostSettings, HostSettingsError>) {
+        match settings {
+            Ok(settings) if settings == **self.core.settings.load() => {
+                spdlog::info!("settings read again; nothing changed");
+            }
+            Ok(settings) => {
+                spdlog::info!("settings read again and in force");
+                self.core.settings.store(Arc::new(settings));
+            }
+            Err(error) => spdlog::error!("the old settings stay in force: {}", error),
+        }
+    }
+
+    /// Stops: first the balancer notices, then requests in progress end, within the grace.
+    pub async fn stop(self) {
+        let core = &self.core;
+        let began = Instant::now();
+        let grace = core.settings.load().bounds.stop_grace;
+        let end = began + grace.saturating_sub(CLOSING_TIME);
+        core.enter(LifePhase::Leaving);
+        spdlog::info!("relay leaves", kv: { in_progress = core.work.len() });
+        sleep_until(end.min(began + BALANCER_LAG)).await;
+        core.enter(LifePhase::Draining);
+        core.work.close();
+        let idle = async {
+            self.callers.stop().await;
+            core.work.wait().await;
+        };
+        if timeout_at(end, idle).await.is_err() {
+            spdlog::warn!("relay stops with requests in progress", kv: { in_progress = core.work.len() });
+        }
+        core.closing.cancel();
+        spdlog::info!("relay stopped");
+        sleep(LAST_LINES).await;
+    }
+}
+
+/// Time for the last log lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
+async fn bind(port: &'static str, address: SocketAddr) -> Result<Server, RelayError> {
+    Server::bind(address)
+        .await
+        .map_err(|reason| RelayError::Bind {
+            port,
+            address,
+            reason,
+        })
+}
+
+async fn serve_callers(core: &SharedCore, address: SocketAddr) -> Result<ServerHandle, RelayError> {
+    let limits = ServerLimits {
+        head_bytes: HEAD_BYTES,
+        head_wait: IDLE_WAIT,
+    };
+    let server = bind("callers", address).await?.with_limits(limits);
+    let core = Arc::clone(core);
+    let handler = move |request, _| request::handle(Arc::clone(&core), request);
+    server.serve(handler).map_err(|reason| RelayError::Bind {
+        port: "callers",
+        address,
+        reason,
+    })
+}
+
+async fn serve_readiness(core: &SharedCore, address: SocketAddr) -> Result<(), RelayError> {
+    let server = bind("readiness", address).await?;
+    let core = Arc::clone(core);
+    let handler = move |request: Request<Incoming>, _| {
+        let core = Arc::clone(&core);
+        async move { readiness(&core, request.uri().path()) }
+    };
+    let served = server.serve(handler);
+    served.map(drop).map_err(|reason| RelayError::Bind {
+        port: "readiness",
+        address,
+        reason,
+    })
+}
+
+fn readiness(core: &RelayCore, path: &str) -> Response<HttpBody> {
+    let status = match (path == READINESS_PATH, core.is_ready()) {
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        (false, _) => StatusCode::NOT_FOUND,
+    };
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
+
+async fn serve_metrics(address: SocketAddr) -> Result<(), RelayError> {
+    let server = bind("metrics", address).await?;
+    let handler = |_, _| async { Response::new(full(metrics::render())) };
+    let served = server.serve(handler);
+    served.map(drop).map_err(|reason| RelayError::Bind {
+        port: "metrics",
+        address,
+        reason,
+    })
+}
--- /dev/null
+++ b/crates/router/src/relay/run/event_pump.rs
@@ -0,0 +1,130 @@
+//! Passes the events of a stream on, and goes on elsewhere when its upstream breaks off.
+
+use bytes::Bytes;
+use ferry_decisions::retry::UpstreamFailure;
+use ferry_kernel::http::BoxError;
+use http_body_util::BodyExt;
+use tokio::time::timeout_at;
+
+use super::RelayRun;
+use super::event_splitter::EventSplitter;
+use super::upstream_send::{SendFailure, UpstreamAnswer};
+use crate::relay::request::{RefusalReason, RelayRefusal};
+
+/// A stream on its way to the caller.
+pub struct EventPump {
+    run: RelayRun,
+    /// The answer that is read; absent once the stream has ended.
+    answer: Option<UpstreamAnswer>,
+    splitter: EventSplitter,
+    /// Whether the caller got an event.
+    begun: bool,
+}
+
+/// What came of the upstream.
+enum PumpStep {
+    Events(Bytes),
+    End,
+    Broken(String),
+}
+
+impl EventPump {
+    /// A pump of `answer`.
+    pub fn new(run: RelayRun, answer: UpstreamAnswer) -> Self {
+        Self {
+            run,
+            answer: Some(answer),
+            splitter: EventSplitter::default(),
+            begun: false,
+        }
+    }
+
+    /// The next events; an error breaks the caller's connection off, so that the answer does not
+    /// look whole.
+    pub async fn next(&mut self) -> Option<Result<Bytes, BoxError>> {
+        let until = self.run.request.final_time;
+        loop {
+            let step = match timeout_at(until, self.step()).await {
+                Ok(step) => step?,
+                Err(_) => {
+                    let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
+                    return Some(Err(self.break_off(refusal)));
+                }
+            };
+            match step {
+                PumpStep::Events(events) => {
+                    self.begun = true;
+                    return Some(Ok(events));
+                }
+                PumpStep::End => return self.end(),
+                PumpStep::Broken(reason) => {
+                    if let Err(refusal) = self.go_on(&reason).await {
+                        return Some(Err(self.break_off(refusal)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads on until whole events are there; `None` after the end.
+    async fn step(&mut self) -> Option<PumpStep> {
+        let answer = self.answer.as_mut()?;
+        loop {
+            let frame = match answer.body.frame().await {
+                None => return Some(PumpStep::End),
+                Some(Err(error)) => return Some(PumpStep::Broken(error.to_string())),
+                Some(Ok(frame)) => frame,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            match self.splitter.push(&data) {
+                Ok(events) if events.is_empty() => {}
+                Ok(events) => return Some(PumpStep::Events(events)),
+                Err(error) => return Some(PumpStep::Broken(error.to_string())),
+            }
+        }
+    }
+
+    /// Ends the stream as the upstream did; bytes after the last event belong to it.
+    fn end(&mut self) -> Option<Result<Bytes, BoxError>> {
+        let answer = self.answer.take()?;
+        if !answer.facts.closes {
+            answer.lease.give_back(answer.facts.keep_alive);
+        }
+        self.run.record.outcome = "answered";
+        let rest = self.splitter.take_partial();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    /// Replaces the broken answer by one that goes on after the last event.
+    async fn go_on(&mut self, reason: &str) -> Result<(), RelayRefusal> {
+        spdlog::info!("stream broke off", kv: {
+            request_id = self.run.request.id.as_str(),
+            upstream = self.run.record.upstream.as_str(),
+            reason = reason,
+            last_event = self.splitter.last_id().map_or(-1, |id| id as i64),
+        });
+        self.splitter.take_partial();
+        if let Some(answer) = self.answer.take() {
+            answer.upstream.mark_suspect(self.run.core.clock.now());
+        }
+        let last_event = self.splitter.last_id();
+        if self.begun && last_event.is_none() {
+            return Err(RelayRefusal::not_run(RefusalReason::UpstreamFailed));
+        }
+        let until = self.run.request.final_time;
+        let failure = SendFailure::plain(UpstreamFailure::BrokenInAnswer);
+        let resumed = timeout_at(until, self.run.resume(last_event, failure)).await;
+        let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
+        self.answer = Some(resumed.unwrap_or(Err(refusal))?);
+        Ok(())
+    }
+
+    /// Ends the stream visibly broken.
+    fn break_off(&mut self, refusal: RelayRefusal) -> BoxError {
+        self.answer = None;
+        self.run.record.outcome = "broken_off";
+        refusal.reason.into()
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/run/request_record.rs
@@ -0,0 +1,86 @@
+//! What happened to one request: a log line and metrics when it ends.
+
+use ferry_decisions::retry::RunState;
+use tokio::time::Instant;
+
+use crate::relay::request::RelayRequest;
+
+/// Facts gathered while a request is answered; written when the record is dropped.
+#[derive(Debug)]
+pub struct RequestRecord {
+    id: String,
+    workspace: String,
+    rule: String,
+    kind: &'static str,
+    revision: u64,
+    arrived: Instant,
+    /// Upstreams that it was sent to, in order.
+    pub sends: u32,
+    /// Upstream that it was last sent to.
+    pub upstream: String,
+    /// Model that the router chose last.
+    pub model: String,
+    /// Confidence that the last answer told.
+    pub confidence: Option<u8>,
+    /// Status that the caller got; 0 when it left before.
+    pub status: u16,
+    /// How it ended.
+    pub outcome: &'static str,
+    /// What is known about the run when it was refused or broken off.
+    pub run: RunState,
+    /// Milliseconds from its arrival to the head of its answer.
+    first_ms: Option<u64>,
+}
+
+impl RequestRecord {
+    /// The record of a request that was just read.
+    pub fn new(request: &RelayRequest) -> Self {
+        let workspace = request.workspace().map(ToString::to_string);
+        Self {
+            id: request.id.clone(),
+            workspace: workspace.unwrap_or_default(),
+            rule: request.rule.name.to_string(),
+            kind: request.rule.run.as_str(),
+            revision: request.revision,
+            arrived: request.arrived,
+            sends: 0,
+            upstream: String::new(),
+            model: String::new(),
+            confidence: None,
+            status: 0,
+            outcome: "caller_gone",
+            run: RunState::NotRun,
+            first_ms: None,
+        }
+    }
+
+    /// Notes that the head of an answer is there.
+    pub fn note_head(&mut self) {
+        let elapsed = self.arrived.elapsed();
+        self.first_ms = Some(elapsed.as_millis() as u64);
+        metrics::histogram!("ferry_relay_first_seconds", "rule" => self.rule.clone(), "workspace" => self.workspace.clone())
+            .record(elapsed.as_secs_f64());
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        metrics::counter!("ferry_relay_requests_total", "kind" => self.kind, "workspace" => self.workspace.clone(), "outcome" => self.outcome)
+            .increment(1);
+        spdlog::info!("request", kv: {
+            request_id = self.id.as_str(),
+            workspace = self.workspace.as_str(),
+            rule = self.rule.as_str(),
+            revision = self.revision,
+            sends = self.sends,
+            upstream = self.upstream.as_str(),
+            model = self.model.as_str(),
+            confidence = self.confidence.map_or(-1, i32::from),
+            status = self.status,
+            outcome = self.outcome,
+            run:? = self.run,
+            first_ms = self.first_ms.unwrap_or_default(),
+            total_ms = self.arrived.elapsed().as_millis() as u64,
+        });
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/upstreams.rs
@@ -0,0 +1,9 @@
+//! Upstreams, their connections, and the choice among them.
+
+mod relay_upstream;
+mod upstream_directory;
+mod upstream_link;
+
+pub use relay_upstream::{FlightTicket, RelayUpstream};
+pub use upstream_directory::UpstreamDirectory;
+pub use upstream_link::{LinkLease, UpstreamLink};
--- /dev/null
+++ b/crates/router/src/relay/upstreams/upstream_directory.rs
@@ -0,0 +1,68 @@
+//! Upstreams by service, replaced as a whole when one appears or leaves.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::ArcSwap;
+use ferry_decisions::names::ServiceName;
+use ferry_decisions::roster::UpstreamRecord;
+
+use super::RelayUpstream;
+
+/// Upstreams of one service.
+pub type UpstreamList = Arc<[Arc<RelayUpstream>]>;
+
+/// Directory of the upstreams that the platform lists.
+#[derive(Debug, Default)]
+pub struct UpstreamDirectory {
+    by_service: ArcSwap<HashMap<ServiceName, UpstreamList>>,
+    listed: AtomicBool,
+}
+
+impl UpstreamDirectory {
+    /// Whether the platform's list was read at least once.
+    pub fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Acquire)
+    }
+
+    /// Upstreams of `service`, leaving ones included.
+    pub fn of_service(&self, service: &ServiceName) -> UpstreamList {
+        let by_service = self.by_service.load();
+        by_service
+            .get(service)
+            .cloned()
+            .unwrap_or_else(|| Arc::new([]))
+    }
+
+    /// Replaces the directory; upstreams whose life goes on keep their state and connections.
+    pub fn update<'a>(&self, records: impl Iterator<Item = &'a UpstreamRecord>) {
+        let held = self.by_service.load_full();
+        let mut lists: HashMap<ServiceName, Vec<Arc<RelayUpstream>>> = HashMap::new();
+        for record in records {
+            let kept = held
+                .get(&record.service)
+                .and_then(|list| list.iter().find(|upstream| upstream.is_same(record)));
+            let upstream = kept
+                .cloned()
+                .unwrap_or_else(|| Arc::new(RelayUpstream::new(record.clone())));
+            upstream.note_stage(record.stage);
+            lists
+                .entry(record.service.clone())
+                .or_default()
+                .push(upstream);
+        }
+        for upstream in held.values().flat_map(|list| list.iter()) {
+            let list = lists.get(&upstream.record.service);
+            if !list.is_some_and(|list| list.iter().any(|other| Arc::ptr_eq(other, upstream))) {
+                upstream.mark_leaving();
+            }
+        }
+        let by_service = lists
+            .into_iter()
+            .map(|(service, list)| (service, list.into()))
+            .collect();
+        self.by_service.store(Arc::new(by_service));
+        self.listed.store(true, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/watch.rs
@@ -0,0 +1,13 @@
+//! Following the store: the operator's records and the upstreams' entries.
+
+mod operator_watch;
+mod topic_reader;
+mod upstream_watch;
+
+use super::relay_core::SharedCore;
+
+/// Starts following the store.
+pub fn start(core: &SharedCore) {
+    core.spawn(operator_watch::follow(core.clone()));
+    core.spawn(upstream_watch::follow(core.clone()));
+}
--- /dev/null
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -0,0 +1,82 @@
+//! Follows the upstreams' entries.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use ferry_decisions::names::HostName;
+use ferry_decisions::roster::{RosterChange, UpstreamRoster};
+use ferry_kernel::ticks;
+use ferry_platform::entries::decode_upstream;
+use ferry_platform::store::{KeyedRecord, UPSTREAM_TOPIC};
+
+use super::topic_reader::{TopicChanges, TopicReader};
+use crate::relay::relay_core::SharedCore;
+
+/// Reads within the time in which a leaving upstream must be noticed.
+const READS_PER_DRAIN: u32 = 3;
+/// Reads that fail in a row before the store counts as having been away.
+const OUTAGE_READS: u32 = 3;
+
+/// Follows the upstreams' topic until the relay closes.
+pub async fn follow(core: SharedCore) {
+    let mut reader = TopicReader::new(core.store.clone(), UPSTREAM_TOPIC);
+    let mut roster = UpstreamRoster::default();
+    let period = core.settings.load().bounds.drain / READS_PER_DRAIN;
+    let mut ticks = ticks::every(period);
+    let mut last_read = core.clock.now();
+    let mut failed = false;
+    loop {
+        ticks.tick().await;
+        let changes = match reader.next(Duration::ZERO).await {
+            Ok(changes) => changes,
+            Err(error) => {
+                if !std::mem::replace(&mut failed, true) {
+                    spdlog::warn!("the upstreams' topic cannot be read: {}", error);
+                }
+                continue;
+            }
+        };
+        let now = core.clock.now();
+        if now.since(last_read) > period * OUTAGE_READS {
+            roster.note_return(now);
+        }
+        last_read = now;
+        if std::mem::take(&mut failed) {
+            spdlog::info!("the upstreams' topic is read again");
+        }
+        let changed = apply(&core, &mut roster, changes);
+        let expired = roster.expire(now);
+        if changed || expired || !core.upstreams.is_listed() {
+            core.upstreams.update(roster.upstreams());
+        }
+    }
+}
+
+/// Folds the changes; returns whether one of them matters to requests.
+fn apply(core: &SharedCore, roster: &mut UpstreamRoster, changes: TopicChanges) -> bool {
+    let now = core.clock.now();
+    let mut changed = changes.whole;
+    if changes.whole {
+        let listed: HashSet<HostName> = changes
+            .records
+            .iter()
+            .map(|record| record.key.as_str().into())
+            .collect();
+        roster.retain_listed(|id| listed.contains(id), now);
+    }
+    for KeyedRecord { key, value } in changes.records {
+        let change = match value.map(|value| decode_upstream(&key, &value)) {
+            Some(Ok(record)) => roster.observe(record),
+            Some(Err(error)) => {
+                spdlog::warn!("entry ignored: {}", error, kv: { upstream = key.as_str() });
+                roster.observe_malformed(&key)
+            }
+            None => roster.observe_removed(&key, now),
+        };
+        if change != RosterChange::None {
+            spdlog::info!("upstream", kv: { upstream = key.as_str(), change:? = change });
+            changed = true;
+        }
+    }
+    changed
+}
