Ask the largest model when the smallest one doubts its answer

The confidence is a response header, so a doubted answer is dropped before any event reaches the caller. Ruled out: the middle model as a step (it answers few of what the smallest one does not, and each step is a repeated send).

--- a/crates/decisions/src/cascade.rs
+++ b/crates/decisions/src/cascade.rs
@@ -3,11 +3,13 @@
 mod answer_verdict;
 mod pass_pool;
 mod rating_health;
+mod size_choice;
 mod stage_choice;
 mod stage_estimate;
 
 pub use answer_verdict::{AnswerVerdict, RatingOutcome, judge_answer, rating_wait_ms};
 pub use pass_pool::{PassDelta, PassPool, PassRow, StageEntry, StageKey};
 pub use rating_health::{RatingHealth, RatingMonitor};
+pub use size_choice::SizeQuery;
 pub use stage_choice::{CascadeQuery, ChoiceReason, StageChoice};
 pub use stage_estimate::StageEstimate;
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -1,6 +1,7 @@
 //! Run of one request, from its placement to its answer.
 
 use bytes::Bytes;
+use ferry_decisions::cascade::SizeQuery;
 use ferry_decisions::choice::NoUpstream;
 use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::retry::{RetryPolicy, RetryQuery, RetryVerdict, RunState, UpstreamFailure};
@@ -26,6 +27,8 @@
 const WHOLE_ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 /// Time that a further send needs at least to be of use.
 const LEAST_SEND_TIME: Duration = Duration::from_millis(20);
+/// Repeated sends that larger models leave to requests whose upstream failed.
+const SPARED_REPEATS: f64 = 3.0;
 /// Time after which a caller finds another router when this one lost touch with the platform.
 const OTHER_ROUTER_RETRY: Duration = Duration::from_millis(50);
 
@@ -127,8 +130,9 @@
     async fn dispatch(&mut self) -> Result<RunAnswer, RelayRefusal> {
         loop {
             let upstream = self.place()?;
+            let sent = Instant::now();
             let result = match self.send_to(&upstream, None).await {
-                Ok(answer) if self.goes_on(&answer) => continue,
+                Ok(answer) if self.goes_on(&answer, sent.elapsed()) => continue,
                 Ok(answer) => self.take_answer(answer).await,
                 Err(failure) => Err(failure),
             };
@@ -261,10 +265,38 @@
         }
     }
 
-    /// Whether the answer is dropped for one of a larger model.
-    fn goes_on(&mut self, answer: &UpstreamAnswer) -> bool {
-        let _ = answer;
-        false
+    /// Whether the answer is dropped for one of a larger model; moves on to its stage if so.
+    fn goes_on(&mut self, answer: &UpstreamAnswer, took: Duration) -> bool {
+        if self.request.facts.model.is_some() || !answer.head.status.is_success() {
+            return false;
+        }
+        let query = SizeQuery {
+            stage: self.stage,
+            stages: self.request.rule.cascade.len(),
+            confidence: answer.facts.confidence,
+            sends: self.record.sends,
+            attempts: self.request.rule.attempts,
+            took,
+            time_left: self
+                .request
+                .final_time
+                .saturating_duration_since(Instant::now()),
+        };
+        let (Some(next), Some(service)) = (query.next_stage(), &self.service) else {
+            return false;
+        };
+        if !self.core.spend_repeat(service, SPARED_REPEATS) {
+            return false;
+        }
+        spdlog::info!("larger model asked", kv: {
+            request_id = self.request.id.as_str(),
+            upstream = self.record.upstream.as_str(),
+            confidence = answer.facts.confidence.map_or(-1, i32::from),
+            stage = self.stage,
+            next_stage = next,
+        });
+        self.stage = next;
+        true
     }
 
     /// Reads an answer that is not a series of events to its end.
