--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -27,6 +27,8 @@
 const WHOLE_ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 /// Time that a further send needs at least to be of use.
 const LEAST_SEND_TIME: Duration = Duration::from_millis(20);
+/// Sends that upstreams refused unrun that one request may have besides its attempts.
+const UNRUN_SENDS: u32 = 3;
 /// Repeated sends that larger models leave to requests whose upstream failed.
 const SPARED_REPEATS: f64 = 3.0;
 /// Time after which a caller finds another router when this one lost touch with the platform.
@@ -45,6 +47,8 @@
     stage: usize,
     /// Upstreams that had the request.
     tried: SmallVec<[HostName; 4]>,
+    /// Sends that did not certainly fail to run.
+    runs: u32,
     /// What all sends together say about the run; while one is under way, it may have run.
     run: RunState,
     /// Keeps a stop waiting.
@@ -71,6 +75,7 @@
             service: None,
             stage: 0,
             tried: SmallVec::new(),
+            runs: 0,
             run: RunState::NotRun,
             _work: work,
         }
@@ -224,10 +229,13 @@
                     upstream.note_load(load, now);
                 }
                 self.run = RunState::Ran;
+                self.runs += 1;
                 self.record.confidence = answer.facts.confidence;
             }
             Err(failure) => {
-                self.run = before.max(failure.kind.run_state());
+                let run = failure.kind.run_state();
+                self.run = before.max(run);
+                self.runs += u32::from(run != RunState::NotRun);
                 if failure.kind == UpstreamFailure::Leaving {
                     upstream.mark_leaving();
                 }
@@ -274,7 +282,7 @@
             stage: self.stage,
             stages: self.request.rule.cascade.len(),
             confidence: answer.facts.confidence,
-            sends: self.record.sends,
+            sends: self.runs,
             attempts: self.request.rule.attempts,
             took,
             time_left: self
@@ -342,7 +350,7 @@
             earlier: self.run,
             idempotent: self.request.rule.run.is_repeatable(),
             answer_begun: false,
-            attempts: self.record.sends,
+            attempts: self.runs.max(self.record.sends.saturating_sub(UNRUN_SENDS)),
             time_left: Some(left),
             time_needed: LEAST_SEND_TIME,
         };
--- a/crates/router/src/relay/run/request_record.rs
+++ b/crates/router/src/relay/run/request_record.rs
@@ -12,6 +12,7 @@
     workspace: String,
     rule: String,
     kind: &'static str,
+    session: String,
     revision: u64,
     arrived: Instant,
     /// Upstreams that it was sent to, in order.
@@ -41,6 +42,7 @@
             workspace: workspace.unwrap_or_default(),
             rule: request.rule.name.to_string(),
             kind: request.rule.run.as_str(),
+            session: request.facts.session.clone().unwrap_or_default(),
             revision: request.revision,
             arrived: request.arrived,
             sends: 0,
@@ -71,6 +73,7 @@
             request_id = self.id.as_str(),
             workspace = self.workspace.as_str(),
             rule = self.rule.as_str(),
+            session = self.session.as_str(),
             revision = self.revision,
             sends = self.sends,
             upstream = self.upstream.as_str(),
