Bring versions in by phases, on evidence pooled over the routers

Cause: no router sent a request to the version of a roll-out order, so that good ones were never completed (a missed duty) and capacity fell when the old version's upstreams left.

--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -57,15 +57,15 @@
         Self {
             clock: ProcessClock::start(),
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
-            settings: ArcSwap::from_pointee(settings),
             rules: ArcSwapOption::empty(),
             contact: StoreContact::default(),
             upstreams: UpstreamDirectory::default(),
-            rollouts: RolloutDesk::default(),
+            rollouts: RolloutDesk::new(settings.host.as_str()),
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
             budgets: Mutex::default(),
             phase: AtomicU8::new(LifePhase::Serving as u8),
+            settings: ArcSwap::from_pointee(settings),
         }
     }
 
@@ -75,6 +75,7 @@
         self.phase() == LifePhase::Serving
             && self.rules.load().is_some()
             && self.upstreams.is_listed()
+            && self.rollouts.is_settled()
             && self.contact.covers(revocation)
     }
 
--- a/crates/router/src/relay/rollouts.rs
+++ b/crates/router/src/relay/rollouts.rs
@@ -1,5 +1,11 @@
-//! Roll-outs of versions.
+//! Roll-outs of versions: which version a conversation gets, what its answers say, and the exchange
+//! of that with the other routers through the store.
 
+mod active_rollout;
+mod answer_pace;
 mod rollout_desk;
+mod rollout_exchange;
+mod session_memory;
 
-pub use rollout_desk::RolloutDesk;
+pub use rollout_desk::{AnswerNote, RolloutDesk, VersionPick};
+pub use rollout_exchange::follow;
--- /dev/null
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -0,0 +1,199 @@
+//! One roll-out as this router knows it.
+
+use std::time::Duration;
+
+use ferry_decisions::rollout::{
+    AnswerQuality, EvidencePool, EvidenceRow, PlanQuery, RolloutOrder, RolloutPhase, RolloutPlan,
+    VersionSide,
+};
+use ferry_decisions::time::MonotonicTime;
+
+use super::answer_pace::AnswerPace;
+
+/// Time without an exchange after which no further conversation is moved to the new version.
+const EXCHANGE_LIFE: Duration = Duration::from_millis(2_500);
+/// Time after which a row no longer tells what is in flight at its router.
+const ROW_LIFE: Duration = Duration::from_millis(2_500);
+
+/// State of one order.
+#[derive(Debug)]
+pub struct ActiveRollout {
+    /// The order.
+    pub order: RolloutOrder,
+    /// Offset of the order in the operator's topic.
+    pub offset: u64,
+    /// Phase in force; absent until the store was asked.
+    pub phase: Option<RolloutPhase>,
+    /// Counts of this router.
+    pub own: EvidenceRow,
+    /// Pace of the old versions' answers.
+    pub pace: AnswerPace,
+    plan: RolloutPlan,
+    pool: EvidencePool,
+    /// Moment of the order, or the earliest that a router knows of.
+    started: MonotonicTime,
+    phase_began: MonotonicTime,
+    /// Last exchange with the other routers.
+    exchanged: Option<MonotonicTime>,
+    /// Harm that the evidence known here shows.
+    harm: Option<String>,
+}
+
+impl ActiveRollout {
+    /// A roll-out whose order was just read.
+    pub fn new(
+        order: RolloutOrder,
+        offset: u64,
+        router: &str,
+        exposure_share: f64,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            plan: RolloutPlan {
+                duration: order.duration,
+                exposure_share,
+            },
+            order,
+            offset,
+            phase: None,
+            own: EvidenceRow {
+                router: router.to_owned(),
+                ..EvidenceRow::default()
+            },
+            pace: AnswerPace::default(),
+            pool: EvidencePool::default(),
+            started: now,
+            phase_began: now,
+            exchanged: None,
+            harm: None,
+        }
+    }
+
+    /// Version that a conversation gets; `point` is uniform in `0.0..1.0` and its own.
+    pub fn side(&self, point: f64, last: Option<VersionSide>, now: MonotonicTime) -> VersionSide {
+        let Some(phase) = self.phase else {
+            return VersionSide::Base;
+        };
+        match phase {
+            RolloutPhase::Completed => return VersionSide::Target,
+            RolloutPhase::Reverted => return VersionSide::Base,
+            _ if self.harm.is_some() => return VersionSide::Base,
+            RolloutPhase::Full => return VersionSide::Target,
+            RolloutPhase::Canary | RolloutPhase::Ramp => {}
+        }
+        let pinned = last == Some(VersionSide::Base) && self.plan.pins_old(self.elapsed(now));
+        let in_touch = self
+            .exchanged
+            .is_some_and(|at| now.since(at) < EXCHANGE_LIFE);
+        let moves = !pinned && in_touch && point < self.plan.share(phase);
+        if last == Some(VersionSide::Target) || moves {
+            VersionSide::Target
+        } else {
+            VersionSide::Base
+        }
+    }
+
+    /// Whether all conversations are on the new version for good or nearly so.
+    pub fn is_moved(&self) -> bool {
+        matches!(
+            self.phase,
+            Some(RolloutPhase::Full | RolloutPhase::Completed)
+        )
+    }
+
+    /// Counts an answer; returns whether the evidence now shows harm for the first time.
+    pub fn record(
+        &mut self,
+        class: &str,
+        side: VersionSide,
+        quality: AnswerQuality,
+        now: MonotonicTime,
+    ) -> bool {
+        if self.is_final() {
+            return false;
+        }
+        let counts = self.own.classes.entry(class.to_owned()).or_default();
+        counts.add(side, quality);
+        self.pool.merge(self.own.clone(), now);
+        side == VersionSide::Target && self.test()
+    }
+
+    /// The row that the other routers get.
+    pub fn own_row(&mut self, old_in_flight: u32, now: MonotonicTime) -> EvidenceRow {
+        self.own.old_in_flight = old_in_flight;
+        self.own.phase = self.phase;
+        self.own.elapsed_ms = self.elapsed(now).as_millis() as u64;
+        self.pool.merge(self.own.clone(), now);
+        self.own.clone()
+    }
+
+    /// Takes in rows of other routers.
+    pub fn merge(&mut self, rows: Vec<EvidenceRow>, now: MonotonicTime) {
+        for row in rows {
+            let started = now.before(Duration::from_millis(row.elapsed_ms));
+            self.started = self.started.min(started);
+            self.pool.merge(row, now);
+        }
+        self.exchanged = Some(now);
+        self.test();
+    }
+
+    /// Takes in a phase that the store holds.
+    pub fn enter(&mut self, phase: RolloutPhase, now: MonotonicTime) {
+        if self.phase.is_some_and(|held| !held.may_become(phase)) {
+            return;
+        }
+        spdlog::info!("roll-out phase", kv: {
+            service = self.order.service.as_str(),
+            target = self.order.target.as_str(),
+            phase:? = phase,
+            elapsed_ms = self.elapsed(now).as_millis() as u64,
+            harm = self.harm.as_deref().unwrap_or_default(),
+        });
+        self.phase = Some(phase);
+        self.phase_began = now;
+    }
+
+    /// The phase to which the roll-out should move now.
+    pub fn next_phase(&self, now: MonotonicTime) -> Option<RolloutPhase> {
+        let phase = self.phase?;
+        if phase.is_final() {
+            return None;
+        }
+        if self.harm.is_some() {
+            return Some(RolloutPhase::Reverted);
+        }
+        self.plan.next_phase(&PlanQuery {
+            phase,
+            elapsed: self.elapsed(now),
+            in_phase: now.since(self.phase_began),
+            answers: self.pool.totals().target_answers(),
+            old_in_flight: self.pool.old_in_flight(now.before(ROW_LIFE)),
+        })
+    }
+
+    /// Whether the roll-out has ended.
+    pub fn is_final(&self) -> bool {
+        self.phase.is_some_and(RolloutPhase::is_final)
+    }
+
+    fn elapsed(&self, now: MonotonicTime) -> Duration {
+        now.since(self.started)
+    }
+
+    /// Runs the tests; returns whether they find harm for the first time.
+    fn test(&mut self) -> bool {
+        if self.harm.is_some() {
+            return false;
+        }
+        self.harm = self.pool.harm();
+        if let Some(harm) = &self.harm {
+            spdlog::warn!("the new version does harm", kv: {
+                service = self.order.service.as_str(),
+                target = self.order.target.as_str(),
+                evidence = harm.as_str(),
+            });
+        }
+        self.harm.is_some()
+    }
+}
--- a/crates/router/src/relay/rollouts/rollout_desk.rs
+++ b/crates/router/src/relay/rollouts/rollout_desk.rs
@@ -1,37 +1,183 @@
-//! Roll-outs that this relay knows of.
+//! Roll-outs that this relay knows of, by service.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
-use ferry_decisions::names::{ServiceName, VersionName};
-use ferry_decisions::rollout::RolloutOrder;
+use ferry_decisions::names::{Incarnation, ServiceName, VersionName};
+use ferry_decisions::rollout::{AnswerQuality, RolloutOrder, VersionSide};
 use ferry_decisions::time::MonotonicTime;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::active_rollout::ActiveRollout;
+use super::session_memory::SessionMemory;
+
+/// Which upstreams of a service a request may use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionPick {
+    /// Version that is brought in.
+    pub target: VersionName,
+    /// Whether the request gets that version or any other one.
+    pub side: VersionSide,
+}
+
+/// An answer, as the evidence counts it.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerNote<'a> {
+    /// Service that answered.
+    pub service: &'a ServiceName,
+    /// Version that answered.
+    pub version: &'a VersionName,
+    /// Class of the request.
+    pub class: &'a str,
+    /// Model that answered; empty for plain services.
+    pub model: &'a str,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Time to the head of the answer; absent for a failure.
+    pub took: Option<Duration>,
+}
 
 /// Roll-outs by service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RolloutDesk {
-    orders: Mutex<HashMap<ServiceName, RolloutOrder>>,
+    /// This router and life, as its rows name it.
+    router: String,
+    active: Mutex<HashMap<ServiceName, ActiveRollout>>,
+    sessions: SessionMemory,
+    /// Wakes the exchange when something is urgent.
+    pub wake: Notify,
 }
 
 impl RolloutDesk {
-    /// Takes in an order of the operator.
-    pub fn take_order(&self, order: RolloutOrder, _now: MonotonicTime) {
+    /// A desk of the router on `host`.
+    pub fn new(host: &str) -> Self {
+        Self {
+            router: format!("{host}/{}", Incarnation::random().0.simple()),
+            active: Mutex::default(),
+            sessions: SessionMemory::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Takes in an order that was read at `offset`; one that is known changes nothing.
+    pub fn take_order(
+        &self,
+        order: RolloutOrder,
+        offset: u64,
+        exposure_share: f64,
+        now: MonotonicTime,
+    ) {
+        let mut active = self.active.lock();
+        let known = active.get(&order.service);
+        if known.is_some_and(|known| known.offset == offset) {
+            return;
+        }
         spdlog::info!("roll-out ordered", kv: {
             service = order.service.as_str(),
             target = order.target.as_str(),
             duration_ms = order.duration.as_millis() as u64,
+            order = offset,
         });
-        self.orders.lock().insert(order.service.clone(), order);
+        let service = order.service.clone();
+        let rollout = ActiveRollout::new(order, offset, &self.router, exposure_share, now);
+        active.insert(service, rollout);
+        self.wake.notify_one();
     }
 
     /// Takes in that the order of `service` was taken back.
     pub fn drop_order(&self, service: &ServiceName) {
-        self.orders.lock().remove(service);
+        self.active.lock().remove(service);
+    }
+
+    /// Whether the phase of every roll-out is known.
+    pub fn is_settled(&self) -> bool {
+        let active = self.active.lock();
+        active.values().all(|rollout| rollout.phase.is_some())
+    }
+
+    /// Services whose roll-outs have not ended.
+    pub fn open_services(&self) -> Vec<ServiceName> {
+        let active = self.active.lock();
+        let open = active.iter().filter(|(_, rollout)| !rollout.is_final());
+        open.map(|(service, _)| service.clone()).collect()
     }
 
-    /// The version that gets no requests of `service`, if there is one.
-    pub fn excluded(&self, service: &ServiceName) -> Option<VersionName> {
-        let orders = self.orders.lock();
-        orders.get(service).map(|order| order.target.clone())
+    /// Runs `action` on the roll-out of `service`, if there is one.
+    pub fn with<R>(
+        &self,
+        service: &ServiceName,
+        action: impl FnOnce(&mut ActiveRollout) -> R,
+    ) -> Option<R> {
+        self.active.lock().get_mut(service).map(action)
+    }
+
+    /// Which version a request of the conversation `session` gets; nothing where all may be used.
+    ///
+    /// `gap` is the longest pause within a conversation.
+    pub fn pick(
+        &self,
+        service: &ServiceName,
+        session: &str,
+        gap: Duration,
+        now: MonotonicTime,
+    ) -> Option<VersionPick> {
+        let active = self.active.lock();
+        let rollout = active.get(service)?;
+        let hash = xxh3_64_with_seed(session.as_bytes(), rollout.offset);
+        let point = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+        let last = self.sessions.recall(hash, gap, now);
+        let side = rollout.side(point, last, now);
+        self.sessions.note(hash, side, now);
+        Some(VersionPick {
+            target: rollout.order.target.clone(),
+            side,
+        })
+    }
+
+    /// Whether a pick may be widened to all upstreams when none of its own is listed.
+    pub fn is_moved(&self, service: &ServiceName) -> bool {
+        self.with(service, |rollout| rollout.is_moved())
+            .unwrap_or(false)
+    }
+
+    /// Counts an answer or a failure.
+    pub fn record(&self, note: &AnswerNote<'_>, now: MonotonicTime) {
+        let mut active = self.active.lock();
+        let Some(rollout) = active.get_mut(note.service) else {
+            return;
+        };
+        let side = if *note.version == rollout.order.target {
+            VersionSide::Target
+        } else {
+            VersionSide::Base
+        };
+        let quality = judge(rollout, side, note);
+        if rollout.record(note.class, side, quality, now) {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Forgets conversations without a request for longer than `gap`.
+    pub fn expire(&self, gap: Duration, now: MonotonicTime) {
+        self.sessions.expire(gap, now);
+    }
+}
+
+fn judge(rollout: &mut ActiveRollout, side: VersionSide, note: &AnswerNote<'_>) -> AnswerQuality {
+    let Some(took) = note.took else {
+        return AnswerQuality::Bad;
+    };
+    let class = format!("{}/{}", note.class, note.model);
+    match side {
+        VersionSide::Base => {
+            rollout.pace.learn(&class, took, note.prompt_tokens);
+            AnswerQuality::Good
+        }
+        VersionSide::Target if rollout.pace.is_slow(&class, took, note.prompt_tokens) => {
+            AnswerQuality::Bad
+        }
+        VersionSide::Target => AnswerQuality::Good,
     }
 }
--- /dev/null
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -0,0 +1,244 @@
+//! Exchange of evidence and phases with the other routers, through topics of the store.
+
+use std::time::Duration;
+
+use ferry_decisions::names::ServiceName;
+use ferry_decisions::rollout::{EvidenceRow, RolloutPhase};
+use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, status_key};
+use ferry_platform::store::{
+    AppendGuard, ReadQuery, STATUS_TOPIC, StoreError, TopicPart, encode_keyed,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use crate::peer;
+use crate::relay::relay_core::SharedCore;
+use crate::relay::watch::TopicReader;
+
+/// Topic of the routers' evidence.
+const EVIDENCE: TopicPart<'static> = TopicPart {
+    topic: "rollout-evidence",
+    part: 0,
+};
+/// Partition of the phases.
+const STATUS: TopicPart<'static> = TopicPart {
+    topic: STATUS_TOPIC,
+    part: 0,
+};
+/// Time between two exchanges while a roll-out is under way.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(900);
+/// Exchanges after which the phases are read even if no router is seen ahead.
+const STATUS_PERIOD: u32 = 5;
+
+/// A row with the order that it is about.
+#[derive(Debug, Serialize, Deserialize)]
+struct EvidenceRecord {
+    service: ServiceName,
+    order: u64,
+    row: EvidenceRow,
+}
+
+/// Position of this router in the topics.
+struct RolloutExchange {
+    core: SharedCore,
+    status: TopicReader,
+    /// Offset of the next evidence record.
+    evidence: u64,
+    /// Row that was last appended.
+    sent: Option<EvidenceRow>,
+    rounds: u32,
+    lost: bool,
+}
+
+/// Exchanges while roll-outs are under way, until the relay closes.
+pub async fn follow(core: SharedCore) {
+    let mut exchange = RolloutExchange {
+        status: TopicReader::new(core.store.clone(), STATUS_TOPIC),
+        core,
+        evidence: 0,
+        sent: None,
+        rounds: 0,
+        lost: false,
+    };
+    loop {
+        let core = exchange.core.clone();
+        let open = core.rollouts.open_services();
+        if open.is_empty() {
+            core.rollouts.wake.notified().await;
+            continue;
+        }
+        for service in &open {
+            let result = exchange.run(service).await;
+            exchange.note(result);
+        }
+        let gap = core.settings.load().bounds.session_gap;
+        core.rollouts.expire(gap, core.clock.now());
+        let _ = timeout(EXCHANGE_PERIOD, core.rollouts.wake.notified()).await;
+    }
+}
+
+impl RolloutExchange {
+    fn note(&mut self, result: Result<(), StoreError>) {
+        match result {
+            Ok(()) => {
+                if std::mem::take(&mut self.lost) {
+                    spdlog::info!("roll-out evidence is exchanged again");
+                }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.lost, true) {
+                    spdlog::warn!("roll-out evidence cannot be exchanged: {}", error);
+                }
+            }
+        }
+    }
+
+    /// One exchange about one service, and the next phase if it is due.
+    async fn run(&mut self, service: &ServiceName) -> Result<(), StoreError> {
+        if self.rounds.is_multiple_of(STATUS_PERIOD) {
+            self.read_status().await?;
+        }
+        self.rounds += 1;
+        self.send_row(service).await?;
+        let ahead = self.read_rows(service).await?;
+        if ahead {
+            self.read_status().await?;
+        }
+        let core = &self.core;
+        let now = core.clock.now();
+        let state = core.rollouts.with(service, |rollout| {
+            let next = match rollout.phase {
+                None => Some(RolloutPhase::Canary),
+                Some(_) => rollout.next_phase(now),
+            };
+            next.map(|phase| RolloutStatus {
+                order: rollout.offset,
+                target: rollout.order.target.clone(),
+                phase,
+            })
+        });
+        match state.flatten() {
+            Some(status) => self.propose(service, &status).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Reads the phases that the store holds.
+    async fn read_status(&mut self) -> Result<(), StoreError> {
+        let changes = self.status.next(Duration::ZERO).await?;
+        let core = &self.core;
+        for service in core.rollouts.open_services() {
+            let key = status_key(&service);
+            let values = changes.records.iter().filter(|record| record.key == key);
+            for value in values.filter_map(|record| record.value.as_ref()) {
+                match decode_status(value) {
+                    Ok(status) => self.take_status(&service, &status),
+                    Err(error) => spdlog::warn!("the status of {} is ignored: {}", service, error),
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn take_status(&self, service: &ServiceName, status: &RolloutStatus) {
+        let now = self.core.clock.now();
+        self.core.rollouts.with(service, |rollout| {
+            if rollout.offset == status.order {
+                rollout.enter(status.phase, now);
+            }
+        });
+    }
+
+    /// Appends this router's row if it changed.
+    async fn send_row(&mut self, service: &ServiceName) -> Result<(), StoreError> {
+        let core = &self.core;
+        let now = core.clock.now();
+        let record = core.rollouts.with(service, |rollout| {
+            let old = core
+                .upstreams
+                .in_flight_except(service, &rollout.order.target);
+            EvidenceRecord {
+                service: service.clone(),
+                order: rollout.offset,
+                row: rollout.own_row(old, now),
+            }
+        });
+        let Some(record) = record else {
+            return Ok(());
+        };
+        if self
+            .sent
+            .as_ref()
+            .is_some_and(|sent| is_same(sent, &record.row))
+        {
+            return Ok(());
+        }
+        let Ok(body) = peer::encode(&record) else {
+            spdlog::error!("a row of evidence cannot be encoded", kv: { service = service.as_str() });
+            return Ok(());
+        };
+        core.store
+            .append(EVIDENCE, [&body[..]], AppendGuard::None)
+            .await?;
+        self.sent = Some(record.row);
+        Ok(())
+    }
+
+    /// Reads the other routers' rows; returns whether one of them acts on a later phase.
+    async fn read_rows(&mut self, service: &ServiceName) -> Result<bool, StoreError> {
+        let query = ReadQuery {
+            from: self.evidence,
+            wait: Duration::ZERO,
+        };
+        let batch = match self.core.store.read(EVIDENCE, query).await {
+            Err(StoreError::Trimmed { first }) => {
+                self.evidence = first;
+                return Ok(false);
+            }
+            result => result?,
+        };
+        self.evidence += batch.records.len() as u64;
+        let now = self.core.clock.now();
+        let records = batch.records.iter();
+        let decoded = records.filter_map(|r| peer::decode::<EvidenceRecord>(&r.content).ok());
+        let decoded: Vec<EvidenceRecord> = decoded.filter(|r| r.service == *service).collect();
+        let ahead = self.core.rollouts.with(service, |rollout| {
+            let rows: Vec<EvidenceRow> = decoded
+                .into_iter()
+                .filter(|record| record.order == rollout.offset)
+                .map(|record| record.row)
+                .collect();
+            let ahead = rows.iter().any(|row| row.phase > rollout.phase);
+            rollout.merge(rows, now);
+            ahead
+        });
+        Ok(ahead.unwrap_or(false))
+    }
+
+    /// Moves the roll-out on, unless another router did so meanwhile.
+    async fn propose(
+        &mut self,
+        service: &ServiceName,
+        status: &RolloutStatus,
+    ) -> Result<(), StoreError> {
+        let Some(end) = self.status.position() else {
+            return Ok(());
+        };
+        let Some(record) = encode_keyed(&status_key(service), &encode_status(status)) else {
+            spdlog::error!("the status of {} has too long a key", service);
+            return Ok(());
+        };
+        let guard = AppendGuard::EndsAt(end);
+        match self.core.store.append(STATUS, [&record[..]], guard).await {
+            Ok(_) | Err(StoreError::Moved { .. }) => self.read_status().await,
+            Err(error) => Err(error),
+        }
+    }
+}
+
+/// Whether two rows of this router tell the others the same.
+fn is_same(one: &EvidenceRow, other: &EvidenceRow) -> bool {
+    one.classes == other.classes
+        && one.old_in_flight == other.old_in_flight
+        && one.phase == other.phase
+}
--- a/crates/router/src/relay/run/event_pump.rs
+++ b/crates/router/src/relay/run/event_pump.rs
@@ -108,6 +108,7 @@
         self.splitter.take_partial();
         if let Some(answer) = self.answer.take() {
             answer.upstream.mark_suspect(self.run.core.clock.now());
+            self.run.note_answer(&answer.upstream, None);
         }
         let last_event = self.splitter.last_id();
         if self.begun && last_event.is_none() {
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use ferry_decisions::cascade::SizeQuery;
 use ferry_decisions::choice::NoUpstream;
-use ferry_decisions::names::{HostName, ServiceName};
+use ferry_decisions::names::{HostName, ServiceName, VersionName};
 use ferry_decisions::retry::{RetryPolicy, RetryQuery, RetryVerdict, RunState, UpstreamFailure};
+use ferry_decisions::rollout::VersionSide;
 use ferry_kernel::http::{HttpBody, collect_limited};
 use ferry_platform::headers::{ForwardFacts, forward_headers, set_resume_point};
 use hyper::Response;
@@ -21,6 +22,7 @@
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer, send};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::request::{RefusalReason, RelayRefusal, RelayRequest};
+use crate::relay::rollouts::{AnswerNote, VersionPick};
 use crate::relay::upstreams::RelayUpstream;
 
 /// Longest answer that is read as a whole before it is passed on, in bytes.
@@ -47,6 +49,8 @@
     stage: usize,
     /// Upstreams that had the request.
     tried: SmallVec<[HostName; 4]>,
+    /// Version whose upstream last failed the request.
+    failed_version: Option<VersionName>,
     /// Sends that did not certainly fail to run.
     runs: u32,
     /// What all sends together say about the run; while one is under way, it may have run.
@@ -75,6 +79,7 @@
             service: None,
             stage: 0,
             tried: SmallVec::new(),
+            failed_version: None,
             runs: 0,
             run: RunState::NotRun,
             _work: work,
@@ -174,12 +179,14 @@
             .service
             .as_ref()
             .ok_or(refuse(RefusalReason::NoUpstream))?;
+        let pick = self.pick_version(service);
         let chosen = choose_upstream(
             &self.core,
             &self.request,
             service,
             model.as_deref(),
             &self.tried,
+            pick.as_ref(),
         );
         chosen.map_err(|error: NoUpstream| {
             spdlog::debug!("request {}: {}", self.request.id, error);
@@ -187,6 +194,37 @@
         })
     }
 
+    /// Version that the request gets while one is brought in; one that failed it is left out.
+    fn pick_version(&self, service: &ServiceName) -> Option<VersionPick> {
+        let gap = self.core.settings.load().bounds.session_gap;
+        let session = self.request.affinity_text();
+        let now = self.core.clock.now();
+        let mut pick = self.core.rollouts.pick(service, session, gap, now)?;
+        if self.failed_version.as_ref() == Some(&pick.target) {
+            pick.side = VersionSide::Base;
+        }
+        Some(pick)
+    }
+
+    /// Counts an answer, or a failure where `took` is absent, as evidence about the version.
+    pub fn note_answer(&mut self, upstream: &RelayUpstream, took: Option<Duration>) {
+        let Some(service) = &self.service else {
+            return;
+        };
+        let note = AnswerNote {
+            service,
+            version: &upstream.record.version,
+            class: self.request.rule.name.as_str(),
+            model: &self.record.model,
+            prompt_tokens: self.request.facts.prompt.prompt_tokens,
+            took,
+        };
+        self.core.rollouts.record(&note, self.core.clock.now());
+        if took.is_none() {
+            self.failed_version = Some(upstream.record.version.clone());
+        }
+    }
+
     fn pick_service(&mut self) -> Result<(), RelayRefusal> {
         let point = conversation_point(&self.request);
         let service = self.request.rule.pick_service(point).cloned();
@@ -220,6 +258,7 @@
         self.record.upstream = upstream.id().to_owned();
         self.record.model = model.unwrap_or_default();
         let before = std::mem::replace(&mut self.run, RunState::MayHaveRun);
+        let sent = Instant::now();
         let result = send(upstream, &outgoing, &self.request.id).await;
         let now = self.core.clock.now();
         match &result {
@@ -230,12 +269,16 @@
                 }
                 self.run = RunState::Ran;
                 self.runs += 1;
+                self.note_answer(upstream, Some(sent.elapsed()));
                 self.record.confidence = answer.facts.confidence;
             }
             Err(failure) => {
                 let run = failure.kind.run_state();
                 self.run = before.max(run);
-                self.runs += u32::from(run != RunState::NotRun);
+                if run != RunState::NotRun {
+                    self.runs += 1;
+                    self.note_answer(upstream, None);
+                }
                 if failure.kind == UpstreamFailure::Leaving {
                     upstream.mark_leaving();
                 }
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -6,16 +6,21 @@
     ChoicePoints, ChoiceQuery, NoUpstream, UpstreamChoice, UpstreamState, UpstreamView,
 };
 use ferry_decisions::names::{HostName, ServiceName, ZoneName};
+use ferry_decisions::rollout::VersionSide;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::relay::RelayCore;
 use crate::relay::request::RelayRequest;
+use crate::relay::rollouts::VersionPick;
 use crate::relay::upstreams::RelayUpstream;
 
 /// Upstreams of a service that fit on the stack.
 const USUAL_UPSTREAMS: usize = 32;
 
+/// Upstreams that a request may use.
+type OpenUpstreams<'a> = SmallVec<[&'a Arc<RelayUpstream>; USUAL_UPSTREAMS]>;
+
 /// Uniform number in `0.0..1.0` that is the same for all requests of one conversation.
 pub fn conversation_point(request: &RelayRequest) -> f64 {
     let hash = xxh3_64(request.affinity_text().as_bytes());
@@ -35,14 +40,11 @@
     service: &ServiceName,
     model: Option<&str>,
     tried: &[HostName],
+    pick: Option<&VersionPick>,
 ) -> Result<Arc<RelayUpstream>, NoUpstream> {
     let now = core.clock.now();
-    let excluded = core.rollouts.excluded(service);
     let list = core.upstreams.of_service(service);
-    let open: SmallVec<[&Arc<RelayUpstream>; USUAL_UPSTREAMS]> = list
-        .iter()
-        .filter(|upstream| excluded.as_ref() != Some(&upstream.record.version))
-        .collect();
+    let open = allowed_versions(&list, pick);
     let mut views: SmallVec<[UpstreamView<'_>; USUAL_UPSTREAMS]> =
         open.iter().map(|upstream| upstream.view(now)).collect();
     let zone: ZoneName = core.settings.load().zone.clone();
@@ -68,6 +70,25 @@
     Ok(Arc::clone(open[index]))
 }
 
+/// The upstreams that `pick` allows; all of them when none of those is in service.
+fn allowed_versions<'a>(
+    list: &'a [Arc<RelayUpstream>],
+    pick: Option<&VersionPick>,
+) -> OpenUpstreams<'a> {
+    let Some(pick) = pick else {
+        return list.iter().collect();
+    };
+    let allows = |upstream: &RelayUpstream| {
+        let is_target = upstream.record.version == pick.target;
+        is_target == (pick.side == VersionSide::Target)
+    };
+    let allowed: OpenUpstreams<'a> = list.iter().filter(|upstream| allows(upstream)).collect();
+    if allowed.iter().all(|upstream| upstream.is_leaving()) {
+        return list.iter().collect();
+    }
+    allowed
+}
+
 /// Key by which requests that share a long part of their prompt meet at one upstream.
 fn affinity(request: &RelayRequest, model: Option<&str>) -> Option<u64> {
     if !request.rule.affine {
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Requests of this router in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.state.lock().in_flight
+    }
+
     /// An idle connection that its upstream still keeps, the most recently used one first.
     pub fn take_idle(&self) -> Option<UpstreamLink> {
         let mut idle = self.idle.lock();
--- a/crates/router/src/relay/upstreams/upstream_directory.rs
+++ b/crates/router/src/relay/upstreams/upstream_directory.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
-use ferry_decisions::names::ServiceName;
+use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::roster::UpstreamRecord;
 
 use super::RelayUpstream;
@@ -35,6 +35,15 @@
             .unwrap_or_else(|| Arc::new([]))
     }
 
+    /// Requests of this router in flight on upstreams of `service` with another version.
+    pub fn in_flight_except(&self, service: &ServiceName, version: &VersionName) -> u32 {
+        self.of_service(service)
+            .iter()
+            .filter(|upstream| upstream.record.version != *version)
+            .map(|upstream| upstream.in_flight())
+            .sum()
+    }
+
     /// Replaces the directory; upstreams whose life goes on keep their state and connections.
     pub fn update<'a>(&self, records: impl Iterator<Item = &'a UpstreamRecord>) {
         let held = self.by_service.load_full();
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -4,10 +4,14 @@
 mod topic_reader;
 mod upstream_watch;
 
+pub use topic_reader::TopicReader;
+
 use super::relay_core::SharedCore;
+use super::rollouts;
 
 /// Starts following the store.
 pub fn start(core: &SharedCore) {
     core.spawn(operator_watch::follow(core.clone()));
     core.spawn(upstream_watch::follow(core.clone()));
+    core.spawn(rollouts::follow(core.clone()));
 }
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -58,11 +58,15 @@
 }
 
 fn apply(core: &SharedCore, records: Vec<KeyedRecord>) {
-    for KeyedRecord { key, value } in records {
+    for KeyedRecord { key, value, offset } in records {
         let service = order_service(&key);
         match (service, value) {
             (Some(service), Some(value)) => match decode_order(&value) {
-                Ok(order) => core.rollouts.take_order(order, core.clock.now()),
+                Ok(order) => {
+                    let share = core.settings.load().bounds.exposure_share;
+                    core.rollouts
+                        .take_order(order, offset, share, core.clock.now());
+                }
                 Err(error) => spdlog::error!("the order for {} is ignored: {}", service, error),
             },
             (Some(service), None) => core.rollouts.drop_order(&service),
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Offset of the next record, once all keys were listed.
+    pub fn position(&self) -> Option<u64> {
+        self.position
+    }
+
     /// All keys at first and after a gap, later what was appended; waits up to `wait` for that.
     ///
     /// # Errors
@@ -53,7 +58,7 @@
                 let records = batch.records.iter();
                 Ok(TopicChanges {
                     whole: false,
-                    records: records.filter_map(|r| decode_keyed(&r.content)).collect(),
+                    records: records.filter_map(decode_keyed).collect(),
                 })
             }
             Err(StoreError::Trimmed { first }) => {
@@ -80,6 +85,7 @@
             records.extend(page.entries.into_iter().map(|entry| KeyedRecord {
                 key: entry.key,
                 value: Some(entry.value),
+                offset: entry.offset,
             }));
             if !page.has_more || after.is_none() {
                 break;
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -64,7 +64,7 @@
             .collect();
         roster.retain_listed(|id| listed.contains(id), now);
     }
-    for KeyedRecord { key, value } in changes.records {
+    for KeyedRecord { key, value, .. } in changes.records {
         let change = match value.map(|value| decode_upstream(&key, &value)) {
             Some(Ok(record)) => roster.observe(record),
             Some(Err(error)) => {
