Keep a lapsed entry no longer than the store's return allows

Ruled out: a late read (the removal was read within 0.67 s). The grace now ends at one moment for all entries, counted from the return, and one read earlier.

--- a/crates/decisions/src/roster/upstream_roster.rs
+++ b/crates/decisions/src/roster/upstream_roster.rs
@@ -36,8 +36,8 @@
     record: UpstreamRecord,
     /// Whether its newest entry names it; a malformed one does not.
     named: bool,
-    /// When its entry was found missing after an outage; it is kept for a while from then on.
-    missing_since: Option<MonotonicTime>,
+    /// Until when it is kept though its entry was found missing after an outage.
+    kept_until: Option<MonotonicTime>,
 }
 
 impl UpstreamRoster {
@@ -79,14 +79,15 @@
     /// Entries lapse while the store is away, so that one missing right after its return is
     /// kept until [`UpstreamRoster::expire`] finds that it did not come back.
     pub fn observe_removed(&mut self, id: &str, now: MonotonicTime) -> RosterChange {
-        let in_grace = self
+        let kept_until = self
             .returned
-            .is_some_and(|returned| now.since(returned) < RETURN_GRACE);
+            .map(|returned| returned.after(RETURN_GRACE))
+            .filter(|end| now < *end);
         let Some(known) = self.known.get_mut(id) else {
             return RosterChange::None;
         };
-        if in_grace && known.record.stage == UpstreamStage::Ready {
-            known.missing_since.get_or_insert(now);
+        if kept_until.is_some() && known.record.stage == UpstreamStage::Ready {
+            known.kept_until = known.kept_until.or(kept_until);
             return RosterChange::None;
         }
         self.known.remove(id);
@@ -114,11 +115,8 @@
     /// Drops the upstreams that did not come back in time; returns whether there were any.
     pub fn expire(&mut self, now: MonotonicTime) -> bool {
         let before = self.known.len();
-        self.known.retain(|_, known| {
-            known
-                .missing_since
-                .is_none_or(|since| now.since(since) < RETURN_GRACE)
-        });
+        self.known
+            .retain(|_, known| known.kept_until.is_none_or(|end| now < end));
         self.known.len() < before
     }
 
@@ -138,7 +136,7 @@
         let known = KnownUpstream {
             record,
             named: true,
-            missing_since: None,
+            kept_until: None,
         };
         self.known.insert(id, known);
         change
@@ -150,7 +148,7 @@
     fn renew(&mut self, mut record: UpstreamRecord) -> RosterChange {
         let was_leaving = self.record.stage == UpstreamStage::Draining;
         let was_named = std::mem::replace(&mut self.named, true);
-        self.missing_since = None;
+        self.kept_until = None;
         if was_leaving {
             record.stage = UpstreamStage::Draining;
         }
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -45,7 +45,7 @@
             spdlog::info!("the upstreams' topic is read again");
         }
         let changed = apply(&core, &mut roster, changes);
-        let expired = roster.expire(now);
+        let expired = roster.expire(now.after(period));
         if changed || expired || !core.upstreams.is_listed() {
             core.upstreams.update(roster.upstreams());
         }
