--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -51,6 +51,7 @@
 pub struct RelayDaemon {
     core: SharedCore,
     callers: ServerHandle,
+    readiness: ServerHandle,
 }
 
 impl RelayDaemon {
@@ -63,7 +64,7 @@
         let core = Arc::new(RelayCore::new(settings));
         let settings = core.settings.load_full();
         watch::start(&core);
-        serve_readiness(&core, settings.readiness).await?;
+        let readiness = serve_readiness(&core, settings.readiness).await?;
         if let Some(port) = options.metrics_port {
             serve_metrics(SocketAddr::new(settings.callers.ip(), port)).await?;
         }
@@ -74,7 +75,11 @@
             callers = callers.address.to_string(),
             store = settings.store.to_string(),
         });
-        Ok(Self { core, callers })
+        Ok(Self {
+            core,
+            callers,
+            readiness,
+        })
     }
 
     /// Address for callers.
@@ -82,6 +87,11 @@
         self.callers.address
     }
 
+    /// Address of the balancer's question whether the host is ready.
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.readiness.address
+    }
+
     /// Takes over settings that were read again; addresses stay as they are.
     pub fn reload(&self, settings: Result<HostSettings, HostSettingsError>) {
         match settings {
@@ -148,15 +158,17 @@
     })
 }
 
-async fn serve_readiness(core: &SharedCore, address: SocketAddr) -> Result<(), RelayError> {
+async fn serve_readiness(
+    core: &SharedCore,
+    address: SocketAddr,
+) -> Result<ServerHandle, RelayError> {
     let server = bind("readiness", address).await?;
     let core = Arc::clone(core);
     let handler = move |request: Request<Incoming>, _| {
         let core = Arc::clone(&core);
         async move { readiness(&core, request.uri().path()) }
     };
-    let served = server.serve(handler);
-    served.map(drop).map_err(|reason| RelayError::Bind {
+    server.serve(handler).map_err(|reason| RelayError::Bind {
         port: "readiness",
         address,
         reason,
--- /dev/null
+++ b/crates/router/tests/relay/deployment.rs
@@ -0,0 +1,235 @@
+//! A small deployment: a store, upstreams of one service, and relays.
+
+use std::net::SocketAddr;
+use std::sync::Once;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::ServiceName;
+use ferry_decisions::roster::UpstreamStage;
+use ferry_decisions::ruleset::{
+    KeyHolder, RequestLimits, RouteRule, RunKind, ServiceShare, ServiceSpec,
+};
+use ferry_kernel::http::{HttpClient, HttpError, HttpRequest, collect_limited};
+use ferry_kernel::logs::{self, LogLevel};
+use ferry_platform::entries::{CONFIG_KEY, encode_rules};
+use ferry_platform::headers::{CallerHeaders, READINESS_PATH};
+use ferry_platform::host_settings::{DeploymentBounds, HostSettings};
+use ferry_platform::store::OPERATOR_TOPIC;
+use ferry_router::relay::{RelayDaemon, RelayOptions};
+use ferry_standin::{ReplicaOptions, ReplicaStandin, StoreStandin};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, Method, Response, StatusCode};
+use tokio::time::sleep;
+
+/// Host of all rules.
+pub const HOST_NAME: &str = "clinic.example";
+/// Key of the only workspace.
+pub const KEY: &str = "key-1";
+/// Workspace that the key belongs to.
+pub const WORKSPACE: &str = "intake";
+/// Service of all upstreams.
+pub const SERVICE: &str = "letters";
+/// Longest time that a test waits for a condition.
+const CONDITION_LIMIT: Duration = Duration::from_secs(20);
+/// Time that a caller of the tests allows.
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+/// Longest answer that a test reads, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// The store with what was written into it.
+pub struct Deployment {
+    /// The store.
+    pub store: StoreStandin,
+    /// Bounds of relays that are started next.
+    pub bounds: DeploymentBounds,
+}
+
+/// An answer that was read to its end.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body; `None` when it broke off.
+    pub body: Option<Bytes>,
+}
+
+impl Deployment {
+    /// A store without records.
+    pub async fn start() -> Self {
+        quiet_logs();
+        Self {
+            store: StoreStandin::start(loopback()).await.unwrap(),
+            bounds: bounds(),
+        }
+    }
+
+    /// Puts `rules` in force as `revision`, for the only workspace.
+    pub fn configure(&self, revision: u64, rules: &[RouteRule]) {
+        let holder = KeyHolder {
+            workspace: WORKSPACE.into(),
+            priority: None,
+        };
+        self.configure_keys(revision, rules, &[(KEY, holder)]);
+    }
+
+    /// Puts `rules` in force with these keys.
+    pub fn configure_keys(&self, revision: u64, rules: &[RouteRule], keys: &[(&str, KeyHolder)]) {
+        let service = ServiceSpec {
+            name: SERVICE.into(),
+            connections: 100,
+            models: Vec::new(),
+        };
+        let limits = RequestLimits {
+            body_bytes: 2_000,
+            ..RequestLimits::default()
+        };
+        let value = encode_rules(revision, &limits, rules, keys, &[service]);
+        self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &value);
+    }
+
+    /// Starts an upstream of `version` and registers it.
+    pub async fn replica(&self, id: &str, version: &str) -> ReplicaStandin {
+        let options = ReplicaOptions {
+            id: id.to_owned(),
+            service: SERVICE.to_owned(),
+            version: version.to_owned(),
+            slots: 8,
+        };
+        let replica = ReplicaStandin::start(loopback(), options).await.unwrap();
+        replica.register(&self.store, UpstreamStage::Ready, 1);
+        replica
+    }
+
+    /// Starts a relay and waits until it is ready.
+    pub async fn relay(&self) -> RelayDaemon {
+        let relay = self.unready_relay().await;
+        eventually("the relay is ready", async || is_ready(&relay).await).await;
+        relay
+    }
+
+    /// Starts a relay.
+    pub async fn unready_relay(&self) -> RelayDaemon {
+        let settings = HostSettings {
+            host: "entry-1".into(),
+            zone: "zone-a".into(),
+            callers: loopback(),
+            readiness: loopback(),
+            store: self.store.address(),
+            peer_ports: (0, 0),
+            bounds: self.bounds,
+        };
+        let options = RelayOptions { metrics_port: None };
+        RelayDaemon::start(settings, options).await.unwrap()
+    }
+}
+
+/// Keeps the relays' log lines out of the tests' output.
+fn quiet_logs() {
+    static QUIET: Once = Once::new();
+    QUIET.call_once(|| logs::install(LogLevel::Error).unwrap());
+}
+
+/// Bounds of the tests.
+fn bounds() -> DeploymentBounds {
+    DeploymentBounds {
+        drain: Duration::from_millis(600),
+        stop_grace: Duration::from_secs(8),
+        revocation: Duration::from_secs(5),
+        retry_ratio: 0.9,
+        retry_burst: 100.0,
+        retry_window: Duration::from_secs(10),
+        exposure_share: 0.15,
+        exposure_tolerance: 30.0,
+        rollback: Duration::from_secs(5),
+        session_gap: Duration::from_secs(5),
+        contact: Duration::from_secs(3),
+    }
+}
+
+/// Any free port.
+pub fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// A rule for `prefix`.
+pub fn rule(prefix: &str, run: RunKind) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: HOST_NAME.to_owned(),
+        path_prefix: prefix.to_owned(),
+        run,
+        attempts: 3,
+        timeout: Duration::from_secs(10),
+        target_latency: Duration::from_secs(1),
+        event_gap: None,
+        priority: 1,
+        shares: [ServiceShare {
+            service: ServiceName::new(SERVICE),
+            weight: 1.0,
+        }]
+        .into_iter()
+        .collect(),
+        cascade: smallvec::SmallVec::new(),
+        public: false,
+        affine: false,
+    }
+}
+
+/// A request to `path` with the usual key.
+pub fn request(relay: &RelayDaemon, path: &str, attempt_id: &str) -> HttpRequest {
+    let headers = CallerHeaders {
+        attempt_id,
+        key: Some(KEY),
+        deadline: Some(Duration::from_secs(8)),
+        ..CallerHeaders::default()
+    };
+    request_with(relay, path, &headers)
+}
+
+/// A request to `path` with these headers.
+pub fn request_with(relay: &RelayDaemon, path: &str, headers: &CallerHeaders<'_>) -> HttpRequest {
+    let url = format!("http://{}{path}", relay.callers_address());
+    let mut request = HttpRequest::new(Method::POST, &url, Bytes::from_static(b"a letter"));
+    headers.write(&mut request.headers);
+    request
+        .headers
+        .insert(HOST, HeaderValue::from_static(HOST_NAME));
+    request
+}
+
+/// Sends `request` and returns when the head of the answer is there.
+pub async fn begin(request: HttpRequest) -> Result<Response<Incoming>, HttpError> {
+    HttpClient::default().send(request, CALL_LIMIT).await
+}
+
+/// Sends `request` and reads the answer to its end.
+pub async fn call(request: HttpRequest) -> WholeAnswer {
+    let (head, body) = begin(request).await.unwrap().into_parts();
+    WholeAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: collect_limited(body, ANSWER_LIMIT).await.ok(),
+    }
+}
+
+/// Whether the relay tells the balancer that it is ready.
+pub async fn is_ready(relay: &RelayDaemon) -> bool {
+    let url = format!("http://{}{READINESS_PATH}", relay.readiness_address());
+    let answer = HttpClient::default()
+        .send(HttpRequest::get(&url), CALL_LIMIT)
+        .await;
+    answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let until = tokio::time::Instant::now() + CONDITION_LIMIT;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < until, "never: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/router/tests/relay/failures.rs
@@ -0,0 +1,167 @@
+//! Upstreams that refuse, break off, answer wrongly or leave.
+
+use ferry_decisions::roster::UpstreamStage;
+use ferry_decisions::ruleset::RunKind;
+use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
+use ferry_standin::replica::RunEnd;
+use ferry_standin::{ReplicaPlan, ReplicaStandin};
+use hyper::StatusCode;
+
+use crate::deployment::{Deployment, call, eventually, request, rule};
+
+/// Requests that are sent where the choice of the upstream is random.
+const MANY: usize = 12;
+
+fn drops_requests() -> FaultOrder {
+    FaultOrder {
+        outage: Some(OutageOrder {
+            answer: OutageAnswer::Drop,
+            path: "/".to_owned(),
+        }),
+        ..FaultOrder::default()
+    }
+}
+
+fn ran(replica: &ReplicaStandin) -> usize {
+    let runs = replica.runs();
+    runs.iter()
+        .filter(|run| run.end == RunEnd::Finished)
+        .count()
+}
+
+#[tokio::test]
+async fn a_full_upstream_s_refusal_is_tried_elsewhere_and_said_as_not_run() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Once)]);
+    let busy = deployment.replica("up-1", "v1").await;
+    let free = deployment.replica("up-2", "v1").await;
+    let full = ReplicaPlan {
+        full: true,
+        ..ReplicaPlan::default()
+    };
+    busy.plan(full.clone());
+    let relay = deployment.relay().await;
+    for number in 0..MANY {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(ran(&free), MANY);
+    free.plan(full);
+    let refused = call(request(&relay, "/letters/7", "b")).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers.contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn a_broken_connection_is_repeated_only_where_the_rule_allows() {
+    let deployment = Deployment::start().await;
+    let rules = [
+        rule("/once/", RunKind::Once),
+        rule("/often/", RunKind::Idempotent),
+    ];
+    deployment.configure(1, &rules);
+    let broken = deployment.replica("up-1", "v1").await;
+    broken.set_faults(drops_requests());
+    let relay = deployment.relay().await;
+    let once = call(request(&relay, "/once/7", "a")).await;
+    assert_eq!(once.status, StatusCode::BAD_GATEWAY);
+    let sound = deployment.replica("up-2", "v1").await;
+    eventually("the second upstream is known", async || {
+        call(request(&relay, "/often/7", "b")).await.status == StatusCode::OK
+    })
+    .await;
+    for number in 0..MANY {
+        let often = call(request(&relay, "/often/7", &format!("c-{number}"))).await;
+        assert_eq!(often.status, StatusCode::OK);
+    }
+    assert!(ran(&sound) > MANY);
+}
+
+#[tokio::test]
+async fn an_answer_to_another_attempt_reaches_no_caller() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Once)]);
+    let replica = deployment.replica("up-1", "v1").await;
+    replica.plan(ReplicaPlan {
+        wrong_attempt: true,
+        ..ReplicaPlan::default()
+    });
+    let relay = deployment.relay().await;
+    let answer = call(request(&relay, "/letters/7", "a")).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert!(!String::from_utf8_lossy(&answer.body.unwrap()).contains("answers"));
+}
+
+#[tokio::test]
+async fn an_upstream_s_own_failure_is_passed_on_as_it_is() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Once)]);
+    let replica = deployment.replica("up-1", "v1").await;
+    replica.plan(ReplicaPlan {
+        status: StatusCode::INTERNAL_SERVER_ERROR,
+        ..ReplicaPlan::default()
+    });
+    let relay = deployment.relay().await;
+    let answer = call(request(&relay, "/letters/7", "a")).await;
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(answer.body.unwrap(), "up-1 answers a");
+}
+
+#[tokio::test]
+async fn a_leaving_upstream_gets_no_request_within_the_bound() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let leaving = deployment.replica("up-1", "v1").await;
+    let staying = deployment.replica("up-2", "v1").await;
+    let relay = deployment.relay().await;
+    leaving.register(&deployment.store, UpstreamStage::Draining, 2);
+    tokio::time::sleep(deployment.bounds.drain).await;
+    let before = leaving.runs().len();
+    for number in 0..MANY {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(leaving.runs().len(), before);
+    assert_eq!(staying.runs().len(), MANY);
+}
+
+#[tokio::test]
+async fn malformed_entries_of_other_writers_harm_no_upstream() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let _replica = deployment.replica("up-1", "v1").await;
+    let entries: [&[u8]; 4] = [b"\xff\xfe", b"{}", b"[1,2", b"{\"state\":\"asleep\"}"];
+    for (number, value) in entries.into_iter().enumerate() {
+        deployment
+            .store
+            .put(UPSTREAM_TOPIC, &format!("odd-{number}"), value);
+    }
+    let relay = deployment.relay().await;
+    let answer = call(request(&relay, "/letters/7", "a")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+/// The address of an upstream that is gone serves another one, which refuses what is not bound to it.
+#[tokio::test]
+async fn a_request_for_an_upstream_that_is_gone_does_not_run_at_its_address() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Once)]);
+    let other = deployment.replica("up-1", "v1").await;
+    let mut record = other.record(UpstreamStage::Ready, 1);
+    record.life.id = "up-0".into();
+    let entry = ferry_platform::entries::encode_upstream(&record);
+    deployment.store.put(UPSTREAM_TOPIC, "up-0", &entry);
+    let relay = deployment.relay().await;
+    for number in 0..MANY {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let runs = other.runs();
+    assert_eq!(ran(&other), MANY);
+    assert!(
+        runs.iter()
+            .filter(|run| run.request.bound_to.as_deref() == Some("up-0"))
+            .all(|run| run.end == RunEnd::Refused)
+    );
+}
--- /dev/null
+++ b/crates/router/tests/relay/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the relay against the emulated platform: a store and upstreams on loopback addresses.
+
+mod cascades;
+mod deployment;
+mod events;
+mod failures;
+mod lease;
+mod requests;
+mod rollouts;
+mod stops;
--- /dev/null
+++ b/crates/router/tests/relay/rollouts.rs
@@ -0,0 +1,104 @@
+//! Roll-outs over two relays that share their evidence.
+
+use std::time::Duration;
+
+use ferry_decisions::names::ServiceName;
+use ferry_decisions::rollout::{RolloutOrder, RolloutPhase};
+use ferry_decisions::ruleset::RunKind;
+use ferry_platform::entries::{decode_status, encode_order, status_key};
+use ferry_platform::headers::CallerHeaders;
+use ferry_platform::store::{OPERATOR_TOPIC, STATUS_TOPIC};
+use ferry_router::relay::RelayDaemon;
+use ferry_standin::{ReplicaPlan, ReplicaStandin};
+use hyper::StatusCode;
+
+use crate::deployment::{Deployment, KEY, SERVICE, call, request_with, rule};
+
+/// Time within which the roll-outs are to be done.
+const DURATION: Duration = Duration::from_secs(8);
+/// Requests sent at once.
+const WAVE: usize = 12;
+
+fn order(deployment: &Deployment) {
+    let order = RolloutOrder {
+        service: SERVICE.into(),
+        target: "v2".into(),
+        duration: DURATION,
+    };
+    let key = status_key(&order.service);
+    deployment
+        .store
+        .put(OPERATOR_TOPIC, &key, &encode_order(&order));
+}
+
+fn phase(deployment: &Deployment) -> Option<RolloutPhase> {
+    let key = status_key(&ServiceName::new(SERVICE));
+    let value = deployment.store.newest(STATUS_TOPIC, &key)?;
+    Some(decode_status(&value).unwrap().phase)
+}
+
+/// Sends waves of requests, each of a conversation of its own, until the roll-out has ended.
+async fn traffic(deployment: &Deployment, relays: &[RelayDaemon]) -> Option<RolloutPhase> {
+    let until = tokio::time::Instant::now() + 2 * DURATION;
+    let mut number = 0;
+    while tokio::time::Instant::now() < until {
+        let mut wave = Vec::new();
+        for relay in relays {
+            for _ in 0..WAVE {
+                number += 1;
+                let id = format!("a-{number}");
+                let headers = CallerHeaders {
+                    attempt_id: &id,
+                    key: Some(KEY),
+                    session: Some(&id),
+                    ..CallerHeaders::default()
+                };
+                wave.push(tokio::spawn(call(request_with(relay, "/chat/7", &headers))));
+            }
+        }
+        for answer in wave {
+            assert_eq!(answer.await.unwrap().status, StatusCode::OK);
+        }
+        if let Some(last) = phase(deployment).filter(|phase| phase.is_final()) {
+            return Some(last);
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    phase(deployment)
+}
+
+async fn fleet(target: ReplicaPlan) -> (Deployment, Vec<RelayDaemon>, ReplicaStandin) {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/chat/", RunKind::Idempotent)]);
+    for id in ["old-1", "old-2"] {
+        deployment.replica(id, "v1").await;
+    }
+    let relays = vec![deployment.relay().await, deployment.relay().await];
+    order(&deployment);
+    let candidate = deployment.replica("new-1", "v2").await;
+    candidate.plan(target);
+    (deployment, relays, candidate)
+}
+
+#[tokio::test]
+async fn a_good_version_is_completed_in_time() {
+    let (deployment, relays, candidate) = fleet(ReplicaPlan::default()).await;
+    let began = tokio::time::Instant::now();
+    let last = traffic(&deployment, &relays).await;
+    assert_eq!(last, Some(RolloutPhase::Completed));
+    assert!(began.elapsed() <= DURATION + Duration::from_millis(500));
+    assert!(!candidate.runs().is_empty());
+}
+
+#[tokio::test]
+async fn a_version_that_fails_is_reverted_and_its_failures_reach_no_caller() {
+    let failing = ReplicaPlan {
+        status: StatusCode::INTERNAL_SERVER_ERROR,
+        ..ReplicaPlan::default()
+    };
+    let (deployment, relays, candidate) = fleet(failing).await;
+    let last = traffic(&deployment, &relays).await;
+    assert_eq!(last, Some(RolloutPhase::Reverted));
+    let exposed = candidate.runs().len();
+    assert!(exposed < 50, "{exposed} requests got the bad version");
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,13 +10,17 @@
 pub mod faults;
 pub mod platform;
 mod registration;
+pub mod replica;
 mod reply;
 pub mod server;
 pub mod service;
+pub mod store;
 
 pub use engine::{EngineOptions, EngineStandin};
 pub use faults::FaultOrder;
 pub use platform::{PlatformOptions, PlatformStandin};
 pub use registration::StartError;
+pub use replica::{ReplicaOptions, ReplicaPlan, ReplicaStandin};
 pub use server::{CrashMode, StandinServer};
 pub use service::{ServiceOptions, ServiceStandin};
+pub use store::StoreStandin;
--- /dev/null
+++ b/crates/standin/src/replica.rs
@@ -0,0 +1,90 @@
+//! Stand-in of an upstream on the users' platform: it answers requests that are bound to it, whole
+//! or as a series of events, and keeps a record of what it was asked and what it ran.
+
+mod replica_run;
+mod replica_state;
+
+pub use replica_run::{ReplicaRun, RunEnd};
+pub(crate) use replica_state::ReplicaState;
+pub use replica_state::{ReplicaOptions, ReplicaPlan};
+
+use std::io;
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::Arc;
+
+use ferry_decisions::roster::{UpstreamLife, UpstreamRecord, UpstreamStage};
+use ferry_decisions::time::UnixMillis;
+use ferry_platform::entries::encode_upstream;
+use ferry_platform::store::UPSTREAM_TOPIC;
+
+use crate::faults::FaultGate;
+use crate::server::{CrashMode, StandinApi, StandinServer};
+use crate::store::StoreStandin;
+
+/// A running upstream.
+#[derive(Debug, Clone)]
+pub struct ReplicaStandin {
+    server: StandinServer,
+    state: Arc<ReplicaState>,
+}
+
+impl ReplicaStandin {
+    /// Starts an upstream that is not registered yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn start(listen: SocketAddr, options: ReplicaOptions) -> io::Result<Self> {
+        let (gate, crashes) = FaultGate::new();
+        let state = Arc::new(ReplicaState::new(options));
+        let api = StandinApi::Replica(state.clone());
+        let server =
+            StandinServer::start(listen, api, Arc::new(gate), crashes, CrashMode::Simulate).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Writes its entry into `store`, as number `sequence` of its life.
+    pub fn register(&self, store: &StoreStandin, stage: UpstreamStage, sequence: u64) {
+        let record = self.record(stage, sequence);
+        let id = record.life.id.to_string();
+        store.put(UPSTREAM_TOPIC, &id, &encode_upstream(&record));
+    }
+
+    /// Its entry.
+    pub fn record(&self, stage: UpstreamStage, sequence: u64) -> UpstreamRecord {
+        let options = self.state.options();
+        UpstreamRecord {
+            life: UpstreamLife {
+                id: options.id.as_str().into(),
+                born: Some(UnixMillis(1)),
+            },
+            service: options.service.as_str().into(),
+            address: self.address(),
+            zone: "zone-a".into(),
+            version: options.version.as_str().into(),
+            slots: options.slots,
+            stage,
+            warm_up: std::time::Duration::ZERO,
+            sequence,
+        }
+    }
+
+    /// Sets how requests are answered from now on.
+    pub fn plan(&self, plan: ReplicaPlan) {
+        self.state.set_plan(plan);
+    }
+
+    /// Requests that reached it, in order, with how they ended.
+    pub fn runs(&self) -> Vec<ReplicaRun> {
+        self.state.runs()
+    }
+}
+
+impl Deref for ReplicaStandin {
+    type Target = StandinServer;
+
+    fn deref(&self) -> &StandinServer {
+        &self.server
+    }
+}
--- a/crates/standin/src/server/standin_api.rs
+++ b/crates/standin/src/server/standin_api.rs
@@ -4,12 +4,15 @@
 
 use ferry_kernel::http::HttpBody;
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 
 use crate::engine::EngineState;
 use crate::faults::StandinKind;
 use crate::platform::PlatformState;
+use crate::replica::ReplicaState;
+use crate::reply;
 use crate::service::ServiceState;
+use crate::store::StoreState;
 
 /// What answers the calls of one server.
 #[derive(Debug, Clone)]
@@ -20,15 +23,19 @@
     Engine(Arc<EngineState>),
     /// A plain service.
     Service(Arc<ServiceState>),
+    /// Metadata store of the users' platform.
+    Store(Arc<StoreState>),
+    /// Upstream of the users' platform.
+    Replica(Arc<ReplicaState>),
 }
 
 impl StandinApi {
     /// Which stand-in it is.
     pub(crate) fn kind(&self) -> StandinKind {
         match self {
-            Self::Platform(_) => StandinKind::Platform,
+            Self::Platform(_) | Self::Store(_) => StandinKind::Platform,
             Self::Engine(_) => StandinKind::Engine,
-            Self::Service(_) => StandinKind::Service,
+            Self::Service(_) | Self::Replica(_) => StandinKind::Service,
         }
     }
 
@@ -38,6 +45,8 @@
             Self::Platform(state) => state.answer(request).await,
             Self::Engine(state) => state.answer(request).await,
             Self::Service(state) => state.answer(request).await,
+            Self::Store(state) => state.answer(request).await,
+            Self::Replica(state) => state.answer(request).await,
         }
     }
 
@@ -47,13 +56,17 @@
             Self::Platform(state) => state.answer_control(request).await,
             Self::Engine(state) => state.answer_control(&request),
             Self::Service(state) => state.answer_control(&request),
+            Self::Store(_) | Self::Replica(_) => reply::error(
+                StatusCode::NOT_FOUND,
+                "this stand-in takes only fault orders",
+            ),
         }
     }
 
     /// Forgets all work, as a crash does.
     pub(crate) fn crash(&self) {
         match self {
-            Self::Platform(_) | Self::Service(_) => {}
+            Self::Platform(_) | Self::Service(_) | Self::Store(_) | Self::Replica(_) => {}
             Self::Engine(state) => state.crash(),
         }
     }
@@ -64,13 +77,14 @@
             Self::Platform(state) => state.end_waits(),
             Self::Engine(state) => state.leave(),
             Self::Service(state) => state.leave(),
+            Self::Store(_) | Self::Replica(_) => {}
         }
     }
 
     /// Ends background tasks.
     pub(crate) fn stop(&self) {
         match self {
-            Self::Platform(_) => {}
+            Self::Platform(_) | Self::Store(_) | Self::Replica(_) => {}
             Self::Engine(state) => state.stop(),
             Self::Service(state) => state.stop(),
         }
--- /dev/null
+++ b/crates/standin/src/store/store_state.rs
@@ -0,0 +1,139 @@
+//! Topics of the store, and the calls on them.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use ferry_kernel::http::{HttpBody, collect_limited, full};
+use ferry_platform::store::{
+    AppendGuard, KEYED_PREFIX, ReadQuery, StoreCall, StoreError, decode_records, encode_batch,
+    encode_keyed, encode_refusal,
+};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use super::topic_log::TopicLog;
+use crate::reply;
+
+/// Largest body of an append, in bytes.
+const BODY_LIMIT: usize = 2 * 1024 * 1024;
+
+/// State of the store.
+#[derive(Debug)]
+pub(crate) struct StoreState {
+    topics: Mutex<HashMap<(String, u32), TopicLog>>,
+    /// Changes with each append, to wake reads that wait.
+    appends: watch::Sender<u64>,
+    calls: AtomicU64,
+}
+
+impl Default for StoreState {
+    fn default() -> Self {
+        Self {
+            topics: Mutex::default(),
+            appends: watch::Sender::new(0),
+            calls: AtomicU64::new(0),
+        }
+    }
+}
+
+impl StoreState {
+    pub(super) fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        if let Some(record) = encode_keyed(key, value) {
+            let guard = AppendGuard::None;
+            // Nothing is refused without a condition.
+            let _ = self.append(topic, 0, vec![record.into()], guard);
+        }
+    }
+
+    pub(super) fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let topics = self.topics.lock();
+        let log = topics.get(&(topic.to_owned(), 0))?;
+        log.newest(key).map(|entry| entry.value.to_vec())
+    }
+
+    pub(super) fn compact(&self, topic: &str) {
+        self.with(topic, 0, TopicLog::compact);
+    }
+
+    pub(super) fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Answers a call of the published protocol.
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let (head, body) = request.into_parts();
+        let Some((place, call)) = StoreCall::parse(&head.method, &head.uri) else {
+            return reply::error(StatusCode::NOT_FOUND, "no such call; see the store's page");
+        };
+        let (topic, part) = (place.topic, place.part);
+        let result = match call {
+            StoreCall::Append(guard) => match collect_limited(body, BODY_LIMIT).await {
+                Ok(body) => self.append_body(topic, part, body, guard),
+                Err(error) => Err(StoreError::Unreadable(error.to_string())),
+            },
+            StoreCall::Read(query) => self.read(topic, part, query).await,
+            StoreCall::Newest(after) => Ok(self
+                .with(topic, part, |log| log.page(after))
+                .encode()
+                .into()),
+        };
+        match result {
+            Ok(body) => Response::new(full(body)),
+            Err(error) => {
+                let (status, body) = encode_refusal(&error);
+                let mut response = Response::new(full(body));
+                *response.status_mut() = status;
+                response
+            }
+        }
+    }
+
+    fn append_body(
+        &self,
+        topic: &str,
+        part: u32,
+        body: Bytes,
+        guard: AppendGuard<'_>,
+    ) -> Result<Bytes, StoreError> {
+        let records = decode_records(body)?;
+        let appended = self.append(topic, part, records, guard)?;
+        Ok(serde_json::to_vec(&appended).unwrap_or_default().into())
+    }
+
+    fn append(
+        &self,
+        topic: &str,
+        part: u32,
+        records: Vec<Bytes>,
+        guard: AppendGuard<'_>,
+    ) -> Result<ferry_platform::store::Appended, StoreError> {
+        let keyed = topic.starts_with(KEYED_PREFIX);
+        let appended = self.with(topic, part, |log| log.append(records, guard, keyed))?;
+        self.appends.send_modify(|count| *count += 1);
+        Ok(appended)
+    }
+
+    async fn read(&self, topic: &str, part: u32, query: ReadQuery) -> Result<Bytes, StoreError> {
+        let until = Instant::now() + query.wait;
+        let mut appends = self.appends.subscribe();
+        loop {
+            let batch = self.with(topic, part, |log| log.read(query.from))?;
+            if !batch.records.is_empty() {
+                return Ok(encode_batch(&batch));
+            }
+            if !matches!(timeout_at(until, appends.changed()).await, Ok(Ok(()))) {
+                return Ok(encode_batch(&batch));
+            }
+        }
+    }
+
+    fn with<R>(&self, topic: &str, part: u32, action: impl FnOnce(&mut TopicLog) -> R) -> R {
+        let mut topics = self.topics.lock();
+        action(topics.entry((topic.to_owned(), part)).or_default())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/topic_log.rs
@@ -0,0 +1,141 @@
+//! Records of one partition.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use bytes::Bytes;
+use ferry_platform::store::{
+    AppendGuard, Appended, KeyedEntry, KeyedPage, ReadBatch, StoreError, StoreRecord, decode_keyed,
+};
+
+/// Entries of one page.
+const PAGE_ENTRIES: usize = 500;
+
+/// One partition.
+#[derive(Debug, Default)]
+pub(super) struct TopicLog {
+    /// Offset of the oldest record that is kept.
+    first: u64,
+    records: VecDeque<Bytes>,
+    /// Newest record of each key; empty for topics without keys.
+    newest: BTreeMap<String, KeyedEntry>,
+    /// Epoch and next sequence number of each producer.
+    producers: HashMap<String, (u64, u64)>,
+}
+
+impl TopicLog {
+    /// Offset of the next record.
+    pub(super) fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    /// Appends records if `guard` allows it.
+    pub(super) fn append(
+        &mut self,
+        contents: Vec<Bytes>,
+        guard: AppendGuard<'_>,
+        keyed: bool,
+    ) -> Result<Appended, StoreError> {
+        self.check(guard)?;
+        let offset = self.end();
+        for content in contents {
+            self.push(content, keyed);
+        }
+        Ok(Appended {
+            offset,
+            end: self.end(),
+        })
+    }
+
+    /// Records from `from` on.
+    pub(super) fn read(&self, from: u64) -> Result<ReadBatch, StoreError> {
+        if from < self.first {
+            return Err(StoreError::Trimmed { first: self.first });
+        }
+        let skipped = (from - self.first) as usize;
+        let contents = self.records.iter().skip(skipped).cloned();
+        let records = contents
+            .zip(from..)
+            .map(|(content, offset)| StoreRecord { offset, content });
+        Ok(ReadBatch {
+            end: self.end(),
+            first: self.first,
+            records: records.collect(),
+        })
+    }
+
+    /// Newest records of the keys after `after`.
+    pub(super) fn page(&self, after: Option<&str>) -> KeyedPage {
+        let start = after.map_or(std::ops::Bound::Unbounded, std::ops::Bound::Excluded);
+        let mut rest = self
+            .newest
+            .range::<str, _>((start, std::ops::Bound::Unbounded))
+            .map(|(_, entry)| entry.clone());
+        let entries: Vec<KeyedEntry> = rest.by_ref().take(PAGE_ENTRIES).collect();
+        KeyedPage {
+            entries,
+            has_more: rest.next().is_some(),
+            end: self.end(),
+        }
+    }
+
+    /// Newest value of `key`.
+    pub(super) fn newest(&self, key: &str) -> Option<&KeyedEntry> {
+        self.newest.get(key)
+    }
+
+    /// Drops all records; the newest of each key stays.
+    pub(super) fn compact(&mut self) {
+        self.first = self.end();
+        self.records.clear();
+    }
+
+    fn check(&mut self, guard: AppendGuard<'_>) -> Result<(), StoreError> {
+        match guard {
+            AppendGuard::None => Ok(()),
+            AppendGuard::EndsAt(end) if end == self.end() => Ok(()),
+            AppendGuard::EndsAt(_) => Err(StoreError::Moved { end: self.end() }),
+            AppendGuard::Producer {
+                name,
+                epoch,
+                sequence,
+            } => self.check_producer(name, epoch, sequence),
+        }
+    }
+
+    fn check_producer(&mut self, name: &str, epoch: u64, sequence: u64) -> Result<(), StoreError> {
+        let held = self.producers.get(name).copied();
+        let (known_epoch, expected) = held.unwrap_or((epoch, sequence));
+        if epoch < known_epoch {
+            return Err(StoreError::Fenced);
+        }
+        if epoch == known_epoch && sequence != expected {
+            return Err(StoreError::OutOfSequence { expected });
+        }
+        self.producers
+            .insert(name.to_owned(), (epoch, sequence + 1));
+        Ok(())
+    }
+
+    fn push(&mut self, content: Bytes, keyed: bool) {
+        let record = StoreRecord {
+            offset: self.end(),
+            content,
+        };
+        if let Some(named) = decode_keyed(&record).filter(|_| keyed) {
+            match named.value {
+                Some(value) => {
+                    let entry = KeyedEntry {
+                        key: named.key.clone(),
+                        value,
+                        offset: record.offset,
+                    };
+                    self.newest.insert(named.key, entry);
+                }
+                None => {
+                    self.newest.remove(&named.key);
+                }
+            }
+        }
+        self.records.push_back(record.content);
+    }
+}
