Let one router of each zone read the store for the others

Routers register in a keyed topic and find the fleet's secret there. Each asks the first router of its zone in a fixed order for changes over the existing peer links; an answer tells the age of the answering router's rules, so that the freshness of a key is dated from the question. A neighbour that fails, or is out of touch, is left out at once and the store read directly. Evidence of roll-outs goes the same way. Ruled out: pushing changes unasked (a frozen receiver could not date them).

--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct EvidencePool {
     rows: HashMap<String, HeardRow>,
+    /// Counts of the fleet by class, as a router that has all rows told them.
+    told: BTreeMap<String, ClassCounts>,
     /// Tests by class; the empty class is that of all requests.
     tests: HashMap<String, HarmTest>,
 }
@@ -50,6 +52,18 @@
         }
     }
 
+    /// Takes in the fleet's counts from a router that has all rows.
+    pub fn take_totals(&mut self, classes: BTreeMap<String, ClassCounts>) {
+        self.told = classes;
+    }
+
+    /// Counts of the fleet by class.
+    pub fn class_totals(&self) -> BTreeMap<String, ClassCounts> {
+        let sums = self.by_class().into_iter();
+        sums.map(|(class, counts)| (class.to_owned(), counts))
+            .collect()
+    }
+
     /// Counts of all routers over all classes.
     pub fn totals(&self) -> ClassCounts {
         self.by_class()
@@ -99,6 +113,10 @@
                 *sum = sum.plus(*counts);
             }
         }
+        for (class, counts) in &self.told {
+            let sum = sums.entry(class).or_default();
+            *sum = sum.join(*counts);
+        }
         sums
     }
 }
--- a/crates/decisions/src/roster/upstream_record.rs
+++ b/crates/decisions/src/roster/upstream_record.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::names::{HostName, ServiceName, VersionName, ZoneName};
 use crate::time::UnixMillis;
 
@@ -17,7 +19,7 @@
 }
 
 /// One life of an upstream: a restart under the same id has another start time.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct UpstreamLife {
     /// Identifier, which a request can be bound to.
     pub id: HostName,
@@ -26,7 +28,7 @@
 }
 
 /// One entry.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// Which life of which upstream.
     pub life: UpstreamLife,
--- a/crates/router/src/peer/peer_topic.rs
+++ b/crates/router/src/peer/peer_topic.rs
@@ -23,6 +23,8 @@
         Hosts,
         /// Look-ups of decision trails.
         Trail,
+        /// What a router on the users' platform read of the store, for those that don't read it.
+        Feed,
     }
 }
 
@@ -39,6 +41,7 @@
             Self::Quarantine => "quarantine",
             Self::Hosts => "hosts",
             Self::Trail => "trail",
+            Self::Feed => "feed",
         }
     }
 }
--- /dev/null
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -0,0 +1,166 @@
+//! Asking another router what it read of the store, and answering such questions.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::HostName;
+use ferry_platform::store::KeyedRecord;
+use tokio::time::{sleep, timeout};
+
+use super::feed_message::{EvidenceRecord, FeedAnswer, FeedAsk, FeedChange, FeedChanges};
+use crate::peer::{self, PeerError, PeerMessage, PeerTopic};
+use crate::relay::relay_core::SharedCore;
+use crate::relay::rollouts;
+use crate::relay::store_contact::StoreContact;
+use crate::relay::watch;
+
+/// Longest time for which an answer waits for a change.
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+/// Time after which an unanswered question counts as failed.
+const ASK_LIMIT: Duration = Duration::from_millis(900);
+/// Age of the rules from which on the answering router counts as out of touch.
+const AGE_LIMIT: Duration = Duration::from_millis(1_100);
+/// Pause while there is nobody to ask.
+const IDLE_PAUSE: Duration = Duration::from_millis(700);
+
+/// Why this router reads the store for itself again.
+#[derive(Debug, thiserror::Error)]
+enum FeedError {
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    #[error("its rules are {0:?} old")]
+    OutOfTouch(Duration),
+}
+
+/// Position in another router's changes.
+#[derive(Debug, Default)]
+struct FeedPosition {
+    source: String,
+    revision: u64,
+}
+
+/// Asks while there is somebody to ask, until the relay closes.
+pub async fn follow(core: SharedCore) {
+    let mut position = FeedPosition::default();
+    loop {
+        let settings = core.settings.load_full();
+        let feeder = core
+            .fleet
+            .feeder(&settings.host, &settings.zone, core.clock.now());
+        let Some(feeder) = feeder else {
+            core.fleet.set_fed(false);
+            sleep(IDLE_PAUSE).await;
+            continue;
+        };
+        match ask(&core, &feeder, &mut position).await {
+            Ok(()) => {
+                if core.fleet.set_fed(true) {
+                    spdlog::info!("the store is read by another router", kv: { router = feeder.as_str() });
+                }
+            }
+            Err(error) => {
+                core.fleet.note_failure(&feeder, core.clock.now());
+                if core.fleet.set_fed(false) {
+                    spdlog::info!("the store is read here again: {}", error, kv: { router = feeder.as_str() });
+                }
+            }
+        }
+    }
+}
+
+async fn ask(
+    core: &SharedCore,
+    feeder: &HostName,
+    position: &mut FeedPosition,
+) -> Result<(), FeedError> {
+    let hub = core
+        .fleet
+        .hub()
+        .ok_or_else(|| PeerError::NotConnected(feeder.clone()))?;
+    let query = FeedAsk {
+        source: position.source.clone(),
+        revision: position.revision,
+        evidence: rollouts::own_evidence(core),
+    };
+    let asked = StoreContact::now();
+    let answer: FeedAnswer = timeout(
+        ASK_LIMIT,
+        hub.ask(feeder, PeerTopic::Feed, &query, ASK_LIMIT),
+    )
+    .await
+    .map_err(|_| PeerError::TimedOut(feeder.clone()))??;
+    let age = Duration::from_millis(answer.rules_age_ms);
+    if age > AGE_LIMIT {
+        return Err(FeedError::OutOfTouch(age));
+    }
+    take(core, answer, position);
+    core.contact.confirm(asked.saturating_sub(age));
+    Ok(())
+}
+
+fn take(core: &SharedCore, answer: FeedAnswer, position: &mut FeedPosition) {
+    let (whole, changes) = match answer.changes {
+        FeedChanges::Since(changes) => (false, changes),
+        FeedChanges::Whole(changes) => (true, changes),
+    };
+    let mut operator = Vec::new();
+    let mut upstreams = Vec::new();
+    let mut gone = Vec::new();
+    for change in changes {
+        match change {
+            FeedChange::Operator { key, offset, value } => {
+                operator.push(KeyedRecord { key, value, offset });
+            }
+            FeedChange::Upstream(record) => upstreams.push(*record),
+            FeedChange::UpstreamGone(id) => gone.push(id),
+        }
+    }
+    watch::apply_operator(core, operator);
+    watch::apply_fed_upstreams(core, whole, upstreams, &gone);
+    rollouts::take_pooled(core, answer.rollouts);
+    position.source = answer.source;
+    position.revision = answer.revision;
+}
+
+/// Answers a question of another router.
+pub async fn answer_peer(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
+    if message.topic != PeerTopic::Feed {
+        return None;
+    }
+    let query: FeedAsk = match peer::decode(&message.body) {
+        Ok(query) => query,
+        Err(error) => {
+            spdlog::warn!("a router's question is ignored: {}", error, kv: { router = message.from.as_str() });
+            return None;
+        }
+    };
+    take_evidence(core, query.evidence);
+    let mut revisions = core.fleet.feed.subscribe();
+    let behind =
+        query.source != core.fleet.feed.life() || *revisions.borrow_and_update() > query.revision;
+    if !behind {
+        let _ = timeout(ANSWER_WAIT, revisions.changed()).await;
+    }
+    let (revision, changes) = core.fleet.feed.changes_since(&query.source, query.revision);
+    let answer = FeedAnswer {
+        source: core.fleet.feed.life().to_owned(),
+        revision,
+        changes,
+        rules_age_ms: core.contact.age().as_millis() as u64,
+        rollouts: rollouts::pooled(core),
+    };
+    peer::encode(&answer)
+        .inspect_err(|error| spdlog::error!("an answer to a router cannot be encoded: {}", error))
+        .ok()
+}
+
+fn take_evidence(core: &SharedCore, records: Vec<EvidenceRecord>) {
+    let now = core.clock.now();
+    for record in records {
+        core.rollouts.with(&record.service, |rollout| {
+            if rollout.offset == record.order {
+                rollout.merge_neighbour(record.row, now);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -0,0 +1,178 @@
+//! Registration of this router in the store, and the list of the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::Incarnation;
+use ferry_platform::store::{AppendGuard, KeyedEntry, StoreError, TopicPart, encode_keyed};
+use tokio::time::{sleep, timeout};
+
+use super::feed_client::answer_peer;
+use super::fleet_desk::RouterEntry;
+use crate::peer::{self, PeerHandler, PeerHub, PeerSettings};
+use crate::relay::relay_core::SharedCore;
+
+/// Partition of the routers' entries.
+const ROUTERS: TopicPart<'static> = TopicPart {
+    topic: "keyed.routers",
+    part: 0,
+};
+/// Key of the secret by which routers recognise one another.
+const SECRET_KEY: &str = "secret";
+/// Start of the keys of routers.
+const ROUTER_PREFIX: &str = "router/";
+/// Pause after a failed try.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time in which routers that start together register.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Time between two looks at the list.
+const LIST_PERIOD: Duration = Duration::from_secs(15);
+/// Least time between two looks that a failure asks for.
+const LIST_PAUSE: Duration = Duration::from_secs(3);
+
+/// Why this router is not joined yet.
+#[derive(Debug, thiserror::Error)]
+enum JoinError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Peer(#[from] peer::PeerError),
+    #[error("the secret of the routers was just written by another one; read it")]
+    SecretRaced,
+}
+
+/// Joins the fleet and keeps the list of its routers.
+pub async fn keep_joined(core: SharedCore) {
+    while let Err(error) = join(&core).await {
+        spdlog::debug!("the fleet is not joined yet: {}", error);
+        sleep(RETRY_PAUSE).await;
+    }
+    sleep(SETTLE_TIME).await;
+    loop {
+        match list(&core).await {
+            Ok(entries) => core.fleet.set_routers(routers(&entries)),
+            Err(error) => spdlog::debug!("the routers cannot be listed: {}", error),
+        }
+        let began = core.clock.now();
+        let _ = timeout(LIST_PERIOD, core.fleet.unfed()).await;
+        let left = LIST_PAUSE.saturating_sub(core.clock.now().since(began));
+        sleep(left).await;
+        if !core.fleet.is_fed() {
+            sleep(LIST_PERIOD - LIST_PAUSE).await;
+        }
+    }
+}
+
+/// Opens the peer port with the fleet's secret and registers it.
+async fn join(core: &SharedCore) -> Result<(), JoinError> {
+    let entries = list(core).await?;
+    let held = entries.iter().find(|entry| entry.key == SECRET_KEY);
+    let secret = match held {
+        Some(entry) => String::from_utf8_lossy(&entry.value).into_owned(),
+        None => make_secret(core).await?,
+    };
+    let hub = match core.fleet.hub() {
+        Some(hub) => hub.clone(),
+        None => start_hub(core, secret).await?,
+    };
+    let settings = core.settings.load();
+    let entry = RouterEntry {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        address: hub.address(),
+    };
+    core.fleet.connect(hub);
+    let value = peer::encode(&entry)?;
+    append(
+        core,
+        &format!("{ROUTER_PREFIX}{}", entry.host),
+        &value,
+        AppendGuard::None,
+    )
+    .await?;
+    core.fleet.set_routers(routers(&entries));
+    Ok(())
+}
+
+/// Writes a secret unless another router does at the same time.
+async fn make_secret(core: &SharedCore) -> Result<String, JoinError> {
+    let secret = Incarnation::random().0.simple().to_string();
+    let end = core.store.newest(ROUTERS, None).await?.end;
+    match append(
+        core,
+        SECRET_KEY,
+        secret.as_bytes(),
+        AppendGuard::EndsAt(end),
+    )
+    .await
+    {
+        Ok(()) => Ok(secret),
+        Err(StoreError::Moved { .. }) => Err(JoinError::SecretRaced),
+        Err(error) => Err(error.into()),
+    }
+}
+
+async fn start_hub(core: &SharedCore, secret: String) -> Result<Arc<PeerHub>, peer::PeerError> {
+    let settings = core.settings.load();
+    let (port, _) = settings.peer_ports;
+    let peer_settings = PeerSettings {
+        listen: SocketAddr::new(settings.callers.ip(), port),
+        secret,
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        incarnation: Incarnation::random(),
+    };
+    let weak = Arc::downgrade(core);
+    let handler: PeerHandler = Arc::new(move |message| {
+        let core = weak.upgrade();
+        Box::pin(async move { answer_peer(&core?, message).await })
+    });
+    PeerHub::start(peer_settings, handler).await
+}
+
+async fn append(
+    core: &SharedCore,
+    key: &str,
+    value: &[u8],
+    guard: AppendGuard<'_>,
+) -> Result<(), StoreError> {
+    let Some(record) = encode_keyed(key, value) else {
+        return Err(StoreError::Unreadable(format!("the key {key} is too long")));
+    };
+    let appended = core.store.append(ROUTERS, [&record[..]], guard).await;
+    appended.map(|_| ())
+}
+
+async fn list(core: &SharedCore) -> Result<Vec<KeyedEntry>, StoreError> {
+    let mut entries: Vec<KeyedEntry> = Vec::new();
+    loop {
+        let after = entries.last().map(|entry| entry.key.clone());
+        let page = core.store.newest(ROUTERS, after.as_deref()).await?;
+        let is_last = !page.has_more || page.entries.is_empty();
+        entries.extend(page.entries);
+        if is_last {
+            return Ok(entries);
+        }
+    }
+}
+
+fn routers(entries: &[KeyedEntry]) -> Vec<RouterEntry> {
+    let named = entries
+        .iter()
+        .filter(|entry| entry.key.starts_with(ROUTER_PREFIX));
+    named
+        .filter_map(|entry| match decode(&entry.value) {
+            Ok(router) => Some(router),
+            Err(error) => {
+                spdlog::warn!("a router's entry is ignored: {}", error, kv: { key = entry.key.as_str() });
+                None
+            }
+        })
+        .collect()
+}
+
+fn decode(value: &Bytes) -> Result<RouterEntry, peer::PeerError> {
+    peer::decode(value)
+}
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -7,6 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ferry_decisions::names::ServiceName;
 use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
+use ferry_decisions::roster::UpstreamRoster;
 use ferry_decisions::ruleset::RuleSet;
 use ferry_platform::host_settings::HostSettings;
 use ferry_platform::store::StoreClient;
@@ -14,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::fleet::FleetDesk;
 use super::rollouts::RolloutDesk;
 use super::store_contact::StoreContact;
 use super::upstreams::UpstreamDirectory;
@@ -22,8 +24,11 @@
 
 /// Time allowed for a call to the store.
 const STORE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
-/// Routers among which the fleet's burst of repeated sends is divided.
-const BURST_PARTS: f64 = 12.0;
+/// Least number of routers among which the fleet's burst of repeated sends is divided, since some
+/// may be unknown or start again with a part of their own.
+const LEAST_BURST_PARTS: f64 = 12.0;
+/// Parts of that burst for each router that is known.
+const PARTS_PER_ROUTER: f64 = 1.5;
 /// Part of the allowed ratio of repeated sends that is used.
 const RATIO_PART: f64 = 0.9;
 
@@ -41,6 +46,10 @@
     pub contact: StoreContact,
     /// Upstreams by service.
     pub upstreams: UpstreamDirectory,
+    /// Entries of the upstreams.
+    pub roster: Mutex<UpstreamRoster>,
+    /// The other routers.
+    pub fleet: FleetDesk,
     /// Roll-outs under way.
     pub rollouts: RolloutDesk,
     /// Requests in progress; waited for at a stop.
@@ -60,6 +69,8 @@
             rules: ArcSwapOption::empty(),
             contact: StoreContact::default(),
             upstreams: UpstreamDirectory::default(),
+            roster: Mutex::default(),
+            fleet: FleetDesk::default(),
             rollouts: RolloutDesk::new(settings.host.as_str()),
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
@@ -117,9 +128,10 @@
 
     fn repeat_bounds(&self) -> WindowBudgetConfig {
         let bounds = self.settings.load().bounds;
+        let known = self.fleet.router_count() as f64 * PARTS_PER_ROUTER;
         WindowBudgetConfig {
             ratio: bounds.retry_ratio * RATIO_PART,
-            burst: bounds.retry_burst / BURST_PARTS,
+            burst: bounds.retry_burst / known.max(LEAST_BURST_PARTS),
             window: bounds.retry_window,
         }
     }
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -10,7 +10,7 @@
 use ferry_platform::host_settings::{HostSettings, HostSettingsError};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::relay_core::{RelayCore, SharedCore};
 use super::{request, watch};
@@ -25,6 +25,9 @@
 /// Time kept free at the end of the grace for closing down.
 const CLOSING_TIME: Duration = Duration::from_millis(400);
 
+/// Time that links to other routers get to close.
+const LINK_CLOSING: Duration = Duration::from_millis(100);
+
 /// How a relay is started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayOptions {
@@ -92,6 +95,11 @@
         self.readiness.address
     }
 
+    /// Whether another router tells this one what the store holds.
+    pub fn is_fed(&self) -> bool {
+        self.core.fleet.is_fed()
+    }
+
     /// Takes over settings that were read again; addresses stay as they are.
     pub fn reload(&self, settings: Result<HostSettings, HostSettingsError>) {
         match settings {
@@ -125,6 +133,10 @@
             spdlog::warn!("relay stops with requests in progress", kv: { in_progress = core.work.len() });
         }
         core.closing.cancel();
+        if let Some(hub) = core.fleet.hub() {
+            // The process ends anyway; links that do not close in time are cut.
+            let _ = timeout(LINK_CLOSING, hub.stop()).await;
+        }
         spdlog::info!("relay stopped");
         sleep(LAST_LINES).await;
     }
--- a/crates/router/src/relay/rollouts.rs
+++ b/crates/router/src/relay/rollouts.rs
@@ -5,7 +5,9 @@
 mod answer_pace;
 mod rollout_desk;
 mod rollout_exchange;
+mod rollout_pool;
 mod session_memory;
 
 pub use rollout_desk::{AnswerNote, RolloutDesk, VersionPick};
 pub use rollout_exchange::follow;
+pub use rollout_pool::{own_evidence, pooled, take_pooled};
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -1,10 +1,11 @@
 //! One roll-out as this router knows it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ferry_decisions::rollout::{
-    AnswerQuality, EvidencePool, EvidenceRow, PlanQuery, RolloutOrder, RolloutPhase, RolloutPlan,
-    VersionSide,
+    AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, PlanQuery, RolloutOrder, RolloutPhase,
+    RolloutPlan, VersionSide,
 };
 use ferry_decisions::time::MonotonicTime;
 
@@ -28,6 +29,8 @@
     pub own: EvidenceRow,
     /// Pace of the old versions' answers.
     pub pace: AnswerPace,
+    /// Rows of the routers that ask this one.
+    neighbours: BTreeMap<String, EvidenceRow>,
     plan: RolloutPlan,
     pool: EvidencePool,
     /// Moment of the order, or the earliest that a router knows of.
@@ -61,6 +64,7 @@
                 ..EvidenceRow::default()
             },
             pace: AnswerPace::default(),
+            neighbours: BTreeMap::new(),
             pool: EvidencePool::default(),
             started: now,
             phase_began: now,
@@ -93,14 +97,6 @@
         }
     }
 
-    /// Whether all conversations are on the new version for good or nearly so.
-    pub fn is_moved(&self) -> bool {
-        matches!(
-            self.phase,
-            Some(RolloutPhase::Full | RolloutPhase::Completed)
-        )
-    }
-
     /// Counts an answer; returns whether the evidence now shows harm for the first time.
     pub fn record(
         &mut self,
@@ -138,6 +134,41 @@
         self.test();
     }
 
+    /// Takes in the row of a router that asks this one.
+    pub fn merge_neighbour(&mut self, row: EvidenceRow, now: MonotonicTime) {
+        self.neighbours.insert(row.router.clone(), row.clone());
+        self.pool.merge(row, now);
+        self.test();
+    }
+
+    /// Rows of the routers that ask this one, in the order of their names.
+    pub fn neighbour_rows(&self) -> impl Iterator<Item = &EvidenceRow> {
+        self.neighbours.values()
+    }
+
+    /// Counts of the fleet by class.
+    pub fn class_totals(&self) -> BTreeMap<String, ClassCounts> {
+        self.pool.class_totals()
+    }
+
+    /// Time since the order.
+    pub fn elapsed(&self, now: MonotonicTime) -> Duration {
+        now.since(self.started)
+    }
+
+    /// Takes in the state of a router that exchanges evidence with the fleet.
+    pub fn take_pooled(
+        &mut self,
+        classes: BTreeMap<String, ClassCounts>,
+        elapsed: Duration,
+        now: MonotonicTime,
+    ) {
+        self.started = self.started.min(now.before(elapsed));
+        self.pool.take_totals(classes);
+        self.exchanged = Some(now);
+        self.test();
+    }
+
     /// Takes in a phase that the store holds.
     pub fn enter(&mut self, phase: RolloutPhase, now: MonotonicTime) {
         if self.phase.is_some_and(|held| !held.may_become(phase)) {
@@ -177,10 +208,6 @@
         self.phase.is_some_and(RolloutPhase::is_final)
     }
 
-    fn elapsed(&self, now: MonotonicTime) -> Duration {
-        now.since(self.started)
-    }
-
     /// Runs the tests; returns whether they find harm for the first time.
     fn test(&mut self) -> bool {
         if self.harm.is_some() {
--- a/crates/router/src/relay/rollouts/rollout_desk.rs
+++ b/crates/router/src/relay/rollouts/rollout_desk.rs
@@ -113,6 +113,15 @@
         self.active.lock().get_mut(service).map(action)
     }
 
+    /// Runs `view` on every roll-out, ended ones included.
+    pub fn map_all<R>(&self, view: impl Fn(&ServiceName, &ActiveRollout) -> R) -> Vec<R> {
+        let active = self.active.lock();
+        active
+            .iter()
+            .map(|(service, rollout)| view(service, rollout))
+            .collect()
+    }
+
     /// Which version a request of the conversation `session` gets; nothing where all may be used.
     ///
     /// `gap` is the longest pause within a conversation.
@@ -136,12 +145,6 @@
         })
     }
 
-    /// Whether a pick may be widened to all upstreams when none of its own is listed.
-    pub fn is_moved(&self, service: &ServiceName) -> bool {
-        self.with(service, |rollout| rollout.is_moved())
-            .unwrap_or(false)
-    }
-
     /// Counts an answer or a failure.
     pub fn record(&self, note: &AnswerNote<'_>, now: MonotonicTime) {
         let mut active = self.active.lock();
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -1,17 +1,19 @@
 //! Exchange of evidence and phases with the other routers, through topics of the store.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use bytes::Bytes;
 use ferry_decisions::names::ServiceName;
 use ferry_decisions::rollout::{EvidenceRow, RolloutPhase};
 use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, status_key};
 use ferry_platform::store::{
     AppendGuard, ReadQuery, STATUS_TOPIC, StoreError, TopicPart, encode_keyed,
 };
-use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
 use crate::peer;
+use crate::relay::fleet::EvidenceRecord;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::TopicReader;
 
@@ -30,22 +32,14 @@
 /// Exchanges after which the phases are read even if no router is seen ahead.
 const STATUS_PERIOD: u32 = 5;
 
-/// A row with the order that it is about.
-#[derive(Debug, Serialize, Deserialize)]
-struct EvidenceRecord {
-    service: ServiceName,
-    order: u64,
-    row: EvidenceRow,
-}
-
 /// Position of this router in the topics.
 struct RolloutExchange {
     core: SharedCore,
     status: TopicReader,
     /// Offset of the next evidence record.
     evidence: u64,
-    /// Row that was last appended.
-    sent: Option<EvidenceRow>,
+    /// Rows that were last appended, by router.
+    sent: HashMap<String, EvidenceRow>,
     rounds: u32,
     lost: bool,
 }
@@ -56,7 +50,7 @@
         status: TopicReader::new(core.store.clone(), STATUS_TOPIC),
         core,
         evidence: 0,
-        sent: None,
+        sent: HashMap::new(),
         rounds: 0,
         lost: false,
     };
@@ -67,16 +61,25 @@
             core.rollouts.wake.notified().await;
             continue;
         }
+        if core.fleet.is_fed() {
+            let _ = timeout(EXCHANGE_PERIOD, core.fleet.unfed()).await;
+            core.rollouts.expire(gap_of(&core), core.clock.now());
+            continue;
+        }
         for service in &open {
             let result = exchange.run(service).await;
             exchange.note(result);
         }
-        let gap = core.settings.load().bounds.session_gap;
-        core.rollouts.expire(gap, core.clock.now());
+        core.rollouts.expire(gap_of(&core), core.clock.now());
         let _ = timeout(EXCHANGE_PERIOD, core.rollouts.wake.notified()).await;
     }
 }
 
+/// Longest pause within a conversation.
+fn gap_of(core: &SharedCore) -> Duration {
+    core.settings.load().bounds.session_gap
+}
+
 impl RolloutExchange {
     fn note(&mut self, result: Result<(), StoreError>) {
         match result {
@@ -99,7 +102,7 @@
             self.read_status().await?;
         }
         self.rounds += 1;
-        self.send_row(service).await?;
+        self.send_rows(service).await?;
         let ahead = self.read_rows(service).await?;
         if ahead {
             self.read_status().await?;
@@ -147,40 +150,45 @@
                 rollout.enter(status.phase, now);
             }
         });
+        self.core.fleet.feed.wake();
     }
 
-    /// Appends this router's row if it changed.
-    async fn send_row(&mut self, service: &ServiceName) -> Result<(), StoreError> {
+    /// Appends the rows of this router, and of those that ask it, as far as they changed.
+    async fn send_rows(&mut self, service: &ServiceName) -> Result<(), StoreError> {
         let core = &self.core;
         let now = core.clock.now();
-        let record = core.rollouts.with(service, |rollout| {
+        let rows = core.rollouts.with(service, |rollout| {
             let old = core
                 .upstreams
                 .in_flight_except(service, &rollout.order.target);
-            EvidenceRecord {
-                service: service.clone(),
-                order: rollout.offset,
-                row: rollout.own_row(old, now),
-            }
+            let own = rollout.own_row(old, now);
+            let rows: Vec<EvidenceRow> = rollout.neighbour_rows().cloned().chain([own]).collect();
+            (rollout.offset, rows)
         });
-        let Some(record) = record else {
+        let Some((order, mut rows)) = rows else {
             return Ok(());
         };
-        if self
-            .sent
-            .as_ref()
-            .is_some_and(|sent| is_same(sent, &record.row))
-        {
+        rows.retain(|row| {
+            self.sent
+                .get(&row.router)
+                .is_none_or(|sent| !is_same(sent, row))
+        });
+        if rows.is_empty() {
             return Ok(());
         }
-        let Ok(body) = peer::encode(&record) else {
-            spdlog::error!("a row of evidence cannot be encoded", kv: { service = service.as_str() });
-            return Ok(());
-        };
+        let bodies = rows
+            .iter()
+            .filter_map(|row| encode_row(service, order, row));
+        let bodies: Vec<Bytes> = bodies.collect();
         core.store
-            .append(EVIDENCE, [&body[..]], AppendGuard::None)
+            .append(
+                EVIDENCE,
+                bodies.iter().map(|body| &body[..]),
+                AppendGuard::None,
+            )
             .await?;
-        self.sent = Some(record.row);
+        self.sent
+            .extend(rows.into_iter().map(|row| (row.router.clone(), row)));
         Ok(())
     }
 
@@ -236,7 +244,18 @@
     }
 }
 
-/// Whether two rows of this router tell the others the same.
+fn encode_row(service: &ServiceName, order: u64, row: &EvidenceRow) -> Option<Bytes> {
+    let record = EvidenceRecord {
+        service: service.clone(),
+        order,
+        row: row.clone(),
+    };
+    peer::encode(&record)
+        .inspect_err(|error| spdlog::error!("a row of evidence cannot be encoded: {}", error))
+        .ok()
+}
+
+/// Whether two rows of one router tell the others the same.
 fn is_same(one: &EvidenceRow, other: &EvidenceRow) -> bool {
     one.classes == other.classes
         && one.old_in_flight == other.old_in_flight
--- /dev/null
+++ b/crates/router/src/relay/rollouts/rollout_pool.rs
@@ -0,0 +1,54 @@
+//! Evidence and phases that pass between a router that reads the store and those that ask it.
+
+use std::time::Duration;
+
+use crate::relay::fleet::{EvidenceRecord, PooledRollout};
+use crate::relay::relay_core::SharedCore;
+
+/// This router's rows about the roll-outs under way.
+pub fn own_evidence(core: &SharedCore) -> Vec<EvidenceRecord> {
+    let now = core.clock.now();
+    let rows = core.rollouts.open_services().into_iter();
+    rows.filter_map(|service| {
+        core.rollouts.with(&service, |rollout| {
+            let old = core
+                .upstreams
+                .in_flight_except(&service, &rollout.order.target);
+            EvidenceRecord {
+                service: service.clone(),
+                order: rollout.offset,
+                row: rollout.own_row(old, now),
+            }
+        })
+    })
+    .collect()
+}
+
+/// The fleet's evidence and phases as this router knows them.
+pub fn pooled(core: &SharedCore) -> Vec<PooledRollout> {
+    let now = core.clock.now();
+    core.rollouts.map_all(|service, rollout| PooledRollout {
+        service: service.clone(),
+        order: rollout.offset,
+        phase: rollout.phase,
+        elapsed_ms: rollout.elapsed(now).as_millis() as u64,
+        classes: rollout.class_totals(),
+    })
+}
+
+/// Takes in what the router that was asked knows.
+pub fn take_pooled(core: &SharedCore, rollouts: Vec<PooledRollout>) {
+    let now = core.clock.now();
+    for pooled in rollouts {
+        core.rollouts.with(&pooled.service, |rollout| {
+            if rollout.offset != pooled.order {
+                return;
+            }
+            let elapsed = Duration::from_millis(pooled.elapsed_ms);
+            rollout.take_pooled(pooled.classes, elapsed, now);
+            if let Some(phase) = pooled.phase {
+                rollout.enter(phase, now);
+            }
+        });
+    }
+}
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -4,14 +4,17 @@
 mod topic_reader;
 mod upstream_watch;
 
+pub use operator_watch::apply as apply_operator;
 pub use topic_reader::TopicReader;
+pub use upstream_watch::apply_fed as apply_fed_upstreams;
 
 use super::relay_core::SharedCore;
-use super::rollouts;
+use super::{fleet, rollouts};
 
 /// Starts following the store.
 pub fn start(core: &SharedCore) {
     core.spawn(operator_watch::follow(core.clone()));
     core.spawn(upstream_watch::follow(core.clone()));
     core.spawn(rollouts::follow(core.clone()));
+    fleet::start(core);
 }
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -12,7 +12,7 @@
 use crate::relay::store_contact::StoreContact;
 
 /// Longest wait of one read; the rules are confirmed at least this often.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
+const READ_WAIT: Duration = Duration::from_millis(700);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -21,6 +21,7 @@
     let mut reader = TopicReader::new(core.store.clone(), OPERATOR_TOPIC);
     let mut lost = false;
     loop {
+        core.fleet.unfed().await;
         let asked = StoreContact::now();
         match reader.next(READ_WAIT).await {
             Ok(changes) => {
@@ -57,8 +58,11 @@
     }
 }
 
-fn apply(core: &SharedCore, records: Vec<KeyedRecord>) {
-    for KeyedRecord { key, value, offset } in records {
+/// Puts records of the operator in force, and tells them to the routers that ask.
+pub fn apply(core: &SharedCore, records: Vec<KeyedRecord>) {
+    for record in records {
+        core.fleet.feed.put_operator(&record);
+        let KeyedRecord { key, value, offset } = record;
         let service = order_service(&key);
         match (service, value) {
             (Some(service), Some(value)) => match decode_order(&value) {
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::HostName;
-use ferry_decisions::roster::{RosterChange, UpstreamRoster};
+use ferry_decisions::roster::{RosterChange, UpstreamRecord, UpstreamRoster};
 use ferry_kernel::ticks;
 use ferry_platform::entries::decode_upstream;
 use ferry_platform::store::{KeyedRecord, UPSTREAM_TOPIC};
@@ -20,13 +20,13 @@
 /// Follows the upstreams' topic until the relay closes.
 pub async fn follow(core: SharedCore) {
     let mut reader = TopicReader::new(core.store.clone(), UPSTREAM_TOPIC);
-    let mut roster = UpstreamRoster::default();
     let period = core.settings.load().bounds.drain / READS_PER_DRAIN;
     let mut ticks = ticks::every(period);
     let mut last_read = core.clock.now();
     let mut failed = false;
     loop {
         ticks.tick().await;
+        core.fleet.unfed().await;
         let changes = match reader.next(Duration::ZERO).await {
             Ok(changes) => changes,
             Err(error) => {
@@ -36,22 +36,57 @@
                 continue;
             }
         };
-        let now = core.clock.now();
-        if now.since(last_read) > period * OUTAGE_READS {
-            roster.note_return(now);
-        }
-        last_read = now;
         if std::mem::take(&mut failed) {
             spdlog::info!("the upstreams' topic is read again");
         }
+        let now = core.clock.now();
+        let away = now.since(last_read) > period * OUTAGE_READS;
+        last_read = now;
+        let mut roster = core.roster.lock();
+        if away {
+            roster.note_return(now);
+        }
         let changed = apply(&core, &mut roster, changes);
         let expired = roster.expire(now.after(period));
         if changed || expired || !core.upstreams.is_listed() {
-            core.upstreams.update(roster.upstreams());
+            publish(&core, &roster);
         }
     }
 }
 
+/// Takes in what another router told: changes, or, where it is `whole`, all upstreams.
+pub fn apply_fed(core: &SharedCore, whole: bool, records: Vec<UpstreamRecord>, gone: &[HostName]) {
+    if !whole && records.is_empty() && gone.is_empty() {
+        return;
+    }
+    let now = core.clock.now();
+    let mut roster = core.roster.lock();
+    if whole {
+        let listed: HashSet<HostName> = records.iter().map(|r| r.life.id.clone()).collect();
+        roster.retain_listed(|id| listed.contains(id), now);
+    }
+    for record in records {
+        let (id, change) = (record.life.id.clone(), roster.observe(record));
+        note(&id, change);
+    }
+    for id in gone {
+        note(id, roster.observe_removed(id.as_str(), now));
+    }
+    publish(core, &roster);
+}
+
+/// Lets requests see the roster, and tells it to the routers that ask.
+fn publish(core: &SharedCore, roster: &UpstreamRoster) {
+    core.upstreams.update(roster.upstreams());
+    core.fleet.feed.put_upstreams(roster.upstreams());
+}
+
+fn note(upstream: &HostName, change: RosterChange) {
+    if change != RosterChange::None {
+        spdlog::info!("upstream", kv: { upstream = upstream.as_str(), change:? = change });
+    }
+}
+
 /// Folds the changes; returns whether one of them matters to requests.
 fn apply(core: &SharedCore, roster: &mut UpstreamRoster, changes: TopicChanges) -> bool {
     let now = core.clock.now();
@@ -73,10 +108,8 @@
             }
             None => roster.observe_removed(&key, now),
         };
-        if change != RosterChange::None {
-            spdlog::info!("upstream", kv: { upstream = key.as_str(), change:? = change });
-            changed = true;
-        }
+        note(&key.as_str().into(), change);
+        changed |= change != RosterChange::None;
     }
     changed
 }
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -106,15 +106,20 @@
 
     /// Starts a relay and waits until it is ready.
     pub async fn relay(&self) -> RelayDaemon {
-        let relay = self.unready_relay().await;
+        self.relay_on("entry-1").await
+    }
+
+    /// Starts a relay on `host` and waits until it is ready.
+    pub async fn relay_on(&self, host: &str) -> RelayDaemon {
+        let relay = self.unready_relay(host).await;
         eventually("the relay is ready", async || is_ready(&relay).await).await;
         relay
     }
 
-    /// Starts a relay.
-    pub async fn unready_relay(&self) -> RelayDaemon {
+    /// Starts a relay on `host`.
+    pub async fn unready_relay(&self, host: &str) -> RelayDaemon {
         let settings = HostSettings {
-            host: "entry-1".into(),
+            host: host.into(),
             zone: "zone-a".into(),
             callers: loopback(),
             readiness: loopback(),
--- /dev/null
+++ b/crates/router/tests/relay/feeds.rs
@@ -0,0 +1,81 @@
+//! Routers that learn from one another what the store holds.
+
+use std::time::Duration;
+
+use ferry_decisions::roster::UpstreamStage;
+use ferry_decisions::ruleset::RunKind;
+use ferry_router::relay::RelayDaemon;
+use hyper::StatusCode;
+use tokio::time::sleep;
+
+use crate::deployment::{Deployment, call, eventually, request, rule};
+
+/// Routers of the tests, all in one availability zone.
+const ROUTERS: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
+/// Time over which calls to the store are counted.
+const COUNTED: Duration = Duration::from_secs(3);
+/// Calls that one router makes at most in that time: reads of two topics, and a look at the list.
+const CALLS_OF_ONE: u64 = 32;
+
+async fn fleet(deployment: &Deployment) -> Vec<RelayDaemon> {
+    let mut relays = Vec::new();
+    for name in ROUTERS {
+        relays.push(deployment.relay_on(name).await);
+    }
+    let all_but_one = relays.len() - 1;
+    eventually("all routers but one are fed", async || {
+        relays.iter().filter(|relay| relay.is_fed()).count() == all_but_one
+    })
+    .await;
+    relays
+}
+
+async fn serves(relay: &RelayDaemon, path: &str) -> bool {
+    call(request(relay, path, "a")).await.status == StatusCode::OK
+}
+
+#[tokio::test]
+async fn one_router_of_a_zone_reads_the_store_for_all() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let replica = deployment.replica("up-1", "v1").await;
+    let relays = fleet(&deployment).await;
+    let before = deployment.store.calls();
+    sleep(COUNTED).await;
+    let calls = deployment.store.calls() - before;
+    assert!(calls <= CALLS_OF_ONE, "{calls} calls");
+
+    deployment.configure(2, &[rule("/memos/", RunKind::Idempotent)]);
+    for relay in &relays {
+        eventually("the change is in force", async || {
+            serves(relay, "/memos/7").await
+        })
+        .await;
+    }
+    let second = deployment.replica("up-2", "v1").await;
+    replica.register(&deployment.store, UpstreamStage::Draining, 2);
+    sleep(deployment.bounds.drain).await;
+    let before = replica.runs().len();
+    for relay in &relays {
+        assert!(serves(relay, "/memos/7").await);
+    }
+    assert_eq!(replica.runs().len(), before);
+    assert!(!second.runs().is_empty());
+}
+
+#[tokio::test]
+async fn the_others_go_on_when_the_router_that_reads_stops() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let _replica = deployment.replica("up-1", "v1").await;
+    let mut relays = fleet(&deployment).await;
+    let reader = relays.iter().position(|relay| !relay.is_fed()).unwrap();
+    relays.remove(reader).stop().await;
+    deployment.configure(2, &[rule("/memos/", RunKind::Idempotent)]);
+    for relay in &relays {
+        eventually("the change is in force", async || {
+            serves(relay, "/memos/7").await
+        })
+        .await;
+    }
+}
--- a/crates/router/tests/relay/lease.rs
+++ b/crates/router/tests/relay/lease.rs
@@ -22,7 +22,7 @@
 #[tokio::test]
 async fn a_relay_without_rules_is_not_ready_and_runs_nothing() {
     let deployment = Deployment::start().await;
-    let relay = deployment.unready_relay().await;
+    let relay = deployment.unready_relay("entry-1").await;
     assert!(!is_ready(&relay).await);
     let answer = call(request(&relay, "/letters/7", "a")).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod events;
 mod failures;
+mod feeds;
 mod lease;
 mod requests;
 mod rollouts;
