Date the upstreams' entries too, and drop what a neighbour dropped

Answers now tell the age of the entries, and a router that is too old is left out. A neighbour's removals are final. Reads by the operator's topic wait 0.55 s, since a read that brings records is dated from its question and made readers look out of touch. Also: upstreams are weighed by the pace of their answers, a request that may run twice is sent elsewhere when the head of its answer takes 8 times the usual, a resumable stream when it is silent for 4 pauses; a request that broke three upstreams isn't run again.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -7,10 +7,12 @@
 
 mod crash_delta;
 mod crash_pool;
+mod crash_tally;
 mod request_fingerprint;
 mod run_table;
 mod suspect_entry;
 
 pub use crash_delta::{CrashDelta, CrashRecord, RunState, SurvivalRecord, SuspectRun};
 pub use crash_pool::{CrashPool, Placement, RunOutcome, Suspicion};
+pub use crash_tally::CrashTally;
 pub use request_fingerprint::RequestFingerprint;
--- a/crates/decisions/src/roster/upstream_roster.rs
+++ b/crates/decisions/src/roster/upstream_roster.rs
@@ -94,6 +94,19 @@
         RosterChange::Gone
     }
 
+    /// Drops `id` at once: another router waited for its return already.
+    pub fn forget(&mut self, id: &str) -> RosterChange {
+        match self.known.remove(id) {
+            Some(_) => RosterChange::Gone,
+            None => RosterChange::None,
+        }
+    }
+
+    /// Drops at once all upstreams but those that `is_listed` takes.
+    pub fn forget_unlisted(&mut self, is_listed: impl Fn(&HostName) -> bool) {
+        self.known.retain(|id, _| is_listed(id));
+    }
+
     /// Takes in that the store answers again after an outage.
     pub fn note_return(&mut self, now: MonotonicTime) {
         self.returned = Some(now);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,6 +1,7 @@
 //! The path of opaque requests on the users' platform: a request is matched to a rule, bound to
 //! one upstream, and its answer passed on.
 
+mod answer_pace;
 mod fleet;
 pub mod relay_app;
 mod relay_core;
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -19,7 +19,9 @@
 /// Time after which an unanswered question counts as failed.
 const ASK_LIMIT: Duration = Duration::from_millis(900);
 /// Age of the rules from which on the answering router counts as out of touch.
-const AGE_LIMIT: Duration = Duration::from_millis(1_100);
+const AGE_LIMIT: Duration = Duration::from_millis(1_300);
+/// Part of the time in which a leaving upstream must be noticed that the entries' age may reach.
+const LISTING_PART: f64 = 0.6;
 /// Pause while there is nobody to ask.
 const IDLE_PAUSE: Duration = Duration::from_millis(700);
 
@@ -28,8 +30,13 @@
 enum FeedError {
     #[error(transparent)]
     Peer(#[from] PeerError),
-    #[error("its rules are {0:?} old")]
-    OutOfTouch(Duration),
+    #[error("its rules are {rules:?} old and its upstreams {listing:?}")]
+    OutOfTouch {
+        /// Age of the rules.
+        rules: Duration,
+        /// Age of the upstreams' entries.
+        listing: Duration,
+    },
 }
 
 /// Position in another router's changes.
@@ -89,12 +96,15 @@
     )
     .await
     .map_err(|_| PeerError::TimedOut(feeder.clone()))??;
-    let age = Duration::from_millis(answer.rules_age_ms);
-    if age > AGE_LIMIT {
-        return Err(FeedError::OutOfTouch(age));
+    let rules = Duration::from_millis(answer.rules_age_ms);
+    let listing = Duration::from_millis(answer.listing_age_ms);
+    let listing_limit = core.settings.load().bounds.drain.mul_f64(LISTING_PART);
+    if rules > AGE_LIMIT || listing > listing_limit {
+        return Err(FeedError::OutOfTouch { rules, listing });
     }
     take(core, answer, position);
-    core.contact.confirm(asked.saturating_sub(age));
+    core.contact.confirm(asked.saturating_sub(rules));
+    core.listing.confirm(asked.saturating_sub(listing));
     Ok(())
 }
 
@@ -147,6 +157,7 @@
         revision,
         changes,
         rules_age_ms: core.contact.age().as_millis() as u64,
+        listing_age_ms: core.listing.age().as_millis() as u64,
         rollouts: rollouts::pooled(core),
     };
     peer::encode(&answer)
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -30,6 +30,8 @@
     pub changes: FeedChanges,
     /// Milliseconds since the answering router certainly had the operator's newest records.
     pub rules_age_ms: u64,
+    /// Milliseconds since it certainly had the newest entries of the upstreams.
+    pub listing_age_ms: u64,
     /// The fleet's evidence about each roll-out under way.
     pub rollouts: Vec<PooledRollout>,
 }
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ferry_decisions::names::ServiceName;
+use ferry_decisions::quarantine::CrashTally;
 use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
 use ferry_decisions::roster::UpstreamRoster;
 use ferry_decisions::ruleset::RuleSet;
@@ -15,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::answer_pace::AnswerPace;
 use super::fleet::FleetDesk;
 use super::rollouts::RolloutDesk;
 use super::store_contact::StoreContact;
@@ -44,10 +46,16 @@
     pub rules: ArcSwapOption<RuleSet>,
     /// When the rules were last confirmed.
     pub contact: StoreContact,
+    /// When the upstreams' entries were last confirmed.
+    pub listing: StoreContact,
     /// Upstreams by service.
     pub upstreams: UpstreamDirectory,
     /// Entries of the upstreams.
     pub roster: Mutex<UpstreamRoster>,
+    /// Usual pace of all answers.
+    pub pace: Mutex<AnswerPace>,
+    /// Requests whose upstreams kept breaking off.
+    pub crashes: Mutex<CrashTally>,
     /// The other routers.
     pub fleet: FleetDesk,
     /// Roll-outs under way.
@@ -68,8 +76,11 @@
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             rules: ArcSwapOption::empty(),
             contact: StoreContact::default(),
+            listing: StoreContact::default(),
             upstreams: UpstreamDirectory::default(),
             roster: Mutex::default(),
+            pace: Mutex::default(),
+            crashes: Mutex::default(),
             fleet: FleetDesk::default(),
             rollouts: RolloutDesk::new(settings.host.as_str()),
             work: TaskTracker::new(),
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::WorkspaceName;
+use ferry_decisions::quarantine::RequestFingerprint;
 use ferry_decisions::ruleset::{KeyHolder, KeyVerdict, RouteRule, RuleSet};
 use ferry_kernel::http::{BodyError, collect_limited};
 use ferry_platform::headers::RequestFacts;
@@ -108,6 +109,13 @@
         self.holder.as_ref().map(|holder| &holder.workspace)
     }
 
+    /// Identity by content: the same for every time that the caller sends it.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let nobody = WorkspaceName::new("");
+        let workspace = self.workspace().unwrap_or(&nobody);
+        RequestFingerprint::of(workspace, &self.target, &self.body)
+    }
+
     /// Rank at the upstream, 0 first; the workspace's takes precedence.
     pub fn rank(&self) -> u8 {
         let own = self.holder.as_ref().and_then(|holder| holder.priority);
--- a/crates/router/src/relay/rollouts.rs
+++ b/crates/router/src/relay/rollouts.rs
@@ -2,7 +2,6 @@
 //! of that with the other routers through the store.
 
 mod active_rollout;
-mod answer_pace;
 mod rollout_desk;
 mod rollout_exchange;
 mod rollout_pool;
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -9,7 +9,7 @@
 };
 use ferry_decisions::time::MonotonicTime;
 
-use super::answer_pace::AnswerPace;
+use crate::relay::answer_pace::AnswerPace;
 
 /// Time without an exchange after which no further conversation is moved to the new version.
 const EXCHANGE_LIFE: Duration = Duration::from_millis(2_500);
--- a/crates/router/src/relay/rollouts/rollout_desk.rs
+++ b/crates/router/src/relay/rollouts/rollout_desk.rs
@@ -13,6 +13,11 @@
 use super::active_rollout::ActiveRollout;
 use super::session_memory::SessionMemory;
 
+/// Multiple of the old versions' time from which on an answer is slow.
+const SLOW_FACTOR: f64 = 3.5;
+/// Answers faster than this are never slow.
+const NEVER_SLOW: Duration = Duration::from_millis(120);
+
 /// Which upstreams of a service a request may use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionPick {
@@ -178,9 +183,12 @@
             rollout.pace.learn(&class, took, note.prompt_tokens);
             AnswerQuality::Good
         }
-        VersionSide::Target if rollout.pace.is_slow(&class, took, note.prompt_tokens) => {
-            AnswerQuality::Bad
-        }
+        VersionSide::Target if is_slow(rollout, &class, took, note) => AnswerQuality::Bad,
         VersionSide::Target => AnswerQuality::Good,
     }
 }
+
+fn is_slow(rollout: &ActiveRollout, class: &str, took: Duration, note: &AnswerNote<'_>) -> bool {
+    let ratio = rollout.pace.ratio(class, took, note.prompt_tokens);
+    took > NEVER_SLOW && ratio.is_some_and(|ratio| ratio > SLOW_FACTOR)
+}
--- a/crates/router/src/relay/run/event_pump.rs
+++ b/crates/router/src/relay/run/event_pump.rs
@@ -1,16 +1,22 @@
 //! Passes the events of a stream on, and goes on elsewhere when its upstream breaks off.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use ferry_decisions::retry::UpstreamFailure;
+use ferry_decisions::ruleset::RunKind;
 use ferry_kernel::http::BoxError;
 use http_body_util::BodyExt;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use super::RelayRun;
 use super::event_splitter::EventSplitter;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
 use crate::relay::request::{RefusalReason, RelayRefusal};
 
+/// Longest pause between two events that is on time, times this, is a hanging upstream.
+const SILENCE_GAPS: u32 = 4;
+
 /// A stream on its way to the caller.
 pub struct EventPump {
     run: RelayRun,
@@ -68,9 +74,13 @@
 
     /// Reads on until whole events are there; `None` after the end.
     async fn step(&mut self) -> Option<PumpStep> {
+        let silence = self.silence_limit();
         let answer = self.answer.as_mut()?;
         loop {
-            let frame = match answer.body.frame().await {
+            let Ok(frame) = timeout(silence, answer.body.frame()).await else {
+                return Some(PumpStep::Broken(format!("nothing came for {silence:?}")));
+            };
+            let frame = match frame {
                 None => return Some(PumpStep::End),
                 Some(Err(error)) => return Some(PumpStep::Broken(error.to_string())),
                 Some(Ok(frame)) => frame,
@@ -86,6 +96,16 @@
         }
     }
 
+    /// Time without an event after which the upstream counts as hanging, where the stream can go
+    /// on elsewhere.
+    fn silence_limit(&self) -> Duration {
+        let rule = &self.run.request.rule;
+        match (rule.run, rule.event_gap) {
+            (RunKind::ResumableStream, Some(gap)) => gap * SILENCE_GAPS,
+            _ => rule.timeout,
+        }
+    }
+
     /// Ends the stream as the upstream did; bytes after the last event belong to it.
     fn end(&mut self) -> Option<Result<Bytes, BoxError>> {
         let answer = self.answer.take()?;
@@ -93,6 +113,7 @@
             answer.lease.give_back(answer.facts.keep_alive);
         }
         self.run.record.outcome = "answered";
+        self.run.clear_breaks();
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
@@ -109,6 +130,7 @@
         if let Some(answer) = self.answer.take() {
             answer.upstream.mark_suspect(self.run.core.clock.now());
             self.run.note_answer(&answer.upstream, None);
+            self.run.note_break(&answer.upstream);
         }
         let last_event = self.splitter.last_id();
         if self.begun && last_event.is_none() {
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -13,7 +13,7 @@
 use smallvec::SmallVec;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::answer_delivery::{deliver_events, deliver_whole};
@@ -31,6 +31,12 @@
 const LEAST_SEND_TIME: Duration = Duration::from_millis(20);
 /// Sends that upstreams refused unrun that one request may have besides its attempts.
 const UNRUN_SENDS: u32 = 3;
+/// Multiple of the usual time to the head of an answer after which it counts as lost.
+const HEAD_LIMIT_FACTOR: u32 = 8;
+/// Part of the rule's target latency before which no answer counts as lost.
+const HEAD_LIMIT_PART: f64 = 0.7;
+/// Multiple of the usual time that a failure counts as.
+const FAILURE_RATIO: f64 = 6.0;
 /// Repeated sends that larger models leave to requests whose upstream failed.
 const SPARED_REPEATS: f64 = 3.0;
 /// Time after which a caller finds another router when this one lost touch with the platform.
@@ -174,6 +180,9 @@
             let refusal = refuse(RefusalReason::OutOfTouch).with_run(self.run);
             return Err(refusal.with_retry_after(OTHER_ROUTER_RETRY));
         }
+        if self.is_quarantined() {
+            return Err(refuse(RefusalReason::Quarantined).with_run(RunState::MayHaveRun));
+        }
         let model = self.model();
         let service = self
             .service
@@ -225,6 +234,31 @@
         }
     }
 
+    /// Whether the request broke too many upstreams to be run again.
+    fn is_quarantined(&self) -> bool {
+        let crashes = self.core.crashes.lock();
+        !crashes.is_empty()
+            && crashes.is_quarantined(&self.request.fingerprint(), self.core.clock.now())
+    }
+
+    /// Takes in that `upstream` broke off while it ran the request.
+    pub fn note_break(&self, upstream: &RelayUpstream) {
+        let now = self.core.clock.now();
+        let fingerprint = self.request.fingerprint();
+        self.core
+            .crashes
+            .lock()
+            .record(fingerprint, &upstream.record.life.id, now);
+    }
+
+    /// Takes in that the request was answered to its end.
+    pub fn clear_breaks(&self) {
+        let mut crashes = self.core.crashes.lock();
+        if !crashes.is_empty() {
+            crashes.clear(&self.request.fingerprint());
+        }
+    }
+
     fn pick_service(&mut self) -> Result<(), RelayRefusal> {
         let point = conversation_point(&self.request);
         let service = self.request.rule.pick_service(point).cloned();
@@ -259,7 +293,13 @@
         self.record.model = model.unwrap_or_default();
         let before = std::mem::replace(&mut self.run, RunState::MayHaveRun);
         let sent = Instant::now();
-        let result = send(upstream, &outgoing, &self.request.id).await;
+        let sending = send(upstream, &outgoing, &self.request.id);
+        let result = match self.head_limit() {
+            Some(limit) => timeout(limit, sending)
+                .await
+                .unwrap_or_else(|_| Err(SendFailure::plain(UpstreamFailure::TimedOut))),
+            None => sending.await,
+        };
         let now = self.core.clock.now();
         match &result {
             Ok(answer) => {
@@ -269,6 +309,7 @@
                 }
                 self.run = RunState::Ran;
                 self.runs += 1;
+                self.note_pace(upstream, sent.elapsed());
                 self.note_answer(upstream, Some(sent.elapsed()));
                 self.record.confidence = answer.facts.confidence;
             }
@@ -277,6 +318,7 @@
                 self.run = before.max(run);
                 if run != RunState::NotRun {
                     self.runs += 1;
+                    upstream.note_pace(FAILURE_RATIO, now);
                     self.note_answer(upstream, None);
                 }
                 if failure.kind == UpstreamFailure::Leaving {
@@ -285,11 +327,42 @@
                 if failure.kind.makes_suspect() {
                     upstream.mark_suspect(now);
                 }
+                if failure.kind == UpstreamFailure::BrokenBeforeAnswer {
+                    self.note_break(upstream);
+                }
             }
         }
         result
     }
 
+    /// Time after which a request that may run twice is sent elsewhere while the head of its answer
+    /// is awaited; none before the usual time is known.
+    fn head_limit(&self) -> Option<Duration> {
+        let rule = &self.request.rule;
+        if !rule.run.is_repeatable() || self.record.sends >= rule.attempts {
+            return None;
+        }
+        let tokens = self.request.facts.prompt.prompt_tokens;
+        let expected = self.core.pace.lock().expected(&self.pace_class(), tokens)?;
+        let least = rule.target_latency.mul_f64(HEAD_LIMIT_PART);
+        Some((expected * HEAD_LIMIT_FACTOR).max(least))
+    }
+
+    /// Takes in how long the head of an answer took.
+    fn note_pace(&self, upstream: &RelayUpstream, took: Duration) {
+        let tokens = self.request.facts.prompt.prompt_tokens;
+        let class = self.pace_class();
+        let mut pace = self.core.pace.lock();
+        if let Some(ratio) = pace.ratio(&class, took, tokens) {
+            upstream.note_pace(ratio, self.core.clock.now());
+        }
+        pace.learn(&class, took, tokens);
+    }
+
+    fn pace_class(&self) -> String {
+        format!("{}/{}", self.request.rule.name, self.record.model)
+    }
+
     fn outgoing(
         &self,
         upstream: &RelayUpstream,
@@ -368,11 +441,13 @@
                 if !facts.closes {
                     lease.give_back(facts.keep_alive);
                 }
+                self.clear_breaks();
                 Ok(RunAnswer::Whole(Box::new(head), body))
             }
             Err(error) => {
                 spdlog::debug!("the answer of {} broke off: {}", upstream.id(), error);
                 upstream.mark_suspect(self.core.clock.now());
+                self.note_break(&upstream);
                 Err(SendFailure::plain(UpstreamFailure::BrokenInAnswer))
             }
         }
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -16,6 +16,14 @@
 const SUSPECT_TIME: Duration = Duration::from_millis(1_000);
 /// Time for which a load that was told is used.
 const LOAD_LIFE: Duration = Duration::from_secs(4);
+/// Weight of the newest answer in an upstream's pace.
+const PACE_WEIGHT: f64 = 0.25;
+/// Highest multiple of the usual time that counts.
+const PACE_LIMIT: f64 = 12.0;
+/// Time in which an upstream's pace fades to a third while nothing is heard of it.
+const PACE_FADE: Duration = Duration::from_secs(4);
+/// Step duration of an upstream with the usual pace, in milliseconds; only its multiple matters.
+const USUAL_STEP_MS: f64 = 10.0;
 /// Most idle connections kept to one upstream.
 const IDLE_LINKS: usize = 16;
 
@@ -35,6 +43,7 @@
     /// Requests of this router in flight.
     in_flight: u32,
     told: Option<ToldLoad>,
+    pace: Option<OwnPace>,
     suspect_until: Option<MonotonicTime>,
 }
 
@@ -47,6 +56,13 @@
     own: u32,
 }
 
+/// Time of its answers as a multiple of the usual one, as a mean that fades.
+#[derive(Debug, Clone, Copy)]
+struct OwnPace {
+    ratio: f64,
+    at: MonotonicTime,
+}
+
 /// Counts one request as in flight until it is dropped.
 #[derive(Debug)]
 pub struct FlightTicket {
@@ -116,6 +132,17 @@
         });
     }
 
+    /// Takes in at `now` that an answer took `ratio` times the usual time.
+    pub fn note_pace(&self, ratio: f64, now: MonotonicTime) {
+        let mut state = self.state.lock();
+        let held = state.pace_ratio(now);
+        let ratio = ratio.min(PACE_LIMIT);
+        state.pace = Some(OwnPace {
+            ratio: held + PACE_WEIGHT * (ratio - held),
+            at: now,
+        });
+    }
+
     /// What the choice needs to know of it at `now`.
     pub fn view(&self, now: MonotonicTime) -> UpstreamView<'_> {
         let state = self.state.lock();
@@ -166,6 +193,15 @@
 }
 
 impl UpstreamUse {
+    /// The multiple at `now`; it fades to 1 while nothing is heard.
+    fn pace_ratio(&self, now: MonotonicTime) -> f64 {
+        let Some(pace) = self.pace else {
+            return 1.0;
+        };
+        let kept = (-now.since(pace.at).as_secs_f64() / PACE_FADE.as_secs_f64()).exp();
+        1.0 + (pace.ratio - 1.0) * kept
+    }
+
     fn load(&self, slots: u32, now: MonotonicTime) -> UpstreamLoad {
         let told = self.told.filter(|told| now.since(told.at) < LOAD_LIFE);
         let report = ReportedLoad {
@@ -178,6 +214,7 @@
             own_in_flight: self.in_flight,
             own_at_report: told.map_or(0, |told| told.own),
             report: Some(report),
+            observed_step_ms: Some(USUAL_STEP_MS * self.pace_ratio(now)),
             ..UpstreamLoad::default()
         }
     }
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -12,7 +12,7 @@
 use crate::relay::store_contact::StoreContact;
 
 /// Longest wait of one read; the rules are confirmed at least this often.
-const READ_WAIT: Duration = Duration::from_millis(700);
+const READ_WAIT: Duration = Duration::from_millis(550);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -11,6 +11,7 @@
 
 use super::topic_reader::{TopicChanges, TopicReader};
 use crate::relay::relay_core::SharedCore;
+use crate::relay::store_contact::StoreContact;
 
 /// Reads within the time in which a leaving upstream must be noticed.
 const READS_PER_DRAIN: u32 = 3;
@@ -22,11 +23,11 @@
     let mut reader = TopicReader::new(core.store.clone(), UPSTREAM_TOPIC);
     let period = core.settings.load().bounds.drain / READS_PER_DRAIN;
     let mut ticks = ticks::every(period);
-    let mut last_read = core.clock.now();
     let mut failed = false;
     loop {
         ticks.tick().await;
         core.fleet.unfed().await;
+        let asked = StoreContact::now();
         let changes = match reader.next(Duration::ZERO).await {
             Ok(changes) => changes,
             Err(error) => {
@@ -40,8 +41,8 @@
             spdlog::info!("the upstreams' topic is read again");
         }
         let now = core.clock.now();
-        let away = now.since(last_read) > period * OUTAGE_READS;
-        last_read = now;
+        let away = core.listing.age() > period * OUTAGE_READS;
+        core.listing.confirm(asked);
         let mut roster = core.roster.lock();
         if away {
             roster.note_return(now);
@@ -59,18 +60,17 @@
     if !whole && records.is_empty() && gone.is_empty() {
         return;
     }
-    let now = core.clock.now();
     let mut roster = core.roster.lock();
     if whole {
         let listed: HashSet<HostName> = records.iter().map(|r| r.life.id.clone()).collect();
-        roster.retain_listed(|id| listed.contains(id), now);
+        roster.forget_unlisted(|id| listed.contains(id));
     }
     for record in records {
         let (id, change) = (record.life.id.clone(), roster.observe(record));
         note(&id, change);
     }
     for id in gone {
-        note(id, roster.observe_removed(id.as_str(), now));
+        note(id, roster.forget(id.as_str()));
     }
     publish(core, &roster);
 }
--- a/crates/router/tests/relay/failures.rs
+++ b/crates/router/tests/relay/failures.rs
@@ -165,3 +165,33 @@
             .all(|run| run.end == RunEnd::Refused)
     );
 }
+
+#[tokio::test]
+async fn a_request_that_breaks_three_upstreams_is_not_run_again() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let mut replicas = Vec::new();
+    for id in ["up-1", "up-2", "up-3", "up-4"] {
+        let replica = deployment.replica(id, "v1").await;
+        replica.plan(ReplicaPlan {
+            break_after: Some(0),
+            wait: std::time::Duration::from_millis(10),
+            ..ReplicaPlan::default()
+        });
+        replicas.push(replica);
+    }
+    let relay = deployment.relay().await;
+    for number in 0..MANY {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert!(answer.status.is_server_error());
+        assert_ne!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let runs: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
+    assert_eq!(runs, 3);
+    // Another request is not held up by it.
+    for replica in &replicas {
+        replica.plan(ReplicaPlan::default());
+    }
+    let other = call(request(&relay, "/letters/8", "b")).await;
+    assert_eq!(other.status, StatusCode::OK);
+}
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -4,6 +4,7 @@
 
 use ferry_decisions::roster::UpstreamStage;
 use ferry_decisions::ruleset::RunKind;
+use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_router::relay::RelayDaemon;
 use hyper::StatusCode;
 use tokio::time::sleep;
@@ -79,3 +80,34 @@
         .await;
     }
 }
+
+/// Seen on grown days: a router that had been fed for long took its first read of its own for the end of an
+/// outage, and kept upstreams that were gone for the grace of an outage.
+#[tokio::test]
+async fn a_fed_router_that_reads_again_drops_what_is_gone_at_once() {
+    let mut deployment = Deployment::start().await;
+    deployment.bounds.drain = Duration::from_secs(2);
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let gone = deployment.replica("up-1", "v1").await;
+    let _staying = deployment.replica("up-2", "v1").await;
+    let mut relays = fleet(&deployment).await;
+    // Longer than what counts as an outage.
+    sleep(deployment.bounds.drain * 2).await;
+    let reader = relays.iter().position(|relay| !relay.is_fed()).unwrap();
+    let stopped = relays.remove(reader);
+    let stopping = tokio::spawn(stopped.stop());
+    eventually("another router reads", async || {
+        relays.iter().any(|relay| !relay.is_fed())
+    })
+    .await;
+    deployment.store.put(UPSTREAM_TOPIC, "up-1", b"");
+    sleep(deployment.bounds.drain).await;
+    let before = gone.runs().len();
+    for relay in &relays {
+        for _ in 0..6 {
+            assert!(serves(relay, "/letters/7").await);
+        }
+    }
+    assert_eq!(gone.runs().len(), before);
+    stopping.await.unwrap();
+}
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_kernel::http::{BoxError, HttpBody, collect_limited, full, streamed};
+use ferry_kernel::http::{BoxError, HttpBody, collect_limited, dropped_connection, full, streamed};
 use ferry_platform::headers::{AnswerMarks, BoundRequest, LoadFacts};
 use futures::stream;
 use hyper::body::Incoming;
@@ -38,7 +38,8 @@
     pub events: u64,
     /// Pause between two events.
     pub gap: Duration,
-    /// Event after which the connection breaks, in the middle of the next one.
+    /// Event after which the connection breaks, in the middle of the next one; a whole answer breaks
+    /// off before its head.
     pub break_after: Option<u64>,
     /// Status of answers.
     pub status: StatusCode,
@@ -126,6 +127,9 @@
             (false, false) => {}
         }
         tokio::time::sleep(plan.wait).await;
+        if plan.events == 0 && plan.break_after.is_some() {
+            return dropped_connection();
+        }
         self.run(&bound, &plan, watch)
     }
 
