--- a/crates/decisions/src/choice/choice_policy.rs
+++ b/crates/decisions/src/choice/choice_policy.rs
@@ -26,6 +26,10 @@
     pub remote_zone_factor: f64,
     /// Affinity holds while the upstream's cost is at most this factor of the mean; at least 1.
     pub affinity_bound: f64,
+    /// Requests beyond that which an upstream may have before its affinity is given up.
+    pub affinity_slack: f64,
+    /// Upstreams that one affinity key maps to, in order; at least 1.
+    pub affinity_homes: usize,
 }
 
 impl Default for ChoiceConfig {
@@ -33,6 +37,8 @@
         Self {
             remote_zone_factor: 1.05,
             affinity_bound: 1.25,
+            affinity_slack: 0.0,
+            affinity_homes: 1,
         }
     }
 }
--- a/crates/decisions/src/choice/upstream_choice.rs
+++ b/crates/decisions/src/choice/upstream_choice.rs
@@ -109,7 +109,8 @@
         Ok(least.unwrap_or(open[0]))
     }
 
-    /// The upstream that `query.affinity` maps to, unless it is much more loaded than the others.
+    /// The first upstream that `query.affinity` maps to and that is not much more loaded than the
+    /// others.
     fn affine(
         &self,
         views: &[UpstreamView<'_>],
@@ -118,10 +119,19 @@
     ) -> Option<usize> {
         let key = query.affinity?;
         let weight = |index: &usize| xxh3_64_with_seed(views[*index].name.as_str().as_bytes(), key);
-        let preferred = open.iter().copied().max_by_key(weight)?;
+        let mut homes = open.clone();
+        homes.sort_unstable_by_key(|index| std::cmp::Reverse(weight(index)));
         let total: f64 = open.iter().map(|i| views[*i].load.cost()).sum();
         let bound = self.config.affinity_bound * total / open.len() as f64;
-        (views[preferred].load.cost() <= bound).then_some(preferred)
+        let fits = |index: &usize| {
+            let load = &views[*index].load;
+            let slack = self.config.affinity_slack * load.place_cost();
+            load.cost() <= bound + slack
+        };
+        homes
+            .into_iter()
+            .take(self.config.affinity_homes)
+            .find(fits)
     }
 
     fn better_of_two(
--- a/crates/decisions/src/choice/upstream_view.rs
+++ b/crates/decisions/src/choice/upstream_view.rs
@@ -144,6 +144,11 @@
         (higher / f64::from(self.batch_limit())).min(1.0)
     }
 
+    /// Cost of one place in the order of a batch.
+    pub fn place_cost(&self) -> f64 {
+        self.step_ms() / f64::from(self.batch_limit())
+    }
+
     /// Cost of the request to be placed: its place in the order, in batches, times the step
     /// duration. What runs already comes before it, whatever its rank.
     pub fn cost(&self) -> f64 {
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::{RefusalReason, RelayRefusal, RelayRequest};
 use crate::core::LifePhase;
@@ -17,6 +17,11 @@
 /// Age of the rules from which on something unknown to them may be new.
 const CURRENT_RULES: Duration = Duration::from_millis(1_600);
 
+/// Longest wait for the rules and upstreams at a start.
+const START_WAIT: Duration = Duration::from_millis(250);
+/// Time between two looks whether they are there.
+const START_STEP: Duration = Duration::from_millis(10);
+
 /// Answers one request.
 pub async fn handle(core: SharedCore, request: Request<Incoming>) -> Response<HttpBody> {
     let arrived = Instant::now();
@@ -37,6 +42,7 @@
     arrived: Instant,
 ) -> Result<RelayRequest, RelayRefusal> {
     let id = RequestFacts::read(request.headers()).attempt_id;
+    await_rules(core).await;
     let result = match check_state(core) {
         Some(reason) => Err(RelayRefusal::not_run(reason)),
         None => read(core, request, arrived).await,
@@ -53,6 +59,14 @@
     })
 }
 
+/// Waits a little for the rules and upstreams that a router reads right after its start.
+async fn await_rules(core: &SharedCore) {
+    let until = Instant::now() + START_WAIT;
+    while check_state(core) == Some(RefusalReason::NotReady) && Instant::now() < until {
+        sleep(START_STEP).await;
+    }
+}
+
 /// Why no request is taken now; nothing when they are.
 fn check_state(core: &SharedCore) -> Option<RefusalReason> {
     if core.phase() == LifePhase::Draining {
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use ferry_decisions::choice::{
-    ChoicePoints, ChoiceQuery, NoUpstream, UpstreamChoice, UpstreamState, UpstreamView,
+    ChoiceConfig, ChoicePoints, ChoiceQuery, NoUpstream, UpstreamChoice, UpstreamState,
+    UpstreamView,
 };
 use ferry_decisions::names::{HostName, ServiceName, ZoneName};
 use ferry_decisions::rollout::VersionSide;
@@ -18,6 +19,14 @@
 /// Upstreams of a service that fit on the stack.
 const USUAL_UPSTREAMS: usize = 32;
 
+/// Choice for prompts whose parts are long, so that reading them again costs more than a short wait.
+const AFFINE_CHOICE: ChoiceConfig = ChoiceConfig {
+    remote_zone_factor: 1.05,
+    affinity_bound: 1.25,
+    affinity_slack: 6.0,
+    affinity_homes: 2,
+};
+
 /// Upstreams that a request may use.
 type OpenUpstreams<'a> = SmallVec<[&'a Arc<RelayUpstream>; USUAL_UPSTREAMS]>;
 
@@ -58,7 +67,10 @@
         second: rand::random(),
         turn: 0,
     };
-    let choice = UpstreamChoice::default();
+    let choice = UpstreamChoice {
+        config: AFFINE_CHOICE,
+        ..UpstreamChoice::default()
+    };
     let index = choice.choose(&views, &query, points).or_else(|_| {
         for view in &mut views {
             if view.state == UpstreamState::Suspect {
