Move as few conversations in the first phase as bring enough answers

A conversation that is under way when the first phase begins moves unless the router of its next request had its last one, and 60 routers rarely do. Ruled out: telling one another of conversations (state and messages that grow with the traffic).

--- a/crates/decisions/src/retry/window_budget.rs
+++ b/crates/decisions/src/retry/window_budget.rs
@@ -59,6 +59,12 @@
         true
     }
 
+    /// Fresh requests of the window that ends at `now`.
+    pub fn fresh(&mut self, config: &WindowBudgetConfig, now: MonotonicTime) -> u32 {
+        self.expire(config, now);
+        self.fresh
+    }
+
     fn slot(&mut self, now: MonotonicTime) -> &mut BudgetSlot {
         let is_current = self
             .slots
--- a/crates/decisions/src/rollout/rollout_plan.rs
+++ b/crates/decisions/src/rollout/rollout_plan.rs
@@ -6,6 +6,10 @@
 
 /// Part of the exposure bound that the first phase uses.
 const CANARY_PART: f64 = 0.5;
+/// Answers that the first phase should bring until the second one may begin.
+const CANARY_ANSWERS: f64 = 60.0;
+/// Least part of the conversations that the first phase moves.
+const CANARY_LEAST: f64 = 0.005;
 /// Part of the conversations that the second phase moves.
 const RAMP_SHARE: f64 = 0.4;
 /// Part of the time during which conversations keep the version that they began on.
@@ -41,15 +45,27 @@
 pub struct RolloutPlan {
     /// Time within which it is to be done.
     pub duration: Duration,
-    /// Part of the requests that a bad version may get.
-    pub exposure_share: f64,
+    /// Part of the conversations that the first phase moves, the same at every router.
+    pub canary_share: f64,
 }
 
 impl RolloutPlan {
+    /// Part of the conversations that the first phase moves: as few as bring enough answers.
+    ///
+    /// Conversations that are under way change their version when a phase begins, unless the
+    /// router that gets their next request had the last one; a small share keeps these few, and
+    /// exposes few to a bad version. `exposure_share` is the part of the requests that a bad
+    /// version may get, `requests_per_second` what the fleet sends to the service.
+    pub fn canary_share(duration: Duration, exposure_share: f64, requests_per_second: f64) -> f64 {
+        let most = exposure_share * CANARY_PART;
+        let requests = requests_per_second * duration.as_secs_f64() * PINNED_PART;
+        (CANARY_ANSWERS / requests.max(1.0)).clamp(CANARY_LEAST.min(most), most)
+    }
+
     /// Part of the conversations that the new version gets in `phase`.
     pub fn share(&self, phase: RolloutPhase) -> f64 {
         match phase {
-            RolloutPhase::Canary => self.exposure_share * CANARY_PART,
+            RolloutPhase::Canary => self.canary_share,
             RolloutPhase::Ramp => RAMP_SHARE,
             RolloutPhase::Full | RolloutPhase::Completed => 1.0,
             RolloutPhase::Reverted => 0.0,
--- /dev/null
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -0,0 +1,187 @@
+//! Decisions of the path of opaque requests: budgets, sizes, containment, rules.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ferry_decisions::cascade::SizeQuery;
+use ferry_decisions::names::{HostName, WorkspaceName};
+use ferry_decisions::quarantine::{CrashTally, RequestFingerprint};
+use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
+use ferry_decisions::ruleset::{
+    KeyHolder, KeyVerdict, RequestLimits, RouteRule, RuleSet, RunKind, ServiceShare,
+};
+use ferry_decisions::time::MonotonicTime;
+use proptest::prelude::*;
+
+const BUDGET: WindowBudgetConfig = WindowBudgetConfig {
+    ratio: 0.8,
+    burst: 4.0,
+    window: Duration::from_secs(10),
+};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::default().after(Duration::from_millis(millis))
+}
+
+fn doubted() -> SizeQuery {
+    SizeQuery {
+        stage: 0,
+        stages: 3,
+        confidence: Some(20),
+        sends: 1,
+        attempts: 3,
+        took: Duration::from_millis(100),
+        time_left: Duration::from_secs(5),
+    }
+}
+
+proptest! {
+    /// Whatever is sent when, no window of ten seconds holds more repeated sends than the rule allows, with the
+    /// fresh requests of that window or of the one before.
+    #[test]
+    fn no_window_exceeds_the_budget(
+        sends in prop::collection::vec((0_u64..400, any::<bool>()), 1..400),
+    ) {
+        let mut budget = WindowBudget::default();
+        let mut now = 0;
+        let mut fresh = Vec::new();
+        let mut repeated = Vec::new();
+        for (gap, is_fresh) in sends {
+            now += gap;
+            if is_fresh {
+                budget.fund(&BUDGET, at(now));
+                fresh.push(now);
+            } else if budget.spend(&BUDGET, 0.0, at(now)) {
+                repeated.push(now);
+            }
+        }
+        let window = BUDGET.window.as_millis() as u64;
+        let count = |times: &[u64], end: u64, span: u64| {
+            let start = end.saturating_sub(span);
+            times.iter().filter(|time| **time > start && **time <= end).count() as f64
+        };
+        for end in &repeated {
+            // Slots of 100 ms blur the start of the window.
+            let requests = count(&fresh, *end, window + 200);
+            let bound = BUDGET.ratio * requests + BUDGET.burst;
+            prop_assert!(count(&repeated, *end, window) <= bound);
+        }
+    }
+}
+
+#[test]
+fn spared_sends_are_left_for_others() {
+    let mut budget = WindowBudget::default();
+    assert!(!budget.spend(&BUDGET, 4.0, at(0)));
+    for _ in 0..4 {
+        assert!(budget.spend(&BUDGET, 0.0, at(0)));
+    }
+    assert!(!budget.spend(&BUDGET, 0.0, at(0)));
+    assert!(budget.spend(&BUDGET, 0.0, at(10_300)));
+}
+
+#[test]
+fn a_doubted_answer_goes_to_the_last_stage_where_there_is_time_and_a_send_left() {
+    assert_eq!(doubted().next_stage(), Some(2));
+    let kept = [
+        SizeQuery {
+            confidence: Some(90),
+            ..doubted()
+        },
+        SizeQuery {
+            confidence: None,
+            ..doubted()
+        },
+        SizeQuery {
+            stage: 2,
+            ..doubted()
+        },
+        SizeQuery {
+            stages: 0,
+            ..doubted()
+        },
+        SizeQuery {
+            sends: 3,
+            ..doubted()
+        },
+        SizeQuery {
+            time_left: Duration::from_millis(200),
+            ..doubted()
+        },
+    ];
+    for query in kept {
+        assert_eq!(query.next_stage(), None, "{query:?}");
+    }
+}
+
+#[test]
+fn three_upstreams_quarantine_a_request_until_it_is_answered_or_old() {
+    let workspace = WorkspaceName::new("clinic");
+    let request = RequestFingerprint::of(&workspace, "/letters/7", b"text");
+    let other = RequestFingerprint::of(&workspace, "/letters/8", b"text");
+    let mut tally = CrashTally::default();
+    for name in ["up-1", "up-2", "up-2"] {
+        tally.record(request, &HostName::new(name), at(0));
+    }
+    assert!(!tally.is_quarantined(&request, at(0)));
+    tally.record(request, &HostName::new("up-3"), at(1_000));
+    assert!(tally.is_quarantined(&request, at(1_000)));
+    assert!(!tally.is_quarantined(&other, at(1_000)));
+    assert!(!tally.is_quarantined(&request, at(700_000)));
+    tally.clear(&request);
+    assert!(tally.is_empty());
+}
+
+fn rule(prefix: &str, public: bool) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: "clinic.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        run: RunKind::Idempotent,
+        attempts: 1,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_secs(1),
+        event_gap: None,
+        priority: 0,
+        shares: [("old", 3.0), ("none", 0.0), ("new", 1.0)]
+            .map(|(service, weight)| ServiceShare {
+                service: service.into(),
+                weight,
+            })
+            .into_iter()
+            .collect(),
+        cascade: smallvec::SmallVec::new(),
+        public,
+        affine: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let rules = vec![rule("/a/", false), rule("/a/b/", true)];
+    let holder = KeyHolder {
+        workspace: "clinic".into(),
+        priority: None,
+    };
+    let keys = HashMap::from([("key".to_owned(), holder.clone())]);
+    let set = RuleSet::new(3, RequestLimits::default(), rules, keys, Vec::new());
+    let long = set.find_rule("CLINIC.example:8080", "/a/b/c").unwrap();
+    assert_eq!(long.path_prefix, "/a/b/");
+    let short = set.find_rule("clinic.example", "/a/x").unwrap();
+    assert_eq!(short.path_prefix, "/a/");
+    assert!(set.find_rule("clinic.example", "/b/").is_none());
+    assert_eq!(set.check_key(long, None), KeyVerdict::Open);
+    assert_eq!(set.check_key(short, None), KeyVerdict::Unknown);
+    assert_eq!(set.check_key(short, Some("key")), KeyVerdict::Held(&holder));
+}
+
+#[test]
+fn shares_are_met_and_a_weight_of_zero_gets_nothing() {
+    let rule = rule("/a/", false);
+    let picks = (0..1_000).map(|step| rule.pick_service(f64::from(step) / 1_000.0).unwrap());
+    let mut counts: HashMap<&str, u32> = HashMap::new();
+    for service in picks {
+        *counts.entry(service.as_str()).or_default() += 1;
+    }
+    assert_eq!(counts, HashMap::from([("old", 750), ("new", 250)]));
+}
--- /dev/null
+++ b/crates/decisions/tests/rollout.rs
@@ -0,0 +1,185 @@
+//! Roll-outs: shares, moves, and the tests over pooled counts.
+
+use std::time::Duration;
+
+use ferry_decisions::rollout::{
+    AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, PlanQuery, RolloutPhase, RolloutPlan,
+    VersionSide,
+};
+use ferry_decisions::time::MonotonicTime;
+use proptest::prelude::*;
+
+const DURATION: Duration = Duration::from_secs(24);
+/// Seeds over which false and late stops are counted.
+const SEEDS: u64 = 500;
+/// Share of bad answers that is usual.
+const USUAL_BAD: f64 = 0.02;
+
+fn plan() -> RolloutPlan {
+    RolloutPlan {
+        duration: DURATION,
+        canary_share: 0.05,
+    }
+}
+
+fn query(phase: RolloutPhase, elapsed_s: f64) -> PlanQuery {
+    PlanQuery {
+        phase,
+        elapsed: Duration::from_secs_f64(elapsed_s),
+        in_phase: Duration::from_secs(10),
+        answers: 1_000,
+        old_in_flight: 0,
+    }
+}
+
+fn row(router: &str, good: u64, bad: u64) -> EvidenceRow {
+    let counts = ClassCounts {
+        target_good: good,
+        target_bad: bad,
+        ..ClassCounts::default()
+    };
+    EvidenceRow {
+        router: router.to_owned(),
+        classes: [("letters".to_owned(), counts)].into_iter().collect(),
+        elapsed_ms: good + bad,
+        ..EvidenceRow::default()
+    }
+}
+
+/// Whether a pool that sees `answers` answers one by one finds harm, and after how many bad ones.
+fn bad_until_stop(seed: u64, answers: u64, bad_share: f64) -> Option<u64> {
+    let mut pool = EvidencePool::default();
+    let mut counts = ClassCounts::default();
+    let mut state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+    for number in 0..answers {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        let point = (state >> 11) as f64 / (1_u64 << 53) as f64;
+        let is_bad = point < bad_share;
+        let quality = match is_bad {
+            true => AnswerQuality::Bad,
+            false => AnswerQuality::Good,
+        };
+        counts.add(VersionSide::Target, quality);
+        let row = EvidenceRow {
+            router: "a".to_owned(),
+            classes: [("letters".to_owned(), counts)].into_iter().collect(),
+            elapsed_ms: number,
+            ..EvidenceRow::default()
+        };
+        pool.merge(row, MonotonicTime(number as i64));
+        if pool.harm().is_some() {
+            return Some(counts.target_bad);
+        }
+    }
+    None
+}
+
+#[test]
+fn the_first_phase_lasts_until_conversations_may_move() {
+    let plan = plan();
+    assert_eq!(plan.next_phase(&query(RolloutPhase::Canary, 12.0)), None);
+    let later = plan.next_phase(&query(RolloutPhase::Canary, 12.5));
+    assert_eq!(later, Some(RolloutPhase::Ramp));
+    let unproved = PlanQuery {
+        answers: 3,
+        ..query(RolloutPhase::Canary, 12.5)
+    };
+    assert_eq!(plan.next_phase(&unproved), None);
+}
+
+#[test]
+fn completion_waits_for_old_requests_until_time_runs_out() {
+    let plan = plan();
+    let busy = PlanQuery {
+        old_in_flight: 2,
+        ..query(RolloutPhase::Full, 18.0)
+    };
+    assert_eq!(plan.next_phase(&busy), None);
+    let quiet = plan.next_phase(&query(RolloutPhase::Full, 18.0));
+    assert_eq!(quiet, Some(RolloutPhase::Completed));
+    let late = PlanQuery {
+        elapsed: Duration::from_secs_f64(22.9),
+        ..busy
+    };
+    assert_eq!(plan.next_phase(&late), Some(RolloutPhase::Completed));
+}
+
+#[test]
+fn no_phase_follows_an_end_and_none_goes_back() {
+    for last in [RolloutPhase::Completed, RolloutPhase::Reverted] {
+        assert_eq!(plan().next_phase(&query(last, 20.0)), None);
+        assert!(!last.may_become(RolloutPhase::Canary));
+        assert!(!last.may_become(RolloutPhase::Reverted));
+    }
+    assert!(!RolloutPhase::Full.may_become(RolloutPhase::Ramp));
+    assert!(RolloutPhase::Canary.may_become(RolloutPhase::Reverted));
+}
+
+/// A day of the grown deployments: with a share of 0.049 at 340 requests a second, 8 conversations
+/// changed their version in the first half; 3 are tolerated.
+#[test]
+fn a_busy_service_moves_few_conversations_and_a_calm_one_no_more_than_allowed() {
+    let busy = RolloutPlan::canary_share(DURATION, 0.0975, 340.0);
+    assert!(busy < 0.02, "{busy}");
+    assert!(busy * 340.0 * 12.0 > 40.0, "enough answers");
+    let calm = RolloutPlan::canary_share(DURATION, 0.15, 5.0);
+    assert!(calm <= 0.075 && calm > 0.07, "{calm}");
+}
+
+#[test]
+fn good_versions_are_rarely_stopped_and_bad_ones_soon() {
+    let false_stops = (0..SEEDS).filter(|seed| bad_until_stop(*seed, 400, USUAL_BAD).is_some());
+    assert!(false_stops.count() <= 5);
+    for bad_share in [0.4, 0.5] {
+        let stops: Vec<u64> = (0..SEEDS)
+            .map(|seed| bad_until_stop(seed, 400, bad_share).expect("it is stopped"))
+            .collect();
+        // The operator's bound counts from the 50th bad answer.
+        assert!(
+            stops.iter().all(|bad| *bad < 25),
+            "{:?}",
+            stops.iter().max()
+        );
+    }
+}
+
+#[test]
+fn counts_told_by_a_neighbour_never_lower_what_is_known() {
+    let mut pool = EvidencePool::default();
+    pool.merge(row("a", 10, 5), MonotonicTime(1));
+    let told = ClassCounts {
+        target_good: 30,
+        target_bad: 2,
+        ..ClassCounts::default()
+    };
+    pool.take_totals([("letters".to_owned(), told)].into_iter().collect());
+    let totals = pool.totals();
+    assert_eq!((totals.target_good, totals.target_bad), (30, 5));
+}
+
+proptest! {
+    /// Rows in any order, doubled, and of several lives give the same sums.
+    #[test]
+    fn rows_add_up_in_any_order(
+        order in Just(rows()).prop_shuffle(),
+        repeated in any::<prop::sample::Index>(),
+    ) {
+        let mut pool = EvidencePool::default();
+        let again = order[repeated.index(order.len())].clone();
+        for (number, row) in order.into_iter().chain([again]).enumerate() {
+            pool.merge(row, MonotonicTime(number as i64));
+        }
+        let totals = pool.totals();
+        prop_assert_eq!((totals.target_good, totals.target_bad), (9 + 9 + 9, 3 + 3 + 3));
+    }
+}
+
+/// Three growing rows of each of three routers.
+fn rows() -> Vec<EvidenceRow> {
+    ["a", "b", "c"]
+        .into_iter()
+        .flat_map(|router| (1..=3).map(move |step| row(router, 3 * step, step)))
+        .collect()
+}
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -83,6 +83,8 @@
     pub order: u64,
     /// Phase in force.
     pub phase: Option<RolloutPhase>,
+    /// Part of the conversations that the first phase moves.
+    pub canary_share: f64,
     /// Time since the order, in milliseconds.
     pub elapsed_ms: u64,
     /// Counts of the fleet by class.
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -137,6 +137,17 @@
         budget.spend(&config, spared, now)
     }
 
+    /// Estimate of the requests that the whole fleet sends to `service` in a second.
+    pub fn fleet_rate(&self, service: &ServiceName) -> f64 {
+        let (config, now) = (self.repeat_bounds(), self.clock.now());
+        let mut budgets = self.budgets.lock();
+        let fresh = budgets
+            .get_mut(service)
+            .map_or(0, |budget| budget.fresh(&config, now));
+        let routers = self.fleet.router_count().max(1) as f64;
+        f64::from(fresh) * routers / config.window.as_secs_f64().max(1.0)
+    }
+
     fn repeat_bounds(&self) -> WindowBudgetConfig {
         let bounds = self.settings.load().bounds;
         let known = self.fleet.router_count() as f64 * PARTS_PER_ROUTER;
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -44,17 +44,11 @@
 
 impl ActiveRollout {
     /// A roll-out whose order was just read.
-    pub fn new(
-        order: RolloutOrder,
-        offset: u64,
-        router: &str,
-        exposure_share: f64,
-        now: MonotonicTime,
-    ) -> Self {
+    pub fn new(order: RolloutOrder, offset: u64, router: &str, now: MonotonicTime) -> Self {
         Self {
             plan: RolloutPlan {
                 duration: order.duration,
-                exposure_share,
+                canary_share: 0.0,
             },
             order,
             offset,
@@ -169,8 +163,14 @@
         self.test();
     }
 
+    /// Part of the conversations that the first phase moves; 0 while it is not known.
+    pub fn canary_share(&self) -> f64 {
+        self.plan.canary_share
+    }
+
     /// Takes in a phase that the store holds.
-    pub fn enter(&mut self, phase: RolloutPhase, now: MonotonicTime) {
+    pub fn enter(&mut self, phase: RolloutPhase, canary_share: f64, now: MonotonicTime) {
+        self.plan.canary_share = canary_share;
         if self.phase.is_some_and(|held| !held.may_become(phase)) {
             return;
         }
--- a/crates/router/src/relay/rollouts/rollout_desk.rs
+++ b/crates/router/src/relay/rollouts/rollout_desk.rs
@@ -67,13 +67,7 @@
     }
 
     /// Takes in an order that was read at `offset`; one that is known changes nothing.
-    pub fn take_order(
-        &self,
-        order: RolloutOrder,
-        offset: u64,
-        exposure_share: f64,
-        now: MonotonicTime,
-    ) {
+    pub fn take_order(&self, order: RolloutOrder, offset: u64, now: MonotonicTime) {
         let mut active = self.active.lock();
         let known = active.get(&order.service);
         if known.is_some_and(|known| known.offset == offset) {
@@ -86,7 +80,7 @@
             order = offset,
         });
         let service = order.service.clone();
-        let rollout = ActiveRollout::new(order, offset, &self.router, exposure_share, now);
+        let rollout = ActiveRollout::new(order, offset, &self.router, now);
         active.insert(service, rollout);
         self.wake.notify_one();
     }
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::ServiceName;
-use ferry_decisions::rollout::{EvidenceRow, RolloutPhase};
+use ferry_decisions::rollout::{EvidenceRow, RolloutPhase, RolloutPlan};
 use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, status_key};
 use ferry_platform::store::{
     AppendGuard, ReadQuery, STATUS_TOPIC, StoreError, TopicPart, encode_keyed,
@@ -109,15 +109,21 @@
         }
         let core = &self.core;
         let now = core.clock.now();
+        let exposure = core.settings.load().bounds.exposure_share;
+        let rate = core.fleet_rate(service);
         let state = core.rollouts.with(service, |rollout| {
-            let next = match rollout.phase {
-                None => Some(RolloutPhase::Canary),
-                Some(_) => rollout.next_phase(now),
+            let (phase, canary_share) = match rollout.phase {
+                None => {
+                    let share = RolloutPlan::canary_share(rollout.order.duration, exposure, rate);
+                    (RolloutPhase::Canary, share)
+                }
+                Some(_) => (rollout.next_phase(now)?, rollout.canary_share()),
             };
-            next.map(|phase| RolloutStatus {
+            Some(RolloutStatus {
                 order: rollout.offset,
                 target: rollout.order.target.clone(),
                 phase,
+                canary_share,
             })
         });
         match state.flatten() {
@@ -147,7 +153,7 @@
         let now = self.core.clock.now();
         self.core.rollouts.with(service, |rollout| {
             if rollout.offset == status.order {
-                rollout.enter(status.phase, now);
+                rollout.enter(status.phase, status.canary_share, now);
             }
         });
         self.core.fleet.feed.wake();
--- a/crates/router/src/relay/rollouts/rollout_pool.rs
+++ b/crates/router/src/relay/rollouts/rollout_pool.rs
@@ -31,6 +31,7 @@
         service: service.clone(),
         order: rollout.offset,
         phase: rollout.phase,
+        canary_share: rollout.canary_share(),
         elapsed_ms: rollout.elapsed(now).as_millis() as u64,
         classes: rollout.class_totals(),
     })
@@ -47,7 +48,7 @@
             let elapsed = Duration::from_millis(pooled.elapsed_ms);
             rollout.take_pooled(pooled.classes, elapsed, now);
             if let Some(phase) = pooled.phase {
-                rollout.enter(phase, now);
+                rollout.enter(phase, pooled.canary_share, now);
             }
         });
     }
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -5,7 +5,11 @@
 mod event_splitter;
 mod relay_run;
 mod request_record;
+mod run_evidence;
 mod run_placement;
+mod run_plan;
+mod run_send;
+mod run_settle;
 mod upstream_send;
 
 pub use relay_run::RelayRun;
--- a/crates/router/src/relay/run/answer_delivery.rs
+++ b/crates/router/src/relay/run/answer_delivery.rs
@@ -12,8 +12,8 @@
 use super::upstream_send::UpstreamAnswer;
 
 /// A response whose body is at hand.
-pub fn deliver_whole(head: Parts, body: Bytes) -> Response<HttpBody> {
-    with_head(&head, full(body))
+pub fn deliver_whole(head: &Parts, body: Bytes) -> Response<HttpBody> {
+    with_head(head, full(body))
 }
 
 /// A response whose events are passed on as they come.
--- /dev/null
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -0,0 +1,68 @@
+//! What a run tells of its upstreams: pace, versions, breaks.
+
+use std::time::Duration;
+
+use super::RelayRun;
+use crate::relay::rollouts::AnswerNote;
+use crate::relay::upstreams::RelayUpstream;
+
+impl RelayRun {
+    /// Counts an answer, or a failure where `took` is absent, as evidence about the version.
+    pub fn note_answer(&mut self, upstream: &RelayUpstream, took: Option<Duration>) {
+        let Some(service) = &self.service else {
+            return;
+        };
+        let note = AnswerNote {
+            service,
+            version: &upstream.record.version,
+            class: self.request.rule.name.as_str(),
+            model: &self.record.model,
+            prompt_tokens: self.request.facts.prompt.prompt_tokens,
+            took,
+        };
+        self.core.rollouts.record(&note, self.core.clock.now());
+        if took.is_none() {
+            self.failed_version = Some(upstream.record.version.clone());
+        }
+    }
+
+    /// Takes in how long the head of an answer took.
+    pub(super) fn note_pace(&self, upstream: &RelayUpstream, took: Duration) {
+        let tokens = self.request.facts.prompt.prompt_tokens;
+        let class = self.pace_class();
+        let mut pace = self.core.pace.lock();
+        if let Some(ratio) = pace.ratio(&class, took, tokens) {
+            upstream.note_pace(ratio, self.core.clock.now());
+        }
+        pace.learn(&class, took, tokens);
+    }
+
+    pub(super) fn pace_class(&self) -> String {
+        format!("{}/{}", self.request.rule.name, self.record.model)
+    }
+
+    /// Takes in that `upstream` broke off while it ran the request.
+    pub fn note_break(&self, upstream: &RelayUpstream) {
+        let now = self.core.clock.now();
+        let fingerprint = self.request.fingerprint();
+        self.core
+            .crashes
+            .lock()
+            .record(fingerprint, &upstream.record.life.id, now);
+    }
+
+    /// Takes in that the request was answered to its end.
+    pub fn clear_breaks(&self) {
+        let mut crashes = self.core.crashes.lock();
+        if !crashes.is_empty() {
+            crashes.clear(&self.request.fingerprint());
+        }
+    }
+
+    /// Whether the request broke too many upstreams to be run again.
+    pub(super) fn is_quarantined(&self) -> bool {
+        let crashes = self.core.crashes.lock();
+        !crashes.is_empty()
+            && crashes.is_quarantined(&self.request.fingerprint(), self.core.clock.now())
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/run/run_settle.rs
@@ -0,0 +1,78 @@
+//! What follows on a failed send: another one, or the final answer.
+
+use std::time::Duration;
+
+use ferry_decisions::retry::{RetryPolicy, RetryQuery, RetryVerdict, UpstreamFailure};
+use tokio::time::Instant;
+
+use super::RelayRun;
+use super::relay_run::RunAnswer;
+use super::upstream_send::SendFailure;
+use crate::relay::request::{RefusalReason, RelayRefusal};
+
+/// Time that a further send needs at least to be of use.
+const LEAST_SEND_TIME: Duration = Duration::from_millis(20);
+/// Sends that upstreams refused unrun that one request may have besides its attempts.
+const UNRUN_SENDS: u32 = 3;
+
+impl RelayRun {
+    /// Decides whether the request is sent elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// The final refusal, when it is not.
+    pub(super) fn settle_failure(&mut self, failure: &SendFailure) -> Result<(), RelayRefusal> {
+        let left = self
+            .request
+            .final_time
+            .saturating_duration_since(Instant::now());
+        let query = RetryQuery {
+            failure: failure.kind,
+            earlier: self.run,
+            idempotent: self.request.rule.run.is_repeatable(),
+            answer_begun: false,
+            attempts: self.runs.max(self.record.sends.saturating_sub(UNRUN_SENDS)),
+            time_left: Some(left),
+            time_needed: LEAST_SEND_TIME,
+        };
+        let policy = RetryPolicy {
+            most_attempts: self.request.rule.attempts,
+        };
+        let service = self.service.clone();
+        let spend = || match (&service, failure.kind) {
+            (_, UpstreamFailure::ConnectFailed) => true,
+            (Some(service), _) => self.core.spend_repeat(service, 0.0),
+            (None, _) => false,
+        };
+        let verdict = policy.decide(&query, spend);
+        spdlog::info!("send failed", kv: {
+            request_id = self.request.id.as_str(),
+            upstream = self.record.upstream.as_str(),
+            failure:? = failure.kind,
+            sends = self.record.sends,
+            time_left_ms = left.as_millis() as u64,
+            verdict:? = verdict,
+        });
+        let RetryVerdict::GiveUp { run, .. } = verdict else {
+            return Ok(());
+        };
+        let reason = match failure.kind {
+            UpstreamFailure::QueueFull => RefusalReason::Busy,
+            UpstreamFailure::ConnectFailed | UpstreamFailure::Leaving => RefusalReason::NoUpstream,
+            _ => RefusalReason::UpstreamFailed,
+        };
+        Err(RelayRefusal::not_run(reason).with_run(run))
+    }
+
+    /// The upstream's own failure answer, if it gave one, else `refusal`.
+    pub(super) async fn last_word(
+        &mut self,
+        failure: SendFailure,
+        refusal: RelayRefusal,
+    ) -> Result<RunAnswer, RelayRefusal> {
+        let Some(answer) = failure.answer else {
+            return Err(refusal);
+        };
+        self.take_answer(*answer).await.map_err(|_| refusal)
+    }
+}
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -48,7 +48,7 @@
     /// How it failed.
     pub kind: UpstreamFailure,
     /// The upstream's own answer, which the caller gets if nothing better comes.
-    pub answer: Option<UpstreamAnswer>,
+    pub answer: Option<Box<UpstreamAnswer>>,
 }
 
 impl SendFailure {
@@ -86,7 +86,7 @@
         None => Ok(answer),
         Some(kind) => Err(SendFailure {
             kind,
-            answer: (kind == UpstreamFailure::ServerError).then_some(answer),
+            answer: (kind == UpstreamFailure::ServerError).then(|| Box::new(answer)),
         }),
     }
 }
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -66,11 +66,7 @@
         let service = order_service(&key);
         match (service, value) {
             (Some(service), Some(value)) => match decode_order(&value) {
-                Ok(order) => {
-                    let share = core.settings.load().bounds.exposure_share;
-                    core.rollouts
-                        .take_order(order, offset, share, core.clock.now());
-                }
+                Ok(order) => core.rollouts.take_order(order, offset, core.clock.now()),
                 Err(error) => spdlog::error!("the order for {} is ignored: {}", service, error),
             },
             (Some(service), None) => core.rollouts.drop_order(&service),
--- a/crates/router/tests/relay/lease.rs
+++ b/crates/router/tests/relay/lease.rs
@@ -7,7 +7,7 @@
 use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use hyper::StatusCode;
 
-use crate::deployment::{Deployment, KEY, WORKSPACE, call, eventually, is_ready, request, rule};
+use crate::deployment::{Deployment, WORKSPACE, call, eventually, is_ready, request, rule};
 
 fn outage() -> FaultOrder {
     FaultOrder {
