Run the store and an upstream of the users' platform as stand-in processes

The emulator could only be used in process. The new test runs all three as processes: the relay finds the upstream by its entry and sees it leave.

--- a/crates/standin/src/app.rs
+++ b/crates/standin/src/app.rs
@@ -13,9 +13,13 @@
 use crate::platform::RetentionRule;
 use crate::server::{CrashMode, StandinServer};
 use crate::{
-    EngineOptions, EngineStandin, PlatformOptions, PlatformStandin, ServiceOptions, ServiceStandin,
+    EngineOptions, EngineStandin, PlatformOptions, PlatformStandin, ReplicaOptions, ReplicaStandin,
+    ServiceOptions, ServiceStandin, StoreStandin,
 };
-use standin_flags::{Engine, FerryStandin, FerryStandinCmd, Platform, Service};
+use standin_flags::{Engine, FerryStandin, FerryStandinCmd, Platform, Replica, Service};
+
+/// Requests that an upstream runs at once if nothing else is said.
+const DEFAULT_SLOTS: u32 = 8;
 
 /// Line that tells the addresses once the stand-in serves.
 #[derive(Debug, Serialize)]
@@ -66,6 +70,24 @@
             signals.recv().await;
             standin.stop().await;
         }
+        FerryStandinCmd::Store(flags) => {
+            let standin = StoreStandin::start(flags.listen).await.into_diagnostic()?;
+            print_addresses(&standin)?;
+            signals.recv().await;
+            standin.stop().await;
+        }
+        FerryStandinCmd::Replica(flags) => {
+            let standin = ReplicaStandin::start(flags.listen, replica_options(&flags))
+                .await
+                .into_diagnostic()?;
+            print_addresses(&standin)?;
+            tokio::select! {
+                _ = signals.recv() => {}
+                () = standin.keep_registered(flags.store) => {}
+            }
+            standin.leave(flags.store).await;
+            standin.stop().await;
+        }
     }
     Ok(())
 }
@@ -135,6 +157,15 @@
     }
 }
 
+fn replica_options(flags: &Replica) -> ReplicaOptions {
+    ReplicaOptions {
+        id: flags.id.clone(),
+        service: flags.service.clone(),
+        version: flags.version.clone(),
+        slots: flags.slots.unwrap_or(DEFAULT_SLOTS),
+    }
+}
+
 fn millis_or(ms: Option<u64>, default: Duration) -> Duration {
     ms.map_or(default, Duration::from_millis)
 }
--- a/crates/standin/src/app/standin_flags.rs
+++ b/crates/standin/src/app/standin_flags.rs
@@ -68,5 +68,25 @@
             /// Age of the load reports, in milliseconds.
             optional --load-lag-ms ms: u64
         }
+        /// Metadata store of the users' platform.
+        cmd store {
+            /// Address to listen on, IP:PORT; port 0 takes any free port.
+            required --listen listen: SocketAddr
+        }
+        /// Upstream of the users' platform, which registers itself until it is stopped.
+        cmd replica {
+            /// Address to listen on, IP:PORT; port 0 takes any free port.
+            required --listen listen: SocketAddr
+            /// Address of the store to register in, IP:PORT.
+            required --store store: SocketAddr
+            /// Identifier.
+            required --id id: String
+            /// Service that it belongs to.
+            required --service service: String
+            /// Version of its software.
+            required --version version: String
+            /// Requests that it runs at once.
+            optional --slots count: u32
+        }
     }
 }
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -12,16 +12,25 @@
 use std::net::SocketAddr;
 use std::ops::Deref;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_decisions::roster::{UpstreamLife, UpstreamRecord, UpstreamStage};
 use ferry_decisions::time::UnixMillis;
+use ferry_kernel::ticks;
 use ferry_platform::entries::encode_upstream;
-use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_platform::store::{AppendGuard, StoreClient, TopicPart, UPSTREAM_TOPIC, encode_keyed};
 
 use crate::faults::FaultGate;
 use crate::server::{CrashMode, StandinApi, StandinServer};
 use crate::store::StoreStandin;
 
+/// Time between two entries of an upstream that runs by itself.
+const BEAT_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time allowed for an entry to be written.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which an upstream serves on after it said that it leaves.
+const LEAVE_TIME: Duration = Duration::from_secs(2);
+
 /// A running upstream.
 #[derive(Debug, Clone)]
 pub struct ReplicaStandin {
@@ -51,6 +60,44 @@
         store.put(UPSTREAM_TOPIC, &id, &encode_upstream(&record));
     }
 
+    /// Registers itself in the store at `store` again and again.
+    pub async fn keep_registered(&self, store: SocketAddr) {
+        let client = StoreClient::new(store, STORE_TIMEOUT);
+        let mut beats = ticks::every(BEAT_PERIOD);
+        for sequence in 1.. {
+            beats.tick().await;
+            self.write_entry(&client, UpstreamStage::Ready, sequence)
+                .await;
+        }
+    }
+
+    /// Writes into the store at `store` that it is leaving.
+    pub async fn leave(&self, store: SocketAddr) {
+        let client = StoreClient::new(store, STORE_TIMEOUT);
+        let last = u64::from(u32::MAX);
+        self.write_entry(&client, UpstreamStage::Draining, last)
+            .await;
+        tokio::time::sleep(LEAVE_TIME).await;
+    }
+
+    async fn write_entry(&self, client: &StoreClient, stage: UpstreamStage, sequence: u64) {
+        let record = self.record(stage, sequence);
+        let place = TopicPart {
+            topic: UPSTREAM_TOPIC,
+            part: 0,
+        };
+        let Some(content) = encode_keyed(record.life.id.as_str(), &encode_upstream(&record)) else {
+            spdlog::error!("the id is too long to be registered; choose a shorter one");
+            return;
+        };
+        let appended = client
+            .append(place, [&content[..]], AppendGuard::None)
+            .await;
+        if let Err(error) = appended {
+            spdlog::warn!("not registered: {}", error);
+        }
+    }
+
     /// Its entry.
     pub fn record(&self, stage: UpstreamStage, sequence: u64) -> UpstreamRecord {
         let options = self.state.options();
@@ -65,7 +112,7 @@
             version: options.version.as_str().into(),
             slots: options.slots,
             stage,
-            warm_up: std::time::Duration::ZERO,
+            warm_up: Duration::ZERO,
             sequence,
         }
     }
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -151,3 +151,50 @@
     }
     drop(child);
 }
+
+/// Starts a stand-in and returns it with its address.
+async fn standin(arguments: &[&str]) -> (Child, String) {
+    let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_ferry-standin"))
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let first = lines.next_line().await.unwrap().unwrap();
+    let addresses: serde_json::Value = serde_json::from_str(&first).unwrap();
+    (child, addresses["listening"].as_str().unwrap().to_owned())
+}
+
+#[tokio::test]
+async fn stand_ins_run_as_processes_and_the_relay_finds_their_upstream() {
+    let (_store, store) = standin(&["store", "--listen", "127.0.0.1:0"]).await;
+    let replica = [
+        "replica",
+        "--listen",
+        "127.0.0.1:0",
+        "--store",
+        &store,
+        "--id",
+        "up-1",
+        "--service",
+        "letters",
+        "--version",
+        "v1",
+    ];
+    let (replica, _) = standin(&replica).await;
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("host.toml");
+    let settings = SAMPLE
+        .replace("10.1.0.40:8227", "127.0.0.1:0")
+        .replace("10.1.0.40:8220", "127.0.0.1:0")
+        .replace("10.200.1.7:8223", &store);
+    std::fs::write(&file, settings).unwrap();
+    let (_relay, mut lines) = start(&file);
+    let appeared = line(&mut lines, "upstream").await;
+    assert_eq!(appeared["kv"]["upstream"], "up-1");
+    assert_eq!(appeared["kv"]["change"], "Appeared");
+    signal(&replica, libc::SIGTERM);
+    let leaving = line(&mut lines, "upstream").await;
+    assert_eq!(leaving["kv"]["change"], "Leaving");
+}
