--- a/crates/decisions/src/roster/upstream_roster.rs
+++ b/crates/decisions/src/roster/upstream_roster.rs
@@ -133,6 +133,13 @@
         self.known.len() < before
     }
 
+    /// Whether upstreams are kept whose entries were found missing after an outage.
+    ///
+    /// Another router must not learn of them here: it may know that they are gone.
+    pub fn holds_missing(&self) -> bool {
+        self.known.values().any(|known| known.kept_until.is_some())
+    }
+
     /// Every upstream that an entry names, leaving ones included.
     pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamRecord> {
         self.known
--- a/crates/decisions/tests/roster.rs
+++ b/crates/decisions/tests/roster.rs
@@ -106,6 +106,25 @@
     assert!(ids(&roster).is_empty());
 }
 
+/// Seen on a grown day: a router that came back from a cut told its neighbours of an upstream that they knew to
+/// be gone, since it still waited for that one's return.
+#[test]
+fn a_roster_says_while_it_keeps_missing_upstreams() {
+    let mut roster = UpstreamRoster::default();
+    roster.observe(ready("a", 10, 5));
+    assert!(!roster.holds_missing());
+    roster.note_return(at(10_000));
+    roster.observe_removed("a", at(10_100));
+    assert!(roster.holds_missing());
+    roster.expire(at(12_300));
+    assert!(!roster.holds_missing());
+    roster.observe(ready("b", 10, 5));
+    roster.note_return(at(20_000));
+    roster.observe_removed("b", at(20_100));
+    roster.observe(ready("b", 10, 6));
+    assert!(!roster.holds_missing());
+}
+
 #[test]
 fn without_an_outage_a_removed_entry_is_gone_at_once() {
     let mut roster = UpstreamRoster::default();
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -37,6 +37,8 @@
         /// Age of the upstreams' entries.
         listing: Duration,
     },
+    #[error("it waits for upstreams to come back after an outage")]
+    Unsettled,
 }
 
 /// Position in another router's changes.
@@ -102,6 +104,9 @@
     if rules > AGE_LIMIT || listing > listing_limit {
         return Err(FeedError::OutOfTouch { rules, listing });
     }
+    if answer.holds_missing {
+        return Err(FeedError::Unsettled);
+    }
     take(core, answer, position);
     core.contact.confirm(asked.saturating_sub(rules));
     core.listing.confirm(asked.saturating_sub(listing));
@@ -158,6 +163,7 @@
         changes,
         rules_age_ms: core.contact.age().as_millis() as u64,
         listing_age_ms: core.listing.age().as_millis() as u64,
+        holds_missing: core.roster.lock().holds_missing(),
         rollouts: rollouts::pooled(core),
     };
     peer::encode(&answer)
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -32,6 +32,8 @@
     pub rules_age_ms: u64,
     /// Milliseconds since it certainly had the newest entries of the upstreams.
     pub listing_age_ms: u64,
+    /// Whether it keeps upstreams whose entries were missing after an outage.
+    pub holds_missing: bool,
     /// The fleet's evidence about each roll-out under way.
     pub rollouts: Vec<PooledRollout>,
 }
