--- a/crates/router/tests/relay/failures.rs
+++ b/crates/router/tests/relay/failures.rs
@@ -78,6 +78,14 @@
         assert_eq!(often.status, StatusCode::OK);
     }
     assert!(ran(&sound) > MANY);
+    for number in 0..MANY {
+        call(request(&relay, "/once/7", &format!("d-{number}"))).await;
+    }
+    let broken_ids = broken.runs().into_iter().map(|run| run.request.attempt_id);
+    let broken_ids: Vec<String> = broken_ids.filter(|id| id.starts_with("d-")).collect();
+    for run in sound.runs() {
+        assert!(!broken_ids.contains(&run.request.attempt_id), "ran twice");
+    }
 }
 
 #[tokio::test]
