--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod claim;
 pub mod config;
 pub mod guard;
+mod hash_point;
 pub mod labels;
 pub mod lease;
 pub mod limits;
@@ -27,3 +28,5 @@
 pub mod ruleset;
 pub mod session;
 pub mod time;
+
+pub use hash_point::hash_point;
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -81,7 +81,7 @@
     pub work: TaskTracker,
     /// Ends the background tasks once all work is done.
     pub closing: CancellationToken,
-    phase: AtomicU8,
+    phase: PhaseCell,
     hub: OnceLock<Arc<PeerHub>>,
 }
 
@@ -98,15 +98,30 @@
     Draining = 2,
 }
 
-impl LifePhase {
-    /// The phase with this number; any other number is the last phase's.
-    pub fn from_number(number: u8) -> Self {
-        match number {
-            0 => Self::Serving,
-            1 => Self::Leaving,
-            _ => Self::Draining,
+/// Phase that changes while the process runs.
+#[derive(Debug)]
+pub struct PhaseCell(AtomicU8);
+
+impl Default for PhaseCell {
+    fn default() -> Self {
+        Self(AtomicU8::new(LifePhase::Serving as u8))
+    }
+}
+
+impl PhaseCell {
+    /// The present phase.
+    pub fn get(&self) -> LifePhase {
+        match self.0.load(Ordering::Acquire) {
+            0 => LifePhase::Serving,
+            1 => LifePhase::Leaving,
+            _ => LifePhase::Draining,
         }
     }
+
+    /// Moves on to `phase`.
+    pub fn set(&self, phase: LifePhase) {
+        self.0.store(phase as u8, Ordering::Release);
+    }
 }
 
 impl RouterCore {
@@ -150,7 +165,7 @@
             places: Arc::new(Semaphore::new(settings.limits.in_progress)),
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
-            phase: AtomicU8::new(LifePhase::Serving as u8),
+            phase: PhaseCell::default(),
             hub: OnceLock::new(),
             settings,
         }
@@ -183,12 +198,12 @@
 
     /// Phase of this router's life.
     pub fn phase(&self) -> LifePhase {
-        LifePhase::from_number(self.phase.load(Ordering::Acquire))
+        self.phase.get()
     }
 
     /// Moves on to `phase`.
     pub fn enter(&self, phase: LifePhase) {
-        self.phase.store(phase as u8, Ordering::Release);
+        self.phase.set(phase);
     }
 }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use ferry_decisions::session::SessionKeys;
-use ferry_kernel::http::{Server, ServerHandle};
+use ferry_kernel::http::ServerHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::core::{LifePhase, RouterCore};
 use crate::peer::{PeerError, PeerHandler, PeerHub, PeerSettings};
+use crate::ports::{BoundPort, PortError};
 use crate::settings::RouterSettings;
 use crate::{admin, bills, caller, plugin};
 
@@ -17,15 +18,8 @@
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum StartError {
     /// A port cannot be bound.
-    #[error("the {port} port {address} cannot be bound: {reason}; free it or name another one")]
-    Bind {
-        /// Which port.
-        port: &'static str,
-        /// Address as the settings have it.
-        address: SocketAddr,
-        /// Message of the operating system.
-        reason: std::io::Error,
-    },
+    #[error(transparent)]
+    Port(#[from] PortError),
     /// The peer port cannot be served.
     #[error(transparent)]
     Peer(#[from] PeerError),
@@ -53,15 +47,18 @@
     pub async fn start(settings: RouterSettings) -> Result<Self, StartError> {
         let keys = settings.secrets.session_keys.clone();
         let sessions = SessionKeys::new(keys).ok_or(StartError::NoSessionKey)?;
-        let callers = bind("callers", settings.listen.callers).await?;
-        let admin = bind("admin", settings.listen.admin).await?;
+        let callers = BoundPort::bind("callers", settings.listen.callers).await?;
+        let admin = BoundPort::bind("admin", settings.listen.admin).await?;
         let core = Arc::new(RouterCore::new(settings, sessions));
         core.connect(start_hub(&core).await?);
         for plugin in plugin::all() {
             (plugin.start)(&core);
         }
-        let admin = serve_admin(admin, &core)?;
-        let callers = serve_callers(callers, &core)?;
+        let served = Arc::clone(&core);
+        let admin = admin.serve(move |request, _| admin::handle(Arc::clone(&served), request))?;
+        let served = Arc::clone(&core);
+        let callers =
+            callers.serve(move |request, _| caller::handle(Arc::clone(&served), request))?;
         spdlog::info!("router started", kv: {
             host = core.settings.host.as_str(),
             callers = callers.address.to_string(),
@@ -124,16 +121,6 @@
     }
 }
 
-async fn bind(port: &'static str, address: SocketAddr) -> Result<Server, StartError> {
-    Server::bind(address)
-        .await
-        .map_err(|reason| StartError::Bind {
-            port,
-            address,
-            reason,
-        })
-}
-
 async fn start_hub(core: &Arc<RouterCore>) -> Result<Arc<PeerHub>, PeerError> {
     let settings = PeerSettings {
         listen: core.settings.listen.peers,
@@ -149,25 +136,3 @@
     });
     PeerHub::start(settings, handler).await
 }
-
-fn serve_admin(server: Server, core: &Arc<RouterCore>) -> Result<ServerHandle, StartError> {
-    let address = core.settings.listen.admin;
-    let core = Arc::clone(core);
-    let handler = move |request, _| admin::handle(Arc::clone(&core), request);
-    server.serve(handler).map_err(|reason| StartError::Bind {
-        port: "admin",
-        address,
-        reason,
-    })
-}
-
-fn serve_callers(server: Server, core: &Arc<RouterCore>) -> Result<ServerHandle, StartError> {
-    let address = core.settings.listen.callers;
-    let core = Arc::clone(core);
-    let handler = move |request, _| caller::handle(Arc::clone(&core), request);
-    server.serve(handler).map_err(|reason| StartError::Bind {
-        port: "callers",
-        address,
-        reason,
-    })
-}
--- a/crates/router/src/dispatch/gate.rs
+++ b/crates/router/src/dispatch/gate.rs
@@ -1,6 +1,7 @@
 //! Checks that a request must pass: once on entry, and again before every dispatch.
 
 use ferry_decisions::config::ConfigView;
+use ferry_decisions::hash_point;
 use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::routing::{RoutePlan, RouteQuery, RouteStage, WorkKind};
 use xxhash_rust::xxh3::xxh3_64;
@@ -8,9 +9,6 @@
 use crate::caller::{CallerRefusal, CallerRequest, RefusalKind, SessionAsk};
 use crate::core::RouterCore;
 
-/// Bits of a hash that make a uniform fraction.
-const FRACTION_BITS: u32 = 53;
-
 /// Checks that hold for every dispatch, also of retries and later stages.
 ///
 /// # Errors
@@ -54,8 +52,7 @@
 /// Version of `stage` for `request`: the same one each time while the configuration stays.
 pub fn pick_version<'a>(stage: &'a RouteStage, request: &CallerRequest) -> &'a VersionName {
     let hash = xxh3_64(request.id.as_str().as_bytes());
-    let point = (hash >> (u64::BITS - FRACTION_BITS)) as f64 / (1_u64 << FRACTION_BITS) as f64;
-    stage.pick(point)
+    stage.pick(hash_point(hash))
 }
 
 /// Checks that the workspace of `request` may call `service`.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod peer;
 pub mod plugin;
+pub mod ports;
 pub mod quarantine;
 pub mod relay;
 pub mod settings;
--- /dev/null
+++ b/crates/router/src/ports.rs
@@ -0,0 +1,79 @@
+//! Listening ports of the daemons.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use ferry_kernel::http::{HttpBody, Server, ServerHandle, ServerLimits};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+/// A port cannot be bound or served.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+#[error("the {port} port {address} cannot be bound: {reason}; free it or name another one")]
+pub struct PortError {
+    /// Which port.
+    port: &'static str,
+    /// Address as the settings have it.
+    address: SocketAddr,
+    /// Message of the operating system.
+    reason: std::io::Error,
+}
+
+/// A port that is bound and not yet served.
+#[derive(Debug)]
+pub struct BoundPort {
+    port: &'static str,
+    address: SocketAddr,
+    server: Server,
+}
+
+impl BoundPort {
+    /// Binds the port that is called `port` at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use or not of this host.
+    pub async fn bind(port: &'static str, address: SocketAddr) -> Result<Self, PortError> {
+        match Server::bind(address).await {
+            Ok(server) => Ok(Self {
+                port,
+                address,
+                server,
+            }),
+            Err(reason) => Err(PortError {
+                port,
+                address,
+                reason,
+            }),
+        }
+    }
+
+    /// Sets the bounds on each connection.
+    #[must_use]
+    pub fn with_limits(mut self, limits: ServerLimits) -> Self {
+        self.server = self.server.with_limits(limits);
+        self
+    }
+
+    /// Serves every connection with `handler` until the handle is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket has no address any more.
+    pub fn serve<H, F>(self, handler: H) -> Result<ServerHandle, PortError>
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<HttpBody>> + Send + 'static,
+    {
+        let Self {
+            port,
+            address,
+            server,
+        } = self;
+        server.serve(handler).map_err(|reason| PortError {
+            port,
+            address,
+            reason,
+        })
+    }
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -15,4 +15,4 @@
 mod watch;
 
 pub use relay_core::RelayCore;
-pub use relay_daemon::{RelayDaemon, RelayError, RelayOptions};
+pub use relay_daemon::{RelayDaemon, RelayOptions};
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ferry_decisions::names::ServiceName;
@@ -10,6 +10,7 @@
 use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
 use ferry_decisions::roster::UpstreamRoster;
 use ferry_decisions::ruleset::RuleSet;
+use ferry_decisions::time::MonotonicTime;
 use ferry_platform::host_settings::HostSettings;
 use ferry_platform::store::StoreClient;
 use parking_lot::Mutex;
@@ -21,11 +22,11 @@
 use super::rollouts::RolloutDesk;
 use super::store_contact::StoreContact;
 use super::upstreams::UpstreamDirectory;
-use crate::core::LifePhase;
+use crate::core::{LifePhase, PhaseCell};
 use crate::membership::ProcessClock;
 
 /// Time allowed for a call to the store.
-const STORE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Least number of routers among which the fleet's burst of repeated sends is divided, since some
 /// may be unknown or start again with a part of their own.
 const LEAST_BURST_PARTS: f64 = 12.0;
@@ -65,7 +66,7 @@
     /// Ends the background tasks.
     pub closing: CancellationToken,
     budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
-    phase: AtomicU8,
+    phase: PhaseCell,
 }
 
 impl RelayCore {
@@ -86,7 +87,7 @@
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
             budgets: Mutex::default(),
-            phase: AtomicU8::new(LifePhase::Serving as u8),
+            phase: PhaseCell::default(),
             settings: ArcSwap::from_pointee(settings),
         }
     }
@@ -103,12 +104,12 @@
 
     /// Phase of the relay's life.
     pub fn phase(&self) -> LifePhase {
-        LifePhase::from_number(self.phase.load(Ordering::Acquire))
+        self.phase.get()
     }
 
     /// Moves on to `phase`.
     pub fn enter(&self, phase: LifePhase) {
-        self.phase.store(phase as u8, Ordering::Release);
+        self.phase.set(phase);
     }
 
     /// Runs `task` until it ends or the relay closes.
@@ -118,32 +119,31 @@
 
     /// Counts a request of `service` towards its budget of repeated sends.
     pub fn fund_repeats(&self, service: &ServiceName) {
-        let (config, now) = (self.repeat_bounds(), self.clock.now());
-        let mut budgets = self.budgets.lock();
-        match budgets.get_mut(service) {
-            Some(budget) => budget.fund(&config, now),
-            None => budgets
-                .entry(service.clone())
-                .or_default()
-                .fund(&config, now),
-        }
+        self.with_budget(service, WindowBudget::fund);
     }
 
     /// Counts a repeated send to `service` if the budget covers it and `spared` more.
     pub fn spend_repeat(&self, service: &ServiceName, spared: f64) -> bool {
-        let (config, now) = (self.repeat_bounds(), self.clock.now());
-        let mut budgets = self.budgets.lock();
-        let budget = budgets.entry(service.clone()).or_default();
-        budget.spend(&config, spared, now)
+        self.with_budget(service, |budget, config, now| {
+            budget.spend(config, spared, now)
+        })
     }
 
     /// Estimate of the requests that the whole fleet sends to `service` in a second.
     pub fn fleet_rate(&self, service: &ServiceName) -> f64 {
+        let own = self.with_budget(service, WindowBudget::fresh_rate);
+        own * self.fleet.router_count().max(1) as f64
+    }
+
+    fn with_budget<R>(
+        &self,
+        service: &ServiceName,
+        action: impl FnOnce(&mut WindowBudget, &WindowBudgetConfig, MonotonicTime) -> R,
+    ) -> R {
         let (config, now) = (self.repeat_bounds(), self.clock.now());
         let mut budgets = self.budgets.lock();
-        let budget = budgets.get_mut(service);
-        let own = budget.map_or(0.0, |budget| budget.fresh_rate(&config, now));
-        own * self.fleet.router_count().max(1) as f64
+        let budget = budgets.entry(service.clone()).or_default();
+        action(budget, &config, now)
     }
 
     fn repeat_bounds(&self) -> WindowBudgetConfig {
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_kernel::http::{HttpBody, Server, ServerHandle, ServerLimits, empty, full};
+use ferry_kernel::http::{HttpBody, ServerHandle, ServerLimits, empty, full};
 use ferry_kernel::metrics;
 use ferry_platform::headers::READINESS_PATH;
 use ferry_platform::host_settings::{HostSettings, HostSettingsError};
@@ -15,6 +15,7 @@
 use super::relay_core::{RelayCore, SharedCore};
 use super::{request, watch};
 use crate::core::LifePhase;
+use crate::ports::{BoundPort, PortError};
 
 /// Longest head of a request that is read, in bytes; the rules may allow less.
 const HEAD_BYTES: usize = 64 * 1024;
@@ -24,10 +25,12 @@
 const BALANCER_LAG: Duration = Duration::from_millis(3_000);
 /// Time kept free at the end of the grace for closing down.
 const CLOSING_TIME: Duration = Duration::from_millis(400);
-
 /// Time that links to other routers get to close.
 const LINK_CLOSING: Duration = Duration::from_millis(100);
 
+/// Time for the last log lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
 /// How a relay is started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayOptions {
@@ -35,21 +38,6 @@
     pub metrics_port: Option<u16>,
 }
 
-/// Why a relay does not start.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum RelayError {
-    /// A port cannot be bound.
-    #[error("the {port} port {address} cannot be bound: {reason}; free it or name another one")]
-    Bind {
-        /// Which port.
-        port: &'static str,
-        /// Address as the settings have it.
-        address: SocketAddr,
-        /// Message of the operating system.
-        reason: std::io::Error,
-    },
-}
-
 /// A relay that serves its ports.
 pub struct RelayDaemon {
     core: SharedCore,
@@ -63,7 +51,7 @@
     /// # Errors
     ///
     /// Fails when a port cannot be bound.
-    pub async fn start(settings: HostSettings, options: RelayOptions) -> Result<Self, RelayError> {
+    pub async fn start(settings: HostSettings, options: RelayOptions) -> Result<Self, PortError> {
         let core = Arc::new(RelayCore::new(settings));
         let settings = core.settings.load_full();
         watch::start(&core);
@@ -142,49 +130,30 @@
     }
 }
 
-/// Time for the last log lines to be written.
-const LAST_LINES: Duration = Duration::from_millis(20);
-
-async fn bind(port: &'static str, address: SocketAddr) -> Result<Server, RelayError> {
-    Server::bind(address)
-        .await
-        .map_err(|reason| RelayError::Bind {
-            port,
-            address,
-            reason,
-        })
-}
-
-async fn serve_callers(core: &SharedCore, address: SocketAddr) -> Result<ServerHandle, RelayError> {
+async fn serve_callers(core: &SharedCore, address: SocketAddr) -> Result<ServerHandle, PortError> {
     let limits = ServerLimits {
         head_bytes: HEAD_BYTES,
         head_wait: IDLE_WAIT,
     };
-    let server = bind("callers", address).await?.with_limits(limits);
+    let server = BoundPort::bind("callers", address)
+        .await?
+        .with_limits(limits);
     let core = Arc::clone(core);
     let handler = move |request, _| request::handle(Arc::clone(&core), request);
-    server.serve(handler).map_err(|reason| RelayError::Bind {
-        port: "callers",
-        address,
-        reason,
-    })
+    server.serve(handler)
 }
 
 async fn serve_readiness(
     core: &SharedCore,
     address: SocketAddr,
-) -> Result<ServerHandle, RelayError> {
-    let server = bind("readiness", address).await?;
+) -> Result<ServerHandle, PortError> {
+    let server = BoundPort::bind("readiness", address).await?;
     let core = Arc::clone(core);
     let handler = move |request: Request<Incoming>, _| {
         let core = Arc::clone(&core);
         async move { readiness(&core, request.uri().path()) }
     };
-    server.serve(handler).map_err(|reason| RelayError::Bind {
-        port: "readiness",
-        address,
-        reason,
-    })
+    server.serve(handler)
 }
 
 fn readiness(core: &RelayCore, path: &str) -> Response<HttpBody> {
@@ -198,13 +167,8 @@
     response
 }
 
-async fn serve_metrics(address: SocketAddr) -> Result<(), RelayError> {
-    let server = bind("metrics", address).await?;
+async fn serve_metrics(address: SocketAddr) -> Result<(), PortError> {
+    let server = BoundPort::bind("metrics", address).await?;
     let handler = |_, _| async { Response::new(full(metrics::render())) };
-    let served = server.serve(handler);
-    served.map(drop).map_err(|reason| RelayError::Bind {
-        port: "metrics",
-        address,
-        reason,
-    })
+    server.serve(handler).map(drop)
 }
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -41,11 +41,12 @@
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<RelayRequest, RelayRefusal> {
-    let id = RequestFacts::read(request.headers()).attempt_id;
+    let facts = RequestFacts::read(request.headers());
+    let id = facts.attempt_id.clone();
     await_rules(core).await;
     let result = match check_state(core) {
         Some(reason) => Err(RelayRefusal::not_run(reason)),
-        None => read(core, request, arrived).await,
+        None => read(core, request, facts, arrived).await,
     };
     result.inspect_err(|refusal| {
         metrics::counter!("ferry_relay_refusals_total", "reason" => refusal.reason.name())
@@ -78,11 +79,12 @@
 async fn read(
     core: &SharedCore,
     request: Request<Incoming>,
+    facts: RequestFacts,
     arrived: Instant,
 ) -> Result<RelayRequest, RelayRefusal> {
     let rules = core.rules.load_full();
     let rules = rules.ok_or(RelayRefusal::not_run(RefusalReason::NotReady))?;
-    let result = RelayRequest::read(request, &rules, arrived).await;
+    let result = RelayRequest::read(request, facts, &rules, arrived).await;
     result.map_err(|refusal| match refusal.reason {
         RefusalReason::UnknownRoute | RefusalReason::UnknownKey
             if core.contact.age() > CURRENT_RULES =>
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -49,18 +49,18 @@
 }
 
 impl RelayRequest {
-    /// Matches a request to its rule and reads its body.
+    /// Matches a request, whose headers say `facts`, to its rule and reads its body.
     ///
     /// # Errors
     ///
     /// Fails when no rule is for it, its key is not known, or its body is too long or cut off.
     pub async fn read(
         request: Request<Incoming>,
+        facts: RequestFacts,
         rules: &RuleSet,
         arrived: Instant,
     ) -> Result<Self, RelayRefusal> {
         let (head, body) = request.into_parts();
-        let facts = RequestFacts::read(&head.headers);
         let (rule, holder) = apply_rules(rules, &head.headers, head.uri.path(), &facts)?;
         let id = facts
             .attempt_id
--- a/crates/router/src/relay/rollouts/rollout_desk.rs
+++ b/crates/router/src/relay/rollouts/rollout_desk.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use ferry_decisions::hash_point;
 use ferry_decisions::names::{Incarnation, ServiceName, VersionName};
 use ferry_decisions::rollout::{AnswerQuality, RolloutOrder, RolloutPhase, VersionSide};
 use ferry_decisions::time::MonotonicTime;
@@ -132,9 +133,8 @@
         let active = self.active.lock();
         let rollout = active.get(service)?;
         let hash = xxh3_64_with_seed(session.as_bytes(), rollout.offset);
-        let point = (hash >> 11) as f64 / (1_u64 << 53) as f64;
         let last = self.sessions.recall(hash, gap, now);
-        let side = rollout.side(point, last, now);
+        let side = rollout.side(hash_point(hash), last, now);
         self.sessions.note(hash, side, now);
         Some(VersionPick {
             target: rollout.order.target.clone(),
--- a/crates/router/src/relay/run/answer_delivery.rs
+++ b/crates/router/src/relay/run/answer_delivery.rs
@@ -1,7 +1,7 @@
 //! The caller's response, made from an upstream's answer.
 
 use bytes::Bytes;
-use ferry_kernel::http::{HttpBody, full, streamed};
+use ferry_kernel::http::{HttpBody, empty, full, streamed};
 use ferry_platform::headers::answer_headers;
 use futures::stream;
 use hyper::Response;
@@ -18,15 +18,14 @@
 
 /// A response whose events are passed on as they come.
 pub fn deliver_events(run: RelayRun, answer: UpstreamAnswer) -> Response<HttpBody> {
-    let mut head = Response::new(()).into_parts().0;
-    head.status = answer.head.status;
-    head.headers.clone_from(&answer.head.headers);
+    let mut response = with_head(&answer.head, empty());
     let pump = EventPump::new(run, answer);
     let events = stream::unfold(pump, |mut pump| async move {
         let event = pump.next().await?;
         Some((event, pump))
     });
-    with_head(&head, streamed(events))
+    *response.body_mut() = streamed(events);
+    response
 }
 
 fn with_head(head: &Parts, body: HttpBody) -> Response<HttpBody> {
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -6,6 +6,7 @@
     ChoiceConfig, ChoicePoints, ChoiceQuery, NoUpstream, UpstreamChoice, UpstreamState,
     UpstreamView,
 };
+use ferry_decisions::hash_point;
 use ferry_decisions::names::{HostName, ServiceName, ZoneName};
 use ferry_decisions::rollout::VersionSide;
 use smallvec::SmallVec;
@@ -32,8 +33,7 @@
 
 /// Uniform number in `0.0..1.0` that is the same for all requests of one conversation.
 pub fn conversation_point(request: &RelayRequest) -> f64 {
-    let hash = xxh3_64(request.affinity_text().as_bytes());
-    (hash >> 11) as f64 / (1_u64 << 53) as f64
+    hash_point(xxh3_64(request.affinity_text().as_bytes()))
 }
 
 /// The upstream of `service` that gets `request` next.
