List a topic, note a loss and read evidence once, where the relay did so several times

The first router asked for the end of the partition once more before it wrote the fleet's secret, so that a secret written in between was replaced; the condition is now the end of the list that showed none. - Three watchers kept a flag to log a loss and a return once; LossNote does, with the same messages. - Evidence was read once for each open roll-out from one shared position, and rows about the others were dropped: with two roll-outs at once each lost a part of the other's counts. It is read once a round for all, and what was sent is kept by service and router. - The requests in flight on old versions were counted by two callers of own_row; own_row counts them. Not shown by a test of their own: the race for the secret, and two roll-outs at once. For one roll-out and a secret that is there nothing changes; the tests are as they were.

--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use ferry_decisions::names::Incarnation;
 use ferry_platform::store::{AppendGuard, KeyedEntry, StoreError, TopicPart, encode_keyed};
 use tokio::time::{sleep, timeout};
@@ -51,8 +50,8 @@
     }
     sleep(SETTLE_TIME).await;
     loop {
-        match list(&core).await {
-            Ok(entries) => core.fleet.set_routers(routers(&entries)),
+        match core.store.newest_all(ROUTERS).await {
+            Ok((entries, _)) => core.fleet.set_routers(routers(&entries)),
             Err(error) => spdlog::debug!("the routers cannot be listed: {}", error),
         }
         let began = core.clock.now();
@@ -67,11 +66,11 @@
 
 /// Opens the peer port with the fleet's secret and registers it.
 async fn join(core: &SharedCore) -> Result<(), JoinError> {
-    let entries = list(core).await?;
+    let (entries, end) = core.store.newest_all(ROUTERS).await?;
     let held = entries.iter().find(|entry| entry.key == SECRET_KEY);
     let secret = match held {
         Some(entry) => String::from_utf8_lossy(&entry.value).into_owned(),
-        None => make_secret(core).await?,
+        None => make_secret(core, end).await?,
     };
     let hub = match core.fleet.hub() {
         Some(hub) => hub.clone(),
@@ -96,10 +95,9 @@
     Ok(())
 }
 
-/// Writes a secret unless another router does at the same time.
-async fn make_secret(core: &SharedCore) -> Result<String, JoinError> {
+/// Writes a secret unless another router wrote anything since the list that ended at `end`.
+async fn make_secret(core: &SharedCore, end: u64) -> Result<String, JoinError> {
     let secret = Incarnation::random().0.simple().to_string();
-    let end = core.store.newest(ROUTERS, None).await?.end;
     match append(
         core,
         SECRET_KEY,
@@ -145,25 +143,12 @@
     appended.map(|_| ())
 }
 
-async fn list(core: &SharedCore) -> Result<Vec<KeyedEntry>, StoreError> {
-    let mut entries: Vec<KeyedEntry> = Vec::new();
-    loop {
-        let after = entries.last().map(|entry| entry.key.clone());
-        let page = core.store.newest(ROUTERS, after.as_deref()).await?;
-        let is_last = !page.has_more || page.entries.is_empty();
-        entries.extend(page.entries);
-        if is_last {
-            return Ok(entries);
-        }
-    }
-}
-
 fn routers(entries: &[KeyedEntry]) -> Vec<RouterEntry> {
     let named = entries
         .iter()
         .filter(|entry| entry.key.starts_with(ROUTER_PREFIX));
     named
-        .filter_map(|entry| match decode(&entry.value) {
+        .filter_map(|entry| match peer::decode(&entry.value) {
             Ok(router) => Some(router),
             Err(error) => {
                 spdlog::warn!("a router's entry is ignored: {}", error, kv: { key = entry.key.as_str() });
@@ -172,7 +157,3 @@
         })
         .collect()
 }
-
-fn decode(value: &Bytes) -> Result<RouterEntry, peer::PeerError> {
-    peer::decode(value)
-}
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -10,6 +10,7 @@
 use ferry_decisions::time::MonotonicTime;
 
 use crate::relay::answer_pace::AnswerPace;
+use crate::relay::upstreams::UpstreamDirectory;
 
 /// Time without an exchange after which no further conversation is moved to the new version.
 const EXCHANGE_LIFE: Duration = Duration::from_millis(2_500);
@@ -109,8 +110,11 @@
     }
 
     /// The row that the other routers get.
-    pub fn own_row(&mut self, old_in_flight: u32, now: MonotonicTime) -> EvidenceRow {
-        self.own.old_in_flight = old_in_flight;
+    pub fn own_row(&mut self, upstreams: &UpstreamDirectory, now: MonotonicTime) -> EvidenceRow {
+        let RolloutOrder {
+            service, target, ..
+        } = &self.order;
+        self.own.old_in_flight = upstreams.in_flight_except(service, target);
         self.own.phase = self.phase;
         self.own.elapsed_ms = self.elapsed(now).as_millis() as u64;
         self.pool.merge(self.own.clone(), now);
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -15,7 +15,7 @@
 use crate::peer;
 use crate::relay::fleet::EvidenceRecord;
 use crate::relay::relay_core::SharedCore;
-use crate::relay::watch::TopicReader;
+use crate::relay::watch::{LossNote, TopicReader};
 
 /// Topic of the routers' evidence.
 const EVIDENCE: TopicPart<'static> = TopicPart {
@@ -38,10 +38,10 @@
     status: TopicReader,
     /// Offset of the next evidence record.
     evidence: u64,
-    /// Rows that were last appended, by router.
-    sent: HashMap<String, EvidenceRow>,
+    /// Rows that were last appended, by service and router.
+    sent: HashMap<(ServiceName, String), EvidenceRow>,
     rounds: u32,
-    lost: bool,
+    loss: LossNote,
 }
 
 /// Exchanges while roll-outs are under way, until the relay closes.
@@ -52,7 +52,10 @@
         evidence: 0,
         sent: HashMap::new(),
         rounds: 0,
-        lost: false,
+        loss: LossNote::new(
+            "roll-out evidence cannot be exchanged",
+            "roll-out evidence is exchanged again",
+        ),
     };
     loop {
         let core = exchange.core.clone();
@@ -66,9 +69,9 @@
             core.rollouts.expire(gap_of(&core), core.clock.now());
             continue;
         }
-        for service in &open {
-            let result = exchange.run(service).await;
-            exchange.note(result);
+        match exchange.run(&open).await {
+            Ok(()) => exchange.loss.regain(),
+            Err(error) => exchange.loss.lose(&error),
         }
         core.rollouts.expire(gap_of(&core), core.clock.now());
         let _ = timeout(EXCHANGE_PERIOD, core.rollouts.wake.notified()).await;
@@ -81,32 +84,27 @@
 }
 
 impl RolloutExchange {
-    fn note(&mut self, result: Result<(), StoreError>) {
-        match result {
-            Ok(()) => {
-                if std::mem::take(&mut self.lost) {
-                    spdlog::info!("roll-out evidence is exchanged again");
-                }
-            }
-            Err(error) => {
-                if !std::mem::replace(&mut self.lost, true) {
-                    spdlog::warn!("roll-out evidence cannot be exchanged: {}", error);
-                }
-            }
-        }
-    }
-
-    /// One exchange about one service, and the next phase if it is due.
-    async fn run(&mut self, service: &ServiceName) -> Result<(), StoreError> {
+    /// One exchange about the services whose roll-outs are open, and the next phases that are due.
+    async fn run(&mut self, services: &[ServiceName]) -> Result<(), StoreError> {
         if self.rounds.is_multiple_of(STATUS_PERIOD) {
             self.read_status().await?;
         }
         self.rounds += 1;
-        self.send_rows(service).await?;
-        let ahead = self.read_rows(service).await?;
+        for service in services {
+            self.send_rows(service).await?;
+        }
+        let ahead = self.read_rows(services).await?;
         if ahead {
             self.read_status().await?;
         }
+        for service in services {
+            self.move_on(service).await?;
+        }
+        Ok(())
+    }
+
+    /// Moves the roll-out of `service` to its next phase if that is due.
+    async fn move_on(&mut self, service: &ServiceName) -> Result<(), StoreError> {
         let core = &self.core;
         let now = core.clock.now();
         let exposure = core.settings.load().bounds.exposure_share;
@@ -164,10 +162,7 @@
         let core = &self.core;
         let now = core.clock.now();
         let rows = core.rollouts.with(service, |rollout| {
-            let old = core
-                .upstreams
-                .in_flight_except(service, &rollout.order.target);
-            let own = rollout.own_row(old, now);
+            let own = rollout.own_row(&core.upstreams, now);
             let rows: Vec<EvidenceRow> = rollout.neighbour_rows().cloned().chain([own]).collect();
             (rollout.offset, rows)
         });
@@ -176,7 +171,7 @@
         };
         rows.retain(|row| {
             self.sent
-                .get(&row.router)
+                .get(&(service.clone(), row.router.clone()))
                 .is_none_or(|sent| !is_same(sent, row))
         });
         if rows.is_empty() {
@@ -193,13 +188,15 @@
                 AppendGuard::None,
             )
             .await?;
-        self.sent
-            .extend(rows.into_iter().map(|row| (row.router.clone(), row)));
+        self.sent.extend(
+            rows.into_iter()
+                .map(|row| ((service.clone(), row.router.clone()), row)),
+        );
         Ok(())
     }
 
     /// Reads the other routers' rows; returns whether one of them acts on a later phase.
-    async fn read_rows(&mut self, service: &ServiceName) -> Result<bool, StoreError> {
+    async fn read_rows(&mut self, services: &[ServiceName]) -> Result<bool, StoreError> {
         let query = ReadQuery {
             from: self.evidence,
             wait: Duration::ZERO,
@@ -212,21 +209,29 @@
             result => result?,
         };
         self.evidence += batch.records.len() as u64;
-        let now = self.core.clock.now();
         let records = batch.records.iter();
         let decoded = records.filter_map(|r| peer::decode::<EvidenceRecord>(&r.content).ok());
-        let decoded: Vec<EvidenceRecord> = decoded.filter(|r| r.service == *service).collect();
+        let decoded: Vec<EvidenceRecord> = decoded.collect();
+        let merges = services
+            .iter()
+            .map(|service| self.merge_rows(service, &decoded));
+        Ok(merges.fold(false, |ahead, later| ahead | later))
+    }
+
+    /// Takes in the rows about `service`; returns whether one of them acts on a later phase.
+    fn merge_rows(&self, service: &ServiceName, records: &[EvidenceRecord]) -> bool {
+        let now = self.core.clock.now();
         let ahead = self.core.rollouts.with(service, |rollout| {
-            let rows: Vec<EvidenceRow> = decoded
-                .into_iter()
-                .filter(|record| record.order == rollout.offset)
-                .map(|record| record.row)
+            let rows: Vec<EvidenceRow> = records
+                .iter()
+                .filter(|record| record.service == *service && record.order == rollout.offset)
+                .map(|record| record.row.clone())
                 .collect();
             let ahead = rows.iter().any(|row| row.phase > rollout.phase);
             rollout.merge(rows, now);
             ahead
         });
-        Ok(ahead.unwrap_or(false))
+        ahead.unwrap_or(false)
     }
 
     /// Moves the roll-out on, unless another router did so meanwhile.
--- a/crates/router/src/relay/rollouts/rollout_pool.rs
+++ b/crates/router/src/relay/rollouts/rollout_pool.rs
@@ -10,15 +10,10 @@
     let now = core.clock.now();
     let rows = core.rollouts.open_services().into_iter();
     rows.filter_map(|service| {
-        core.rollouts.with(&service, |rollout| {
-            let old = core
-                .upstreams
-                .in_flight_except(&service, &rollout.order.target);
-            EvidenceRecord {
-                service: service.clone(),
-                order: rollout.offset,
-                row: rollout.own_row(old, now),
-            }
+        core.rollouts.with(&service, |rollout| EvidenceRecord {
+            service: service.clone(),
+            order: rollout.offset,
+            row: rollout.own_row(&core.upstreams, now),
         })
     })
     .collect()
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -1,9 +1,11 @@
 //! Following the store: the operator's records and the upstreams' entries.
 
+mod loss_note;
 mod operator_watch;
 mod topic_reader;
 mod upstream_watch;
 
+pub use loss_note::LossNote;
 pub use operator_watch::apply as apply_operator;
 pub use topic_reader::TopicReader;
 pub use upstream_watch::apply_fed as apply_fed_upstreams;
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use ferry_platform::entries::{CONFIG_KEY, decode_order, decode_rules, order_service};
-use ferry_platform::store::{KeyedRecord, OPERATOR_TOPIC, StoreError};
+use ferry_platform::store::{KeyedRecord, OPERATOR_TOPIC};
 use tokio::time::sleep;
 
+use super::LossNote;
 use super::topic_reader::{TopicChanges, TopicReader};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::store_contact::StoreContact;
@@ -19,23 +20,28 @@
 /// Follows the operator's topic until the relay closes.
 pub async fn follow(core: SharedCore) {
     let mut reader = TopicReader::new(core.store.clone(), OPERATOR_TOPIC);
-    let mut lost = false;
+    let mut note = LossNote::new(
+        "the operator's topic cannot be read",
+        "the operator's topic is read again",
+    );
     loop {
         core.fleet.unfed().await;
         let asked = StoreContact::now();
         // A lost store is asked without a wait, so that its return is seen soon.
-        let wait = if lost { Duration::ZERO } else { READ_WAIT };
+        let wait = if note.is_lost() {
+            Duration::ZERO
+        } else {
+            READ_WAIT
+        };
         match reader.next(wait).await {
             Ok(changes) => {
                 let confirmed = confirmed_at(asked, &changes);
                 apply(&core, changes.records);
                 core.contact.confirm(confirmed);
-                if std::mem::take(&mut lost) {
-                    spdlog::info!("the operator's topic is read again");
-                }
+                note.regain();
             }
             Err(error) => {
-                note_loss(&error, &mut lost);
+                note.lose(&error);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -54,12 +60,6 @@
     asked
 }
 
-fn note_loss(error: &StoreError, lost: &mut bool) {
-    if !std::mem::replace(lost, true) {
-        spdlog::warn!("the operator's topic cannot be read: {}", error);
-    }
-}
-
 /// Puts records of the operator in force, and tells them to the routers that ask.
 pub fn apply(core: &SharedCore, records: Vec<KeyedRecord>) {
     for record in records {
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -73,28 +73,18 @@
         }
     }
 
-    /// Lists all keys; pages are no snapshot, so that reading goes on from the first one's end.
+    /// Lists all keys; reading goes on from what changed meanwhile.
     async fn list(&mut self) -> Result<TopicChanges, StoreError> {
-        let mut records = Vec::new();
-        let mut after: Option<String> = None;
-        let mut end = None;
-        loop {
-            let page = self.store.newest(self.place(), after.as_deref()).await?;
-            end.get_or_insert(page.end);
-            after = page.entries.last().map(|entry| entry.key.clone());
-            records.extend(page.entries.into_iter().map(|entry| KeyedRecord {
-                key: entry.key,
-                value: Some(entry.value),
-                offset: entry.offset,
-            }));
-            if !page.has_more || after.is_none() {
-                break;
-            }
-        }
-        self.position = end;
+        let (entries, end) = self.store.newest_all(self.place()).await?;
+        self.position = Some(end);
+        let records = entries.into_iter().map(|entry| KeyedRecord {
+            key: entry.key,
+            value: Some(entry.value),
+            offset: entry.offset,
+        });
         Ok(TopicChanges {
             whole: true,
-            records,
+            records: records.collect(),
         })
     }
 
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -9,6 +9,7 @@
 use ferry_platform::entries::decode_upstream;
 use ferry_platform::store::{KeyedRecord, UPSTREAM_TOPIC};
 
+use super::LossNote;
 use super::topic_reader::{TopicChanges, TopicReader};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::store_contact::StoreContact;
@@ -23,7 +24,10 @@
     let mut reader = TopicReader::new(core.store.clone(), UPSTREAM_TOPIC);
     let period = core.settings.load().bounds.drain / READS_PER_DRAIN;
     let mut ticks = ticks::every(period);
-    let mut failed = false;
+    let mut loss = LossNote::new(
+        "the upstreams' topic cannot be read",
+        "the upstreams' topic is read again",
+    );
     loop {
         ticks.tick().await;
         core.fleet.unfed().await;
@@ -31,15 +35,11 @@
         let changes = match reader.next(Duration::ZERO).await {
             Ok(changes) => changes,
             Err(error) => {
-                if !std::mem::replace(&mut failed, true) {
-                    spdlog::warn!("the upstreams' topic cannot be read: {}", error);
-                }
+                loss.lose(&error);
                 continue;
             }
         };
-        if std::mem::take(&mut failed) {
-            spdlog::info!("the upstreams' topic is read again");
-        }
+        loss.regain();
         let now = core.clock.now();
         let away = core.listing.age() > period * OUTAGE_READS;
         core.listing.confirm(asked);
