Wait for a silent stream that can't go on elsewhere

An upstream put two streams back for over 4 s beside a long prompt; the router let go of them as silent before it looked whether they could go on elsewhere. Their key had been taken away meanwhile, so that nothing else could be asked, and the callers' answers were cut.

Ruled out: a cut by the upstream (it went on making events), the time-out of the route, a lost lease of the configuration (its version was held 70 ms after the acknowledgement).

Change: the next upstream is chosen before a silent one is left; with none, the stream is waited for up to the request's own time.

--- a/crates/router/src/relay/run/event_pump.rs
+++ b/crates/router/src/relay/run/event_pump.rs
@@ -1,5 +1,6 @@
 //! Passes the events of a stream on, and goes on elsewhere when its upstream breaks off.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use super::event_splitter::EventSplitter;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
 use crate::relay::request::{RefusalReason, RelayRefusal};
+use crate::relay::upstreams::RelayUpstream;
 
 /// Longest pause between two events that is on time, times this, is a hanging upstream.
 const SILENCE_GAPS: u32 = 4;
@@ -25,6 +27,8 @@
     splitter: EventSplitter,
     /// Whether the caller got an event.
     begun: bool,
+    /// Whether a silent upstream is waited for, since the stream can't go on elsewhere.
+    waits: bool,
 }
 
 /// What came of the upstream.
@@ -32,6 +36,8 @@
     Events(Bytes),
     End,
     Broken(String),
+    /// Nothing came for longer than a sound upstream pauses.
+    Silent,
 }
 
 impl EventPump {
@@ -42,6 +48,7 @@
             answer: Some(answer),
             splitter: EventSplitter::default(),
             begun: false,
+            waits: false,
         }
     }
 
@@ -57,17 +64,17 @@
                     return Some(Err(self.break_off(refusal)));
                 }
             };
-            match step {
+            let gone_on = match step {
                 PumpStep::Events(events) => {
                     self.begun = true;
                     return Some(Ok(events));
                 }
                 PumpStep::End => return self.end(),
-                PumpStep::Broken(reason) => {
-                    if let Err(refusal) = self.go_on(&reason).await {
-                        return Some(Err(self.break_off(refusal)));
-                    }
-                }
+                PumpStep::Silent => self.leave_silent().await,
+                PumpStep::Broken(reason) => self.go_on(&reason).await,
+            };
+            if let Err(refusal) = gone_on {
+                return Some(Err(self.break_off(refusal)));
             }
         }
     }
@@ -78,7 +85,7 @@
         let answer = self.answer.as_mut()?;
         loop {
             let Ok(frame) = timeout(silence, answer.body.frame()).await else {
-                return Some(PumpStep::Broken(format!("nothing came for {silence:?}")));
+                return Some(PumpStep::Silent);
             };
             let frame = match frame {
                 None => return Some(PumpStep::End),
@@ -101,7 +108,7 @@
     fn silence_limit(&self) -> Duration {
         let rule = &self.run.request.rule;
         match (rule.run, rule.event_gap) {
-            (RunKind::ResumableStream, Some(gap)) => gap * SILENCE_GAPS,
+            (RunKind::ResumableStream, Some(gap)) if !self.waits => gap * SILENCE_GAPS,
             _ => rule.timeout,
         }
     }
@@ -120,6 +127,33 @@
 
     /// Replaces the broken answer by one that goes on after the last event.
     async fn go_on(&mut self, reason: &str) -> Result<(), RelayRefusal> {
+        self.drop_answer(reason);
+        if self.begun && self.splitter.last_id().is_none() {
+            return Err(RelayRefusal::not_run(RefusalReason::UpstreamFailed));
+        }
+        let upstream = self.run.next_upstream(&broken_off())?;
+        self.resume_at(upstream).await
+    }
+
+    /// Leaves a silent upstream if the stream can go on elsewhere, and waits for it otherwise: an
+    /// answer that still runs isn't given up for nothing.
+    async fn leave_silent(&mut self) -> Result<(), RelayRefusal> {
+        let resumable = !self.begun || self.splitter.last_id().is_some();
+        let next = resumable.then(|| self.run.next_upstream(&broken_off()));
+        match next {
+            Some(Ok(upstream)) => {
+                self.drop_answer("it is silent");
+                self.resume_at(upstream).await
+            }
+            Some(Err(_)) | None => {
+                self.waits = true;
+                Ok(())
+            }
+        }
+    }
+
+    /// Lets go of the answer, whose upstream broke off or hangs.
+    fn drop_answer(&mut self, reason: &str) {
         spdlog::info!("stream broke off", kv: {
             request_id = self.run.request.id.as_str(),
             upstream = self.run.record.upstream.as_str(),
@@ -132,13 +166,12 @@
             self.run.note_answer(&answer.upstream, None);
             self.run.note_break(&answer.upstream);
         }
-        let last_event = self.splitter.last_id();
-        if self.begun && last_event.is_none() {
-            return Err(RelayRefusal::not_run(RefusalReason::UpstreamFailed));
-        }
+    }
+
+    async fn resume_at(&mut self, upstream: Arc<RelayUpstream>) -> Result<(), RelayRefusal> {
         let until = self.run.request.final_time;
-        let failure = SendFailure::plain(UpstreamFailure::BrokenInAnswer);
-        let resumed = timeout_at(until, self.run.resume(last_event, failure)).await;
+        let last_event = self.splitter.last_id();
+        let resumed = timeout_at(until, self.run.resume(last_event, upstream)).await;
         let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
         self.answer = Some(resumed.unwrap_or(Err(refusal))?);
         Ok(())
@@ -151,3 +184,7 @@
         refusal.reason.into()
     }
 }
+
+fn broken_off() -> SendFailure {
+    SendFailure::plain(UpstreamFailure::BrokenInAnswer)
+}
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -1,5 +1,7 @@
 //! Run of one request, from its placement to its answer.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, ServiceName, VersionName};
 use ferry_decisions::retry::{RunState, UpstreamFailure};
@@ -15,6 +17,7 @@
 use super::upstream_send::{SendFailure, UpstreamAnswer};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::request::{RefusalReason, RelayRefusal, RelayRequest};
+use crate::relay::upstreams::RelayUpstream;
 
 /// A request that is being answered.
 pub struct RelayRun {
@@ -95,7 +98,21 @@
         }
     }
 
-    /// Goes on with a stream after the event `last_event`, at another upstream.
+    /// The upstream that the request is sent to after `failure`.
+    ///
+    /// # Errors
+    ///
+    /// The final refusal, when it is not sent again.
+    pub fn next_upstream(
+        &mut self,
+        failure: &SendFailure,
+    ) -> Result<Arc<RelayUpstream>, RelayRefusal> {
+        self.settle_failure(failure)?;
+        self.place()
+    }
+
+    /// Goes on with a stream after the event `last_event` at `upstream`, or at another one if that
+    /// fails.
     ///
     /// # Errors
     ///
@@ -103,17 +120,15 @@
     pub async fn resume(
         &mut self,
         last_event: Option<u64>,
-        failure: SendFailure,
+        mut upstream: Arc<RelayUpstream>,
     ) -> Result<UpstreamAnswer, RelayRefusal> {
-        let mut failure = failure;
         loop {
-            self.settle_failure(&failure)?;
-            let upstream = self.place()?;
-            match self.send_to(&upstream, last_event).await {
+            let failure = match self.send_to(&upstream, last_event).await {
                 Ok(answer) if answer.head.status.is_success() => return Ok(answer),
-                Ok(_) => failure = SendFailure::plain(UpstreamFailure::MalformedAnswer),
-                Err(next) => failure = next,
-            }
+                Ok(_) => SendFailure::plain(UpstreamFailure::MalformedAnswer),
+                Err(failure) => failure,
+            };
+            upstream = self.next_upstream(&failure)?;
         }
     }
 
--- a/crates/router/tests/relay/events.rs
+++ b/crates/router/tests/relay/events.rs
@@ -77,3 +77,23 @@
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(answer.body, None, "a broken stream must not look whole");
 }
+
+/// Seen on a grown day: an upstream that had put a stream back for 4 s was left for another one, where the
+/// stream could not go on since its key had been taken away meanwhile; the caller's answer was cut.
+#[tokio::test]
+async fn a_silent_stream_that_cannot_go_on_elsewhere_is_waited_for() {
+    let deployment = Deployment::start().await;
+    let mut patient = rule("/chat/", RunKind::ResumableStream);
+    patient.event_gap = Some(Duration::from_millis(20));
+    deployment.configure(1, &[patient]);
+    let only = deployment.replica("up-1", "v1").await;
+    only.plan(ReplicaPlan {
+        gap: Duration::from_millis(300),
+        ..stream()
+    });
+    let relay = deployment.relay().await;
+    let answer = call(request(&relay, "/chat/7", "a")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body.unwrap(), whole_stream());
+    assert_eq!(only.runs().len(), 1);
+}
