Count a crash whose engine still takes connections for a while

After a connection broke, the router asked the engine once whether it still serves; a question without an answer within 0.5 s said "it does", so that the crash was not held against the request. Under load a process that is ending answers late.

Shown by: a crash order of the stand-in that breaks all connections and then takes new ones without an answer (hang_ms). Test a_slow_crash_counts_like_a_fast_one, 1.2 s: before, 4 engines lost and other requests refused; after, passes.

Change: the router asks up to four times; an upstream that broke a connection and answers none of them counts as down.

Ruled out: counting the first silent question as a crash (a busy engine that reset one connection would be held against its request).

--- a/crates/router/src/quarantine/suspect_turn.rs
+++ b/crates/router/src/quarantine/suspect_turn.rs
@@ -13,8 +13,10 @@
 use crate::dispatch::DispatchFailure;
 use crate::upstream::UpstreamHost;
 
-/// Time allowed for the probe of an upstream that broke a connection.
+/// Time allowed for one probe of an upstream that broke a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Probes in a row without an answer after which such an upstream counts as down.
+const SILENT_PROBES: usize = 4;
 
 /// Places one request; an isolated place is given back at the latest when this is dropped.
 pub struct SuspectTurn {
@@ -79,14 +81,19 @@
         });
     }
 
-    /// Whether `host` takes no connection.
+    /// Whether `host` refuses connections, breaks them again, or answers none of several probes: an
+    /// upstream that crashes may take connections for a while.
     async fn is_down(&self, host: &UpstreamHost) -> bool {
-        let request = HttpRequest::get(&format!("{}/load", host.url()));
-        let answer = self.core.http.send(request, PROBE_TIMEOUT).await;
-        matches!(
-            answer,
-            Err(HttpError::Connect { .. } | HttpError::Broken { .. })
-        )
+        let url = format!("{}/load", host.url());
+        for _ in 0..SILENT_PROBES {
+            let probe = self.core.http.send(HttpRequest::get(&url), PROBE_TIMEOUT);
+            match probe.await {
+                Err(HttpError::Timeout { .. }) => {}
+                Err(HttpError::Connect { .. } | HttpError::Broken { .. }) => return true,
+                Ok(_) | Err(_) => return false,
+            }
+        }
+        true
     }
 }
 
--- a/crates/standin/src/faults/fault_order.rs
+++ b/crates/standin/src/faults/fault_order.rs
@@ -64,6 +64,10 @@
         /// that is no process of its own always does so.
         #[serde(default)]
         pub simulate: bool,
+        /// Break all connections, and take new ones without an answer for this many milliseconds before
+        /// the process is gone.
+        #[serde(default)]
+        pub hang_ms: u64,
         /// Restart by itself after this many milliseconds; otherwise at `POST /standin/restart`.
         #[serde(default)]
         pub restart_ms: Option<u64>,
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -163,6 +163,18 @@
         self.inner.control.abort().await;
     }
 
+    /// Breaks all connections, and answers nothing on new ones for `duration`.
+    async fn hang(&self, duration: Duration) {
+        if duration.is_zero() {
+            return;
+        }
+        self.crash().await;
+        match Server::bind(self.address()).await {
+            Ok(_unserved) => tokio::time::sleep(duration).await,
+            Err(problem) => spdlog::warn!("cannot hang: {}", problem),
+        }
+    }
+
     /// Carries out crashes and restarts.
     async fn supervise(
         self,
@@ -171,6 +183,7 @@
         mode: CrashMode,
     ) {
         while let Some(crash) = crashes.recv().await {
+            self.hang(Duration::from_millis(crash.hang_ms)).await;
             if mode == CrashMode::Exit && !crash.simulate {
                 std::process::exit(CRASH_EXIT);
             }
--- a/crates/standin/tests/standin/faults.rs
+++ b/crates/standin/tests/standin/faults.rs
@@ -68,6 +68,7 @@
         crash: Some(CrashOrder {
             marker: "POISON".to_owned(),
             simulate: true,
+            hang_ms: 0,
             restart_ms: Some(50),
         }),
         ..FaultOrder::default()
--- a/crates/standin/tests/standin/service.rs
+++ b/crates/standin/tests/standin/service.rs
@@ -66,6 +66,7 @@
         crash: Some(CrashOrder {
             marker: "POISON".to_owned(),
             simulate: true,
+            hang_ms: 0,
             restart_ms: None,
         }),
         ..FaultOrder::default()
--- a/tests/fleet/containment.rs
+++ b/tests/fleet/containment.rs
@@ -28,7 +28,11 @@
 const MOST_SENDS: usize = 6;
 const DEADLINE_MS: &str = "60000";
 
-async fn fleet() -> FleetRig {
+/// Time for which a crashing engine takes connections without an answer in the test of slow crashes.
+const HANG_MS: u64 = 1_200;
+
+/// Three routers and four engines, which hang for `hang_ms` when they crash.
+async fn fleet(hang_ms: u64) -> FleetRig {
     let mut rig = FleetRig::start(programs(), &[]).await.unwrap();
     for host in ["engine-1", "engine-2", "engine-3", "engine-4"] {
         let flags = ["--step-ms", "5"];
@@ -40,7 +44,7 @@
     rig.until_ready(4).await;
     rig.publish_everywhere(configuration()).await;
     until_linked(&rig).await;
-    let crash = json!({ "crash": { "marker": MARKER } });
+    let crash = json!({ "crash": { "marker": MARKER, "hang_ms": hang_ms } });
     for engine in &rig.engines {
         let address = engine.process.address("listening");
         rig.order(&address, Method::PUT, "/standin/faults", &crash)
@@ -82,7 +86,17 @@
 
 #[tokio::test]
 async fn one_request_costs_two_engines_at_most_and_no_other_request() {
-    let mut rig = fleet().await;
+    contained(0).await;
+}
+
+/// A crash counts although the engine goes on taking connections for a while.
+#[tokio::test]
+async fn a_slow_crash_counts_like_a_fast_one() {
+    contained(HANG_MS).await;
+}
+
+async fn contained(hang_ms: u64) {
+    let mut rig = fleet(hang_ms).await;
     let addresses: Vec<_> = (0..3).map(|index| rig.callers(index)).collect();
     let stop = Arc::new(AtomicBool::new(false));
     let callers = (0..CALLERS).map(|number| {
