Tell the story of a request from the logs of the relays

A request whose process was killed left no line at all, since the only line with its upstream was written at its end.

The relay writes "request sent" before each send, with version, own load and the ages of its rules and entries. One scene (store, upstreams, rule, caller) now serves the relay tests and the tests with processes; RelayProcess in the rig runs a relay that can be killed and started again at its addresses.

Before: the killed request had no line.

Ruled out: naming the host in each line (collectors do); "-" for standard input (the flag parser refuses it).

--- a/crates/operator/src/ctl_app.rs
+++ b/crates/operator/src/ctl_app.rs
@@ -7,6 +7,7 @@
 mod apply_command;
 mod check_command;
 mod explain_command;
+mod explain_logs;
 mod flags;
 mod get_command;
 mod status_command;
@@ -101,6 +102,9 @@
         }
         FerryctlCmd::Get(command) => get_command::run(&fleet(settings)?, &command, json).await,
         FerryctlCmd::Status(_) => status_command::run(&fleet(settings)?, json).await,
+        FerryctlCmd::Explain(command) if command.stdin || !command.logs.is_empty() => {
+            explain_logs::run(&command, json)
+        }
         FerryctlCmd::Explain(command) => {
             explain_command::run(&fleet(settings)?, &command.request, json).await
         }
--- a/crates/operator/src/ctl_app/flags.rs
+++ b/crates/operator/src/ctl_app/flags.rs
@@ -44,9 +44,13 @@
         /// Show every router.
         cmd status {
         }
-        /// Show what was decided about a request.
+        /// Show what was decided about a request: from log files if some are named, else from the routers.
         cmd explain {
             required request: String
+            /// Log files, of several routers if need be.
+            repeated logs: PathBuf
+            /// Read log lines from standard input, too.
+            optional --stdin
         }
         /// Follow the changes of the configuration.
         cmd watch {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,8 @@
 mod link_relay;
 mod operator_tool;
 mod process;
+mod relay_process;
+mod relay_scene;
 mod rig_client;
 mod wait;
 
@@ -16,5 +18,9 @@
 pub use link_relay::LinkRelay;
 pub use operator_tool::ToolOutput;
 pub use process::{ChildProcess, RigError};
+pub use relay_process::RelayProcess;
+pub use relay_scene::{
+    HOST_NAME, KEY, RelayScene, SERVICE, WORKSPACE, scene_headers, scene_request, scene_rule,
+};
 pub use rig_client::{ChatCall, RigClient, read_refusal};
 pub use wait::{LONG_WAIT, eventually};
--- /dev/null
+++ b/crates/rig/src/relay_scene.rs
@@ -0,0 +1,145 @@
+//! A small deployment for relays: a store, upstreams of one service, and callers with one key.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::ServiceName;
+use ferry_decisions::roster::UpstreamStage;
+use ferry_decisions::ruleset::{
+    KeyHolder, RequestLimits, RouteRule, RunKind, ServiceShare, ServiceSpec,
+};
+use ferry_kernel::http::HttpRequest;
+use ferry_platform::entries::{CONFIG_KEY, encode_rules};
+use ferry_platform::headers::CallerHeaders;
+use ferry_platform::store::OPERATOR_TOPIC;
+use ferry_standin::{ReplicaOptions, ReplicaStandin, StoreStandin};
+use hyper::Method;
+use hyper::header::{HOST, HeaderValue};
+use smallvec::smallvec;
+
+/// Host of all rules.
+pub const HOST_NAME: &str = "clinic.example";
+/// Key of the only workspace.
+pub const KEY: &str = "key-1";
+/// Workspace that the key belongs to.
+pub const WORKSPACE: &str = "intake";
+/// Service of all upstreams.
+pub const SERVICE: &str = "letters";
+/// Longest body of a request, in bytes.
+const BODY_LIMIT: usize = 2_000;
+/// Connections that an upstream accepts.
+const CONNECTIONS: u32 = 100;
+/// Places of an upstream.
+const SLOTS: u32 = 8;
+/// Time that a caller allows.
+const DEADLINE: Duration = Duration::from_secs(8);
+
+/// The store, with what an operator and upstreams write into it.
+#[derive(Debug)]
+pub struct RelayScene {
+    /// The store.
+    pub store: StoreStandin,
+}
+
+impl RelayScene {
+    /// A store without records.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        Ok(Self {
+            store: StoreStandin::start(loopback()).await?,
+        })
+    }
+
+    /// Puts `rules` in force as `revision`, for the only workspace.
+    pub fn configure(&self, revision: u64, rules: &[RouteRule]) {
+        let holder = KeyHolder {
+            workspace: WORKSPACE.into(),
+            priority: None,
+        };
+        self.configure_keys(revision, rules, &[(KEY, holder)]);
+    }
+
+    /// Puts `rules` in force with these keys.
+    pub fn configure_keys(&self, revision: u64, rules: &[RouteRule], keys: &[(&str, KeyHolder)]) {
+        let service = ServiceSpec {
+            name: SERVICE.into(),
+            connections: CONNECTIONS,
+            models: Vec::new(),
+        };
+        let limits = RequestLimits {
+            body_bytes: BODY_LIMIT,
+            ..RequestLimits::default()
+        };
+        let value = encode_rules(revision, &limits, rules, keys, &[service]);
+        self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &value);
+    }
+
+    /// Starts an upstream of `version` and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn replica(&self, id: &str, version: &str) -> io::Result<ReplicaStandin> {
+        let options = ReplicaOptions {
+            id: id.to_owned(),
+            service: SERVICE.to_owned(),
+            version: version.to_owned(),
+            slots: SLOTS,
+        };
+        let replica = ReplicaStandin::start(loopback(), options).await?;
+        replica.register(&self.store, UpstreamStage::Ready, 1);
+        Ok(replica)
+    }
+}
+
+/// Any free port.
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// A rule for `prefix`.
+pub fn scene_rule(prefix: &str, run: RunKind) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: HOST_NAME.to_owned(),
+        path_prefix: prefix.to_owned(),
+        run,
+        attempts: 3,
+        timeout: Duration::from_secs(10),
+        target_latency: Duration::from_secs(1),
+        event_gap: None,
+        priority: 1,
+        shares: smallvec![ServiceShare {
+            service: ServiceName::new(SERVICE),
+            weight: 1.0,
+        }],
+        cascade: smallvec![],
+        public: false,
+        affine: false,
+    }
+}
+
+/// Headers of the request `attempt_id` with the usual key.
+pub fn scene_headers(attempt_id: &str) -> CallerHeaders<'_> {
+    CallerHeaders {
+        attempt_id,
+        key: Some(KEY),
+        deadline: Some(DEADLINE),
+        ..CallerHeaders::default()
+    }
+}
+
+/// A request to `path` at the relay whose callers' address is `relay`.
+pub fn scene_request(relay: SocketAddr, path: &str, headers: &CallerHeaders<'_>) -> HttpRequest {
+    let url = format!("http://{relay}{path}");
+    let mut request = HttpRequest::new(Method::POST, &url, Bytes::from_static(b"a letter"));
+    headers.write(&mut request.headers);
+    let host = HeaderValue::from_static(HOST_NAME);
+    request.headers.insert(HOST, host);
+    request
+}
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -7,6 +7,22 @@
 use crate::relay::upstreams::RelayUpstream;
 
 impl RelayRun {
+    /// Logs a send before it is made, with the beliefs that decided it and their ages.
+    pub(super) fn note_send(&self, upstream: &RelayUpstream) {
+        let core = &self.core;
+        spdlog::info!("request sent", kv: {
+            request_id = self.request.id.as_str(),
+            upstream = upstream.id(),
+            version = upstream.record.version.as_str(),
+            model = self.record.model.as_str(),
+            sends = self.record.sends,
+            in_flight = upstream.in_flight(),
+            revision = self.request.revision,
+            rules_age_ms = core.contact.age().as_millis() as u64,
+            upstreams_age_ms = core.listing.age().as_millis() as u64,
+        });
+    }
+
     /// Counts an answer, or a failure where `took` is absent, as evidence about the version.
     pub fn note_answer(&mut self, upstream: &RelayUpstream, took: Option<Duration>) {
         let Some(service) = &self.service else {
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -1,36 +1,24 @@
 //! A small deployment: a store, upstreams of one service, and relays.
 
 use std::net::SocketAddr;
+use std::ops::Deref;
 use std::sync::Once;
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_decisions::names::ServiceName;
-use ferry_decisions::roster::UpstreamStage;
-use ferry_decisions::ruleset::{
-    KeyHolder, RequestLimits, RouteRule, RunKind, ServiceShare, ServiceSpec,
-};
 use ferry_kernel::http::{HttpClient, HttpError, HttpRequest, collect_limited};
 use ferry_kernel::logs::{self, LogLevel};
-use ferry_platform::entries::{CONFIG_KEY, encode_rules};
 use ferry_platform::headers::{CallerHeaders, READINESS_PATH};
 use ferry_platform::host_settings::{DeploymentBounds, HostSettings};
-use ferry_platform::store::OPERATOR_TOPIC;
+use ferry_rig::{RelayScene, scene_headers, scene_request};
 use ferry_router::relay::{RelayDaemon, RelayOptions};
-use ferry_standin::{ReplicaOptions, ReplicaStandin, StoreStandin};
+use ferry_standin::ReplicaStandin;
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Response, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::sleep;
 
-/// Host of all rules.
-pub const HOST_NAME: &str = "clinic.example";
-/// Key of the only workspace.
-pub const KEY: &str = "key-1";
-/// Workspace that the key belongs to.
-pub const WORKSPACE: &str = "intake";
-/// Service of all upstreams.
-pub const SERVICE: &str = "letters";
+pub use ferry_rig::{HOST_NAME, KEY, SERVICE, WORKSPACE, scene_rule as rule};
+
 /// Longest time that a test waits for a condition.
 const CONDITION_LIMIT: Duration = Duration::from_secs(20);
 /// Time that a caller of the tests allows.
@@ -38,10 +26,9 @@
 /// Longest answer that a test reads, in bytes.
 const ANSWER_LIMIT: usize = 1024 * 1024;
 
-/// The store with what was written into it.
+/// A scene, and the settings of its relays.
 pub struct Deployment {
-    /// The store.
-    pub store: StoreStandin,
+    scene: RelayScene,
     /// Bounds of relays that are started next.
     pub bounds: DeploymentBounds,
 }
@@ -62,46 +49,14 @@
     pub async fn start() -> Self {
         quiet_logs();
         Self {
-            store: StoreStandin::start(loopback()).await.unwrap(),
+            scene: RelayScene::start().await.unwrap(),
             bounds: bounds(),
         }
     }
 
-    /// Puts `rules` in force as `revision`, for the only workspace.
-    pub fn configure(&self, revision: u64, rules: &[RouteRule]) {
-        let holder = KeyHolder {
-            workspace: WORKSPACE.into(),
-            priority: None,
-        };
-        self.configure_keys(revision, rules, &[(KEY, holder)]);
-    }
-
-    /// Puts `rules` in force with these keys.
-    pub fn configure_keys(&self, revision: u64, rules: &[RouteRule], keys: &[(&str, KeyHolder)]) {
-        let service = ServiceSpec {
-            name: SERVICE.into(),
-            connections: 100,
-            models: Vec::new(),
-        };
-        let limits = RequestLimits {
-            body_bytes: 2_000,
-            ..RequestLimits::default()
-        };
-        let value = encode_rules(revision, &limits, rules, keys, &[service]);
-        self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &value);
-    }
-
     /// Starts an upstream of `version` and registers it.
     pub async fn replica(&self, id: &str, version: &str) -> ReplicaStandin {
-        let options = ReplicaOptions {
-            id: id.to_owned(),
-            service: SERVICE.to_owned(),
-            version: version.to_owned(),
-            slots: 8,
-        };
-        let replica = ReplicaStandin::start(loopback(), options).await.unwrap();
-        replica.register(&self.store, UpstreamStage::Ready, 1);
-        replica
+        self.scene.replica(id, version).await.unwrap()
     }
 
     /// Starts a relay and waits until it is ready.
@@ -132,6 +87,14 @@
     }
 }
 
+impl Deref for Deployment {
+    type Target = RelayScene;
+
+    fn deref(&self) -> &RelayScene {
+        &self.scene
+    }
+}
+
 /// Keeps the relays' log lines out of the tests' output.
 fn quiet_logs() {
     static QUIET: Once = Once::new();
@@ -160,50 +123,14 @@
     "127.0.0.1:0".parse().unwrap()
 }
 
-/// A rule for `prefix`.
-pub fn rule(prefix: &str, run: RunKind) -> RouteRule {
-    RouteRule {
-        name: prefix.into(),
-        host: HOST_NAME.to_owned(),
-        path_prefix: prefix.to_owned(),
-        run,
-        attempts: 3,
-        timeout: Duration::from_secs(10),
-        target_latency: Duration::from_secs(1),
-        event_gap: None,
-        priority: 1,
-        shares: [ServiceShare {
-            service: ServiceName::new(SERVICE),
-            weight: 1.0,
-        }]
-        .into_iter()
-        .collect(),
-        cascade: smallvec::SmallVec::new(),
-        public: false,
-        affine: false,
-    }
-}
-
 /// A request to `path` with the usual key.
 pub fn request(relay: &RelayDaemon, path: &str, attempt_id: &str) -> HttpRequest {
-    let headers = CallerHeaders {
-        attempt_id,
-        key: Some(KEY),
-        deadline: Some(Duration::from_secs(8)),
-        ..CallerHeaders::default()
-    };
-    request_with(relay, path, &headers)
+    request_with(relay, path, &scene_headers(attempt_id))
 }
 
 /// A request to `path` with these headers.
 pub fn request_with(relay: &RelayDaemon, path: &str, headers: &CallerHeaders<'_>) -> HttpRequest {
-    let url = format!("http://{}{path}", relay.callers_address());
-    let mut request = HttpRequest::new(Method::POST, &url, Bytes::from_static(b"a letter"));
-    headers.write(&mut request.headers);
-    request
-        .headers
-        .insert(HOST, HeaderValue::from_static(HOST_NAME));
-    request
+    scene_request(relay.callers_address(), path, headers)
 }
 
 /// Sends `request` and returns when the head of the answer is there.
