Soak relays as processes; take signals before anything else at the start

It took its signals after it had read its settings, so that a file that changes right after a restart ended the process; SIGTERM then would not have been a graceful stop either.

Change: the runtime and the signal handlers come first. The soak sends a signal only to a process whose own code runs, since nothing can be done before that.

Ruled out: a crash of the process (its log ends with "relay stopped" and has no second start).

--- a/crates/rig/src/relay_process.rs
+++ b/crates/rig/src/relay_process.rs
@@ -10,7 +10,7 @@
 use ferry_kernel::http::{HttpClient, HttpRequest};
 use ferry_platform::headers::READINESS_PATH;
 use tokio::process::{Child, Command};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::process::RigError;
 
@@ -22,6 +22,8 @@
 const PEER_PORT: u16 = 7_312;
 /// Time allowed for a process to end.
 const END_WAIT: Duration = Duration::from_secs(60);
+/// Pause between two looks at a process.
+const LOOK_PAUSE: Duration = Duration::from_millis(2);
 /// Time allowed for one question.
 const ASK_LIMIT: Duration = Duration::from_secs(2);
 
@@ -122,6 +124,25 @@
         }
     }
 
+    /// Waits until the process has a handler for `signal`, or has ended: nothing that it does can save it
+    /// from a signal that comes before its own code runs.
+    pub async fn until_handles(&mut self, signal: i32) {
+        let until = Instant::now() + END_WAIT;
+        while self.is_running() && !self.handles(signal) && Instant::now() < until {
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    fn handles(&self, signal: i32) -> bool {
+        let Some(pid) = self.child.as_ref().and_then(Child::id) else {
+            return false;
+        };
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        caught.unwrap_or_default() & (1 << (signal - 1)) != 0
+    }
+
     /// Kills the process and waits for its end.
     pub async fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/router/src/relay/relay_app.rs
+++ b/crates/router/src/relay/relay_app.rs
@@ -1,5 +1,6 @@
 //! The program `ferry-relay`: command line, settings, signals.
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
@@ -9,7 +10,7 @@
 use ferry_kernel::{logs, metrics, ticks};
 use ferry_platform::host_settings::{HostSettings, HostSettingsError, SETTINGS_VARIABLE};
 use miette::{IntoDiagnostic, Report, Result, miette};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 
 use super::relay_flags::FerryRelay;
@@ -20,33 +21,60 @@
 /// Time between two looks at the settings file.
 const FILE_CHECK: Duration = Duration::from_secs(1);
 
+/// What the command line and the settings file say.
+struct StartPlan {
+    path: PathBuf,
+    settings: HostSettings,
+    options: RelayOptions,
+    level: LogLevel,
+}
+
+/// Signals of one process.
+struct RelaySignals {
+    stops: mpsc::Receiver<StopSignal>,
+    reloads: Signal,
+}
+
 /// Runs the program and exits with 0 after a graceful stop, 1 on a failure, 2 on bad settings.
 pub fn main() {
     let flags = FerryRelay::from_env_or_exit();
-    let path = match settings_path(&flags) {
-        Ok(path) => path,
-        Err(error) => exit_with(BAD_SETTINGS_EXIT, &error.into()),
-    };
-    let settings = match HostSettings::read(&path) {
-        Ok(settings) => settings,
-        Err(error) => exit_with(BAD_SETTINGS_EXIT, &error.into()),
-    };
-    let level = match log_level(flags.log_level.as_deref()) {
-        Ok(level) => level,
-        Err(report) => exit_with(BAD_SETTINGS_EXIT, &report),
-    };
     if flags.check_settings {
-        println!("{}: settings are valid", path.display());
+        let plan = StartPlan::read_or_exit(&flags);
+        println!("{}: settings are valid", plan.path.display());
         return;
     }
-    let options = RelayOptions {
-        metrics_port: flags.metrics_port,
-    };
-    if let Err(report) = run(&path, settings, options, level) {
+    if let Err(report) = run(&flags) {
         exit_with(1, &report);
     }
 }
 
+impl StartPlan {
+    fn read_or_exit(flags: &FerryRelay) -> Self {
+        Self::read(flags).unwrap_or_else(|report| exit_with(BAD_SETTINGS_EXIT, &report))
+    }
+
+    fn read(flags: &FerryRelay) -> Result<Self> {
+        let path = settings_path(flags)?;
+        Ok(Self {
+            settings: HostSettings::read(&path)?,
+            path,
+            options: RelayOptions {
+                metrics_port: flags.metrics_port,
+            },
+            level: log_level(flags.log_level.as_deref())?,
+        })
+    }
+}
+
+impl RelaySignals {
+    fn install() -> io::Result<Self> {
+        Ok(Self {
+            stops: stop_signals()?,
+            reloads: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 fn settings_path(flags: &FerryRelay) -> Result<PathBuf, HostSettingsError> {
     let named = flags.settings.clone();
     named
@@ -72,26 +100,31 @@
 }
 
 /// Serves on one thread: a host has a fraction of a core.
-fn run(path: &Path, settings: HostSettings, options: RelayOptions, level: LogLevel) -> Result<()> {
-    metrics::install();
-    logs::install_queued(level).into_diagnostic()?;
+///
+/// The signals are taken first, so that one that comes during the start does not end the process.
+fn run(flags: &FerryRelay) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .into_diagnostic()?;
-    runtime.block_on(serve(path, settings, options))
+    runtime.block_on(async {
+        let signals = RelaySignals::install().into_diagnostic()?;
+        let plan = StartPlan::read_or_exit(flags);
+        metrics::install();
+        logs::install_queued(plan.level).into_diagnostic()?;
+        serve(plan, signals).await
+    })
 }
 
-async fn serve(path: &Path, settings: HostSettings, options: RelayOptions) -> Result<()> {
-    let mut stops = stop_signals().into_diagnostic()?;
-    let mut reloads = signal(SignalKind::hangup()).into_diagnostic()?;
-    let daemon = RelayDaemon::start(settings, options).await?;
+async fn serve(plan: StartPlan, mut signals: RelaySignals) -> Result<()> {
+    let path = &plan.path;
+    let daemon = RelayDaemon::start(plan.settings, plan.options).await?;
     let mut checks = ticks::every(FILE_CHECK);
     let mut changed = modified(path);
     loop {
         tokio::select! {
-            _ = stops.recv() => break,
-            _ = reloads.recv() => daemon.reload(HostSettings::read(path)),
+            _ = signals.stops.recv() => break,
+            _ = signals.reloads.recv() => daemon.reload(HostSettings::read(path)),
             _ = checks.tick() => {
                 let latest = modified(path);
                 if latest != changed {
@@ -101,7 +134,7 @@
             }
         }
     }
-    tokio::spawn(watch_signals(stops));
+    tokio::spawn(watch_signals(signals.stops));
     daemon.stop().await;
     Ok(())
 }
--- a/crates/standin/src/replica/replica_run.rs
+++ b/crates/standin/src/replica/replica_run.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use ferry_platform::headers::BoundRequest;
+use tokio::time::Instant;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,6 +26,8 @@
     pub target: String,
     /// Body.
     pub body: Bytes,
+    /// When it arrived.
+    pub at: Instant,
     /// How it ended.
     pub end: RunEnd,
 }
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
+use tokio::time::Instant;
 
 use super::{ReplicaRun, RunEnd};
 
@@ -119,6 +120,7 @@
             request: bound.clone(),
             target,
             body,
+            at: Instant::now(),
             end,
         });
         match (misdirected, plan.full) {
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -6,9 +6,9 @@
 
 use ferry_kernel::http::{HttpClient, HttpRequest};
 use ferry_standin::StoreStandin;
-use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::process::{Child, ChildStdout};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Exit code of wrong settings.
 const BAD_SETTINGS: Option<i32> = Some(2);
@@ -123,6 +123,34 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// Seen in the soak (seeds 5 and 16): a relay that was told to read its settings again while it started died.
+#[tokio::test]
+async fn a_signal_during_the_start_does_not_end_the_program() {
+    let store = StoreStandin::start("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("host.toml");
+    let name = std::ffi::CString::new(file.to_str().unwrap()).unwrap();
+    // SAFETY: the name ends with a zero byte and outlives the call.
+    assert_eq!(unsafe { libc::mkfifo(name.as_ptr(), 0o600) }, 0);
+    let (mut child, mut lines) = start(&file);
+    // The program waits for its settings now; it opens the pipe before it is past its start.
+    let settings = local_settings(&store);
+    let mut pipe = tokio::fs::OpenOptions::new()
+        .write(true)
+        .open(&file)
+        .await
+        .unwrap();
+    signal(&child, libc::SIGHUP);
+    sleep(Duration::from_millis(100)).await;
+    assert!(child.try_wait().unwrap().is_none(), "it lives on");
+    pipe.write_all(settings.as_bytes()).await.unwrap();
+    pipe.flush().await.unwrap();
+    drop(pipe);
+    line(&mut lines, "relay started").await;
+}
+
 #[tokio::test]
 async fn nothing_blocks_when_standard_output_is_not_read() {
     let store = StoreStandin::start("127.0.0.1:0".parse().unwrap())
