Hold callers' connections to the configured bounds, from their first moment

Cause: the configuration's bounds on heads and idle connections were decoded and not applied (fixed 64 KiB and 60 s). A test with them found more: a connection on which nothing was ever sent stayed open for good, since the server waited for its first bytes to tell protocol versions apart, before any time-out ran.

Before: heads_and_idle_connections_keep_to_the_configured_bounds failed ("an idle connection is closed").

Left: the time for a head is the idle time; the library has one time-out for both.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -14,4 +14,4 @@
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
 pub use client::{HttpClient, HttpError, HttpRequest};
-pub use server::{Server, ServerHandle, ServerLimits, dropped_connection};
+pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -2,13 +2,15 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
+use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -50,11 +52,27 @@
     }
 }
 
+/// Bounds that may change while a server runs; they hold for connections that come later.
+#[derive(Debug, Clone, Default)]
+pub struct LimitsCell(Arc<Mutex<ServerLimits>>);
+
+impl LimitsCell {
+    /// The bounds in force.
+    pub fn get(&self) -> ServerLimits {
+        *self.0.lock()
+    }
+
+    /// Replaces the bounds.
+    pub fn set(&self, limits: ServerLimits) {
+        *self.0.lock() = limits;
+    }
+}
+
 /// A listening socket that is not yet served.
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
-    limits: ServerLimits,
+    limits: LimitsCell,
 }
 
 /// A running server.
@@ -64,7 +82,7 @@
     pub address: SocketAddr,
     stop: CancellationToken,
     abort: CancellationToken,
-    limits: ServerLimits,
+    limits: LimitsCell,
     /// The accept loop and one task for each connection.
     tasks: TaskTracker,
 }
@@ -79,13 +97,13 @@
         let listener = TcpListener::bind(address).await?;
         Ok(Self {
             listener,
-            limits: ServerLimits::default(),
+            limits: LimitsCell::default(),
         })
     }
 
-    /// Sets the bounds on each connection.
+    /// Sets where the bounds on each connection are found.
     #[must_use]
-    pub fn with_limits(mut self, limits: ServerLimits) -> Self {
+    pub fn with_limits(mut self, limits: LimitsCell) -> Self {
         self.limits = limits;
         self
     }
@@ -170,13 +188,13 @@
         let answer = handler(request, peer);
         async move { sendable(answer.await) }
     });
-    let mut builder = auto::Builder::new(hyper_util::rt::TokioExecutor::new()).http1_only();
-    builder
-        .http1()
+    let limits = handle.limits.get();
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(handle.limits.head_wait)
-        .max_buf_size(handle.limits.head_bytes.max(LEAST_HEAD_BYTES));
-    let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+        .header_read_timeout(limits.head_wait)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
--- a/crates/rig/src/relay_scene.rs
+++ b/crates/rig/src/relay_scene.rs
@@ -41,6 +41,8 @@
 pub struct RelayScene {
     /// The store.
     pub store: StoreStandin,
+    /// Bounds on callers of the configurations that are written next.
+    pub limits: RequestLimits,
 }
 
 impl RelayScene {
@@ -52,6 +54,10 @@
     pub async fn start() -> io::Result<Self> {
         Ok(Self {
             store: StoreStandin::start(loopback()).await?,
+            limits: RequestLimits {
+                body_bytes: BODY_LIMIT,
+                ..RequestLimits::default()
+            },
         })
     }
 
@@ -71,11 +77,7 @@
             connections: CONNECTIONS,
             models: Vec::new(),
         };
-        let limits = RequestLimits {
-            body_bytes: BODY_LIMIT,
-            ..RequestLimits::default()
-        };
-        let value = encode_rules(revision, &limits, rules, keys, &[service]);
+        let value = encode_rules(revision, &self.limits, rules, keys, &[service]);
         self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &value);
     }
 
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
-use ferry_kernel::http::{HttpBody, Server, ServerHandle, ServerLimits};
+use ferry_kernel::http::{HttpBody, LimitsCell, Server, ServerHandle};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
@@ -48,9 +48,9 @@
         }
     }
 
-    /// Sets the bounds on each connection.
+    /// Sets where the bounds on each connection are found.
     #[must_use]
-    pub fn with_limits(mut self, limits: ServerLimits) -> Self {
+    pub fn with_limits(mut self, limits: LimitsCell) -> Self {
         self.server = self.server.with_limits(limits);
         self
     }
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -11,6 +11,7 @@
 use ferry_decisions::roster::UpstreamRoster;
 use ferry_decisions::ruleset::RuleSet;
 use ferry_decisions::time::MonotonicTime;
+use ferry_kernel::http::LimitsCell;
 use ferry_platform::host_settings::HostSettings;
 use ferry_platform::store::StoreClient;
 use parking_lot::Mutex;
@@ -45,6 +46,8 @@
     pub store: StoreClient,
     /// Rules in force here; absent until they are first read.
     pub rules: ArcSwapOption<RuleSet>,
+    /// Bounds on callers' connections, of the rules in force.
+    pub caller_limits: LimitsCell,
     /// When the rules were last confirmed.
     pub contact: StoreContact,
     /// When the upstreams' entries were last confirmed.
@@ -76,6 +79,7 @@
             clock: ProcessClock::start(),
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             rules: ArcSwapOption::empty(),
+            caller_limits: LimitsCell::default(),
             contact: StoreContact::default(),
             listing: StoreContact::default(),
             upstreams: UpstreamDirectory::default(),
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_kernel::http::{HttpBody, ServerHandle, ServerLimits, empty, full};
+use ferry_kernel::http::{HttpBody, ServerHandle, empty, full};
 use ferry_kernel::metrics;
 use ferry_platform::headers::READINESS_PATH;
 use ferry_platform::host_settings::{HostSettings, HostSettingsError};
@@ -17,10 +17,6 @@
 use crate::core::LifePhase;
 use crate::ports::{BoundPort, PortError};
 
-/// Longest head of a request that is read, in bytes; the rules may allow less.
-const HEAD_BYTES: usize = 64 * 1024;
-/// Time for which an idle caller's connection is kept.
-const IDLE_WAIT: Duration = Duration::from_secs(60);
 /// Time for which new requests are taken after the request to stop, until the balancer noticed.
 const BALANCER_LAG: Duration = Duration::from_millis(3_000);
 /// Time kept free at the end of the grace for closing down.
@@ -131,13 +127,9 @@
 }
 
 async fn serve_callers(core: &SharedCore, address: SocketAddr) -> Result<ServerHandle, PortError> {
-    let limits = ServerLimits {
-        head_bytes: HEAD_BYTES,
-        head_wait: IDLE_WAIT,
-    };
     let server = BoundPort::bind("callers", address)
         .await?
-        .with_limits(limits);
+        .with_limits(core.caller_limits.clone());
     let core = Arc::clone(core);
     let handler = move |request, _| request::handle(Arc::clone(&core), request);
     server.serve(handler)
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ferry_kernel::http::ServerLimits;
 use ferry_platform::entries::{CONFIG_KEY, decode_order, decode_rules, order_service};
 use ferry_platform::store::{KeyedRecord, OPERATOR_TOPIC};
 use tokio::time::sleep;
@@ -96,5 +97,9 @@
         replaced = held.unwrap_or_default(),
         rules = rules.rule_count(),
     });
+    core.caller_limits.set(ServerLimits {
+        head_bytes: rules.limits.head_bytes,
+        head_wait: rules.limits.idle_time,
+    });
     core.rules.store(Some(Arc::new(rules)));
 }
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -1,7 +1,7 @@
 //! A small deployment: a store, upstreams of one service, and relays.
 
 use std::net::SocketAddr;
-use std::ops::Deref;
+use std::ops::{Deref, DerefMut};
 use std::sync::Once;
 use std::time::Duration;
 
@@ -87,6 +87,12 @@
     }
 }
 
+impl DerefMut for Deployment {
+    fn deref_mut(&mut self) -> &mut RelayScene {
+        &mut self.scene
+    }
+}
+
 impl Deref for Deployment {
     type Target = RelayScene;
 
--- a/crates/router/tests/relay/requests.rs
+++ b/crates/router/tests/relay/requests.rs
@@ -155,3 +155,56 @@
     })
     .await;
 }
+
+/// The first line of what the relay answers to `text` on a connection of its own.
+async fn first_line(address: std::net::SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // The relay may close before it has read everything.
+    let _ = stream.write_all(text.as_bytes()).await;
+    let mut answer = vec![0; 1_024];
+    let length = stream.read(&mut answer).await.unwrap_or_default();
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    answer.lines().next().unwrap_or_default().to_owned()
+}
+
+#[tokio::test]
+async fn heads_and_idle_connections_keep_to_the_configured_bounds() {
+    let mut deployment = Deployment::start().await;
+    deployment.limits.head_bytes = 12_000;
+    deployment.limits.idle_time = Duration::from_millis(300);
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    deployment.replica("up-1", "v1").await;
+    let relay = deployment.relay().await;
+    let address = relay.callers_address();
+
+    let head = |size| {
+        format!(
+            "GET /letters/7 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX: {}\r\n\r\n",
+            "y".repeat(size)
+        )
+    };
+    let allowed = first_line(address, &head(8_000)).await;
+    assert!(allowed.contains("401"), "it has no key: {allowed}");
+    let refused = first_line(address, &head(40_000)).await;
+    assert!(refused.contains("431"), "{refused}");
+
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    let closed = tokio::time::timeout(Duration::from_secs(5), idle.read(&mut [0; 16])).await;
+    assert!(closed.is_ok(), "an idle connection is closed");
+
+    deployment.limits.idle_time = Duration::from_secs(60);
+    deployment.configure(
+        2,
+        &[
+            rule("/letters/", RunKind::Idempotent),
+            rule("/memos/", RunKind::Once),
+        ],
+    );
+    eventually("the second configuration is in force", async || {
+        call(request(&relay, "/memos/7", "a-2")).await.status == StatusCode::OK
+    })
+    .await;
+    let mut kept = TcpStream::connect(address).await.unwrap();
+    let closed = tokio::time::timeout(Duration::from_secs(1), kept.read(&mut [0; 16])).await;
+    assert!(closed.is_err(), "it is kept as long as the new bound says");
+}
