Let the soak's upstreams come back as new lives

Trace: the soak announced them as ready again under the same life; by the protocol an upstream that drains ends, and one that starts again says another `born`. The router's view, that leaving is final for a life, stands; the soak was wrong.

Change: an upstream that comes back has a new life. The check of the recovery is as it was.

--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -5,6 +5,7 @@
 
 use ferry_decisions::roster::UpstreamStage;
 use ferry_decisions::ruleset::{KeyHolder, RouteRule, RunKind};
+use ferry_decisions::time::UnixMillis;
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::{OPERATOR_TOPIC, UPSTREAM_TOPIC};
 use ferry_rig::{KEY, LinkRelay, RelayProcess, RelayScene, SERVICE, WORKSPACE, scene_rule};
@@ -54,7 +55,14 @@
     pub standin: ReplicaStandin,
     link: LinkRelay,
     usual: ReplicaPlan,
-    sequence: Mutex<u64>,
+    life: Mutex<ReplicaLife>,
+}
+
+/// What an upstream says of its present life.
+#[derive(Debug, Default, Clone, Copy)]
+struct ReplicaLife {
+    born: u64,
+    sequence: u64,
 }
 
 /// Everything that runs.
@@ -176,17 +184,19 @@
         codes
     }
 
-    /// An upstream that leaves, serves on for a while, and comes back.
+    /// An upstream that leaves, serves on for a while, and starts again under its id.
     async fn drain(&self, replica: &SoakReplica) {
         self.announce(replica, UpstreamStage::Draining);
         sleep(DRAIN_TIME).await;
+        replica.life.lock().born += 1;
         self.announce(replica, UpstreamStage::Ready);
     }
 
     fn announce(&self, replica: &SoakReplica, stage: UpstreamStage) {
-        let mut sequence = replica.sequence.lock();
-        *sequence += 1;
-        let mut record = replica.standin.record(stage, *sequence);
+        let mut life = replica.life.lock();
+        life.sequence += 1;
+        let mut record = replica.standin.record(stage, life.sequence);
+        record.life.born = Some(UnixMillis(life.born));
         record.address = replica.link.address;
         let (id, entry) = (record.life.id.to_string(), encode_upstream(&record));
         self.scene.store.put(UPSTREAM_TOPIC, &id, &entry);
@@ -257,7 +267,7 @@
             standin,
             link,
             usual,
-            sequence: Mutex::new(0),
+            life: Mutex::default(),
         }
     }
 }
