Show operators what relays believe

Cause: an operator could read logs and counters, but not ask a relay which configuration it holds, how old its beliefs are, which upstreams it uses and how much of its budget is left.

Change: `/status` at the port of the metrics (configuration, ages, feed, services, roll-outs), and `ferryctl relays ADDRESS...`, which shows several relays as tables or JSON. The budget tells what is left; spending uses the same sum.

Test: the page's command against a process (tests/operations_page.rs, which the commands of the explanations moved to); a wrong address fails with exit code 1. It fails without the path: the answer is metrics, no status.

--- a/crates/decisions/src/retry/window_budget.rs
+++ b/crates/decisions/src/retry/window_budget.rs
@@ -52,9 +52,7 @@
 
     /// Counts a repeated send if it is covered, with `spared` of them kept for other purposes.
     pub fn spend(&mut self, config: &WindowBudgetConfig, spared: f64, now: MonotonicTime) -> bool {
-        self.expire(config, now);
-        let bound = config.ratio * f64::from(self.fresh) + config.burst - spared;
-        if f64::from(self.repeated + 1) > bound {
+        if self.left(config, now) - spared < 1.0 {
             return false;
         }
         self.slot(now).repeated += 1;
@@ -62,6 +60,12 @@
         true
     }
 
+    /// Repeated sends that are covered now; may be a fraction or below 0.
+    pub fn left(&mut self, config: &WindowBudgetConfig, now: MonotonicTime) -> f64 {
+        self.expire(config, now);
+        config.ratio * f64::from(self.fresh) + config.burst - f64::from(self.repeated)
+    }
+
     /// Fresh requests in a second, over the part of the window in which there was any.
     pub fn fresh_rate(&mut self, config: &WindowBudgetConfig, now: MonotonicTime) -> f64 {
         self.expire(config, now);
--- a/crates/operator/src/ctl_app.rs
+++ b/crates/operator/src/ctl_app.rs
@@ -10,6 +10,7 @@
 mod explain_logs;
 mod flags;
 mod get_command;
+mod relays_command;
 mod status_command;
 mod table;
 mod watch_command;
@@ -102,6 +103,7 @@
         }
         FerryctlCmd::Get(command) => get_command::run(&fleet(settings)?, &command, json).await,
         FerryctlCmd::Status(_) => status_command::run(&fleet(settings)?, json).await,
+        FerryctlCmd::Relays(command) => relays_command::run(&command.addresses, json).await,
         FerryctlCmd::Explain(command) if command.stdin || !command.logs.is_empty() => {
             explain_logs::run(&command, json)
         }
--- a/crates/operator/src/ctl_app/flags.rs
+++ b/crates/operator/src/ctl_app/flags.rs
@@ -5,6 +5,7 @@
     reason = "the macro generates items without documentation"
 )]
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 xflags::xflags! {
@@ -44,6 +45,11 @@
         /// Show every router.
         cmd status {
         }
+        /// Show what relays on the users' platform believe.
+        cmd relays {
+            /// IP:PORT of their metrics.
+            repeated addresses: SocketAddr
+        }
         /// Show what was decided about a request: from log files if some are named, else from the routers.
         cmd explain {
             required request: String
--- /dev/null
+++ b/crates/operator/src/ctl_app/relays_command.rs
@@ -0,0 +1,142 @@
+//! `ferryctl relays`: shows what relays on the users' platform believe.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_kernel::http::{HttpClient, HttpRequest};
+use ferry_router::relay::STATUS_PATH;
+use ferry_router::relay::status::{RelayStatus, RolloutStatus, ServiceStatus};
+use futures::future::join_all;
+use serde_json::json;
+
+use super::{CtlError, table};
+
+/// Time allowed for the answer of one relay.
+const ASK_LIMIT: Duration = Duration::from_secs(3);
+
+/// Shows the relays at `addresses`; fails when none answers.
+pub async fn run(addresses: &[SocketAddr], json: bool) -> Result<u8, CtlError> {
+    if addresses.is_empty() {
+        return Err(CtlError::BadInput(
+            "no relay is named; give the IP:PORT of its metrics".to_owned(),
+        ));
+    }
+    let client = HttpClient::default();
+    let answers = join_all(addresses.iter().map(|address| ask(&client, *address))).await;
+    let relays: Vec<_> = answers
+        .iter()
+        .filter_map(|answer| answer.as_ref().ok())
+        .collect();
+    if json {
+        println!("{}", json!(relays));
+    } else {
+        show(&relays);
+    }
+    for (address, answer) in addresses.iter().zip(&answers) {
+        if let Err(problem) = answer {
+            eprintln!("{address}: {problem}");
+        }
+    }
+    if relays.is_empty() {
+        return Err(CtlError::NoAnswer(
+            "no relay answers; check the addresses and --metrics-port of the relays".to_owned(),
+        ));
+    }
+    Ok(0)
+}
+
+async fn ask(client: &HttpClient, address: SocketAddr) -> Result<RelayStatus, String> {
+    let request = HttpRequest::get(&format!("http://{address}{STATUS_PATH}"));
+    let body = client.fetch(request, ASK_LIMIT).await;
+    let body = body.map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| format!("the answer is no status: {error}"))
+}
+
+fn show(relays: &[&RelayStatus]) {
+    let heads = [
+        "HOST",
+        "ZONE",
+        "PHASE",
+        "READY",
+        "REVISION",
+        "RULES AGE",
+        "UPSTREAMS AGE",
+        "FED",
+        "WORK",
+    ];
+    let rows: Vec<_> = relays.iter().map(|relay| relay_row(relay)).collect();
+    table::print(&heads, &rows);
+    println!();
+    let heads = [
+        "HOST",
+        "SERVICE",
+        "LIVE",
+        "LEAVING",
+        "SUSPECT",
+        "IN FLIGHT",
+        "REPEATS LEFT",
+    ];
+    let rows: Vec<_> = relays
+        .iter()
+        .flat_map(|relay| {
+            relay
+                .services
+                .iter()
+                .map(|service| service_row(relay, service))
+        })
+        .collect();
+    table::print(&heads, &rows);
+    let rows: Vec<_> = relays
+        .iter()
+        .flat_map(|relay| {
+            relay
+                .rollouts
+                .iter()
+                .map(|rollout| rollout_row(relay, rollout))
+        })
+        .collect();
+    if !rows.is_empty() {
+        println!();
+        table::print(&["HOST", "ROLL-OUT", "TARGET", "PHASE", "ELAPSED"], &rows);
+    }
+}
+
+fn relay_row(relay: &RelayStatus) -> Vec<String> {
+    vec![
+        relay.host.clone(),
+        relay.zone.clone(),
+        json!(relay.phase).as_str().unwrap_or_default().to_owned(),
+        yes_or_no(relay.ready),
+        relay.revision.to_string(),
+        format!("{} ms", relay.rules_age_ms),
+        format!("{} ms", relay.upstreams_age_ms),
+        yes_or_no(relay.fed),
+        relay.in_progress.to_string(),
+    ]
+}
+
+fn service_row(relay: &RelayStatus, service: &ServiceStatus) -> Vec<String> {
+    vec![
+        relay.host.clone(),
+        service.service.clone(),
+        service.live.to_string(),
+        service.leaving.to_string(),
+        service.suspect.to_string(),
+        service.in_flight.to_string(),
+        format!("{:.1}", service.repeats_left),
+    ]
+}
+
+fn rollout_row(relay: &RelayStatus, rollout: &RolloutStatus) -> Vec<String> {
+    vec![
+        relay.host.clone(),
+        rollout.service.clone(),
+        rollout.target.clone(),
+        rollout.phase.clone(),
+        format!("{} ms", rollout.elapsed_ms),
+    ]
+}
+
+fn yes_or_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
--- a/crates/rig/src/relay_process.rs
+++ b/crates/rig/src/relay_process.rs
@@ -20,6 +20,8 @@
 const READINESS_PORT: u16 = 7_311;
 /// Port for the other relays.
 const PEER_PORT: u16 = 7_312;
+/// Port for the metrics and the relay's view.
+const METRICS_PORT: u16 = 7_313;
 /// Time allowed for a process to end.
 const END_WAIT: Duration = Duration::from_secs(60);
 /// Pause between two looks at a process.
@@ -84,6 +86,8 @@
         let child = Command::new(&self.program)
             .arg("--settings")
             .arg(&self.settings)
+            .arg("--metrics-port")
+            .arg(METRICS_PORT.to_string())
             .stdin(Stdio::null())
             .stdout(log)
             .kill_on_drop(true)
@@ -97,6 +101,11 @@
         SocketAddr::new(self.ip, CALLERS_PORT)
     }
 
+    /// Address of its metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, METRICS_PORT)
+    }
+
     /// Whether it says that it is ready.
     pub async fn is_ready(&self) -> bool {
         let address = SocketAddr::new(self.ip, READINESS_PORT);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -10,9 +10,10 @@
 mod request;
 mod rollouts;
 mod run;
+pub mod status;
 mod store_contact;
 mod upstreams;
 mod watch;
 
 pub use relay_core::RelayCore;
-pub use relay_daemon::{RelayDaemon, RelayOptions};
+pub use relay_daemon::{RelayDaemon, RelayOptions, STATUS_PATH};
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -133,6 +133,11 @@
         })
     }
 
+    /// Repeated sends to `service` that its budget covers now.
+    pub fn repeats_left(&self, service: &ServiceName) -> f64 {
+        self.with_budget(service, WindowBudget::left)
+    }
+
     /// Estimate of the requests that the whole fleet sends to `service` in a second.
     pub fn fleet_rate(&self, service: &ServiceName) -> f64 {
         let own = self.with_budget(service, WindowBudget::fresh_rate);
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_kernel::http::{HttpBody, ServerHandle, empty, full};
+use ferry_kernel::http::{HttpBody, ServerHandle, empty, full, json_response};
 use ferry_kernel::metrics;
 use ferry_platform::headers::READINESS_PATH;
 use ferry_platform::host_settings::{HostSettings, HostSettingsError};
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::relay_core::{RelayCore, SharedCore};
+use super::status::RelayStatus;
 use super::{request, watch};
 use crate::core::LifePhase;
 use crate::ports::{BoundPort, PortError};
@@ -27,6 +28,9 @@
 /// Time for the last log lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(20);
 
+/// Path of the relay's view at the port of the metrics.
+pub const STATUS_PATH: &str = "/status";
+
 /// How a relay is started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayOptions {
@@ -53,7 +57,7 @@
         watch::start(&core);
         let readiness = serve_readiness(&core, settings.readiness).await?;
         if let Some(port) = options.metrics_port {
-            serve_metrics(SocketAddr::new(settings.callers.ip(), port)).await?;
+            serve_metrics(&core, SocketAddr::new(settings.callers.ip(), port)).await?;
         }
         let callers = serve_callers(&core, settings.callers).await?;
         spdlog::info!("relay started", kv: {
@@ -159,8 +163,19 @@
     response
 }
 
-async fn serve_metrics(address: SocketAddr) -> Result<(), PortError> {
+async fn serve_metrics(core: &SharedCore, address: SocketAddr) -> Result<(), PortError> {
     let server = BoundPort::bind("metrics", address).await?;
-    let handler = |_, _| async { Response::new(full(metrics::render())) };
+    let core = Arc::clone(core);
+    let handler = move |request: Request<Incoming>, _| {
+        let core = Arc::clone(&core);
+        async move { views(&core, request.uri().path()) }
+    };
     server.serve(handler).map(drop)
 }
+
+fn views(core: &RelayCore, path: &str) -> Response<HttpBody> {
+    match path {
+        STATUS_PATH => json_response(StatusCode::OK, &RelayStatus::of(core)),
+        _ => Response::new(full(metrics::render())),
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/status.rs
@@ -0,0 +1,7 @@
+//! What a relay believes, for operators.
+
+mod relay_status;
+mod service_status;
+
+pub use relay_status::{RelayStatus, RolloutStatus};
+pub use service_status::ServiceStatus;
--- a/crates/router/src/relay/upstreams/upstream_directory.rs
+++ b/crates/router/src/relay/upstreams/upstream_directory.rs
@@ -26,6 +26,11 @@
         self.listed.load(Ordering::Acquire)
     }
 
+    /// Services that have upstreams, in any order.
+    pub fn services(&self) -> Vec<ServiceName> {
+        self.by_service.load().keys().cloned().collect()
+    }
+
     /// Upstreams of `service`, leaving ones included.
     pub fn of_service(&self, service: &ServiceName) -> UpstreamList {
         let by_service = self.by_service.load();
--- a/tests/explain_logs.rs
+++ b/tests/operations_page.rs
@@ -1,14 +1,15 @@
-//! From a failed request's id to its cause, by the commands of the operations page, with real processes.
+//! The commands of the operations page, with real processes: from a failed request's id to its cause, and what
+//! relays believe.
 
 use std::path::Path;
-use std::process::{Command, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 
 use ferry_decisions::ruleset::RunKind;
 use ferry_kernel::http::{HttpClient, HttpRequest, collect_limited};
 use ferry_platform::headers::CallerHeaders;
 use ferry_rig::{
-    KEY, RelayProcess, RelayScene, eventually, scene_headers, scene_request, scene_rule,
+    KEY, RelayProcess, RelayScene, SERVICE, eventually, scene_headers, scene_request, scene_rule,
 };
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 
@@ -17,6 +18,9 @@
 /// The page's command, and the id in it.
 const COMMAND: &str = "ferryctl explain 5f0c1d2e edge-1.log";
 const PAGE_ID: &str = "5f0c1d2e";
+/// The page's command for the views of relays, and the addresses in it.
+const VIEW_COMMAND: &str = "ferryctl relays 10.1.0.40:9464 10.1.0.41:9464";
+const PAGE_ADDRESSES: [&str; 2] = ["10.1.0.40:9464", "10.1.0.41:9464"];
 const WAIT: Duration = Duration::from_secs(30);
 const ANSWER_LIMIT: usize = 1 << 20;
 
@@ -83,17 +87,65 @@
     }
 
     fn explain(&self, id: &str) -> String {
-        assert!(PAGE.contains(COMMAND), "the page has the command");
-        let words = COMMAND.split(' ').skip(1);
-        let output = Command::new(env!("CARGO_BIN_EXE_ferryctl"))
+        let words = |word| if word == PAGE_ID { id.to_owned() } else { word };
+        stdout(&self.run(COMMAND, words))
+    }
+
+    /// Runs a command of the page, with `words` put in the place of its own.
+    fn run(&self, command: &str, words: impl Fn(String) -> String) -> Output {
+        assert!(PAGE.contains(command), "the page has the command");
+        let arguments = command.split(' ').skip(1);
+        Command::new(env!("CARGO_BIN_EXE_ferryctl"))
             .current_dir(self.folder.path())
-            .args(words.map(|word| if word == PAGE_ID { id } else { word }))
+            .args(arguments.map(|word| words(word.to_owned())))
             .output()
-            .unwrap();
-        String::from_utf8_lossy(&output.stdout).into_owned()
+            .unwrap()
     }
 }
 
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[tokio::test]
+async fn relays_show_what_they_believe() {
+    let incident = Incident::start(RunKind::Once, &ReplicaPlan::default()).await;
+    incident.call("viewed-1", KEY).await;
+    let address = incident.relay.metrics().to_string();
+    let words = |word: String| match PAGE_ADDRESSES.contains(&word.as_str()) {
+        true => address.clone(),
+        false => word,
+    };
+    let output = incident.run(VIEW_COMMAND, words);
+    let told = stdout(&output);
+    assert_eq!(output.status.code(), Some(0), "{told}");
+    let rows: Vec<Vec<_>> = told
+        .lines()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    let relay = rows
+        .iter()
+        .find(|row| row.first() == Some(&"edge-1"))
+        .unwrap();
+    assert_eq!(
+        relay[1..5],
+        ["cluj-sala-a", "serving", "yes", "1"],
+        "{told}"
+    );
+    let service = rows
+        .iter()
+        .find(|row| row.get(1) == Some(&SERVICE))
+        .unwrap();
+    assert_eq!(service[2..6], ["2", "0", "0", "0"], "{told}");
+
+    let nobody = |word: String| match word.contains(':') {
+        true => "127.0.0.1:1".to_owned(),
+        false => word,
+    };
+    let output = incident.run(VIEW_COMMAND, nobody);
+    assert_eq!(output.status.code(), Some(1));
+}
+
 #[tokio::test]
 async fn a_request_refused_at_once_is_explained() {
     let incident = Incident::start(RunKind::Once, &ReplicaPlan::default()).await;
