Lose the store around a revocation in the soak

Change: one in four seeds with trouble loses the store from shortly before the key is taken away for seven to nine seconds. It is drawn apart, so that the other faults of a seed, and the regressions, stay what they were. Seed 7, one of these, joins the usual ones.

--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -17,6 +17,8 @@
 const MOST_FAULTS: usize = 12;
 /// Pause between two stops in a run with planned work only.
 const STOP_PAUSE: Duration = Duration::from_millis(5_500);
+/// One in so many other seeds loses the store around the moment at which the key is taken away.
+const STORE_SEEDS: u64 = 4;
 /// One in so many seeds plays planned work only.
 const PLANNED_SEEDS: u64 = 3;
 
@@ -111,6 +113,9 @@
         } else {
             any_trouble(&mut random)
         };
+        if !planned_only && seed % STORE_SEEDS == STORE_SEEDS - 1 {
+            faults.push(lost_store(seed));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
@@ -120,6 +125,22 @@
     }
 }
 
+/// The store is lost before the key is taken away, for longer than the key may open anything then.
+///
+/// Drawn apart, so that the other faults of a seed stay what they were.
+fn lost_store(seed: u64) -> TimedFault {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let before = Duration::from_millis(random.random_range(100..1_500));
+    TimedFault {
+        at: REVOKED_AT - before,
+        lasts: Duration::from_millis(random.random_range(7_000..9_000)),
+        fault: SoakFault::StoreOut(match random.random() {
+            true => StoreTrouble::Refuses,
+            false => StoreTrouble::Drops,
+        }),
+    }
+}
+
 /// Stops in turn, and between them what operators and upstreams do every day.
 fn planned_work(random: &mut StdRng) -> Vec<TimedFault> {
     let first = random.random_range(0..RELAYS);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,7 +8,6 @@
 mod promise_check;
 mod soak_fleet;
 
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -25,8 +24,9 @@
 
 /// Variable with other seeds than the usual ones, as FIRST..END.
 const SEEDS_VARIABLE: &str = "FERRY_SOAK_SEEDS";
-/// Seeds that each run of the tests plays.
-const USUAL_SEEDS: Range<u64> = 1..4;
+/// Seeds that each run of the tests plays: one with planned work only, one that loses the store while a key
+/// is taken away, and two others.
+const USUAL_SEEDS: [u64; 4] = [1, 2, 3, 7];
 /// Seeds that are played at once.
 const AT_ONCE: usize = 5;
 /// Time that traffic goes on after the last fault began.
@@ -65,7 +65,7 @@
     let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
     let known = lines.filter_map(|line| line.split_whitespace().next());
     let known = known.map(|seed| seed.parse().expect("a line begins with its seed"));
-    USUAL_SEEDS.chain(known).collect()
+    USUAL_SEEDS.into_iter().chain(known).collect()
 }
 
 /// Plays one seed; gives the broken promises.
