Say the start of listed stand-ins, reports of tables and clock types once

Change: ListedServer, ExperimentReport::of_tables, clock_type!.

Ruled out: one start for the runs of chats and services (`caller/chat_handler`, `service_handler`): their feeds, runs and messages differ in type, and what is alike is five lines.

--- a/crates/bench/src/cascade.rs
+++ b/crates/bench/src/cascade.rs
@@ -82,16 +82,9 @@
 
 /// Plays every variant through every scenario.
 pub fn play(experiment: &CascadeExperiment) -> ExperimentReport {
-    ExperimentReport {
-        name: experiment.name.clone(),
-        seeds: (1..=experiment.runs).collect(),
-        tables: experiment
-            .scenarios
-            .iter()
-            .map(|scenario| play_scenario(experiment, scenario))
-            .collect(),
-        plots: Vec::new(),
-    }
+    let scenarios = experiment.scenarios.iter();
+    let tables = scenarios.map(|scenario| play_scenario(experiment, scenario));
+    ExperimentReport::of_tables(&experiment.name, experiment.runs, tables)
 }
 
 fn play_scenario(experiment: &CascadeExperiment, scenario: &CascadeScenario) -> ReportTable {
--- a/crates/bench/src/report/experiment_report.rs
+++ b/crates/bench/src/report/experiment_report.rs
@@ -19,6 +19,16 @@
 }
 
 impl ExperimentReport {
+    /// A report of the seeds `1..=runs` without plots.
+    pub fn of_tables(name: &str, runs: u64, tables: impl Iterator<Item = ReportTable>) -> Self {
+        Self {
+            name: name.to_owned(),
+            seeds: (1..=runs).collect(),
+            tables: tables.collect(),
+            plots: Vec::new(),
+        }
+    }
+
     /// The tables for a terminal.
     pub fn to_text(&self) -> String {
         let tables: Vec<String> = self.tables.iter().map(ReportTable::to_text).collect();
--- a/crates/decisions/src/macros.rs
+++ b/crates/decisions/src/macros.rs
@@ -29,6 +29,22 @@
     };
 }
 
+/// Declares moments of one clock, which are compared and stored but not mixed up with those of another.
+#[macro_export]
+macro_rules! clock_type {
+    ($($(#[$meta:meta])* $name:ident($unit:ty);)+) => {
+        $(
+            $(#[$meta])*
+            #[derive(
+                Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
+                serde::Serialize, serde::Deserialize,
+            )]
+            #[serde(transparent)]
+            pub struct $name(pub $unit);
+        )+
+    };
+}
+
 /// Declares cheap-to-clone string names that cannot be mixed up with one another.
 #[macro_export]
 macro_rules! name_type {
--- a/crates/decisions/src/time.rs
+++ b/crates/decisions/src/time.rs
@@ -2,22 +2,15 @@
 
 use std::time::Duration;
 
-/// Wall-clock time, in milliseconds since the Unix epoch.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-#[serde(transparent)]
-pub struct UnixMillis(pub u64);
+clock_type! {
+    /// Wall-clock time, in milliseconds since the Unix epoch.
+    UnixMillis(u64);
+
+    /// Time on this process's monotonic clock, in microseconds from an arbitrary origin.
+    ///
+    /// Signed, so that an event before the origin keeps its true age.
+    MonotonicTime(i64);
+}
 
 impl UnixMillis {
     /// Milliseconds from `earlier` to `self`, zero when `earlier` is later.
@@ -31,25 +24,6 @@
     }
 }
 
-/// Time on this process's monotonic clock, in microseconds from an arbitrary origin.
-///
-/// Signed, so that an event before the origin keeps its true age.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-#[serde(transparent)]
-pub struct MonotonicTime(pub i64);
-
 impl MonotonicTime {
     /// This time moved back by `age`.
     pub fn before(self, age: Duration) -> Self {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -27,15 +27,14 @@
 
 use crate::counters::RunCounters;
 use crate::faults::FaultGate;
-use crate::registration::{HostRegistration, StartError};
-use crate::server::{StandinApi, StandinServer};
+use crate::registration::StartError;
+use crate::server::{ListedServer, StandinApi, StandinServer};
 
 /// A running engine.
 #[derive(Debug, Clone)]
 pub struct EngineStandin {
-    server: StandinServer,
+    server: ListedServer,
     state: Arc<EngineState>,
-    registration: Option<HostRegistration>,
 }
 
 impl EngineStandin {
@@ -51,18 +50,10 @@
         let api = StandinApi::Engine(state.clone());
         let server =
             StandinServer::start(options.listen, api, gate, crashes, options.crash_mode).await?;
-        let registration = match &options.platform {
-            Some(platform) => {
-                let entry = host_entry(&options, &server);
-                Some(HostRegistration::announce(platform, entry).await?)
-            }
-            None => None,
-        };
-        Ok(Self {
-            server,
-            state,
-            registration,
-        })
+        let platform = options.platform.as_deref();
+        let entry = |server: &StandinServer| host_entry(&options, server);
+        let server = ListedServer::announce(server, platform, entry).await?;
+        Ok(Self { server, state })
     }
 
     /// What ran.
@@ -72,7 +63,7 @@
 
     /// Announces the stop, finishes requests in flight, and takes the engine off the host list.
     pub async fn stop(&self) {
-        HostRegistration::finish(self.registration.as_ref(), self.server.stop()).await;
+        self.server.stop().await;
     }
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,7 +1,9 @@
 //! Server of a stand-in: its own port under the fault gate, and a control port without faults.
 
+mod listed_server;
 mod standin_api;
 
+pub(crate) use listed_server::ListedServer;
 pub(crate) use standin_api::StandinApi;
 
 use std::io;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -18,15 +18,14 @@
 
 use crate::counters::RunCounters;
 use crate::faults::FaultGate;
-use crate::registration::{HostRegistration, StartError};
-use crate::server::{StandinApi, StandinServer};
+use crate::registration::StartError;
+use crate::server::{ListedServer, StandinApi, StandinServer};
 
 /// A running service.
 #[derive(Debug, Clone)]
 pub struct ServiceStandin {
-    server: StandinServer,
+    server: ListedServer,
     state: Arc<ServiceState>,
-    registration: Option<HostRegistration>,
 }
 
 impl ServiceStandin {
@@ -42,18 +41,10 @@
         let api = StandinApi::Service(state.clone());
         let server =
             StandinServer::start(options.listen, api, gate, crashes, options.crash_mode).await?;
-        let registration = match &options.platform {
-            Some(platform) => {
-                let entry = host_entry(&options, &server);
-                Some(HostRegistration::announce(platform, entry).await?)
-            }
-            None => None,
-        };
-        Ok(Self {
-            server,
-            state,
-            registration,
-        })
+        let platform = options.platform.as_deref();
+        let entry = |server: &StandinServer| host_entry(&options, server);
+        let server = ListedServer::announce(server, platform, entry).await?;
+        Ok(Self { server, state })
     }
 
     /// What ran.
@@ -63,7 +54,7 @@
 
     /// Announces the stop, finishes calls in flight, and takes the service off the host list.
     pub async fn stop(&self) {
-        HostRegistration::finish(self.registration.as_ref(), self.server.stop()).await;
+        self.server.stop().await;
     }
 }
 
