Tell the fleet of a request that broke three upstreams

Cause: breaks were counted by each router for itself, so that a request which crashes what runs it cost three upstreams at every router that its caller reached; the rule allows three repeats over all of them.

Change: the router at which a request breaks its third upstream tells all registered ones over peer links; they refuse it like their own. The view of a relay counts such requests, and reads fields that it doesn't know.

Before: routers_tell_one_another_of_requests_that_break_upstreams failed without the report ("never: the router knows the request"). After: three runs in all, refused at the other routers without a run.

Left: a router that isn't listed yet, or can't be reached, learns by running the request.

--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -36,16 +36,25 @@
     }
 
     /// Takes in that `upstream` broke off while it ran the request.
-    pub fn record(&mut self, request: RequestFingerprint, upstream: &HostName, now: MonotonicTime) {
+    ///
+    /// Gives the upstreams that broke off, if that made them too many for the request to be run again.
+    pub fn record(
+        &mut self,
+        request: RequestFingerprint,
+        upstream: &HostName,
+        now: MonotonicTime,
+    ) -> Option<&[HostName]> {
         self.expire(now);
         let entry = self.entries.entry(request).or_insert_with(|| BreakEntry {
             upstreams: SmallVec::new(),
             last: now,
         });
         entry.last = now;
-        if !entry.upstreams.contains(upstream) {
-            entry.upstreams.push(upstream.clone());
+        if entry.upstreams.contains(upstream) {
+            return None;
         }
+        entry.upstreams.push(upstream.clone());
+        (entry.upstreams.len() == QUARANTINE_UPSTREAMS).then_some(&entry.upstreams[..])
     }
 
     /// Takes in that the request was answered, so that it did not cause the breaks.
@@ -60,6 +69,14 @@
         })
     }
 
+    /// Requests that are not run again.
+    pub fn quarantined(&self, now: MonotonicTime) -> usize {
+        let requests = self.entries.keys();
+        requests
+            .filter(|request| self.is_quarantined(request, now))
+            .count()
+    }
+
     /// Forgets what is old, and the oldest when there is too much.
     fn expire(&mut self, now: MonotonicTime) {
         self.entries
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -5,12 +5,14 @@
 //! Nothing depends on who that is: a router whose neighbour is silent, slow or out of touch reads the
 //! store for itself at once.
 
+mod break_report;
 mod feed_client;
 mod feed_message;
 mod feed_source;
 mod fleet_desk;
 mod fleet_join;
 
+pub use break_report::{BreakReport, tell_fleet};
 pub use feed_message::{EvidenceRecord, PooledRollout};
 pub use feed_source::FeedSource;
 pub use fleet_desk::FleetDesk;
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -7,6 +7,7 @@
 use ferry_platform::store::KeyedRecord;
 use tokio::time::{sleep, timeout};
 
+use super::break_report::take_report;
 use super::feed_message::{EvidenceRecord, FeedAnswer, FeedAsk, FeedChange, FeedChanges};
 use crate::peer::{self, PeerError, PeerMessage, PeerTopic};
 use crate::relay::relay_core::SharedCore;
@@ -137,11 +138,16 @@
     position.revision = answer.revision;
 }
 
-/// Answers a question of another router.
+/// Answers a message of another router.
 pub async fn answer_peer(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
-    if message.topic != PeerTopic::Feed {
-        return None;
+    match message.topic {
+        PeerTopic::Feed => answer_ask(core, message).await,
+        PeerTopic::Quarantine => take_report(core, &message),
+        _ => None,
     }
+}
+
+async fn answer_ask(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
     let query: FeedAsk = match peer::decode(&message.body) {
         Ok(query) => query,
         Err(error) => {
--- a/crates/router/src/relay/fleet/fleet_desk.rs
+++ b/crates/router/src/relay/fleet/fleet_desk.rs
@@ -77,6 +77,12 @@
         *self.routers.lock() = routers;
     }
 
+    /// Hosts of all routers that are registered.
+    pub fn hosts(&self) -> Vec<HostName> {
+        let routers = self.routers.lock();
+        routers.iter().map(|entry| entry.host.clone()).collect()
+    }
+
     /// Number of routers that are registered.
     pub fn router_count(&self) -> usize {
         self.routers.lock().len()
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -83,6 +83,11 @@
         self.readiness.address
     }
 
+    /// What it believes now.
+    pub fn status(&self) -> RelayStatus {
+        RelayStatus::of(&self.core)
+    }
+
     /// Whether another router tells this one what the store holds.
     pub fn is_fed(&self) -> bool {
         self.core.fleet.is_fed()
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::RelayRun;
+use crate::relay::fleet::{BreakReport, tell_fleet};
 use crate::relay::rollouts::AnswerNote;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -61,10 +62,20 @@
     pub fn note_break(&self, upstream: &RelayUpstream) {
         let now = self.core.clock.now();
         let fingerprint = self.request.fingerprint();
-        self.core
-            .crashes
-            .lock()
-            .record(fingerprint, &upstream.record.life.id, now);
+        let mut crashes = self.core.crashes.lock();
+        let Some(upstreams) = crashes.record(fingerprint, &upstream.record.life.id, now) else {
+            return;
+        };
+        let report = BreakReport {
+            request: fingerprint,
+            upstreams: upstreams.to_vec(),
+        };
+        drop(crashes);
+        spdlog::warn!("request quarantined", kv: {
+            request_id = self.request.id.as_str(),
+            fingerprint = fingerprint.to_string(),
+        });
+        tell_fleet(&self.core, &report);
     }
 
     /// Takes in that the request was answered to its end.
--- a/crates/router/src/relay/status/service_status.rs
+++ b/crates/router/src/relay/status/service_status.rs
@@ -2,26 +2,25 @@
 
 use ferry_decisions::choice::UpstreamState;
 use ferry_decisions::names::ServiceName;
-use ferry_decisions::value_type;
+use serde::{Deserialize, Serialize};
 
 use crate::relay::RelayCore;
 
-value_type! {
-    /// A service as a relay sees it.
-    pub struct ServiceStatus {
-        /// Name.
-        pub service: String,
-        /// Upstreams that get new work.
-        pub live: u32,
-        /// Upstreams that get none since they leave.
-        pub leaving: u32,
-        /// Upstreams that get none for a moment, since they broke a connection.
-        pub suspect: u32,
-        /// Requests of this relay in flight.
-        pub in_flight: u32,
-        /// Repeated sends that its budget covers now.
-        pub repeats_left: f64,
-    }
+/// A service as a relay sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// Name.
+    pub service: String,
+    /// Upstreams that get new work.
+    pub live: u32,
+    /// Upstreams that get none since they leave.
+    pub leaving: u32,
+    /// Upstreams that get none for a moment, since they broke a connection.
+    pub suspect: u32,
+    /// Requests of this relay in flight.
+    pub in_flight: u32,
+    /// Repeated sends that its budget covers now.
+    pub repeats_left: f64,
 }
 
 impl ServiceStatus {
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -6,6 +6,7 @@
 use ferry_decisions::ruleset::RunKind;
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_router::relay::RelayDaemon;
+use ferry_standin::ReplicaPlan;
 use hyper::StatusCode;
 use tokio::time::sleep;
 
@@ -64,6 +65,35 @@
     assert!(!second.runs().is_empty());
 }
 
+/// A request that breaks upstreams costs three in all, whichever router gets it next.
+#[tokio::test]
+async fn routers_tell_one_another_of_requests_that_break_upstreams() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let mut replicas = Vec::new();
+    for id in ["up-1", "up-2", "up-3", "up-4"] {
+        let replica = deployment.replica(id, "v1").await;
+        replica.plan(ReplicaPlan {
+            break_after: Some(0),
+            ..ReplicaPlan::default()
+        });
+        replicas.push(replica);
+    }
+    let relays = fleet(&deployment).await;
+    let runs = || -> usize { replicas.iter().map(|replica| replica.runs().len()).sum() };
+    let first = relays.iter().find(|relay| relay.is_fed()).unwrap();
+    assert!(!serves(first, "/letters/7").await);
+    assert_eq!(runs(), 3);
+    for relay in &relays {
+        eventually("the router knows the request", async || {
+            relay.status().quarantined == 1
+        })
+        .await;
+        assert!(!serves(relay, "/letters/7").await);
+    }
+    assert_eq!(runs(), 3);
+}
+
 #[tokio::test]
 async fn the_others_go_on_when_the_router_that_reads_stops() {
     let deployment = Deployment::start().await;
