Keep conversations that began before an order on their version

Change: versions of conversations are remembered whether there is an order or not, by name, noted at each send and again at the end of the run; what ended is forgotten by a task of its own.

A first form of the test sent 150 requests at once, of which one came a second late, since the queue of new connections was full; it sends 90.

--- a/crates/router/src/relay/rollouts.rs
+++ b/crates/router/src/relay/rollouts.rs
@@ -8,5 +8,6 @@
 mod session_memory;
 
 pub use rollout_desk::{AnswerNote, RolloutDesk, VersionPick};
-pub use rollout_exchange::follow;
+pub use rollout_exchange::{follow, forget_sessions};
 pub use rollout_pool::{own_evidence, pooled, take_pooled};
+pub use session_memory::SessionKey;
--- a/crates/router/src/relay/rollouts/rollout_desk.rs
+++ b/crates/router/src/relay/rollouts/rollout_desk.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::active_rollout::ActiveRollout;
-use super::session_memory::SessionMemory;
+use super::session_memory::{SessionKey, SessionMemory};
 
 /// Answers faster than this are never slow.
 const NEVER_SLOW: Duration = Duration::from_millis(120);
@@ -49,7 +49,8 @@
     /// This router and life, as its rows name it.
     router: String,
     active: Mutex<HashMap<ServiceName, ActiveRollout>>,
-    sessions: SessionMemory,
+    /// Versions of the conversations under way.
+    pub sessions: SessionMemory,
     /// Wakes the exchange when something is urgent.
     pub wake: Notify,
 }
@@ -134,10 +135,12 @@
     ) -> Option<VersionPick> {
         let active = self.active.lock();
         let rollout = active.get(service)?;
-        let hash = xxh3_64_with_seed(session.as_bytes(), rollout.offset);
-        let last = self.sessions.recall(hash, gap, now);
-        let side = rollout.side(hash_point(hash), last, now);
-        self.sessions.note(hash, side, now);
+        let point = hash_point(xxh3_64_with_seed(session.as_bytes(), rollout.offset));
+        let last = self
+            .sessions
+            .recall(SessionKey::new(service, session), gap, now);
+        let last = last.map(|version| side_of(&version, rollout));
+        let side = rollout.side(point, last, now);
         Some(VersionPick {
             target: rollout.order.target.clone(),
             side: if rollout.spares(failed) {
@@ -154,20 +157,19 @@
         let Some(rollout) = active.get_mut(note.service) else {
             return;
         };
-        let side = if *note.version == rollout.order.target {
-            VersionSide::Target
-        } else {
-            VersionSide::Base
-        };
+        let side = side_of(note.version, rollout);
         let quality = judge(rollout, side, note);
         if rollout.record(note.class, side, quality, now) {
             self.wake.notify_one();
         }
     }
+}
 
-    /// Forgets conversations without a request for longer than `gap`.
-    pub fn expire(&self, gap: Duration, now: MonotonicTime) {
-        self.sessions.expire(gap, now);
+fn side_of(version: &VersionName, rollout: &ActiveRollout) -> VersionSide {
+    if *version == rollout.order.target {
+        VersionSide::Target
+    } else {
+        VersionSide::Base
     }
 }
 
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -10,7 +10,7 @@
 use ferry_platform::store::{
     AppendGuard, ReadQuery, STATUS_TOPIC, StoreError, TopicPart, encode_keyed,
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::peer;
 use crate::relay::fleet::EvidenceRecord;
@@ -29,6 +29,8 @@
 };
 /// Time between two exchanges while a roll-out is under way.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(900);
+/// Least time between two looks for conversations that ended.
+const LEAST_FORGET_PERIOD: Duration = Duration::from_secs(1);
 /// Exchanges after which the phases are read even if no router is seen ahead.
 const STATUS_PERIOD: u32 = 5;
 
@@ -66,21 +68,23 @@
         }
         if core.fleet.is_fed() {
             let _ = timeout(EXCHANGE_PERIOD, core.fleet.unfed()).await;
-            core.rollouts.expire(gap_of(&core), core.clock.now());
             continue;
         }
         match exchange.run(&open).await {
             Ok(()) => exchange.loss.regain(),
             Err(error) => exchange.loss.lose(&error),
         }
-        core.rollouts.expire(gap_of(&core), core.clock.now());
         let _ = timeout(EXCHANGE_PERIOD, core.rollouts.wake.notified()).await;
     }
 }
 
-/// Longest pause within a conversation.
-fn gap_of(core: &SharedCore) -> Duration {
-    core.settings.load().bounds.session_gap
+/// Forgets conversations that ended, until the relay closes.
+pub async fn forget_sessions(core: SharedCore) {
+    loop {
+        let gap = core.settings.load().bounds.session_gap;
+        sleep(gap.max(LEAST_FORGET_PERIOD)).await;
+        core.rollouts.sessions.expire(gap, core.clock.now());
+    }
 }
 
 impl RolloutExchange {
--- a/crates/router/src/relay/rollouts/session_memory.rs
+++ b/crates/router/src/relay/rollouts/session_memory.rs
@@ -2,34 +2,56 @@
 
 use std::time::Duration;
 
-use ferry_decisions::rollout::VersionSide;
+use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::time::MonotonicTime;
 use ferry_kernel::shards::ShardMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Conversations by hash, forgotten a while after their last request.
+/// One conversation with one service, by hash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct SessionKey(u64);
+
+/// Conversations, forgotten a while after their last request.
+///
+/// They are remembered whether a version is brought in or not: one that began before the order keeps its
+/// version as well.
 #[derive(Debug, Default)]
 pub struct SessionMemory {
-    sides: ShardMap<u64, (VersionSide, MonotonicTime)>,
+    versions: ShardMap<SessionKey, (VersionName, MonotonicTime)>,
+}
+
+impl SessionKey {
+    /// The conversation `session` with `service`.
+    pub fn new(service: &ServiceName, session: &str) -> Self {
+        let seed = xxh3_64(service.as_str().as_bytes());
+        Self(xxh3_64_with_seed(session.as_bytes(), seed))
+    }
 }
 
 impl SessionMemory {
-    /// Notes the version of a conversation's newest request.
-    pub fn note(&self, session: u64, side: VersionSide, now: MonotonicTime) {
-        self.sides
-            .with(&session, |shard| shard.insert(session, (side, now)));
+    /// Notes that a request of the conversation begins or ends at `version`.
+    pub fn note(&self, session: SessionKey, version: &VersionName, now: MonotonicTime) {
+        self.versions.with(&session, |shard| {
+            shard.insert(session, (version.clone(), now));
+        });
     }
 
-    /// Version of the conversation's last request, if it was at most `gap` ago.
-    pub fn recall(&self, session: u64, gap: Duration, now: MonotonicTime) -> Option<VersionSide> {
-        self.sides.with(&session, |shard| {
-            let (side, at) = shard.get(&session)?;
-            (now.since(*at) <= gap).then_some(*side)
+    /// Version of the conversation's last request, if it ended at most `gap` ago.
+    pub fn recall(
+        &self,
+        session: SessionKey,
+        gap: Duration,
+        now: MonotonicTime,
+    ) -> Option<VersionName> {
+        self.versions.with(&session, |shard| {
+            let (version, at) = shard.get(&session)?;
+            (now.since(*at) <= gap).then(|| version.clone())
         })
     }
 
     /// Forgets conversations without a request for longer than `gap`.
     pub fn expire(&self, gap: Duration, now: MonotonicTime) {
-        self.sides
+        self.versions
             .for_each_shard(|shard| shard.retain(|_, (_, at)| now.since(*at) <= gap));
     }
 }
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -10,6 +10,7 @@
 mod run_plan;
 mod run_send;
 mod run_settle;
+mod session_hold;
 mod upstream_send;
 
 pub use relay_run::RelayRun;
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -14,6 +14,7 @@
 
 use super::answer_delivery::{deliver_events, deliver_whole};
 use super::request_record::RequestRecord;
+use super::session_hold::SessionHold;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::request::{RefusalReason, RelayRefusal, RelayRequest};
@@ -38,6 +39,8 @@
     pub(super) runs: u32,
     /// What all sends together say about the run; while one is under way, it may have run.
     pub(super) run: RunState,
+    /// Ties its conversation to the version of the last send.
+    pub(super) session: Option<SessionHold>,
     /// Keeps a stop waiting.
     _work: TaskTrackerToken,
 }
@@ -65,6 +68,7 @@
             failed_version: None,
             runs: 0,
             run: RunState::NotRun,
+            session: None,
             _work: work,
         }
     }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -11,9 +11,10 @@
 
 use super::RelayRun;
 use super::run_placement::{choose_upstream, conversation_point};
+use super::session_hold::SessionHold;
 use super::upstream_send::UpstreamAnswer;
 use crate::relay::request::{RefusalReason, RelayRefusal};
-use crate::relay::rollouts::VersionPick;
+use crate::relay::rollouts::{SessionKey, VersionPick};
 use crate::relay::upstreams::RelayUpstream;
 
 /// Repeated sends that larger models leave to requests whose upstream failed.
@@ -82,6 +83,17 @@
         self.core.rollouts.pick(service, session, failed, gap, now)
     }
 
+    /// Ties the request's conversation to the version of `upstream`.
+    pub(super) fn hold_session(&mut self, upstream: &RelayUpstream) {
+        // The hold of the send before notes its end first.
+        self.session = None;
+        let session = self.request.facts.session.as_deref();
+        if let (Some(service), Some(session)) = (&self.service, session) {
+            let (core, key) = (self.core.clone(), SessionKey::new(service, session));
+            self.session = Some(SessionHold::begin(core, key, &upstream.record.version));
+        }
+    }
+
     /// Model of the present stage; absent where the caller names one.
     pub(super) fn model(&self) -> Option<String> {
         if self.request.facts.model.is_some() {
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -36,6 +36,7 @@
         self.record.upstream = upstream.id().to_owned();
         self.record.model = model.unwrap_or_default();
         self.note_send(upstream);
+        self.hold_session(upstream);
         let before = std::mem::replace(&mut self.run, RunState::MayHaveRun);
         let sent = Instant::now();
         let sending = send(upstream, &outgoing, &self.request.id);
--- a/crates/router/tests/relay/rollouts.rs
+++ b/crates/router/tests/relay/rollouts.rs
@@ -12,12 +12,14 @@
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::StatusCode;
 
-use crate::deployment::{Deployment, KEY, SERVICE, call, request_with, rule};
+use crate::deployment::{Deployment, KEY, SERVICE, call, eventually, request_with, rule};
 
 /// Time within which the roll-outs are to be done.
 const DURATION: Duration = Duration::from_secs(8);
 /// Requests sent at once.
 const WAVE: usize = 12;
+/// Conversations that are observed together.
+const CONVERSATIONS: usize = 90;
 
 fn order(deployment: &Deployment) {
     let order = RolloutOrder {
@@ -102,3 +104,55 @@
     let exposed = candidate.runs().len();
     assert!(exposed < 50, "{exposed} requests got the bad version");
 }
+
+/// Sends one request of each of `count` conversations called `name`; gives the number that ran on `target`.
+async fn converse(relay: &RelayDaemon, name: &str, count: usize, target: &ReplicaStandin) -> usize {
+    let before = target.runs().len();
+    let mut calls = Vec::new();
+    for number in 0..count {
+        let session = format!("{name}-{number}");
+        let id = format!("{session}-{before}-{}", rand::random::<u32>());
+        let headers = CallerHeaders {
+            attempt_id: &id,
+            key: Some(KEY),
+            session: Some(&session),
+            ..CallerHeaders::default()
+        };
+        calls.push(tokio::spawn(call(request_with(relay, "/chat/7", &headers))));
+    }
+    for answer in calls {
+        assert_eq!(answer.await.unwrap().status, StatusCode::OK);
+    }
+    target.runs().len() - before
+}
+
+/// Seen on a hunted day: conversations whose last request began before the order, and ended after it or lasted
+/// longer than the pause within a conversation, were moved to the new version.
+#[tokio::test]
+async fn a_conversation_that_began_before_the_order_keeps_its_version() {
+    let mut deployment = Deployment::start().await;
+    deployment.bounds.session_gap = Duration::from_millis(1_500);
+    deployment.configure(1, &[rule("/chat/", RunKind::Idempotent)]);
+    let slow = ReplicaPlan {
+        wait: Duration::from_millis(1_800),
+        ..ReplicaPlan::default()
+    };
+    let old = deployment.replica("up-1", "v1").await;
+    old.plan(slow);
+    let relay = deployment.relay().await;
+    let ordered = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        order(&deployment);
+        deployment.replica("up-2", "v2").await
+    };
+    let begun = converse(&relay, "old", CONVERSATIONS, &old);
+    let (target, begun) = tokio::join!(ordered, begun);
+    assert_eq!(begun, CONVERSATIONS);
+    old.plan(ReplicaPlan::default());
+    eventually("the first phase has begun", async || {
+        converse(&relay, "new", CONVERSATIONS, &target).await > 0
+    })
+    .await;
+    assert_eq!(phase(&deployment), Some(RolloutPhase::Canary));
+    assert_eq!(converse(&relay, "old", CONVERSATIONS, &target).await, 0);
+}
