Give a request that broke upstreams another try after a minute

Change: a request is shut out for a minute after the last break; then it runs once, and a further break shuts it out again at once and is told again. A success still clears it.

Ruled out: counting only breaks at different moments (a poison request that is sent again at once breaks three upstreams within milliseconds as well).

Test: a_request_that_broke_upstreams_gets_another_try_after_a_while, new; 10 minutes before.

--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -11,6 +11,9 @@
 
 /// Upstreams that broke off with a request from which on it is not run again.
 const QUARANTINE_UPSTREAMS: usize = 3;
+/// Time for which it is not run again after the last break: upstreams that failed together for a cause of
+/// their own must not shut a request out for long.
+const QUARANTINE_TIME: Duration = Duration::from_secs(60);
 /// Time for which a request is remembered after the last break.
 const MEMORY: Duration = Duration::from_secs(600);
 /// Most requests remembered.
@@ -37,7 +40,7 @@
 
     /// Takes in that `upstream` broke off while it ran the request.
     ///
-    /// Gives the upstreams that broke off, if that made them too many for the request to be run again.
+    /// Gives the upstreams that broke off, if they are too many for the request to be run again now.
     pub fn record(
         &mut self,
         request: RequestFingerprint,
@@ -50,11 +53,10 @@
             last: now,
         });
         entry.last = now;
-        if entry.upstreams.contains(upstream) {
-            return None;
+        if !entry.upstreams.contains(upstream) {
+            entry.upstreams.push(upstream.clone());
         }
-        entry.upstreams.push(upstream.clone());
-        (entry.upstreams.len() == QUARANTINE_UPSTREAMS).then_some(&entry.upstreams[..])
+        (entry.upstreams.len() >= QUARANTINE_UPSTREAMS).then_some(&entry.upstreams[..])
     }
 
     /// Takes in that the request was answered, so that it did not cause the breaks.
@@ -65,7 +67,7 @@
     /// Whether the request broke too many upstreams to be run again.
     pub fn is_quarantined(&self, request: &RequestFingerprint, now: MonotonicTime) -> bool {
         self.entries.get(request).is_some_and(|entry| {
-            entry.upstreams.len() >= QUARANTINE_UPSTREAMS && now.since(entry.last) < MEMORY
+            entry.upstreams.len() >= QUARANTINE_UPSTREAMS && now.since(entry.last) < QUARANTINE_TIME
         })
     }
 
--- a/crates/decisions/tests/relay_decisions.rs
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -199,3 +199,21 @@
     }
     assert_eq!(counts, HashMap::from([("old", 750), ("new", 250)]));
 }
+
+/// After its time a request runs once more; a further break shuts it out again at once.
+#[test]
+fn a_request_that_broke_upstreams_gets_another_try_after_a_while() {
+    let mut tally = CrashTally::default();
+    let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
+    let mut reports = 0;
+    for (second, name) in [(0, "up-1"), (0, "up-1"), (1, "up-2"), (2, "up-3")] {
+        let report = tally.record(request, &HostName::new(name), at(second * 1_000));
+        reports += usize::from(report.is_some());
+    }
+    assert_eq!(reports, 1, "one upstream counts once");
+    assert!(tally.is_quarantined(&request, at(61_000)));
+    assert!(!tally.is_quarantined(&request, at(62_500)));
+    let again = tally.record(request, &HostName::new("up-1"), at(62_600));
+    assert_eq!(again.map(<[HostName]>::len), Some(3));
+    assert!(tally.is_quarantined(&request, at(100_000)));
+}
