Say in one place each what the head of an answer and a failed send tell

RelayRun::send_to had grown to 55 lines; what it notes of an answer and of a failure are functions of their own now. No behaviour changes; the 35 relay tests pass.

--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -24,6 +24,7 @@
 const FAILURE_RATIO: f64 = 6.0;
 
 impl RelayRun {
+    /// Sends the request to `upstream`, from after the event `last_event` on if one is named.
     pub(super) async fn send_to(
         &mut self,
         upstream: &Arc<RelayUpstream>,
@@ -46,41 +47,52 @@
                 .unwrap_or_else(|_| Err(SendFailure::plain(UpstreamFailure::TimedOut))),
             None => sending.await,
         };
-        let now = self.core.clock.now();
         match &result {
-            Ok(answer) => {
-                upstream.clear_suspicion();
-                if let Some(load) = answer.facts.load {
-                    upstream.note_load(load, now);
-                }
-                self.run = RunState::Ran;
-                self.runs += 1;
-                self.note_pace(upstream, sent.elapsed());
-                self.note_answer(upstream, Some(sent.elapsed()));
-                self.record.confidence = answer.facts.confidence;
-            }
-            Err(failure) => {
-                let run = failure.kind.run_state();
-                self.run = before.max(run);
-                if run != RunState::NotRun {
-                    self.runs += 1;
-                    upstream.note_pace(FAILURE_RATIO, now);
-                    self.note_answer(upstream, None);
-                }
-                if failure.kind == UpstreamFailure::Leaving {
-                    upstream.mark_leaving();
-                }
-                if failure.kind.makes_suspect() {
-                    upstream.mark_suspect(now);
-                }
-                if failure.kind == UpstreamFailure::BrokenBeforeAnswer {
-                    self.note_break(upstream);
-                }
-            }
+            Ok(answer) => self.note_head(upstream, answer, sent.elapsed()),
+            Err(failure) => self.note_failure(upstream, failure.kind, before),
         }
         result
     }
 
+    /// Takes in the head of an answer that came after `took`.
+    fn note_head(&mut self, upstream: &RelayUpstream, answer: &UpstreamAnswer, took: Duration) {
+        upstream.clear_suspicion();
+        if let Some(load) = answer.facts.load {
+            upstream.note_load(load, self.core.clock.now());
+        }
+        self.run = RunState::Ran;
+        self.runs += 1;
+        self.note_pace(upstream, took);
+        self.note_answer(upstream, Some(took));
+        self.record.confidence = answer.facts.confidence;
+    }
+
+    /// Takes in a send without an answer; `before` is what was known of the run until then.
+    fn note_failure(
+        &mut self,
+        upstream: &RelayUpstream,
+        failure: UpstreamFailure,
+        before: RunState,
+    ) {
+        let now = self.core.clock.now();
+        let run = failure.run_state();
+        self.run = before.max(run);
+        if run != RunState::NotRun {
+            self.runs += 1;
+            upstream.note_pace(FAILURE_RATIO, now);
+            self.note_answer(upstream, None);
+        }
+        if failure == UpstreamFailure::Leaving {
+            upstream.mark_leaving();
+        }
+        if failure.makes_suspect() {
+            upstream.mark_suspect(now);
+        }
+        if failure == UpstreamFailure::BrokenBeforeAnswer {
+            self.note_break(upstream);
+        }
+    }
+
     /// Time after which a request that may run twice is sent elsewhere while the head of its answer
     /// is awaited; none before the usual time is known.
     pub(super) fn head_limit(&self) -> Option<Duration> {
