Ask another router for many upstreams before reading them

Each router read all entries from the store at its start; together they ask for several times what it passes on in a second, a call is given up after a second, and made again.

Change: where the entries fill more than a page, a router that starts joins the fleet and waits up to 6 s for another one of its zone to tell it; the first of a zone, which has nobody to ask, reads at once. A router that starts as well is asked again instead of counting as failed. The whole state is encoded once for all who ask, and has more time. Deployments whose entries fit a page are as before.

--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -23,6 +23,10 @@
 const AGE_LIMIT: Duration = Duration::from_millis(1_300);
 /// Part of the time in which a leaving upstream must be noticed that the entries' age may reach.
 const LISTING_PART: f64 = 0.6;
+/// Time after which a first question, whose answer holds everything, counts as failed.
+const FIRST_ASK_LIMIT: Duration = Duration::from_secs(3);
+/// Pause before a router that starts as well is asked again.
+const START_PAUSE: Duration = Duration::from_millis(100);
 /// Pause while there is nobody to ask.
 const IDLE_PAUSE: Duration = Duration::from_millis(700);
 
@@ -68,6 +72,12 @@
                     spdlog::info!("the store is read by another router", kv: { router = feeder.as_str() });
                 }
             }
+            Err(FeedError::OutOfTouch { .. } | FeedError::Unsettled)
+                if !core.upstreams.is_listed() =>
+            {
+                // Both start, and the other one is to read first.
+                sleep(START_PAUSE).await;
+            }
             Err(error) => {
                 core.fleet.note_failure(&feeder, core.clock.now());
                 if core.fleet.set_fed(false) {
@@ -93,12 +103,14 @@
         evidence: rollouts::own_evidence(core),
     };
     let asked = StoreContact::now();
-    let answer: FeedAnswer = timeout(
-        ASK_LIMIT,
-        hub.ask(feeder, PeerTopic::Feed, &query, ASK_LIMIT),
-    )
-    .await
-    .map_err(|_| PeerError::TimedOut(feeder.clone()))??;
+    let limit = if position.source.is_empty() {
+        FIRST_ASK_LIMIT
+    } else {
+        ASK_LIMIT
+    };
+    let answer: FeedAnswer = timeout(limit, hub.ask(feeder, PeerTopic::Feed, &query, limit))
+        .await
+        .map_err(|_| PeerError::TimedOut(feeder.clone()))??;
     let rules = Duration::from_millis(answer.rules_age_ms);
     let listing = Duration::from_millis(answer.listing_age_ms);
     let listing_limit = core.settings.load().bounds.drain.mul_f64(LISTING_PART);
@@ -108,16 +120,20 @@
     if answer.holds_missing {
         return Err(FeedError::Unsettled);
     }
-    take(core, answer, position);
+    take(core, answer, position)?;
     core.contact.confirm(asked.saturating_sub(rules));
     core.listing.confirm(asked.saturating_sub(listing));
     Ok(())
 }
 
-fn take(core: &SharedCore, answer: FeedAnswer, position: &mut FeedPosition) {
+fn take(
+    core: &SharedCore,
+    answer: FeedAnswer,
+    position: &mut FeedPosition,
+) -> Result<(), PeerError> {
     let (whole, changes) = match answer.changes {
         FeedChanges::Since(changes) => (false, changes),
-        FeedChanges::Whole(changes) => (true, changes),
+        FeedChanges::Whole(changes) => (true, peer::decode(&changes)?),
     };
     let mut operator = Vec::new();
     let mut upstreams = Vec::new();
@@ -136,6 +152,7 @@
     rollouts::take_pooled(core, answer.rollouts);
     position.source = answer.source;
     position.revision = answer.revision;
+    Ok(())
 }
 
 /// Answers a message of another router.
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -43,8 +43,9 @@
 pub enum FeedChanges {
     /// Changes since the number asked for.
     Since(Vec<FeedChange>),
-    /// Everything; upstreams that are not among it are gone.
-    Whole(Vec<FeedChange>),
+    /// Everything, as an encoded list of changes that is the same for all who ask; upstreams that are not among
+    /// it are gone.
+    Whole(Bytes),
 }
 
 /// One change.
--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use bytes::Bytes;
 use ferry_decisions::names::{HostName, Incarnation};
 use ferry_decisions::roster::UpstreamRecord;
 use ferry_platform::store::KeyedRecord;
@@ -9,6 +10,7 @@
 use tokio::sync::watch;
 
 use super::feed_message::{FeedChange, FeedChanges};
+use crate::peer;
 
 /// Changes that are kept for routers that lag behind.
 const CHANGE_LIMIT: usize = 512;
@@ -30,6 +32,8 @@
     upstreams: BTreeMap<HostName, UpstreamRecord>,
     /// Latest changes, oldest first; the last one has the number `revision`.
     recent: VecDeque<FeedChange>,
+    /// Everything, encoded as of a number; made when it is first asked for.
+    whole: Option<(u64, Bytes)>,
 }
 
 impl Default for FeedSource {
@@ -93,7 +97,7 @@
 
     /// Number of the last change, and the changes after `revision` of the life `source`.
     pub fn changes_since(&self, source: &str, revision: u64) -> (u64, FeedChanges) {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
         let missed = state.revision.checked_sub(revision);
         let kept = missed.filter(|missed| *missed <= state.recent.len() as u64);
         let changes = match kept.filter(|_| source == self.life) {
@@ -101,11 +105,7 @@
                 let skipped = state.recent.len() - missed as usize;
                 FeedChanges::Since(state.recent.iter().skip(skipped).cloned().collect())
             }
-            None => {
-                let upstreams = state.upstreams.values().cloned();
-                let upstreams = upstreams.map(|record| FeedChange::Upstream(Box::new(record)));
-                FeedChanges::Whole(state.operator.values().cloned().chain(upstreams).collect())
-            }
+            None => FeedChanges::Whole(state.whole()),
         };
         (state.revision, changes)
     }
@@ -121,6 +121,26 @@
     }
 }
 
+impl FeedState {
+    /// Everything, encoded once for each number.
+    fn whole(&mut self) -> Bytes {
+        if let Some((revision, whole)) = &self.whole
+            && *revision == self.revision
+        {
+            return whole.clone();
+        }
+        let upstreams = self.upstreams.values().cloned();
+        let upstreams = upstreams.map(|record| FeedChange::Upstream(Box::new(record)));
+        let changes: Vec<_> = self.operator.values().cloned().chain(upstreams).collect();
+        let whole = peer::encode(&changes).unwrap_or_else(|error| {
+            spdlog::error!("the whole state cannot be encoded: {}", error);
+            Bytes::new()
+        });
+        self.whole = Some((self.revision, whole.clone()));
+        whole
+    }
+}
+
 /// Whether two entries differ in nothing that matters to requests.
 fn is_alike(one: &UpstreamRecord, other: &UpstreamRecord) -> bool {
     one.life == other.life
--- a/crates/router/src/relay/fleet/fleet_desk.rs
+++ b/crates/router/src/relay/fleet/fleet_desk.rs
@@ -34,7 +34,8 @@
     /// What this router can tell others.
     pub feed: FeedSource,
     hub: OnceLock<Arc<PeerHub>>,
-    routers: Mutex<Vec<RouterEntry>>,
+    /// Routers that are registered; absent until they were first listed.
+    routers: Mutex<Option<Vec<RouterEntry>>>,
     /// Routers that failed to answer, and when.
     failed: Mutex<HashMap<HostName, MonotonicTime>>,
     /// Whether another router tells this one what the store holds.
@@ -74,18 +75,24 @@
                 .collect();
             hub.set_directory(&directory);
         }
-        *self.routers.lock() = routers;
+        *self.routers.lock() = Some(routers);
     }
 
     /// Hosts of all routers that are registered.
     pub fn hosts(&self) -> Vec<HostName> {
         let routers = self.routers.lock();
-        routers.iter().map(|entry| entry.host.clone()).collect()
+        let entries = routers.iter().flatten();
+        entries.map(|entry| entry.host.clone()).collect()
+    }
+
+    /// Whether the routers were listed.
+    pub fn is_listed(&self) -> bool {
+        self.routers.lock().is_some()
     }
 
     /// Number of routers that are registered.
     pub fn router_count(&self) -> usize {
-        self.routers.lock().len()
+        self.routers.lock().as_ref().map_or(0, Vec::len)
     }
 
     /// The router that this one asks: the first of its zone in a fixed order that did not fail
@@ -102,6 +109,7 @@
         self.routers
             .lock()
             .iter()
+            .flatten()
             .filter(|entry| entry.zone == *zone && rank(&entry.host) < rank(own))
             .filter(|entry| may_ask(&entry.host))
             .min_by_key(|entry| rank(&entry.host))
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -7,7 +7,8 @@
 use ferry_decisions::roster::{RosterChange, UpstreamRecord, UpstreamRoster};
 use ferry_kernel::ticks;
 use ferry_platform::entries::decode_upstream;
-use ferry_platform::store::{KeyedRecord, UPSTREAM_TOPIC};
+use ferry_platform::store::{KeyedRecord, TopicPart, UPSTREAM_TOPIC};
+use tokio::time::sleep;
 
 use super::LossNote;
 use super::topic_reader::{TopicChanges, TopicReader};
@@ -16,6 +17,15 @@
 
 /// Reads within the time in which a leaving upstream must be noticed.
 const READS_PER_DRAIN: u32 = 3;
+/// Partition of the upstreams' entries.
+const UPSTREAMS: TopicPart<'static> = TopicPart {
+    topic: UPSTREAM_TOPIC,
+    part: 0,
+};
+/// Time for which a router that starts waits for another one to tell it of many upstreams.
+const START_PATIENCE: Duration = Duration::from_secs(6);
+/// Pause between two looks at whether it does.
+const START_PAUSE: Duration = Duration::from_millis(50);
 /// Reads that fail in a row before the store counts as having been away.
 const OUTAGE_READS: u32 = 3;
 
@@ -28,6 +38,7 @@
         "the upstreams' topic cannot be read",
         "the upstreams' topic is read again",
     );
+    await_feed(&core).await;
     loop {
         ticks.tick().await;
         core.fleet.unfed().await;
@@ -55,6 +66,35 @@
     }
 }
 
+/// Where the entries fill more than a page, waits a while for another router that has read them: a whole
+/// fleet that starts together would ask the store for more than it can pass on.
+async fn await_feed(core: &SharedCore) {
+    let first = core.store.newest(UPSTREAMS, None).await;
+    if !first.is_ok_and(|page| page.has_more) {
+        return;
+    }
+    let began = core.clock.now();
+    while core.clock.now().since(began) < START_PATIENCE && may_be_fed(core) {
+        if core.fleet.is_fed() {
+            break;
+        }
+        sleep(START_PAUSE).await;
+    }
+    spdlog::info!("many upstreams; another router was awaited", kv: {
+        fed = core.fleet.is_fed(),
+        waited_ms = core.clock.now().since(began).as_millis() as u64,
+    });
+}
+
+/// Whether there is another router to ask, or this one has not joined the fleet yet.
+fn may_be_fed(core: &SharedCore) -> bool {
+    let settings = core.settings.load();
+    let feeder = core
+        .fleet
+        .feeder(&settings.host, &settings.zone, core.clock.now());
+    !core.fleet.is_listed() || feeder.is_some()
+}
+
 /// Takes in what another router told: changes, or, where it is `whole`, all upstreams.
 pub fn apply_fed(core: &SharedCore, whole: bool, records: Vec<UpstreamRecord>, gone: &[HostName]) {
     if !whole && records.is_empty() && gone.is_empty() {
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -4,6 +4,7 @@
 
 use ferry_decisions::roster::UpstreamStage;
 use ferry_decisions::ruleset::RunKind;
+use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::ReplicaPlan;
@@ -14,6 +15,9 @@
 
 /// Routers of the tests, all in one availability zone.
 const ROUTERS: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
+/// Upstreams of a large deployment, and the pages of the store that their entries fill.
+const MANY_UPSTREAMS: usize = 12_000;
+const PAGES: u64 = 24;
 /// Time over which calls to the store are counted.
 const COUNTED: Duration = Duration::from_secs(3);
 /// Calls that one router makes at most in that time: reads of two topics, and a look at the list.
@@ -65,6 +69,44 @@
     assert!(!second.runs().is_empty());
 }
 
+/// Seen in the sweep: 301 routers that started together asked the store for more than it can pass on, and none
+/// became ready.
+#[tokio::test]
+async fn a_router_that_starts_asks_another_one_for_many_upstreams() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let replica = deployment.replica("up-1", "v1").await;
+    for number in 0..MANY_UPSTREAMS {
+        let mut record = replica.record(UpstreamStage::Ready, 1);
+        record.life.id = format!("other-{number}").as_str().into();
+        record.service = "others".into();
+        let id = record.life.id.to_string();
+        let entry = encode_upstream(&record);
+        deployment.store.put(UPSTREAM_TOPIC, &id, &entry);
+    }
+    let mut relays = Vec::new();
+    // Their order by hash, so that each one finds another to ask.
+    for name in ROUTERS.iter().rev() {
+        let before = deployment.store.calls();
+        let relay = deployment.relay_on(name).await;
+        let calls = deployment.store.calls() - before;
+        relays.push((relay, calls));
+    }
+    let fed = relays.iter().filter(|(relay, _)| relay.is_fed());
+    let calls: Vec<_> = fed.map(|(_, calls)| *calls).collect();
+    assert_eq!(
+        calls.len(),
+        ROUTERS.len() - 1,
+        "all but the first are told by another"
+    );
+    for calls in calls {
+        assert!(calls < PAGES, "{calls} calls");
+    }
+    for (relay, _) in &relays {
+        assert!(serves(relay, "/letters/7").await);
+    }
+}
+
 /// A request that breaks upstreams costs three in all, whichever router gets it next.
 #[tokio::test]
 async fn routers_tell_one_another_of_requests_that_break_upstreams() {
