Find a known upstream by its id when the directory is replaced

Cause, by reading the whole change: each replacement looked for every listed upstream in the list of its service, and for every held one in the new list, so that its work grew with the square of the upstreams; at 3,000 these are millions of comparisons for each change of one entry.

Change: one map by id; what is taken out of it goes on, what stays in it has ended. The look-up used to be within the service, so the service is now part of what makes two entries the same. Behaviour is as before.

Ruled out: listing only what changed (the directory is swapped as a whole, which readers rely on).

The time at 3,000 upstreams was not measured.

--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -80,9 +80,10 @@
         }
     }
 
-    /// Whether `record` is of the same life, at the same place.
+    /// Whether `record` is of the same life, of the same service and at the same place.
     pub fn is_same(&self, record: &UpstreamRecord) -> bool {
         self.record.life == record.life
+            && self.record.service == record.service
             && self.record.address == record.address
             && self.record.version == record.version
     }
--- a/crates/router/src/relay/upstreams/upstream_directory.rs
+++ b/crates/router/src/relay/upstreams/upstream_directory.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
-use ferry_decisions::names::{ServiceName, VersionName};
+use ferry_decisions::names::{HostName, ServiceName, VersionName};
 use ferry_decisions::roster::UpstreamRecord;
 
 use super::RelayUpstream;
@@ -51,26 +51,24 @@
 
     /// Replaces the directory; upstreams whose life goes on keep their state and connections.
     pub fn update<'a>(&self, records: impl Iterator<Item = &'a UpstreamRecord>) {
-        let held = self.by_service.load_full();
+        let mut held = self.by_id();
         let mut lists: HashMap<ServiceName, Vec<Arc<RelayUpstream>>> = HashMap::new();
         for record in records {
-            let kept = held
-                .get(&record.service)
-                .and_then(|list| list.iter().find(|upstream| upstream.is_same(record)));
-            let upstream = kept
-                .cloned()
-                .unwrap_or_else(|| Arc::new(RelayUpstream::new(record.clone())));
+            let upstream = match held.remove(&record.life.id) {
+                Some(known) if known.is_same(record) => known,
+                ended => {
+                    ended.iter().for_each(|ended| ended.mark_leaving());
+                    Arc::new(RelayUpstream::new(record.clone()))
+                }
+            };
             upstream.note_stage(record.stage);
             lists
                 .entry(record.service.clone())
                 .or_default()
                 .push(upstream);
         }
-        for upstream in held.values().flat_map(|list| list.iter()) {
-            let list = lists.get(&upstream.record.service);
-            if !list.is_some_and(|list| list.iter().any(|other| Arc::ptr_eq(other, upstream))) {
-                upstream.mark_leaving();
-            }
+        for ended in held.values() {
+            ended.mark_leaving();
         }
         let by_service = lists
             .into_iter()
@@ -79,4 +77,13 @@
         self.by_service.store(Arc::new(by_service));
         self.listed.store(true, Ordering::Release);
     }
+
+    /// All upstreams by their ids, of which the platform's list has each one once.
+    fn by_id(&self) -> HashMap<HostName, Arc<RelayUpstream>> {
+        let by_service = self.by_service.load();
+        let upstreams = by_service.values().flat_map(|list| list.iter());
+        upstreams
+            .map(|upstream| (upstream.record.life.id.clone(), Arc::clone(upstream)))
+            .collect()
+    }
 }
