Say partitions, peer bodies, signals and breaking upstreams once

Change: TopicPart::only, fleet::peer_body, send_signal, Deployment::replicas. Rows that can't be decoded are logged like the other messages; nothing else differs, and the tests keep their assertions.

Ruled out: keeping the first page that a router looks at when it starts (one call is made twice there): a page that was read before another router feeds this one may be stale when it is used, and the age that it confirms would be wrong.

--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -145,9 +145,14 @@
     }
 
     fn signal(&self, signal: i32) {
-        // SAFETY: the process is a child that was not waited for, so that its id is still its own.
-        unsafe {
-            libc::kill(self.pid, signal);
-        }
+        send_signal(self.pid, signal);
+    }
+}
+
+/// Sends `signal` to the child with the id `pid`, which was not waited for.
+pub(crate) fn send_signal(pid: i32, signal: i32) {
+    // SAFETY: a child that was not waited for keeps its id, so that no other process is meant.
+    unsafe {
+        libc::kill(pid, signal);
     }
 }
--- a/crates/rig/src/relay_process.rs
+++ b/crates/rig/src/relay_process.rs
@@ -12,7 +12,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::process::RigError;
+use crate::process::{RigError, send_signal};
 
 /// Port for callers.
 const CALLERS_PORT: u16 = 7_310;
@@ -126,10 +126,7 @@
             return;
         }
         if let Some(pid) = self.child.as_ref().and_then(Child::id) {
-            // SAFETY: the process is a child that was not waited for, so that its id is still its own.
-            unsafe {
-                libc::kill(pid as i32, signal);
-            }
+            send_signal(pid as i32, signal);
         }
     }
 
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -11,11 +11,13 @@
 mod feed_source;
 mod fleet_desk;
 mod fleet_join;
+mod peer_body;
 
 pub use break_report::{BreakReport, tell_fleet};
 pub use feed_message::{EvidenceRecord, PooledRollout};
 pub use feed_source::FeedSource;
 pub use fleet_desk::FleetDesk;
+pub use peer_body::write as write_body;
 
 use super::relay_core::SharedCore;
 
--- a/crates/router/src/relay/fleet/break_report.rs
+++ b/crates/router/src/relay/fleet/break_report.rs
@@ -7,7 +7,8 @@
 use ferry_decisions::quarantine::RequestFingerprint;
 use serde::{Deserialize, Serialize};
 
-use crate::peer::{self, PeerMessage, PeerTopic};
+use super::peer_body;
+use crate::peer::{PeerMessage, PeerTopic};
 use crate::relay::relay_core::{RelayCore, SharedCore};
 
 /// Time allowed for telling one router.
@@ -49,13 +50,7 @@
 
 /// Takes in what another router told, and confirms it.
 pub fn take_report(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
-    let report: BreakReport = match peer::decode(&message.body) {
-        Ok(report) => report,
-        Err(error) => {
-            spdlog::warn!("a router's report is ignored: {}", error, kv: { router = message.from.as_str() });
-            return None;
-        }
-    };
+    let report: BreakReport = peer_body::read(message, "report")?;
     spdlog::info!("request quarantined by another router", kv: {
         router = message.from.as_str(),
         fingerprint = report.request.to_string(),
@@ -66,7 +61,5 @@
     for upstream in &report.upstreams {
         crashes.record(report.request, upstream, now);
     }
-    peer::encode(&())
-        .inspect_err(|error| spdlog::error!("an answer to a router cannot be encoded: {}", error))
-        .ok()
+    peer_body::write(&(), "an answer to a router")
 }
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -9,6 +9,7 @@
 
 use super::break_report::take_report;
 use super::feed_message::{EvidenceRecord, FeedAnswer, FeedAsk, FeedChange, FeedChanges};
+use super::peer_body;
 use crate::peer::{self, PeerError, PeerMessage, PeerTopic};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::rollouts;
@@ -165,13 +166,7 @@
 }
 
 async fn answer_ask(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
-    let query: FeedAsk = match peer::decode(&message.body) {
-        Ok(query) => query,
-        Err(error) => {
-            spdlog::warn!("a router's question is ignored: {}", error, kv: { router = message.from.as_str() });
-            return None;
-        }
-    };
+    let query: FeedAsk = peer_body::read(&message, "question")?;
     take_evidence(core, query.evidence);
     let mut revisions = core.fleet.feed.subscribe();
     let behind =
@@ -189,9 +184,7 @@
         holds_missing: core.roster.lock().holds_missing(),
         rollouts: rollouts::pooled(core),
     };
-    peer::encode(&answer)
-        .inspect_err(|error| spdlog::error!("an answer to a router cannot be encoded: {}", error))
-        .ok()
+    peer_body::write(&answer, "an answer to a router")
 }
 
 fn take_evidence(core: &SharedCore, records: Vec<EvidenceRecord>) {
--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 
 use super::feed_message::{FeedChange, FeedChanges};
-use crate::peer;
+use super::peer_body;
 
 /// Changes that are kept for routers that lag behind.
 const CHANGE_LIMIT: usize = 512;
@@ -132,10 +132,7 @@
         let upstreams = self.upstreams.values().cloned();
         let upstreams = upstreams.map(|record| FeedChange::Upstream(Box::new(record)));
         let changes: Vec<_> = self.operator.values().cloned().chain(upstreams).collect();
-        let whole = peer::encode(&changes).unwrap_or_else(|error| {
-            spdlog::error!("the whole state cannot be encoded: {}", error);
-            Bytes::new()
-        });
+        let whole = peer_body::write(&changes, "the whole state").unwrap_or_default();
         self.whole = Some((self.revision, whole.clone()));
         whole
     }
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -14,10 +14,7 @@
 use crate::relay::relay_core::SharedCore;
 
 /// Partition of the routers' entries.
-const ROUTERS: TopicPart<'static> = TopicPart {
-    topic: "keyed.routers",
-    part: 0,
-};
+const ROUTERS: TopicPart<'static> = TopicPart::only("keyed.routers");
 /// Key of the secret by which routers recognise one another.
 const SECRET_KEY: &str = "secret";
 /// Start of the keys of routers.
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -8,25 +8,19 @@
 use ferry_decisions::rollout::{EvidenceRow, RolloutPhase, RolloutPlan};
 use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, status_key};
 use ferry_platform::store::{
-    AppendGuard, ReadQuery, STATUS_TOPIC, StoreError, TopicPart, encode_keyed,
+    AppendGuard, ReadQuery, STATUS_TOPIC, StoreError, StoreRecord, TopicPart, encode_keyed,
 };
 use tokio::time::{sleep, timeout};
 
 use crate::peer;
-use crate::relay::fleet::EvidenceRecord;
+use crate::relay::fleet::{EvidenceRecord, write_body};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{LossNote, TopicReader};
 
 /// Topic of the routers' evidence.
-const EVIDENCE: TopicPart<'static> = TopicPart {
-    topic: "rollout-evidence",
-    part: 0,
-};
+const EVIDENCE: TopicPart<'static> = TopicPart::only("rollout-evidence");
 /// Partition of the phases.
-const STATUS: TopicPart<'static> = TopicPart {
-    topic: STATUS_TOPIC,
-    part: 0,
-};
+const STATUS: TopicPart<'static> = TopicPart::only(STATUS_TOPIC);
 /// Time between two exchanges while a roll-out is under way.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(900);
 /// Least time between two looks for conversations that ended.
@@ -214,8 +208,7 @@
         };
         self.evidence += batch.records.len() as u64;
         let records = batch.records.iter();
-        let decoded = records.filter_map(|r| peer::decode::<EvidenceRecord>(&r.content).ok());
-        let decoded: Vec<EvidenceRecord> = decoded.collect();
+        let decoded: Vec<EvidenceRecord> = records.filter_map(decode_row).collect();
         let merges = services
             .iter()
             .map(|service| self.merge_rows(service, &decoded));
@@ -265,8 +258,14 @@
         order,
         row: row.clone(),
     };
-    peer::encode(&record)
-        .inspect_err(|error| spdlog::error!("a row of evidence cannot be encoded: {}", error))
+    write_body(&record, "a row of evidence")
+}
+
+fn decode_row(record: &StoreRecord) -> Option<EvidenceRecord> {
+    peer::decode(&record.content)
+        .inspect_err(|error| {
+            spdlog::warn!("a row of evidence is ignored: {}", error, kv: { offset = record.offset });
+        })
         .ok()
 }
 
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -89,9 +89,6 @@
     }
 
     fn place(&self) -> TopicPart<'static> {
-        TopicPart {
-            topic: self.topic,
-            part: 0,
-        }
+        TopicPart::only(self.topic)
     }
 }
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -18,10 +18,7 @@
 /// Reads within the time in which a leaving upstream must be noticed.
 const READS_PER_DRAIN: u32 = 3;
 /// Partition of the upstreams' entries.
-const UPSTREAMS: TopicPart<'static> = TopicPart {
-    topic: UPSTREAM_TOPIC,
-    part: 0,
-};
+const UPSTREAMS: TopicPart<'static> = TopicPart::only(UPSTREAM_TOPIC);
 /// Time for which a router that starts waits for another one to tell it of many upstreams.
 const START_PATIENCE: Duration = Duration::from_secs(6);
 /// Pause between two looks at whether it does.
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -12,7 +12,7 @@
 use ferry_platform::host_settings::{DeploymentBounds, HostSettings};
 use ferry_rig::{RelayScene, scene_headers, scene_request};
 use ferry_router::relay::{RelayDaemon, RelayOptions};
-use ferry_standin::ReplicaStandin;
+use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::sleep;
@@ -59,6 +59,21 @@
         self.scene.replica(id, version).await.unwrap()
     }
 
+    /// Starts upstreams with these ids, all of one version, that follow `plan`.
+    pub async fn replicas<const N: usize>(
+        &self,
+        ids: [&str; N],
+        plan: &ReplicaPlan,
+    ) -> Vec<ReplicaStandin> {
+        let mut replicas = Vec::new();
+        for id in ids {
+            let replica = self.replica(id, "v1").await;
+            replica.plan(plan.clone());
+            replicas.push(replica);
+        }
+        replicas
+    }
+
     /// Starts a relay and waits until it is ready.
     pub async fn relay(&self) -> RelayDaemon {
         self.relay_on("entry-1").await
--- a/crates/router/tests/relay/failures.rs
+++ b/crates/router/tests/relay/failures.rs
@@ -180,16 +180,13 @@
 async fn a_request_that_breaks_three_upstreams_is_not_run_again() {
     let deployment = Deployment::start().await;
     deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
-    let mut replicas = Vec::new();
-    for id in ["up-1", "up-2", "up-3", "up-4"] {
-        let replica = deployment.replica(id, "v1").await;
-        replica.plan(ReplicaPlan {
-            break_after: Some(0),
-            wait: Duration::from_millis(10),
-            ..ReplicaPlan::default()
-        });
-        replicas.push(replica);
-    }
+    let breaking = ReplicaPlan {
+        break_after: Some(0),
+        wait: Duration::from_millis(10),
+        ..ReplicaPlan::default()
+    };
+    let ids = ["up-1", "up-2", "up-3", "up-4"];
+    let replicas = deployment.replicas(ids, &breaking).await;
     let relay = deployment.relay().await;
     for number in 0..MANY {
         let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -112,15 +112,12 @@
 async fn routers_tell_one_another_of_requests_that_break_upstreams() {
     let deployment = Deployment::start().await;
     deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
-    let mut replicas = Vec::new();
-    for id in ["up-1", "up-2", "up-3", "up-4"] {
-        let replica = deployment.replica(id, "v1").await;
-        replica.plan(ReplicaPlan {
-            break_after: Some(0),
-            ..ReplicaPlan::default()
-        });
-        replicas.push(replica);
-    }
+    let breaking = ReplicaPlan {
+        break_after: Some(0),
+        ..ReplicaPlan::default()
+    };
+    let ids = ["up-1", "up-2", "up-3", "up-4"];
+    let replicas = deployment.replicas(ids, &breaking).await;
     let relays = fleet(&deployment).await;
     let runs = || -> usize { replicas.iter().map(|replica| replica.runs().len()).sum() };
     let first = relays.iter().find(|relay| relay.is_fed()).unwrap();
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -82,10 +82,7 @@
 
     async fn write_entry(&self, client: &StoreClient, stage: UpstreamStage, sequence: u64) {
         let record = self.record(stage, sequence);
-        let place = TopicPart {
-            topic: UPSTREAM_TOPIC,
-            part: 0,
-        };
+        let place = TopicPart::only(UPSTREAM_TOPIC);
         let Some(content) = encode_keyed(record.life.id.as_str(), &encode_upstream(&record)) else {
             spdlog::error!("the id is too long to be registered; choose a shorter one");
             return;
