Log which upstream a request broke off at, by the request's content

Cause: the lines about failed sends name the identifier of the attempt, which differs at each send, and no line said that a crash was counted or forgotten, or at which count a request was rejected. So the hypotheses on the report of repeated crashes (each router counts alone; a report is lost; the count goes back) could not be told apart.

Change: one line for each crash that is counted, with fingerprint, upstream, incarnation and count; one when an answer makes the router forget them; one when a request is rejected because of them; and the counter ferry_relay_crashes_total. At most one line for each send, so the volume stays bounded by that of the requests. No decision changes.

--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -61,6 +61,12 @@
         (entry.upstreams.len() >= QUARANTINE_UPSTREAMS).then_some(&entry.upstreams[..])
     }
 
+    /// Number of upstreams that crashed while they ran the request.
+    pub fn crashed(&self, request: &RequestFingerprint) -> usize {
+        let entry = self.entries.get(request);
+        entry.map_or(0, |entry| entry.upstreams.len())
+    }
+
     /// Records that the request was answered, so that it did not cause the crashes.
     pub fn clear(&mut self, request: &RequestFingerprint) {
         self.entries.remove(request);
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use ferry_decisions::names::HostName;
+use ferry_decisions::quarantine::RequestFingerprint;
+
 use super::RelayRun;
 use crate::relay::fleet::{CrashReport, report_to_fleet};
 use crate::relay::rollouts::AnswerEvidence;
@@ -64,15 +67,18 @@
         let now = self.core.clock.now();
         let fingerprint = self.request.fingerprint();
         let mut crashes = self.core.crashes.lock();
-        let Some(upstreams) = crashes.record(fingerprint, &upstream.record.incarnation.id, now)
-        else {
+        let quarantined = crashes.record(fingerprint, &upstream.record.incarnation.id, now);
+        let quarantined = quarantined.map(<[HostName]>::to_vec);
+        let counted = crashes.crashed(&fingerprint);
+        drop(crashes);
+        self.log_crash(upstream, fingerprint, counted);
+        let Some(upstreams) = quarantined else {
             return;
         };
         let report = CrashReport {
             request: fingerprint,
-            upstreams: upstreams.to_vec(),
+            upstreams,
         };
-        drop(crashes);
         spdlog::warn!("request quarantined", kv: {
             request_id = self.request.id.as_str(),
             fingerprint = fingerprint.to_string(),
@@ -83,9 +89,34 @@
     /// Clears the crashes counted for the request after a complete answer, which shows that it did not cause them.
     pub fn clear_crashes(&self) {
         let mut crashes = self.core.crashes.lock();
-        if !crashes.is_empty() {
-            crashes.clear(&self.request.fingerprint());
+        if crashes.is_empty() {
+            return;
         }
+        let fingerprint = self.request.fingerprint();
+        let counted = crashes.crashed(&fingerprint);
+        crashes.clear(&fingerprint);
+        if counted > 0 {
+            spdlog::info!("crashes forgotten after an answer", kv: {
+                request_id = self.request.id.as_str(),
+                fingerprint = fingerprint.to_string(),
+                upstream = self.record.upstream.as_str(),
+                counted = counted,
+            });
+        }
+    }
+
+    /// Logs a crash with its upstream's incarnation and the number of crashed upstreams known here for the request.
+    fn log_crash(&self, upstream: &RelayUpstream, fingerprint: RequestFingerprint, counted: usize) {
+        metrics::counter!("ferry_relay_crashes_total", "service" => upstream.record.service.to_string())
+            .increment(1);
+        let started_at = upstream.record.incarnation.started_at;
+        spdlog::info!("upstream broke off the request", kv: {
+            request_id = self.request.id.as_str(),
+            fingerprint = fingerprint.to_string(),
+            upstream = upstream.id(),
+            started_at = started_at.map_or(0, |at| at.0),
+            counted = counted,
+        });
     }
 
     /// Whether the request is not run again now, because it crashed too many upstreams.
@@ -94,4 +125,14 @@
         !crashes.is_empty()
             && crashes.is_quarantined(&self.request.fingerprint(), self.core.clock.now())
     }
+
+    /// Logs that the request is rejected because of the crashes known here.
+    pub(super) fn log_quarantined(&self) {
+        let fingerprint = self.request.fingerprint();
+        spdlog::info!("request rejected as quarantined", kv: {
+            request_id = self.request.id.as_str(),
+            fingerprint = fingerprint.to_string(),
+            counted = self.core.crashes.lock().crashed(&fingerprint),
+        });
+    }
 }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -46,6 +46,7 @@
             return Err(refusal.with_retry_after(DISCONNECTED_RETRY_AFTER));
         }
         if self.is_quarantined() {
+            self.log_quarantined();
             return Err(refuse(RefusalReason::Quarantined).with_run(RunState::MayHaveRun));
         }
         let model = self.model();
