Reproduce requests that crash more upstreams than the fleet allows

The tests send such a request at each of three routers in turn, in one zone and in three, and count what upstreams see from 3 s after the third crash. Beside it, in turn: a router that starts later, a restart of the whole fleet, a store outage, an upstream that comes back under its id, an answer in between, and several sends at once.

--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -19,6 +19,8 @@
 
 pub use ferry_rig::{HOST_NAME, KEY, SERVICE, WORKSPACE, fixture_rule as rule};
 
+/// Availability zone of a relay unless a test names another one.
+const ZONE: &str = "zone-a";
 /// Timeout of [`eventually`].
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of a test's request.
@@ -81,16 +83,25 @@
 
     /// Starts a relay on `host` and waits until it is ready.
     pub async fn relay_on(&self, host: &str) -> RelayDaemon {
-        let relay = self.unready_relay(host).await;
+        self.relay_in(host, ZONE).await
+    }
+
+    /// Starts a relay on `host` in `zone` and waits until it is ready.
+    pub async fn relay_in(&self, host: &str, zone: &str) -> RelayDaemon {
+        let relay = self.start_relay(host, zone).await;
         eventually("the relay is ready", async || is_ready(&relay).await).await;
         relay
     }
 
     /// Starts a relay on `host` without waiting until it is ready.
     pub async fn unready_relay(&self, host: &str) -> RelayDaemon {
+        self.start_relay(host, ZONE).await
+    }
+
+    async fn start_relay(&self, host: &str, zone: &str) -> RelayDaemon {
         let settings = HostSettings {
             host: host.into(),
-            zone: "zone-a".into(),
+            zone: zone.into(),
             callers: loopback(),
             readiness: loopback(),
             store: self.store.address(),
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay against an emulated platform: a store and upstreams on loopback addresses.
 
 mod cascades;
+mod containment;
 mod deployment;
 mod events;
 mod failures;
