Count each incarnation of an upstream that a request crashes

Callers' requests that crash upstreams were sent on after three upstreams had ended where an upstream came back under its id: the tally knew upstreams by id, so that its second crash counted as the first.

Change: the tally and the report to the other routers hold incarnations.

--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 
 use super::RequestFingerprint;
-use crate::names::HostName;
+use crate::registry::UpstreamIncarnation;
 use crate::time::MonotonicTime;
 
 /// Number of upstreams that a request must crash before it is quarantined.
@@ -28,8 +28,8 @@
 
 #[derive(Debug)]
 struct TallyEntry {
-    /// Distinct upstreams that crashed.
-    upstreams: SmallVec<[HostName; QUARANTINE_UPSTREAMS]>,
+    /// Distinct incarnations of upstreams that crashed.
+    upstreams: SmallVec<[UpstreamIncarnation; QUARANTINE_UPSTREAMS]>,
     /// Time of the last crash.
     last: MonotonicTime,
 }
@@ -46,9 +46,9 @@
     pub fn record(
         &mut self,
         request: RequestFingerprint,
-        upstream: &HostName,
+        upstream: &UpstreamIncarnation,
         now: MonotonicTime,
-    ) -> Option<&[HostName]> {
+    ) -> Option<&[UpstreamIncarnation]> {
         self.expire(now);
         let entry = self.entries.entry(request).or_insert_with(|| TallyEntry {
             upstreams: SmallVec::new(),
--- a/crates/decisions/tests/relay_decisions.rs
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use ferry_decisions::cascade::EscalationQuery;
-use ferry_decisions::names::{HostName, WorkspaceName};
+use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::quarantine::{CrashTally, RequestFingerprint};
+use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
 use ferry_decisions::ruleset::{
     KeyHolder, KeyVerdict, RequestLimits, RouteRule, RuleSet, RunKind, ServiceShare,
 };
-use ferry_decisions::time::MonotonicTime;
+use ferry_decisions::time::{MonotonicTime, UnixMillis};
 use proptest::prelude::*;
 
 const BUDGET: WindowBudgetConfig = WindowBudgetConfig {
@@ -24,6 +25,14 @@
     MonotonicTime::default().after(Duration::from_millis(millis))
 }
 
+/// The first incarnation of the upstream with this id.
+fn upstream(id: &str) -> UpstreamIncarnation {
+    UpstreamIncarnation {
+        id: id.into(),
+        started_at: Some(UnixMillis(1)),
+    }
+}
+
 fn low_confidence() -> EscalationQuery {
     EscalationQuery {
         stage: 0,
@@ -137,10 +146,10 @@
     let other = RequestFingerprint::of(&workspace, "/letters/8", b"text");
     let mut tally = CrashTally::default();
     for name in ["up-1", "up-2", "up-2"] {
-        tally.record(request, &HostName::new(name), at(0));
+        tally.record(request, &upstream(name), at(0));
     }
     assert!(!tally.is_quarantined(&request, at(0)));
-    tally.record(request, &HostName::new("up-3"), at(1_000));
+    tally.record(request, &upstream("up-3"), at(1_000));
     assert!(tally.is_quarantined(&request, at(1_000)));
     assert!(!tally.is_quarantined(&other, at(1_000)));
     assert!(!tally.is_quarantined(&request, at(700_000)));
@@ -202,6 +211,20 @@
     assert_eq!(counts, HashMap::from([("old", 750), ("new", 250)]));
 }
 
+/// Guards against an upstream that restarts under its id and counts only once.
+#[test]
+fn each_incarnation_of_an_upstream_counts_as_crashed() {
+    let mut tally = CrashTally::default();
+    let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
+    for start in [1, 2, 2, 3] {
+        assert!(!tally.is_quarantined(&request, at(0)));
+        let started_at = Some(UnixMillis(start));
+        let id = "up-1".into();
+        tally.record(request, &UpstreamIncarnation { id, started_at }, at(0));
+    }
+    assert!(tally.is_quarantined(&request, at(0)));
+}
+
 /// A request may run once more after its quarantine ends; another crash quarantines it again
 /// immediately.
 #[test]
@@ -210,13 +233,13 @@
     let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
     let mut reports = 0;
     for (second, name) in [(0, "up-1"), (0, "up-1"), (1, "up-2"), (2, "up-3")] {
-        let report = tally.record(request, &HostName::new(name), at(second * 1_000));
+        let report = tally.record(request, &upstream(name), at(second * 1_000));
         reports += usize::from(report.is_some());
     }
     assert_eq!(reports, 1, "one upstream counts once");
     assert!(tally.is_quarantined(&request, at(61_000)));
     assert!(!tally.is_quarantined(&request, at(62_500)));
-    let again = tally.record(request, &HostName::new("up-1"), at(62_600));
-    assert_eq!(again.map(<[HostName]>::len), Some(3));
+    let again = tally.record(request, &upstream("up-1"), at(62_600));
+    assert_eq!(again.map(<[UpstreamIncarnation]>::len), Some(3));
     assert!(tally.is_quarantined(&request, at(100_000)));
 }
--- a/crates/router/src/relay/fleet/crash_report.rs
+++ b/crates/router/src/relay/fleet/crash_report.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
 use ferry_decisions::quarantine::RequestFingerprint;
+use ferry_decisions::registry::UpstreamIncarnation;
 use serde::{Deserialize, Serialize};
 
 use super::peer_body;
@@ -20,7 +21,7 @@
     /// Fingerprint of the request's content.
     pub request: RequestFingerprint,
     /// Upstreams that broke the connection.
-    pub upstreams: Vec<HostName>,
+    pub upstreams: Vec<UpstreamIncarnation>,
 }
 
 /// Sends `report` to all other registered routers. A router that cannot be reached may still run the
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use ferry_decisions::names::HostName;
 use ferry_decisions::quarantine::RequestFingerprint;
+use ferry_decisions::registry::UpstreamIncarnation;
 
 use super::RelayRun;
 use crate::relay::fleet::{CrashReport, report_to_fleet};
@@ -67,8 +67,8 @@
         let now = self.core.clock.now();
         let fingerprint = self.request.fingerprint();
         let mut crashes = self.core.crashes.lock();
-        let quarantined = crashes.record(fingerprint, &upstream.record.incarnation.id, now);
-        let quarantined = quarantined.map(<[HostName]>::to_vec);
+        let quarantined = crashes.record(fingerprint, &upstream.record.incarnation, now);
+        let quarantined = quarantined.map(<[UpstreamIncarnation]>::to_vec);
         let counted = crashes.crashed(&fingerprint);
         drop(crashes);
         self.log_crash(upstream, fingerprint, counted);
