Keep the crashes of a request when an equal one is answered

Callers' requests that crash upstreams were sent on after three upstreams had ended where something was answered in between: an equal request that crashed nothing, or an upstream's own 500 for a request that it had not run. Each whole answer made the router forget all crashes of that content.

Cause: one answer at one router was taken as proof that no send of this content, at any router, had crashed an upstream.

Change: answers are counted beside the crashes. Three crashed upstreams quarantine a request unless it was answered at least four times for each of them, shortly before or since: then it is a frequent request that was in flight when upstreams failed for another reason. A server error is no such answer. The fingerprint of a request is computed once.

The test that ended with clear() asserted the fault itself (forgotten after one answer). It keeps its other assertions, and expiry is asserted instead; two new tests hold what an answer does and doesn't change.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -6,6 +6,7 @@
 //! suspect in one of these crashes, all of them are attributed to it, and the other suspects of
 //! these crashes are cleared.
 
+mod answer_counts;
 mod crash_delta;
 mod crash_pool;
 mod crash_tally;
--- a/crates/decisions/tests/relay_decisions.rs
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -140,7 +140,7 @@
 }
 
 #[test]
-fn a_request_that_crashed_three_upstreams_is_quarantined_until_answered_or_expired() {
+fn a_request_that_crashed_three_upstreams_is_quarantined_until_it_expires() {
     let workspace = WorkspaceName::new("clinic");
     let request = RequestFingerprint::of(&workspace, "/letters/7", b"text");
     let other = RequestFingerprint::of(&workspace, "/letters/8", b"text");
@@ -153,8 +153,42 @@
     assert!(tally.is_quarantined(&request, at(1_000)));
     assert!(!tally.is_quarantined(&other, at(1_000)));
     assert!(!tally.is_quarantined(&request, at(700_000)));
-    tally.clear(&request);
-    assert!(tally.is_empty());
+    tally.record(other, &upstream("up-1"), at(700_000));
+    assert_eq!(tally.crashed(&request), 0);
+}
+
+/// Guards against answers in between that make a router forget the crashes.
+#[test]
+fn a_request_is_quarantined_although_equal_ones_are_answered_in_between() {
+    let mut tally = CrashTally::default();
+    let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
+    for name in ["up-1", "up-2", "up-3"] {
+        tally.record_answer(request, at(0));
+        assert!(!tally.is_quarantined(&request, at(0)));
+        tally.record(request, &upstream(name), at(0));
+        tally.record_answer(request, at(0));
+    }
+    assert!(tally.is_quarantined(&request, at(0)));
+}
+
+/// A request that is sent often is in flight whenever upstreams fail, and must not be rejected for that.
+#[test]
+fn a_request_that_is_answered_many_times_for_each_crash_is_not_quarantined() {
+    let mut tally = CrashTally::default();
+    let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
+    for second in 0..12 {
+        tally.record_answer(request, at(second * 1_000));
+    }
+    for name in ["up-1", "up-2", "up-3"] {
+        tally.record(request, &upstream(name), at(12_000));
+    }
+    assert!(!tally.is_quarantined(&request, at(12_000)));
+    tally.record(request, &upstream("up-4"), at(12_000));
+    assert!(tally.is_quarantined(&request, at(12_000)));
+    for _ in 0..4 {
+        tally.record_answer(request, at(13_000));
+    }
+    assert!(!tally.is_quarantined(&request, at(13_000)));
 }
 
 fn rule(prefix: &str, public: bool) -> RouteRule {
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, with the route rule that applies to it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use ferry_decisions::names::WorkspaceName;
@@ -46,6 +46,8 @@
     pub deadline: Instant,
     /// Time by which the request must be answered: the earlier of `deadline` and the rule's timeout.
     pub answer_deadline: Instant,
+    /// Fingerprint, computed when it is first needed.
+    fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl RelayRequest {
@@ -86,6 +88,7 @@
             received_at,
             deadline,
             answer_deadline,
+            fingerprint: OnceLock::new(),
         })
     }
 
@@ -103,6 +106,7 @@
         self.answer_deadline = self.deadline.min(self.received_at + rule.timeout);
         self.rule = rule;
         self.holder = holder;
+        self.fingerprint = OnceLock::new();
         self.revision = rules.revision;
         Ok(())
     }
@@ -114,9 +118,11 @@
 
     /// Fingerprint of workspace, target and body: equal whenever the caller sends the same request again.
     pub fn fingerprint(&self) -> RequestFingerprint {
-        let no_workspace = WorkspaceName::new("");
-        let workspace = self.workspace().unwrap_or(&no_workspace);
-        RequestFingerprint::of(workspace, &self.target, &self.body)
+        *self.fingerprint.get_or_init(|| {
+            let no_workspace = WorkspaceName::new("");
+            let workspace = self.workspace().unwrap_or(&no_workspace);
+            RequestFingerprint::of(workspace, &self.target, &self.body)
+        })
     }
 
     /// Rank in the upstream's queue, 0 first; the key holder's priority overrides the rule's.
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -123,7 +123,7 @@
             answer.lease.give_back(answer.facts.keep_alive);
         }
         self.run.record.outcome = "answered";
-        self.run.clear_crashes();
+        self.run.record_completion();
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -86,23 +86,11 @@
         report_to_fleet(&self.core, &report);
     }
 
-    /// Clears the crashes counted for the request after a complete answer, which shows that it did not cause them.
-    pub fn clear_crashes(&self) {
-        let mut crashes = self.core.crashes.lock();
-        if crashes.is_empty() {
-            return;
-        }
+    /// Counts a complete answer, from an upstream that did not crash while it ran the request.
+    pub fn record_completion(&self) {
+        let now = self.core.clock.now();
         let fingerprint = self.request.fingerprint();
-        let counted = crashes.crashed(&fingerprint);
-        crashes.clear(&fingerprint);
-        if counted > 0 {
-            spdlog::info!("crashes forgotten after an answer", kv: {
-                request_id = self.request.id.as_str(),
-                fingerprint = fingerprint.to_string(),
-                upstream = self.record.upstream.as_str(),
-                counted = counted,
-            });
-        }
+        self.core.crashes.lock().record_answer(fingerprint, now);
     }
 
     /// Logs a crash with its upstream's incarnation and the number of crashed upstreams known here for the request.
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -168,7 +168,10 @@
                 if !facts.closes {
                     lease.give_back(facts.keep_alive);
                 }
-                self.clear_crashes();
+                // A server error may come from an upstream that did not run the request.
+                if !head.status.is_server_error() {
+                    self.record_completion();
+                }
                 Ok(RunAnswer::Whole(Box::new(head), body))
             }
             Err(error) => {
