Count crashes over the whole fleet, and keep the count in the store

What upstreams saw: a request that crashes what runs it was sent on long after three of them had ended, by routers that had seen fewer than three of the crashes themselves, by routers that started later, after a restart of the fleet, and during a store outage.

Cause: each router took its own count for the fleet's. It told the others only once it had seen three crashes itself, once, and only those that it reached at that moment; nothing was kept. So eight routers could lose two upstreams each before any of them reported.

Change: a router counts in rows of its own (request, router incarnation; crashes and answers only grow), and merging all rows in any order gives the fleet's count. Rows are kept in the keyed topic keyed.crashes. The routers that read the store write their rows and those of the routers that sync from them, and pass all rows on with the feed, so that the calls don't grow with the fleet. While the store can't be written, rows are exchanged with all routers directly; while it can't be read, with one at random each second. Rows leave the store after ten minutes. Reports of a quarantine between routers are gone. Weighed: a count at one owner by hash (needs a second place when the owner is away), direct reports of each crash (n x n links), rows in a topic that expires (a fleet that restarts forgets).

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -9,12 +9,15 @@
 mod answer_counts;
 mod crash_delta;
 mod crash_pool;
+mod crash_row;
 mod crash_tally;
 mod request_fingerprint;
 mod run_table;
 mod suspect_entry;
+mod tally_entry;
 
 pub use crash_delta::{CrashDelta, CrashRecord, SurvivalRecord, SuspectRun, SuspectState};
 pub use crash_pool::{CrashPool, Placement, RunOutcome, Suspicion};
-pub use crash_tally::CrashTally;
+pub use crash_row::{CrashRow, CrashRowKey};
+pub use crash_tally::{CrashTally, CrashVerdict, RowOrigin};
 pub use request_fingerprint::RequestFingerprint;
--- a/crates/decisions/src/quarantine/answer_counts.rs
+++ b/crates/decisions/src/quarantine/answer_counts.rs
@@ -1,13 +1,12 @@
 //! Recent complete answers, counted by request content.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use super::RequestFingerprint;
-use crate::time::MonotonicTime;
+use crate::time::UnixMillis;
 
-/// Time after which the counts become the previous ones; older counts are dropped.
-const GENERATION_TIME: Duration = Duration::from_secs(30);
+/// Time after which the counts become the previous ones, in milliseconds; older counts are dropped.
+const GENERATION_MS: u64 = 30_000;
 /// Maximum number of requests counted in one generation; further ones are not counted.
 const GENERATION_LIMIT: usize = 1_024;
 
@@ -17,12 +16,12 @@
     present: HashMap<RequestFingerprint, u32>,
     previous: HashMap<RequestFingerprint, u32>,
     /// Start of the present generation.
-    started_at: MonotonicTime,
+    started_at: UnixMillis,
 }
 
 impl AnswerCounts {
     /// Counts one answer to `request`.
-    pub(super) fn add(&mut self, request: RequestFingerprint, now: MonotonicTime) {
+    pub(super) fn add(&mut self, request: RequestFingerprint, now: UnixMillis) {
         self.rotate(now);
         let is_full = self.present.len() >= GENERATION_LIMIT;
         if !is_full || self.present.contains_key(&request) {
@@ -31,19 +30,19 @@
     }
 
     /// Answers to `request` in the present and the previous generation.
-    pub(super) fn recent(&mut self, request: &RequestFingerprint, now: MonotonicTime) -> u32 {
+    pub(super) fn recent(&mut self, request: &RequestFingerprint, now: UnixMillis) -> u32 {
         self.rotate(now);
         let counts = [&self.present, &self.previous];
         counts.iter().filter_map(|counts| counts.get(request)).sum()
     }
 
-    fn rotate(&mut self, now: MonotonicTime) {
+    fn rotate(&mut self, now: UnixMillis) {
         let age = now.since(self.started_at);
-        if age < GENERATION_TIME {
+        if age < GENERATION_MS {
             return;
         }
         self.previous = std::mem::take(&mut self.present);
-        if age >= GENERATION_TIME * 2 {
+        if age >= GENERATION_MS * 2 {
             self.previous.clear();
         }
         self.started_at = now;
--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -1,125 +1,206 @@
-//! Counts the upstreams that a relayed request crashed, by request content. An upstream
+//! The fleet's count of the upstreams that a relayed request crashed, by request content. An upstream
 //! counts as crashed when its connection broke or its answer ended early while it ran the request.
 //!
+//! Each router adds to rows of its own; merging the rows of all routers gives the fleet's count, in any order.
+//! Rows outlive their router in the platform's store.
+//!
 //! Equal requests are one request here, also if only some of them crash their upstream. Answers
 //! therefore do not undo crashes; only a request that is answered many times for each crash
 //! is taken for a frequent one that was in flight when upstreams failed for another reason.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-
-use smallvec::SmallVec;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::RequestFingerprint;
 use super::answer_counts::AnswerCounts;
+use super::tally_entry::TallyEntry;
+use super::{CrashRow, CrashRowKey, RequestFingerprint};
 use crate::registry::UpstreamIncarnation;
-use crate::time::MonotonicTime;
-
-/// Number of upstreams that a request must crash before it is quarantined.
-const QUARANTINE_UPSTREAMS: usize = 3;
-/// Duration of the quarantine after the last crash. It is short, since upstreams may fail together
-/// for a reason other than the request, which must then not be rejected for long.
-const QUARANTINE_TIME: Duration = Duration::from_secs(60);
-/// Retention time of a request after the last crash.
-const RETENTION: Duration = Duration::from_secs(600);
-/// Number of answers for each crash from which a request is not quarantined.
-const ANSWERS_PER_CRASH: usize = 4;
+use crate::time::UnixMillis;
+
+/// Retention time of a request after the last crash, in milliseconds.
+const RETENTION_MS: u64 = 600_000;
 /// Maximum number of requests held.
 const ENTRY_LIMIT: usize = 1_024;
 
-/// Crashed upstreams, by request.
-#[derive(Debug, Default)]
-pub struct CrashTally {
-    entries: BTreeMap<RequestFingerprint, TallyEntry>,
-    answers: AnswerCounts,
+/// Where a row of another router was received from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowOrigin {
+    /// The platform's store, directly or through a router that reads it.
+    Store,
+    /// A router whose row may not be in the store yet.
+    Router,
+}
+
+/// What is known of a request after a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashVerdict {
+    /// Number of upstreams that it crashed, in the whole fleet.
+    pub crashed: usize,
+    /// Whether it is quarantined.
+    pub quarantined: bool,
 }
 
+/// Rows of all routers, by request.
 #[derive(Debug)]
-struct TallyEntry {
-    /// Distinct incarnations of upstreams that crashed.
-    upstreams: SmallVec<[UpstreamIncarnation; QUARANTINE_UPSTREAMS]>,
-    /// Answers shortly before the first crash, and since.
-    answers: u32,
-    /// Time of the last crash.
-    last: MonotonicTime,
+pub struct CrashTally {
+    /// This router, with its incarnation.
+    router: String,
+    entries: BTreeMap<RequestFingerprint, TallyEntry>,
+    answers: AnswerCounts,
+    /// Keys of rows in the store that are no longer held.
+    dropped: BTreeSet<CrashRowKey>,
 }
 
 impl CrashTally {
+    /// An empty tally of `router`, whose name is unique to its incarnation.
+    pub fn new(router: &str) -> Self {
+        Self {
+            router: router.to_owned(),
+            entries: BTreeMap::new(),
+            answers: AnswerCounts::default(),
+            dropped: BTreeSet::new(),
+        }
+    }
+
     /// Whether no crash is held; the caller can then skip computing a fingerprint.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// Records that `upstream` crashed while it ran the request.
-    ///
-    /// Returns the crashed upstreams if the request is now quarantined.
+    /// Records that `upstream` crashed while it ran the request for this router.
     pub fn record(
         &mut self,
         request: RequestFingerprint,
         upstream: &UpstreamIncarnation,
-        now: MonotonicTime,
-    ) -> Option<&[UpstreamIncarnation]> {
-        self.expire(now);
-        let answers = self.answers.recent(&request, now);
-        let entry = self.entries.entry(request).or_insert_with(|| TallyEntry {
-            upstreams: SmallVec::new(),
-            answers,
-            last: now,
-        });
-        entry.last = now;
-        if !entry.upstreams.contains(upstream) {
-            entry.upstreams.push(upstream.clone());
+        now: UnixMillis,
+    ) -> CrashVerdict {
+        self.ensure_entry(request, now, now);
+        let router = self.router.clone();
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.record_crash(CrashRowKey { request, router }, upstream, now);
         }
-        entry.is_quarantined(now).then_some(&entry.upstreams[..])
-    }
-
-    /// Number of upstreams that crashed while they ran the request.
-    pub fn crashed(&self, request: &RequestFingerprint) -> usize {
-        let entry = self.entries.get(request);
-        entry.map_or(0, |entry| entry.upstreams.len())
+        self.verdict(&request, now)
     }
 
     /// Records a complete answer to the request from an upstream that did not crash.
-    pub fn record_answer(&mut self, request: RequestFingerprint, now: MonotonicTime) {
+    pub fn record_answer(&mut self, request: RequestFingerprint, now: UnixMillis) {
         self.answers.add(request, now);
+        let router = self.router.clone();
         if let Some(entry) = self.entries.get_mut(&request) {
-            entry.answers += 1;
+            entry.add_answers(CrashRowKey { request, router }, 1);
         }
     }
 
+    /// Merges a row of another router; returns whether it was news.
+    pub fn merge(&mut self, row: CrashRow, origin: RowOrigin, now: UnixMillis) -> bool {
+        if now.since(row.last_crash_at) >= RETENTION_MS {
+            if origin == RowOrigin::Store {
+                self.dropped.insert(row.key);
+            }
+            return false;
+        }
+        let request = row.key.request;
+        self.ensure_entry(request, row.last_crash_at.min(now), now);
+        let entry = self.entries.get_mut(&request);
+        entry.is_some_and(|entry| entry.merge(row, origin, now))
+    }
+
+    /// Marks this version of a row as being in the store.
+    pub fn mark_stored(&mut self, row: &CrashRow) {
+        if let Some(entry) = self.entries.get_mut(&row.key.request) {
+            entry.mark_stored(row);
+        }
+    }
+
+    /// Rows, at most `limit`, that are not in the store as they are here.
+    pub fn unstored(&self, limit: usize) -> Vec<CrashRow> {
+        let rows = self.entries.values().flat_map(TallyEntry::unstored);
+        rows.take(limit).cloned().collect()
+    }
+
+    /// All rows, at most `limit`.
+    pub fn rows(&self, limit: usize) -> Vec<CrashRow> {
+        let rows = self.entries.values().flat_map(TallyEntry::rows);
+        rows.take(limit).cloned().collect()
+    }
+
+    /// Number of upstreams that crashed while they ran the request.
+    pub fn crashed(&self, request: &RequestFingerprint) -> usize {
+        self.entries.get(request).map_or(0, TallyEntry::crashed)
+    }
+
     /// Whether too many upstreams crashed for the request to run again at `now`.
-    pub fn is_quarantined(&self, request: &RequestFingerprint, now: MonotonicTime) -> bool {
+    pub fn is_quarantined(&self, request: &RequestFingerprint, now: UnixMillis) -> bool {
         let entry = self.entries.get(request);
         entry.is_some_and(|entry| entry.is_quarantined(now))
     }
 
     /// Number of requests in quarantine at `now`.
-    pub fn quarantined(&self, now: MonotonicTime) -> usize {
-        let requests = self.entries.keys();
-        requests
-            .filter(|request| self.is_quarantined(request, now))
-            .count()
-    }
-
-    /// Removes requests past the retention time, and the oldest ones at the limit.
-    fn expire(&mut self, now: MonotonicTime) {
-        self.entries
-            .retain(|_, entry| now.since(entry.last) < RETENTION);
-        while self.entries.len() >= ENTRY_LIMIT {
-            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last);
-            let Some(request) = oldest.map(|(request, _)| *request) else {
-                return;
-            };
-            self.entries.remove(&request);
+    pub fn quarantined(&self, now: UnixMillis) -> usize {
+        let entries = self.entries.values();
+        entries.filter(|entry| entry.is_quarantined(now)).count()
+    }
+
+    /// Removes requests past the retention time; returns the keys of rows to be removed from the store.
+    pub fn expire(&mut self, now: UnixMillis) -> Vec<CrashRowKey> {
+        let expired = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| is_expired(entry, now));
+        let expired: Vec<RequestFingerprint> = expired.map(|(request, _)| *request).collect();
+        for request in expired {
+            self.remove(&request);
         }
+        std::mem::take(&mut self.dropped).into_iter().collect()
     }
-}
 
-impl TallyEntry {
-    fn is_quarantined(&self, now: MonotonicTime) -> bool {
-        let crashes = self.upstreams.len();
-        crashes >= QUARANTINE_UPSTREAMS
-            && (self.answers as usize) < crashes * ANSWERS_PER_CRASH
-            && now.since(self.last) < QUARANTINE_TIME
+    fn verdict(&self, request: &RequestFingerprint, now: UnixMillis) -> CrashVerdict {
+        CrashVerdict {
+            crashed: self.crashed(request),
+            quarantined: self.is_quarantined(request, now),
+        }
     }
+
+    /// Creates the entry of `request` if there is none, with the answers of this router so far.
+    fn ensure_entry(
+        &mut self,
+        request: RequestFingerprint,
+        last_crash: UnixMillis,
+        now: UnixMillis,
+    ) {
+        let is_expired = |entry: &TallyEntry| is_expired(entry, now);
+        if self.entries.get(&request).is_some_and(is_expired) {
+            self.remove(&request);
+        }
+        if self.entries.contains_key(&request) {
+            return;
+        }
+        if self.entries.len() >= ENTRY_LIMIT {
+            self.evict(now);
+        }
+        let answers = self.answers.recent(&request, now);
+        let router = self.router.clone();
+        let mut entry = TallyEntry::new(last_crash);
+        entry.add_answers(CrashRowKey { request, router }, answers);
+        self.entries.insert(request, entry);
+    }
+
+    /// Removes the oldest request, one that is not quarantined if there is any.
+    fn evict(&mut self, now: UnixMillis) {
+        let entries = self.entries.iter();
+        let oldest =
+            entries.min_by_key(|(_, entry)| (entry.is_quarantined(now), entry.last_crash()));
+        if let Some(request) = oldest.map(|(request, _)| *request) {
+            self.remove(&request);
+        }
+    }
+
+    fn remove(&mut self, request: &RequestFingerprint) {
+        if let Some(entry) = self.entries.remove(request) {
+            self.dropped.extend(entry.stored_keys());
+        }
+    }
+}
+
+fn is_expired(entry: &TallyEntry, now: UnixMillis) -> bool {
+    now.since(entry.last_crash()) >= RETENTION_MS
 }
--- a/crates/decisions/tests/relay_decisions.rs
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -144,51 +144,55 @@
     let workspace = WorkspaceName::new("clinic");
     let request = RequestFingerprint::of(&workspace, "/letters/7", b"text");
     let other = RequestFingerprint::of(&workspace, "/letters/8", b"text");
-    let mut tally = CrashTally::default();
+    let mut tally = CrashTally::new("entry-1/a");
     for name in ["up-1", "up-2", "up-2"] {
-        tally.record(request, &upstream(name), at(0));
+        tally.record(request, &upstream(name), UnixMillis(0));
     }
-    assert!(!tally.is_quarantined(&request, at(0)));
-    tally.record(request, &upstream("up-3"), at(1_000));
-    assert!(tally.is_quarantined(&request, at(1_000)));
-    assert!(!tally.is_quarantined(&other, at(1_000)));
-    assert!(!tally.is_quarantined(&request, at(700_000)));
-    tally.record(other, &upstream("up-1"), at(700_000));
-    assert_eq!(tally.crashed(&request), 0);
+    assert!(!tally.is_quarantined(&request, UnixMillis(0)));
+    tally.record(request, &upstream("up-3"), UnixMillis(1_000));
+    assert!(tally.is_quarantined(&request, UnixMillis(1_000)));
+    assert!(!tally.is_quarantined(&other, UnixMillis(1_000)));
+    assert!(!tally.is_quarantined(&request, UnixMillis(700_000)));
+    assert_eq!(tally.crashed(&request), 3);
+    assert!(
+        tally.expire(UnixMillis(700_000)).is_empty(),
+        "nothing was stored"
+    );
+    assert!(tally.is_empty());
 }
 
 /// Guards against answers in between that make a router forget the crashes.
 #[test]
 fn a_request_is_quarantined_although_equal_ones_are_answered_in_between() {
-    let mut tally = CrashTally::default();
+    let mut tally = CrashTally::new("entry-1/a");
     let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
     for name in ["up-1", "up-2", "up-3"] {
-        tally.record_answer(request, at(0));
-        assert!(!tally.is_quarantined(&request, at(0)));
-        tally.record(request, &upstream(name), at(0));
-        tally.record_answer(request, at(0));
+        tally.record_answer(request, UnixMillis(0));
+        assert!(!tally.is_quarantined(&request, UnixMillis(0)));
+        tally.record(request, &upstream(name), UnixMillis(0));
+        tally.record_answer(request, UnixMillis(0));
     }
-    assert!(tally.is_quarantined(&request, at(0)));
+    assert!(tally.is_quarantined(&request, UnixMillis(0)));
 }
 
 /// A request that is sent often is in flight whenever upstreams fail, and must not be rejected for that.
 #[test]
 fn a_request_that_is_answered_many_times_for_each_crash_is_not_quarantined() {
-    let mut tally = CrashTally::default();
+    let mut tally = CrashTally::new("entry-1/a");
     let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
     for second in 0..12 {
-        tally.record_answer(request, at(second * 1_000));
+        tally.record_answer(request, UnixMillis(second * 1_000));
     }
     for name in ["up-1", "up-2", "up-3"] {
-        tally.record(request, &upstream(name), at(12_000));
+        tally.record(request, &upstream(name), UnixMillis(12_000));
     }
-    assert!(!tally.is_quarantined(&request, at(12_000)));
-    tally.record(request, &upstream("up-4"), at(12_000));
-    assert!(tally.is_quarantined(&request, at(12_000)));
+    assert!(!tally.is_quarantined(&request, UnixMillis(12_000)));
+    tally.record(request, &upstream("up-4"), UnixMillis(12_000));
+    assert!(tally.is_quarantined(&request, UnixMillis(12_000)));
     for _ in 0..4 {
-        tally.record_answer(request, at(13_000));
+        tally.record_answer(request, UnixMillis(13_000));
     }
-    assert!(!tally.is_quarantined(&request, at(13_000)));
+    assert!(!tally.is_quarantined(&request, UnixMillis(13_000)));
 }
 
 fn rule(prefix: &str, public: bool) -> RouteRule {
@@ -248,32 +252,36 @@
 /// Guards against an upstream that restarts under its id and counts only once.
 #[test]
 fn each_incarnation_of_an_upstream_counts_as_crashed() {
-    let mut tally = CrashTally::default();
+    let mut tally = CrashTally::new("entry-1/a");
     let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
     for start in [1, 2, 2, 3] {
-        assert!(!tally.is_quarantined(&request, at(0)));
+        assert!(!tally.is_quarantined(&request, UnixMillis(0)));
         let started_at = Some(UnixMillis(start));
         let id = "up-1".into();
-        tally.record(request, &UpstreamIncarnation { id, started_at }, at(0));
+        tally.record(
+            request,
+            &UpstreamIncarnation { id, started_at },
+            UnixMillis(0),
+        );
     }
-    assert!(tally.is_quarantined(&request, at(0)));
+    assert!(tally.is_quarantined(&request, UnixMillis(0)));
 }
 
 /// A request may run once more after its quarantine ends; another crash quarantines it again
 /// immediately.
 #[test]
 fn a_request_that_crashed_upstreams_is_allowed_once_more_after_its_quarantine() {
-    let mut tally = CrashTally::default();
+    let mut tally = CrashTally::new("entry-1/a");
     let request = RequestFingerprint::of(&WorkspaceName::new("intake"), "/letters/7", b"");
-    let mut reports = 0;
+    let mut quarantines = 0;
     for (second, name) in [(0, "up-1"), (0, "up-1"), (1, "up-2"), (2, "up-3")] {
-        let report = tally.record(request, &upstream(name), at(second * 1_000));
-        reports += usize::from(report.is_some());
+        let verdict = tally.record(request, &upstream(name), UnixMillis(second * 1_000));
+        quarantines += usize::from(verdict.quarantined);
     }
-    assert_eq!(reports, 1, "one upstream counts once");
-    assert!(tally.is_quarantined(&request, at(61_000)));
-    assert!(!tally.is_quarantined(&request, at(62_500)));
-    let again = tally.record(request, &upstream("up-1"), at(62_600));
-    assert_eq!(again.map(<[UpstreamIncarnation]>::len), Some(3));
-    assert!(tally.is_quarantined(&request, at(100_000)));
+    assert_eq!(quarantines, 1, "one upstream counts once");
+    assert!(tally.is_quarantined(&request, UnixMillis(61_000)));
+    assert!(!tally.is_quarantined(&request, UnixMillis(62_500)));
+    let again = tally.record(request, &upstream("up-1"), UnixMillis(62_600));
+    assert_eq!((again.crashed, again.quarantined), (3, true));
+    assert!(tally.is_quarantined(&request, UnixMillis(100_000)));
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -2,6 +2,7 @@
 //! upstream without interpreting its body, and passes the response on.
 
 mod confirmation_time;
+mod crashes;
 mod fleet;
 mod latency_model;
 pub mod relay_app;
--- /dev/null
+++ b/crates/router/src/relay/crashes.rs
@@ -0,0 +1,22 @@
+//! Requests that crash the upstreams that run them: the fleet's count, and how routers share it.
+//!
+//! Each router keeps rows of its own counts in a topic of the store, so that they outlive it. A router that reads
+//! the store stores the rows of those that sync from it too, and passes all rows on to them with the feed. While
+//! the store can't be used, routers exchange rows directly.
+
+mod crash_exchange;
+mod crash_manager;
+mod crash_report;
+
+pub use crash_exchange::apply_stored;
+pub use crash_manager::CrashManager;
+pub use crash_report::answer_report;
+
+use super::relay_core::SharedCore;
+
+/// Starts the tasks that share the counts with the other routers.
+pub fn start(core: &SharedCore) {
+    core.spawn(crash_exchange::follow(core.clone()));
+    core.spawn(crash_exchange::publish(core.clone()));
+    core.spawn(crash_exchange::expire(core.clone()));
+}
--- /dev/null
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -0,0 +1,139 @@
+//! Exchange of the crash count with the other routers, through a topic of the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::quarantine::{CrashRow, RowOrigin};
+use ferry_platform::store::{
+    AppendCondition, KeyedRecord, StoreError, TopicPartition, encode_keyed,
+};
+use tokio::time::sleep;
+
+use super::crash_report::{exchange_with_all, exchange_with_one};
+use crate::peer;
+use crate::relay::fleet::write_body;
+use crate::relay::relay_core::SharedCore;
+use crate::relay::watch::{OutageLog, TopicReader};
+
+/// Topic of the rows, which the store keeps until they are removed.
+const CRASH_TOPIC: &str = "keyed.crashes";
+/// Its only partition.
+const CRASHES: TopicPartition<'static> = TopicPartition::only(CRASH_TOPIC);
+/// Time for which a read waits for new rows; a connection that went silent is noticed after it.
+const READ_WAIT: Duration = Duration::from_secs(2);
+/// Time over which rows are collected for one append.
+const BATCH_TIME: Duration = Duration::from_millis(50);
+/// Delay after a failed read, and after the rows were then exchanged with one other router.
+const READ_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Delay after a failed append, and after the rows were then exchanged with all other routers.
+const APPEND_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Period of the checks for requests whose crashes are long ago.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
+
+/// Follows the rows in the store until the relay closes; pauses while this router syncs from another one.
+pub async fn follow(core: SharedCore) {
+    let mut reader = TopicReader::new(core.store.clone(), CRASH_TOPIC);
+    let mut outages = OutageLog::new(
+        "the crashes of requests cannot be read from the store; retrying",
+        "the crashes of requests are read from the store again",
+    );
+    loop {
+        core.fleet.wait_until_unsynced().await;
+        // While the store fails, reads do not wait, so that its recovery is noticed soon.
+        let wait = match outages.is_failing() {
+            true => Duration::ZERO,
+            false => READ_WAIT,
+        };
+        match reader.next(wait).await {
+            Ok(changes) => {
+                outages.record_success();
+                let rows = changes.records.iter().filter_map(decode_row).collect();
+                apply_stored(&core, rows);
+            }
+            Err(error) => {
+                outages.record_failure(&error);
+                exchange_with_one(&core).await;
+                sleep(READ_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Stores the rows of this router and of those that sync from it, until the relay closes.
+pub async fn publish(core: SharedCore) {
+    let mut outages = OutageLog::new(
+        "the crashes of requests cannot be stored; sent to the other routers instead",
+        "the crashes of requests are stored again",
+    );
+    loop {
+        core.crashes.wait_for_unstored().await;
+        core.fleet.wait_until_unsynced().await;
+        sleep(BATCH_TIME).await;
+        let rows = core.crashes.unstored();
+        match append(&core, &rows).await {
+            Ok(()) => {
+                outages.record_success();
+                core.crashes.mark_stored(&rows);
+                core.fleet.feed.put_crashes(&rows);
+            }
+            Err(error) => {
+                outages.record_failure(&error);
+                exchange_with_all(&core).await;
+                sleep(APPEND_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Removes requests whose crashes are long ago, here and in the store, until the relay closes.
+pub async fn expire(core: SharedCore) {
+    loop {
+        sleep(EXPIRY_PERIOD).await;
+        let keys = core.crashes.expire();
+        core.fleet.feed.remove_crashes(&keys);
+        if keys.is_empty() || core.fleet.is_synced_from_peer() {
+            continue;
+        }
+        let removals = keys
+            .iter()
+            .filter_map(|key| encode_keyed(&key.to_string(), &[]));
+        let removals: Vec<Vec<u8>> = removals.collect();
+        let records = removals.iter().map(|record| &record[..]);
+        let removed = core.store.append(CRASHES, records, AppendCondition::None);
+        if let Err(error) = removed.await {
+            // They stay in the store until a router that lists the topic finds them expired.
+            spdlog::info!("old crashes could not be removed from the store: {}", error, kv: { rows = keys.len() });
+        }
+    }
+}
+
+/// Merges rows that are in the store, and passes them on to the routers that sync from this one.
+pub fn apply_stored(core: &SharedCore, rows: Vec<CrashRow>) {
+    core.fleet.feed.put_crashes(&rows);
+    core.crashes.merge(rows, RowOrigin::Store);
+}
+
+async fn append(core: &SharedCore, rows: &[CrashRow]) -> Result<(), StoreError> {
+    let records: Vec<Vec<u8>> = rows.iter().filter_map(encode_row).collect();
+    if records.is_empty() {
+        return Ok(());
+    }
+    let records = records.iter().map(|record| &record[..]);
+    let appended = core.store.append(CRASHES, records, AppendCondition::None);
+    appended.await.map(|_| ())
+}
+
+fn encode_row(row: &CrashRow) -> Option<Vec<u8>> {
+    let value: Bytes = write_body(row, "a row of crashes")?;
+    encode_keyed(&row.key.to_string(), &value)
+}
+
+/// Decodes a row; `None` for a removed one.
+fn decode_row(record: &KeyedRecord) -> Option<CrashRow> {
+    let value = record.value.as_ref()?;
+    peer::decode(value)
+        .inspect_err(|error| {
+            spdlog::warn!("ignoring a malformed row of crashes: {}", error, kv: { key = record.key.as_str() });
+        })
+        .ok()
+}
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -5,7 +5,6 @@
 //! from it. Nothing depends on which router that is: a router whose sync source does not answer, is
 //! slow or has no contact with the store reads the store itself at once.
 
-mod crash_report;
 mod feed_client;
 mod feed_message;
 mod feed_source;
@@ -13,11 +12,10 @@
 mod fleet_manager;
 mod peer_body;
 
-pub use crash_report::{CrashReport, report_to_fleet};
 pub use feed_message::{EvidenceRecord, PooledRollout};
 pub use feed_source::FeedSource;
 pub use fleet_manager::FleetManager;
-pub use peer_body::write as write_body;
+pub use peer_body::{read as read_body, write as write_body};
 
 use super::relay_core::SharedCore;
 
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -5,14 +5,15 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
+use ferry_decisions::quarantine::RowOrigin;
 use ferry_platform::store::KeyedRecord;
 use tokio::time::{sleep, timeout};
 
-use super::crash_report::apply_report;
 use super::feed_message::{EvidenceRecord, FeedAnswer, FeedChange, FeedChanges, FeedQuery};
 use super::peer_body;
 use crate::peer::{self, PeerError, PeerMessage, PeerTopic};
 use crate::relay::confirmation_time::ConfirmationTime;
+use crate::relay::crashes;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::rollouts;
 use crate::relay::watch;
@@ -105,6 +106,7 @@
         source: position.source.clone(),
         revision: position.revision,
         evidence: rollouts::own_evidence(core),
+        crashes: core.crashes.unstored(),
     };
     let requested_at = ConfirmationTime::now();
     let limit = if position.source.is_empty() {
@@ -152,6 +154,7 @@
     let mut operator = Vec::new();
     let mut upstreams = Vec::new();
     let mut gone = Vec::new();
+    let mut rows = Vec::new();
     for change in changes {
         match change {
             FeedChange::Operator { key, offset, value } => {
@@ -159,10 +162,12 @@
             }
             FeedChange::Upstream(record) => upstreams.push(*record),
             FeedChange::UpstreamGone(id) => gone.push(id),
+            FeedChange::Crashes(row) => rows.push(*row),
         }
     }
     watch::apply_operator(core, operator);
     watch::apply_synced_upstreams(core, whole, upstreams, &gone);
+    crashes::apply_stored(core, rows);
     rollouts::apply_pooled(core, answer.rollouts);
     position.source = answer.source;
     position.revision = answer.revision;
@@ -173,7 +178,7 @@
 pub async fn answer_peer(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
     match message.topic {
         PeerTopic::Feed => answer_query(core, message).await,
-        PeerTopic::Quarantine => apply_report(core, &message),
+        PeerTopic::Quarantine => crashes::answer_report(core, &message),
         _ => None,
     }
 }
@@ -181,6 +186,7 @@
 async fn answer_query(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
     let query: FeedQuery = peer_body::read(&message, "feed request")?;
     merge_evidence(core, query.evidence);
+    core.crashes.merge(query.crashes, RowOrigin::Router);
     let mut revisions = core.fleet.feed.subscribe();
     let behind = query.source != core.fleet.feed.incarnation()
         || *revisions.borrow_and_update() > query.revision;
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, ServiceName};
+use ferry_decisions::quarantine::CrashRow;
 use ferry_decisions::registry::UpstreamRecord;
 use ferry_decisions::rollout::{ClassCounts, EvidenceRow, RolloutPhase};
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,9 @@
     pub revision: u64,
     /// Roll-out evidence of the requesting router.
     pub evidence: Vec<EvidenceRecord>,
+    /// Crash counts that may not be in the store yet; absent from routers of an older build.
+    #[serde(default)]
+    pub crashes: Vec<CrashRow>,
 }
 
 /// Response with the changes since the requested revision.
@@ -65,6 +69,8 @@
     Upstream(Box<UpstreamRecord>),
     /// An upstream is gone.
     UpstreamGone(HostName),
+    /// Crash counts of a request at one router, as they are in the store.
+    Crashes(Box<CrashRow>),
 }
 
 /// A row of roll-out evidence, with the order to which it belongs.
--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, Incarnation};
+use ferry_decisions::quarantine::{CrashRow, CrashRowKey};
 use ferry_decisions::registry::UpstreamRecord;
 use ferry_platform::store::KeyedRecord;
 use parking_lot::Mutex;
@@ -31,6 +32,7 @@
     revision: u64,
     operator: BTreeMap<String, FeedChange>,
     upstreams: BTreeMap<HostName, UpstreamRecord>,
+    crashes: BTreeMap<CrashRowKey, CrashRow>,
     /// Recent changes, oldest first; `revision` is the number of the last.
     recent: VecDeque<FeedChange>,
     /// Full state, encoded, and its revision; encoded at the first request for that revision.
@@ -100,6 +102,26 @@
         }
     }
 
+    /// Stores crash counts; rows that are already known count as no change.
+    pub fn put_crashes(&self, rows: &[CrashRow]) {
+        let mut state = self.state.lock();
+        for row in rows {
+            if state.crashes.get(&row.key) == Some(row) {
+                continue;
+            }
+            state.crashes.insert(row.key.clone(), row.clone());
+            self.push(&mut state, FeedChange::Crashes(Box::new(row.clone())));
+        }
+    }
+
+    /// Removes expired crash counts; the routers that sync from this one expire theirs by themselves.
+    pub fn remove_crashes(&self, keys: &[CrashRowKey]) {
+        let mut state = self.state.lock();
+        for key in keys {
+            state.crashes.remove(key);
+        }
+    }
+
     /// Returns the current revision, and the changes after `revision` as counted by the incarnation
     /// `source`; the full state if that is another incarnation or the changes are no longer kept.
     pub fn changes_since(&self, source: &str, revision: u64) -> (u64, FeedChanges) {
@@ -137,7 +159,10 @@
         }
         let upstreams = self.upstreams.values().cloned();
         let upstreams = upstreams.map(|record| FeedChange::Upstream(Box::new(record)));
-        let changes: Vec<_> = self.operator.values().cloned().chain(upstreams).collect();
+        let crashes = self.crashes.values().cloned();
+        let crashes = crashes.map(|row| FeedChange::Crashes(Box::new(row)));
+        let operator = self.operator.values().cloned();
+        let changes: Vec<_> = operator.chain(upstreams).chain(crashes).collect();
         let encoded = peer_body::write(&changes, "the full state of the feed").unwrap_or_default();
         self.full_state = Some((self.revision, encoded.clone()));
         encoded
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -6,7 +6,6 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ferry_decisions::names::ServiceName;
-use ferry_decisions::quarantine::CrashTally;
 use ferry_decisions::registry::UpstreamRegistry;
 use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
 use ferry_decisions::ruleset::RuleSet;
@@ -19,6 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::confirmation_time::ConfirmationTime;
+use super::crashes::CrashManager;
 use super::fleet::FleetManager;
 use super::latency_model::LatencyModel;
 use super::rollouts::RolloutManager;
@@ -58,8 +58,8 @@
     pub registry: Mutex<UpstreamRegistry>,
     /// Usual latency of the responses of all upstreams.
     pub latency: Mutex<LatencyModel>,
-    /// Upstream failures by request, to quarantine requests that crash the upstreams that run them.
-    pub crashes: Mutex<CrashTally>,
+    /// The fleet's count of upstreams that requests crashed.
+    pub crashes: CrashManager,
     /// Registered routers, links to them, and the feed.
     pub fleet: FleetManager,
     /// Roll-outs known to this relay.
@@ -85,7 +85,7 @@
             upstreams: UpstreamDirectory::default(),
             registry: Mutex::default(),
             latency: Mutex::default(),
-            crashes: Mutex::default(),
+            crashes: CrashManager::new(settings.host.as_str()),
             fleet: FleetManager::default(),
             rollouts: RolloutManager::new(settings.host.as_str()),
             work: TaskTracker::new(),
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -3,10 +3,8 @@
 use std::time::Duration;
 
 use ferry_decisions::quarantine::RequestFingerprint;
-use ferry_decisions::registry::UpstreamIncarnation;
 
 use super::RelayRun;
-use crate::relay::fleet::{CrashReport, report_to_fleet};
 use crate::relay::rollouts::AnswerEvidence;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -61,36 +59,23 @@
         format!("{}/{}", self.request.rule.name, self.record.model)
     }
 
-    /// Counts a crash of `upstream` while it ran the request, and reports the request to the fleet if it is
-    /// quarantined now.
+    /// Counts a crash of `upstream` while it ran the request.
     pub fn record_crash(&self, upstream: &RelayUpstream) {
-        let now = self.core.clock.now();
         let fingerprint = self.request.fingerprint();
-        let mut crashes = self.core.crashes.lock();
-        let quarantined = crashes.record(fingerprint, &upstream.record.incarnation, now);
-        let quarantined = quarantined.map(<[UpstreamIncarnation]>::to_vec);
-        let counted = crashes.crashed(&fingerprint);
-        drop(crashes);
-        self.log_crash(upstream, fingerprint, counted);
-        let Some(upstreams) = quarantined else {
-            return;
-        };
-        let report = CrashReport {
-            request: fingerprint,
-            upstreams,
-        };
-        spdlog::warn!("request quarantined", kv: {
-            request_id = self.request.id.as_str(),
-            fingerprint = fingerprint.to_string(),
-        });
-        report_to_fleet(&self.core, &report);
+        let crashes = &self.core.crashes;
+        let verdict = crashes.record(fingerprint, &upstream.record.incarnation);
+        self.log_crash(upstream, fingerprint, verdict.crashed);
+        if verdict.quarantined {
+            spdlog::warn!("request quarantined", kv: {
+                request_id = self.request.id.as_str(),
+                fingerprint = fingerprint.to_string(),
+            });
+        }
     }
 
     /// Counts a complete answer, from an upstream that did not crash while it ran the request.
     pub fn record_completion(&self) {
-        let now = self.core.clock.now();
-        let fingerprint = self.request.fingerprint();
-        self.core.crashes.lock().record_answer(fingerprint, now);
+        self.core.crashes.record_answer(self.request.fingerprint());
     }
 
     /// Logs a crash with its upstream's incarnation and the number of crashed upstreams known here for the request.
@@ -109,9 +94,8 @@
 
     /// Whether the request is not run again now, because it crashed too many upstreams.
     pub(super) fn is_quarantined(&self) -> bool {
-        let crashes = self.core.crashes.lock();
-        !crashes.is_empty()
-            && crashes.is_quarantined(&self.request.fingerprint(), self.core.clock.now())
+        let crashes = &self.core.crashes;
+        !crashes.is_empty() && crashes.is_quarantined(&self.request.fingerprint())
     }
 
     /// Logs that the request is rejected because of the crashes known here.
@@ -120,7 +104,7 @@
         spdlog::info!("request rejected as quarantined", kv: {
             request_id = self.request.id.as_str(),
             fingerprint = fingerprint.to_string(),
-            counted = self.core.crashes.lock().crashed(&fingerprint),
+            counted = self.core.crashes.crashed(&fingerprint),
         });
     }
 }
--- a/crates/router/src/relay/status/relay_status.rs
+++ b/crates/router/src/relay/status/relay_status.rs
@@ -77,7 +77,7 @@
             fed: core.fleet.is_synced_from_peer(),
             relays: core.fleet.router_count(),
             in_progress: core.work.len(),
-            quarantined: core.crashes.lock().quarantined(now),
+            quarantined: core.crashes.quarantined(),
             services: ServiceStatus::all(core),
             rollouts,
         }
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -11,7 +11,7 @@
 pub use upstream_watch::apply_synced as apply_synced_upstreams;
 
 use super::relay_core::SharedCore;
-use super::{fleet, rollouts};
+use super::{crashes, fleet, rollouts};
 
 /// Starts the tasks that follow the store and those that share its content with other routers.
 pub fn start(core: &SharedCore) {
@@ -19,5 +19,6 @@
     core.spawn(upstream_watch::follow(core.clone()));
     core.spawn(rollouts::follow(core.clone()));
     core.spawn(rollouts::expire_sessions(core.clone()));
+    crashes::start(core);
     fleet::start(core);
 }
--- a/crates/router/tests/relay/containment.rs
+++ b/crates/router/tests/relay/containment.rs
@@ -9,6 +9,7 @@
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
+use ferry_standin::replica::RunStatus;
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::StatusCode;
 use tokio::time::sleep;
@@ -68,18 +69,33 @@
     relays
 }
 
-/// Sends the crashing request to each router in turn, `rounds` times.
-async fn send_to_all(relays: &[RelayDaemon], rounds: usize) -> Vec<StatusCode> {
+/// Sends the crashing request to each router in turn, `rounds` times. Upstreams that broke it off stay down.
+async fn send_to_all(
+    relays: &[RelayDaemon],
+    replicas: &[ReplicaStandin],
+    rounds: usize,
+) -> Vec<StatusCode> {
     let mut statuses = Vec::new();
     for round in 0..rounds {
         for relay in relays {
             let id = format!("send-{round}");
             statuses.push(call(request(relay, CRASHING, &id)).await.status);
+            take_down_crashed(replicas).await;
         }
     }
     statuses
 }
 
+/// Lets upstreams on which a run broke off refuse connections, as a process that has ended does.
+async fn take_down_crashed(replicas: &[ReplicaStandin]) {
+    for replica in replicas {
+        let runs = replica.runs();
+        if runs.iter().any(|run| run.status == RunStatus::Abandoned) {
+            replica.crash().await;
+        }
+    }
+}
+
 /// Number of times that a request to `target` reached an upstream.
 fn runs_of(replicas: &[ReplicaStandin], target: &str) -> usize {
     let runs = replicas.iter().flat_map(ReplicaStandin::runs);
@@ -89,11 +105,12 @@
 /// Checks that the crashing request is rejected everywhere, and that other requests are served.
 async fn assert_contained(relays: &[RelayDaemon], replicas: &[ReplicaStandin]) {
     let before = runs_of(replicas, CRASHING);
-    let statuses = send_to_all(relays, LATER_SENDS).await;
+    let statuses = send_to_all(relays, replicas, LATER_SENDS).await;
     assert_eq!(runs_of(replicas, CRASHING), before, "{statuses:?}");
     for replica in replicas {
-        replica.plan(ReplicaPlan::default());
+        replica.restart().await;
     }
+    plan_all(replicas, &ReplicaPlan::default());
     for relay in relays {
         let other = call(request(relay, HARMLESS, "other")).await;
         assert_eq!(other.status, StatusCode::OK);
@@ -103,7 +120,7 @@
 async fn assert_three_crashes_contain(run: RunKind, hosts: [(&str, &str); 3]) {
     let (deployment, replicas) = deployment(run).await;
     let relays = start_routers(&deployment, hosts).await;
-    send_to_all(&relays, 1).await;
+    send_to_all(&relays, &replicas, 1).await;
     assert!(runs_of(&replicas, CRASHING) >= 3);
     sleep(CONTACT_TIME).await;
     assert_contained(&relays, &replicas).await;
@@ -146,7 +163,7 @@
 async fn a_router_that_starts_after_the_crashes_does_not_run_the_request() {
     let (deployment, replicas) = deployment(RunKind::Idempotent).await;
     let mut relays = start_routers(&deployment, ONE_ZONE).await;
-    send_to_all(&relays, 1).await;
+    send_to_all(&relays, &replicas, 1).await;
     relays.push(deployment.relay_in("entry-4", "zone-b").await);
     relays.push(deployment.relay_in("entry-5", "zone-a").await);
     sleep(CONTACT_TIME).await;
@@ -159,7 +176,7 @@
 async fn a_fleet_that_restarts_does_not_run_the_request() {
     let (deployment, replicas) = deployment(RunKind::Idempotent).await;
     let relays = start_routers(&deployment, THREE_ZONES).await;
-    send_to_all(&relays, 1).await;
+    send_to_all(&relays, &replicas, 1).await;
     let stops = relays.into_iter().map(|relay| tokio::spawn(relay.stop()));
     for stop in stops.collect::<Vec<_>>() {
         stop.await.unwrap();
@@ -181,10 +198,10 @@
         }),
         ..FaultOrder::default()
     });
-    send_to_all(&relays, 1).await;
+    send_to_all(&relays, &replicas, 1).await;
     sleep(CONTACT_TIME).await;
     let before = runs_of(&replicas, CRASHING);
-    send_to_all(&relays, LATER_SENDS).await;
+    send_to_all(&relays, &replicas, LATER_SENDS).await;
     assert_eq!(runs_of(&replicas, CRASHING), before);
 }
 
@@ -196,7 +213,8 @@
     let replicas = deployment.replicas(["up-1"], &crashing_plan()).await;
     let relays = vec![deployment.relay().await];
     for start in 2..=4 {
-        send_to_all(&relays, 1).await;
+        send_to_all(&relays, &replicas, 1).await;
+        replicas[0].restart().await;
         let mut record = replicas[0].record(UpstreamStage::Ready, 1);
         record.incarnation.started_at = Some(UnixMillis(start));
         let entry = encode_upstream(&record);
@@ -214,7 +232,7 @@
     let (deployment, replicas) = deployment(RunKind::Once).await;
     let relays = vec![deployment.relay().await];
     for status in [StatusCode::OK, StatusCode::INTERNAL_SERVER_ERROR] {
-        send_to_all(&relays, 1).await;
+        send_to_all(&relays, &replicas, 1).await;
         plan_all(
             &replicas,
             &ReplicaPlan {
@@ -222,10 +240,10 @@
                 ..ReplicaPlan::default()
             },
         );
-        assert_eq!(send_to_all(&relays, 1).await, [status]);
+        assert_eq!(send_to_all(&relays, &replicas, 1).await, [status]);
         plan_all(&replicas, &crashing_plan());
     }
-    send_to_all(&relays, 1).await;
+    send_to_all(&relays, &replicas, 1).await;
     assert_contained(&relays, &replicas).await;
 }
 
