Send requests that crash upstreams in the soak

Cause: the soak had no request that crashes what runs it, and its upstreams never ended, so that it could not see that the fleet sends such a request on.

Change: four such requests, two of them idempotent, go to one relay after another beside all faults of a seed. Their eight upstreams serve nothing else; one that was crashed is down for 1.5 s and comes back under its id as a new incarnation, or under a new id. Violated, as the users' rule counts: more than three sends later than 3 s after the third crash. No excuse is made for relays that are under a fault.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,6 +4,7 @@
 //! `FERRY_SOAK_SEEDS=1..50 cargo test --test soak -- --nocapture` runs other seeds than the default ones.
 
 mod caller_load;
+mod crash_load;
 mod fault_plan;
 mod guarantee_check;
 mod soak_fleet;
@@ -18,6 +19,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use caller_load::{CallOutcome, CallRecord, call_each_kind, call_until};
+use crash_load::{crash_times, crash_until, crash_violations};
 use fault_plan::{FAULT_WINDOW, FaultPlan, REVOKED_AT};
 use guarantee_check::SoakRecord;
 use soak_fleet::SoakFleet;
@@ -78,6 +80,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let start = Instant::now();
     let load = tokio::spawn(call_until(Arc::clone(&fleet), Arc::clone(&stop)));
+    let crashes = tokio::spawn(crash_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let revoked_at = tokio::spawn(revoke(Arc::clone(&fleet), start + REVOKED_AT));
     let faults = plan.faults.iter().map(|timed| {
         let (fleet, timed) = (Arc::clone(&fleet), *timed);
@@ -92,6 +95,7 @@
     sleep(LOAD_AFTER_FAULTS).await;
     stop.store(true, Ordering::Release);
     let calls = load.await.unwrap();
+    let crashes = crashes.await.unwrap();
     let mut violations: Vec<_> = fault_results
         .into_iter()
         .filter_map(|result| {
@@ -109,11 +113,15 @@
         revoked_at: revoked_at.await.unwrap(),
     };
     violations.extend(record.violations());
+    violations.extend(crash_violations(&crashes));
     let codes = fleet.stop_all().await;
     if codes.iter().any(|code| *code != Some(0)) {
         violations.push(format!("exit codes of graceful stops: {codes:?}"));
     }
     print_result(&plan, &calls, &violations, &fleet);
+    let crashes = crash_times(&crashes);
+    let counts: Vec<usize> = crashes.values().map(Vec::len).collect();
+    println!("seed {seed}: upstreams crashed by each request: {counts:?}");
     violations
 }
 
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -10,12 +10,13 @@
 use ferry_platform::store::{OPERATOR_TOPIC, UPSTREAM_TOPIC};
 use ferry_rig::{KEY, LinkProxy, RelayFixture, RelayProcess, SERVICE, WORKSPACE, fixture_rule};
 use ferry_standin::faults::{AnswerLoss, FaultOrder, OutageAnswer, OutageOrder, SlowOrder};
-use ferry_standin::{ReplicaOptions, ReplicaPlan, ReplicaStandin};
+use ferry_standin::{ReplicaOptions, ReplicaPlan, ReplicaStandin, StoreStandin};
 use hyper::StatusCode;
 use parking_lot::Mutex;
 use tempfile::TempDir;
 use tokio::time::sleep;
 
+use crate::crash_load::{FRAGILE_RULES, FRAGILE_SERVICE};
 use crate::fault_plan::{RELAYS, REPLICAS, ReplicaFault, SoakFault, StoreFault, TimedFault};
 
 /// Key that is revoked during a run.
@@ -118,6 +119,11 @@
         true
     }
 
+    /// The store, without the relays' proxies.
+    pub fn store(&self) -> &StoreStandin {
+        &self.fixture.store
+    }
+
     /// Revokes the second key.
     pub fn revoke(&self) {
         *self.is_key_revoked.lock() = true;
@@ -285,8 +291,10 @@
         ("/chats/", RunKind::ResumableStream, STREAM_SERVICE),
         ("/drafts/", RunKind::Stream, STREAM_SERVICE),
     ];
+    let fragile = FRAGILE_RULES.map(|(prefix, run)| (prefix, run, FRAGILE_SERVICE));
     kinds
         .into_iter()
+        .chain(fragile)
         .map(|(prefix, run, service)| {
             let mut rule = fixture_rule(prefix, run);
             rule.timeout = Duration::from_millis(5_000 + revision % 2 * 500);
