--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -81,13 +81,16 @@
         self.verdict(&request, now)
     }
 
-    /// Records a complete answer to the request from an upstream that did not crash.
-    pub fn record_answer(&mut self, request: RequestFingerprint, now: UnixMillis) {
+    /// Records a complete answer to the request from an upstream that did not crash; returns whether crashes of the
+    /// request are held.
+    pub fn record_answer(&mut self, request: RequestFingerprint, now: UnixMillis) -> bool {
         self.answers.add(request, now);
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return false;
+        };
         let router = self.router.clone();
-        if let Some(entry) = self.entries.get_mut(&request) {
-            entry.add_answers(CrashRowKey { request, router }, 1);
-        }
+        entry.add_answers(CrashRowKey { request, router }, 1);
+        true
     }
 
     /// Merges a row of another router; returns whether it was news.
--- a/crates/decisions/src/quarantine/tally_entry.rs
+++ b/crates/decisions/src/quarantine/tally_entry.rs
@@ -15,7 +15,7 @@
 const QUARANTINE_MS: u64 = 60_000;
 /// Number of answers for each crash from which a request is not quarantined.
 const ANSWERS_PER_CRASH: usize = 4;
-/// Growth of a row's answers at which it is stored again.
+/// Factor by which the answers of a row must grow for it to be stored again.
 const ANSWERS_GROWTH: u32 = 2;
 
 /// What the fleet knows of one request.
@@ -118,10 +118,12 @@
     /// Rows that are not in the store as they are here.
     pub(super) fn unstored(&self) -> impl Iterator<Item = &CrashRow> {
         // Answers matter only to a request that is about to be quarantined.
-        let share_answers = self.crashed() + 1 >= QUARANTINE_UPSTREAMS;
+        let shares_answers = || self.crashed() + 1 >= QUARANTINE_UPSTREAMS;
         let rows = self.rows.iter();
-        rows.filter(move |held| held.is_unstored(share_answers))
-            .map(|held| &held.row)
+        rows.filter(move |held| {
+            held.has_new_crashes() || (held.has_new_answers() && shares_answers())
+        })
+        .map(|held| &held.row)
     }
 
     /// Keys of the rows that are in the store.
@@ -162,23 +164,19 @@
 }
 
 impl HeldRow {
-    fn is_unstored(&self, share_answers: bool) -> bool {
-        let version = StoredVersion::of(&self.row);
-        let stored = self.stored.unwrap_or(StoredVersion::NONE);
-        let has_new_answers =
-            version.answers > 0 && version.answers >= stored.answers * ANSWERS_GROWTH;
-        version.crashed > stored.crashed
-            || (share_answers && version.answers > stored.answers && has_new_answers)
+    fn has_new_crashes(&self) -> bool {
+        let stored = self.stored.map_or(0, |stored| stored.crashed);
+        self.row.crashed.len() > stored
+    }
+
+    /// Whether the answers have grown enough to be stored again.
+    fn has_new_answers(&self) -> bool {
+        let stored = self.stored.map_or(0, |stored| stored.answers);
+        self.row.answers >= (stored * ANSWERS_GROWTH).max(1)
     }
 }
 
 impl StoredVersion {
-    /// A row that is not in the store.
-    const NONE: Self = Self {
-        crashed: 0,
-        answers: 0,
-    };
-
     fn of(row: &CrashRow) -> Self {
         Self {
             crashed: row.crashed.len(),
--- a/crates/decisions/tests/crash_tally.rs
+++ b/crates/decisions/tests/crash_tally.rs
@@ -68,7 +68,9 @@
                 Step::Crash { router, upstream: number } => {
                     routers[router].record(request(), &upstream(number), now);
                 }
-                Step::Answer { router } => routers[router].record_answer(request(), now),
+                Step::Answer { router } => {
+                    routers[router].record_answer(request(), now);
+                }
                 Step::Send { from, to } => {
                     for row in routers[from].rows(LIMIT) {
                         routers[to].merge(row, RowOrigin::Router, now);
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -44,8 +44,7 @@
     /// Records a complete answer to the request.
     pub fn record_answer(&self, request: RequestFingerprint) {
         let mut tally = self.tally.lock();
-        tally.record_answer(request, wall_clock::now());
-        if !tally.is_empty() {
+        if tally.record_answer(request, wall_clock::now()) {
             self.changed.notify_waiters();
         }
     }
--- a/crates/router/tests/relay/rollouts.rs
+++ b/crates/router/tests/relay/rollouts.rs
@@ -168,3 +168,27 @@
         0
     );
 }
+
+/// Guards against routers that take a conversation for new because they have not had a request of it.
+#[tokio::test]
+async fn a_conversation_that_continues_at_another_router_keeps_its_version() {
+    /// Requests that the users' rule allows to change their version.
+    const MOVED_LIMIT: usize = 3;
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/chat/", RunKind::Idempotent)]);
+    let old = deployment.replica("up-1", "v1").await;
+    let first = deployment.relay_on("entry-1").await;
+    let second = deployment.relay_on("entry-2").await;
+    let begun = send_conversations(&first, "old", CONVERSATION_COUNT, &old).await;
+    assert_eq!(begun, CONVERSATION_COUNT);
+    place_order(&deployment);
+    let target = deployment.replica("up-2", "v2").await;
+    eventually("the canary phase has begun at both routers", async || {
+        send_conversations(&first, "new", CONVERSATION_COUNT, &target).await > 0
+            && send_conversations(&second, "other", CONVERSATION_COUNT, &target).await > 0
+    })
+    .await;
+    assert_eq!(stored_phase(&deployment), Some(RolloutPhase::Canary));
+    let moved = send_conversations(&second, "old", CONVERSATION_COUNT, &target).await;
+    assert!(moved <= MOVED_LIMIT, "{moved} conversations moved");
+}
