Name a router's incarnation once, and decode records of other routers in one place

Cause: the manager of roll-outs and the new one of crashes each made up an incarnation of the same process, and each exchange through the store decoded and logged malformed records by itself.

Change: the relay's state names the router once and passes the name on; read_record serves both exchanges. The log line of a malformed row keeps its text and offset.

--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -10,8 +10,7 @@
 use tokio::time::sleep;
 
 use super::crash_report::{exchange_with_all, exchange_with_one};
-use crate::peer;
-use crate::relay::fleet::write_body;
+use crate::relay::fleet::{read_record, write_body};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{OutageLog, TopicReader};
 
@@ -131,9 +130,5 @@
 /// Decodes a row; `None` for a removed one.
 fn decode_row(record: &KeyedRecord) -> Option<CrashRow> {
     let value = record.value.as_ref()?;
-    peer::decode(value)
-        .inspect_err(|error| {
-            spdlog::warn!("ignoring a malformed row of crashes: {}", error, kv: { key = record.key.as_str() });
-        })
-        .ok()
+    read_record(value, "row of crashes", record.offset)
 }
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -1,6 +1,5 @@
 //! This router's view of the fleet's crash count.
 
-use ferry_decisions::names::Incarnation;
 use ferry_decisions::quarantine::{
     CrashRow, CrashRowKey, CrashTally, CrashVerdict, RequestFingerprint, RowOrigin,
 };
@@ -20,11 +19,10 @@
 }
 
 impl CrashManager {
-    /// A manager without crashes, for the router on `host`.
-    pub fn new(host: &str) -> Self {
-        let router = format!("{host}/{}", Incarnation::random().0.simple());
+    /// A manager without crashes; `router` names this router and its incarnation.
+    pub fn new(router: &str) -> Self {
         Self {
-            tally: Mutex::new(CrashTally::new(&router)),
+            tally: Mutex::new(CrashTally::new(router)),
             changed: Notify::new(),
         }
     }
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -15,7 +15,7 @@
 pub use feed_message::{EvidenceRecord, PooledRollout};
 pub use feed_source::FeedSource;
 pub use fleet_manager::FleetManager;
-pub use peer_body::{read as read_body, write as write_body};
+pub use peer_body::{read as read_body, read_record, write as write_body};
 
 use super::relay_core::SharedCore;
 
--- a/crates/router/src/relay/fleet/peer_body.rs
+++ b/crates/router/src/relay/fleet/peer_body.rs
@@ -17,6 +17,15 @@
         .ok()
 }
 
+/// Decodes a record that a router wrote into the store at `offset`; logs a failure, in which `what` names the record.
+pub fn read_record<T: DeserializeOwned>(value: &[u8], what: &str, offset: u64) -> Option<T> {
+    peer::decode(value)
+        .inspect_err(|error| {
+            spdlog::warn!("ignoring a malformed {}: {}", what, error, kv: { offset = offset });
+        })
+        .ok()
+}
+
 /// Encodes `body`; logs a failure, in which `what` names the message.
 pub fn write(body: &impl Serialize, what: &str) -> Option<Bytes> {
     peer::encode(body)
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use ferry_decisions::names::ServiceName;
+use ferry_decisions::names::{Incarnation, ServiceName};
 use ferry_decisions::registry::UpstreamRegistry;
 use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
 use ferry_decisions::ruleset::RuleSet;
@@ -75,6 +75,7 @@
 impl RelayCore {
     /// Creates the state without starting any background task.
     pub fn new(settings: HostSettings) -> Self {
+        let router = format!("{}/{}", settings.host, Incarnation::random().0.simple());
         Self {
             clock: ProcessClock::start(),
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
@@ -85,9 +86,9 @@
             upstreams: UpstreamDirectory::default(),
             registry: Mutex::default(),
             latency: Mutex::default(),
-            crashes: CrashManager::new(settings.host.as_str()),
+            crashes: CrashManager::new(&router),
             fleet: FleetManager::default(),
-            rollouts: RolloutManager::new(settings.host.as_str()),
+            rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
             budgets: Mutex::default(),
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -12,8 +12,7 @@
 };
 use tokio::time::{sleep, timeout};
 
-use crate::peer;
-use crate::relay::fleet::{EvidenceRecord, write_body};
+use crate::relay::fleet::{EvidenceRecord, read_record, write_body};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{OutageLog, TopicReader};
 
@@ -276,11 +275,7 @@
 }
 
 fn decode_row(record: &StoreRecord) -> Option<EvidenceRecord> {
-    peer::decode(&record.content)
-        .inspect_err(|error| {
-            spdlog::warn!("ignoring a malformed roll-out evidence row: {}", error, kv: { offset = record.offset });
-        })
-        .ok()
+    read_record(&record.content, "roll-out evidence row", record.offset)
 }
 
 /// Whether two rows of one router carry the same evidence; the elapsed time is left out, since it always differs.
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::hash_point;
-use ferry_decisions::names::{Incarnation, ServiceName, VersionName};
+use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::rollout::{AnswerQuality, RolloutOrder, RolloutPhase, VersionSide};
 use ferry_decisions::time::MonotonicTime;
 use parking_lot::Mutex;
@@ -56,10 +56,10 @@
 }
 
 impl RolloutManager {
-    /// A manager without roll-outs, for the router on `host`.
-    pub fn new(host: &str) -> Self {
+    /// A manager without roll-outs; `router` names this router and its incarnation.
+    pub fn new(router: &str) -> Self {
         Self {
-            router: format!("{host}/{}", Incarnation::random().0.simple()),
+            router: router.to_owned(),
             active: Mutex::default(),
             sessions: SessionVersions::default(),
             wake: Notify::new(),
