Report a crash at once to the router that is synced from

Change: a crash is sent to the sync source 20 ms after it was seen, with those that came in that time; that router stores it 20 ms later. The feed query still carries what is not in the store, so that a lost report costs time only. Answers to such reports hold no rows, since the feed brings them.

--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -18,5 +18,6 @@
 pub fn start(core: &SharedCore) {
     core.spawn(crash_exchange::follow(core.clone()));
     core.spawn(crash_exchange::publish(core.clone()));
+    core.spawn(crash_exchange::report(core.clone()));
     core.spawn(crash_exchange::expire(core.clone()));
 }
--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -9,7 +9,7 @@
 };
 use tokio::time::sleep;
 
-use super::crash_report::{exchange_with_all, exchange_with_one};
+use super::crash_report::{exchange_with_all, exchange_with_one, report_to_source};
 use crate::relay::fleet::{read_record, write_body};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{OutageLog, TopicReader};
@@ -20,8 +20,8 @@
 const CRASHES: TopicPartition<'static> = TopicPartition::only(CRASH_TOPIC);
 /// Time for which a read waits for new rows; a connection that went silent is noticed after it.
 const READ_WAIT: Duration = Duration::from_secs(2);
-/// Time over which rows are collected for one append.
-const BATCH_TIME: Duration = Duration::from_millis(50);
+/// Time over which crashes are collected for one append or message.
+const BATCH_TIME: Duration = Duration::from_millis(20);
 /// Delay after a failed read, and after the rows were then exchanged with one other router.
 const READ_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Delay after a failed append, and after the rows were then exchanged with all other routers.
@@ -84,6 +84,16 @@
     }
 }
 
+/// Sends crashes that this router saw to the router that it syncs from, so that they don't wait for the next query of the
+/// feed, until the relay closes.
+pub async fn report(core: SharedCore) {
+    loop {
+        core.crashes.wait_for_crash().await;
+        sleep(BATCH_TIME).await;
+        report_to_source(&core).await;
+    }
+}
+
 /// Removes requests whose crashes are long ago, here and in the store, until the relay closes.
 pub async fn expire(core: SharedCore) {
     loop {
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -16,6 +16,8 @@
 pub struct CrashManager {
     tally: Mutex<CrashTally>,
     changed: Notify,
+    /// Signal that this router saw a crash.
+    recorded: Notify,
 }
 
 impl CrashManager {
@@ -24,6 +26,7 @@
         Self {
             tally: Mutex::new(CrashTally::new(router)),
             changed: Notify::new(),
+            recorded: Notify::new(),
         }
     }
 
@@ -36,6 +39,7 @@
         let mut tally = self.tally.lock();
         let verdict = tally.record(request, upstream, wall_clock::now());
         self.changed.notify_waiters();
+        self.recorded.notify_one();
         verdict
     }
 
@@ -116,6 +120,11 @@
         }
     }
 
+    /// Waits until this router has seen a crash since the last call.
+    pub async fn wait_for_crash(&self) {
+        self.recorded.notified().await;
+    }
+
     /// Removes requests whose crashes are long ago; returns the keys of rows to be removed from the store.
     pub fn expire(&self) -> Vec<CrashRowKey> {
         self.tally.lock().expire(wall_clock::now())
--- a/crates/router/src/relay/crashes/crash_report.rs
+++ b/crates/router/src/relay/crashes/crash_report.rs
@@ -1,4 +1,5 @@
-//! Direct exchange of crash counts between two routers, while the store can't be used.
+//! Direct exchange of crash counts between two routers: at once with the router that this one syncs from, and with
+//! others while the store can't be used.
 
 use std::time::Duration;
 
@@ -16,20 +17,29 @@
 /// Timeout of an exchange with one router.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Rows that one router sends to another, as a query or as its answer.
-#[derive(Debug, Default, Serialize, Deserialize)]
+/// Rows that one router sends to another.
+#[derive(Debug, Serialize, Deserialize)]
 struct CrashReport {
-    /// Rows that the sender knows to be in the store.
-    stored: Vec<CrashRow>,
     /// Rows that may not be in the store yet.
     unstored: Vec<CrashRow>,
+    /// Whether the sender needs the other router's rows.
+    wants_rows: bool,
+}
+
+/// Answer to a report; without rows if they were not wanted.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct ReportAnswer {
+    /// Rows that the answering router knows to be in the store.
+    stored: Vec<CrashRow>,
+    /// Its other rows.
+    unstored: Vec<CrashRow>,
 }
 
 /// Exchanges rows with all other registered routers.
 pub async fn exchange_with_all(core: &SharedCore) {
     let own = core.settings.load().host.clone();
     let others = core.fleet.hosts().into_iter().filter(|host| *host != own);
-    join_all(others.map(|host| exchange(core, host))).await;
+    join_all(others.map(|host| send_report(core, host, true))).await;
 }
 
 /// Exchanges rows with one other registered router, chosen at random.
@@ -39,43 +49,62 @@
     others.retain(|host| *host != own);
     let chosen = others.choose(&mut rand::rng()).cloned();
     if let Some(host) = chosen {
-        exchange(core, host).await;
+        send_report(core, host, true).await;
+    }
+}
+
+/// Sends rows to the router that this one syncs from, if there is one; its rows come with the feed.
+pub async fn report_to_source(core: &SharedCore) {
+    if !core.fleet.is_synced_from_peer() {
+        return;
+    }
+    let settings = core.settings.load_full();
+    let now = core.clock.now();
+    let source = core.fleet.sync_source(&settings.host, &settings.zone, now);
+    if let Some(host) = source {
+        send_report(core, host, false).await;
     }
 }
 
-async fn exchange(core: &SharedCore, host: HostName) {
+async fn send_report(core: &SharedCore, host: HostName, wants_rows: bool) {
     let Some(hub) = core.fleet.hub() else {
         return;
     };
-    let query = CrashReport {
-        stored: Vec::new(),
+    let report = CrashReport {
         unstored: core.crashes.unstored(),
+        wants_rows,
     };
-    let answer: Result<CrashReport, _> = hub
-        .send_query(&host, PeerTopic::Quarantine, &query, EXCHANGE_TIMEOUT)
+    let answer: Result<ReportAnswer, _> = hub
+        .send_query(&host, PeerTopic::Quarantine, &report, EXCHANGE_TIMEOUT)
         .await;
     match answer {
-        Ok(answer) => apply(core, answer),
+        Ok(answer) => {
+            core.crashes.merge(answer.stored, RowOrigin::Store);
+            core.crashes.merge(answer.unstored, RowOrigin::Router);
+        }
         Err(error) => {
             spdlog::info!("crashes could not be exchanged with another router: {}", error, kv: {
                 router = host.as_str(),
-                rows = query.unstored.len(),
+                rows = report.unstored.len(),
             });
         }
     }
 }
 
-/// Applies another router's report, and answers with all rows known here.
+/// Merges another router's rows, and answers with all rows known here if it wants them.
 pub fn answer_report(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
     let report: CrashReport = read_body(message, "report")?;
-    apply(core, report);
+    core.crashes.merge(report.unstored, RowOrigin::Router);
+    let answer = match report.wants_rows {
+        true => all_rows(core),
+        false => ReportAnswer::default(),
+    };
+    write_body(&answer, "an answer to a router")
+}
+
+fn all_rows(core: &RelayCore) -> ReportAnswer {
     let unstored = core.crashes.unstored();
     let mut stored = core.crashes.rows();
     stored.retain(|row| !unstored.contains(row));
-    write_body(&CrashReport { stored, unstored }, "an answer to a router")
-}
-
-fn apply(core: &RelayCore, report: CrashReport) {
-    core.crashes.merge(report.stored, RowOrigin::Store);
-    core.crashes.merge(report.unstored, RowOrigin::Router);
+    ReportAnswer { stored, unstored }
 }
