Bound the exchange of crashes during a store outage

Cause, found by reading the change as a whole: while the store could not be written, each router sent all rows that it knew to all others every 0.5 s, its own and those it had just been sent. With 81 routers and a crash of upstreams in an outage that is 13,000 messages a second and a link between each two hosts, where a host has an eighth of a core.

Change: new crashes of a router go to eight others at once; after that, and while reads fail, rows are exchanged with one random router every 0.7 s. Fleets of up to nine routers still tell everyone at once.

--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -9,7 +9,7 @@
 };
 use tokio::time::sleep;
 
-use super::crash_report::{exchange_with_all, exchange_with_one, report_to_source};
+use super::crash_report::{exchange_with_some, report_to_source};
 use crate::relay::fleet::{read_record, write_body};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{OutageLog, TopicReader};
@@ -22,10 +22,11 @@
 const READ_WAIT: Duration = Duration::from_secs(2);
 /// Time over which crashes are collected for one append or message.
 const BATCH_TIME: Duration = Duration::from_millis(20);
-/// Delay after a failed read, and after the rows were then exchanged with one other router.
-const READ_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Delay after a failed append, and after the rows were then exchanged with all other routers.
-const APPEND_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Delay after a failed call, and after rows were then exchanged with other routers.
+const RETRY_DELAY: Duration = Duration::from_millis(700);
+/// Number of routers that new crashes of this router are sent to while they cannot be stored; they pass them on to one
+/// router after each delay.
+const NEWS_FANOUT: usize = 8;
 /// Period of the checks for requests whose crashes are long ago.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
 
@@ -51,8 +52,8 @@
             }
             Err(error) => {
                 outages.record_failure(&error);
-                exchange_with_one(&core).await;
-                sleep(READ_RETRY_DELAY).await;
+                exchange_with_some(&core, 1).await;
+                sleep(RETRY_DELAY).await;
             }
         }
     }
@@ -61,9 +62,10 @@
 /// Stores the rows of this router and of those that sync from it, until the relay closes.
 pub async fn publish(core: SharedCore) {
     let mut outages = OutageLog::new(
-        "the crashes of requests cannot be stored; sent to the other routers instead",
+        "the crashes of requests cannot be stored; sent to other routers instead",
         "the crashes of requests are stored again",
     );
+    let mut last_sent = Vec::new();
     loop {
         core.crashes.wait_for_unstored().await;
         core.fleet.wait_until_unsynced().await;
@@ -77,8 +79,15 @@
             }
             Err(error) => {
                 outages.record_failure(&error);
-                exchange_with_all(&core).await;
-                sleep(APPEND_RETRY_DELAY).await;
+                let own = rows.into_iter().filter(|row| core.crashes.is_own(row));
+                let own: Vec<CrashRow> = own.collect();
+                let routers = match own == last_sent {
+                    true => 1,
+                    false => NEWS_FANOUT,
+                };
+                exchange_with_some(&core, routers).await;
+                last_sent = own;
+                sleep(RETRY_DELAY).await;
             }
         }
     }
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -14,6 +14,8 @@
 /// Crash count, and the signal that rows have to be stored.
 #[derive(Debug)]
 pub struct CrashManager {
+    /// This router, with its incarnation.
+    router: String,
     tally: Mutex<CrashTally>,
     changed: Notify,
     /// Signal that this router saw a crash.
@@ -24,6 +26,7 @@
     /// A manager without crashes; `router` names this router and its incarnation.
     pub fn new(router: &str) -> Self {
         Self {
+            router: router.to_owned(),
             tally: Mutex::new(CrashTally::new(router)),
             changed: Notify::new(),
             recorded: Notify::new(),
@@ -104,6 +107,11 @@
         self.tally.lock().unstored(ROW_LIMIT)
     }
 
+    /// Whether this router counts in `row`.
+    pub fn is_own(&self, row: &CrashRow) -> bool {
+        row.key.router == self.router
+    }
+
     /// All rows.
     pub fn rows(&self) -> Vec<CrashRow> {
         self.tally.lock().rows(ROW_LIMIT)
--- a/crates/router/src/relay/crashes/crash_report.rs
+++ b/crates/router/src/relay/crashes/crash_report.rs
@@ -35,22 +35,17 @@
     unstored: Vec<CrashRow>,
 }
 
-/// Exchanges rows with all other registered routers.
-pub async fn exchange_with_all(core: &SharedCore) {
-    let own = core.settings.load().host.clone();
-    let others = core.fleet.hosts().into_iter().filter(|host| *host != own);
-    join_all(others.map(|host| send_report(core, host, true))).await;
-}
-
-/// Exchanges rows with one other registered router, chosen at random.
-pub async fn exchange_with_one(core: &SharedCore) {
+/// Exchanges rows with `count` of the other registered routers, chosen at random.
+pub async fn exchange_with_some(core: &SharedCore, count: usize) {
     let own = core.settings.load().host.clone();
     let mut others = core.fleet.hosts();
     others.retain(|host| *host != own);
-    let chosen = others.choose(&mut rand::rng()).cloned();
-    if let Some(host) = chosen {
-        send_report(core, host, true).await;
-    }
+    let chosen: Vec<HostName> = others
+        .choose_multiple(&mut rand::rng(), count)
+        .cloned()
+        .collect();
+    let exchanges = chosen.into_iter().map(|host| send_report(core, host, true));
+    join_all(exchanges).await;
 }
 
 /// Sends rows to the router that this one syncs from, if there is one; its rows come with the feed.
