--- a/crates/router/tests/relay/containment.rs
+++ b/crates/router/tests/relay/containment.rs
@@ -139,6 +139,29 @@
     assert_three_crashes_contain(RunKind::Once, THREE_ZONES).await;
 }
 
+/// The same with streams that break off after the head of their answer, which can't be resumed.
+#[tokio::test]
+async fn three_streams_broken_off_at_three_routers_contain_a_request() {
+    let (deployment, replicas) = deployment(RunKind::Stream).await;
+    let breaking = ReplicaPlan {
+        events: 3,
+        break_after: Some(1),
+        ..ReplicaPlan::default()
+    };
+    plan_all(&replicas, &breaking);
+    let relays = start_routers(&deployment, THREE_ZONES).await;
+    for relay in &relays {
+        let answer = call(request(relay, CRASHING, "stream")).await;
+        assert_eq!((answer.status, answer.body), (StatusCode::OK, None));
+        for replica in replicas.iter().filter(|replica| !replica.runs().is_empty()) {
+            replica.crash().await;
+        }
+    }
+    assert_eq!(runs_of(&replicas, CRASHING), 3);
+    sleep(CONTACT_TIME).await;
+    assert_contained(&relays, &replicas).await;
+}
+
 /// Guards against crashes that are counted only once a router has seen three of them itself.
 #[tokio::test]
 async fn equal_requests_that_crash_upstreams_at_the_same_time_are_contained() {
