Store single crashes in batches, and let them go out with the feed

Cause: each row was stored by a call of its own, read at once by the reader of each zone, and pushed at once to each of the 27 routers that sync from it, on hosts with an eighth of a core.

Change: rows of a first crash are collected for a second; those of a request that one more crash quarantines are still stored after 20 ms. Reads are at least 0.7 s apart, and a router that is out of sync for less makes none. Stored rows go out with the feed's next answer (0.4 s) unless they quarantine a request. A crash is known to the fleet within about two seconds at worst, where the users' rule allows three.

--- a/crates/decisions/src/quarantine.rs
+++ b/crates/decisions/src/quarantine.rs
@@ -5,6 +5,9 @@
 //! crashed two upstreams, or one upstream twice, is quarantined on every router. If it was the only
 //! suspect in one of these crashes, all of them are attributed to it, and the other suspects of
 //! these crashes are cleared.
+//!
+//! Relayed requests are counted by [`CrashTally`] instead, which knows no suspects: three upstreams
+//! that ended under a request, over the whole fleet and beyond the life of its routers, quarantine it.
 
 mod answer_counts;
 mod crash_delta;
--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -120,6 +120,11 @@
         rows.take(limit).cloned().collect()
     }
 
+    /// Whether a request is about to be quarantined and has rows that are not in the store.
+    pub fn has_urgent(&self) -> bool {
+        self.entries.values().any(TallyEntry::is_urgent)
+    }
+
     /// All rows, at most `limit`.
     pub fn rows(&self, limit: usize) -> Vec<CrashRow> {
         let rows = self.entries.values().flat_map(TallyEntry::rows);
--- a/crates/decisions/src/quarantine/tally_entry.rs
+++ b/crates/decisions/src/quarantine/tally_entry.rs
@@ -118,14 +118,22 @@
     /// Rows that are not in the store as they are here.
     pub(super) fn unstored(&self) -> impl Iterator<Item = &CrashRow> {
         // Answers matter only to a request that is about to be quarantined.
-        let shares_answers = || self.crashed() + 1 >= QUARANTINE_UPSTREAMS;
         let rows = self.rows.iter();
-        rows.filter(move |held| {
-            held.has_new_crashes() || (held.has_new_answers() && shares_answers())
+        rows.filter(|held| {
+            held.has_new_crashes() || (held.has_new_answers() && self.is_near_quarantine())
         })
         .map(|held| &held.row)
     }
 
+    /// Whether there are rows that are not in the store, and one more crash quarantines the request.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.unstored().next().is_some() && self.is_near_quarantine()
+    }
+
+    fn is_near_quarantine(&self) -> bool {
+        self.crashed() + 1 >= QUARANTINE_UPSTREAMS
+    }
+
     /// Keys of the rows that are in the store.
     pub(super) fn stored_keys(self) -> impl Iterator<Item = CrashRowKey> {
         let stored = self.rows.into_iter().filter(|held| held.stored.is_some());
--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -7,7 +7,7 @@
 use ferry_platform::store::{
     AppendCondition, KeyedRecord, StoreError, TopicPartition, encode_keyed,
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::crash_report::{exchange_with_some, report_to_source};
 use crate::relay::fleet::{read_record, write_body};
@@ -22,6 +22,10 @@
 const READ_WAIT: Duration = Duration::from_secs(2);
 /// Time over which crashes are collected for one append or message.
 const BATCH_TIME: Duration = Duration::from_millis(20);
+/// The same for appends that complete no quarantine: most requests that meet a crash did not cause it.
+const SINGLE_CRASH_BATCH_TIME: Duration = Duration::from_secs(1);
+/// Minimum time between two reads.
+const READ_INTERVAL: Duration = Duration::from_millis(700);
 /// Delay after a failed call, and after rows were then exchanged with other routers.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 /// Number of routers that new crashes of this router are sent to while they cannot be stored; they pass them on to one
@@ -39,6 +43,10 @@
     );
     loop {
         core.fleet.wait_until_unsynced().await;
+        sleep(READ_INTERVAL).await;
+        if core.fleet.is_synced_from_peer() {
+            continue;
+        }
         // While the store fails, reads do not wait, so that its recovery is noticed soon.
         let wait = match outages.is_failing() {
             true => Duration::ZERO,
@@ -69,13 +77,19 @@
     loop {
         core.crashes.wait_for_unstored().await;
         core.fleet.wait_until_unsynced().await;
-        sleep(BATCH_TIME).await;
+        let urgent = timeout(SINGLE_CRASH_BATCH_TIME, core.crashes.wait_for_urgent()).await;
+        if urgent.is_ok() {
+            sleep(BATCH_TIME).await;
+        }
         let rows = core.crashes.unstored();
         match append(&core, &rows).await {
             Ok(()) => {
                 outages.record_success();
                 core.crashes.mark_stored(&rows);
                 core.fleet.feed.put_crashes(&rows);
+                if urgent.is_ok() {
+                    core.fleet.feed.wake();
+                }
             }
             Err(error) => {
                 outages.record_failure(&error);
@@ -128,7 +142,9 @@
 /// Merges rows that are in the store, and passes them on to the routers that sync from this one.
 pub fn apply_stored(core: &SharedCore, rows: Vec<CrashRow>) {
     core.fleet.feed.put_crashes(&rows);
-    core.crashes.merge(rows, RowOrigin::Store);
+    if core.crashes.merge(rows, RowOrigin::Store) {
+        core.fleet.feed.wake();
+    }
 }
 
 async fn append(core: &SharedCore, rows: &[CrashRow]) -> Result<(), StoreError> {
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -74,11 +74,12 @@
         self.tally.lock().quarantined(wall_clock::now())
     }
 
-    /// Merges rows of other routers.
-    pub fn merge(&self, rows: Vec<CrashRow>, origin: RowOrigin) {
+    /// Merges rows of other routers; returns whether a request is quarantined by them.
+    pub fn merge(&self, rows: Vec<CrashRow>, origin: RowOrigin) -> bool {
         if rows.is_empty() {
-            return;
+            return false;
         }
+        let mut quarantines = false;
         let now = wall_clock::now();
         let mut tally = self.tally.lock();
         for row in rows {
@@ -86,6 +87,7 @@
             let before = tally.is_quarantined(&request, now);
             let is_news = tally.merge(row, origin, now);
             if is_news && !before && tally.is_quarantined(&request, now) {
+                quarantines = true;
                 spdlog::info!("request quarantined by another router", kv: {
                     router = router,
                     fingerprint = request.to_string(),
@@ -94,6 +96,7 @@
             }
         }
         self.changed.notify_waiters();
+        quarantines
     }
 
     /// Marks these versions of rows as being in the store.
@@ -119,9 +122,18 @@
 
     /// Waits until there are rows that are not in the store.
     pub async fn wait_for_unstored(&self) {
+        self.wait_until(|tally| !tally.unstored(1).is_empty()).await;
+    }
+
+    /// Waits until such rows are about a request that is about to be quarantined.
+    pub async fn wait_for_urgent(&self) {
+        self.wait_until(CrashTally::has_urgent).await;
+    }
+
+    async fn wait_until(&self, condition: impl Fn(&CrashTally) -> bool) {
         loop {
             let changed = self.changed.notified();
-            if !self.tally.lock().unstored(1).is_empty() {
+            if condition(&self.tally.lock()) {
                 return;
             }
             changed.await;
--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -23,7 +23,7 @@
     /// Incarnation of this router.
     incarnation: String,
     state: Mutex<FeedState>,
-    /// Revision of the last change, to wake the tasks that wait for one.
+    /// Revision of the last change that wakes the tasks that wait for one.
     revision: watch::Sender<u64>,
 }
 
@@ -102,7 +102,8 @@
         }
     }
 
-    /// Stores crash counts; rows that are already known count as no change.
+    /// Stores crash counts; rows that are already known count as no change. Wakes no task: they go out with the next
+    /// answer, unless [`Self::wake`] is called.
     pub fn put_crashes(&self, rows: &[CrashRow]) {
         let mut state = self.state.lock();
         for row in rows {
@@ -110,7 +111,7 @@
                 continue;
             }
             state.crashes.insert(row.key.clone(), row.clone());
-            self.push(&mut state, FeedChange::Crashes(Box::new(row.clone())));
+            state.push(FeedChange::Crashes(Box::new(row.clone())));
         }
     }
 
@@ -139,17 +140,20 @@
     }
 
     fn push(&self, state: &mut FeedState, change: FeedChange) {
-        state.revision += 1;
-        state.recent.push_back(change);
-        if state.recent.len() > CHANGE_LIMIT {
-            state.recent.pop_front();
-        }
-        let revision = state.revision;
-        self.revision.send_replace(revision);
+        state.push(change);
+        self.revision.send_replace(state.revision);
     }
 }
 
 impl FeedState {
+    fn push(&mut self, change: FeedChange) {
+        self.revision += 1;
+        self.recent.push_back(change);
+        if self.recent.len() > CHANGE_LIMIT {
+            self.recent.pop_front();
+        }
+    }
+
     /// Full state, encoded once per revision.
     fn encode_full(&mut self) -> Bytes {
         if let Some((revision, encoded)) = &self.full_state
