Read the stored crashes at once at a router's start

Cause: the pause came before the first read too, so that a relay that had just started served a request for 0.7 s before it knew of the crashes. Excluded: the batches themselves and the feed; the late sends are at the restarts of a relay.

Change: the pause comes after a read.

--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -24,7 +24,7 @@
 const BATCH_TIME: Duration = Duration::from_millis(20);
 /// The same for appends that complete no quarantine: most requests that meet a crash did not cause it.
 const SINGLE_CRASH_BATCH_TIME: Duration = Duration::from_secs(1);
-/// Minimum time between two reads.
+/// Delay after a read.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 /// Delay after a failed call, and after rows were then exchanged with other routers.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -43,10 +43,6 @@
     );
     loop {
         core.fleet.wait_until_unsynced().await;
-        sleep(READ_INTERVAL).await;
-        if core.fleet.is_synced_from_peer() {
-            continue;
-        }
         // While the store fails, reads do not wait, so that its recovery is noticed soon.
         let wait = match outages.is_failing() {
             true => Duration::ZERO,
@@ -57,6 +53,7 @@
                 outages.record_success();
                 let rows = changes.records.iter().filter_map(decode_row).collect();
                 apply_stored(&core, rows);
+                sleep(READ_INTERVAL).await;
             }
             Err(error) => {
                 outages.record_failure(&error);
