Log the service and the retries left with each send, and the number of routers

Change: two fields in the line 'request sent', a line when the number of registered routers changes, and a counter of sends by service and kind. No decision is changed.

--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -75,6 +75,10 @@
                 .collect();
             hub.set_directory(&directory);
         }
+        let before = self.router_count();
+        if routers.len() != before {
+            spdlog::info!("number of registered routers changed", kv: { routers = routers.len(), before = before });
+        }
         *self.routers.lock() = Some(routers);
     }
 
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -12,8 +12,18 @@
     /// Logs a send before it is made, with the state on which the choice of the upstream is based and its age.
     pub(super) fn log_send(&self, upstream: &RelayUpstream) {
         let core = &self.core;
+        let service = &upstream.record.service;
+        let kind = if self.record.sends == 1 {
+            "first"
+        } else {
+            "repeat"
+        };
+        metrics::counter!("ferry_relay_sends_total", "service" => service.to_string(), "kind" => kind)
+            .increment(1);
         spdlog::info!("request sent", kv: {
             request_id = self.request.id.as_str(),
+            service = service.as_str(),
+            retries_left = format!("{:.1}", core.retries_left(service)),
             upstream = upstream.id(),
             version = upstream.record.version.as_str(),
             model = self.record.model.as_str(),
