--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 mod process;
 mod relay_fixture;
 mod relay_process;
+mod retry_bound;
 mod rig_client;
 mod wait;
 
@@ -23,5 +24,6 @@
     fixture_rule,
 };
 pub use relay_process::RelayProcess;
+pub use retry_bound::{RetryBound, RetryExcess};
 pub use rig_client::{ChatCall, RigClient, read_refusal};
 pub use wait::{LONG_WAIT, eventually};
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod feeds;
 mod requests;
+mod retry_budget;
 mod rollouts;
 mod rules;
 mod stops;
