Replace the routers' windows of retries by buckets that start empty

Cause: each router held its own sliding window to its own share. Such windows don't add up to one of the fleet: a router that restarts forgets what it spent, each start had a whole share of the burst, and the windows of two routers end at different times. Excluded: the connection failures that cost no retry, since nothing arrives then; the rounding of the window's slots (100 ms). Change: a token bucket for each service. It starts empty, each request adds to it, and what may be left over is bounded by the requests of the last window; a part of the burst is added once, after a whole window. The sum of the buckets keeps the bound without a message (docs/decisions/retries.md). The model no_window_exceeds_the_budget, of one window of one router, is replaced by one of eight routers with restarts and any traffic, which is stricter; the tests' relays get a high retry ratio, since a relay that has just started had its retries from the burst. With a burst at each start, or all of the ratio saved, the model fails.

--- a/crates/decisions/src/retry.rs
+++ b/crates/decisions/src/retry.rs
@@ -1,12 +1,14 @@
 //! Retries: which failed requests may be sent again, and budgets that limit retries per workspace
 //! or service.
 
+mod fleet_retry_bound;
 mod retry_budget;
 mod retry_policy;
+mod retry_share;
 mod upstream_failure;
-mod window_budget;
 
+pub use fleet_retry_bound::FleetRetryBound;
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
 pub use retry_policy::{GiveUpReason, RetryPolicy, RetryQuery, RetryVerdict};
+pub use retry_share::{RetryShare, RetryShareConfig};
 pub use upstream_failure::{RunState, UpstreamFailure};
-pub use window_budget::{WindowBudget, WindowBudgetConfig};
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use ferry_decisions::names::{Incarnation, ServiceName};
 use ferry_decisions::registry::UpstreamRegistry;
-use ferry_decisions::retry::{WindowBudget, WindowBudgetConfig};
+use ferry_decisions::retry::{FleetRetryBound, RetryShare, RetryShareConfig};
 use ferry_decisions::ruleset::RuleSet;
 use ferry_decisions::time::MonotonicTime;
 use ferry_kernel::http::LimitsCell;
@@ -28,13 +28,6 @@
 
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Minimum number of shares into which the fleet's retry burst is divided, since some routers may be
-/// unknown or restart with a new share.
-const MIN_BURST_SHARES: f64 = 12.0;
-/// Number of shares of the retry burst per known router.
-const BURST_SHARES_PER_ROUTER: f64 = 1.5;
-/// Fraction of the allowed retry ratio that this router uses.
-const RETRY_RATIO_FRACTION: f64 = 0.9;
 
 /// State of one relay process.
 pub struct RelayCore {
@@ -68,7 +61,7 @@
     pub work: TaskTracker,
     /// Cancels the background tasks.
     pub closing: CancellationToken,
-    budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
+    retries: Mutex<HashMap<ServiceName, RetryShare>>,
     phase: PhaseCell,
 }
 
@@ -91,7 +84,7 @@
             rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
-            budgets: Mutex::default(),
+            retries: Mutex::default(),
             phase: PhaseCell::default(),
             settings: ArcSwap::from_pointee(settings),
         }
@@ -125,48 +118,48 @@
 
     /// Counts a request of `service` towards its retry budget.
     pub fn record_new_request(&self, service: &ServiceName) {
-        self.with_budget(service, WindowBudget::record_new_request);
+        self.with_retries(service, RetryShare::record_new_request);
     }
 
     /// Takes one retry from the budget of `service` if at least `reserved` further retries remain; returns
     /// whether it did.
     pub fn spend_retry(&self, service: &ServiceName, reserved: f64) -> bool {
-        self.with_budget(service, |budget, config, now| {
-            budget.spend(config, reserved, now)
+        self.with_retries(service, |share, config, now| {
+            share.spend(config, reserved, now)
         })
     }
 
     /// Retries that the budget of `service` covers now.
     pub fn retries_left(&self, service: &ServiceName) -> f64 {
-        self.with_budget(service, WindowBudget::left)
+        self.with_retries(service, RetryShare::left)
     }
 
     /// Estimated requests per second of the whole fleet to `service`: the rate of this router times
     /// the number of routers.
     pub fn fleet_rate(&self, service: &ServiceName) -> f64 {
-        let own = self.with_budget(service, WindowBudget::new_request_rate);
+        let own = self.with_retries(service, RetryShare::new_request_rate);
         own * self.fleet.router_count().max(1) as f64
     }
 
-    fn with_budget<R>(
+    fn with_retries<R>(
         &self,
         service: &ServiceName,
-        action: impl FnOnce(&mut WindowBudget, &WindowBudgetConfig, MonotonicTime) -> R,
+        action: impl FnOnce(&mut RetryShare, &RetryShareConfig, MonotonicTime) -> R,
     ) -> R {
-        let (config, now) = (self.budget_config(), self.clock.now());
-        let mut budgets = self.budgets.lock();
-        let budget = budgets.entry(service.clone()).or_default();
-        action(budget, &config, now)
+        let (config, now) = (self.retry_share(), self.clock.now());
+        let mut retries = self.retries.lock();
+        let share = retries.entry(service.clone()).or_default();
+        action(share, &config, now)
     }
 
-    fn budget_config(&self) -> WindowBudgetConfig {
+    fn retry_share(&self) -> RetryShareConfig {
         let bounds = self.settings.load().bounds;
-        let known = self.fleet.router_count() as f64 * BURST_SHARES_PER_ROUTER;
-        WindowBudgetConfig {
-            ratio: bounds.retry_ratio * RETRY_RATIO_FRACTION,
-            burst: bounds.retry_burst / known.max(MIN_BURST_SHARES),
+        let bound = FleetRetryBound {
+            ratio: bounds.retry_ratio,
+            burst: bounds.retry_burst,
             window: bounds.retry_window,
-        }
+        };
+        bound.share(self.fleet.router_count(), self.clock.elapsed())
     }
 }
 
