Take no part of the retry burst while the number of routers is not known

What upstreams saw, in a test: 30 routers that start together, and a store that can't be listed right after: 60 repeated sends, 24 are allowed. Cause: the list that a router reads when it joins doesn't have those that start together with it, and the next one, 1.5 s later, may fail; until then it divided the burst by the few that it knew, so that each took the twelfth that is meant for a fleet of eight. Excluded: routers that start later than the list of another one, for which the factor 1.5 leaves room up to a doubling of the fleet. Change: a router divides limits of the fleet only by a list that it read 1.5 s after it had registered or later.

--- a/crates/decisions/src/retry/fleet_retry_bound.rs
+++ b/crates/decisions/src/retry/fleet_retry_bound.rs
@@ -26,22 +26,27 @@
 }
 
 impl FleetRetryBound {
-    /// Share of a router that runs for `uptime` in a fleet of `routers`.
-    ///
-    /// A router has no part of the burst until it has run for a whole window: until then, an earlier process on its
-    /// host may have spent that part in the same window.
-    pub fn share(&self, routers: usize, uptime: Duration) -> RetryShareConfig {
-        let shares = (routers as f64 * BURST_SHARES_PER_ROUTER).max(MIN_BURST_SHARES);
-        let has_burst = uptime >= self.window;
+    /// Share of a router that runs for `uptime` in a fleet of `routers`; `None` if their number is not known.
+    pub fn share(&self, routers: Option<usize>, uptime: Duration) -> RetryShareConfig {
         let used = self.ratio * USED_FRACTION;
         let earned = used * (1.0 - SAVED_FRACTION);
         // A router may have the retries of its newest request left besides.
-        let burst = (self.burst / shares - earned).max(0.0);
+        let burst = self.part_of_burst(routers, uptime) - earned;
         RetryShareConfig {
             earned,
             saved: used * SAVED_FRACTION,
-            burst: if has_burst { burst } else { 0.0 },
+            burst: burst.max(0.0),
             window: self.window,
         }
     }
+
+    /// A router has no part of the burst until it has run for a whole window: until then, an earlier process on its
+    /// host may have spent that part in the same window.
+    fn part_of_burst(&self, routers: Option<usize>, uptime: Duration) -> f64 {
+        let Some(routers) = routers.filter(|_| uptime >= self.window) else {
+            return 0.0;
+        };
+        let shares = (routers as f64 * BURST_SHARES_PER_ROUTER).max(MIN_BURST_SHARES);
+        self.burst / shares
+    }
 }
--- a/crates/decisions/tests/retry_share.rs
+++ b/crates/decisions/tests/retry_share.rs
@@ -22,7 +22,7 @@
 
 /// Share of a router of the model that has run for a long time.
 fn mature() -> RetryShareConfig {
-    BOUND.share(ROUTERS, Duration::from_secs(60))
+    BOUND.share(Some(ROUTERS), Duration::from_secs(60))
 }
 
 /// What happens at one router.
@@ -70,7 +70,7 @@
     /// Applies `event`; returns the number of new requests and of retries.
     fn apply(&mut self, event: RouterEvent, now_ms: u64) -> (u32, u32) {
         let uptime = Duration::from_millis(now_ms - self.started_ms);
-        let (config, now) = (BOUND.share(ROUTERS, uptime), at(now_ms));
+        let (config, now) = (BOUND.share(Some(ROUTERS), uptime), at(now_ms));
         match event {
             RouterEvent::Requests(count) => {
                 for _ in 0..count {
@@ -132,11 +132,20 @@
 #[test]
 fn a_router_has_no_part_of_the_burst_until_it_has_run_for_a_window() {
     let mut share = RetryShare::default();
-    let young = BOUND.share(ROUTERS, Duration::from_secs(9));
+    let young = BOUND.share(Some(ROUTERS), Duration::from_secs(9));
     assert!(!share.spend(&young, 0.0, at(9_000)));
     assert!(share.spend(&mature(), 0.0, at(10_000)));
 }
 
+/// Guards against routers that each take the part that is meant for a small fleet.
+#[test]
+fn a_router_that_does_not_know_the_number_of_routers_has_no_part_of_the_burst() {
+    let mut share = RetryShare::default();
+    let unknown = BOUND.share(None, Duration::from_secs(60));
+    assert!(!share.spend(&unknown, 0.0, at(60_000)));
+    assert!(share.spend(&mature(), 0.0, at(60_001)));
+}
+
 /// Guards against a burst that comes back with each change of the number of routers.
 #[test]
 fn a_router_gets_its_part_of_the_burst_once() {
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -50,7 +50,10 @@
     sleep(FIRST_LIST_DELAY).await;
     loop {
         match core.store.newest_all(ROUTERS).await {
-            Ok((entries, _)) => core.fleet.set_routers(routers(&entries)),
+            Ok((entries, _)) => {
+                core.fleet.set_routers(routers(&entries));
+                core.fleet.confirm_list();
+            }
             Err(error) => spdlog::debug!("the routers could not be listed: {}", error),
         }
         let started_at = core.clock.now();
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -36,6 +37,8 @@
     hub: OnceLock<Arc<PeerHub>>,
     /// Registered routers; absent until they were first listed.
     routers: Mutex<Option<Vec<RouterEntry>>>,
+    /// Whether they were listed after routers that started together with this one had time to register.
+    has_full_list: AtomicBool,
     /// Time of the last failure of each router that failed to answer.
     failed: Mutex<HashMap<HostName, MonotonicTime>>,
     /// Whether this router gets the store's content from another router.
@@ -48,6 +51,7 @@
             feed: FeedSource::default(),
             hub: OnceLock::new(),
             routers: Mutex::default(),
+            has_full_list: AtomicBool::new(false),
             failed: Mutex::default(),
             synced_from_peer: watch::Sender::new(false),
         }
@@ -82,6 +86,18 @@
         *self.routers.lock() = Some(routers);
     }
 
+    /// Records that the list has the routers that started together with this one.
+    pub fn confirm_list(&self) {
+        self.has_full_list.store(true, Ordering::Release);
+    }
+
+    /// Number of routers by which a limit of the fleet can be divided; `None` until the list has those that started
+    /// together with this one.
+    pub fn confirmed_count(&self) -> Option<usize> {
+        let is_confirmed = self.has_full_list.load(Ordering::Acquire);
+        is_confirmed.then(|| self.router_count())
+    }
+
     /// Hosts of all registered routers.
     pub fn hosts(&self) -> Vec<HostName> {
         let routers = self.routers.lock();
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -159,7 +159,7 @@
             burst: bounds.retry_burst,
             window: bounds.retry_window,
         };
-        bound.share(self.fleet.router_count(), self.clock.elapsed())
+        bound.share(self.fleet.confirmed_count(), self.clock.elapsed())
     }
 }
 
--- a/crates/router/tests/relay/retry_budget.rs
+++ b/crates/router/tests/relay/retry_budget.rs
@@ -6,6 +6,7 @@
 use ferry_decisions::ruleset::RunKind;
 use ferry_rig::RetryBound;
 use ferry_router::relay::RelayDaemon;
+use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use futures::future::join_all;
 use hyper::StatusCode;
@@ -177,3 +178,27 @@
     fleet.call_each(&relays.iter().collect::<Vec<_>>(), 2).await;
     fleet.assert_within_bound();
 }
+
+/// Guards against routers that divide the burst by the routers that had registered before them.
+#[tokio::test]
+async fn routers_that_could_not_list_the_others_take_no_part_of_the_burst() {
+    let bound = RetryBound {
+        ratio: 0.0,
+        burst: 24.0,
+        window: Duration::from_secs(3),
+    };
+    let mut fleet = RetryFleet::start(bound).await;
+    fleet.plan(&full());
+    let hosts: Vec<String> = (0..30).map(|number| format!("entry-{number}")).collect();
+    let relays = join_all(hosts.iter().map(|host| fleet.start_router(host))).await;
+    fleet.deployment.store.set_faults(FaultOrder {
+        outage: Some(OutageOrder {
+            answer: OutageAnswer::Unavailable,
+            path: "/api/log-newest".to_owned(),
+        }),
+        ..FaultOrder::default()
+    });
+    sleep(bound.window).await;
+    fleet.call_each(&relays.iter().collect::<Vec<_>>(), 1).await;
+    fleet.assert_within_bound();
+}
