Let routers that start together know one another from their join on

Cause: each read the list before it wrote its own entry, so that none knew another; the next list, 1.5 s later, failed, and was tried again after 15 s. In between nobody could exchange crashes. Excluded: the exchange itself, which the test of an outage that begins later holds. Change: the list is read again after the own entry was written, so that of two routers one at least knows the other; a list that has never succeeded is tried again after 1.5 s. It costs one call to the store at each start.

--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -23,7 +23,8 @@
 const ROUTER_PREFIX: &str = "router/";
 /// Delay after a failed attempt to join.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Delay before the routers are first listed, so that routers that start together have registered.
+/// Delay before the routers are listed again after the join, so that those that start together have registered, and
+/// after such a list failed.
 const FIRST_LIST_DELAY: Duration = Duration::from_millis(1_500);
 /// Period of the reads of the routers' list.
 const LIST_PERIOD: Duration = Duration::from_secs(15);
@@ -54,7 +55,13 @@
                 core.fleet.set_routers(routers(&entries));
                 core.fleet.confirm_list();
             }
-            Err(error) => spdlog::debug!("the routers could not be listed: {}", error),
+            Err(error) => {
+                spdlog::info!("the routers could not be listed: {}", error);
+                if core.fleet.confirmed_count().is_none() {
+                    sleep(FIRST_LIST_DELAY).await;
+                    continue;
+                }
+            }
         }
         let started_at = core.clock.now();
         let _ = timeout(LIST_PERIOD, core.fleet.wait_until_unsynced()).await;
@@ -93,6 +100,8 @@
         AppendCondition::None,
     )
     .await?;
+    // Read after the own entry was written: of two routers that start together, one at least knows the other then.
+    let (entries, _) = core.store.newest_all(ROUTERS).await?;
     core.fleet.set_routers(routers(&entries));
     Ok(())
 }
--- a/crates/router/tests/relay/containment.rs
+++ b/crates/router/tests/relay/containment.rs
@@ -11,6 +11,7 @@
 use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::replica::RunStatus;
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
+use futures::future::join_all;
 use hyper::StatusCode;
 use tokio::time::sleep;
 
@@ -36,6 +37,8 @@
     ("entry-2", "zone-b"),
     ("entry-3", "zone-c"),
 ];
+/// Topic of the routers' entries.
+const ROUTER_TOPIC: &str = "keyed.routers";
 /// Path of the request that crashes upstreams.
 const CRASHING: &str = "/letters/7";
 /// Path of a request that crashes no upstream.
@@ -228,6 +231,37 @@
     assert_eq!(runs_of(&replicas, CRASHING), before);
 }
 
+/// Guards against routers that start together just before an outage and don't know one another.
+#[tokio::test]
+async fn crashes_in_an_outage_that_begins_at_the_start_contain_a_request() {
+    let (deployment, replicas) = deployment(RunKind::Once).await;
+    // A fleet that ran before has a secret, so that no router waits for another one to write it.
+    deployment
+        .store
+        .put(ROUTER_TOPIC, "secret", b"of-the-fleet");
+    let starts = THREE_ZONES.map(|(host, zone)| deployment.relay_in(host, zone));
+    let relays = join_all(starts).await;
+    eventually("each router has registered", async || {
+        THREE_ZONES.iter().all(|(host, _)| {
+            let key = format!("router/{host}");
+            deployment.store.newest(ROUTER_TOPIC, &key).is_some()
+        })
+    })
+    .await;
+    deployment.store.set_faults(FaultOrder {
+        outage: Some(OutageOrder {
+            answer: OutageAnswer::Unavailable,
+            path: String::new(),
+        }),
+        ..FaultOrder::default()
+    });
+    send_to_all(&relays, &replicas, 1).await;
+    sleep(CONTACT_TIME).await;
+    let before = runs_of(&replicas, CRASHING);
+    send_to_all(&relays, &replicas, LATER_SENDS).await;
+    assert_eq!(runs_of(&replicas, CRASHING), before);
+}
+
 /// Guards against an upstream that restarts under its id and counts only once.
 #[tokio::test]
 async fn three_crashes_of_an_upstream_that_restarts_under_its_id_contain_a_request() {
