Send an upstream nothing for as long as its Retry-After asks

What upstreams saw, in a test: one that answers 503 with Retry-After got 28 requests from a router in one pause; the users' rule allows two from half a second after the answer on. Cause: nothing in the code read that header of an upstream. When all are paused, requests are refused at once with the soonest end as Retry-After. The stand-in can ask for pauses.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod link_proxy;
 mod operator_tool;
+mod pause_bound;
 mod process;
 mod relay_fixture;
 mod relay_process;
@@ -18,6 +19,7 @@
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
 pub use link_proxy::LinkProxy;
 pub use operator_tool::ToolOutput;
+pub use pause_bound::worst_pause_excess;
 pub use process::{ChildProcess, RigError};
 pub use relay_fixture::{
     HOST_NAME, KEY, RelayFixture, SERVICE, WORKSPACE, fixture_headers, fixture_request,
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -1,6 +1,7 @@
 //! Choice of the upstream of a service that a request is sent to.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ferry_decisions::choice::{
     ChoiceConfig, ChoicePoints, ChoiceQuery, NoUpstream, UpstreamChoice, UpstreamState,
@@ -39,7 +40,7 @@
 
 /// Chooses the upstream of `service` that `request` is sent to next.
 ///
-/// Suspect upstreams are used only when no other upstream is left.
+/// Suspect upstreams are used only when no other upstream is left, and those that asked for a pause never.
 ///
 /// # Errors
 ///
@@ -54,7 +55,8 @@
 ) -> Result<Arc<RelayUpstream>, NoUpstream> {
     let now = core.clock.now();
     let list = core.upstreams.of_service(service);
-    let eligible = allowed_versions(&list, pick);
+    let mut eligible = allowed_versions(&list, pick);
+    eligible.retain(|upstream| upstream.pause_left().is_none());
     let mut views: SmallVec<[UpstreamView<'_>; INLINE_UPSTREAMS]> =
         eligible.iter().map(|upstream| upstream.view(now)).collect();
     let zone: ZoneName = core.settings.load().zone.clone();
@@ -83,6 +85,13 @@
     Ok(Arc::clone(eligible[index]))
 }
 
+/// Time until the first upstream of `service` that asked for a pause gets requests again; `None` if none did.
+pub fn soonest_pause_end(core: &RelayCore, service: &ServiceName) -> Option<Duration> {
+    let list = core.upstreams.of_service(service);
+    let serving = list.iter().filter(|upstream| !upstream.is_leaving());
+    serving.filter_map(|upstream| upstream.pause_left()).min()
+}
+
 /// The upstreams that `pick` allows; all upstreams if each of the allowed ones is leaving.
 fn allowed_versions<'a>(
     list: &'a [Arc<RelayUpstream>],
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::RelayRun;
-use super::run_placement::{choose_upstream, conversation_point};
+use super::run_placement::{choose_upstream, conversation_point, soonest_pause_end};
 use super::session_hold::SessionHold;
 use super::upstream_send::UpstreamAnswer;
 use crate::relay::request::{RefusalReason, RelayRefusal};
@@ -65,7 +65,11 @@
         );
         chosen.map_err(|error: NoUpstream| {
             spdlog::debug!("request {}: {}", self.request.id, error);
-            refuse(RefusalReason::NoUpstream).with_run(self.run)
+            match soonest_pause_end(&self.core, service) {
+                Some(end) => refuse(RefusalReason::Busy).with_retry_after(end),
+                None => refuse(RefusalReason::NoUpstream),
+            }
+            .with_run(self.run)
         })
     }
 
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -75,6 +75,17 @@
     let (response, lease) = exchange(upstream, outgoing).await?;
     let (head, body) = response.into_parts();
     let facts = AnswerFacts::read(&head.headers);
+    if let Some(pause) = facts
+        .pause
+        .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
+    {
+        upstream.pause(pause);
+        spdlog::info!("upstream asks for a pause", kv: {
+            request_id = attempt_id,
+            upstream = upstream.id(),
+            pause_ms = pause.as_millis() as u64,
+        });
+    }
     let answer = UpstreamAnswer {
         head,
         facts,
@@ -109,6 +120,10 @@
             spdlog::debug!("cannot connect to upstream {}: {}", upstream.id(), error);
             SendFailure::without_answer(UpstreamFailure::ConnectFailed)
         })?;
+    if upstream.pause_left().is_some() {
+        // It asked for the pause while the connection was opened.
+        return Err(SendFailure::without_answer(UpstreamFailure::RefusedNotRun));
+    }
     exchange_on(upstream, link, outgoing).await
 }
 
--- a/crates/router/src/relay/status/service_status.rs
+++ b/crates/router/src/relay/status/service_status.rs
@@ -18,6 +18,9 @@
     /// Number of upstreams that broke or refused a connection a moment ago, and get no new requests
     /// while others can take them.
     pub suspect: u32,
+    /// Number of upstreams that asked this relay for a pause, which has not ended; absent from relays of an older build.
+    #[serde(default)]
+    pub paused: u32,
     /// Number of requests of this relay in flight.
     pub in_flight: u32,
     /// Number of retries that its budget covers now; may be a fraction or below 0.
@@ -42,11 +45,13 @@
             live: 0,
             leaving: 0,
             suspect: 0,
+            paused: 0,
             in_flight: 0,
             repeats_left: core.retries_left(service),
         };
         for upstream in core.upstreams.of_service(service).iter() {
             match upstream.view(now).state {
+                UpstreamState::Live if upstream.pause_left().is_some() => status.paused += 1,
                 UpstreamState::Live => status.live += 1,
                 UpstreamState::Leaving => status.leaving += 1,
                 UpstreamState::Suspect => status.suspect += 1,
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -9,6 +9,7 @@
 use ferry_decisions::time::MonotonicTime;
 use ferry_platform::headers::LoadFacts;
 use parking_lot::Mutex;
+use tokio::time::Instant;
 
 use super::UpstreamLink;
 
@@ -48,6 +49,8 @@
     received: Option<ReceivedLoad>,
     latency: Option<UpstreamLatency>,
     suspect_until: Option<MonotonicTime>,
+    /// End of the pause that the upstream asked for; absent if it never asked.
+    paused_until: Option<Instant>,
 }
 
 /// A load that the upstream reported with a response.
@@ -126,6 +129,20 @@
         self.state.lock().suspect_until = None;
     }
 
+    /// Excludes it from all requests for `pause`, as it has asked; an earlier pause that ends later stays.
+    pub fn pause(&self, pause: Duration) {
+        let until = Instant::now() + pause;
+        let mut state = self.state.lock();
+        state.paused_until = state.paused_until.max(Some(until));
+    }
+
+    /// Time left of the pause that it asked for; `None` if it may get requests.
+    pub fn pause_left(&self) -> Option<Duration> {
+        let until = self.state.lock().paused_until?;
+        let left = until.checked_duration_since(Instant::now())?;
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Records the load that it reported at `now`.
     pub fn record_load(&self, facts: LoadFacts, now: MonotonicTime) {
         let mut state = self.state.lock();
--- a/crates/router/tests/relay/failures.rs
+++ b/crates/router/tests/relay/failures.rs
@@ -5,10 +5,12 @@
 use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::RunKind;
 use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_rig::worst_pause_excess;
 use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::replica::RunStatus;
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::StatusCode;
+use tokio::time::{Instant, sleep};
 
 use crate::deployment::{Deployment, call, eventually, request, rule};
 
@@ -234,3 +236,58 @@
     let (failures, total) = (failing.runs().len(), waves * 2 * REQUEST_COUNT);
     assert!(failures * 8 < total, "{failures} of {total}");
 }
+
+/// Guards against an upstream's Retry-After that is not read: it got requests all through the pause.
+#[tokio::test]
+async fn an_upstream_that_asks_for_a_pause_gets_no_request_until_its_end() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let pausing = deployment.replica("up-1", "v1").await;
+    pausing.plan(ReplicaPlan {
+        full: true,
+        pause: Some(Duration::from_millis(1_500)),
+        ..ReplicaPlan::default()
+    });
+    let other = deployment.replica("up-2", "v1").await;
+    let relay = deployment.relay().await;
+    let until = Instant::now() + Duration::from_secs(3);
+    for number in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        sleep(Duration::from_millis(10)).await;
+    }
+    let refused = pausing.runs();
+    assert!(refused.len() >= 2, "it gets requests again after the pause");
+    assert_eq!(worst_pause_excess(&refused), None);
+    assert!(finished_runs(&other) > REQUEST_COUNT);
+}
+
+/// Guards against requests that wait or are tried elsewhere although each upstream asks for a pause.
+#[tokio::test]
+async fn requests_are_refused_until_the_soonest_end_of_the_upstreams_pauses() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let mut replicas = Vec::new();
+    for (id, seconds) in [("up-1", 20), ("up-2", 10)] {
+        let replica = deployment.replica(id, "v1").await;
+        replica.plan(ReplicaPlan {
+            full: true,
+            pause: Some(Duration::from_secs(seconds)),
+            ..ReplicaPlan::default()
+        });
+        replicas.push(replica);
+    }
+    let relay = deployment.relay().await;
+    for number in 0..REQUEST_COUNT {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        let retry_after = answer.headers["retry-after"].to_str().unwrap();
+        let seconds: f64 = retry_after.parse().unwrap();
+        assert!(number == 0 || (9.0..=10.0).contains(&seconds), "{seconds}");
+    }
+    let runs: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
+    assert_eq!(runs, 2);
+}
--- a/crates/standin/src/replica/replica_run.rs
+++ b/crates/standin/src/replica/replica_run.rs
@@ -1,5 +1,7 @@
 //! Record of one request that reached an upstream.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use ferry_platform::headers::BoundRequest;
 use tokio::time::Instant;
@@ -30,4 +32,6 @@
     pub at: Instant,
     /// Whether the request still runs, or how it ended.
     pub status: RunStatus,
+    /// Time for which the refusal asked the router to send no requests.
+    pub pause: Option<Duration>,
 }
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -47,6 +47,8 @@
     pub status: StatusCode,
     /// Whether requests are refused without running, as by an upstream at its limit.
     pub full: bool,
+    /// Time for which refusals of a full upstream ask for no requests.
+    pub pause: Option<Duration>,
     /// Confidence that answers state, if any.
     pub confidence: Option<u8>,
     /// Whether answers carry the identifier of another attempt.
@@ -62,6 +64,7 @@
             break_after: None,
             status: StatusCode::OK,
             full: false,
+            pause: None,
             confidence: None,
             wrong_attempt: false,
         }
@@ -109,7 +112,7 @@
         let bound = BoundRequest::read(&head.headers);
         let target = format!("{} {}", head.method, head.uri);
         let Ok(body) = collect_limited(body, BODY_LIMIT).await else {
-            return self.refuse(&bound, StatusCode::BAD_REQUEST);
+            return self.refuse(&bound, StatusCode::BAD_REQUEST, None);
         };
         let plan = self.plan.lock().clone();
         let is_misdirected = bound.bound_to.as_deref() != Some(self.options.id.as_str());
@@ -123,10 +126,13 @@
             body,
             at: Instant::now(),
             status,
+            pause: plan.pause.filter(|_| plan.full && !is_misdirected),
         });
         match (is_misdirected, plan.full) {
-            (true, _) => return self.refuse(&bound, StatusCode::MISDIRECTED_REQUEST),
-            (false, true) => return self.refuse(&bound, StatusCode::SERVICE_UNAVAILABLE),
+            (true, _) => return self.refuse(&bound, StatusCode::MISDIRECTED_REQUEST, None),
+            (false, true) => {
+                return self.refuse(&bound, StatusCode::SERVICE_UNAVAILABLE, plan.pause);
+            }
             (false, false) => {}
         }
         tokio::time::sleep(plan.wait).await;
@@ -145,11 +151,17 @@
         }
     }
 
-    fn refuse(&self, bound: &BoundRequest, status: StatusCode) -> Response<HttpBody> {
+    fn refuse(
+        &self,
+        bound: &BoundRequest,
+        status: StatusCode,
+        pause: Option<Duration>,
+    ) -> Response<HttpBody> {
         let mut response = Response::new(full("refused"));
         *response.status_mut() = status;
         let headers = AnswerHeaders {
             not_run: true,
+            pause,
             ..self.answer_headers(bound)
         };
         headers.write(response.headers_mut());
