Prefer upstreams that did not reject a request a moment ago

Cause: a rejection was forgotten at once, so that the next request, and the next send of the same one, went to any upstream again. It spent the fleet's retries on sends that help nobody. Change: an upstream that rejected is used for a quarter of a second only when no other is left, and not at all for a request that another one has just rejected, which is refused at once.

--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -35,6 +35,8 @@
     pub(super) tried: SmallVec<[HostName; 4]>,
     /// Version of the upstream that last failed the request.
     pub(super) failed_version: Option<VersionName>,
+    /// Whether the last send was rejected by an upstream that is full.
+    pub(super) rejected: bool,
     /// Number of sends that ran or may have run at an upstream.
     pub(super) possible_runs: u32,
     /// Whether the request ran, over all sends; `MayHaveRun` while a send is in progress.
@@ -66,6 +68,7 @@
             stage: 0,
             tried: SmallVec::new(),
             failed_version: None,
+            rejected: false,
             possible_runs: 0,
             run: RunState::NotRun,
             session: None,
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -40,7 +40,8 @@
 
 /// Chooses the upstream of `service` that `request` is sent to next.
 ///
-/// Suspect upstreams are used only when no other upstream is left, and those that asked for a pause never.
+/// Suspect upstreams are used only when no other upstream is left and `uses_suspects` is set, and those that asked for a
+/// pause never.
 ///
 /// # Errors
 ///
@@ -52,6 +53,7 @@
     model: Option<&str>,
     tried: &[HostName],
     pick: Option<&VersionPick>,
+    uses_suspects: bool,
 ) -> Result<Arc<RelayUpstream>, NoUpstream> {
     let now = core.clock.now();
     let list = core.upstreams.of_service(service);
@@ -74,7 +76,10 @@
         config: AFFINITY_CHOICE,
         ..UpstreamChoice::default()
     };
-    let index = choice.choose(&views, &query, points).or_else(|_| {
+    let index = choice.choose(&views, &query, points).or_else(|error| {
+        if !uses_suspects {
+            return Err(error);
+        }
         for view in &mut views {
             if view.state == UpstreamState::Suspect {
                 view.state = UpstreamState::Live;
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -62,11 +62,14 @@
             model.as_deref(),
             &self.tried,
             pick.as_ref(),
+            // An upstream that rejected a request a moment ago would most likely reject this one too.
+            !self.rejected,
         );
         chosen.map_err(|error: NoUpstream| {
             spdlog::debug!("request {}: {}", self.request.id, error);
             match soonest_pause_end(&self.core, service) {
                 Some(end) => refuse(RefusalReason::Busy).with_retry_after(end),
+                None if self.rejected => refuse(RefusalReason::Busy),
                 None => refuse(RefusalReason::NoUpstream),
             }
             .with_run(self.run)
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -61,6 +61,7 @@
     /// Records the head of an answer that arrived after `took`.
     fn record_head(&mut self, upstream: &RelayUpstream, answer: &UpstreamAnswer, took: Duration) {
         upstream.clear_suspect();
+        self.rejected = false;
         if let Some(load) = answer.facts.load {
             upstream.record_load(load, self.core.clock.now());
         }
@@ -86,6 +87,10 @@
             upstream.record_latency(FAILURE_LATENCY_RATIO, now);
             self.record_answer(upstream, None);
         }
+        self.rejected = failure == UpstreamFailure::QueueFull;
+        if self.rejected {
+            upstream.record_rejection(now);
+        }
         if failure == UpstreamFailure::Leaving {
             upstream.mark_leaving();
         }
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -16,6 +16,9 @@
 /// Time for which an upstream that broke or refused a connection gets no new requests while others
 /// can take them.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_000);
+/// Time for which an upstream that rejected a request, without asking for a pause, gets no new requests while others can
+/// take them.
+const REJECTION_BACKOFF: Duration = Duration::from_millis(250);
 /// Age at which a load that the upstream reported is no longer used.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(4);
 /// Weight of the newest response in an upstream's latency ratio.
@@ -49,6 +52,8 @@
     received: Option<ReceivedLoad>,
     latency: Option<UpstreamLatency>,
     suspect_until: Option<MonotonicTime>,
+    /// End of the backoff after its last rejection.
+    rejecting_until: Option<MonotonicTime>,
     /// End of the pause that the upstream asked for; absent if it never asked.
     paused_until: Option<Instant>,
 }
@@ -124,6 +129,11 @@
         self.idle.lock().clear();
     }
 
+    /// Records that it rejected a request at `now` because it is full.
+    pub fn record_rejection(&self, now: MonotonicTime) {
+        self.state.lock().rejecting_until = Some(now.after(REJECTION_BACKOFF));
+    }
+
     /// Records that it answered: it gets new requests again.
     pub fn clear_suspect(&self) {
         self.state.lock().suspect_until = None;
@@ -167,7 +177,7 @@
     /// State and load at `now`, as input to the choice of an upstream.
     pub fn view(&self, now: MonotonicTime) -> UpstreamView<'_> {
         let state = self.state.lock();
-        let suspect = state.suspect_until.is_some_and(|until| now < until);
+        let suspect = state.is_suspect(now);
         UpstreamView {
             name: &self.record.incarnation.id,
             zone: &self.record.zone,
@@ -215,6 +225,12 @@
 }
 
 impl UpstreamActivity {
+    /// Whether it broke a connection or rejected a request a moment ago.
+    fn is_suspect(&self, now: MonotonicTime) -> bool {
+        let ends = [self.suspect_until, self.rejecting_until];
+        ends.into_iter().flatten().any(|until| now < until)
+    }
+
     /// Latency ratio at `now`, decayed towards 1 since the last response.
     fn latency_ratio(&self, now: MonotonicTime) -> f64 {
         let Some(latency) = self.latency else {
--- a/crates/router/tests/relay/failures.rs
+++ b/crates/router/tests/relay/failures.rs
@@ -291,3 +291,48 @@
     let runs: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
     assert_eq!(runs, 2);
 }
+
+/// Guards against a request that is sent to one upstream after the other although all reject at that moment.
+#[tokio::test]
+async fn requests_that_all_upstreams_reject_reach_few_of_them() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let full = ReplicaPlan {
+        full: true,
+        ..ReplicaPlan::default()
+    };
+    let ids = ["up-1", "up-2", "up-3", "up-4", "up-5", "up-6"];
+    let replicas = deployment.replicas(ids, &full).await;
+    let relay = deployment.relay().await;
+    let requests = 10 * REQUEST_COUNT;
+    for number in 0..requests {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let arrivals: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
+    assert!(arrivals < 2 * requests, "{arrivals} for {requests}");
+}
+
+/// Guards against a router that does not remember which upstreams rejected requests a moment ago.
+#[tokio::test]
+async fn requests_reach_the_only_upstream_that_does_not_reject() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let full = ReplicaPlan {
+        full: true,
+        ..ReplicaPlan::default()
+    };
+    let ids = ["up-1", "up-2", "up-3", "up-4", "up-5", "up-6"];
+    let replicas = deployment.replicas(ids, &full).await;
+    replicas[5].plan(ReplicaPlan::default());
+    let relay = deployment.relay().await;
+    let requests = 10 * REQUEST_COUNT;
+    let mut answered = 0;
+    for number in 0..requests {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        answered += usize::from(answer.status == StatusCode::OK);
+    }
+    let rejections: usize = replicas[..5].iter().map(|full| full.runs().len()).sum();
+    assert!(answered > requests * 9 / 10, "{answered} of {requests}");
+    assert!(rejections < requests / 2, "{rejections} for {requests}");
+}
