Count the bounds on upstreams in the soak, with real relays under strain

What the users saw was on real processes; the soak had no upstreams that reject, no series of restarts, and counted none of the bounds but that on requests that crash upstreams. Change: a second part of the soak. Relay processes are killed, stopped with SIGTERM, frozen, cut off from the store in series that overlap, and added, before six upstreams that reject, ask for pauses, fail, break off or hang; callers keep their connections. Addresses of a test program's relays no longer run out after 253.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -22,8 +22,8 @@
 pub use pause_bound::worst_pause_excess;
 pub use process::{ChildProcess, RigError};
 pub use relay_fixture::{
-    HOST_NAME, KEY, RelayFixture, SERVICE, WORKSPACE, fixture_headers, fixture_request,
-    fixture_rule,
+    FIXTURE_DEADLINE, HOST_NAME, KEY, RelayFixture, SERVICE, WORKSPACE, fixture_headers,
+    fixture_request, fixture_rule,
 };
 pub use relay_process::RelayProcess;
 pub use retry_bound::{RetryBound, RetryExcess};
--- a/crates/rig/src/relay_fixture.rs
+++ b/crates/rig/src/relay_fixture.rs
@@ -34,7 +34,7 @@
 /// Requests that an upstream runs at once.
 const SLOTS: u32 = 8;
 /// Deadline that callers send with their requests.
-const DEADLINE: Duration = Duration::from_secs(8);
+pub const FIXTURE_DEADLINE: Duration = Duration::from_secs(8);
 
 /// A store, with the records that operators and upstreams write into it.
 #[derive(Debug)]
@@ -131,7 +131,7 @@
     CallerHeaders {
         attempt_id,
         key: Some(KEY),
-        deadline: Some(DEADLINE),
+        deadline: Some(FIXTURE_DEADLINE),
         ..CallerHeaders::default()
     }
 }
--- a/crates/rig/src/relay_process.rs
+++ b/crates/rig/src/relay_process.rs
@@ -14,6 +14,10 @@
 
 use crate::process::{RigError, send_signal};
 
+/// Last byte of the first loopback address of a block.
+const FIRST_ADDRESS: u8 = 2;
+/// Number of loopback addresses of a block; further relays of a test program use the next block.
+const ADDRESSES_PER_BLOCK: u16 = 250;
 /// Port for callers.
 const CALLERS_PORT: u16 = 7_310;
 /// Port for readiness probes.
@@ -169,9 +173,10 @@
 /// Returns a loopback address that is specific to this process and call, so that the fixed ports do not
 /// conflict with those of other tests.
 fn unique_loopback() -> IpAddr {
-    static COUNT: AtomicU16 = AtomicU16::new(2);
-    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let (block, number) = (count / ADDRESSES_PER_BLOCK, count % ADDRESSES_PER_BLOCK);
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let number = number.min(u16::from(u8::MAX) - 1) as u8;
-    Ipv4Addr::new(127, high.max(1), low, number).into()
+    let high = high.wrapping_add(block as u8).max(1);
+    Ipv4Addr::new(127, high, low, FIRST_ADDRESS + number as u8).into()
 }
--- a/tests/soak/caller_load.rs
+++ b/tests/soak/caller_load.rs
@@ -130,7 +130,8 @@
     }
 }
 
-async fn call(
+/// Sends one request; returns its record.
+pub async fn call(
     client: &HttpClient,
     address: SocketAddr,
     path: &str,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,8 +1,12 @@
 //! Soak test of relay processes: injects random faults from outside, and checks the relay's guarantees
 //! against the records of callers and upstreams.
 //!
-//! `FERRY_SOAK_SEEDS=1..50 cargo test --test soak -- --nocapture` runs other seeds than the default ones.
+//! `FERRY_SOAK_SEEDS=1..50 cargo test --test soak -- --nocapture` runs other seeds than the default ones;
+//! `FERRY_SOAK_RELAYS=100` sets the number of relays before upstreams under strain.
 
+mod budget_check;
+mod budget_plan;
+mod budget_run;
 mod caller_load;
 mod crash_load;
 mod fault_plan;
@@ -16,34 +20,53 @@
 use ferry_rig::eventually;
 use ferry_standin::replica::ReplicaRun;
 use futures::future::join_all;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use budget_run::run_budget_seed;
 use caller_load::{CallOutcome, CallRecord, call_each_kind, call_until};
 use crash_load::{crash_times, crash_until, crash_violations};
 use fault_plan::{FAULT_WINDOW, FaultPlan, REVOKED_AT};
 use guarantee_check::SoakRecord;
-use soak_fleet::SoakFleet;
+use soak_fleet::{SoakFleet, keep_logs};
 
 /// Environment variable that replaces the default seeds, as FIRST..END (END is excluded).
 const SEEDS_VARIABLE: &str = "FERRY_SOAK_SEEDS";
 /// Seeds of each test run: one with planned work only (3), one with a store outage while a key is revoked
 /// (7), and two others.
 const DEFAULT_SEEDS: [u64; 4] = [1, 2, 3, 7];
+/// Seeds of each test run on upstreams under strain: on relays that kept a window of retries each, and did not read an
+/// upstream's Retry-After, 4 and 11 exceeded the bound on retries, and 10 sent requests in a pause. 7 has many relays.
+const DEFAULT_BUDGET_SEEDS: [u64; 4] = [4, 7, 10, 11];
 /// Number of seeds that run at the same time.
 const CONCURRENT_SEEDS: usize = 5;
 /// Time for which the load continues after all faults have ended.
 const LOAD_AFTER_FAULTS: Duration = Duration::from_secs(3);
 /// Time limit for each relay to become ready again after the faults.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+/// Held by the test whose seeds run.
+static SOAK_TURN: Mutex<()> = Mutex::const_new(());
 /// Seeds that violated a guarantee in the past, each with its cause.
 const REGRESSIONS: &str = include_str!("regressions.txt");
 
 #[tokio::test(flavor = "multi_thread")]
 async fn every_seed_keeps_the_guarantees() {
+    run_all(seeds(), |seed| tokio::spawn(run_seed(seed))).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_seed_keeps_the_bounds_on_upstreams_under_strain() {
+    let seeds = given_seeds().unwrap_or(DEFAULT_BUDGET_SEEDS.to_vec());
+    run_all(seeds, |seed| tokio::spawn(run_budget_seed(seed))).await;
+}
+
+/// Runs the seeds, a few at the same time, and fails with what they violated.
+async fn run_all(seeds: Vec<u64>, run: impl Fn(u64) -> JoinHandle<Vec<String>>) {
+    let _turn = SOAK_TURN.lock().await;
     let mut violations = Vec::new();
-    let seeds = seeds();
     for seeds in seeds.chunks(CONCURRENT_SEEDS) {
-        let runs = seeds.iter().map(|seed| tokio::spawn(run_seed(*seed)));
+        let runs = seeds.iter().map(|seed| run(*seed));
         for (seed, result) in seeds.iter().zip(join_all(runs).await) {
             let problems =
                 result.unwrap_or_else(|error| vec![format!("the run panicked: {error}")]);
@@ -59,16 +82,19 @@
 
 /// Seeds of the environment variable if it is set, else the default seeds and those of past violations.
 fn seeds() -> Vec<u64> {
-    if let Ok(text) = std::env::var(SEEDS_VARIABLE) {
-        let (first, end) = text
-            .split_once("..")
-            .expect("seeds are given as FIRST..END");
-        return (first.parse().unwrap()..end.parse().unwrap()).collect();
-    }
     let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
     let known = lines.filter_map(|line| line.split_whitespace().next());
     let known = known.map(|seed| seed.parse().expect("a line begins with its seed"));
-    DEFAULT_SEEDS.into_iter().chain(known).collect()
+    given_seeds().unwrap_or_else(|| DEFAULT_SEEDS.into_iter().chain(known).collect())
+}
+
+/// Seeds of the environment variable; `None` if it is not set.
+fn given_seeds() -> Option<Vec<u64>> {
+    let text = std::env::var(SEEDS_VARIABLE).ok()?;
+    let (first, end) = text
+        .split_once("..")
+        .expect("seeds are given as FIRST..END");
+    Some((first.parse().unwrap()..end.parse().unwrap()).collect())
 }
 
 /// Runs one seed; returns the violated guarantees.
@@ -185,14 +211,5 @@
     if violations.is_empty() {
         return;
     }
-    let kept = std::env::temp_dir().join(format!("ferry-soak-{}", plan.seed));
-    let _ = std::fs::create_dir_all(&kept);
-    for entry in std::fs::read_dir(fleet.folder.path())
-        .into_iter()
-        .flatten()
-        .flatten()
-    {
-        let _ = std::fs::copy(entry.path(), kept.join(entry.file_name()));
-    }
-    println!("seed {}: logs in {}", plan.seed, kept.display());
+    keep_logs(&plan.seed.to_string(), fleet.folder.path());
 }
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -1,5 +1,6 @@
 //! Processes and stand-ins of one run, and the faults that are injected into them.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
 pub struct SoakRelay {
     /// Relay process; locked while a fault acts on it.
     pub process: tokio::sync::Mutex<RelayProcess>,
+    /// Address for callers.
+    pub callers: SocketAddr,
     store_link: LinkProxy,
 }
 
@@ -146,14 +149,9 @@
                 process.restart().unwrap();
             }
             SoakFault::FreezeRelay(number) => {
-                let mut process = self.relays[number].process.lock().await;
-                process.signal(SIGSTOP);
-                sleep(timed.duration).await;
-                process.signal(SIGCONT);
-            }
-            SoakFault::CutStore(number) => {
-                cut(&self.relays[number].store_link, timed.duration).await;
+                self.relays[number].freeze(timed.duration).await;
             }
+            SoakFault::CutStore(number) => self.relays[number].cut_store(timed.duration).await,
             SoakFault::StallStore(number) => {
                 stall(&self.relays[number].store_link, timed.duration).await;
             }
@@ -231,20 +229,36 @@
 }
 
 impl SoakRelay {
-    async fn start(number: usize, fixture: &RelayFixture, folder: &Path) -> Self {
+    /// Starts the relay number `number`, with its files in `folder`.
+    pub async fn start(number: usize, fixture: &RelayFixture, folder: &Path) -> Self {
         let store_link = LinkProxy::start([127, 0, 0, 1].into()).await.unwrap();
         store_link.set_target(fixture.store.address());
         let program = Path::new(env!("CARGO_BIN_EXE_ferry-relay"));
         let host = format!("edge-{number}");
         let process = RelayProcess::start(program, folder, SAMPLE, &host, store_link.address);
+        let process = process.unwrap();
         Self {
-            process: tokio::sync::Mutex::new(process.unwrap()),
+            callers: process.callers(),
+            process: tokio::sync::Mutex::new(process),
             store_link,
         }
     }
 
+    /// Suspends the relay for `duration`.
+    pub async fn freeze(&self, duration: Duration) {
+        let mut process = self.process.lock().await;
+        process.signal(SIGSTOP);
+        sleep(duration).await;
+        process.signal(SIGCONT);
+    }
+
+    /// Cuts the relay's connections to the store for `duration`.
+    pub async fn cut_store(&self, duration: Duration) {
+        cut(&self.store_link, duration).await;
+    }
+
     /// Stops the relay gracefully, then restarts it.
-    async fn stop(&self) {
+    pub async fn stop(&self) {
         let mut process = self.process.lock().await;
         process.wait_until_handled(SIGTERM).await;
         process.signal(SIGTERM);
@@ -356,3 +370,13 @@
     }
     plan
 }
+
+/// Copies the logs in `folder` to the temporary folder, under `name`.
+pub fn keep_logs(name: &str, folder: &Path) {
+    let kept = std::env::temp_dir().join(format!("ferry-soak-{name}"));
+    let _ = std::fs::create_dir_all(&kept);
+    for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
+        let _ = std::fs::copy(entry.path(), kept.join(entry.file_name()));
+    }
+    println!("{name}: logs in {}", kept.display());
+}
