--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -10,7 +10,7 @@
 mod process;
 mod relay_fixture;
 mod relay_process;
-mod retry_bound;
+mod retry_excess;
 mod rig_client;
 mod wait;
 
@@ -26,6 +26,6 @@
     fixture_request, fixture_rule,
 };
 pub use relay_process::RelayProcess;
-pub use retry_bound::{RetryBound, RetryExcess};
+pub use retry_excess::{RetryExcess, worst_retry_excess};
 pub use rig_client::{ChatCall, RigClient, read_refusal};
 pub use wait::{LONG_WAIT, eventually};
--- a/crates/router/tests/relay/containment.rs
+++ b/crates/router/tests/relay/containment.rs
@@ -120,6 +120,26 @@
     }
 }
 
+/// Takes the store away, and checks that the crashing request is rejected everywhere some time after its first sends.
+async fn assert_contained_in_an_outage(
+    deployment: &Deployment,
+    relays: &[RelayDaemon],
+    replicas: &[ReplicaStandin],
+) {
+    deployment.store.set_faults(FaultOrder {
+        outage: Some(OutageOrder {
+            answer: OutageAnswer::Unavailable,
+            path: String::new(),
+        }),
+        ..FaultOrder::default()
+    });
+    send_to_all(relays, replicas, 1).await;
+    sleep(CONTACT_TIME).await;
+    let before = runs_of(replicas, CRASHING);
+    send_to_all(relays, replicas, LATER_SENDS).await;
+    assert_eq!(runs_of(replicas, CRASHING), before);
+}
+
 async fn assert_three_crashes_contain(run: RunKind, hosts: [(&str, &str); 3]) {
     let (deployment, replicas) = deployment(run).await;
     let relays = start_routers(&deployment, hosts).await;
@@ -217,18 +237,7 @@
 async fn crashes_during_a_store_outage_contain_a_request() {
     let (deployment, replicas) = deployment(RunKind::Once).await;
     let relays = start_routers(&deployment, THREE_ZONES).await;
-    deployment.store.set_faults(FaultOrder {
-        outage: Some(OutageOrder {
-            answer: OutageAnswer::Unavailable,
-            path: String::new(),
-        }),
-        ..FaultOrder::default()
-    });
-    send_to_all(&relays, &replicas, 1).await;
-    sleep(CONTACT_TIME).await;
-    let before = runs_of(&replicas, CRASHING);
-    send_to_all(&relays, &replicas, LATER_SENDS).await;
-    assert_eq!(runs_of(&replicas, CRASHING), before);
+    assert_contained_in_an_outage(&deployment, &relays, &replicas).await;
 }
 
 /// Guards against routers that start together just before an outage and don't know one another.
@@ -248,18 +257,7 @@
         })
     })
     .await;
-    deployment.store.set_faults(FaultOrder {
-        outage: Some(OutageOrder {
-            answer: OutageAnswer::Unavailable,
-            path: String::new(),
-        }),
-        ..FaultOrder::default()
-    });
-    send_to_all(&relays, &replicas, 1).await;
-    sleep(CONTACT_TIME).await;
-    let before = runs_of(&replicas, CRASHING);
-    send_to_all(&relays, &replicas, LATER_SENDS).await;
-    assert_eq!(runs_of(&replicas, CRASHING), before);
+    assert_contained_in_an_outage(&deployment, &relays, &replicas).await;
 }
 
 /// Guards against an upstream that restarts under its id and counts only once.
--- a/crates/router/tests/relay/failures.rs
+++ b/crates/router/tests/relay/failures.rs
@@ -292,9 +292,8 @@
     assert_eq!(runs, 2);
 }
 
-/// Guards against a request that is sent to one upstream after the other although all reject at that moment.
-#[tokio::test]
-async fn requests_that_all_upstreams_reject_reach_few_of_them() {
+/// Six upstreams that reject all requests without asking for a pause.
+async fn rejecting_deployment() -> (Deployment, Vec<ReplicaStandin>) {
     let deployment = Deployment::start().await;
     deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
     let full = ReplicaPlan {
@@ -303,6 +302,13 @@
     };
     let ids = ["up-1", "up-2", "up-3", "up-4", "up-5", "up-6"];
     let replicas = deployment.replicas(ids, &full).await;
+    (deployment, replicas)
+}
+
+/// Guards against a request that is sent to one upstream after the other although all reject at that moment.
+#[tokio::test]
+async fn requests_that_all_upstreams_reject_reach_few_of_them() {
+    let (deployment, replicas) = rejecting_deployment().await;
     let relay = deployment.relay().await;
     let requests = 10 * REQUEST_COUNT;
     for number in 0..requests {
@@ -316,14 +322,7 @@
 /// Guards against a router that does not remember which upstreams rejected requests a moment ago.
 #[tokio::test]
 async fn requests_reach_the_only_upstream_that_does_not_reject() {
-    let deployment = Deployment::start().await;
-    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
-    let full = ReplicaPlan {
-        full: true,
-        ..ReplicaPlan::default()
-    };
-    let ids = ["up-1", "up-2", "up-3", "up-4", "up-5", "up-6"];
-    let replicas = deployment.replicas(ids, &full).await;
+    let (deployment, replicas) = rejecting_deployment().await;
     replicas[5].plan(ReplicaPlan::default());
     let relay = deployment.relay().await;
     let requests = 10 * REQUEST_COUNT;
--- a/crates/router/tests/relay/retry_budget.rs
+++ b/crates/router/tests/relay/retry_budget.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
+use ferry_decisions::retry::FleetRetryBound;
 use ferry_decisions::ruleset::RunKind;
-use ferry_rig::RetryBound;
+use ferry_rig::worst_retry_excess;
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
@@ -23,12 +24,12 @@
 struct RetryFleet {
     deployment: Deployment,
     replicas: Vec<ReplicaStandin>,
-    bound: RetryBound,
+    bound: FleetRetryBound,
     sent: Vec<Instant>,
 }
 
 impl RetryFleet {
-    async fn start(bound: RetryBound) -> Self {
+    async fn start(bound: FleetRetryBound) -> Self {
         let mut deployment = Deployment::start().await;
         deployment.bounds.retry_ratio = bound.ratio;
         deployment.bounds.retry_burst = bound.burst;
@@ -50,6 +51,12 @@
         self.deployment.relay_on(host).await
     }
 
+    /// Starts 30 routers together.
+    async fn start_many_routers(&self) -> Vec<RelayDaemon> {
+        let hosts: Vec<String> = (0..30).map(|number| format!("entry-{number}")).collect();
+        join_all(hosts.iter().map(|host| self.start_router(host))).await
+    }
+
     fn plan(&self, plan: &ReplicaPlan) {
         self.replicas
             .iter()
@@ -72,7 +79,7 @@
     fn assert_within_bound(&self) {
         let runs = self.replicas.iter().flat_map(ReplicaStandin::runs);
         let runs: Vec<_> = runs.collect();
-        let excess = self.bound.worst_excess(&self.sent, &runs);
+        let excess = worst_retry_excess(&self.bound, &self.sent, &runs);
         assert!(excess.is_none(), "{}", excess.unwrap());
     }
 }
@@ -88,7 +95,7 @@
 /// Guards against a share of the fleet's burst for each start of a router instead of each router.
 #[tokio::test]
 async fn routers_that_restart_often_stay_within_the_fleet_s_burst() {
-    let bound = RetryBound {
+    let bound = FleetRetryBound {
         ratio: 0.9,
         burst: 24.0,
         window: Duration::from_secs(10),
@@ -105,7 +112,7 @@
 /// Guards against retries that are covered by requests before the window, and then again by those after a restart.
 #[tokio::test]
 async fn routers_that_restart_while_all_upstreams_fail_stay_within_the_bound() {
-    let bound = RetryBound {
+    let bound = FleetRetryBound {
         ratio: 0.9,
         burst: 12.0,
         window: Duration::from_secs(4),
@@ -133,7 +140,7 @@
 /// Guards against windows of single routers, which end at different times and so don't add up to one of the fleet.
 #[tokio::test]
 async fn traffic_that_moves_to_another_router_does_not_exceed_the_bound() {
-    let bound = RetryBound {
+    let bound = FleetRetryBound {
         ratio: 0.9,
         burst: 12.0,
         window: Duration::from_secs(6),
@@ -159,15 +166,14 @@
 /// Guards against routers that take a share of the burst before they know how many routers there are.
 #[tokio::test]
 async fn many_routers_that_start_together_stay_within_the_fleet_s_burst() {
-    let bound = RetryBound {
+    let bound = FleetRetryBound {
         ratio: 0.9,
         burst: 24.0,
         window: Duration::from_secs(10),
     };
     let mut fleet = RetryFleet::start(bound).await;
     fleet.plan(&failing(Duration::ZERO));
-    let hosts: Vec<String> = (0..30).map(|number| format!("entry-{number}")).collect();
-    let relays = join_all(hosts.iter().map(|host| fleet.start_router(host))).await;
+    let relays = fleet.start_many_routers().await;
     fleet.call_each(&relays.iter().collect::<Vec<_>>(), 2).await;
     fleet.assert_within_bound();
 }
@@ -175,15 +181,14 @@
 /// Guards against routers that divide the burst by the routers that had registered before them.
 #[tokio::test]
 async fn routers_that_could_not_list_the_others_take_no_part_of_the_burst() {
-    let bound = RetryBound {
+    let bound = FleetRetryBound {
         ratio: 0.0,
         burst: 24.0,
         window: Duration::from_secs(3),
     };
     let mut fleet = RetryFleet::start(bound).await;
     fleet.plan(&failing(Duration::ZERO));
-    let hosts: Vec<String> = (0..30).map(|number| format!("entry-{number}")).collect();
-    let relays = join_all(hosts.iter().map(|host| fleet.start_router(host))).await;
+    let relays = fleet.start_many_routers().await;
     fleet.deployment.store.set_faults(FaultOrder {
         outage: Some(OutageOrder {
             answer: OutageAnswer::Unavailable,
--- a/tests/soak/budget_check.rs
+++ b/tests/soak/budget_check.rs
@@ -3,14 +3,15 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use ferry_rig::{FIXTURE_DEADLINE, RetryBound, worst_pause_excess};
+use ferry_decisions::retry::FleetRetryBound;
+use ferry_rig::{FIXTURE_DEADLINE, worst_pause_excess, worst_retry_excess};
 use ferry_standin::replica::{ReplicaRun, RunStatus};
 use tokio::time::Instant;
 
 use crate::caller_load::{CallOutcome, CallRecord};
 
 /// Bound on repeated sends, as in the sample settings.
-const RETRY_BOUND: RetryBound = RetryBound {
+const RETRY_BOUND: FleetRetryBound = FleetRetryBound {
     ratio: 0.9,
     burst: 54.0,
     window: Duration::from_secs(10),
@@ -98,7 +99,7 @@
 
     fn check_repeats(&self) -> Option<String> {
         let sent: Vec<_> = self.sent.iter().map(|request| request.at).collect();
-        let excess = RETRY_BOUND.worst_excess(&sent, &self.runs.concat());
+        let excess = worst_retry_excess(&RETRY_BOUND, &sent, &self.runs.concat());
         excess.map(|excess| excess.to_string())
     }
 
--- a/tests/soak/budget_run.rs
+++ b/tests/soak/budget_run.rs
@@ -20,7 +20,7 @@
     BudgetPlan, FaultSeries, RelayFault, ReplicaStrain, STRAIN_END, STRAINED_REPLICAS, StrainPhase,
 };
 use crate::caller_load::call;
-use crate::soak_fleet::{SoakRelay, keep_logs};
+use crate::soak_relay::{SoakRelay, keep_logs};
 
 /// Path prefixes of the requests, each with the kind of run that its rule sets.
 const PATHS: [(&str, RunKind); 4] = [
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod fault_plan;
 mod guarantee_check;
 mod soak_fleet;
+mod soak_relay;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -29,7 +30,8 @@
 use crash_load::{crash_times, crash_until, crash_violations};
 use fault_plan::{FAULT_WINDOW, FaultPlan, REVOKED_AT};
 use guarantee_check::SoakRecord;
-use soak_fleet::{SoakFleet, keep_logs};
+use soak_fleet::SoakFleet;
+use soak_relay::keep_logs;
 
 /// Environment variable that replaces the default seeds, as FIRST..END (END is excluded).
 const SEEDS_VARIABLE: &str = "FERRY_SOAK_SEEDS";
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -1,7 +1,5 @@
 //! Processes and stand-ins of one run, and the faults that are injected into them.
 
-use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use ferry_decisions::registry::UpstreamStage;
@@ -9,7 +7,7 @@
 use ferry_decisions::time::UnixMillis;
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::{OPERATOR_TOPIC, UPSTREAM_TOPIC};
-use ferry_rig::{KEY, LinkProxy, RelayFixture, RelayProcess, SERVICE, WORKSPACE, fixture_rule};
+use ferry_rig::{KEY, LinkProxy, RelayFixture, SERVICE, WORKSPACE, fixture_rule};
 use ferry_standin::faults::{AnswerLoss, FaultOrder, OutageAnswer, OutageOrder, SlowOrder};
 use ferry_standin::{ReplicaOptions, ReplicaPlan, ReplicaStandin, StoreStandin};
 use hyper::StatusCode;
@@ -19,6 +17,7 @@
 
 use crate::crash_load::{FRAGILE_RULES, FRAGILE_SERVICE};
 use crate::fault_plan::{RELAYS, REPLICAS, ReplicaFault, SoakFault, StoreFault, TimedFault};
+use crate::soak_relay::{SIGHUP, SIGTERM, SoakRelay, cut, stall};
 
 /// Key that is revoked during a run.
 pub const REVOKED_KEY: &str = "key-2";
@@ -34,26 +33,6 @@
 const STREAM_SERVICE: &str = "chat";
 /// Time for which a draining upstream continues to serve.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
-/// Signal for a graceful stop.
-const SIGTERM: i32 = 15;
-/// Signal that reloads the settings.
-const SIGHUP: i32 = 1;
-/// Signal that suspends a process.
-const SIGSTOP: i32 = 19;
-/// Signal that resumes a suspended process.
-const SIGCONT: i32 = 18;
-/// Settings file of the platform's sample host, on which the settings of each relay are based.
-const SAMPLE: &str = include_str!("../../platform/tests/samples/host.toml");
-
-/// One relay, with the proxy between it and the store.
-pub struct SoakRelay {
-    /// Relay process; locked while a fault acts on it.
-    pub process: tokio::sync::Mutex<RelayProcess>,
-    /// Address for callers.
-    pub callers: SocketAddr,
-    store_link: LinkProxy,
-}
-
 /// One upstream, with the proxy in front of it.
 pub struct SoakReplica {
     /// Stand-in of the upstream.
@@ -228,46 +207,6 @@
     }
 }
 
-impl SoakRelay {
-    /// Starts the relay number `number`, with its files in `folder`.
-    pub async fn start(number: usize, fixture: &RelayFixture, folder: &Path) -> Self {
-        let store_link = LinkProxy::start([127, 0, 0, 1].into()).await.unwrap();
-        store_link.set_target(fixture.store.address());
-        let program = Path::new(env!("CARGO_BIN_EXE_ferry-relay"));
-        let host = format!("edge-{number}");
-        let process = RelayProcess::start(program, folder, SAMPLE, &host, store_link.address);
-        let process = process.unwrap();
-        Self {
-            callers: process.callers(),
-            process: tokio::sync::Mutex::new(process),
-            store_link,
-        }
-    }
-
-    /// Suspends the relay for `duration`.
-    pub async fn freeze(&self, duration: Duration) {
-        let mut process = self.process.lock().await;
-        process.signal(SIGSTOP);
-        sleep(duration).await;
-        process.signal(SIGCONT);
-    }
-
-    /// Cuts the relay's connections to the store for `duration`.
-    pub async fn cut_store(&self, duration: Duration) {
-        cut(&self.store_link, duration).await;
-    }
-
-    /// Stops the relay gracefully, then restarts it.
-    pub async fn stop(&self) {
-        let mut process = self.process.lock().await;
-        process.wait_until_handled(SIGTERM).await;
-        process.signal(SIGTERM);
-        let code = process.wait().await;
-        assert_eq!(code, Some(0), "a graceful stop ends with 0");
-        process.restart().unwrap();
-    }
-}
-
 impl SoakReplica {
     async fn start(number: usize) -> Self {
         let streams = number >= WHOLE_REPLICAS;
@@ -319,18 +258,6 @@
         .collect()
 }
 
-async fn cut(link: &LinkProxy, duration: Duration) {
-    link.cut();
-    sleep(duration).await;
-    link.heal();
-}
-
-async fn stall(link: &LinkProxy, duration: Duration) {
-    link.stall();
-    sleep(duration).await;
-    link.heal();
-}
-
 fn store_faults(fault: StoreFault) -> FaultOrder {
     let outage = |answer| FaultOrder {
         outage: Some(OutageOrder {
@@ -370,13 +297,3 @@
     }
     plan
 }
-
-/// Copies the logs in `folder` to the temporary folder, under `name`.
-pub fn keep_logs(name: &str, folder: &Path) {
-    let kept = std::env::temp_dir().join(format!("ferry-soak-{name}"));
-    let _ = std::fs::create_dir_all(&kept);
-    for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
-        let _ = std::fs::copy(entry.path(), kept.join(entry.file_name()));
-    }
-    println!("{name}: logs in {}", kept.display());
-}
