Drop an upstream that leaves just after a router's start at once

Cause: a router that had never read the store took its first read for the end of an outage, and after an outage entries that are missing are waited for. Excluded: the grace after a real outage, which its own tests hold; the read period (a third of the drain time). Change: only a router that had listed the upstreams can have had an outage.

--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -50,7 +50,9 @@
         };
         outages.record_success();
         let now = core.clock.now();
-        let had_outage = core.upstreams_confirmed.age() > period * OUTAGE_READS;
+        // Before the first list there is no entry that an outage could have removed.
+        let had_outage =
+            core.upstreams.is_listed() && core.upstreams_confirmed.age() > period * OUTAGE_READS;
         core.upstreams_confirmed.confirm(requested_at);
         let mut registry = core.registry.lock();
         if had_outage {
--- a/crates/router/tests/relay/failures.rs
+++ b/crates/router/tests/relay/failures.rs
@@ -138,6 +138,24 @@
     assert_eq!(staying.runs().len(), REQUEST_COUNT);
 }
 
+/// Guards against a start that is taken for the end of an outage of the store, after which missing entries are waited for.
+#[tokio::test]
+async fn an_upstream_that_leaves_just_after_a_router_s_start_gets_no_request_within_the_bound() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let leaving = deployment.replica("up-1", "v1").await;
+    let staying = deployment.replica("up-2", "v1").await;
+    let relay = deployment.relay().await;
+    deployment.store.put(UPSTREAM_TOPIC, "up-1", b"");
+    sleep(deployment.bounds.drain).await;
+    for number in 0..REQUEST_COUNT {
+        let answer = call(request(&relay, "/letters/7", &format!("a-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(leaving.runs().len(), 0);
+    assert_eq!(staying.runs().len(), REQUEST_COUNT);
+}
+
 #[tokio::test]
 async fn malformed_upstream_entries_do_not_affect_valid_upstreams() {
     let deployment = Deployment::start().await;
