List the upstreams again after an older list of another router was in force

Cause: a router that syncs takes over the whole list of another one, also when it has itself read the store later. An upstream whose removal it had read came back; it learns of that removal from the other one, unless that is lost first. Then it reads the store on from its own position, behind the removal. Change: a router records that a list older than its own came into force, and lists all upstreams again when it reads the store next.

--- a/crates/router/src/relay/confirmation_time.rs
+++ b/crates/router/src/relay/confirmation_time.rs
@@ -35,6 +35,11 @@
         Self::now().saturating_sub(confirmed)
     }
 
+    /// Whether the data was confirmed later than at `moment`.
+    pub fn is_after(&self, moment: Duration) -> bool {
+        Duration::from_millis(self.confirmed_ms.load(Ordering::Acquire)) > moment
+    }
+
     /// Whether a key that was revoked longer than `revocation` ago is certainly known here.
     pub fn covers(&self, revocation: Duration) -> bool {
         self.age() + REVOCATION_MARGIN < revocation
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -134,11 +134,15 @@
     if answer.holds_missing {
         return Err(FeedError::MissingUpstreams);
     }
+    let listed_at = requested_at.saturating_sub(listing);
+    let is_whole = matches!(answer.changes, FeedChanges::Whole(_));
+    if is_whole && core.upstreams_confirmed.is_after(listed_at) {
+        core.fleet.record_older_list();
+    }
     apply_answer(core, answer, position)?;
     core.rules_confirmed
         .confirm(requested_at.saturating_sub(rules));
-    core.upstreams_confirmed
-        .confirm(requested_at.saturating_sub(listing));
+    core.upstreams_confirmed.confirm(listed_at);
     Ok(())
 }
 
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -39,6 +39,11 @@
         self.position
     }
 
+    /// Lets the next call list all keys again.
+    pub fn restart(&mut self) {
+        self.position = None;
+    }
+
     /// Returns all keys on the first call and after a gap in the records, and otherwise the records
     /// appended since the last call, for which it waits up to `wait`.
     ///
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -40,6 +40,9 @@
     loop {
         ticks.tick().await;
         core.fleet.wait_until_unsynced().await;
+        if core.fleet.take_older_list() {
+            reader.restart();
+        }
         let requested_at = ConfirmationTime::now();
         let changes = match reader.next(Duration::ZERO).await {
             Ok(changes) => changes,
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -15,12 +15,15 @@
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
+use tokio::runtime::Runtime;
 use tokio::time::sleep;
 
 pub use ferry_rig::{HOST_NAME, KEY, SERVICE, WORKSPACE, fixture_rule as rule};
 
 /// Availability zone of a relay unless a test names another one.
 const ZONE: &str = "zone-a";
+/// Start options of all relays.
+const OPTIONS: RelayOptions = RelayOptions { metrics_port: None };
 /// Timeout of [`eventually`].
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of a test's request.
@@ -98,8 +101,19 @@
         self.start_relay(host, ZONE).await
     }
 
+    /// Starts a relay on `host` whose tasks end with `runtime`, as those of a killed process do.
+    pub async fn start_on(&self, runtime: &Runtime, host: &str) -> RelayDaemon {
+        let start = RelayDaemon::start(self.settings(host, ZONE), OPTIONS);
+        runtime.spawn(start).await.unwrap().unwrap()
+    }
+
     async fn start_relay(&self, host: &str, zone: &str) -> RelayDaemon {
-        let settings = HostSettings {
+        let start = RelayDaemon::start(self.settings(host, zone), OPTIONS);
+        start.await.unwrap()
+    }
+
+    fn settings(&self, host: &str, zone: &str) -> HostSettings {
+        HostSettings {
             host: host.into(),
             zone: zone.into(),
             callers: loopback(),
@@ -107,9 +121,7 @@
             store: self.store.address(),
             peer_ports: (0, 0),
             bounds: self.bounds,
-        };
-        let options = RelayOptions { metrics_port: None };
-        RelayDaemon::start(settings, options).await.unwrap()
+        }
     }
 }
 
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -9,9 +9,11 @@
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::ReplicaPlan;
 use hyper::StatusCode;
-use tokio::time::sleep;
+use tokio::runtime::Runtime;
+use tokio::time::{Instant, sleep, sleep_until};
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::deployment::{Deployment, call, eventually, request, rule};
+use crate::deployment::{Deployment, call, eventually, is_ready, request, rule};
 
 /// Hosts of the tests' routers, all in one availability zone.
 const ROUTERS: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
@@ -200,3 +202,35 @@
     assert_eq!(gone.runs().len(), before);
     stopping.await.unwrap();
 }
+
+/// Guards against an older state of another router that brings back an upstream which has left, for good if that
+/// router is then lost.
+#[tokio::test]
+async fn an_older_state_of_a_lost_router_does_not_bring_back_an_upstream() {
+    let mut deployment = Deployment::start().await;
+    // Entries are read three times in the drain time, so that the source's state stays old for 2 s.
+    deployment.bounds.drain = Duration::from_secs(6);
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let gone = deployment.replica("up-1", "v1").await;
+    let staying = deployment.replica("up-2", "v1").await;
+    let mut hosts = ROUTERS;
+    hosts.sort_by_key(|host| xxh3_64(host.as_bytes()));
+    let source_runtime = Runtime::new().unwrap();
+    let source = deployment.start_on(&source_runtime, hosts[0]).await;
+    eventually("the source is ready", async || is_ready(&source).await).await;
+    deployment.store.put(UPSTREAM_TOPIC, "up-1", b"");
+    let left_at = Instant::now();
+    let relay = deployment.relay_on(hosts[1]).await;
+    eventually("the second router syncs from the first", async || {
+        relay.is_synced_from_peer()
+    })
+    .await;
+    source_runtime.shutdown_background();
+    sleep_until(left_at + deployment.bounds.drain).await;
+    let before = gone.runs().len();
+    for _ in 0..20 {
+        assert!(serves(&relay, "/letters/7").await);
+    }
+    assert_eq!(gone.runs().len(), before);
+    assert!(staying.runs().len() >= 20);
+}
