--- a/crates/decisions/src/choice/upstream_view.rs
+++ b/crates/decisions/src/choice/upstream_view.rs
@@ -24,7 +24,8 @@
         Live,
         /// Shutting down: receives no new requests.
         Leaving,
-        /// Possibly dead, or isolated because of a request suspected of crashing upstreams.
+        /// Possibly dead, rejecting requests at the moment, or isolated because of a request suspected of crashing
+        /// upstreams.
         Suspect,
     }
 }
--- a/crates/router/src/relay/status/service_status.rs
+++ b/crates/router/src/relay/status/service_status.rs
@@ -15,8 +15,8 @@
     pub live: u32,
     /// Number of upstreams that get no new requests because they are leaving.
     pub leaving: u32,
-    /// Number of upstreams that broke or refused a connection a moment ago, and get no new requests
-    /// while others can take them.
+    /// Number of upstreams that broke or refused a connection or rejected a request a moment ago, and get no
+    /// new requests while others can take them.
     pub suspect: u32,
     /// Number of upstreams that asked this relay for a pause, which has not ended; absent from relays of an older build.
     #[serde(default)]
