Let cascades leave a fraction of the retries, and use more of the ratio

Cause: a cascade had to leave three retries, which was a little of a window's 25 and is half of a small bucket. Change: it leaves a tenth of what may be left over. A twentieth of the ratio stays unused instead of a tenth.

--- a/crates/decisions/src/retry/fleet_retry_bound.rs
+++ b/crates/decisions/src/retry/fleet_retry_bound.rs
@@ -6,7 +6,7 @@
 
 /// Fraction of the fleet's ratio that is used. The rest covers requests that a router counts later than their
 /// callers sent them.
-const USED_FRACTION: f64 = 0.9;
+const USED_FRACTION: f64 = 0.95;
 /// Fraction of the used ratio that a router may save up for later instead of spending it with the request.
 const SAVED_FRACTION: f64 = 0.25;
 /// Minimum number of shares into which the burst is divided, since some routers may be unknown.
--- a/crates/decisions/src/retry/retry_share.rs
+++ b/crates/decisions/src/retry/retry_share.rs
@@ -59,10 +59,12 @@
         self.tokens += config.earned;
     }
 
-    /// Takes a retry if the share covers it and `reserved` further ones, which are kept for other purposes;
+    /// Takes a retry if the share covers it and, for other purposes, the fraction `reserve` of what may be left over;
     /// returns whether it does.
-    pub fn spend(&mut self, config: &RetryShareConfig, reserved: f64, now: MonotonicTime) -> bool {
-        if self.left(config, now) - reserved < 1.0 {
+    pub fn spend(&mut self, config: &RetryShareConfig, reserve: f64, now: MonotonicTime) -> bool {
+        let left = self.left(config, now);
+        let reserved = reserve * self.left_over_limit(config);
+        if left - reserved < 1.0 {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/rig/src/pause_bound.rs
+++ b/crates/rig/src/pause_bound.rs
@@ -9,7 +9,7 @@
 /// Number of requests that may arrive in the rest of a pause.
 const MAX_ARRIVALS: usize = 2;
 
-/// Largest number of arrivals in one pause beyond the allowed ones; `None` if every pause was kept.
+/// Largest number of arrivals in one pause; `None` if no pause had more than are allowed.
 ///
 /// `runs` are the requests of one router at one upstream.
 pub fn worst_pause_excess(runs: &[ReplicaRun]) -> Option<usize> {
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -121,11 +121,11 @@
         self.with_retries(service, RetryShare::record_new_request);
     }
 
-    /// Takes one retry from the budget of `service` if at least `reserved` further retries remain; returns
-    /// whether it did.
-    pub fn spend_retry(&self, service: &ServiceName, reserved: f64) -> bool {
+    /// Takes one retry from the budget of `service` if at least the fraction `reserve` of what may be left over remains;
+    /// returns whether it did.
+    pub fn spend_retry(&self, service: &ServiceName, reserve: f64) -> bool {
         self.with_retries(service, |share, config, now| {
-            share.spend(config, reserved, now)
+            share.spend(config, reserve, now)
         })
     }
 
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -17,8 +17,9 @@
 use crate::relay::rollouts::{SessionKey, VersionPick};
 use crate::relay::upstreams::RelayUpstream;
 
-/// Retries that a send to a larger model must leave in the budget for requests whose upstream failed.
-const RESERVED_RETRIES: f64 = 3.0;
+/// Fraction of the retries that may be left over which a send to a larger model leaves for requests whose upstream
+/// failed.
+const RESERVED_FRACTION: f64 = 0.1;
 /// Value of Retry-After when this router has no contact with the platform: another router can answer at once.
 const DISCONNECTED_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -140,7 +141,7 @@
         let (Some(next), Some(service)) = (query.next_stage(), &self.service) else {
             return false;
         };
-        if !self.core.spend_retry(service, RESERVED_RETRIES) {
+        if !self.core.spend_retry(service, RESERVED_FRACTION) {
             return false;
         }
         spdlog::info!("larger model asked", kv: {
