--- a/tests/soak/budget_run.rs
+++ b/tests/soak/budget_run.rs
@@ -1,6 +1,7 @@
 //! Relays before upstreams under strain, and the bounds on what reaches these: repeated sends, upstreams for one
 //! request, the time that is handed on, and requests in a pause that an upstream asked for.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -128,7 +129,7 @@
     while !stop.load(Ordering::Acquire) {
         let count = sent.len();
         let (path, run) = PATHS[count % PATHS.len()];
-        let (index, address) = fleet.relay_address(relay).await;
+        let (index, address) = fleet.relay_address(relay);
         let id = format!("b{number}-{count}");
         let record = call(&client, address, path, run, id, false).await;
         let request = SentRequest::new(&record, index);
@@ -190,13 +191,10 @@
     }
 
     /// Index and address of the relay that the number `number` stands for; the numbers go round.
-    async fn relay_address(&self, number: usize) -> (usize, std::net::SocketAddr) {
-        let (index, relay) = {
-            let relays = self.relays.lock();
-            let index = number % relays.len();
-            (index, Arc::clone(&relays[index]))
-        };
-        (index, relay.callers)
+    fn relay_address(&self, number: usize) -> (usize, SocketAddr) {
+        let relays = self.relays.lock();
+        let index = number % relays.len();
+        (index, relays[index].callers)
     }
 
     fn strain(&self, phase: &StrainPhase) {
@@ -217,7 +215,7 @@
             if start.elapsed() < STRAIN_END {
                 let relays = self.relays.lock().clone();
                 let (relay, begin) = (turn % relays.len(), Instant::now());
-                relays[relay].suffer(series.fault).await;
+                relays[relay].inject(series.fault).await;
                 self.disturbances.lock().push(Disturbance {
                     relay,
                     begin,
@@ -230,7 +228,7 @@
 }
 
 impl SoakRelay {
-    async fn suffer(&self, fault: RelayFault) {
+    async fn inject(&self, fault: RelayFault) {
         match fault {
             RelayFault::Kill => {
                 let mut process = self.process.lock().await;
