--- a/crates/router/tests/relay/retry_budget.rs
+++ b/crates/router/tests/relay/retry_budget.rs
@@ -192,7 +192,7 @@
     fleet.deployment.store.set_faults(FaultOrder {
         outage: Some(OutageOrder {
             answer: OutageAnswer::Unavailable,
-            path: "/api/log-newest".to_owned(),
+            path: String::new(),
         }),
         ..FaultOrder::default()
     });
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -24,13 +24,15 @@
 const PAGE_ADDRESSES: [&str; 2] = ["10.1.0.40:9464", "10.1.0.41:9464"];
 /// Timeout of a call, and the delay of an upstream that must not answer.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Number of requests after which a relay that has just started may repeat one.
+const EARNING_REQUESTS: usize = 6;
 /// Longest answer that is read, in bytes.
 const ANSWER_LIMIT: usize = 1 << 20;
 
 /// A relay with two upstreams, and the folder of its log.
 struct Incident {
     _fixture: RelayFixture,
-    _replicas: Vec<ReplicaStandin>,
+    replicas: Vec<ReplicaStandin>,
     relay: RelayProcess,
     folder: tempfile::TempDir,
 }
@@ -54,7 +56,7 @@
         let relay = RelayProcess::start(program, folder.path(), SAMPLE, "edge-1", store).unwrap();
         let incident = Self {
             _fixture: fixture,
-            _replicas: replicas,
+            replicas,
             relay,
             folder,
         };
@@ -184,7 +186,13 @@
         break_after: Some(0),
         ..ReplicaPlan::default()
     };
-    let incident = Incident::start(RunKind::Idempotent, &plan).await;
+    let incident = Incident::start(RunKind::Idempotent, &ReplicaPlan::default()).await;
+    for number in 0..EARNING_REQUESTS {
+        incident.call(&format!("answered-{number}"), KEY).await;
+    }
+    for replica in &incident.replicas {
+        replica.plan(plan.clone());
+    }
     incident.call("retried-1", KEY).await;
     let text = incident.until_explained("retried-1", "not answered").await;
     assert_eq!(text.matches("request sent").count(), 2, "{text}");
