--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -38,8 +38,8 @@
 /// Seeds of each test run: one with planned work only (3), one with a store outage while a key is revoked
 /// (7), and two others.
 const DEFAULT_SEEDS: [u64; 4] = [1, 2, 3, 7];
-/// Seeds of each test run on upstreams under strain: on relays that kept a window of retries each, and did not read an
-/// upstream's Retry-After, 4 and 11 exceeded the bound on retries, and 10 sent requests in a pause. 7 has many relays.
+/// Seeds of each test run on upstreams under strain: restarts during a failure that lasts (4, 11), pauses (10), and
+/// many relays (7).
 const DEFAULT_BUDGET_SEEDS: [u64; 4] = [4, 7, 10, 11];
 /// Number of seeds that run at the same time.
 const CONCURRENT_SEEDS: usize = 5;
