--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod framing;
 mod server;
 
 use std::time::Duration;
@@ -15,4 +16,5 @@
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
 pub use client::{HttpClient, HttpError, HttpRequest};
+pub use framing::{BodyFraming, until_close};
 pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -125,6 +125,7 @@
         self.run.record.outcome = "answered";
         self.run.record_completion();
         let rest = self.splitter.take_partial();
+        self.run.log_end(answer.framing, rest.len());
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ferry_decisions::quarantine::RequestFingerprint;
+use ferry_kernel::http::BodyFraming;
 
 use super::RelayRun;
 use crate::relay::rollouts::AnswerEvidence;
@@ -35,6 +36,19 @@
         });
     }
 
+    /// Logs the end of an answer that may have been cut off, with the number of bytes after its last complete event.
+    pub(super) fn log_end(&self, framing: BodyFraming, partial_bytes: usize) {
+        if framing == BodyFraming::Delimited && partial_bytes == 0 {
+            return;
+        }
+        spdlog::info!("answer ended without proof that it is complete", kv: {
+            request_id = self.request.id.as_str(),
+            upstream = self.record.upstream.as_str(),
+            framing = framing.name(),
+            partial_bytes = partial_bytes,
+        });
+    }
+
     /// Records an answer as evidence about the upstream's version; without `took` it counts as a failure.
     pub fn record_answer(&mut self, upstream: &RelayUpstream, took: Option<Duration>) {
         let Some(service) = &self.service else {
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -163,6 +163,7 @@
         let UpstreamAnswer {
             head,
             facts,
+            framing,
             body,
             lease,
             upstream,
@@ -170,6 +171,7 @@
         } = answer;
         match collect_limited(body, WHOLE_ANSWER_LIMIT).await {
             Ok(body) => {
+                self.log_end(framing, 0);
                 if !facts.closes {
                     lease.give_back(facts.keep_alive);
                 }
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::retry::UpstreamFailure;
+use ferry_kernel::http::BodyFraming;
 use ferry_platform::headers::AnswerFacts;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -32,6 +33,8 @@
     pub head: Parts,
     /// Values parsed from the headers.
     pub facts: AnswerFacts,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
     /// Body, still to be read.
     pub body: Incoming,
     /// Connection that carries the answer.
@@ -87,6 +90,7 @@
         });
     }
     let answer = UpstreamAnswer {
+        framing: BodyFraming::of(&outgoing.method, &head),
         head,
         facts,
         body,
