--- /dev/null
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -0,0 +1,238 @@
+//! An upstream that answers with given bytes, and a caller that reads the bytes of an answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord, UpstreamStage};
+use ferry_decisions::time::UnixMillis;
+use ferry_kernel::http::HttpRequest;
+use ferry_platform::entries::encode_upstream;
+use ferry_platform::headers::{AnswerHeaders, BoundRequest};
+use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_router::relay::RelayDaemon;
+use hyper::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use crate::deployment::{Deployment, SERVICE, loopback, request};
+
+/// Time within which the end of an answer must arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(15);
+/// End of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Last chunk of a body.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// How an upstream marks the end of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RawFraming {
+    Length,
+    Chunks,
+    None,
+}
+
+/// How an upstream ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RawEnd {
+    Fin,
+    Rst,
+}
+
+/// What an upstream does with each request.
+#[derive(Debug, Clone, Copy)]
+pub struct RawPlan {
+    /// Body of a complete answer, which its framing announces.
+    pub whole: &'static str,
+    /// Part of the body that is sent.
+    pub sent: &'static str,
+    pub framing: RawFraming,
+    pub end: RawEnd,
+    /// Whether the upstream ends with the connection.
+    pub exits: bool,
+}
+
+/// Bytes of an answer as its caller received them.
+#[derive(Debug)]
+pub struct RawAnswer {
+    head: String,
+    body: Vec<u8>,
+}
+
+/// Starts an upstream with id `id` that follows `plan`, and registers it.
+pub async fn start_raw_replica(deployment: &Deployment, id: &str, plan: RawPlan) {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, plan));
+    let record = raw_record(id, address);
+    let store = &deployment.store;
+    store.put(UPSTREAM_TOPIC, id, &encode_upstream(&record));
+}
+
+fn raw_record(id: &str, address: SocketAddr) -> UpstreamRecord {
+    UpstreamRecord {
+        incarnation: UpstreamIncarnation {
+            id: id.into(),
+            started_at: Some(UnixMillis(1)),
+        },
+        service: SERVICE.into(),
+        address,
+        zone: "zone-a".into(),
+        version: "v1".into(),
+        slots: 8,
+        stage: UpstreamStage::Ready,
+        warm_up: Duration::ZERO,
+        sequence: 1,
+    }
+}
+
+async fn serve(listener: TcpListener, plan: RawPlan) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        if plan.exits {
+            if let Some(answered) = answer(&mut stream, plan).await {
+                drop(listener);
+                finish(answered, stream, plan.end).await;
+                return;
+            }
+            continue;
+        }
+        tokio::spawn(async move {
+            if let Some(answered) = answer(&mut stream, plan).await {
+                finish(answered, stream, plan.end).await;
+            }
+        });
+    }
+}
+
+/// Bytes of the answer that have been sent.
+struct Answered;
+
+/// Reads one request and sends the planned part of its answer; `None` if no request arrives.
+async fn answer(stream: &mut TcpStream, plan: RawPlan) -> Option<Answered> {
+    let bound = read_request(stream).await?;
+    let mut headers = HeaderMap::new();
+    let answer = AnswerHeaders {
+        attempt_id: bound.attempt_id,
+        signature: Some("signed".to_owned()),
+        ..AnswerHeaders::default()
+    };
+    answer.write(&mut headers);
+    let mut bytes = format!("HTTP/1.1 200 OK\r\n{}", header_lines(&headers));
+    bytes.push_str(&match plan.framing {
+        RawFraming::Length => format!("Content-Length: {}\r\n\r\n{}", plan.whole.len(), plan.sent),
+        RawFraming::Chunks => format!("Transfer-Encoding: chunked\r\n\r\n{}", chunks(plan)),
+        RawFraming::None => format!("\r\n{}", plan.sent),
+    });
+    stream.write_all(bytes.as_bytes()).await.ok()?;
+    Some(Answered)
+}
+
+fn chunks(plan: RawPlan) -> String {
+    let mut chunks = String::new();
+    if !plan.sent.is_empty() {
+        chunks.push_str(&format!("{:x}\r\n{}\r\n", plan.sent.len(), plan.sent));
+    }
+    if plan.sent == plan.whole {
+        chunks.push_str("0\r\n\r\n");
+    }
+    chunks
+}
+
+async fn finish(_answered: Answered, mut stream: TcpStream, end: RawEnd) {
+    // Lets the bytes arrive before a reset, which discards those that wait.
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    match end {
+        RawEnd::Fin => {
+            let _ = stream.shutdown().await;
+        }
+        RawEnd::Rst => SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .unwrap(),
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<BoundRequest> {
+    let head = read_head(stream).await?;
+    let mut headers = HeaderMap::new();
+    for line in head.lines().skip(1) {
+        let Some((name, value)) = line.split_once(": ") else {
+            continue;
+        };
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.insert(name, HeaderValue::from_str(value).ok()?);
+    }
+    let length = headers.get(CONTENT_LENGTH);
+    let length: usize = length.map_or(0, |length| length.to_str().unwrap().parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(BoundRequest::read(&headers))
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(HEAD_END) {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+fn header_lines(headers: &HeaderMap) -> String {
+    let lines = headers.iter();
+    lines
+        .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().unwrap()))
+        .collect()
+}
+
+/// Sends a request on a connection of its own, and reads its answer until the connection ends.
+pub async fn read_raw(relay: &RelayDaemon, path: &str, attempt_id: &str) -> RawAnswer {
+    let HttpRequest { headers, body, .. } = request(relay, path, attempt_id);
+    let mut stream = TcpStream::connect(relay.callers_address()).await.unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\n{}Connection: close\r\nContent-Length: {}\r\n\r\n",
+        header_lines(&headers),
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&body).await.unwrap();
+    let mut bytes = Vec::new();
+    // A reset leaves what was read before it.
+    let _ = timeout(READ_TIMEOUT, stream.read_to_end(&mut bytes))
+        .await
+        .expect("the answer ends in time");
+    let end = bytes
+        .windows(HEAD_END.len())
+        .position(|bytes| bytes == HEAD_END);
+    let end = end.map_or(bytes.len(), |start| start + HEAD_END.len());
+    let body = bytes.split_off(end);
+    RawAnswer {
+        head: String::from_utf8_lossy(&bytes).to_ascii_lowercase(),
+        body,
+    }
+}
+
+impl RawAnswer {
+    /// Whether the status is 200.
+    pub fn is_success(&self) -> bool {
+        self.head.split(' ').nth(1) == Some("200")
+    }
+
+    /// Whether the length or the last chunk says that the body is complete.
+    pub fn is_framed_as_complete(&self) -> bool {
+        if self.head.contains("transfer-encoding: chunked") {
+            return self.body.ends_with(LAST_CHUNK);
+        }
+        let length = self.head.lines().find_map(|line| {
+            let length = line.strip_prefix("content-length: ")?;
+            length.parse().ok()
+        });
+        length == Some(self.body.len())
+    }
+
+    /// Body as text; only for a body without chunks.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
