End an answer without framing as its upstream did, and resume a stream that ends inside an event

Cause: the end of a connection was taken for the end of an answer that has no length and no chunks, and the router's own framing then vouched for it; bytes of an incomplete event were forwarded as the end of the stream. Change: an answer that ends with its connection is delivered as one, so that the caller is told what the router knows. A stream that ends inside an event counts as broken off, whatever its framing, and is resumed where its rule allows. The link that ended with such an answer is replaced at once: an upstream that refuses the connection has ended, and the answer with it; otherwise the new link serves the next request. If a resumed part has no framing but the caller's answer has, another upstream is asked for the rest. Only bodies of another media type than events are passed on as they are, so that the stand-in upstream names its type now.

--- a/crates/router/src/relay/run/answer_delivery.rs
+++ b/crates/router/src/relay/run/answer_delivery.rs
@@ -1,7 +1,10 @@
 //! Builds the caller's response from an upstream's answer.
+//!
+//! An answer whose end its upstream marked by closing the connection is ended in the same way, so that a caller is not told
+//! that it is complete.
 
 use bytes::Bytes;
-use ferry_kernel::http::{HttpBody, empty, full, streamed};
+use ferry_kernel::http::{BodyFraming, HttpBody, empty, full, streamed, until_close};
 use ferry_platform::headers::answer_headers;
 use futures::stream;
 use hyper::Response;
@@ -11,13 +14,14 @@
 use super::event_forwarder::EventForwarder;
 use super::upstream_send::UpstreamAnswer;
 
-/// Response with a complete body.
-pub fn deliver_whole(head: &Parts, body: Bytes) -> Response<HttpBody> {
-    with_head(head, full(body))
+/// Response with a body that was read to its end.
+pub fn deliver_whole(head: &Parts, framing: BodyFraming, body: Bytes) -> Response<HttpBody> {
+    framed(framing, with_head(head, full(body)))
 }
 
 /// Response that streams the events of `answer` as they arrive.
 pub fn deliver_events(run: RelayRun, answer: UpstreamAnswer) -> Response<HttpBody> {
+    let framing = answer.framing;
     let mut response = with_head(&answer.head, empty());
     let forwarder = EventForwarder::new(run, answer);
     let events = stream::unfold(forwarder, |mut forwarder| async move {
@@ -25,7 +29,14 @@
         Some((event, forwarder))
     });
     *response.body_mut() = streamed(events);
-    response
+    framed(framing, response)
+}
+
+fn framed(framing: BodyFraming, response: Response<HttpBody>) -> Response<HttpBody> {
+    match framing {
+        BodyFraming::Delimited => response,
+        BodyFraming::UntilClose => until_close(response),
+    }
 }
 
 fn with_head(head: &Parts, body: HttpBody) -> Response<HttpBody> {
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use ferry_decisions::retry::UpstreamFailure;
 use ferry_decisions::ruleset::RunKind;
-use ferry_kernel::http::BoxError;
+use ferry_kernel::http::{BodyFraming, BoxError};
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::header::CONTENT_TYPE;
 use tokio::time::{timeout, timeout_at};
 
 use super::RelayRun;
@@ -18,12 +20,16 @@
 
 /// Multiple of the rule's longest event gap after which a silent upstream counts as hanging.
 const SILENCE_FACTOR: u32 = 4;
+/// Media type of a stream of events.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
 /// Forwards one stream of events to the caller.
 pub struct EventForwarder {
     run: RelayRun,
     /// Answer being read; absent once the stream has ended or broken off.
     answer: Option<UpstreamAnswer>,
+    /// Framing of the caller's answer, which is that of the first upstream's answer.
+    framing: BodyFraming,
     splitter: EventSplitter,
     /// Whether the caller has been sent an event.
     has_sent_events: bool,
@@ -35,6 +41,8 @@
 enum ForwardStep {
     Events(Bytes),
     End,
+    /// The end of a connection, which proves nothing, in an answer that can only be ended as complete.
+    UnprovenEnd,
     Broken(String),
     /// The upstream sent no data for longer than `silence_limit`.
     Silent,
@@ -45,6 +53,7 @@
     pub fn new(run: RelayRun, answer: UpstreamAnswer) -> Self {
         Self {
             run,
+            framing: answer.framing,
             answer: Some(answer),
             splitter: EventSplitter::default(),
             has_sent_events: false,
@@ -73,6 +82,7 @@
                     return Some(Ok(events));
                 }
                 ForwardStep::End => return self.end(),
+                ForwardStep::UnprovenEnd => self.complete_elsewhere().await,
                 ForwardStep::Silent => self.handle_silence().await,
                 ForwardStep::Broken(reason) => self.resume_elsewhere(&reason).await,
             };
@@ -91,7 +101,7 @@
                 return Some(ForwardStep::Silent);
             };
             let frame = match frame {
-                None => return Some(ForwardStep::End),
+                None => return Some(self.judge_end().await),
                 Some(Err(error)) => return Some(ForwardStep::Broken(error.to_string())),
                 Some(Ok(frame)) => frame,
             };
@@ -106,6 +116,28 @@
         }
     }
 
+    /// What the end of the body means: the end of the stream, or a break.
+    async fn judge_end(&self) -> ForwardStep {
+        let Some(answer) = &self.answer else {
+            return ForwardStep::End;
+        };
+        self.run
+            .log_end(answer.framing, self.splitter.is_inside_event());
+        if is_event_stream(&answer.head.headers) && self.splitter.is_inside_event() {
+            return ForwardStep::Broken("the stream ended inside an event".to_owned());
+        }
+        if answer.framing == BodyFraming::Delimited {
+            return ForwardStep::End;
+        }
+        if answer.upstream.has_ended().await {
+            return ForwardStep::Broken("the upstream ended".to_owned());
+        }
+        match self.framing {
+            BodyFraming::Delimited => ForwardStep::UnprovenEnd,
+            BodyFraming::UntilClose => ForwardStep::End,
+        }
+    }
+
     /// Time without data after which the upstream counts as silent: a multiple of the event gap if the
     /// stream can be resumed elsewhere, else the rule's timeout.
     fn silence_limit(&self) -> Duration {
@@ -119,13 +151,12 @@
     /// Ends the stream as the upstream did, forwarding any bytes after the last complete event.
     fn end(&mut self) -> Option<Result<Bytes, BoxError>> {
         let answer = self.answer.take()?;
-        if !answer.facts.closes {
+        if answer.keeps_link() {
             answer.lease.give_back(answer.facts.keep_alive);
         }
         self.run.record.outcome = "answered";
         self.run.record_completion();
         let rest = self.splitter.take_partial();
-        self.run.log_end(answer.framing, rest.len());
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -136,6 +167,20 @@
     /// Fails when events without identifiers have been sent to the caller, or no upstream can resume the stream.
     async fn resume_elsewhere(&mut self, reason: &str) -> Result<(), RelayRefusal> {
         self.discard_answer(reason);
+        self.resume().await
+    }
+
+    /// Asks another upstream for the events that may be missing; the upstream that sent the others is not to blame.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::resume_elsewhere`].
+    async fn complete_elsewhere(&mut self) -> Result<(), RelayRefusal> {
+        self.answer = None;
+        self.resume().await
+    }
+
+    async fn resume(&mut self) -> Result<(), RelayRefusal> {
         if self.has_sent_events && self.splitter.last_id().is_none() {
             return Err(RelayRefusal::not_run(RefusalReason::UpstreamFailed));
         }
@@ -193,6 +238,17 @@
     }
 }
 
+/// Whether the body is a stream of events, which an answer of a streaming rule is unless it names another type.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    media_type.is_none_or(|media_type| {
+        let media_type = media_type.trim_start().to_ascii_lowercase();
+        media_type.starts_with(EVENT_STREAM_TYPE)
+    })
+}
+
 fn stream_failure() -> SendFailure {
     SendFailure::without_answer(UpstreamFailure::BrokenInAnswer)
 }
--- a/crates/router/src/relay/run/event_splitter.rs
+++ b/crates/router/src/relay/run/event_splitter.rs
@@ -8,6 +8,9 @@
 /// Field that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Line breaks that end a line and the blank line after it.
+const BLANK_LINES: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
 /// An upstream sent an event longer than `EVENT_LIMIT`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the upstream sent an event longer than {EVENT_LIMIT} bytes; check the upstream")]
@@ -46,6 +49,12 @@
         self.last_id
     }
 
+    /// Whether the bytes so far end inside an event; line breaks between events belong to none.
+    pub fn is_inside_event(&self) -> bool {
+        let is_line_break = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        !self.partial.iter().all(is_line_break)
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
@@ -54,9 +63,10 @@
 
 /// Position after the last blank line; a blank line ends an event.
 fn last_event_end(data: &[u8]) -> Option<usize> {
-    let lf_end = memmem::rfind(data, b"\n\n").map(|start| start + 2);
-    let crlf_end = memmem::rfind(data, b"\r\n\r\n").map(|start| start + 4);
-    lf_end.max(crlf_end)
+    let ends = BLANK_LINES.iter().filter_map(|blank_line| {
+        memmem::rfind(data, blank_line).map(|start| start + blank_line.len())
+    });
+    ends.max()
 }
 
 fn last_event_id(events: &[u8]) -> Option<u64> {
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, ServiceName, VersionName};
 use ferry_decisions::retry::{RunState, UpstreamFailure};
-use ferry_kernel::http::HttpBody;
+use ferry_kernel::http::{BodyFraming, HttpBody};
 use hyper::Response;
 use hyper::http::response::Parts;
 use smallvec::SmallVec;
@@ -49,8 +49,8 @@
 
 /// An answer that can be forwarded to the caller.
 pub enum RunAnswer {
-    /// An answer read to its end.
-    Whole(Box<Parts>, Bytes),
+    /// An answer read to its end, with the framing that its upstream gave it.
+    Whole(Box<Parts>, BodyFraming, Bytes),
     /// A stream of events whose head has arrived.
     Events(Box<UpstreamAnswer>),
 }
@@ -85,11 +85,11 @@
             Err(refusal.with_run(self.run))
         });
         match result {
-            Ok(RunAnswer::Whole(head, body)) => {
+            Ok(RunAnswer::Whole(head, framing, body)) => {
                 self.record.record_head();
                 self.record.status = head.status.as_u16();
                 self.record.outcome = "answered";
-                deliver_whole(&head, body)
+                deliver_whole(&head, framing, body)
             }
             Ok(RunAnswer::Events(answer)) => {
                 self.record.record_head();
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -36,16 +36,16 @@
         });
     }
 
-    /// Logs the end of an answer that may have been cut off, with the number of bytes after its last complete event.
-    pub(super) fn log_end(&self, framing: BodyFraming, partial_bytes: usize) {
-        if framing == BodyFraming::Delimited && partial_bytes == 0 {
+    /// Logs the end of an answer that may have been cut off.
+    pub(super) fn log_end(&self, framing: BodyFraming, is_inside_event: bool) {
+        if framing == BodyFraming::Delimited && !is_inside_event {
             return;
         }
         spdlog::info!("answer ended without proof that it is complete", kv: {
             request_id = self.request.id.as_str(),
             upstream = self.record.upstream.as_str(),
             framing = framing.name(),
-            partial_bytes = partial_bytes,
+            inside_event = is_inside_event,
         });
     }
 
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::retry::{RunState, UpstreamFailure};
-use ferry_kernel::http::collect_limited;
+use ferry_kernel::http::{BodyError, BodyFraming, collect_limited};
 use ferry_platform::headers::{ForwardFacts, forward_headers, set_resume_point};
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
 use super::RelayRun;
@@ -160,6 +162,7 @@
         if self.request.rule.run.is_stream() && answer.head.status.is_success() {
             return Ok(RunAnswer::Events(Box::new(answer)));
         }
+        let keeps_link = answer.keeps_link();
         let UpstreamAnswer {
             head,
             facts,
@@ -169,17 +172,16 @@
             upstream,
             in_flight: _in_flight,
         } = answer;
-        match collect_limited(body, WHOLE_ANSWER_LIMIT).await {
+        match self.collect_body(&upstream, framing, body).await {
             Ok(body) => {
-                self.log_end(framing, 0);
-                if !facts.closes {
+                if keeps_link {
                     lease.give_back(facts.keep_alive);
                 }
                 // A server error may come from an upstream that did not run the request.
                 if !head.status.is_server_error() {
                     self.record_completion();
                 }
-                Ok(RunAnswer::Whole(Box::new(head), body))
+                Ok(RunAnswer::Whole(Box::new(head), framing, body))
             }
             Err(error) => {
                 spdlog::debug!(
@@ -193,4 +195,19 @@
             }
         }
     }
+
+    /// Reads a body to its end; the end of a connection is no end if the upstream has ended with it.
+    async fn collect_body(
+        &self,
+        upstream: &Arc<RelayUpstream>,
+        framing: BodyFraming,
+        body: Incoming,
+    ) -> Result<Bytes, BodyError> {
+        let body = collect_limited(body, WHOLE_ANSWER_LIMIT).await?;
+        self.log_end(framing, false);
+        if framing == BodyFraming::UntilClose && upstream.has_ended().await {
+            return Err(BodyError::Truncated("the upstream ended".to_owned()));
+        }
+        Ok(body)
+    }
 }
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -45,6 +45,13 @@
     pub upstream: Arc<RelayUpstream>,
 }
 
+impl UpstreamAnswer {
+    /// Whether the connection can carry another request after the end of the body.
+    pub fn keeps_link(&self) -> bool {
+        !self.facts.closes && self.framing == BodyFraming::Delimited
+    }
+}
+
 /// A failed send: no answer arrived, or none that counts as a success.
 #[derive(Debug)]
 pub struct SendFailure {
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -1,5 +1,6 @@
 //! One incarnation of an upstream, with its load, latency and idle connections at this router.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use super::UpstreamLink;
+use super::{LinkLease, UpstreamLink};
 
 /// Time for which an upstream that broke or refused a connection gets no new requests while others
 /// can take them.
@@ -215,6 +216,25 @@
         }
     }
 
+    /// Whether its process has ended, so that it refuses connections, although its entry does not say so yet.
+    ///
+    /// Opens a connection in place of the one that ended with an answer, and keeps it for the next request.
+    pub async fn has_ended(self: &Arc<Self>) -> bool {
+        if self.is_leaving() || self.pause_left().is_some() {
+            return false;
+        }
+        match UpstreamLink::open(self.record.address).await {
+            Ok(link) => {
+                LinkLease::new(Arc::clone(self), link).give_back(None);
+                false
+            }
+            Err(error) => {
+                spdlog::info!("upstream cannot be reached after its answer: {}", error, kv: { upstream = self.id() });
+                error.kind() == ErrorKind::ConnectionRefused
+            }
+        }
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> InFlightGuard {
         self.state.lock().in_flight += 1;
--- a/crates/router/tests/relay/unframed.rs
+++ b/crates/router/tests/relay/unframed.rs
@@ -114,13 +114,13 @@
 async fn assert_continues_elsewhere(plan: RawPlan) {
     let deployment = deployment().await;
     start_raw_replica(&deployment, "up-1", plan).await;
-    let relay = deployment.relay().await;
     let healthy = deployment.replica("up-2", "v1").await;
     healthy.plan(ReplicaPlan {
         events: 2,
         gap: Duration::from_millis(5),
         ..ReplicaPlan::default()
     });
+    let relay = deployment.relay().await;
     let mut number = 0;
     eventually("a stream is resumed", async || {
         number += 1;
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -8,6 +8,7 @@
 use ferry_platform::headers::{AnswerHeaders, BoundRequest, LoadFacts};
 use futures::stream;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -169,15 +170,21 @@
     }
 
     fn run(&self, bound: &BoundRequest, plan: &ReplicaPlan, guard: RunGuard) -> Response<HttpBody> {
-        let body = match plan.events {
+        let (media_type, body) = match plan.events {
             0 => {
                 guard.finish();
-                full(format!("{} answers {}", self.options.id, bound.attempt_id))
+                let text = format!("{} answers {}", self.options.id, bound.attempt_id);
+                ("text/plain", full(text))
+            }
+            _ => {
+                let last_event = bound.last_event.unwrap_or(0);
+                ("text/event-stream", events(plan.clone(), last_event, guard))
             }
-            _ => events(plan.clone(), bound.last_event.unwrap_or(0), guard),
         };
         let mut response = Response::new(body);
         *response.status_mut() = plan.status;
+        let media_type = HeaderValue::from_static(media_type);
+        response.headers_mut().insert(CONTENT_TYPE, media_type);
         let mut headers = self.answer_headers(bound);
         headers.signature = Some(format!("signed-by-{}", self.options.id));
         headers.confidence = plan.confidence;
