End a service's answer without framing as the service did, on the own interface too

The same cause elsewhere: dispatch/service_call took the end of a connection for the end of the answer, and the answer went out with a length, to duplicates of the call at other routers as well. The answer carries its framing now. Streams of engines are not affected, since they end with a mark of their own, nor whole answers of engines, since a part of their JSON does not decode (both read in the code). a_service_answer_without_framing_is_not_framed_as_complete fails with the framing ignored, and passes.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -16,5 +16,5 @@
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
 pub use client::{HttpClient, HttpError, HttpRequest};
-pub use framing::{BodyFraming, until_close};
+pub use framing::BodyFraming;
 pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/kernel/src/http/framing.rs
+++ b/crates/kernel/src/http/framing.rs
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Marks the end of `response` in this way.
+    pub fn apply(self, response: Response<HttpBody>) -> Response<HttpBody> {
+        match self {
+            Self::Delimited => response,
+            Self::UntilClose => until_close(response),
+        }
+    }
+
     /// Name in log lines.
     pub fn name(self) -> &'static str {
         match self {
@@ -48,7 +56,7 @@
 }
 
 /// The response with a body that ends with the connection, for a body that is not known to be complete.
-pub fn until_close(response: Response<HttpBody>) -> Response<HttpBody> {
+fn until_close(response: Response<HttpBody>) -> Response<HttpBody> {
     let (mut head, body) = response.into_parts();
     // hyper sends a body of unknown length without chunks only in a response of HTTP/1.0.
     head.version = Version::HTTP_10;
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -107,6 +107,7 @@
 }
 
 fn to_response(answer: ServiceAnswer, id: &str) -> Response<HttpBody> {
+    let framing = answer.framing;
     let mut response = Response::new(full(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
@@ -115,5 +116,5 @@
             .headers_mut()
             .insert(REQUEST_ID_ANSWER_HEADER, value);
     }
-    response
+    framing.apply(response)
 }
--- a/crates/router/src/claims/joined_answer.rs
+++ b/crates/router/src/claims/joined_answer.rs
@@ -1,5 +1,6 @@
 //! Answer of a run in the form in which duplicates of its request receive it.
 
+use ferry_kernel::http::BodyFraming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,9 @@
     status: u16,
     headers: Vec<JoinedHeader>,
     body: Vec<u8>,
+    /// Whether the service marked the end of the body by closing the connection.
+    #[serde(default)]
+    until_close: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +36,7 @@
             status: answer.status.as_u16(),
             headers: headers.collect(),
             body: answer.body.to_vec(),
+            until_close: answer.framing == BodyFraming::UntilClose,
         }
     }
 
@@ -45,6 +50,10 @@
         Some(ServiceAnswer {
             status: StatusCode::from_u16(self.status).ok()?,
             headers,
+            framing: match self.until_close {
+                true => BodyFraming::UntilClose,
+                false => BodyFraming::Delimited,
+            },
             body: self.body.into(),
         })
     }
--- a/crates/router/src/dispatch/run_answer.rs
+++ b/crates/router/src/dispatch/run_answer.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::{RequestId, VersionName};
-use ferry_kernel::http::BoxError;
+use ferry_kernel::http::{BodyFraming, BoxError};
 use hyper::{HeaderMap, StatusCode};
 use tokio::sync::{mpsc, oneshot};
 
@@ -51,6 +51,8 @@
     pub status: StatusCode,
     /// Response headers of the service that describe the body.
     pub headers: HeaderMap,
+    /// How the service marked the end of the body.
+    pub framing: BodyFraming,
     /// Response body of the service.
     pub body: Bytes,
 }
--- a/crates/router/src/dispatch/service_call.rs
+++ b/crates/router/src/dispatch/service_call.rs
@@ -1,7 +1,7 @@
 //! Dispatches a call to a plain service.
 
 use bytes::Bytes;
-use ferry_kernel::http::{HttpRequest, collect_limited};
+use ferry_kernel::http::{BodyFraming, HttpRequest, collect_limited};
 use ferry_platform::engine::REQUEST_ID_HEADER;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response};
@@ -42,6 +42,7 @@
         .map_err(|error| DispatchFailure::broken_answer(&error.to_string()))?;
     Ok(ServiceAnswer {
         status: head.status,
+        framing: BodyFraming::of(&call.method, &head),
         headers: content_headers(&head.headers),
         body,
     })
--- a/crates/router/src/relay/run/answer_delivery.rs
+++ b/crates/router/src/relay/run/answer_delivery.rs
@@ -4,7 +4,7 @@
 //! that it is complete.
 
 use bytes::Bytes;
-use ferry_kernel::http::{BodyFraming, HttpBody, empty, full, streamed, until_close};
+use ferry_kernel::http::{BodyFraming, HttpBody, empty, full, streamed};
 use ferry_platform::headers::answer_headers;
 use futures::stream;
 use hyper::Response;
@@ -16,7 +16,7 @@
 
 /// Response with a body that was read to its end.
 pub fn deliver_whole(head: &Parts, framing: BodyFraming, body: Bytes) -> Response<HttpBody> {
-    framed(framing, with_head(head, full(body)))
+    framing.apply(with_head(head, full(body)))
 }
 
 /// Response that streams the events of `answer` as they arrive.
@@ -29,14 +29,7 @@
         Some((event, forwarder))
     });
     *response.body_mut() = streamed(events);
-    framed(framing, response)
-}
-
-fn framed(framing: BodyFraming, response: Response<HttpBody>) -> Response<HttpBody> {
-    match framing {
-        BodyFraming::Delimited => response,
-        BodyFraming::UntilClose => until_close(response),
-    }
+    framing.apply(response)
 }
 
 fn with_head(head: &Parts, body: HttpBody) -> Response<HttpBody> {
--- a/crates/router/tests/claims_and_bills/claims.rs
+++ b/crates/router/tests/claims_and_bills/claims.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ferry_decisions::claim::shard_of;
+use ferry_kernel::http::BodyFraming;
 use ferry_router::claims::{ClaimError, ClaimStart, JoinedAnswer, claim, claim_or_join, void};
 use ferry_router::dispatch::ServiceAnswer;
 use ferry_router::joins::RequestFingerprint;
@@ -57,6 +58,7 @@
         panic!("the first claim is granted");
     };
     let answer = ServiceAnswer {
+        framing: BodyFraming::Delimited,
         status: StatusCode::CREATED,
         headers: HeaderMap::new(),
         body: "sent".into(),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -19,3 +19,4 @@
 mod router_kill;
 mod run_once;
 mod sample;
+mod unframed;
