--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -4,6 +4,7 @@
 
 use ferry_decisions::quarantine::RequestFingerprint;
 use ferry_kernel::http::BodyFraming;
+use smallvec::SmallVec;
 
 use super::RelayRun;
 use crate::relay::rollouts::AnswerEvidence;
@@ -110,12 +111,20 @@
         spdlog::info!("upstream broke off the request", kv: {
             request_id = self.request.id.as_str(),
             fingerprint = fingerprint.to_string(),
+            parts = self.shareable_parts(),
             upstream = upstream.id(),
             started_at = started_at.map_or(0, |at| at.0),
             counted = counted,
         });
     }
 
+    /// Parts of the prompt that other requests may share, as text for a log line.
+    fn shareable_parts(&self) -> String {
+        let parts = self.request.facts.prompt.shareable_parts();
+        let parts: SmallVec<[String; 4]> = parts.map(|part| format!("{part:x}")).collect();
+        parts.join(",")
+    }
+
     /// Whether the request is not run again now, because it crashed too many upstreams.
     pub(super) fn is_quarantined(&self) -> bool {
         let crashes = &self.core.crashes;
