Requests with a part that crashes upstreams, over three routers, in four tests that fail

Three relays in three zones, eight upstreams that are down for 1.5 s after a crash and return under their id. On the code before: 49 to 51 of 65 to 67 requests with the part reach upstreams later than 3 s after its fifth crash, where 3 are allowed; with two such parts 24 and 25 of one's 34 to 37; a router that starts later sends 14 to 16. The fifth test, upstreams lost on their own, passes: all sound requests are served afterwards.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! and TCP proxies between them that can cut or stall connections. Its client calls the routers.
 
 mod answer;
+mod crashing_upstream;
 mod curl_line;
 mod fleet;
 mod link_proxy;
@@ -15,6 +16,7 @@
 mod wait;
 
 pub use answer::{ChatResult, Refusal, RigAnswer};
+pub use crashing_upstream::CrashingUpstream;
 pub use curl_line::curl_request;
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
 pub use link_proxy::LinkProxy;
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod cascades;
 mod containment;
+mod crashing_parts;
 mod deployment;
 mod events;
 mod failures;
