Count crashes for the parts of prompts too, over the whole fleet, and reject requests with a part that crashes upstreams

Cause: what was counted for was one request's content. Each new request with the part began at zero and was given its attempts, at each router. The parts were read and used for placement only. Change: the same rows, store topic and feed count for parts as for requests; no new mechanism. A whole answer on a part proves it sound for good, in the fleet: a router that saw one says so when a row about the part comes by. What ends without proof, or has gone on for a second, counts as an answer only. Of the other parts the smallest set is taken that explains the crashes, four or more upstreams each: a crash that a guilty part explains counts against no other, and among about equal explanations the part that fewer requests have is taken. One request alone accuses no part. A guilty part is rejected at once at the first send and each later one, for ten minutes after its last crash.

--- a/crates/decisions/src/quarantine/answer_counts.rs
+++ b/crates/decisions/src/quarantine/answer_counts.rs
@@ -1,39 +1,39 @@
-//! Recent complete answers, counted by request content.
+//! Recent answers, counted by what crashes are counted for.
 
 use std::collections::HashMap;
 
-use super::RequestFingerprint;
+use super::CrashSubject;
 use crate::time::UnixMillis;
 
 /// Time after which the counts become the previous ones, in milliseconds; older counts are dropped.
 const GENERATION_MS: u64 = 30_000;
-/// Maximum number of requests counted in one generation; further ones are not counted.
+/// Maximum number of subjects counted in one generation; further ones are not counted.
 const GENERATION_LIMIT: usize = 1_024;
 
 /// Answers of the present and the previous generation.
 #[derive(Debug, Default)]
 pub(super) struct AnswerCounts {
-    present: HashMap<RequestFingerprint, u32>,
-    previous: HashMap<RequestFingerprint, u32>,
+    present: HashMap<CrashSubject, u32>,
+    previous: HashMap<CrashSubject, u32>,
     /// Start of the present generation.
     started_at: UnixMillis,
 }
 
 impl AnswerCounts {
-    /// Counts one answer to `request`.
-    pub(super) fn add(&mut self, request: RequestFingerprint, now: UnixMillis) {
+    /// Counts one answer to `subject`.
+    pub(super) fn add(&mut self, subject: CrashSubject, now: UnixMillis) {
         self.rotate(now);
         let is_full = self.present.len() >= GENERATION_LIMIT;
-        if !is_full || self.present.contains_key(&request) {
-            *self.present.entry(request).or_default() += 1;
+        if !is_full || self.present.contains_key(&subject) {
+            *self.present.entry(subject).or_default() += 1;
         }
     }
 
-    /// Answers to `request` in the present and the previous generation.
-    pub(super) fn recent(&mut self, request: &RequestFingerprint, now: UnixMillis) -> u32 {
+    /// Answers to `subject` in the present and the previous generation.
+    pub(super) fn recent(&mut self, subject: &CrashSubject, now: UnixMillis) -> u32 {
         self.rotate(now);
         let counts = [&self.present, &self.previous];
-        counts.iter().filter_map(|counts| counts.get(request)).sum()
+        counts.iter().filter_map(|counts| counts.get(subject)).sum()
     }
 
     fn rotate(&mut self, now: UnixMillis) {
--- a/crates/decisions/src/quarantine/crash_row.rs
+++ b/crates/decisions/src/quarantine/crash_row.rs
@@ -1,39 +1,69 @@
-//! Crashes of one request as counted by one router, the unit that routers share.
+//! Crashes of one subject as counted by one router, the unit that routers share.
 
-use super::RequestFingerprint;
+use super::CrashSubject;
 use crate::registry::UpstreamIncarnation;
 use crate::time::UnixMillis;
 
+/// Maximum number of requests that a row tells apart.
+const REQUEST_LIMIT: usize = 16;
+
 value_type! {
     /// Identifies a row.
     #[derive(Eq, PartialOrd, Ord)]
     pub struct CrashRowKey {
-        /// The request.
-        pub request: RequestFingerprint,
+        /// What the crashes are counted for.
+        pub subject: CrashSubject,
         /// Router that counts, with its incarnation.
         pub router: String,
     }
 
-    /// Crashes and answers of one request at one incarnation of a router.
+    /// Crashes and answers of one subject at one incarnation of a router.
     ///
     /// Only that router changes the row. Crashes are only added and answers only grow, so that the newer of two
     /// versions holds the older one.
     pub struct CrashRow {
-        /// The request, and the router that counts.
+        /// The subject, and the router that counts.
         pub key: CrashRowKey,
-        /// Distinct incarnations of upstreams that crashed while they ran the request.
+        /// Distinct incarnations of upstreams that crashed while they ran it.
         pub crashed: Vec<UpstreamIncarnation>,
-        /// Answers shortly before the first crash that the router knew of, and since.
+        /// Digests of the first distinct requests that ran with the part at a crash; empty for a request.
+        pub requests: Vec<u32>,
+        /// Answers shortly before the first crash that the router knew of, and since; for a part only those that
+        /// went on for a while or may have been cut off.
         pub answers: u32,
+        /// Whether the router saw a whole answer on the part, which is then not what crashes upstreams.
+        pub is_sound: bool,
         /// Time of the last crash that the router knew of.
         pub last_crash_at: UnixMillis,
     }
 }
 
 impl CrashRow {
+    /// A row without crashes.
+    pub(super) fn new(key: CrashRowKey, last_crash_at: UnixMillis) -> Self {
+        Self {
+            key,
+            crashed: Vec::new(),
+            requests: Vec::new(),
+            answers: 0,
+            is_sound: false,
+            last_crash_at,
+        }
+    }
+
+    /// Counts a request that ran with the part at a crash.
+    pub(super) fn add_request(&mut self, digest: u32) {
+        if self.requests.len() < REQUEST_LIMIT && !self.requests.contains(&digest) {
+            self.requests.push(digest);
+        }
+    }
+
     /// Replaces this version by `other` if that is newer; returns whether it was.
     pub(super) fn merge(&mut self, other: &Self) -> bool {
-        let is_newer = other.crashed.len() > self.crashed.len() || other.answers > self.answers;
+        let is_newer = other.crashed.len() > self.crashed.len()
+            || other.requests.len() > self.requests.len()
+            || other.answers > self.answers
+            || other.is_sound && !self.is_sound;
         if is_newer {
             self.clone_from(other);
         }
@@ -43,6 +73,6 @@
 
 impl std::fmt::Display for CrashRowKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}/{}", self.request, self.router)
+        write!(f, "{}/{}", self.subject, self.router)
     }
 }
--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -1,5 +1,6 @@
-//! The fleet's count of the upstreams that a relayed request crashed, by request content. An upstream
-//! counts as crashed when its connection broke or its answer ended early while it ran the request.
+//! The fleet's count of the upstreams that relayed requests crashed, by request content and by the parts of their
+//! prompts that other requests may share. An upstream counts as crashed when its connection broke or its answer ended
+//! early while it ran the request.
 //!
 //! Each router adds to rows of its own; merging the rows of all routers gives the fleet's count, in any order.
 //! Rows outlive their router in the platform's store.
@@ -7,19 +8,25 @@
 //! Equal requests are one request here, also if only some of them crash their upstream. Answers
 //! therefore do not undo crashes; only a request that is answered many times for each crash
 //! is taken for a frequent one that was in flight when upstreams failed for another reason.
+//!
+//! A part that crashes upstreams crashes each one that begins an answer on it. One whole answer therefore proves a part
+//! sound for good, in the whole fleet, and its crashes are not counted.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::answer_counts::AnswerCounts;
+use super::part_suspect::guilty_parts;
+use super::sound_parts::SoundParts;
 use super::tally_entry::TallyEntry;
-use super::{CrashRow, CrashRowKey, RequestFingerprint};
+use super::{CrashRow, CrashRowKey, CrashSubject, RequestFingerprint};
 use crate::registry::UpstreamIncarnation;
 use crate::time::UnixMillis;
 
-/// Retention time of a request after the last crash, in milliseconds.
+/// Retention time of a subject after its last crash, and duration of the quarantine of a part, in milliseconds.
 const RETENTION_MS: u64 = 600_000;
-/// Maximum number of requests held.
-const ENTRY_LIMIT: usize = 1_024;
+/// Maximum number of subjects held.
+const ENTRY_LIMIT: usize = 2_048;
 
 /// Where a row of another router was received from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +37,15 @@
     Router,
 }
 
+/// What an answer proves about the parts of its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerProof {
+    /// It is known to be complete, so that none of them crashes upstreams.
+    Whole,
+    /// It went on for a while, or ended without proof that it is complete.
+    Unproven,
+}
+
 /// What is known of a request after a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashVerdict {
@@ -39,13 +55,17 @@
     pub quarantined: bool,
 }
 
-/// Rows of all routers, by request.
+/// Rows of all routers, by subject.
 #[derive(Debug)]
 pub struct CrashTally {
     /// This router, with its incarnation.
     router: String,
-    entries: BTreeMap<RequestFingerprint, TallyEntry>,
+    entries: BTreeMap<CrashSubject, TallyEntry>,
     answers: AnswerCounts,
+    /// Parts that this router knows to be sound; bounded, since it remembers parts that never met a crash.
+    sound_parts: SoundParts,
+    /// Parts in quarantine; empty after a change, until it is needed.
+    guilty: OnceCell<BTreeSet<u64>>,
     /// Keys of rows in the store that are no longer held.
     dropped: BTreeSet<CrashRowKey>,
 }
@@ -57,6 +77,8 @@
             router: router.to_owned(),
             entries: BTreeMap::new(),
             answers: AnswerCounts::default(),
+            sound_parts: SoundParts::default(),
+            guilty: OnceCell::new(),
             dropped: BTreeSet::new(),
         }
     }
@@ -73,23 +95,75 @@
         upstream: &UpstreamIncarnation,
         now: UnixMillis,
     ) -> CrashVerdict {
-        self.ensure_entry(request, now, now);
-        let router = self.router.clone();
-        if let Some(entry) = self.entries.get_mut(&request) {
-            entry.record_crash(CrashRowKey { request, router }, upstream, now);
-        }
+        self.record_subject(CrashSubject::Request(request), upstream, now);
         self.verdict(&request, now)
     }
 
+    /// Records that `upstream` crashed while it ran a request with `part` for this router.
+    pub fn record_part(
+        &mut self,
+        part: u64,
+        request: &RequestFingerprint,
+        upstream: &UpstreamIncarnation,
+        now: UnixMillis,
+    ) {
+        if self.sound_parts.contains(part) {
+            return;
+        }
+        let subject = CrashSubject::Part(part);
+        self.record_subject(subject, upstream, now);
+        let key = self.own_key(subject);
+        if let Some(entry) = self.entries.get_mut(&subject) {
+            entry.add_request(key, request);
+        }
+    }
+
+    fn record_subject(
+        &mut self,
+        subject: CrashSubject,
+        upstream: &UpstreamIncarnation,
+        now: UnixMillis,
+    ) {
+        self.ensure_entry(subject, now, now);
+        let key = self.own_key(subject);
+        if let Some(entry) = self.entries.get_mut(&subject) {
+            entry.record_crash(key, upstream, now);
+        }
+        self.guilty.take();
+    }
+
     /// Records a complete answer to the request from an upstream that did not crash; returns whether crashes of the
     /// request are held.
     pub fn record_answer(&mut self, request: RequestFingerprint, now: UnixMillis) -> bool {
-        self.answers.add(request, now);
-        let Some(entry) = self.entries.get_mut(&request) else {
+        self.count_answer(CrashSubject::Request(request), now)
+    }
+
+    /// Records an answer to a request with `part`; returns whether crashes under the part are held.
+    pub fn record_part_answer(&mut self, part: u64, proof: AnswerProof, now: UnixMillis) -> bool {
+        let subject = CrashSubject::Part(part);
+        if proof == AnswerProof::Unproven {
+            return !self.sound_parts.contains(part) && self.count_answer(subject, now);
+        }
+        if !self.sound_parts.insert(part) {
+            return false;
+        }
+        let key = self.own_key(subject);
+        let Some(entry) = self.entries.get_mut(&subject) else {
+            return false;
+        };
+        entry.mark_sound(key);
+        self.guilty.take();
+        true
+    }
+
+    fn count_answer(&mut self, subject: CrashSubject, now: UnixMillis) -> bool {
+        self.answers.add(subject, now);
+        let key = self.own_key(subject);
+        let Some(entry) = self.entries.get_mut(&subject) else {
             return false;
         };
-        let router = self.router.clone();
-        entry.add_answers(CrashRowKey { request, router }, 1);
+        entry.add_answers(key, 1);
+        self.guilty.take();
         true
     }
 
@@ -101,15 +175,26 @@
             }
             return false;
         }
-        let request = row.key.request;
-        self.ensure_entry(request, row.last_crash_at.min(now), now);
-        let entry = self.entries.get_mut(&request);
-        entry.is_some_and(|entry| entry.merge(row, origin, now))
+        let subject = row.key.subject;
+        self.ensure_entry(subject, row.last_crash_at.min(now), now);
+        let Some(entry) = self.entries.get_mut(&subject) else {
+            return false;
+        };
+        let is_news = entry.merge(row, origin, now);
+        if is_news {
+            self.guilty.take();
+        }
+        if let CrashSubject::Part(part) = subject
+            && entry.is_sound()
+        {
+            self.sound_parts.insert(part);
+        }
+        is_news
     }
 
     /// Marks this version of a row as being in the store.
     pub fn mark_stored(&mut self, row: &CrashRow) {
-        if let Some(entry) = self.entries.get_mut(&row.key.request) {
+        if let Some(entry) = self.entries.get_mut(&row.key.subject) {
             entry.mark_stored(row);
         }
     }
@@ -120,7 +205,7 @@
         rows.take(limit).cloned().collect()
     }
 
-    /// Whether a request is about to be quarantined and has rows that are not in the store.
+    /// Whether a subject is about to be quarantined and has rows that are not in the store.
     pub fn has_urgent(&self) -> bool {
         self.entries.values().any(TallyEntry::is_urgent)
     }
@@ -133,30 +218,46 @@
 
     /// Number of upstreams that crashed while they ran the request.
     pub fn crashed(&self, request: &RequestFingerprint) -> usize {
-        self.entries.get(request).map_or(0, TallyEntry::crashed)
+        self.crashed_by(&CrashSubject::Request(*request))
+    }
+
+    /// Number of upstreams that crashed while they ran `subject`.
+    pub fn crashed_by(&self, subject: &CrashSubject) -> usize {
+        self.entries.get(subject).map_or(0, TallyEntry::crashed)
     }
 
     /// Whether too many upstreams crashed for the request to run again at `now`.
     pub fn is_quarantined(&self, request: &RequestFingerprint, now: UnixMillis) -> bool {
-        let entry = self.entries.get(request);
+        let entry = self.entries.get(&CrashSubject::Request(*request));
         entry.is_some_and(|entry| entry.is_quarantined(now))
     }
 
-    /// Number of requests in quarantine at `now`.
+    /// Parts that crash upstreams, which no request may run with.
+    pub fn guilty_parts(&self) -> &BTreeSet<u64> {
+        self.guilty.get_or_init(|| {
+            let suspects = self.entries.values().filter_map(TallyEntry::suspect);
+            guilty_parts(suspects.collect())
+        })
+    }
+
+    /// Number of requests and parts in quarantine at `now`.
     pub fn quarantined(&self, now: UnixMillis) -> usize {
-        let entries = self.entries.values();
-        entries.filter(|entry| entry.is_quarantined(now)).count()
+        let entries = self.entries.iter();
+        let requests = entries.filter(|(subject, entry)| {
+            matches!(subject, CrashSubject::Request(_)) && entry.is_quarantined(now)
+        });
+        requests.count() + self.guilty_parts().len()
     }
 
-    /// Removes requests past the retention time; returns the keys of rows to be removed from the store.
+    /// Removes subjects past the retention time; returns the keys of rows to be removed from the store.
     pub fn expire(&mut self, now: UnixMillis) -> Vec<CrashRowKey> {
         let expired = self
             .entries
             .iter()
             .filter(|(_, entry)| is_expired(entry, now));
-        let expired: Vec<RequestFingerprint> = expired.map(|(request, _)| *request).collect();
-        for request in expired {
-            self.remove(&request);
+        let expired: Vec<CrashSubject> = expired.map(|(subject, _)| *subject).collect();
+        for subject in expired {
+            self.remove(&subject);
         }
         std::mem::take(&mut self.dropped).into_iter().collect()
     }
@@ -168,43 +269,56 @@
         }
     }
 
-    /// Creates the entry of `request` if there is none, with the answers of this router so far.
-    fn ensure_entry(
-        &mut self,
-        request: RequestFingerprint,
-        last_crash: UnixMillis,
-        now: UnixMillis,
-    ) {
+    /// Key of this router's row of `subject`.
+    fn own_key(&self, subject: CrashSubject) -> CrashRowKey {
+        CrashRowKey {
+            subject,
+            router: self.router.clone(),
+        }
+    }
+
+    /// Creates the entry of `subject` if there is none, with what this router knows of its answers so far.
+    fn ensure_entry(&mut self, subject: CrashSubject, last_crash: UnixMillis, now: UnixMillis) {
         let is_expired = |entry: &TallyEntry| is_expired(entry, now);
-        if self.entries.get(&request).is_some_and(is_expired) {
-            self.remove(&request);
+        if self.entries.get(&subject).is_some_and(is_expired) {
+            self.remove(&subject);
         }
-        if self.entries.contains_key(&request) {
+        if self.entries.contains_key(&subject) {
             return;
         }
         if self.entries.len() >= ENTRY_LIMIT {
             self.evict(now);
         }
-        let answers = self.answers.recent(&request, now);
-        let router = self.router.clone();
-        let mut entry = TallyEntry::new(last_crash);
-        entry.add_answers(CrashRowKey { request, router }, answers);
-        self.entries.insert(request, entry);
+        let answers = self.answers.recent(&subject, now);
+        let mut entry = TallyEntry::new(subject, last_crash);
+        entry.add_answers(self.own_key(subject), answers);
+        if let CrashSubject::Part(part) = subject
+            && self.sound_parts.contains(part)
+        {
+            entry.mark_sound(self.own_key(subject));
+        }
+        self.entries.insert(subject, entry);
     }
 
-    /// Removes the oldest request, one that is not quarantined if there is any.
+    /// Removes the oldest subject, one that is not quarantined if there is any.
     fn evict(&mut self, now: UnixMillis) {
+        let guilty = self.guilty_parts();
+        let is_held = |subject: &CrashSubject, entry: &TallyEntry| match subject {
+            CrashSubject::Part(part) => guilty.contains(part),
+            CrashSubject::Request(_) => entry.is_quarantined(now),
+        };
         let entries = self.entries.iter();
         let oldest =
-            entries.min_by_key(|(_, entry)| (entry.is_quarantined(now), entry.last_crash()));
-        if let Some(request) = oldest.map(|(request, _)| *request) {
-            self.remove(&request);
+            entries.min_by_key(|(subject, entry)| (is_held(subject, entry), entry.last_crash()));
+        if let Some(subject) = oldest.map(|(subject, _)| *subject) {
+            self.remove(&subject);
         }
     }
 
-    fn remove(&mut self, request: &RequestFingerprint) {
-        if let Some(entry) = self.entries.remove(request) {
+    fn remove(&mut self, subject: &CrashSubject) {
+        if let Some(entry) = self.entries.remove(subject) {
             self.dropped.extend(entry.stored_keys());
+            self.guilty.take();
         }
     }
 }
--- a/crates/decisions/src/quarantine/request_fingerprint.rs
+++ b/crates/decisions/src/quarantine/request_fingerprint.rs
@@ -28,6 +28,14 @@
     }
 }
 
+impl RequestFingerprint {
+    /// The first bytes, to tell a few requests apart.
+    pub(super) fn short(&self) -> u32 {
+        let [a, b, c, d, ..] = self.0;
+        u32::from_be_bytes([a, b, c, d])
+    }
+}
+
 impl std::fmt::Display for RequestFingerprint {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(&hex::encode(self.0))
--- a/crates/decisions/src/quarantine/tally_entry.rs
+++ b/crates/decisions/src/quarantine/tally_entry.rs
@@ -1,10 +1,11 @@
-//! Rows of all routers about one request.
+//! Rows of all routers about one subject.
 
 use std::collections::BTreeSet;
 
 use smallvec::SmallVec;
 
-use super::{CrashRow, CrashRowKey, RowOrigin};
+use super::part_suspect::{GUILTY_UPSTREAMS, PartSuspect};
+use super::{CrashRow, CrashRowKey, CrashSubject, RequestFingerprint, RowOrigin};
 use crate::registry::UpstreamIncarnation;
 use crate::time::UnixMillis;
 
@@ -13,14 +14,18 @@
 /// Duration of the quarantine after the last crash, in milliseconds. It is short, since upstreams may
 /// fail together for a reason other than the request, which must then not be rejected for long.
 const QUARANTINE_MS: u64 = 60_000;
-/// Number of answers for each crash from which a request is not quarantined.
+/// Number of answers for each crash from which a request or a part is not quarantined.
 const ANSWERS_PER_CRASH: usize = 4;
 /// Factor by which the answers of a row must grow for it to be stored again.
 const ANSWERS_GROWTH: u32 = 2;
 
-/// What the fleet knows of one request.
+/// Number of distinct requests that must have run with a part at crashes for it to be a suspect.
+const SUSPECT_REQUESTS: usize = 2;
+
+/// What the fleet knows of one subject.
 #[derive(Debug)]
 pub(super) struct TallyEntry {
+    subject: CrashSubject,
     /// At most one row for each router incarnation.
     rows: SmallVec<[HeldRow; 2]>,
     /// Time of the last crash, never later than this router's clock when it learned of it.
@@ -36,16 +41,19 @@
 }
 
 /// Size of a version of a row; rows only grow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct StoredVersion {
     crashed: usize,
+    requests: usize,
     answers: u32,
+    is_sound: bool,
 }
 
 impl TallyEntry {
     /// An entry without rows.
-    pub(super) fn new(last_crash: UnixMillis) -> Self {
+    pub(super) fn new(subject: CrashSubject, last_crash: UnixMillis) -> Self {
         Self {
+            subject,
             rows: SmallVec::new(),
             last_crash,
         }
@@ -70,6 +78,18 @@
         }
     }
 
+    /// Adds a request that ran with the part at a crash to the row `key` of this router.
+    pub(super) fn add_request(&mut self, key: CrashRowKey, request: &RequestFingerprint) {
+        let last_crash = self.last_crash;
+        self.held(key, last_crash).row.add_request(request.short());
+    }
+
+    /// Marks the part as sound in the row `key` of this router.
+    pub(super) fn mark_sound(&mut self, key: CrashRowKey) {
+        let last_crash = self.last_crash;
+        self.held(key, last_crash).row.is_sound = true;
+    }
+
     /// Adds answers to the row `key` of this router.
     pub(super) fn add_answers(&mut self, key: CrashRowKey, answers: u32) {
         if answers > 0 {
@@ -117,21 +137,25 @@
 
     /// Rows that are not in the store as they are here.
     pub(super) fn unstored(&self) -> impl Iterator<Item = &CrashRow> {
-        // Answers matter only to a request that is about to be quarantined.
+        // Answers matter only to a subject that is about to be quarantined.
         let rows = self.rows.iter();
         rows.filter(|held| {
-            held.has_new_crashes() || (held.has_new_answers() && self.is_near_quarantine())
+            held.has_new_crashes() || (held.has_new_evidence() && self.is_near_quarantine())
         })
         .map(|held| &held.row)
     }
 
-    /// Whether there are rows that are not in the store, and one more crash quarantines the request.
+    /// Whether there are rows that are not in the store, and one more crash may quarantine the subject.
     pub(super) fn is_urgent(&self) -> bool {
         self.unstored().next().is_some() && self.is_near_quarantine()
     }
 
     fn is_near_quarantine(&self) -> bool {
-        self.crashed() + 1 >= QUARANTINE_UPSTREAMS
+        let least = match self.subject {
+            CrashSubject::Part(_) => GUILTY_UPSTREAMS,
+            CrashSubject::Request(_) => QUARANTINE_UPSTREAMS,
+        };
+        self.crashed() + 1 >= least
     }
 
     /// Keys of the rows that are in the store.
@@ -142,28 +166,56 @@
 
     /// Number of distinct upstreams that crashed.
     pub(super) fn crashed(&self) -> usize {
-        let crashed = self.rows().flat_map(|row| &row.crashed);
-        crashed.collect::<BTreeSet<_>>().len()
+        self.crashed_upstreams().len()
+    }
+
+    fn crashed_upstreams(&self) -> BTreeSet<&UpstreamIncarnation> {
+        self.rows().flat_map(|row| &row.crashed).collect()
     }
 
+    /// Whether the request crashed too many upstreams to run again at `now`.
     pub(super) fn is_quarantined(&self, now: UnixMillis) -> bool {
         let crashed = self.crashed();
-        let answers: usize = self.rows().map(|row| row.answers as usize).sum();
         crashed >= QUARANTINE_UPSTREAMS
-            && answers < crashed * ANSWERS_PER_CRASH
+            && !self.is_answered_often(crashed)
             && now.since(self.last_crash) < QUARANTINE_MS
     }
 
+    /// The part as a suspect; `None` if it is a request, or known to be sound.
+    pub(super) fn suspect(&self) -> Option<PartSuspect<'_>> {
+        let CrashSubject::Part(part) = self.subject else {
+            return None;
+        };
+        let most: usize = self.rows().map(|row| row.crashed.len()).sum();
+        if most < GUILTY_UPSTREAMS || self.is_sound() {
+            return None;
+        }
+        let crashed = self.crashed_upstreams();
+        let requests: BTreeSet<u32> = self.rows().flat_map(|row| &row.requests).copied().collect();
+        let is_suspect =
+            requests.len() >= SUSPECT_REQUESTS && !self.is_answered_often(crashed.len());
+        is_suspect.then_some(PartSuspect {
+            part,
+            crashed,
+            requests: requests.len(),
+        })
+    }
+
+    /// Whether a router saw a whole answer on the part.
+    pub(super) fn is_sound(&self) -> bool {
+        self.rows().any(|row| row.is_sound)
+    }
+
+    fn is_answered_often(&self, crashed: usize) -> bool {
+        let answers: usize = self.rows().map(|row| row.answers as usize).sum();
+        answers >= crashed * ANSWERS_PER_CRASH
+    }
+
     /// The row `key`, which is created if there is none.
     fn held(&mut self, key: CrashRowKey, last_crash_at: UnixMillis) -> &mut HeldRow {
         let index = self.rows.iter().position(|held| held.row.key == key);
         let index = index.unwrap_or_else(|| {
-            let row = CrashRow {
-                key,
-                crashed: Vec::new(),
-                answers: 0,
-                last_crash_at,
-            };
+            let row = CrashRow::new(key, last_crash_at);
             self.rows.push(HeldRow { row, stored: None });
             self.rows.len() - 1
         });
@@ -173,14 +225,15 @@
 
 impl HeldRow {
     fn has_new_crashes(&self) -> bool {
-        let stored = self.stored.map_or(0, |stored| stored.crashed);
-        self.row.crashed.len() > stored
+        let stored = self.stored.unwrap_or_default();
+        self.row.crashed.len() > stored.crashed || self.row.requests.len() > stored.requests
     }
 
-    /// Whether the answers have grown enough to be stored again.
-    fn has_new_answers(&self) -> bool {
-        let stored = self.stored.map_or(0, |stored| stored.answers);
-        self.row.answers >= (stored * ANSWERS_GROWTH).max(1)
+    /// Whether the part has turned out to be sound, or the answers have grown enough to be stored again.
+    fn has_new_evidence(&self) -> bool {
+        let stored = self.stored.unwrap_or_default();
+        let has_new_answers = self.row.answers >= (stored.answers * ANSWERS_GROWTH).max(1);
+        has_new_answers || self.row.is_sound && !stored.is_sound
     }
 }
 
@@ -188,7 +241,9 @@
     fn of(row: &CrashRow) -> Self {
         Self {
             crashed: row.crashed.len(),
+            requests: row.requests.len(),
             answers: row.answers,
+            is_sound: row.is_sound,
         }
     }
 }
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -1,7 +1,10 @@
 //! This router's view of the fleet's crash count.
 
+use std::collections::BTreeSet;
+
 use ferry_decisions::quarantine::{
-    CrashRow, CrashRowKey, CrashTally, CrashVerdict, RequestFingerprint, RowOrigin,
+    AnswerProof, CrashRow, CrashRowKey, CrashSubject, CrashTally, CrashVerdict, RequestFingerprint,
+    RowOrigin,
 };
 use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_kernel::wall_clock;
@@ -33,20 +36,25 @@
         }
     }
 
-    /// Records that `upstream` crashed while it ran the request.
+    /// Records that `upstream` crashed while it ran the request, whose prompt has `parts` that others may share.
     pub fn record(
         &self,
         request: RequestFingerprint,
+        parts: impl Iterator<Item = u64>,
         upstream: &UpstreamIncarnation,
     ) -> CrashVerdict {
+        let now = wall_clock::now();
         let mut tally = self.tally.lock();
-        let verdict = tally.record(request, upstream, wall_clock::now());
+        let before = tally.guilty_parts().clone();
+        let verdict = tally.record(request, upstream, now);
+        parts.for_each(|part| tally.record_part(part, &request, upstream, now));
+        log_guilty_parts(&before, &tally);
         self.changed.notify_waiters();
         self.recorded.notify_one();
         verdict
     }
 
-    /// Records a complete answer to the request.
+    /// Records an answer to the request that ended without a sign of a crash.
     pub fn record_answer(&self, request: RequestFingerprint) {
         let mut tally = self.tally.lock();
         if tally.record_answer(request, wall_clock::now()) {
@@ -54,19 +62,41 @@
         }
     }
 
+    /// Records what an answer proves about the parts of its request's prompt that others may share.
+    pub fn record_part_answers(&self, parts: impl Iterator<Item = u64>, proof: AnswerProof) {
+        let now = wall_clock::now();
+        let mut tally = self.tally.lock();
+        let before = tally.guilty_parts().clone();
+        let mut has_news = false;
+        for part in parts {
+            has_news |= tally.record_part_answer(part, proof, now);
+        }
+        if has_news {
+            log_guilty_parts(&before, &tally);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// The first of `parts` that crashes upstreams, so that no request with it must run now.
+    pub fn guilty_part(&self, mut parts: impl Iterator<Item = u64>) -> Option<u64> {
+        let tally = self.tally.lock();
+        let guilty = tally.guilty_parts();
+        parts.find(|part| guilty.contains(part))
+    }
+
     /// Whether no crash is known; a fingerprint is then not needed.
     pub fn is_empty(&self) -> bool {
         self.tally.lock().is_empty()
     }
 
-    /// Whether the request must not run now.
+    /// Whether the request must not run now because of its content.
     pub fn is_quarantined(&self, request: &RequestFingerprint) -> bool {
         self.tally.lock().is_quarantined(request, wall_clock::now())
     }
 
-    /// Number of upstreams that the request crashed, in the whole fleet as known here.
-    pub fn crashed(&self, request: &RequestFingerprint) -> usize {
-        self.tally.lock().crashed(request)
+    /// Number of upstreams that crashed under `subject`, in the whole fleet as known here.
+    pub fn crashed(&self, subject: &CrashSubject) -> usize {
+        self.tally.lock().crashed_by(subject)
     }
 
     /// Number of requests in quarantine.
@@ -74,7 +104,7 @@
         self.tally.lock().quarantined(wall_clock::now())
     }
 
-    /// Merges rows of other routers; returns whether a request is quarantined by them.
+    /// Merges rows of other routers; returns whether a request or a part is quarantined by them.
     pub fn merge(&self, rows: Vec<CrashRow>, origin: RowOrigin) -> bool {
         if rows.is_empty() {
             return false;
@@ -82,8 +112,13 @@
         let mut quarantines = false;
         let now = wall_clock::now();
         let mut tally = self.tally.lock();
+        let guilty_before = tally.guilty_parts().clone();
         for row in rows {
-            let (request, router) = (row.key.request, row.key.router.clone());
+            let (subject, router) = (row.key.subject, row.key.router.clone());
+            let CrashSubject::Request(request) = subject else {
+                tally.merge(row, origin, now);
+                continue;
+            };
             let before = tally.is_quarantined(&request, now);
             let is_news = tally.merge(row, origin, now);
             if is_news && !before && tally.is_quarantined(&request, now) {
@@ -95,6 +130,7 @@
                 });
             }
         }
+        quarantines |= log_guilty_parts(&guilty_before, &tally);
         self.changed.notify_waiters();
         quarantines
     }
@@ -150,3 +186,18 @@
         self.tally.lock().expire(wall_clock::now())
     }
 }
+
+/// Logs the parts that were put into quarantine, or released, since `before`; returns whether there are new ones.
+fn log_guilty_parts(before: &BTreeSet<u64>, tally: &CrashTally) -> bool {
+    let now = tally.guilty_parts();
+    for part in now.difference(before) {
+        spdlog::warn!("part of prompts quarantined", kv: {
+            part = format!("{part:x}"),
+            upstreams = tally.crashed_by(&CrashSubject::Part(*part)),
+        });
+    }
+    for part in before.difference(now) {
+        spdlog::info!("part of prompts released from quarantine", kv: { part = format!("{part:x}") });
+    }
+    now.difference(before).next().is_some()
+}
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::quarantine::AnswerProof;
 use ferry_decisions::retry::UpstreamFailure;
 use ferry_decisions::ruleset::RunKind;
 use ferry_kernel::http::{BodyFraming, BoxError};
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::header::CONTENT_TYPE;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::RelayRun;
 use super::event_splitter::EventSplitter;
@@ -20,6 +21,8 @@
 
 /// Multiple of the rule's longest event gap after which a silent upstream counts as hanging.
 const SILENCE_FACTOR: u32 = 4;
+/// Time from the first event of an answer after which its upstream has most likely survived the beginning.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Media type of a stream of events.
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
@@ -33,6 +36,10 @@
     splitter: EventSplitter,
     /// Whether the caller has been sent an event.
     has_sent_events: bool,
+    /// When the first event of the answer being read arrived.
+    began_at: Option<Instant>,
+    /// Whether the survival of that answer's upstream has been recorded.
+    has_survived: bool,
     /// Whether to wait for a silent upstream, because the stream cannot be resumed elsewhere.
     keeps_waiting: bool,
 }
@@ -57,6 +64,8 @@
             answer: Some(answer),
             splitter: EventSplitter::default(),
             has_sent_events: false,
+            began_at: None,
+            has_survived: false,
             keeps_waiting: false,
         }
     }
@@ -79,6 +88,7 @@
             let recovered = match step {
                 ForwardStep::Events(events) => {
                     self.has_sent_events = true;
+                    self.record_survival();
                     return Some(Ok(events));
                 }
                 ForwardStep::End => return self.end(),
@@ -116,6 +126,15 @@
         }
     }
 
+    /// Records that an upstream goes on with an answer that it began a while ago.
+    fn record_survival(&mut self) {
+        let since = *self.began_at.get_or_insert_with(Instant::now);
+        if !self.has_survived && since.elapsed() >= SURVIVAL_TIME {
+            self.has_survived = true;
+            self.run.record_part_answers(AnswerProof::Unproven);
+        }
+    }
+
     /// What the end of the body means: the end of the stream, or a break.
     async fn judge_end(&self) -> ForwardStep {
         let Some(answer) = &self.answer else {
@@ -155,7 +174,8 @@
             answer.lease.give_back(answer.facts.keep_alive);
         }
         self.run.record.outcome = "answered";
-        self.run.record_completion();
+        self.run
+            .record_completion(answer.head.status, answer.framing);
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
@@ -227,6 +247,8 @@
         let resumed = timeout_at(until, self.run.resume(last_event, upstream)).await;
         let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
         self.answer = Some(resumed.unwrap_or(Err(refusal))?);
+        self.began_at = None;
+        self.has_survived = false;
         Ok(())
     }
 
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use ferry_decisions::quarantine::RequestFingerprint;
+use ferry_decisions::quarantine::{AnswerProof, CrashSubject, RequestFingerprint};
 use ferry_kernel::http::BodyFraming;
+use hyper::StatusCode;
 use smallvec::SmallVec;
 
 use super::RelayRun;
@@ -88,7 +89,8 @@
     pub fn record_crash(&self, upstream: &RelayUpstream) {
         let fingerprint = self.request.fingerprint();
         let crashes = &self.core.crashes;
-        let verdict = crashes.record(fingerprint, &upstream.record.incarnation);
+        let parts = self.request.facts.prompt.shareable_parts();
+        let verdict = crashes.record(fingerprint, parts, &upstream.record.incarnation);
         self.log_crash(upstream, fingerprint, verdict.crashed);
         if verdict.quarantined {
             spdlog::warn!("request quarantined", kv: {
@@ -98,9 +100,21 @@
         }
     }
 
-    /// Counts a complete answer, from an upstream that did not crash while it ran the request.
-    pub fn record_completion(&self) {
+    /// Counts an answer that ended without a sign of a crash; a successful one proves something about the prompt.
+    pub fn record_completion(&self, status: StatusCode, framing: BodyFraming) {
         self.core.crashes.record_answer(self.request.fingerprint());
+        if status.is_success() {
+            self.record_part_answers(match framing {
+                BodyFraming::Delimited => AnswerProof::Whole,
+                BodyFraming::UntilClose => AnswerProof::Unproven,
+            });
+        }
+    }
+
+    /// Records what an answer proves about the parts of the prompt that other requests may share.
+    pub fn record_part_answers(&self, proof: AnswerProof) {
+        let parts = self.request.facts.prompt.shareable_parts();
+        self.core.crashes.record_part_answers(parts, proof);
     }
 
     /// Logs a crash with its upstream's incarnation and the number of crashed upstreams known here for the request.
@@ -125,19 +139,27 @@
         parts.join(",")
     }
 
-    /// Whether the request is not run again now, because it crashed too many upstreams.
-    pub(super) fn is_quarantined(&self) -> bool {
+    /// What the request is not run for now: itself or a part of its prompt, which crashed too many upstreams.
+    pub(super) fn quarantined_subject(&self) -> Option<CrashSubject> {
         let crashes = &self.core.crashes;
-        !crashes.is_empty() && crashes.is_quarantined(&self.request.fingerprint())
+        if crashes.is_empty() {
+            return None;
+        }
+        let parts = self.request.facts.prompt.shareable_parts();
+        if let Some(part) = crashes.guilty_part(parts) {
+            return Some(CrashSubject::Part(part));
+        }
+        let fingerprint = self.request.fingerprint();
+        let is_quarantined = crashes.is_quarantined(&fingerprint);
+        is_quarantined.then_some(CrashSubject::Request(fingerprint))
     }
 
     /// Logs that the request is rejected because of the crashes known here.
-    pub(super) fn log_quarantined(&self) {
-        let fingerprint = self.request.fingerprint();
+    pub(super) fn log_quarantined(&self, subject: &CrashSubject) {
         spdlog::info!("request rejected as quarantined", kv: {
             request_id = self.request.id.as_str(),
-            fingerprint = fingerprint.to_string(),
-            counted = self.core.crashes.crashed(&fingerprint),
+            subject = subject.to_string(),
+            counted = self.core.crashes.crashed(subject),
         });
     }
 }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -6,6 +6,7 @@
 use ferry_decisions::cascade::EscalationQuery;
 use ferry_decisions::choice::NoUpstream;
 use ferry_decisions::names::ServiceName;
+use ferry_decisions::quarantine::CrashSubject;
 use ferry_decisions::retry::RunState;
 use tokio::time::Instant;
 
@@ -46,9 +47,13 @@
             let refusal = refuse(RefusalReason::Disconnected).with_run(self.run);
             return Err(refusal.with_retry_after(DISCONNECTED_RETRY_AFTER));
         }
-        if self.is_quarantined() {
-            self.log_quarantined();
-            return Err(refuse(RefusalReason::Quarantined).with_run(RunState::MayHaveRun));
+        if let Some(subject) = self.quarantined_subject() {
+            self.log_quarantined(&subject);
+            let run = match subject {
+                CrashSubject::Part(_) => self.run,
+                CrashSubject::Request(_) => RunState::MayHaveRun,
+            };
+            return Err(refuse(RefusalReason::Quarantined).with_run(run));
         }
         let model = self.model();
         let service = self
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -179,7 +179,7 @@
                 }
                 // A server error may come from an upstream that did not run the request.
                 if !head.status.is_server_error() {
-                    self.record_completion();
+                    self.record_completion(head.status, framing);
                 }
                 Ok(RunAnswer::Whole(Box::new(head), framing, body))
             }
