Answers without framing, resets, and a part that crashes upstreams, in the soak

The stand-in upstream can leave its answers without framing, and break them off inside and between events; the proxy of a link can reset its connections.

--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -15,6 +15,8 @@
 pub const REVOKED_AT: Duration = Duration::from_millis(2_500);
 /// Maximum number of random faults of a run.
 const MAX_FAULTS: usize = 12;
+/// Maximum number of faults of answers in such a run.
+const MAX_ANSWER_FAULTS: usize = 6;
 /// Time between the starts of two relay stops in a run with planned work only.
 const STOP_INTERVAL: Duration = Duration::from_millis(5_500);
 /// One in this many of the other seeds has a store outage that spans the revocation of the key.
@@ -47,6 +49,8 @@
     StallReplica(usize),
     /// An upstream misbehaves.
     DisruptReplica(usize, ReplicaFault),
+    /// An upstream's connections are reset, also in the middle of answers.
+    ResetReplica(usize),
     /// An upstream drains before it leaves, and then registers again.
     DrainReplica(usize),
     /// The operator writes a configuration with a different timeout.
@@ -73,6 +77,13 @@
     Full,
     /// Breaks off its answers.
     BreaksOff,
+    /// Sends answers that end with their connection.
+    Unframed,
+    /// Breaks such answers off with FIN: streams inside or between events.
+    UnframedBreaksOff {
+        /// Whether streams end between two events.
+        between_events: bool,
+    },
     /// Answers with a wrong request identifier.
     WrongAnswers,
     /// Answers with status 500.
@@ -116,6 +127,9 @@
         if !planned_only && seed % STORE_OUTAGE_EVERY == STORE_OUTAGE_EVERY - 1 {
             faults.push(store_outage(seed));
         }
+        if !planned_only {
+            faults.extend(answer_faults(seed));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
@@ -142,6 +156,28 @@
     }
 }
 
+/// Answers that end with their connection, and connections that are reset.
+///
+/// They use a separate random generator, so that the other faults of a seed do not change.
+fn answer_faults(seed: u64) -> Vec<TimedFault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32) ^ 1);
+    let count = random.random_range(2..=MAX_ANSWER_FAULTS);
+    let faults = (0..count).map(|_| {
+        let replica = random.random_range(0..REPLICAS);
+        let fault = match random.random_range(0..4) {
+            0 => SoakFault::ResetReplica(replica),
+            1 => SoakFault::DisruptReplica(replica, ReplicaFault::Unframed),
+            _ => {
+                let between_events = random.random();
+                let fault = ReplicaFault::UnframedBreaksOff { between_events };
+                SoakFault::DisruptReplica(replica, fault)
+            }
+        };
+        at_random_time(&mut random, fault)
+    });
+    faults.collect()
+}
+
 /// Stops of two relays in turn, mixed with reloads, upstream drains and configuration changes.
 fn planned_work(random: &mut StdRng) -> Vec<TimedFault> {
     let first = random.random_range(0..RELAYS);
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -5,6 +5,7 @@
 use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::{KeyHolder, RouteRule, RunKind};
 use ferry_decisions::time::UnixMillis;
+use ferry_kernel::http::BodyFraming;
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::{OPERATOR_TOPIC, UPSTREAM_TOPIC};
 use ferry_rig::{KEY, LinkProxy, RelayFixture, SERVICE, WORKSPACE, fixture_rule};
@@ -17,6 +18,7 @@
 
 use crate::crash_load::{FRAGILE_RULES, FRAGILE_SERVICE};
 use crate::fault_plan::{RELAYS, REPLICAS, ReplicaFault, SoakFault, StoreFault, TimedFault};
+use crate::part_load::{PART_RULE, PART_SERVICE};
 use crate::soak_relay::{SIGHUP, SIGTERM, SoakRelay, cut, stall};
 
 /// Key that is revoked during a run.
@@ -143,6 +145,7 @@
                 self.fixture.store.compact(OPERATOR_TOPIC);
                 self.fixture.store.compact(UPSTREAM_TOPIC);
             }
+            SoakFault::ResetReplica(number) => self.replicas[number].link.reset(),
             SoakFault::CutReplica(number) => cut(&self.replicas[number].link, timed.duration).await,
             SoakFault::StallReplica(number) => {
                 stall(&self.replicas[number].link, timed.duration).await;
@@ -245,9 +248,11 @@
         ("/drafts/", RunKind::Stream, STREAM_SERVICE),
     ];
     let fragile = FRAGILE_RULES.map(|(prefix, run)| (prefix, run, FRAGILE_SERVICE));
+    let (prefix, run) = PART_RULE;
     kinds
         .into_iter()
         .chain(fragile)
+        .chain([(prefix, run, PART_SERVICE)])
         .map(|(prefix, run, service)| {
             let mut rule = fixture_rule(prefix, run);
             rule.timeout = Duration::from_millis(5_000 + revision % 2 * 500);
@@ -291,6 +296,12 @@
     match fault {
         ReplicaFault::Full => plan.full = true,
         ReplicaFault::BreaksOff => plan.break_after = Some(plan.events / 2),
+        ReplicaFault::Unframed => plan.framing = BodyFraming::UntilClose,
+        ReplicaFault::UnframedBreaksOff { between_events } => {
+            plan.framing = BodyFraming::UntilClose;
+            plan.break_after = Some(plan.events / 2);
+            plan.breaks_between_events = between_events;
+        }
         ReplicaFault::WrongAnswers => plan.wrong_attempt = true,
         ReplicaFault::Fails => plan.status = StatusCode::INTERNAL_SERVER_ERROR,
         ReplicaFault::Slow => plan.wait = Duration::from_millis(1_500),
