Log the pieces of a stream and its longest pause with each request

The evidence of a roll-out is the time to the head of an answer; nothing in the log says how its stream went on, so that a slow version can't be told from a loaded one there. The line of a request has the number of pieces and the longest pause now. No decision changes.

--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -89,6 +89,7 @@
                 ForwardStep::Events(events) => {
                     self.has_sent_events = true;
                     self.record_survival();
+                    self.run.record.record_piece();
                     return Some(Ok(events));
                 }
                 ForwardStep::End => return self.end(),
--- a/crates/router/src/relay/run/request_record.rs
+++ b/crates/router/src/relay/run/request_record.rs
@@ -1,5 +1,7 @@
 //! Record of one request, written as a log line and metrics when the request ends.
 
+use std::time::Duration;
+
 use ferry_decisions::retry::RunState;
 use tokio::time::Instant;
 
@@ -31,6 +33,12 @@
     pub run: RunState,
     /// Milliseconds from the arrival of the request to the head of its answer.
     first_ms: Option<u64>,
+    /// Number of pieces of a stream that were forwarded; one piece may hold several events.
+    pieces: u32,
+    /// When the last of them was forwarded.
+    last_piece_at: Option<Instant>,
+    /// Longest pause between two of them.
+    longest_gap: Duration,
 }
 
 impl RequestRecord {
@@ -53,7 +61,20 @@
             outcome: "caller_gone",
             run: RunState::NotRun,
             first_ms: None,
+            pieces: 0,
+            last_piece_at: None,
+            longest_gap: Duration::ZERO,
+        }
+    }
+
+    /// Records that a piece of a stream is forwarded.
+    pub fn record_piece(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last_piece_at {
+            self.longest_gap = self.longest_gap.max(now - last);
         }
+        self.last_piece_at = Some(now);
+        self.pieces += 1;
     }
 
     /// Records the time to the head of the answer.
@@ -83,6 +104,8 @@
             outcome = self.outcome,
             run:? = self.run,
             first_ms = self.first_ms.unwrap_or_default(),
+            pieces = self.pieces,
+            longest_gap_ms = self.longest_gap.as_millis() as u64,
             total_ms = self.received_at.elapsed().as_millis() as u64,
         });
     }
