--- a/crates/router/tests/relay/rollouts.rs
+++ b/crates/router/tests/relay/rollouts.rs
@@ -4,7 +4,7 @@
 
 use ferry_decisions::names::ServiceName;
 use ferry_decisions::rollout::{RolloutOrder, RolloutPhase};
-use ferry_decisions::ruleset::RunKind;
+use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_platform::entries::{decode_status, encode_order, rollout_key};
 use ferry_platform::headers::CallerHeaders;
 use ferry_platform::store::{OPERATOR_TOPIC, STATUS_TOPIC};
@@ -71,11 +71,45 @@
 }
 
 async fn start_fleet(target: ReplicaPlan) -> (Deployment, Vec<RelayDaemon>, ReplicaStandin) {
+    let rules = [
+        rule("/chat/", RunKind::Idempotent),
+        rule("/once/", RunKind::Once),
+    ];
+    start_versions(&rules, &ReplicaPlan::default(), target).await
+}
+
+async fn start_streams(
+    base: &ReplicaPlan,
+    target: ReplicaPlan,
+) -> (Deployment, Vec<RelayDaemon>, ReplicaStandin) {
+    let rules = [rule("/chat/", RunKind::ResumableStream)];
+    start_versions(&rules, base, target).await
+}
+
+async fn start_versions(
+    rules: &[RouteRule],
+    base: &ReplicaPlan,
+    target: ReplicaPlan,
+) -> (Deployment, Vec<RelayDaemon>, ReplicaStandin) {
+    let (deployment, _) = start_old_versions(rules, base).await;
+    order_version(deployment, target).await
+}
+
+async fn start_old_versions(
+    rules: &[RouteRule],
+    base: &ReplicaPlan,
+) -> (Deployment, Vec<ReplicaStandin>) {
     let deployment = Deployment::start().await;
-    deployment.configure(1, &[rule("/chat/", RunKind::Idempotent)]);
-    for id in ["old-1", "old-2"] {
-        deployment.replica(id, "v1").await;
-    }
+    deployment.configure(1, rules);
+    let old = deployment.replicas(["old-1", "old-2"], base).await;
+    (deployment, old)
+}
+
+/// Starts two relays, orders the roll-out, and starts an upstream of the new version.
+async fn order_version(
+    deployment: Deployment,
+    target: ReplicaPlan,
+) -> (Deployment, Vec<RelayDaemon>, ReplicaStandin) {
     let relays = vec![deployment.relay().await, deployment.relay().await];
     place_order(&deployment);
     let candidate = deployment.replica("new-1", "v2").await;
@@ -109,6 +143,89 @@
     );
 }
 
+/// Guards against evidence that ends at the head of an answer: a version whose streams went on eight times slower was
+/// completed.
+#[tokio::test]
+async fn a_version_whose_streams_are_slow_is_reverted() {
+    let stream = ReplicaPlan {
+        events: 10,
+        gap: Duration::from_millis(10),
+        ..ReplicaPlan::default()
+    };
+    let slow = ReplicaPlan {
+        gap: stream.gap * 8,
+        ..stream.clone()
+    };
+    let (deployment, relays, candidate) = start_streams(&stream, slow).await;
+    let last = send_until_final(&deployment, &relays).await;
+    assert_eq!(last, Some(RolloutPhase::Reverted));
+    let exposed = candidate.runs().len();
+    assert!(
+        exposed < 100,
+        "{exposed} requests were sent to the slow version"
+    );
+}
+
+/// Guards against evidence that waits for an answer: a version that answered none in time was held for good until its first
+/// answers came.
+#[tokio::test]
+async fn a_version_whose_answers_are_overdue_is_reverted() {
+    let overdue = ReplicaPlan {
+        wait: Duration::from_secs(6),
+        ..ReplicaPlan::default()
+    };
+    let (deployment, relays, candidate) = start_fleet(overdue).await;
+    let started_at = tokio::time::Instant::now();
+    let mut calls = Vec::new();
+    for number in 0.. {
+        let relay = &relays[number % relays.len()];
+        let id = format!("b-{number}");
+        let headers = CallerHeaders {
+            attempt_id: &id,
+            key: Some(KEY),
+            session: Some(&id),
+            ..CallerHeaders::default()
+        };
+        calls.push(tokio::spawn(call(request_with(relay, "/once/7", &headers))));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let is_final = stored_phase(&deployment).is_some_and(RolloutPhase::is_final);
+        if is_final || started_at.elapsed() > ROLLOUT_DURATION {
+            break;
+        }
+    }
+    assert_eq!(stored_phase(&deployment), Some(RolloutPhase::Reverted));
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_secs(5), "reverted after {took:?}");
+    assert!(candidate.runs().len() < 100);
+}
+
+/// Guards against a version whose fault shows only under load, or not at all: it had all traffic for a third of the roll-out.
+#[tokio::test]
+async fn a_version_gets_no_more_requests_until_its_deadline_than_a_bad_one_may() {
+    let rules = [rule("/chat/", RunKind::Idempotent)];
+    let plan = ReplicaPlan::default();
+    let (fleet, old) = start_old_versions(&rules, &plan).await;
+    let (deployment, relays, candidate) = order_version(fleet, plan).await;
+    let ordered_at = tokio::time::Instant::now();
+    let last = send_until_final(&deployment, &relays).await;
+    assert_eq!(last, Some(RolloutPhase::Completed));
+    let deadline = ordered_at + ROLLOUT_DURATION;
+    let old = old.iter().flat_map(ReplicaStandin::runs);
+    let old = old.filter(|run| run.at < deadline).count();
+    let exposed = candidate
+        .runs()
+        .iter()
+        .filter(|run| run.at < deadline)
+        .count();
+    let allowed = (old + exposed) as f64 * deployment.bounds.exposure_share
+        + deployment.bounds.exposure_tolerance;
+    assert!(
+        exposed as f64 <= allowed,
+        "{exposed} requests of {}",
+        old + exposed
+    );
+}
+
 /// Sends one request in each of `count` conversations named after `name`; returns how many ran on `target`.
 async fn send_conversations(
     relay: &RelayDaemon,
