Judge a new version by the pace of its streams and by overdue answers, and keep it within its exposure until the deadline

Cause: a version is taken for good while nothing speaks against it, and little could. Evidence ended at the head of an answer; nothing was known of an answer before its head; and the ramp and the full phase gave a version that had shown no fault 40 % and more of the requests with a third of the time left. Change: the mean pause of a stream's first pieces counts apart from its head, against the pace of undisturbed streams of the old versions, which have more load than the few that try the new one. A head that is overdue counts at once. Answers of the old versions are rated in the same way, so that a burst raises what is tolerated instead of stopping a good version. Until the deadline a version gets no more requests than a bad one may: all traffic moves only when what is left fits that bound, at the latest 1.2 s before the end, and the ramp with 40 % is gone.

--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use super::evidence_row::is_pace_class;
 use super::{ClassCounts, EvidenceRow};
 use crate::config::{RolloutSpec, TripPolicy};
 use crate::guard::SequentialTest;
@@ -13,16 +14,23 @@
 const STOPPING_EXCESS: f64 = 0.25;
 /// Upper bound of the tolerated share of bad answers.
 const MAX_TOLERATED: f64 = 0.35;
+/// Answers of the old versions in a class from which their share of bad answers is used for that class.
+const MIN_BASE_ANSWERS: u64 = 30;
 /// Accepted probability of stopping a version whose share of bad answers is the tolerated one.
 const FALSE_STOP_PROBABILITY: f64 = 0.002;
 
+/// Name of the test over all classes.
+const ALL_CLASSES: &str = "";
+/// Name of the test over the pace of all streams.
+const ALL_PACE_CLASSES: &str = "all pace";
+
 /// Evidence of one roll-out, pooled over all routers.
 #[derive(Debug, Default)]
 pub struct EvidencePool {
     rows: HashMap<String, ReceivedRow>,
     /// Fleet-wide counts by class, as last reported by a router that has all rows.
     reported: BTreeMap<String, ClassCounts>,
-    /// Tests by class; the empty class stands for all requests.
+    /// Tests by class, with those over several classes.
     tests: HashMap<String, SequentialTest>,
 }
 
@@ -51,6 +59,8 @@
         }
         if row.elapsed_ms >= held.row.elapsed_ms {
             held.row.elapsed_ms = row.elapsed_ms;
+            held.row.target_sends = row.target_sends;
+            held.row.base_sends = row.base_sends;
             held.row.old_in_flight = row.old_in_flight;
             held.row.phase = row.phase;
             held.received_at = now;
@@ -80,15 +90,21 @@
     pub fn detect_harm(&mut self) -> Option<String> {
         let by_class = self.by_class();
         let all = self.totals();
-        let level = FALSE_STOP_PROBABILITY / (by_class.len() + 1) as f64;
+        let paces = by_class.iter().filter(|(class, _)| is_pace_class(class));
+        let all_paces = paces.fold(ClassCounts::default(), |sum, (_, counts)| sum.plus(*counts));
+        let sums = [(ALL_CLASSES, all), (ALL_PACE_CLASSES, all_paces)];
+        let level = FALSE_STOP_PROBABILITY / (by_class.len() + sums.len()) as f64;
         let named = by_class.iter().map(|(class, counts)| (*class, *counts));
         let cells: Vec<(String, ClassCounts)> = named
-            .chain([("", all)])
+            .chain(sums)
             .map(|(class, counts)| (class.to_owned(), counts))
             .collect();
-        let base = all.base_bad_share();
         cells.into_iter().find_map(|(class, counts)| {
             let test = self.tests.entry(class.clone()).or_default();
+            let base = match counts.base_answers() {
+                MIN_BASE_ANSWERS.. => counts.base_bad_share(),
+                _ => all.base_bad_share(),
+            };
             test.observe(counts.target_good, counts.target_bad, &bounds(base), true);
             test.trips(level).then(|| {
                 let ClassCounts {
@@ -101,6 +117,19 @@
         })
     }
 
+    /// Requests sent to the new version and to the service, over all routers.
+    pub fn sends(&self) -> (u64, u64) {
+        let rows = self.rows.values();
+        rows.fold((0, 0), |(exposed, all), received| {
+            let EvidenceRow {
+                target_sends,
+                base_sends,
+                ..
+            } = received.row;
+            (exposed + target_sends, all + target_sends + base_sends)
+        })
+    }
+
     /// Requests in flight on the old versions, over the routers whose latest row arrived at or
     /// after `since`.
     pub fn old_in_flight(&self, since: MonotonicTime) -> u32 {
--- a/crates/decisions/src/rollout/evidence_row.rs
+++ b/crates/decisions/src/rollout/evidence_row.rs
@@ -19,11 +19,24 @@
     pub enum AnswerQuality {
         /// Complete, at about the usual speed.
         Good,
-        /// A failure, or several times slower than usual.
+        /// A failure, or several times slower than usual, also if it has not come yet.
         Bad,
     }
 }
 
+/// Ending of the classes that count the pace of streams.
+const PACE_ENDING: &str = " pace";
+
+/// Class that counts the pace of the streams of `class`.
+pub fn pace_class(class: &str) -> String {
+    format!("{class}{PACE_ENDING}")
+}
+
+/// Whether `class` counts the pace of streams.
+pub(super) fn is_pace_class(class: &str) -> bool {
+    class.ends_with(PACE_ENDING)
+}
+
 /// Answer counts of one request class; no count ever decreases.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClassCounts {
@@ -45,6 +58,12 @@
         pub router: String,
         /// Counts by request class.
         pub classes: BTreeMap<String, ClassCounts>,
+        /// Requests sent to the new version.
+        #[serde(default)]
+        pub target_sends: u64,
+        /// Requests sent to all other versions.
+        #[serde(default)]
+        pub base_sends: u64,
         /// Requests in flight on the old versions.
         pub old_in_flight: u32,
         /// Phase in force at the router; absent until it knows one.
@@ -93,9 +112,13 @@
         self.target_good + self.target_bad
     }
 
+    /// Answers of the old versions, good and bad.
+    pub fn base_answers(&self) -> u64 {
+        self.base_good + self.base_bad
+    }
+
     /// Share of bad answers among those of the old versions; 0 while they have none.
     pub fn base_bad_share(&self) -> f64 {
-        let answers = self.base_good + self.base_bad;
-        self.base_bad as f64 / answers.max(1) as f64
+        self.base_bad as f64 / self.base_answers().max(1) as f64
     }
 }
--- a/crates/decisions/src/rollout/rollout_phase.rs
+++ b/crates/decisions/src/rollout/rollout_phase.rs
@@ -5,7 +5,7 @@
     pub enum RolloutPhase {
         /// A small share of new conversations.
         Canary,
-        /// A larger share, after good answers in the canary phase.
+        /// The canary share, still; routers of an older version may store it.
         Ramp,
         /// All traffic; the roll-out can still be reverted.
         Full,
@@ -16,11 +16,16 @@
     }
 }
 
-/// Multiple of the old versions' usual time at which an answer is slow while both versions have
+/// Multiple of the old versions' usual time to the head at which an answer is slow while both versions have
 /// traffic.
 const SLOW_FACTOR_SHARED_TRAFFIC: f64 = 3.5;
 /// Same multiple once the new version has all traffic, and so more load than the old ones had.
 const SLOW_FACTOR_FULL_TRAFFIC: f64 = 6.5;
+/// Multiple of the pause within an undisturbed stream of the old versions at which a stream is slow while both versions have
+/// traffic.
+const SLOW_PACE_SHARED_TRAFFIC: f64 = 2.5;
+/// Same multiple once the new version has all traffic.
+const SLOW_PACE_FULL_TRAFFIC: f64 = 3.5;
 
 impl RolloutPhase {
     /// Whether a request that failed on the new version is retried on an old one.
@@ -42,6 +47,14 @@
         }
     }
 
+    /// Multiple of the pause within an undisturbed stream at which a stream counts as slow.
+    pub fn slow_pace_factor(self) -> f64 {
+        match self {
+            Self::Canary | Self::Ramp => SLOW_PACE_SHARED_TRAFFIC,
+            Self::Full | Self::Completed | Self::Reverted => SLOW_PACE_FULL_TRAFFIC,
+        }
+    }
+
     /// Whether the roll-out has ended in this phase.
     pub fn is_final(self) -> bool {
         match self {
--- a/crates/decisions/src/rollout/rollout_plan.rs
+++ b/crates/decisions/src/rollout/rollout_plan.rs
@@ -1,30 +1,44 @@
 //! Traffic share of the new version over time, and the conditions for the next phase.
+//!
+//! A version may be bad without having shown it: its fault may need more load, or more time. Until the deadline it therefore gets
+//! no more requests than a bad version may. All traffic moves only when the time that is left is short enough for that.
 
 use std::time::Duration;
 
 use super::RolloutPhase;
 
-/// Part of the exposure bound that the canary phase uses.
-const CANARY_EXPOSURE_PART: f64 = 0.5;
+/// Part of the share that a bad version may get which the canary phase uses.
+const CANARY_EXPOSURE_PART: f64 = 0.4;
+/// Part of that share which the plan uses until the deadline.
+const USED_SHARE_PART: f64 = 0.9;
+/// Part of the tolerance beyond the share which the plan uses.
+const USED_TOLERANCE_PART: f64 = 0.3;
 /// Answers of the new version that the canary share should yield before conversations may move.
 const CANARY_ANSWERS: f64 = 60.0;
 /// Minimum share of the conversations that the canary phase moves, unless the exposure bound is
 /// lower.
 const MIN_CANARY_SHARE: f64 = 0.005;
-/// Share of the conversations that the ramp phase moves.
-const RAMP_SHARE: f64 = 0.4;
 /// Part of the roll-out time during which conversations keep the version that they began on.
 const PINNED_TIME_PART: f64 = 0.5;
 /// Safety margin after the end of [`PINNED_TIME_PART`] before conversations may move.
 const PINNED_MARGIN: Duration = Duration::from_millis(300);
-/// Minimum answers of the new version before the ramp phase, and again before the full phase.
-const MIN_ANSWERS: u64 = 16;
-/// Minimum duration of the ramp phase, as a part of the roll-out time.
-const MIN_RAMP_PART: f64 = 0.1;
+/// Minimum answers of the new version before the full phase.
+const MIN_ANSWERS: u64 = 8;
 /// Minimum duration of the full phase.
-const MIN_FULL_TIME: Duration = Duration::from_millis(1_500);
+const MIN_FULL_TIME: Duration = Duration::from_millis(500);
 /// Time before the limit at which a roll-out completes even if old versions still have requests.
-const COMPLETION_MARGIN: Duration = Duration::from_millis(1_300);
+const COMPLETION_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the limit at which all traffic moves at the latest.
+const LATEST_FULL_MARGIN: Duration = COMPLETION_MARGIN.saturating_add(MIN_FULL_TIME);
+
+/// Requests that a bad version may get until the deadline.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ExposureBound {
+    /// Share of all requests for the service.
+    pub share: f64,
+    /// Number of requests beyond that share.
+    pub tolerance: f64,
+}
 
 /// Input to [`RolloutPlan::next_phase`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +51,10 @@
     pub in_phase: Duration,
     /// Answers of the new version, fleet-wide.
     pub answers: u64,
+    /// Requests sent to the new version, fleet-wide.
+    pub exposed: u64,
+    /// Requests sent to the service, fleet-wide.
+    pub requests: u64,
     /// Requests in flight on the old versions, fleet-wide.
     pub old_in_flight: u32,
 }
@@ -50,24 +68,35 @@
     pub canary_share: f64,
 }
 
+impl ExposureBound {
+    /// Number of requests that the plan uses of `requests`; the rest is for those that routers have not reported yet.
+    fn usable(&self, requests: f64) -> f64 {
+        self.share * requests * USED_SHARE_PART + self.tolerance * USED_TOLERANCE_PART
+    }
+}
+
 impl RolloutPlan {
     /// Smallest share of the conversations that yields enough answers in the canary phase.
     ///
     /// When a phase begins, an ongoing conversation changes its version unless its next request
     /// reaches the router that had the last one. A small share limits the number of such
-    /// conversations and the exposure to a bad version. `exposure_share` is the share of the
-    /// requests that a bad version may get, `requests_per_second` the fleet's rate for the service.
-    pub fn canary_share(duration: Duration, exposure_share: f64, requests_per_second: f64) -> f64 {
-        let max_share = exposure_share * CANARY_EXPOSURE_PART;
-        let requests = requests_per_second * duration.as_secs_f64() * PINNED_TIME_PART;
-        (CANARY_ANSWERS / requests.max(1.0)).clamp(MIN_CANARY_SHARE.min(max_share), max_share)
+    /// conversations and the exposure to a bad version. `bound` limits the requests that a bad
+    /// version may get, `requests_per_second` is the fleet's rate for the service.
+    pub fn canary_share(
+        duration: Duration,
+        bound: &ExposureBound,
+        requests_per_second: f64,
+    ) -> f64 {
+        let requests = (requests_per_second * duration.as_secs_f64()).max(1.0);
+        let max_share = bound.share * CANARY_EXPOSURE_PART;
+        let needed = CANARY_ANSWERS / (requests * PINNED_TIME_PART).max(1.0);
+        needed.clamp(MIN_CANARY_SHARE.min(max_share), max_share)
     }
 
     /// Share of the conversations that the new version gets in `phase`.
     pub fn share(&self, phase: RolloutPhase) -> f64 {
         match phase {
-            RolloutPhase::Canary => self.canary_share,
-            RolloutPhase::Ramp => RAMP_SHARE,
+            RolloutPhase::Canary | RolloutPhase::Ramp => self.canary_share,
             RolloutPhase::Full | RolloutPhase::Completed => 1.0,
             RolloutPhase::Reverted => 0.0,
         }
@@ -75,28 +104,49 @@
 
     /// Whether conversations that began on an old version must still stay on it.
     pub fn pins_old(&self, elapsed: Duration) -> bool {
-        elapsed < self.duration.mul_f64(PINNED_TIME_PART) + PINNED_MARGIN
+        elapsed < self.pinned_time()
+    }
+
+    /// Time until the next phase is due if the evidence shows no harm; zero if it is due now.
+    pub fn next_phase_in(&self, input: &PlanInput, bound: &ExposureBound) -> Duration {
+        let due = match input.phase {
+            RolloutPhase::Canary | RolloutPhase::Ramp => self.full_at(input, bound),
+            RolloutPhase::Full => self.duration.saturating_sub(COMPLETION_MARGIN),
+            RolloutPhase::Completed | RolloutPhase::Reverted => Duration::MAX,
+        };
+        due.saturating_sub(input.elapsed)
     }
 
     /// Next phase, if the evidence shows no harm; `None` while the current phase continues.
-    pub fn next_phase(&self, input: &PlanInput) -> Option<RolloutPhase> {
-        let left = self.duration.saturating_sub(input.elapsed);
-        let must_complete = left < COMPLETION_MARGIN;
+    pub fn next_phase(&self, input: &PlanInput, bound: &ExposureBound) -> Option<RolloutPhase> {
+        let is_due = self.next_phase_in(input, bound).is_zero();
         match input.phase {
-            RolloutPhase::Canary => {
-                let is_ready = !self.pins_old(input.elapsed) && input.answers >= MIN_ANSWERS;
-                (is_ready && !must_complete).then_some(RolloutPhase::Ramp)
-            }
-            RolloutPhase::Ramp => {
-                let has_evidence = input.answers >= 2 * MIN_ANSWERS
-                    && input.in_phase >= self.duration.mul_f64(MIN_RAMP_PART);
-                (has_evidence && !must_complete).then_some(RolloutPhase::Full)
+            RolloutPhase::Canary | RolloutPhase::Ramp => {
+                (is_due && input.answers >= MIN_ANSWERS).then_some(RolloutPhase::Full)
             }
             RolloutPhase::Full => {
                 let is_drained = input.old_in_flight == 0 && input.in_phase >= MIN_FULL_TIME;
-                (is_drained || must_complete).then_some(RolloutPhase::Completed)
+                (is_drained || is_due).then_some(RolloutPhase::Completed)
             }
             RolloutPhase::Completed | RolloutPhase::Reverted => None,
         }
     }
+
+    fn pinned_time(&self) -> Duration {
+        self.duration.mul_f64(PINNED_TIME_PART) + PINNED_MARGIN
+    }
+
+    /// Time since the order from which a bad version may get all traffic until the deadline.
+    fn full_at(&self, input: &PlanInput, bound: &ExposureBound) -> Duration {
+        let requests = input.requests as f64;
+        let rate = requests / input.elapsed.as_secs_f64().max(f64::EPSILON);
+        let unused = bound.usable(requests) - input.exposed as f64;
+        // Each request until the deadline also raises the number that is allowed.
+        let used_per_second = (rate * (1.0 - bound.share)).max(f64::EPSILON);
+        let affordable = Duration::try_from_secs_f64(unused.max(0.0) / used_per_second);
+        let full_time = affordable.unwrap_or(self.duration).max(LATEST_FULL_MARGIN);
+        self.duration
+            .saturating_sub(full_time)
+            .max(self.pinned_time())
+    }
 }
--- a/crates/router/src/relay/rollouts.rs
+++ b/crates/router/src/relay/rollouts.rs
@@ -2,12 +2,13 @@
 //! exchange of evidence and phases with the other routers through the store.
 
 mod active_rollout;
+mod pace_model;
 mod rollout_exchange;
 mod rollout_manager;
 mod rollout_pool;
 mod session_versions;
 
 pub use rollout_exchange::{expire_sessions, follow};
-pub use rollout_manager::{AnswerEvidence, RolloutManager, VersionPick};
+pub use rollout_manager::{AnswerEvidence, AnswerSign, RolloutManager, VersionPick};
 pub use rollout_pool::{apply_pooled, own_evidence, pooled_rollouts};
 pub use session_versions::SessionKey;
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -5,11 +5,12 @@
 
 use ferry_decisions::names::VersionName;
 use ferry_decisions::rollout::{
-    AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, PlanInput, RolloutOrder, RolloutPhase,
-    RolloutPlan, VersionSide,
+    AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, ExposureBound, PlanInput, RolloutOrder,
+    RolloutPhase, RolloutPlan, VersionSide,
 };
 use ferry_decisions::time::MonotonicTime;
 
+use super::pace_model::PaceModel;
 use crate::relay::latency_model::LatencyModel;
 use crate::relay::upstreams::UpstreamDirectory;
 
@@ -31,6 +32,8 @@
     pub own: EvidenceRow,
     /// Usual latency of the old versions, with which the latency of the new version is compared.
     pub base_latency: LatencyModel,
+    /// Pace of the old versions' streams.
+    pub base_pace: PaceModel,
     /// Latest row of each router that syncs from this one, by router name.
     clients: BTreeMap<String, EvidenceRow>,
     plan: RolloutPlan,
@@ -60,6 +63,7 @@
                 ..EvidenceRow::default()
             },
             base_latency: LatencyModel::default(),
+            base_pace: PaceModel::default(),
             clients: BTreeMap::new(),
             pool: EvidencePool::default(),
             started_at: now,
@@ -102,6 +106,14 @@
         avoids_target && failed == Some(&self.order.target)
     }
 
+    /// Counts a send to a version of the service.
+    pub fn record_send(&mut self, side: VersionSide) {
+        match side {
+            VersionSide::Target => self.own.target_sends += 1,
+            VersionSide::Base => self.own.base_sends += 1,
+        }
+    }
+
     /// Counts an answer; returns whether the evidence shows harm for the first time with it.
     pub fn record(
         &mut self,
@@ -193,14 +205,29 @@
             target = self.order.target.as_str(),
             phase:? = phase,
             elapsed_ms = self.elapsed(now).as_millis() as u64,
+            evidence = self.evidence_text(),
+            exposed = self.pool.sends().0,
             harm = self.harm.as_deref().unwrap_or_default(),
         });
         self.phase = Some(phase);
         self.phase_started_at = now;
     }
 
+    /// Answers by class: bad and all of the new version, bad and all of the old ones.
+    fn evidence_text(&self) -> String {
+        let classes = self.pool.class_totals().into_iter();
+        let classes = classes.map(|(class, counts)| {
+            let (target, base) = (counts.target_answers(), counts.base_answers());
+            format!(
+                "{class} {}/{target} {}/{base}",
+                counts.target_bad, counts.base_bad
+            )
+        });
+        classes.collect::<Vec<_>>().join(", ")
+    }
+
     /// The phase that the roll-out should move to now; `None` while the present one continues.
-    pub fn next_phase(&self, now: MonotonicTime) -> Option<RolloutPhase> {
+    pub fn next_phase(&self, bound: &ExposureBound, now: MonotonicTime) -> Option<RolloutPhase> {
         let phase = self.phase?;
         if phase.is_final() {
             return None;
@@ -208,13 +235,26 @@
         if self.harm.is_some() {
             return Some(RolloutPhase::Reverted);
         }
-        self.plan.next_phase(&PlanInput {
+        self.plan.next_phase(&self.plan_input(phase, now), bound)
+    }
+
+    /// Time until the next phase is due if no harm is found; `None` while no phase is known.
+    pub fn next_phase_in(&self, bound: &ExposureBound, now: MonotonicTime) -> Option<Duration> {
+        let input = self.plan_input(self.phase?, now);
+        Some(self.plan.next_phase_in(&input, bound))
+    }
+
+    fn plan_input(&self, phase: RolloutPhase, now: MonotonicTime) -> PlanInput {
+        let (exposed, requests) = self.pool.sends();
+        PlanInput {
             phase,
             elapsed: self.elapsed(now),
             in_phase: now.since(self.phase_started_at),
             answers: self.pool.totals().target_answers(),
+            exposed,
+            requests,
             old_in_flight: self.pool.old_in_flight(now.before(MAX_ROW_AGE)),
-        })
+        }
     }
 
     /// Whether the roll-out has ended.
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::ServiceName;
-use ferry_decisions::rollout::{EvidenceRow, RolloutPhase, RolloutPlan};
+use ferry_decisions::rollout::{EvidenceRow, ExposureBound, RolloutPhase, RolloutPlan};
 use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, rollout_key};
 use ferry_platform::store::{
     AppendCondition, ReadQuery, STATUS_TOPIC, StoreError, StoreRecord, TopicPartition, encode_keyed,
@@ -22,6 +22,8 @@
 const STATUS: TopicPartition<'static> = TopicPartition::only(STATUS_TOPIC);
 /// Period of the exchanges while a roll-out is in progress.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(900);
+/// Minimum pause between two exchanges.
+const MIN_EXCHANGE_PAUSE: Duration = Duration::from_millis(200);
 /// Minimum period at which ended conversations are removed.
 const MIN_EXPIRY_PERIOD: Duration = Duration::from_secs(1);
 /// Number of exchanges after which the phases are read even if no other router reports a later phase.
@@ -70,7 +72,30 @@
             Ok(()) => exchange.outages.record_success(),
             Err(error) => exchange.outages.record_failure(&error),
         }
-        let _ = timeout(EXCHANGE_PERIOD, core.rollouts.wake.notified()).await;
+        let pause = pause_until_due(&core, &services);
+        let _ = timeout(pause, core.rollouts.wake.notified()).await;
+    }
+}
+
+/// Time until the next exchange: its period, or less if a phase is due sooner.
+fn pause_until_due(core: &SharedCore, services: &[ServiceName]) -> Duration {
+    let (bound, now) = (exposure_bound(core), core.clock.now());
+    let due = services.iter().filter_map(|service| {
+        let due = core
+            .rollouts
+            .with(service, |rollout| rollout.next_phase_in(&bound, now));
+        due.flatten()
+    });
+    let soonest = due.min().unwrap_or(EXCHANGE_PERIOD);
+    soonest.clamp(MIN_EXCHANGE_PAUSE, EXCHANGE_PERIOD)
+}
+
+/// Requests that a bad version may get, as the deployment's bounds state them.
+fn exposure_bound(core: &SharedCore) -> ExposureBound {
+    let bounds = &core.settings.load().bounds;
+    ExposureBound {
+        share: bounds.exposure_share,
+        tolerance: bounds.exposure_tolerance,
     }
 }
 
@@ -107,15 +132,15 @@
     async fn advance_phase(&mut self, service: &ServiceName) -> Result<(), StoreError> {
         let core = &self.core;
         let now = core.clock.now();
-        let exposure = core.settings.load().bounds.exposure_share;
+        let bound = exposure_bound(core);
         let rate = core.fleet_rate(service);
         let state = core.rollouts.with(service, |rollout| {
             let (phase, canary_share) = match rollout.phase {
                 None => {
-                    let share = RolloutPlan::canary_share(rollout.order.duration, exposure, rate);
+                    let share = RolloutPlan::canary_share(rollout.order.duration, &bound, rate);
                     (RolloutPhase::Canary, share)
                 }
-                Some(_) => (rollout.next_phase(now)?, rollout.canary_share()),
+                Some(_) => (rollout.next_phase(&bound, now)?, rollout.canary_share()),
             };
             Some(RolloutStatus {
                 order: rollout.offset,
@@ -281,6 +306,8 @@
 /// Whether two rows of one router carry the same evidence; the elapsed time is left out, since it always differs.
 fn has_same_evidence(one: &EvidenceRow, other: &EvidenceRow) -> bool {
     one.classes == other.classes
+        && one.target_sends == other.target_sends
+        && one.base_sends == other.base_sends
         && one.old_in_flight == other.old_in_flight
         && one.phase == other.phase
 }
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -5,7 +5,9 @@
 
 use ferry_decisions::hash_point;
 use ferry_decisions::names::{ServiceName, VersionName};
-use ferry_decisions::rollout::{AnswerQuality, RolloutOrder, RolloutPhase, VersionSide};
+use ferry_decisions::rollout::{
+    AnswerQuality, RolloutOrder, RolloutPhase, VersionSide, pace_class,
+};
 use ferry_decisions::time::MonotonicTime;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -17,6 +19,9 @@
 /// Answers that take at most this long never count as slow.
 const MIN_SLOW_LATENCY: Duration = Duration::from_millis(120);
 
+/// Streams whose mean pause is at most this long never count as slow.
+const MIN_SLOW_PAUSE: Duration = Duration::from_millis(20);
+
 /// Restricts a request to the upstreams of the target version, or to those of the others.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionPick {
@@ -39,8 +44,21 @@
     pub model: &'a str,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
-    /// Time from the send to the head of the answer; absent for a failure.
-    pub took: Option<Duration>,
+    /// What is known of the answer.
+    pub sign: AnswerSign,
+}
+
+/// What is known of an answer at some moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerSign {
+    /// Its head has come, so long after the send.
+    Head(Duration),
+    /// The first pieces of its stream have come, with this mean pause.
+    Pace(Duration),
+    /// Its head has not come within the time that `RolloutManager::overdue_after` states.
+    Overdue,
+    /// It failed or broke off.
+    Failure,
 }
 
 /// Active and ended roll-outs by service, with the versions of current conversations.
@@ -151,6 +169,29 @@
         })
     }
 
+    /// Counts a send to `version` of `service`.
+    pub fn record_send(&self, service: &ServiceName, version: &VersionName) {
+        let mut active = self.active.lock();
+        if let Some(rollout) = active.get_mut(service) {
+            rollout.record_send(side_of(version, rollout));
+        }
+    }
+
+    /// Time after which an answer without its head is overdue; `None` while it can't be told or the service has no
+    /// roll-out.
+    pub fn overdue_after(&self, answer: &AnswerEvidence<'_>) -> Option<Duration> {
+        let active = self.active.lock();
+        let rollout = active.get(answer.service)?;
+        if rollout.is_final() {
+            return None;
+        }
+        let usual = rollout
+            .base_latency
+            .expected(&latency_class(answer), answer.prompt_tokens)?;
+        let limit = usual.mul_f64(known_phase(rollout).slow_factor());
+        Some(limit.max(MIN_SLOW_LATENCY))
+    }
+
     /// Counts an answer or a failure as evidence, and wakes the exchange if it shows harm.
     pub fn record(&self, answer: &AnswerEvidence<'_>, now: MonotonicTime) {
         let mut active = self.active.lock();
@@ -159,7 +200,7 @@
         };
         let side = side_of(answer.version, rollout);
         let quality = rate_answer(rollout, side, answer);
-        if rollout.record(answer.class, side, quality, now) {
+        if rollout.record(&evidence_class(answer), side, quality, now) {
             self.wake.notify_one();
         }
     }
@@ -173,36 +214,67 @@
     }
 }
 
+/// Class of the counts; the pace of streams is counted apart from their beginning.
+fn evidence_class(answer: &AnswerEvidence<'_>) -> String {
+    match answer.sign {
+        AnswerSign::Pace(_) => pace_class(answer.class),
+        AnswerSign::Head(_) | AnswerSign::Overdue | AnswerSign::Failure => answer.class.to_owned(),
+    }
+}
+
+/// Class of the usual time to the head.
+fn latency_class(answer: &AnswerEvidence<'_>) -> String {
+    format!("{}/{}", answer.class, answer.model)
+}
+
+/// Rates an answer by what is usual at the old versions, whose own answers are rated in the same way: some of them are slow
+/// too, for example in a burst.
 fn rate_answer(
     rollout: &mut ActiveRollout,
     side: VersionSide,
     answer: &AnswerEvidence<'_>,
 ) -> AnswerQuality {
-    let Some(took) = answer.took else {
-        return AnswerQuality::Bad;
+    let is_slow = match answer.sign {
+        AnswerSign::Head(took) => is_slow_head(rollout, side, answer, took),
+        AnswerSign::Pace(pause) => is_slow_pace(rollout, side, answer, pause),
+        AnswerSign::Overdue | AnswerSign::Failure => true,
     };
-    let class = format!("{}/{}", answer.class, answer.model);
-    match side {
-        VersionSide::Base => {
-            rollout
-                .base_latency
-                .record(&class, took, answer.prompt_tokens);
-            AnswerQuality::Good
-        }
-        VersionSide::Target if is_slow(rollout, &class, took, answer) => AnswerQuality::Bad,
-        VersionSide::Target => AnswerQuality::Good,
+    match is_slow {
+        true => AnswerQuality::Bad,
+        false => AnswerQuality::Good,
     }
 }
 
-fn is_slow(
-    rollout: &ActiveRollout,
-    class: &str,
-    took: Duration,
+fn is_slow_head(
+    rollout: &mut ActiveRollout,
+    side: VersionSide,
     answer: &AnswerEvidence<'_>,
+    took: Duration,
 ) -> bool {
-    let ratio = rollout
-        .base_latency
-        .ratio(class, took, answer.prompt_tokens);
-    let factor = rollout.phase.unwrap_or(RolloutPhase::Canary).slow_factor();
+    let class = latency_class(answer);
+    let factor = known_phase(rollout).slow_factor();
+    let latency = &mut rollout.base_latency;
+    let ratio = latency.ratio(&class, took, answer.prompt_tokens);
+    if side == VersionSide::Base {
+        latency.record(&class, took, answer.prompt_tokens);
+    }
     took > MIN_SLOW_LATENCY && ratio.is_some_and(|ratio| ratio > factor)
 }
+
+fn is_slow_pace(
+    rollout: &mut ActiveRollout,
+    side: VersionSide,
+    answer: &AnswerEvidence<'_>,
+    pause: Duration,
+) -> bool {
+    let factor = known_phase(rollout).slow_pace_factor();
+    let ratio = rollout.base_pace.ratio(answer.model, pause);
+    if side == VersionSide::Base {
+        rollout.base_pace.record(answer.model, pause);
+    }
+    pause > MIN_SLOW_PAUSE && ratio.is_some_and(|ratio| ratio > factor)
+}
+
+fn known_phase(rollout: &ActiveRollout) -> RolloutPhase {
+    rollout.phase.unwrap_or(RolloutPhase::Canary)
+}
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -17,10 +17,15 @@
 use super::event_splitter::EventSplitter;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
 use crate::relay::request::{RefusalReason, RelayRefusal};
+use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
 
 /// Multiple of the rule's longest event gap after which a silent upstream counts as hanging.
 const SILENCE_FACTOR: u32 = 4;
+/// Number of pieces of a stream by which its pace is rated.
+const PACE_PIECES: u32 = 12;
+/// Minimum number of pieces by which the pace of a shorter stream is rated at its end.
+const MIN_PACE_PIECES: u32 = 4;
 /// Time from the first event of an answer after which its upstream has most likely survived the beginning.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Media type of a stream of events.
@@ -40,6 +45,10 @@
     began_at: Option<Instant>,
     /// Whether the survival of that answer's upstream has been recorded.
     has_survived: bool,
+    /// Number of pieces of that answer; one piece may hold several events.
+    pieces: u32,
+    /// When the last of them arrived.
+    last_piece_at: Option<Instant>,
     /// Whether to wait for a silent upstream, because the stream cannot be resumed elsewhere.
     keeps_waiting: bool,
 }
@@ -66,6 +75,8 @@
             has_sent_events: false,
             began_at: None,
             has_survived: false,
+            pieces: 0,
+            last_piece_at: None,
             keeps_waiting: false,
         }
     }
@@ -88,8 +99,9 @@
             let recovered = match step {
                 ForwardStep::Events(events) => {
                     self.has_sent_events = true;
-                    self.record_survival();
                     self.run.record.record_piece();
+                    self.record_survival();
+                    self.count_piece();
                     return Some(Ok(events));
                 }
                 ForwardStep::End => return self.end(),
@@ -136,6 +148,24 @@
         }
     }
 
+    /// Counts a piece; the mean pause between the first ones tells sooner than the end of the stream.
+    fn count_piece(&mut self) {
+        self.pieces += 1;
+        self.last_piece_at = Some(Instant::now());
+        if self.pieces == PACE_PIECES
+            && let Some(answer) = &self.answer
+        {
+            self.record_pace(&answer.upstream);
+        }
+    }
+
+    fn record_pace(&self, upstream: &RelayUpstream) {
+        if let (Some(first), Some(last)) = (self.began_at, self.last_piece_at) {
+            let pause = (last - first) / (self.pieces - 1);
+            self.run.record_sign(upstream, AnswerSign::Pace(pause));
+        }
+    }
+
     /// What the end of the body means: the end of the stream, or a break.
     async fn judge_end(&self) -> ForwardStep {
         let Some(answer) = &self.answer else {
@@ -174,6 +204,9 @@
         if answer.keeps_link() {
             answer.lease.give_back(answer.facts.keep_alive);
         }
+        if (MIN_PACE_PIECES..PACE_PIECES).contains(&self.pieces) {
+            self.record_pace(&answer.upstream);
+        }
         self.run.record.outcome = "answered";
         self.run
             .record_completion(answer.head.status, answer.framing);
@@ -237,7 +270,7 @@
         self.splitter.take_partial();
         if let Some(answer) = self.answer.take() {
             answer.upstream.mark_suspect(self.run.core.clock.now());
-            self.run.record_answer(&answer.upstream, None);
+            self.run.record_version_failure(&answer.upstream);
             self.run.record_crash(&answer.upstream);
         }
     }
@@ -250,6 +283,7 @@
         self.answer = Some(resumed.unwrap_or(Err(refusal))?);
         self.began_at = None;
         self.has_survived = false;
+        self.pieces = 0;
         Ok(())
     }
 
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -6,9 +6,10 @@
 use ferry_kernel::http::BodyFraming;
 use hyper::StatusCode;
 use smallvec::SmallVec;
+use tokio::time::timeout;
 
 use super::RelayRun;
-use crate::relay::rollouts::AnswerEvidence;
+use crate::relay::rollouts::{AnswerEvidence, AnswerSign};
 use crate::relay::upstreams::RelayUpstream;
 
 impl RelayRun {
@@ -51,22 +52,44 @@
         });
     }
 
-    /// Records an answer as evidence about the upstream's version; without `took` it counts as a failure.
-    pub fn record_answer(&mut self, upstream: &RelayUpstream, took: Option<Duration>) {
-        let Some(service) = &self.service else {
-            return;
+    /// Records a failure of the upstream as evidence about its version.
+    pub fn record_version_failure(&mut self, upstream: &RelayUpstream) {
+        self.record_sign(upstream, AnswerSign::Failure);
+        self.failed_version = Some(upstream.record.version.clone());
+    }
+
+    /// Records what is known of an answer as evidence about the upstream's version.
+    pub fn record_sign(&self, upstream: &RelayUpstream, sign: AnswerSign) {
+        let evidence = self.evidence(upstream, sign);
+        self.core.rollouts.record(&evidence, self.core.clock.now());
+    }
+
+    /// Waits for the head of an answer; one that is overdue is recorded at once. Returns whether it was.
+    pub(super) async fn watch_head<T>(
+        &self,
+        upstream: &RelayUpstream,
+        sending: impl Future<Output = T>,
+    ) -> (T, bool) {
+        let evidence = self.evidence(upstream, AnswerSign::Overdue);
+        let Some(limit) = self.core.rollouts.overdue_after(&evidence) else {
+            return (sending.await, false);
         };
-        let evidence = AnswerEvidence {
-            service,
+        tokio::pin!(sending);
+        if let Ok(result) = timeout(limit, &mut sending).await {
+            return (result, false);
+        }
+        self.record_sign(upstream, AnswerSign::Overdue);
+        (sending.await, true)
+    }
+
+    fn evidence<'a>(&'a self, upstream: &'a RelayUpstream, sign: AnswerSign) -> AnswerEvidence<'a> {
+        AnswerEvidence {
+            service: &upstream.record.service,
             version: &upstream.record.version,
             class: self.request.rule.name.as_str(),
             model: &self.record.model,
             prompt_tokens: self.request.facts.prompt.prompt_tokens,
-            took,
-        };
-        self.core.rollouts.record(&evidence, self.core.clock.now());
-        if took.is_none() {
-            self.failed_version = Some(upstream.record.version.clone());
+            sign,
         }
     }
 
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -14,6 +14,7 @@
 use super::RelayRun;
 use super::relay_run::RunAnswer;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer, send};
+use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
 
 /// Longest answer, in bytes, that is read completely before it is forwarded.
@@ -43,25 +44,39 @@
         self.record.upstream = upstream.id().to_owned();
         self.record.model = model.unwrap_or_default();
         self.log_send(upstream);
+        let record = &upstream.record;
+        self.core
+            .rollouts
+            .record_send(&record.service, &record.version);
         self.hold_session(upstream);
         let before = std::mem::replace(&mut self.run, RunState::MayHaveRun);
         let sent = Instant::now();
         let sending = send(upstream, &outgoing, &self.request.id);
-        let result = match self.head_timeout() {
-            Some(limit) => timeout(limit, sending)
-                .await
-                .unwrap_or_else(|_| Err(SendFailure::without_answer(UpstreamFailure::TimedOut))),
+        let sending = self.watch_head(upstream, sending);
+        let (result, was_overdue) = match self.head_timeout() {
+            Some(limit) => timeout(limit, sending).await.unwrap_or_else(|_| {
+                (
+                    Err(SendFailure::without_answer(UpstreamFailure::TimedOut)),
+                    false,
+                )
+            }),
             None => sending.await,
         };
         match &result {
-            Ok(answer) => self.record_head(upstream, answer, sent.elapsed()),
+            Ok(answer) => self.record_head(upstream, answer, sent.elapsed(), was_overdue),
             Err(failure) => self.record_failure(upstream, failure.kind, before),
         }
         result
     }
 
-    /// Records the head of an answer that arrived after `took`.
-    fn record_head(&mut self, upstream: &RelayUpstream, answer: &UpstreamAnswer, took: Duration) {
+    /// Records the head of an answer that arrived after `took`, and may have been recorded as overdue.
+    fn record_head(
+        &mut self,
+        upstream: &RelayUpstream,
+        answer: &UpstreamAnswer,
+        took: Duration,
+        was_overdue: bool,
+    ) {
         upstream.clear_suspect();
         self.rejected = false;
         if let Some(load) = answer.facts.load {
@@ -70,7 +85,9 @@
         self.run = RunState::Ran;
         self.possible_runs += 1;
         self.record_latency(upstream, took);
-        self.record_answer(upstream, Some(took));
+        if !was_overdue {
+            self.record_sign(upstream, AnswerSign::Head(took));
+        }
         self.record.confidence = answer.facts.confidence;
     }
 
@@ -87,7 +104,7 @@
         if run != RunState::NotRun {
             self.possible_runs += 1;
             upstream.record_latency(FAILURE_LATENCY_RATIO, now);
-            self.record_answer(upstream, None);
+            self.record_version_failure(upstream);
         }
         self.rejected = failure == UpstreamFailure::QueueFull;
         if self.rejected {
