End the connection with a reset when a body is broken off

Change: the server's side of a connection resets it when the body of a response fails; all broken answers end so. an_unframed_stream_that_is_known_to_be_broken_ends_with_a_reset fails without it and passes.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -1,6 +1,7 @@
 //! Small HTTP helpers over `hyper`, shared by the daemons and the tools.
 
 mod body;
+mod caller_stream;
 mod client;
 mod framing;
 mod server;
--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::caller_stream::{CallerStream, ResetFlag};
 use super::{HttpBody, KEEP_ALIVE};
 
 /// Smallest buffer for a request head that `hyper` accepts, in bytes.
@@ -192,24 +193,33 @@
         async move { response_or_drop(answer.await) }
     });
     let limits = handle.limits.get();
+    let resets = ResetFlag::default();
+    let caller = CallerStream::new(stream, resets.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(caller), service)
         .with_upgrades();
     tokio::pin!(connection);
     tokio::select! {
-        _ = connection.as_mut() => return,
+        result = connection.as_mut() => return reset_if_broken(&result, &resets),
         () = handle.abort.cancelled() => return,
         () = handle.stop.cancelled() => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
-        _ = connection => {}
+        result = connection.as_mut() => reset_if_broken(&result, &resets),
         () = handle.abort.cancelled() => {}
     }
 }
 
+/// Ends the connection with a reset if a body was broken off.
+fn reset_if_broken(result: &hyper::Result<()>, resets: &ResetFlag) {
+    if result.as_ref().is_err_and(hyper::Error::is_user) {
+        resets.set();
+    }
+}
+
 fn response_or_drop(response: Response<HttpBody>) -> Result<Response<HttpBody>, ConnectionDrop> {
     match response.extensions().get::<ConnectionDrop>() {
         Some(drop) => Err(*drop),
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -1,6 +1,8 @@
 //! An upstream that answers with given bytes, and a caller that reads the bytes of an answer.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord, UpstreamStage};
@@ -54,11 +56,20 @@
     pub exits: bool,
 }
 
+/// Part of an answer that goes on until the connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndlessPart {
+    Head,
+    Body,
+}
+
 /// Bytes of an answer as its caller received them.
 #[derive(Debug)]
 pub struct RawAnswer {
     head: String,
     body: Vec<u8>,
+    /// Whether the connection ended with a reset.
+    pub was_reset: bool,
 }
 
 /// Starts an upstream with id `id` that follows `plan`, and registers it.
@@ -71,6 +82,56 @@
     store.put(UPSTREAM_TOPIC, id, &encode_upstream(&record));
 }
 
+/// Starts an upstream with id `id` whose answers have a part without end; returns the number of bytes that it sent.
+pub async fn start_endless_replica(
+    deployment: &Deployment,
+    id: &str,
+    part: EndlessPart,
+) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let record = raw_record(id, listener.local_addr().unwrap());
+    let sent = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&sent);
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(send_endlessly(stream, part, Arc::clone(&counter)));
+        }
+    });
+    let store = &deployment.store;
+    store.put(UPSTREAM_TOPIC, id, &encode_upstream(&record));
+    sent
+}
+
+async fn send_endlessly(mut stream: TcpStream, part: EndlessPart, sent: Arc<AtomicUsize>) {
+    let Some(bound) = read_request(&mut stream).await else {
+        return;
+    };
+    let head = answer_head(bound.attempt_id);
+    let (start, chunk) = match part {
+        EndlessPart::Head => (head, format!("x-more: {}\r\n", "x".repeat(4_000))),
+        EndlessPart::Body => (format!("{head}\r\n"), "x".repeat(16 * 1024)),
+    };
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    while stream.write_all(chunk.as_bytes()).await.is_ok() {
+        sent.fetch_add(chunk.len(), Ordering::Relaxed);
+    }
+}
+
+/// Head of an answer without the lines that mark the end of its body, and without its blank line.
+fn answer_head(attempt_id: String) -> String {
+    let mut headers = HeaderMap::new();
+    let answer = AnswerHeaders {
+        attempt_id,
+        signature: Some("signed".to_owned()),
+        ..AnswerHeaders::default()
+    };
+    answer.write(&mut headers);
+    format!("HTTP/1.1 200 OK\r\n{}", header_lines(&headers))
+}
+
 fn raw_record(id: &str, address: SocketAddr) -> UpstreamRecord {
     UpstreamRecord {
         incarnation: UpstreamIncarnation {
@@ -113,14 +174,7 @@
 /// Reads one request and sends the planned part of its answer; `None` if no request arrives.
 async fn answer(stream: &mut TcpStream, plan: RawPlan) -> Option<Answered> {
     let bound = read_request(stream).await?;
-    let mut headers = HeaderMap::new();
-    let answer = AnswerHeaders {
-        attempt_id: bound.attempt_id,
-        signature: Some("signed".to_owned()),
-        ..AnswerHeaders::default()
-    };
-    answer.write(&mut headers);
-    let mut bytes = format!("HTTP/1.1 200 OK\r\n{}", header_lines(&headers));
+    let mut bytes = answer_head(bound.attempt_id);
     bytes.push_str(&match plan.framing {
         RawFraming::Length => format!("Content-Length: {}\r\n\r\n{}", plan.whole.len(), plan.sent),
         RawFraming::Chunks => format!("Transfer-Encoding: chunked\r\n\r\n{}", chunks(plan)),
@@ -199,9 +253,10 @@
     stream.write_all(&body).await.unwrap();
     let mut bytes = Vec::new();
     // A reset leaves what was read before it.
-    let _ = timeout(READ_TIMEOUT, stream.read_to_end(&mut bytes))
+    let end = timeout(READ_TIMEOUT, stream.read_to_end(&mut bytes))
         .await
         .expect("the answer ends in time");
+    let was_reset = end.is_err();
     let end = bytes
         .windows(HEAD_END.len())
         .position(|bytes| bytes == HEAD_END);
@@ -210,6 +265,7 @@
     RawAnswer {
         head: String::from_utf8_lossy(&bytes).to_ascii_lowercase(),
         body,
+        was_reset,
     }
 }
 
--- a/crates/router/tests/relay/unframed.rs
+++ b/crates/router/tests/relay/unframed.rs
@@ -64,6 +64,24 @@
     assert!(framed.is_empty(), "{framed:#?}");
 }
 
+/// Guards against an end that hides the break: the caller got the events before it and a clean end of the connection.
+#[tokio::test]
+async fn an_unframed_stream_that_is_known_to_be_broken_ends_with_a_reset() {
+    for (sent, end) in [
+        (INSIDE_AN_EVENT, RawEnd::Fin),
+        (BEFORE_THE_LAST_BLANK_LINE, RawEnd::Fin),
+        (BETWEEN_EVENTS, RawEnd::Rst),
+    ] {
+        let deployment = deployment().await;
+        start_raw_replica(&deployment, "up-1", plan(sent, RawFraming::None, end)).await;
+        let relay = deployment.relay().await;
+        for prefix in ["/drafts/", "/chats/"] {
+            let answer = read_raw(&relay, &format!("{prefix}7"), "a").await;
+            assert!(answer.was_reset, "{prefix}: {sent:?}: {answer:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn an_answer_without_framing_is_delivered_whole_and_without_framing() {
     let deployment = deployment().await;
