Limit what answers without end can take of the memory

Cause: a whole answer was read up to 16 MiB, whatever the others took, an event up to 1 MiB and a head up to hyper's 400 KiB, so that a few dozen answers without end exceed the memory of a small host. An upstream in trouble may send bytes without end in a head or a body. Change: all answers that are read completely share a budget of 32 MiB, beyond which they are broken off, an event may have 256 KiB, a head 64 KiB.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -1,6 +1,7 @@
 //! Small HTTP helpers over `hyper`, shared by the daemons and the tools.
 
 mod body;
+mod body_budget;
 mod caller_stream;
 mod client;
 mod framing;
@@ -16,6 +17,7 @@
 pub use body::{
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
+pub use body_budget::BodyBudget;
 pub use client::{HttpClient, HttpError, HttpRequest};
 pub use framing::BodyFraming;
 pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/kernel/src/http/body.rs
+++ b/crates/kernel/src/http/body.rs
@@ -26,6 +26,12 @@
         /// Longest body allowed, in bytes.
         limit: usize,
     },
+    /// All bodies that are being read are longer than allowed together.
+    #[error("the bodies being read take more than {limit} bytes; try again when fewer are read")]
+    NoRoom {
+        /// Maximum size of all bodies, in bytes.
+        limit: usize,
+    },
     /// The body ended before its announced length, or the connection broke.
     #[error("the body ended early: {0}; send the whole body")]
     Truncated(String),
--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -237,7 +237,7 @@
     fn from(error: BodyError) -> Self {
         let kind = match error {
             BodyError::TooLarge { .. } => RefusalKind::BodyTooLarge,
-            BodyError::Truncated(_) => RefusalKind::BadRequest,
+            BodyError::Truncated(_) | BodyError::NoRoom { .. } => RefusalKind::BadRequest,
         };
         Self::permanent(kind, error.to_string())
     }
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -10,7 +10,7 @@
 use ferry_decisions::retry::{FleetRetryBound, RetryShare, RetryShareConfig};
 use ferry_decisions::ruleset::RuleSet;
 use ferry_decisions::time::MonotonicTime;
-use ferry_kernel::http::LimitsCell;
+use ferry_kernel::http::{BodyBudget, LimitsCell};
 use ferry_platform::host_settings::HostSettings;
 use ferry_platform::store::StoreClient;
 use parking_lot::Mutex;
@@ -29,6 +29,11 @@
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Maximum size of an answer that is read completely before it is forwarded, in bytes.
+const WHOLE_ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// Maximum size of all such answers that are being read, in bytes; a fraction of a small host's memory.
+const ALL_ANSWERS_LIMIT: usize = 32 * 1024 * 1024;
+
 /// State of one relay process.
 pub struct RelayCore {
     /// Settings, reloaded when their file changes.
@@ -51,6 +56,8 @@
     pub registry: Mutex<UpstreamRegistry>,
     /// Usual latency of the responses of all upstreams.
     pub latency: Mutex<LatencyModel>,
+    /// Bytes of answers that are read completely before they are forwarded.
+    pub answer_budget: BodyBudget,
     /// The fleet's count of upstreams that requests crashed.
     pub crashes: CrashManager,
     /// Registered routers, links to them, and the feed.
@@ -79,6 +86,7 @@
             upstreams: UpstreamDirectory::default(),
             registry: Mutex::default(),
             latency: Mutex::default(),
+            answer_budget: BodyBudget::new(WHOLE_ANSWER_LIMIT, ALL_ANSWERS_LIMIT),
             crashes: CrashManager::new(&router),
             fleet: FleetManager::default(),
             rollouts: RolloutManager::new(&router),
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -162,7 +162,7 @@
     let reason = match timeout_at(until, collect_limited(body, limit)).await {
         Ok(Ok(body)) => return Ok(body),
         Ok(Err(BodyError::TooLarge { .. })) => RefusalReason::BodyTooLarge,
-        Ok(Err(BodyError::Truncated(_))) => RefusalReason::Malformed,
+        Ok(Err(BodyError::Truncated(_) | BodyError::NoRoom { .. })) => RefusalReason::Malformed,
         Err(_) => RefusalReason::DeadlinePassed,
     };
     Err(RelayRefusal::not_run(reason))
--- a/crates/router/src/relay/run/event_splitter.rs
+++ b/crates/router/src/relay/run/event_splitter.rs
@@ -4,7 +4,7 @@
 use memchr::memmem;
 
 /// Longest event, in bytes; a longer one counts as a failure of its upstream.
-const EVENT_LIMIT: usize = 1024 * 1024;
+const EVENT_LIMIT: usize = 256 * 1024;
 /// Field that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
 
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::retry::{RunState, UpstreamFailure};
-use ferry_kernel::http::{BodyError, BodyFraming, collect_limited};
+use ferry_kernel::http::{BodyError, BodyFraming};
 use ferry_platform::headers::{ForwardFacts, forward_headers, set_resume_point};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
@@ -17,8 +17,6 @@
 use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
 
-/// Longest answer, in bytes, that is read completely before it is forwarded.
-const WHOLE_ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 /// Multiple of the expected time to the head of an answer after which the answer counts as lost.
 const HEAD_TIMEOUT_FACTOR: u32 = 8;
 /// Minimum time after which an answer counts as lost, as a fraction of the rule's target latency.
@@ -220,7 +218,7 @@
         framing: BodyFraming,
         body: Incoming,
     ) -> Result<Bytes, BodyError> {
-        let body = collect_limited(body, WHOLE_ANSWER_LIMIT).await?;
+        let body = self.core.answer_budget.collect(body).await?;
         self.log_end(framing, false);
         if framing == BodyFraming::UntilClose && upstream.has_ended().await {
             return Err(BodyError::Truncated("the upstream ended".to_owned()));
--- a/crates/router/src/relay/upstreams/upstream_link.rs
+++ b/crates/router/src/relay/upstreams/upstream_link.rs
@@ -28,6 +28,9 @@
 /// sent while the upstream closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Maximum size of a response head, and of the data read ahead, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// An open HTTP/1.1 connection, which carries one request at a time.
 #[derive(Debug)]
 pub struct UpstreamLink {
@@ -48,7 +51,9 @@
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         set_dead_peer_timeouts(&stream)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -1,8 +1,6 @@
 //! An upstream that answers with given bytes, and a caller that reads the bytes of an answer.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord, UpstreamStage};
@@ -58,6 +56,7 @@
 
 /// Part of an answer that goes on until the connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[allow(dead_code)] // Used by the tests of memory.
 pub enum EndlessPart {
     Head,
     Body,
@@ -82,28 +81,23 @@
     store.put(UPSTREAM_TOPIC, id, &encode_upstream(&record));
 }
 
-/// Starts an upstream with id `id` whose answers have a part without end; returns the number of bytes that it sent.
-pub async fn start_endless_replica(
-    deployment: &Deployment,
-    id: &str,
-    part: EndlessPart,
-) -> Arc<AtomicUsize> {
+/// Starts an upstream with id `id` whose answers have a part without end.
+#[allow(dead_code)]
+pub async fn start_endless_replica(deployment: &Deployment, id: &str, part: EndlessPart) {
     let listener = TcpListener::bind(loopback()).await.unwrap();
     let record = raw_record(id, listener.local_addr().unwrap());
-    let sent = Arc::new(AtomicUsize::new(0));
-    let counter = Arc::clone(&sent);
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            tokio::spawn(send_endlessly(stream, part, Arc::clone(&counter)));
+            tokio::spawn(send_endlessly(stream, part));
         }
     });
     let store = &deployment.store;
     store.put(UPSTREAM_TOPIC, id, &encode_upstream(&record));
-    sent
 }
 
-async fn send_endlessly(mut stream: TcpStream, part: EndlessPart, sent: Arc<AtomicUsize>) {
+#[allow(dead_code)]
+async fn send_endlessly(mut stream: TcpStream, part: EndlessPart) {
     let Some(bound) = read_request(&mut stream).await else {
         return;
     };
@@ -115,9 +109,7 @@
     if stream.write_all(start.as_bytes()).await.is_err() {
         return;
     }
-    while stream.write_all(chunk.as_bytes()).await.is_ok() {
-        sent.fetch_add(chunk.len(), Ordering::Relaxed);
-    }
+    while stream.write_all(chunk.as_bytes()).await.is_ok() {}
 }
 
 /// Head of an answer without the lines that mark the end of its body, and without its blank line.
