Complete a new version only if its answers speak for it, and revert it at its deadline otherwise

Cause: with few answers the test for harm can't trip, and what did not trip was completed; that can't be taken back. Change: all traffic moves only to a version whose answers are likelier from a good one than from a bad one, 3 to 1 over all and not the other way in any class; one that is not proven when its time is over is reverted. The canary share counts the tolerance, which most of the allowed requests are at a low rate.

--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -19,6 +19,10 @@
 /// Accepted probability of stopping a version whose share of bad answers is the tolerated one.
 const FALSE_STOP_PROBABILITY: f64 = 0.002;
 
+/// Answers of the new version in a class from which they count for its proof.
+const MIN_CLASS_ANSWERS: u64 = 8;
+/// Natural logarithm of the likelihood ratio from which a new version is proven: 3 to 1.
+const PROVEN_LN_RATIO: f64 = 1.1;
 /// Name of the test over all classes.
 const ALL_CLASSES: &str = "";
 /// Name of the test over the pace of all streams.
@@ -101,11 +105,8 @@
             .collect();
         cells.into_iter().find_map(|(class, counts)| {
             let test = self.tests.entry(class.clone()).or_default();
-            let base = match counts.base_answers() {
-                MIN_BASE_ANSWERS.. => counts.base_bad_share(),
-                _ => all.base_bad_share(),
-            };
-            test.observe(counts.target_good, counts.target_bad, &bounds(base), true);
+            let bounds = class_bounds(&counts, &all);
+            test.observe(counts.target_good, counts.target_bad, &bounds, true);
             test.trips(level).then(|| {
                 let ClassCounts {
                     target_good,
@@ -117,6 +118,17 @@
         })
     }
 
+    /// Whether the answers of the new version are likelier from a good version than from a bad one: clearly over all classes,
+    /// and in each class that has some.
+    pub fn is_proven(&self) -> bool {
+        let by_class = self.by_class();
+        let all = self.totals();
+        let classes = by_class.values();
+        let mut known = classes.filter(|counts| counts.target_answers() >= MIN_CLASS_ANSWERS);
+        known.all(|counts| likelihood_ratio(counts, &all) >= 0.0)
+            && likelihood_ratio(&all, &all) >= PROVEN_LN_RATIO
+    }
+
     /// Requests sent to the new version and to the service, over all routers.
     pub fn sends(&self) -> (u64, u64) {
         let rows = self.rows.values();
@@ -156,6 +168,26 @@
     }
 }
 
+/// Bounds of the tests of a class, by the old versions' answers in the class if there are enough, else in all classes.
+fn class_bounds(counts: &ClassCounts, all: &ClassCounts) -> RolloutSpec {
+    bounds(match counts.base_answers() {
+        MIN_BASE_ANSWERS.. => counts.base_bad_share(),
+        _ => all.base_bad_share(),
+    })
+}
+
+/// Natural logarithm of how much likelier the answers are with the tolerated share of bad ones than with the stopping one.
+fn likelihood_ratio(counts: &ClassCounts, all: &ClassCounts) -> f64 {
+    let RolloutSpec {
+        tolerated_bad,
+        stopping_bad,
+        ..
+    } = class_bounds(counts, all);
+    let good = ((1.0 - tolerated_bad) / (1.0 - stopping_bad)).ln();
+    let bad = (tolerated_bad / stopping_bad).ln();
+    counts.target_good as f64 * good + counts.target_bad as f64 * bad
+}
+
 /// Bounds of the tests for the old versions' share of bad answers, `base`.
 fn bounds(base: f64) -> RolloutSpec {
     let tolerated_bad = (base + TOLERATED_EXCESS).min(MAX_TOLERATED);
--- a/crates/decisions/src/rollout/rollout_plan.rs
+++ b/crates/decisions/src/rollout/rollout_plan.rs
@@ -7,8 +7,8 @@
 
 use super::RolloutPhase;
 
-/// Part of the share that a bad version may get which the canary phase uses.
-const CANARY_EXPOSURE_PART: f64 = 0.4;
+/// Part of the requests that a bad version may get which the canary phase uses.
+const CANARY_EXPOSURE_PART: f64 = 0.33;
 /// Part of that share which the plan uses until the deadline.
 const USED_SHARE_PART: f64 = 0.9;
 /// Part of the tolerance beyond the share which the plan uses.
@@ -51,6 +51,8 @@
     pub in_phase: Duration,
     /// Answers of the new version, fleet-wide.
     pub answers: u64,
+    /// Whether its answers speak for the new version, not only not against it.
+    pub is_proven: bool,
     /// Requests sent to the new version, fleet-wide.
     pub exposed: u64,
     /// Requests sent to the service, fleet-wide.
@@ -88,7 +90,8 @@
         requests_per_second: f64,
     ) -> f64 {
         let requests = (requests_per_second * duration.as_secs_f64()).max(1.0);
-        let max_share = bound.share * CANARY_EXPOSURE_PART;
+        let allowed = bound.share + bound.tolerance / requests;
+        let max_share = (allowed * CANARY_EXPOSURE_PART).min(bound.share);
         let needed = CANARY_ANSWERS / (requests * PINNED_TIME_PART).max(1.0);
         needed.clamp(MIN_CANARY_SHARE.min(max_share), max_share)
     }
@@ -118,12 +121,21 @@
     }
 
     /// Next phase, if the evidence shows no harm; `None` while the current phase continues.
+    ///
+    /// A version that is not proven when its time is over is reverted: a completed one can't be.
     pub fn next_phase(&self, input: &PlanInput, bound: &ExposureBound) -> Option<RolloutPhase> {
         let is_due = self.next_phase_in(input, bound).is_zero();
         match input.phase {
-            RolloutPhase::Canary | RolloutPhase::Ramp => {
-                (is_due && input.answers >= MIN_ANSWERS).then_some(RolloutPhase::Full)
+            RolloutPhase::Canary | RolloutPhase::Ramp if is_due => {
+                let is_ready = input.is_proven && input.answers >= MIN_ANSWERS;
+                let is_late = self.duration.saturating_sub(input.elapsed) <= COMPLETION_MARGIN;
+                match (is_ready, is_late) {
+                    (true, _) => Some(RolloutPhase::Full),
+                    (false, true) => Some(RolloutPhase::Reverted),
+                    (false, false) => None,
+                }
             }
+            RolloutPhase::Canary | RolloutPhase::Ramp => None,
             RolloutPhase::Full => {
                 let is_drained = input.old_in_flight == 0 && input.in_phase >= MIN_FULL_TIME;
                 (is_drained || is_due).then_some(RolloutPhase::Completed)
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -251,6 +251,7 @@
             elapsed: self.elapsed(now),
             in_phase: now.since(self.phase_started_at),
             answers: self.pool.totals().target_answers(),
+            is_proven: self.pool.is_proven(),
             exposed,
             requests,
             old_in_flight: self.pool.old_in_flight(now.before(MAX_ROW_AGE)),
