Let no answer without events prove a part of its prompt sound

Such an answer counts as unproven now. No test plays it; the tests of crashing_parts, unframed and events pass.

--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -208,8 +208,12 @@
             self.record_pace(&answer.upstream);
         }
         self.run.record.outcome = "answered";
-        self.run
-            .record_completion(answer.head.status, answer.framing);
+        // Nothing was begun by an answer without events, such as one that resumes after the last event.
+        let proof = match self.pieces {
+            0 => BodyFraming::UntilClose,
+            _ => answer.framing,
+        };
+        self.run.record_completion(answer.head.status, proof);
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
