Shrink the margins before the deadline of a short roll-out

Cause: the last 1.2 s, in which all traffic has moved, are 15 % of a roll-out of 8 s, the whole share that a bad version may get. Below 14 s they shrink in proportion; above nothing changes.

--- a/crates/decisions/src/rollout/rollout_plan.rs
+++ b/crates/decisions/src/rollout/rollout_plan.rs
@@ -28,8 +28,8 @@
 const MIN_FULL_TIME: Duration = Duration::from_millis(500);
 /// Time before the limit at which a roll-out completes even if old versions still have requests.
 const COMPLETION_MARGIN: Duration = Duration::from_millis(700);
-/// Time before the limit at which all traffic moves at the latest.
-const LATEST_FULL_MARGIN: Duration = COMPLETION_MARGIN.saturating_add(MIN_FULL_TIME);
+/// Roll-out time from which these times apply; they are shorter in proportion in a shorter roll-out.
+const FULL_MARGINS_DURATION: Duration = Duration::from_secs(14);
 
 /// Requests that a bad version may get until the deadline.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -114,7 +114,7 @@
     pub fn next_phase_in(&self, input: &PlanInput, bound: &ExposureBound) -> Duration {
         let due = match input.phase {
             RolloutPhase::Canary | RolloutPhase::Ramp => self.full_at(input, bound),
-            RolloutPhase::Full => self.duration.saturating_sub(COMPLETION_MARGIN),
+            RolloutPhase::Full => self.duration.saturating_sub(self.completion_margin()),
             RolloutPhase::Completed | RolloutPhase::Reverted => Duration::MAX,
         };
         due.saturating_sub(input.elapsed)
@@ -128,7 +128,8 @@
         match input.phase {
             RolloutPhase::Canary | RolloutPhase::Ramp if is_due => {
                 let is_ready = input.is_proven && input.answers >= MIN_ANSWERS;
-                let is_late = self.duration.saturating_sub(input.elapsed) <= COMPLETION_MARGIN;
+                let is_late =
+                    self.duration.saturating_sub(input.elapsed) <= self.completion_margin();
                 match (is_ready, is_late) {
                     (true, _) => Some(RolloutPhase::Full),
                     (false, true) => Some(RolloutPhase::Reverted),
@@ -137,13 +138,26 @@
             }
             RolloutPhase::Canary | RolloutPhase::Ramp => None,
             RolloutPhase::Full => {
-                let is_drained = input.old_in_flight == 0 && input.in_phase >= MIN_FULL_TIME;
+                let is_drained = input.old_in_flight == 0 && input.in_phase >= self.min_full_time();
                 (is_drained || is_due).then_some(RolloutPhase::Completed)
             }
             RolloutPhase::Completed | RolloutPhase::Reverted => None,
         }
     }
 
+    fn completion_margin(&self) -> Duration {
+        COMPLETION_MARGIN.mul_f64(self.margin_part())
+    }
+
+    fn min_full_time(&self) -> Duration {
+        MIN_FULL_TIME.mul_f64(self.margin_part())
+    }
+
+    fn margin_part(&self) -> f64 {
+        let part = self.duration.as_secs_f64() / FULL_MARGINS_DURATION.as_secs_f64();
+        part.min(1.0)
+    }
+
     fn pinned_time(&self) -> Duration {
         self.duration.mul_f64(PINNED_TIME_PART) + PINNED_MARGIN
     }
@@ -156,7 +170,8 @@
         // Each request until the deadline also raises the number that is allowed.
         let used_per_second = (rate * (1.0 - bound.share)).max(f64::EPSILON);
         let affordable = Duration::try_from_secs_f64(unused.max(0.0) / used_per_second);
-        let full_time = affordable.unwrap_or(self.duration).max(LATEST_FULL_MARGIN);
+        let least = self.completion_margin() + self.min_full_time();
+        let full_time = affordable.unwrap_or(self.duration).max(least);
         self.duration
             .saturating_sub(full_time)
             .max(self.pinned_time())
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -131,6 +131,7 @@
 #[test]
 fn a_version_without_a_sign_of_harm_stays_within_the_bound_and_is_completed() {
     for (seconds, rate, share) in [
+        (8, 170.0, 0.15),
         (15, 70.0, 0.15),
         (24, 70.0, 0.15),
         (15, 18.0, 0.15),
