--- a/crates/rig/src/crashing_upstream.rs
+++ b/crates/rig/src/crashing_upstream.rs
@@ -15,6 +15,8 @@
 use ferry_standin::{ReplicaOptions, ReplicaStandin, StoreStandin};
 use tokio::time::sleep;
 
+use crate::LinkProxy;
+
 /// Period of the checks for requests that crash the upstream.
 const CHECK_PERIOD: Duration = Duration::from_millis(5);
 /// Time from the arrival of such a request to the crash.
@@ -22,6 +24,18 @@
 /// Time for which a crashed upstream is down.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
+/// What the port of a crashed upstream does while it is down.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum DownPort {
+    /// It refuses connections.
+    #[default]
+    Refuses,
+    /// A supervisor holds it, which accepts connections and closes them at once.
+    Closes,
+    /// A supervisor holds it, and the next process serves at once.
+    Serves,
+}
+
 /// An upstream, whose process the stand-in emulates.
 #[derive(Debug, Clone)]
 pub struct CrashingUpstream {
@@ -29,6 +43,9 @@
     pub standin: ReplicaStandin,
     store: StoreStandin,
     crashing_parts: BTreeSet<u64>,
+    down_port: DownPort,
+    /// Listens for the upstream if its port stays open over crashes.
+    supervisor: Option<LinkProxy>,
     /// Number of starts so far.
     starts: Arc<AtomicU64>,
 }
@@ -43,12 +60,24 @@
         store: &StoreStandin,
         options: ReplicaOptions,
         crashing_parts: &[u64],
+        down_port: DownPort,
     ) -> io::Result<Self> {
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let standin = ReplicaStandin::start(listen, options).await?;
+        let supervisor = match down_port {
+            DownPort::Refuses => None,
+            DownPort::Closes | DownPort::Serves => {
+                let proxy = LinkProxy::start(listen.ip()).await?;
+                proxy.set_target(standin.address());
+                Some(proxy)
+            }
+        };
         let upstream = Self {
-            standin: ReplicaStandin::start(listen, options).await?,
+            standin,
             store: store.clone(),
             crashing_parts: crashing_parts.iter().copied().collect(),
+            down_port,
+            supervisor,
             starts: Arc::new(AtomicU64::new(0)),
         };
         upstream.register();
@@ -70,9 +99,17 @@
 
     /// Ends the upstream, and brings it back under its id after its down time.
     pub async fn crash(&self) {
+        if let Some(supervisor) = &self.supervisor {
+            supervisor.cut();
+        }
         self.standin.crash().await;
-        sleep(DOWN_TIME).await;
+        if self.down_port != DownPort::Serves {
+            sleep(DOWN_TIME).await;
+        }
         self.standin.restart().await;
+        if let Some(supervisor) = &self.supervisor {
+            supervisor.heal();
+        }
         self.register();
     }
 
@@ -92,6 +129,9 @@
         let starts = self.starts.fetch_add(1, Ordering::Relaxed) + 1;
         let mut record = self.standin.record(UpstreamStage::Ready, 1);
         record.incarnation.started_at = Some(UnixMillis(starts));
+        if let Some(supervisor) = &self.supervisor {
+            record.address = supervisor.address;
+        }
         let id = record.incarnation.id.to_string();
         self.store
             .put(UPSTREAM_TOPIC, &id, &encode_upstream(&record));
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,7 +16,7 @@
 mod wait;
 
 pub use answer::{ChatResult, Refusal, RigAnswer};
-pub use crashing_upstream::CrashingUpstream;
+pub use crashing_upstream::{CrashingUpstream, DownPort};
 pub use curl_line::curl_request;
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
 pub use link_proxy::LinkProxy;
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -172,7 +172,7 @@
             return ForwardStep::End;
         };
         self.run
-            .log_end(answer.framing, self.splitter.is_inside_event());
+            .log_end(answer.framing, self.splitter.is_inside_event(), self.pieces);
         if is_event_stream(&answer.head.headers) && self.splitter.is_inside_event() {
             return ForwardStep::Broken("the stream ended inside an event".to_owned());
         }
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -40,7 +40,9 @@
     }
 
     /// Logs the end of an answer that may have been cut off.
-    pub(super) fn log_end(&self, framing: BodyFraming, is_inside_event: bool) {
+    ///
+    /// `pieces` is the number of pieces of a stream that this answer gave.
+    pub(super) fn log_end(&self, framing: BodyFraming, is_inside_event: bool, pieces: u32) {
         if framing == BodyFraming::Delimited && !is_inside_event {
             return;
         }
@@ -49,6 +51,7 @@
             upstream = self.record.upstream.as_str(),
             framing = framing.name(),
             inside_event = is_inside_event,
+            pieces = pieces,
         });
     }
 
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -219,7 +219,7 @@
         body: Incoming,
     ) -> Result<Bytes, BodyError> {
         let body = self.core.answer_budget.collect(body).await?;
-        self.log_end(framing, false);
+        self.log_end(framing, false, 0);
         if framing == BodyFraming::UntilClose && upstream.has_ended().await {
             return Err(BodyError::Truncated("the upstream ended".to_owned()));
         }
--- a/crates/router/tests/relay/crashing_parts.rs
+++ b/crates/router/tests/relay/crashing_parts.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use ferry_decisions::ruleset::RunKind;
+use ferry_kernel::http::BodyFraming;
 use ferry_platform::headers::CallerHeaders;
-use ferry_rig::{CrashingUpstream, fixture_headers};
+use ferry_rig::{CrashingUpstream, DownPort, fixture_headers};
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::{ReplicaOptions, ReplicaPlan};
 use tokio::task::JoinHandle;
@@ -43,14 +44,45 @@
 /// A sound request: when it was sent, and whether it was served.
 type SoundCall = (Instant, bool);
 
+/// How upstreams answer and crash, and where in a prompt the crashing parts are.
+#[derive(Debug, Clone, Copy)]
+struct PartScenario {
+    framing: BodyFraming,
+    /// Pause before each event; an upstream crashes about 30 ms after a request with a crashing part has arrived.
+    gap: Duration,
+    down_port: DownPort,
+    /// Whether a part that many requests share stands between the first and the crashing one.
+    in_later_turn: bool,
+}
+
+/// Answers that end without a mark, and upstreams whose port stays open when they crash.
+const HELD_PORT: PartScenario = PartScenario {
+    framing: BodyFraming::UntilClose,
+    gap: Duration::from_millis(50),
+    down_port: DownPort::Serves,
+    in_later_turn: false,
+};
+
+impl Default for PartScenario {
+    fn default() -> Self {
+        Self {
+            framing: BodyFraming::Delimited,
+            gap: Duration::from_millis(50),
+            down_port: DownPort::Refuses,
+            in_later_turn: false,
+        }
+    }
+}
+
 struct PartFleet {
     deployment: Deployment,
     relays: Vec<Arc<RelayDaemon>>,
     upstreams: Vec<CrashingUpstream>,
+    scenario: PartScenario,
 }
 
 impl PartFleet {
-    async fn start() -> Self {
+    async fn start(scenario: PartScenario) -> Self {
         let deployment = Deployment::start().await;
         let chats = rule("/chats/", RunKind::ResumableStream);
         deployment.configure(1, &[chats]);
@@ -63,11 +95,13 @@
                 slots: 64,
             };
             let store = &deployment.store;
-            let upstream = CrashingUpstream::start(store, options, &CRASHING_PARTS);
+            let upstream =
+                CrashingUpstream::start(store, options, &CRASHING_PARTS, scenario.down_port);
             let upstream = upstream.await.unwrap();
             upstream.standin.plan(ReplicaPlan {
                 events: 6,
-                gap: Duration::from_millis(50),
+                gap: scenario.gap,
+                framing: scenario.framing,
                 ..ReplicaPlan::default()
             });
             tokio::spawn(upstream.clone().supervise());
@@ -77,6 +111,7 @@
             deployment,
             relays: Vec::new(),
             upstreams,
+            scenario,
         };
         for number in 0..ZONES.len() {
             fleet.start_relay(number).await;
@@ -114,7 +149,7 @@
                 let id = format!("{tag}-{number}");
                 calls.push(tokio::spawn(async move {
                     let sent = Instant::now();
-                    (sent, is_served(&relay, &id, subject).await)
+                    (sent, is_served(&relay, &id, &[FIRST_PART, subject]).await)
                 }));
             }
             let mut served = Vec::new();
@@ -133,6 +168,7 @@
         time: Duration,
     ) -> JoinHandle<()> {
         let relays = self.relays.clone();
+        let in_later_turn = self.scenario.in_later_turn;
         tokio::spawn(async move {
             let start = Instant::now();
             let mut ticks = interval(CRASHING_PAUSE);
@@ -143,8 +179,12 @@
                 }
                 let relay = Arc::clone(&relays[number % relays.len()]);
                 let part = parts[number % parts.len()];
+                let shared = match in_later_turn {
+                    true => vec![FIRST_PART, 0x1000 + number as u64 % SUBJECTS, part],
+                    false => vec![FIRST_PART, part],
+                };
                 let id = format!("{tag}-{number}");
-                tokio::spawn(async move { is_served(&relay, &id, part).await });
+                tokio::spawn(async move { is_served(&relay, &id, &shared).await });
             }
         })
     }
@@ -176,9 +216,9 @@
 }
 
 /// Sends a request whose path, body and last part no other request has; returns whether it is answered completely.
-async fn is_served(relay: &RelayDaemon, id: &str, second_part: u64) -> bool {
+async fn is_served(relay: &RelayDaemon, id: &str, shared_parts: &[u64]) -> bool {
     let own_part = 0xffff_0000 + rand::random::<u32>() as u64;
-    let parts = [FIRST_PART, second_part, own_part];
+    let parts: Vec<u64> = shared_parts.iter().copied().chain([own_part]).collect();
     let headers = CallerHeaders {
         parts: &parts,
         ..fixture_headers(id)
@@ -197,8 +237,12 @@
 }
 
 /// Sends sound requests alone for `calm_time`, then beside requests with `parts`; checks that they are contained and that sound requests are served.
-async fn assert_parts_are_contained(parts: &'static [u64], calm_time: Duration) {
-    let fleet = PartFleet::start().await;
+async fn assert_parts_are_contained(
+    parts: &'static [u64],
+    calm_time: Duration,
+    scenario: PartScenario,
+) {
+    let fleet = PartFleet::start(scenario).await;
     let sound = fleet.send_sound("sound", calm_time + CRASHING_TIME);
     sleep(calm_time).await;
     fleet
@@ -215,23 +259,62 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_upstreams_is_contained_and_sound_requests_are_served() {
-    assert_parts_are_contained(&CRASHING_PARTS[..1], CALM_TIME).await;
+    assert_parts_are_contained(&CRASHING_PARTS[..1], CALM_TIME, PartScenario::default()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn two_parts_that_crash_upstreams_at_the_same_time_are_contained() {
-    assert_parts_are_contained(&CRASHING_PARTS, CALM_TIME).await;
+    assert_parts_are_contained(&CRASHING_PARTS, CALM_TIME, PartScenario::default()).await;
 }
 
 /// No part has been answered when the crashes begin.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_upstreams_from_the_start_is_contained() {
-    assert_parts_are_contained(&CRASHING_PARTS[..1], Duration::ZERO).await;
+    assert_parts_are_contained(
+        &CRASHING_PARTS[..1],
+        Duration::ZERO,
+        PartScenario::default(),
+    )
+    .await;
+}
+
+/// Guards against empty streams that count as answers: 61 upstreams crashed whose ports were held by a supervisor.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_before_its_first_event_acquits_no_part() {
+    assert_parts_are_contained(&CRASHING_PARTS[..1], CALM_TIME, HELD_PORT).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_in_a_later_turn_is_contained_where_ports_are_held() {
+    let scenario = PartScenario {
+        in_later_turn: true,
+        ..HELD_PORT
+    };
+    assert_parts_are_contained(&CRASHING_PARTS[..1], CALM_TIME, scenario).await;
+}
+
+/// Guards against the end of a connection that counts as an answer because the port is open.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_cut_between_events_acquits_no_part() {
+    let scenario = PartScenario {
+        gap: Duration::from_millis(10),
+        ..HELD_PORT
+    };
+    assert_parts_are_contained(&CRASHING_PARTS[..1], CALM_TIME, scenario).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_is_contained_where_ports_close_connections_at_once() {
+    let scenario = PartScenario {
+        down_port: DownPort::Closes,
+        ..HELD_PORT
+    };
+    assert_parts_are_contained(&CRASHING_PARTS[..1], CALM_TIME, scenario).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_that_starts_after_the_crashes_sends_no_request_with_the_part() {
-    let mut fleet = PartFleet::start().await;
+    let mut fleet = PartFleet::start(PartScenario::default()).await;
     let part = CRASHING_PARTS[0];
     let crashing = fleet.send_crashing("bad", &CRASHING_PARTS[..1], Duration::from_secs(2));
     crashing.await.unwrap();
@@ -250,7 +333,7 @@
 /// Guards against guilt by company: upstreams that fail for a reason of their own say nothing of the parts on them.
 #[tokio::test(flavor = "multi_thread")]
 async fn upstreams_that_fail_together_accuse_no_part() {
-    let fleet = PartFleet::start().await;
+    let fleet = PartFleet::start(PartScenario::default()).await;
     let sound = fleet.send_sound("sound", CALM_TIME + Duration::from_secs(8));
     sleep(CALM_TIME).await;
     for upstream in &fleet.upstreams[..5] {
--- a/tests/soak/part_load.rs
+++ b/tests/soak/part_load.rs
@@ -12,7 +12,7 @@
 use ferry_decisions::ruleset::RunKind;
 use ferry_kernel::http::{BodyFraming, HttpClient, collect_limited};
 use ferry_platform::headers::CallerHeaders;
-use ferry_rig::{CrashingUpstream, fixture_headers, fixture_request};
+use ferry_rig::{CrashingUpstream, DownPort, fixture_headers, fixture_request};
 use ferry_standin::{ReplicaOptions, ReplicaPlan};
 use tokio::time::{Instant, interval, sleep};
 
@@ -113,7 +113,8 @@
         version: "v1".to_owned(),
         slots: 64,
     };
-    let upstream = CrashingUpstream::start(fleet.store(), options, &[CRASHING_PART]);
+    let upstream =
+        CrashingUpstream::start(fleet.store(), options, &[CRASHING_PART], DownPort::Refuses);
     let upstream = upstream.await.unwrap();
     upstream.standin.plan(ReplicaPlan {
         events: 6,
