Judge an answer that ended with its connection by whether its upstream lived on, and count no stream without events as an answer

What callers saw, on a stand-in: one part of prompts crashed upstream after upstream, where answers end with their connection and the port stays open over a crash; callers got 200 and nothing, or a part of a stream. Cause: the end of such an answer was judged at once, by whether a new connection opens. That tells something of the port, not of the process that answered. What was taken for an answer acquitted the part. Class: a belief about one thing (the process) taken from another (its address), before it can be known. Change: the end is held by the incarnation that gave it. Data on a connection that was open before the end, 200 ms after it or later, show that the process lived on, and the end counts as an answer; another process under its id or at its address, which was not announced, shows that it crashed, and the end counts as a crash. What stays open for 10 s counts as neither. A stream that ends before its first event has broken off: it is asked for again where it may be, or broken off at the caller. An answer without events proves nothing of parts, framed or not.

--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -100,6 +100,9 @@
                 ForwardStep::Events(events) => {
                     self.has_sent_events = true;
                     self.run.record.record_piece();
+                    if let Some(answer) = &self.answer {
+                        self.run.record_life(&answer.upstream, &answer.lease);
+                    }
                     self.record_survival();
                     self.count_piece();
                     return Some(Ok(events));
@@ -179,6 +182,9 @@
         if answer.framing == BodyFraming::Delimited {
             return ForwardStep::End;
         }
+        if !self.has_sent_events && is_event_stream(&answer.head.headers) {
+            return ForwardStep::Broken("the stream ended before its first event".to_owned());
+        }
         if answer.upstream.has_ended().await {
             return ForwardStep::Broken("the upstream ended".to_owned());
         }
@@ -201,19 +207,18 @@
     /// Ends the stream as the upstream did, forwarding any bytes after the last complete event.
     fn end(&mut self) -> Option<Result<Bytes, BoxError>> {
         let answer = self.answer.take()?;
-        if answer.keeps_link() {
-            answer.lease.give_back(answer.facts.keep_alive);
-        }
         if (MIN_PACE_PIECES..PACE_PIECES).contains(&self.pieces) {
             self.record_pace(&answer.upstream);
         }
         self.run.record.outcome = "answered";
-        // Nothing was begun by an answer without events, such as one that resumes after the last event.
-        let proof = match self.pieces {
-            0 => BodyFraming::UntilClose,
-            _ => answer.framing,
-        };
-        self.run.record_completion(answer.head.status, proof);
+        // An answer without events, such as one that resumes after the last event, began nothing and proves nothing.
+        if self.pieces > 0 {
+            self.run
+                .record_completion(&answer.upstream, answer.head.status, answer.framing);
+        }
+        if answer.keeps_link() {
+            answer.lease.give_back(answer.facts.keep_alive);
+        }
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -6,11 +6,11 @@
 use ferry_kernel::http::BodyFraming;
 use hyper::StatusCode;
 use smallvec::SmallVec;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::RelayRun;
 use crate::relay::rollouts::{AnswerEvidence, AnswerSign};
-use crate::relay::upstreams::RelayUpstream;
+use crate::relay::upstreams::{LinkLease, RelayUpstream, UnprovenEnd};
 
 impl RelayRun {
     /// Logs a send before it is made, with the state on which the choice of the upstream is based and its age.
@@ -126,14 +126,40 @@
         }
     }
 
-    /// Counts an answer that ended without a sign of a crash; a successful one proves something about the prompt.
-    pub fn record_completion(&self, status: StatusCode, framing: BodyFraming) {
-        self.core.crashes.record_answer(self.request.fingerprint());
-        if status.is_success() {
-            self.record_part_answers(match framing {
-                BodyFraming::Delimited => AnswerProof::Whole,
-                BodyFraming::UntilClose => AnswerProof::Unproven,
-            });
+    /// Counts an answer that is known to be complete. One that ended with its connection is held by its upstream, until it is known
+    /// whether the upstream ended as well.
+    pub fn record_completion(
+        &self,
+        upstream: &RelayUpstream,
+        status: StatusCode,
+        framing: BodyFraming,
+    ) {
+        let request = self.request.fingerprint();
+        let parts = self.request.facts.prompt.shareable_parts();
+        let parts = parts.filter(|_| status.is_success());
+        match framing {
+            BodyFraming::Delimited => {
+                self.core.crashes.record_answer(request);
+                self.core
+                    .crashes
+                    .record_part_answers(parts, AnswerProof::Whole);
+            }
+            BodyFraming::UntilClose => upstream.hold_end(UnprovenEnd {
+                request,
+                parts: parts.collect(),
+                at: Instant::now(),
+            }),
+        }
+    }
+
+    /// Records that `upstream` has sent data on a connection; earlier answers that ended with theirs were then no crashes.
+    pub fn record_life(&self, upstream: &RelayUpstream, lease: &LinkLease) {
+        for end in upstream.take_survived_ends(lease.opened_at()) {
+            self.core.crashes.record_answer(end.request);
+            let parts = end.parts.iter().copied();
+            self.core
+                .crashes
+                .record_part_answers(parts, AnswerProof::Unproven);
         }
     }
 
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -76,6 +76,7 @@
         was_overdue: bool,
     ) {
         upstream.clear_suspect();
+        self.record_life(upstream, &answer.lease);
         self.rejected = false;
         if let Some(load) = answer.facts.load {
             upstream.record_load(load, self.core.clock.now());
@@ -194,7 +195,7 @@
                 }
                 // A server error may come from an upstream that did not run the request.
                 if !head.status.is_server_error() {
-                    self.record_completion(head.status, framing);
+                    self.record_completion(&upstream, head.status, framing);
                 }
                 Ok(RunAnswer::Whole(Box::new(head), framing, body))
             }
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -12,7 +12,8 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use super::{LinkLease, UpstreamLink};
+use super::unproven_ends::UnprovenEnds;
+use super::{LinkLease, UnprovenEnd, UpstreamLink};
 
 /// Time for which an upstream that broke or refused a connection gets no new requests while others
 /// can take them.
@@ -43,6 +44,9 @@
     leaving: AtomicBool,
     state: Mutex<UpstreamActivity>,
     idle: Mutex<Vec<UpstreamLink>>,
+    unproven_ends: Mutex<UnprovenEnds>,
+    /// Whether `unproven_ends` holds any; spares each piece of a stream the lock.
+    has_unproven_ends: AtomicBool,
 }
 
 /// State that requests and responses change.
@@ -89,6 +93,8 @@
             record,
             state: Mutex::default(),
             idle: Mutex::default(),
+            unproven_ends: Mutex::default(),
+            has_unproven_ends: AtomicBool::new(false),
         }
     }
 
@@ -235,6 +241,29 @@
         }
     }
 
+    /// Holds the end of an answer until it is known whether the upstream lived on.
+    pub fn hold_end(&self, end: UnprovenEnd) {
+        self.unproven_ends.lock().add(end);
+        self.has_unproven_ends.store(true, Ordering::Release);
+    }
+
+    /// Takes the held ends that it survived, as it has just sent data on a connection opened at `opened_at`.
+    pub fn take_survived_ends(&self, opened_at: Instant) -> Vec<UnprovenEnd> {
+        if !self.has_unproven_ends.load(Ordering::Acquire) {
+            return Vec::new();
+        }
+        let mut ends = self.unproven_ends.lock();
+        let survived = ends.take_survived(opened_at, Instant::now());
+        self.has_unproven_ends
+            .store(!ends.is_empty(), Ordering::Release);
+        survived
+    }
+
+    /// Takes the held ends of a process that another one has replaced.
+    pub fn take_crashed_ends(&self) -> Vec<UnprovenEnd> {
+        self.unproven_ends.lock().take_crashed(Instant::now())
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> InFlightGuard {
         self.state.lock().in_flight += 1;
--- a/crates/router/src/relay/upstreams/upstream_directory.rs
+++ b/crates/router/src/relay/upstreams/upstream_directory.rs
@@ -1,6 +1,6 @@
 //! Upstreams by service, replaced as a whole on each change.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -51,14 +51,22 @@
 
     /// Replaces the directory. Upstreams of the same incarnation, service, address and version keep
     /// their state and connections; the others are marked as leaving.
-    pub fn update<'a>(&self, records: impl Iterator<Item = &'a UpstreamRecord>) {
+    ///
+    /// Returns those that another process has replaced, under their id or at their address, although they were not leaving.
+    pub fn update<'a>(
+        &self,
+        records: impl Iterator<Item = &'a UpstreamRecord>,
+    ) -> Vec<Arc<RelayUpstream>> {
         let mut previous = self.by_id();
+        let mut replaced = Vec::new();
+        let mut addresses = HashSet::new();
         let mut lists: HashMap<ServiceName, Vec<Arc<RelayUpstream>>> = HashMap::new();
         for record in records {
             let upstream = match previous.remove(&record.incarnation.id) {
                 Some(known) if known.is_same(record) => known,
                 ended => {
-                    ended.iter().for_each(|ended| ended.mark_leaving());
+                    replaced.extend(ended.filter(|ended| !ended.is_leaving()));
+                    addresses.insert(record.address);
                     Arc::new(RelayUpstream::new(record.clone()))
                 }
             };
@@ -68,7 +76,16 @@
                 .or_default()
                 .push(upstream);
         }
-        for ended in previous.values() {
+        let is_replaced = |ended: &Arc<RelayUpstream>| {
+            !ended.is_leaving() && addresses.contains(&ended.record.address)
+        };
+        replaced.extend(
+            previous
+                .values()
+                .filter(|ended| is_replaced(ended))
+                .cloned(),
+        );
+        for ended in previous.values().chain(&replaced) {
             ended.mark_leaving();
         }
         let by_service = lists
@@ -77,6 +94,7 @@
             .collect();
         self.by_service.store(Arc::new(by_service));
         self.listed.store(true, Ordering::Release);
+        replaced
     }
 
     /// All upstreams by id, which is unique in the platform's list.
--- a/crates/router/src/relay/upstreams/upstream_link.rs
+++ b/crates/router/src/relay/upstreams/upstream_link.rs
@@ -40,6 +40,8 @@
     driver: AbortHandle,
     /// End of the time for which the connection can be used while idle.
     idle_until: Instant,
+    /// When the connection was opened.
+    opened_at: Instant,
 }
 
 impl UpstreamLink {
@@ -49,6 +51,7 @@
     ///
     /// Fails when the connection is refused or cannot be established within the timeout.
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let opened_at = Instant::now();
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         set_dead_peer_timeouts(&stream)?;
         let (sender, connection) = http1::Builder::new()
@@ -64,7 +67,8 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
-            idle_until: Instant::now(),
+            idle_until: opened_at,
+            opened_at,
         })
     }
 
@@ -99,6 +103,11 @@
         &mut self.link
     }
 
+    /// When the connection was opened.
+    pub fn opened_at(&self) -> Instant {
+        self.link.opened_at
+    }
+
     /// Returns the connection to the idle ones of its upstream after a complete response.
     ///
     /// `keep_alive` is the time for which the upstream keeps it open, if the response stated one.
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -125,7 +125,18 @@
 
 /// Updates the directory that requests use, and the feed for the routers that sync from this one.
 fn publish(core: &SharedCore, registry: &UpstreamRegistry) {
-    core.upstreams.update(registry.upstreams());
+    for replaced in core.upstreams.update(registry.upstreams()) {
+        let incarnation = &replaced.record.incarnation;
+        for end in replaced.take_crashed_ends() {
+            let parts = end.parts.iter().copied();
+            let verdict = core.crashes.record(end.request, parts, incarnation);
+            spdlog::info!("upstream ended with the answer to a request", kv: {
+                fingerprint = end.request.to_string(),
+                upstream = replaced.id(),
+                counted = verdict.crashed,
+            });
+        }
+    }
     core.fleet.feed.put_upstreams(registry.upstreams());
 }
 
