A failing and a late version beside an old one that is often slow, in two tests that fail

The counted aspect of an answer (failure, head, pace) gets a name of its own, and rows count it in the decisions instead of the router; nothing else changes: an answer that did not fail still counts by its time only. A good version beside the same old one passes.

--- a/crates/decisions/src/rollout/evidence_row.rs
+++ b/crates/decisions/src/rollout/evidence_row.rs
@@ -15,11 +15,21 @@
         Base,
     }
 
-    /// Whether an answer counts for or against its version.
+    /// What an answer is rated by.
+    pub enum AnswerAspect {
+        /// Whether it failed.
+        Failure,
+        /// Time to its head.
+        Head,
+        /// Pace of its stream.
+        Pace,
+    }
+
+    /// Whether an aspect of an answer counts for or against its version.
     pub enum AnswerQuality {
-        /// Complete, at about the usual speed.
+        /// Not failed, or at about the usual speed.
         Good,
-        /// A failure, or several times slower than usual, also if it has not come yet.
+        /// Failed, or several times slower than usual, also if it has not come yet.
         Bad,
     }
 }
@@ -27,9 +37,12 @@
 /// Ending of the classes that count the pace of streams.
 const PACE_ENDING: &str = " pace";
 
-/// Class that counts the pace of the streams of `class`.
-pub fn pace_class(class: &str) -> String {
-    format!("{class}{PACE_ENDING}")
+/// Name under which an aspect of the answers of `class` is counted.
+fn counted_class(class: &str, aspect: AnswerAspect) -> String {
+    match aspect {
+        AnswerAspect::Failure | AnswerAspect::Head => class.to_owned(),
+        AnswerAspect::Pace => format!("{class}{PACE_ENDING}"),
+    }
 }
 
 /// Whether `class` counts the pace of streams.
@@ -73,6 +86,26 @@
     }
 }
 
+impl EvidenceRow {
+    /// Counts one aspect of an answer to a request of `class`.
+    pub fn record(
+        &mut self,
+        class: &str,
+        side: VersionSide,
+        aspect: AnswerAspect,
+        quality: AnswerQuality,
+    ) {
+        if (aspect, quality) == (AnswerAspect::Failure, AnswerQuality::Good) {
+            return;
+        }
+        let counts = self
+            .classes
+            .entry(counted_class(class, aspect))
+            .or_default();
+        counts.add(side, quality);
+    }
+}
+
 impl ClassCounts {
     /// Adds one answer to the counts.
     pub fn add(&mut self, side: VersionSide, quality: AnswerQuality) {
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ferry_decisions::rollout::{
-    AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, ExposureBound, PlanInput, RolloutPhase,
-    RolloutPlan, VersionSide,
+    AnswerAspect, AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, ExposureBound, PlanInput,
+    RolloutPhase, RolloutPlan, VersionSide,
 };
 use ferry_decisions::time::MonotonicTime;
 use proptest::prelude::*;
@@ -301,6 +301,130 @@
     }
 }
 
+/// Shares of answers that fail and of those that are slow.
+#[derive(Debug, Clone, Copy)]
+struct VersionQuality {
+    failing: f64,
+    slow: f64,
+}
+
+/// An old version that is busy: a quarter of its answers are slow, and hardly any fails.
+const BUSY_OLD: VersionQuality = VersionQuality {
+    failing: 0.005,
+    slow: 0.25,
+};
+/// Number of its answers.
+const OLD_ANSWERS: usize = 1_200;
+
+/// Evidence of one roll-out, with a source of random numbers.
+struct EvidenceModel {
+    pool: EvidencePool,
+    row: EvidenceRow,
+    state: u64,
+}
+
+impl EvidenceModel {
+    /// The evidence after the answers of [`BUSY_OLD`].
+    fn with_busy_old(seed: u64) -> Self {
+        let mut model = Self {
+            pool: EvidencePool::default(),
+            row: EvidenceRow {
+                router: "a".to_owned(),
+                ..EvidenceRow::default()
+            },
+            state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+        };
+        for _ in 0..OLD_ANSWERS {
+            model.answer(VersionSide::Base, BUSY_OLD);
+        }
+        model
+    }
+
+    /// Adds an answer; returns whether harm is found with it.
+    fn answer(&mut self, side: VersionSide, quality: VersionQuality) -> bool {
+        let has_failed = self.is_drawn(quality.failing);
+        self.record(side, AnswerAspect::Failure, has_failed);
+        if !has_failed {
+            let is_slow = self.is_drawn(quality.slow);
+            self.record(side, AnswerAspect::Head, is_slow);
+        }
+        self.row.elapsed_ms += 50;
+        let now = MonotonicTime(self.row.elapsed_ms as i64 * 1_000_000);
+        self.pool.merge(self.row.clone(), now);
+        side == VersionSide::Target && self.pool.detect_harm().is_some()
+    }
+
+    fn record(&mut self, side: VersionSide, aspect: AnswerAspect, is_bad: bool) {
+        let quality = match is_bad {
+            true => AnswerQuality::Bad,
+            false => AnswerQuality::Good,
+        };
+        self.row.record("letters", side, aspect, quality);
+    }
+
+    /// Number of answers after which harm is found among `answers` of the new version; `None` if it is not.
+    fn answers_until_harm(&mut self, answers: usize, quality: VersionQuality) -> Option<usize> {
+        (0..answers).find(|_| self.answer(VersionSide::Target, quality))
+    }
+
+    fn is_drawn(&mut self, share: f64) -> bool {
+        self.state ^= self.state << 13;
+        self.state ^= self.state >> 7;
+        self.state ^= self.state << 17;
+        ((self.state >> 11) as f64 / (1_u64 << 53) as f64) < share
+    }
+}
+
+/// Guards against failures that are counted together with slowness: a version with 28 failures among 85 answers was kept beside an
+/// old one that was often slow.
+#[test]
+fn a_version_that_fails_is_found_beside_an_old_one_that_is_often_slow() {
+    let failing = VersionQuality {
+        failing: 0.3,
+        ..BUSY_OLD
+    };
+    let found = (0..SEEDS).filter(|seed| {
+        EvidenceModel::with_busy_old(*seed)
+            .answers_until_harm(85, failing)
+            .is_some()
+    });
+    let found = found.count() as u64;
+    assert!(found >= SEEDS * 99 / 100, "found in {found} of {SEEDS}");
+}
+
+/// Guards against good answers that outweigh the later ones: a version that turned bad late was completed.
+#[test]
+fn a_version_that_turns_bad_late_is_found_or_not_proven() {
+    let failing = VersionQuality {
+        failing: 0.3,
+        ..BUSY_OLD
+    };
+    let kept = (0..SEEDS).filter(|seed| {
+        let mut model = EvidenceModel::with_busy_old(*seed);
+        let is_found = model.answers_until_harm(60, BUSY_OLD).is_some()
+            || model.answers_until_harm(40, failing).is_some();
+        !is_found && model.pool.is_proven()
+    });
+    let kept = kept.count() as u64;
+    assert!(kept <= SEEDS / 100, "kept in {kept} of {SEEDS}");
+}
+
+#[test]
+fn a_version_like_an_old_one_that_is_often_slow_is_rarely_stopped_and_is_proven() {
+    let mut stopped = 0;
+    let mut unproven = 0;
+    for seed in 0..SEEDS {
+        let mut model = EvidenceModel::with_busy_old(seed);
+        match model.answers_until_harm(150, BUSY_OLD) {
+            Some(_) => stopped += 1,
+            None if !model.pool.is_proven() => unproven += 1,
+            None => {}
+        }
+    }
+    assert!(stopped <= SEEDS / 100, "{stopped} stopped");
+    assert!(unproven <= SEEDS / 50, "{unproven} not proven");
+}
+
 #[test]
 fn totals_reported_by_a_peer_never_lower_known_counts() {
     let mut pool = EvidencePool::default();
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -5,8 +5,8 @@
 
 use ferry_decisions::names::VersionName;
 use ferry_decisions::rollout::{
-    AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, ExposureBound, PlanInput, RolloutOrder,
-    RolloutPhase, RolloutPlan, VersionSide,
+    AnswerAspect, AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, ExposureBound, PlanInput,
+    RolloutOrder, RolloutPhase, RolloutPlan, VersionSide,
 };
 use ferry_decisions::time::MonotonicTime;
 
@@ -114,19 +114,19 @@
         }
     }
 
-    /// Counts an answer; returns whether the evidence shows harm for the first time with it.
+    /// Counts one aspect of an answer; returns whether the evidence shows harm for the first time with it.
     pub fn record(
         &mut self,
         class: &str,
         side: VersionSide,
+        aspect: AnswerAspect,
         quality: AnswerQuality,
         now: MonotonicTime,
     ) -> bool {
         if self.is_final() {
             return false;
         }
-        let counts = self.own.classes.entry(class.to_owned()).or_default();
-        counts.add(side, quality);
+        self.own.record(class, side, aspect, quality);
         self.pool.merge(self.own.clone(), now);
         side == VersionSide::Target && self.test_for_harm()
     }
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -6,7 +6,7 @@
 use ferry_decisions::hash_point;
 use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::rollout::{
-    AnswerQuality, RolloutOrder, RolloutPhase, VersionSide, pace_class,
+    AnswerAspect, AnswerQuality, RolloutOrder, RolloutPhase, VersionSide,
 };
 use ferry_decisions::time::MonotonicTime;
 use parking_lot::Mutex;
@@ -200,7 +200,7 @@
         };
         let side = side_of(answer.version, rollout);
         let quality = rate_answer(rollout, side, answer);
-        if rollout.record(&evidence_class(answer), side, quality, now) {
+        if rollout.record(answer.class, side, rated_aspect(answer.sign), quality, now) {
             self.wake.notify_one();
         }
     }
@@ -214,11 +214,11 @@
     }
 }
 
-/// Class of the counts; the pace of streams is counted apart from their beginning.
-fn evidence_class(answer: &AnswerEvidence<'_>) -> String {
-    match answer.sign {
-        AnswerSign::Pace(_) => pace_class(answer.class),
-        AnswerSign::Head(_) | AnswerSign::Overdue | AnswerSign::Failure => answer.class.to_owned(),
+fn rated_aspect(sign: AnswerSign) -> AnswerAspect {
+    match sign {
+        AnswerSign::Head(_) | AnswerSign::Overdue => AnswerAspect::Head,
+        AnswerSign::Pace(_) => AnswerAspect::Pace,
+        AnswerSign::Failure => AnswerAspect::Failure,
     }
 }
 
