Test failures, times and paces of a new version apart, ask its latest answers for proof, and ask again before it is completed

Cause: failures and slowness were one yes or no, pooled against the old version's share of both, 15 to 28 of 100, so that failures drowned; good answers from before a version turned outweighed the later ones; completion did not ask for the proof again. Class: one count for two things that are usual in different measure. Change: each aspect has classes and a test of its own; the proof fails while the latest answers speak against the version; completion needs the proof, and without it the version is reverted at its deadline; rows are exchanged each 0.3 s in the full phase. The roll-out's test takes a change to be likeliest within 150 answers.

--- a/crates/decisions/src/guard/sequential_test.rs
+++ b/crates/decisions/src/guard/sequential_test.rs
@@ -9,8 +9,7 @@
 
 /// Weight of the hypothesis that the version was bad from its first answer.
 const FIRST_START_WEIGHT: f64 = 0.5;
-/// Number of answers, from the first on, over which half of the weight of the later starts is
-/// distributed, almost evenly.
+/// Default of [`SequentialTest::half_weight_answers`].
 const HALF_WEIGHT_ANSWERS: f64 = 2_000.0;
 /// Number of alternative shares that are tested against the tolerated one.
 const ALTERNATIVES: usize = 3;
@@ -18,15 +17,34 @@
 const SHARE_RANGE: (f64, f64) = (1e-4, 1.0 - 1e-4);
 
 /// Test over one pair of growing counts.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct SequentialTest {
+    /// Number of answers, from the first on, over which half of the weight of the later starts is
+    /// distributed, almost evenly.
+    half_weight_answers: f64,
     good: u64,
     bad: u64,
     /// Natural logarithm of the evidence of each alternative; `None` before the first answer.
     evidence: Option<[f64; ALTERNATIVES]>,
 }
 
+impl Default for SequentialTest {
+    fn default() -> Self {
+        Self::over_answers(HALF_WEIGHT_ANSWERS)
+    }
+}
+
 impl SequentialTest {
+    /// A test of a version that most likely turns bad within its first `half_weight_answers` answers, if it does.
+    pub fn over_answers(half_weight_answers: f64) -> Self {
+        Self {
+            half_weight_answers,
+            good: 0,
+            bad: 0,
+            evidence: None,
+        }
+    }
+
     /// Updates the evidence with counts that may have grown since the last call.
     ///
     /// Answers that arrive in one call count as one step, since their order is unknown.
@@ -37,7 +55,7 @@
             return;
         }
         let earlier = self.good + self.bad;
-        let weight = start_weight(earlier, earlier + more_good + more_bad, detect_change);
+        let weight = self.start_weight(earlier, earlier + more_good + more_bad, detect_change);
         let ratios = step_ratios(rollout, more_good as f64, more_bad as f64);
         let part = (weight / ALTERNATIVES as f64).ln();
         let mut evidence = self.evidence.unwrap_or([f64::NEG_INFINITY; ALTERNATIVES]);
@@ -49,6 +67,24 @@
         self.bad = self.bad.max(bad);
     }
 
+    /// Weight of the starts after `from` and up to `to` answers, where a start is an answer at which the
+    /// version may have turned bad. The weights of all starts add up to 1.
+    fn start_weight(&self, from: u64, to: u64, detect_change: bool) -> f64 {
+        let first = match (from, detect_change) {
+            (0, true) => FIRST_START_WEIGHT,
+            (0, false) => return 1.0,
+            (_, true) => 0.0,
+            (_, false) => return 0.0,
+        };
+        first + self.remaining_weight(from) - self.remaining_weight(to)
+    }
+
+    /// Weight of all starts after `answers` answers.
+    fn remaining_weight(&self, answers: u64) -> f64 {
+        let half = self.half_weight_answers;
+        (1.0 - FIRST_START_WEIGHT) * half / (half + answers as f64)
+    }
+
     /// Natural logarithm of the evidence that the version is bad.
     pub fn ln_evidence(&self) -> f64 {
         let values = self.evidence.into_iter().flatten();
@@ -66,23 +102,6 @@
     }
 }
 
-/// Weight of the starts after `from` and up to `to` answers, where a start is an answer at which the
-/// version may have turned bad. The weights of all starts add up to 1.
-fn start_weight(from: u64, to: u64, detect_change: bool) -> f64 {
-    let first = match (from, detect_change) {
-        (0, true) => FIRST_START_WEIGHT,
-        (0, false) => return 1.0,
-        (_, true) => 0.0,
-        (_, false) => return 0.0,
-    };
-    first + remaining_weight(from) - remaining_weight(to)
-}
-
-/// Weight of all starts after `answers` answers.
-fn remaining_weight(answers: u64) -> f64 {
-    (1.0 - FIRST_START_WEIGHT) * HALF_WEIGHT_ANSWERS / (HALF_WEIGHT_ANSWERS + answers as f64)
-}
-
 /// Log likelihood ratios of a step, for each alternative share against the tolerated one.
 ///
 /// The alternatives are the geometric mean of the tolerated and the stopping share, which detects
--- a/crates/decisions/src/rollout.rs
+++ b/crates/decisions/src/rollout.rs
@@ -4,6 +4,7 @@
 //! record that is stored conditionally, so any router may advance a roll-out and all routers see
 //! the same sequence. A router that joins late rebuilds its state from the records and counts.
 
+mod evidence_cell;
 mod evidence_pool;
 mod evidence_row;
 mod rollout_order;
--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -2,20 +2,12 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::evidence_row::is_pace_class;
-use super::{ClassCounts, EvidenceRow};
-use crate::config::{RolloutSpec, TripPolicy};
+use super::evidence_cell::{CellScope, EvidenceCell};
+use super::evidence_row::counted_aspect;
+use super::{AnswerAspect, ClassCounts, EvidenceRow};
 use crate::guard::SequentialTest;
 use crate::time::MonotonicTime;
 
-/// Tolerated share of bad answers in excess of the old versions' share.
-const TOLERATED_EXCESS: f64 = 0.06;
-/// Share of bad answers, in excess of the tolerated share, at which a roll-out must stop.
-const STOPPING_EXCESS: f64 = 0.25;
-/// Upper bound of the tolerated share of bad answers.
-const MAX_TOLERATED: f64 = 0.35;
-/// Answers of the old versions in a class from which their share of bad answers is used for that class.
-const MIN_BASE_ANSWERS: u64 = 30;
 /// Accepted probability of stopping a version whose share of bad answers is the tolerated one.
 const FALSE_STOP_PROBABILITY: f64 = 0.002;
 
@@ -23,10 +15,18 @@
 const MIN_CLASS_ANSWERS: u64 = 8;
 /// Natural logarithm of the likelihood ratio from which a new version is proven: 3 to 1.
 const PROVEN_LN_RATIO: f64 = 1.1;
-/// Name of the test over all classes.
-const ALL_CLASSES: &str = "";
-/// Name of the test over the pace of all streams.
-const ALL_PACE_CLASSES: &str = "all pace";
+/// Answers within which a version that turns bad has most likely done so: those of a canary.
+const CHANGE_ANSWERS: f64 = 150.0;
+/// Natural logarithm of the likelihood ratio at which the latest answers speak against a version by their times: 1 to 20.
+const DOUBTED_BY_TIMES: f64 = -3.0;
+/// The same by their failures: 1 to 5, which a single failure does not reach.
+const DOUBTED_BY_FAILURES: f64 = -1.6;
+/// Aspects of answers, each of which has tests of its own: what one rarely is, another may often be.
+const ASPECTS: [AnswerAspect; 3] = [
+    AnswerAspect::Failure,
+    AnswerAspect::Head,
+    AnswerAspect::Pace,
+];
 
 /// Evidence of one roll-out, pooled over all routers.
 #[derive(Debug, Default)]
@@ -34,8 +34,19 @@
     rows: HashMap<String, ReceivedRow>,
     /// Fleet-wide counts by class, as last reported by a router that has all rows.
     reported: BTreeMap<String, ClassCounts>,
-    /// Tests by class, with those over several classes.
+    /// Tests by class, with those over all classes of an aspect.
     tests: HashMap<String, SequentialTest>,
+    /// What the latest answers say, by aspect.
+    trends: BTreeMap<AnswerAspect, AnswerTrend>,
+}
+
+/// Likelihood ratio of the latest answers, from where they speak most against the version.
+#[derive(Debug, Clone, Copy, Default)]
+struct AnswerTrend {
+    /// Counts that are included.
+    counted: ClassCounts,
+    /// Natural logarithm of the ratio; never above 0.
+    ln_ratio: f64,
 }
 
 #[derive(Debug)]
@@ -85,48 +96,91 @@
 
     /// Fleet-wide counts over all classes.
     pub fn totals(&self) -> ClassCounts {
-        self.by_class()
-            .values()
-            .fold(ClassCounts::default(), |sum, counts| sum.plus(*counts))
+        let by_class = self.by_class();
+        let counts = by_class.values();
+        counts.fold(ClassCounts::default(), |sum, counts| sum.plus(*counts))
+    }
+
+    /// Answers of the new version, failures included.
+    pub fn target_answers(&self) -> u64 {
+        aspect_sum(&self.by_class(), AnswerAspect::Failure).target_answers()
     }
 
     /// Runs the tests and describes the harm if one of them trips.
     pub fn detect_harm(&mut self) -> Option<String> {
-        let by_class = self.by_class();
-        let all = self.totals();
-        let paces = by_class.iter().filter(|(class, _)| is_pace_class(class));
-        let all_paces = paces.fold(ClassCounts::default(), |sum, (_, counts)| sum.plus(*counts));
-        let sums = [(ALL_CLASSES, all), (ALL_PACE_CLASSES, all_paces)];
-        let level = FALSE_STOP_PROBABILITY / (by_class.len() + sums.len()) as f64;
-        let named = by_class.iter().map(|(class, counts)| (*class, *counts));
-        let cells: Vec<(String, ClassCounts)> = named
-            .chain(sums)
-            .map(|(class, counts)| (class.to_owned(), counts))
-            .collect();
-        cells.into_iter().find_map(|(class, counts)| {
-            let test = self.tests.entry(class.clone()).or_default();
-            let bounds = class_bounds(&counts, &all);
-            test.observe(counts.target_good, counts.target_bad, &bounds, true);
+        let cells = self.cells();
+        for cell in cells
+            .iter()
+            .filter(|cell| cell.scope == CellScope::AllClasses)
+        {
+            self.trends.entry(cell.aspect).or_default().update(cell);
+        }
+        let class_count = cells.len() - ASPECTS.len();
+        cells.iter().find_map(|cell| {
+            // Half of the accepted false stops goes to the sums, half to the classes.
+            let tests_of_scope = match cell.scope {
+                CellScope::Class => class_count,
+                CellScope::AllClasses => ASPECTS.len(),
+            };
+            let level = FALSE_STOP_PROBABILITY / 2.0 / tests_of_scope as f64;
+            let test = self.tests.entry(cell.name.clone());
+            let test = test.or_insert_with(|| SequentialTest::over_answers(CHANGE_ANSWERS));
+            let ClassCounts {
+                target_good,
+                target_bad,
+                ..
+            } = cell.counts;
+            test.observe(target_good, target_bad, &cell.bounds(), true);
             test.trips(level).then(|| {
-                let ClassCounts {
-                    target_good,
-                    target_bad,
-                    ..
-                } = counts;
-                format!("{target_bad} bad and {target_good} good answers of class {class:?}")
+                format!(
+                    "{target_bad} bad and {target_good} good answers of class {:?}",
+                    cell.name
+                )
             })
         })
     }
 
-    /// Whether the answers of the new version are likelier from a good version than from a bad one: clearly over all classes,
-    /// and in each class that has some.
+    /// Whether the answers of the new version are likelier from a good version than from a bad one: clearly by their times, by
+    /// their failures, in each class that has some, and not only by the earlier ones.
     pub fn is_proven(&self) -> bool {
+        let cells = self.cells();
+        let mut known = cells.iter().filter(|cell| {
+            cell.scope == CellScope::AllClasses || cell.counts.target_answers() >= MIN_CLASS_ANSWERS
+        });
+        let sums = cells
+            .iter()
+            .filter(|cell| cell.scope == CellScope::AllClasses);
+        let by_times: f64 = sums
+            .filter(|cell| cell.aspect != AnswerAspect::Failure)
+            .map(EvidenceCell::ln_ratio)
+            .sum();
+        known.all(|cell| cell.ln_ratio() >= 0.0)
+            && by_times >= PROVEN_LN_RATIO
+            && !self.is_doubted()
+    }
+
+    /// Counts of each class, and of each aspect over all classes.
+    fn cells(&self) -> Vec<EvidenceCell> {
         let by_class = self.by_class();
-        let all = self.totals();
-        let classes = by_class.values();
-        let mut known = classes.filter(|counts| counts.target_answers() >= MIN_CLASS_ANSWERS);
-        known.all(|counts| likelihood_ratio(counts, &all) >= 0.0)
-            && likelihood_ratio(&all, &all) >= PROVEN_LN_RATIO
+        let sums = ASPECTS.map(|aspect| (aspect, aspect_sum(&by_class, aspect)));
+        let sum_of = |class| {
+            let aspect = counted_aspect(class);
+            let found = sums.iter().find(|(summed, _)| *summed == aspect);
+            found.map(|(_, sum)| *sum).unwrap_or_default()
+        };
+        let classes = by_class.iter();
+        classes
+            .map(|(class, counts)| EvidenceCell::of_class(class, *counts, &sum_of(class)))
+            .chain(sums.map(|(aspect, sum)| EvidenceCell::of_all(aspect, sum)))
+            .collect()
+    }
+
+    /// Whether the latest answers speak against the new version, whatever the earlier ones say.
+    fn is_doubted(&self) -> bool {
+        self.trends.iter().any(|(aspect, trend)| match aspect {
+            AnswerAspect::Failure => trend.ln_ratio <= DOUBTED_BY_FAILURES,
+            AnswerAspect::Head | AnswerAspect::Pace => trend.ln_ratio <= DOUBTED_BY_TIMES,
+        })
     }
 
     /// Requests sent to the new version and to the service, over all routers.
@@ -168,34 +222,25 @@
     }
 }
 
-/// Bounds of the tests of a class, by the old versions' answers in the class if there are enough, else in all classes.
-fn class_bounds(counts: &ClassCounts, all: &ClassCounts) -> RolloutSpec {
-    bounds(match counts.base_answers() {
-        MIN_BASE_ANSWERS.. => counts.base_bad_share(),
-        _ => all.base_bad_share(),
-    })
-}
-
-/// Natural logarithm of how much likelier the answers are with the tolerated share of bad ones than with the stopping one.
-fn likelihood_ratio(counts: &ClassCounts, all: &ClassCounts) -> f64 {
-    let RolloutSpec {
-        tolerated_bad,
-        stopping_bad,
-        ..
-    } = class_bounds(counts, all);
-    let good = ((1.0 - tolerated_bad) / (1.0 - stopping_bad)).ln();
-    let bad = (tolerated_bad / stopping_bad).ln();
-    counts.target_good as f64 * good + counts.target_bad as f64 * bad
+impl AnswerTrend {
+    /// Includes the answers up to those of `cell`, which covers all classes.
+    fn update(&mut self, cell: &EvidenceCell) {
+        let ClassCounts {
+            target_good,
+            target_bad,
+            ..
+        } = cell.counts;
+        let latest_good = target_good.saturating_sub(self.counted.target_good);
+        let latest_bad = target_bad.saturating_sub(self.counted.target_bad);
+        let latest = cell.ln_ratio_of(latest_good, latest_bad);
+        self.ln_ratio = (self.ln_ratio + latest).min(0.0);
+        self.counted = self.counted.join(cell.counts);
+    }
 }
 
-/// Bounds of the tests for the old versions' share of bad answers, `base`.
-fn bounds(base: f64) -> RolloutSpec {
-    let tolerated_bad = (base + TOLERATED_EXCESS).min(MAX_TOLERATED);
-    RolloutSpec {
-        epoch: 0,
-        unrated_limit: 0,
-        tolerated_bad,
-        stopping_bad: tolerated_bad + STOPPING_EXCESS,
-        on_trip: TripPolicy::default(),
-    }
+/// Counts of `aspect` over all classes.
+fn aspect_sum(by_class: &BTreeMap<&str, ClassCounts>, aspect: AnswerAspect) -> ClassCounts {
+    let classes = by_class.iter();
+    let counted = classes.filter(|(class, _)| counted_aspect(class) == aspect);
+    counted.fold(ClassCounts::default(), |sum, (_, counts)| sum.plus(*counts))
 }
--- a/crates/decisions/src/rollout/evidence_row.rs
+++ b/crates/decisions/src/rollout/evidence_row.rs
@@ -34,20 +34,29 @@
     }
 }
 
+/// Ending of the classes that count failures.
+const FAILURE_ENDING: &str = " failures";
 /// Ending of the classes that count the pace of streams.
 const PACE_ENDING: &str = " pace";
 
 /// Name under which an aspect of the answers of `class` is counted.
 fn counted_class(class: &str, aspect: AnswerAspect) -> String {
     match aspect {
-        AnswerAspect::Failure | AnswerAspect::Head => class.to_owned(),
+        AnswerAspect::Failure => format!("{class}{FAILURE_ENDING}"),
+        AnswerAspect::Head => class.to_owned(),
         AnswerAspect::Pace => format!("{class}{PACE_ENDING}"),
     }
 }
 
-/// Whether `class` counts the pace of streams.
-pub(super) fn is_pace_class(class: &str) -> bool {
-    class.ends_with(PACE_ENDING)
+/// Aspect that is counted under `class`.
+pub(super) fn counted_aspect(class: &str) -> AnswerAspect {
+    if class.ends_with(FAILURE_ENDING) {
+        AnswerAspect::Failure
+    } else if class.ends_with(PACE_ENDING) {
+        AnswerAspect::Pace
+    } else {
+        AnswerAspect::Head
+    }
 }
 
 /// Answer counts of one request class; no count ever decreases.
@@ -95,9 +104,6 @@
         aspect: AnswerAspect,
         quality: AnswerQuality,
     ) {
-        if (aspect, quality) == (AnswerAspect::Failure, AnswerQuality::Good) {
-            return;
-        }
         let counts = self
             .classes
             .entry(counted_class(class, aspect))
--- a/crates/decisions/src/rollout/rollout_plan.rs
+++ b/crates/decisions/src/rollout/rollout_plan.rs
@@ -139,7 +139,11 @@
             RolloutPhase::Canary | RolloutPhase::Ramp => None,
             RolloutPhase::Full => {
                 let is_drained = input.old_in_flight == 0 && input.in_phase >= self.min_full_time();
-                (is_drained || is_due).then_some(RolloutPhase::Completed)
+                match (input.is_proven, is_drained || is_due) {
+                    (true, true) => Some(RolloutPhase::Completed),
+                    (false, _) if is_due => Some(RolloutPhase::Reverted),
+                    _ => None,
+                }
             }
             RolloutPhase::Completed | RolloutPhase::Reverted => None,
         }
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -235,6 +235,24 @@
     );
 }
 
+/// Guards against a completion that does not look at what the new version answered since it got all traffic.
+#[test]
+fn a_version_that_is_doubted_with_all_traffic_is_reverted_at_its_deadline() {
+    let doubted = PlanInput {
+        is_proven: false,
+        ..input(RolloutPhase::Full, 18.0)
+    };
+    assert_eq!(plan().next_phase(&doubted, &bound()), None);
+    let late = PlanInput {
+        elapsed: Duration::from_secs_f64(23.4),
+        ..doubted
+    };
+    assert_eq!(
+        plan().next_phase(&late, &bound()),
+        Some(RolloutPhase::Reverted)
+    );
+}
+
 #[test]
 fn phases_stop_at_a_final_phase_and_never_go_back() {
     for last in [RolloutPhase::Completed, RolloutPhase::Reverted] {
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -114,19 +114,20 @@
         }
     }
 
-    /// Counts one aspect of an answer; returns whether the evidence shows harm for the first time with it.
+    /// Counts what is known of an answer; returns whether the evidence shows harm for the first time with it.
     pub fn record(
         &mut self,
         class: &str,
         side: VersionSide,
-        aspect: AnswerAspect,
-        quality: AnswerQuality,
+        ratings: &[(AnswerAspect, AnswerQuality)],
         now: MonotonicTime,
     ) -> bool {
         if self.is_final() {
             return false;
         }
-        self.own.record(class, side, aspect, quality);
+        for (aspect, quality) in ratings {
+            self.own.record(class, side, *aspect, *quality);
+        }
         self.pool.merge(self.own.clone(), now);
         side == VersionSide::Target && self.test_for_harm()
     }
@@ -250,7 +251,7 @@
             phase,
             elapsed: self.elapsed(now),
             in_phase: now.since(self.phase_started_at),
-            answers: self.pool.totals().target_answers(),
+            answers: self.pool.target_answers(),
             is_proven: self.pool.is_proven(),
             exposed,
             requests,
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -22,6 +22,8 @@
 const STATUS: TopicPartition<'static> = TopicPartition::only(STATUS_TOPIC);
 /// Period of the exchanges while a roll-out is in progress.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(900);
+/// The same while a new version has all traffic, so that its latest answers are known before it is completed.
+const FULL_PHASE_PERIOD: Duration = Duration::from_millis(300);
 /// Minimum pause between two exchanges.
 const MIN_EXCHANGE_PAUSE: Duration = Duration::from_millis(200);
 /// Minimum period at which ended conversations are removed.
@@ -87,7 +89,15 @@
         due.flatten()
     });
     let soonest = due.min().unwrap_or(EXCHANGE_PERIOD);
-    soonest.clamp(MIN_EXCHANGE_PAUSE, EXCHANGE_PERIOD)
+    let mut phases = services.iter().filter_map(|service| {
+        let phase = core.rollouts.with(service, |rollout| rollout.phase);
+        phase.flatten()
+    });
+    let period = match phases.any(|phase| phase == RolloutPhase::Full) {
+        true => FULL_PHASE_PERIOD,
+        false => EXCHANGE_PERIOD,
+    };
+    soonest.clamp(MIN_EXCHANGE_PAUSE, period)
 }
 
 /// Requests that a bad version may get, as the deployment's bounds state them.
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -200,7 +200,15 @@
         };
         let side = side_of(answer.version, rollout);
         let quality = rate_answer(rollout, side, answer);
-        if rollout.record(answer.class, side, rated_aspect(answer.sign), quality, now) {
+        let rated = (rated_aspect(answer.sign), quality);
+        let not_failed = (AnswerAspect::Failure, AnswerQuality::Good);
+        let shows_harm = match answer.sign {
+            AnswerSign::Head(_) => rollout.record(answer.class, side, &[rated, not_failed], now),
+            AnswerSign::Pace(_) | AnswerSign::Overdue | AnswerSign::Failure => {
+                rollout.record(answer.class, side, &[rated], now)
+            }
+        };
+        if shows_harm {
             self.wake.notify_one();
         }
     }
