Exchange the ongoing conversations before a new version gets traffic, so that they keep their version at every router

Cause: a router knew the versions of the conversations that it served itself only, and took all others for new. Class: what one router knows taken for what the fleet knows. Change: a roll-out begins with an announced phase without traffic; routers report short marks of their ongoing conversations that the canary share would move, with the evidence rows and the feed; a reported conversation keeps the old version in the first half.

--- a/crates/decisions/src/rollout.rs
+++ b/crates/decisions/src/rollout.rs
@@ -12,7 +12,9 @@
 mod rollout_plan;
 
 pub use evidence_pool::EvidencePool;
-pub use evidence_row::{AnswerAspect, AnswerQuality, ClassCounts, EvidenceRow, VersionSide};
+pub use evidence_row::{
+    AnswerAspect, AnswerQuality, ClassCounts, EvidenceRow, VersionSide, conversation_mark,
+};
 pub use rollout_order::RolloutOrder;
 pub use rollout_phase::RolloutPhase;
 pub use rollout_plan::{ExposureBound, PlanInput, RolloutPlan};
--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -1,6 +1,6 @@
 //! Pooled answer counts of all routers, and the sequential tests over them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::evidence_cell::{CellScope, EvidenceCell};
 use super::evidence_row::counted_aspect;
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct EvidencePool {
     rows: HashMap<String, ReceivedRow>,
+    /// Ongoing conversations of all routers.
+    ongoing: BTreeSet<u32>,
     /// Fleet-wide counts by class, as last reported by a router that has all rows.
     reported: BTreeMap<String, ClassCounts>,
     /// Tests by class, with those over all classes of an aspect.
@@ -58,6 +60,7 @@
 impl EvidencePool {
     /// Merges a row received at `now`. Order and repetition do not change the counts.
     pub fn merge(&mut self, row: EvidenceRow, now: MonotonicTime) {
+        self.ongoing.extend(&row.ongoing);
         let Some(held) = self.rows.get_mut(&row.router) else {
             self.rows.insert(
                 row.router.clone(),
@@ -82,6 +85,16 @@
         }
     }
 
+    /// Adds ongoing conversations reported by another router.
+    pub fn add_ongoing(&mut self, marks: BTreeSet<u32>) {
+        self.ongoing.extend(marks);
+    }
+
+    /// Marks of the conversations that a router reported as ongoing on the old versions.
+    pub fn ongoing(&self) -> &BTreeSet<u32> {
+        &self.ongoing
+    }
+
     /// Replaces the fleet-wide counts reported by a router that has all rows.
     pub fn set_reported_totals(&mut self, classes: BTreeMap<String, ClassCounts>) {
         self.reported = classes;
--- a/crates/decisions/src/rollout/evidence_row.rs
+++ b/crates/decisions/src/rollout/evidence_row.rs
@@ -1,6 +1,6 @@
 //! Answer counts of one router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,11 @@
     }
 }
 
+/// Short identifier of a conversation with this fixed, uniform `point` in `0.0..1.0`.
+pub fn conversation_mark(point: f64) -> u32 {
+    (point * f64::from(u32::MAX)) as u32
+}
+
 /// Ending of the classes that count failures.
 const FAILURE_ENDING: &str = " failures";
 /// Ending of the classes that count the pace of streams.
@@ -80,6 +85,10 @@
         pub router: String,
         /// Counts by request class.
         pub classes: BTreeMap<String, ClassCounts>,
+        /// Ongoing conversations on the old versions that the canary share would move, as [`conversation_mark`]s; none is
+        /// ever removed.
+        #[serde(default)]
+        pub ongoing: BTreeSet<u32>,
         /// Requests sent to the new version.
         #[serde(default)]
         pub target_sends: u64,
--- a/crates/decisions/src/rollout/rollout_phase.rs
+++ b/crates/decisions/src/rollout/rollout_phase.rs
@@ -3,6 +3,8 @@
 closed_set! {
     /// Share of the traffic that the new version gets.
     pub enum RolloutPhase {
+        /// No traffic yet. Routers report the ongoing conversations that the canary share would move.
+        Announced,
         /// A small share of new conversations.
         Canary,
         /// The canary share, still; routers of an older version may store it.
@@ -34,7 +36,7 @@
     /// conversation back, and harm found in the pooled counts ends the roll-out.
     pub fn retries_on_old_version(self) -> bool {
         match self {
-            Self::Canary | Self::Ramp | Self::Reverted => true,
+            Self::Announced | Self::Canary | Self::Ramp | Self::Reverted => true,
             Self::Full | Self::Completed => false,
         }
     }
@@ -42,7 +44,7 @@
     /// Multiple of the old versions' usual time at which an answer counts as slow.
     pub fn slow_factor(self) -> f64 {
         match self {
-            Self::Canary | Self::Ramp => SLOW_FACTOR_SHARED_TRAFFIC,
+            Self::Announced | Self::Canary | Self::Ramp => SLOW_FACTOR_SHARED_TRAFFIC,
             Self::Full | Self::Completed | Self::Reverted => SLOW_FACTOR_FULL_TRAFFIC,
         }
     }
@@ -50,7 +52,7 @@
     /// Multiple of the pause within an undisturbed stream at which a stream counts as slow.
     pub fn slow_pace_factor(self) -> f64 {
         match self {
-            Self::Canary | Self::Ramp => SLOW_PACE_SHARED_TRAFFIC,
+            Self::Announced | Self::Canary | Self::Ramp => SLOW_PACE_SHARED_TRAFFIC,
             Self::Full | Self::Completed | Self::Reverted => SLOW_PACE_FULL_TRAFFIC,
         }
     }
@@ -59,7 +61,7 @@
     pub fn is_final(self) -> bool {
         match self {
             Self::Completed | Self::Reverted => true,
-            Self::Canary | Self::Ramp | Self::Full => false,
+            Self::Announced | Self::Canary | Self::Ramp | Self::Full => false,
         }
     }
 
--- a/crates/decisions/src/rollout/rollout_plan.rs
+++ b/crates/decisions/src/rollout/rollout_plan.rs
@@ -20,6 +20,8 @@
 const MIN_CANARY_SHARE: f64 = 0.005;
 /// Part of the roll-out time during which conversations keep the version that they began on.
 const PINNED_TIME_PART: f64 = 0.5;
+/// Time of the announced phase, in which every router learns which conversations are ongoing at the others.
+const ANNOUNCED_TIME: Duration = Duration::from_millis(1_500);
 /// Safety margin after the end of [`PINNED_TIME_PART`] before conversations may move.
 const PINNED_MARGIN: Duration = Duration::from_millis(300);
 /// Minimum answers of the new version before the full phase.
@@ -101,7 +103,7 @@
         match phase {
             RolloutPhase::Canary | RolloutPhase::Ramp => self.canary_share,
             RolloutPhase::Full | RolloutPhase::Completed => 1.0,
-            RolloutPhase::Reverted => 0.0,
+            RolloutPhase::Announced | RolloutPhase::Reverted => 0.0,
         }
     }
 
@@ -113,6 +115,7 @@
     /// Time until the next phase is due if the evidence shows no harm; zero if it is due now.
     pub fn next_phase_in(&self, input: &PlanInput, bound: &ExposureBound) -> Duration {
         let due = match input.phase {
+            RolloutPhase::Announced => ANNOUNCED_TIME.mul_f64(self.margin_part()),
             RolloutPhase::Canary | RolloutPhase::Ramp => self.full_at(input, bound),
             RolloutPhase::Full => self.duration.saturating_sub(self.completion_margin()),
             RolloutPhase::Completed | RolloutPhase::Reverted => Duration::MAX,
@@ -126,6 +129,7 @@
     pub fn next_phase(&self, input: &PlanInput, bound: &ExposureBound) -> Option<RolloutPhase> {
         let is_due = self.next_phase_in(input, bound).is_zero();
         match input.phase {
+            RolloutPhase::Announced => is_due.then_some(RolloutPhase::Canary),
             RolloutPhase::Canary | RolloutPhase::Ramp if is_due => {
                 let is_ready = input.is_proven && input.answers >= MIN_ANSWERS;
                 let is_late =
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -163,6 +163,41 @@
     assert_eq!(plan.next_phase(&too_few_answers, &bound()), None);
 }
 
+/// Guards against a canary that begins before routers know which conversations are ongoing at the others.
+#[test]
+fn a_version_gets_no_traffic_until_the_ongoing_conversations_are_exchanged() {
+    let announced = input(RolloutPhase::Announced, 1.0);
+    assert!(plan().share(RolloutPhase::Announced) <= 0.0);
+    assert_eq!(plan().next_phase(&announced, &bound()), None);
+    let left = plan().next_phase_in(&announced, &bound());
+    let due = input(RolloutPhase::Announced, 1.0 + left.as_secs_f64());
+    assert_eq!(
+        plan().next_phase(&due, &bound()),
+        Some(RolloutPhase::Canary)
+    );
+    assert!(RolloutPhase::Announced.may_become(RolloutPhase::Reverted));
+}
+
+#[test]
+fn ongoing_conversations_of_all_routers_add_up() {
+    let mut pool = EvidencePool::default();
+    for (router, mark) in [("a", 7), ("b", 9), ("a", 8)] {
+        let ongoing = [mark].into_iter().collect();
+        pool.merge(
+            EvidenceRow {
+                ongoing,
+                ..row(router, 0, 0)
+            },
+            MonotonicTime(1),
+        );
+    }
+    pool.add_ongoing([9, 10].into_iter().collect());
+    assert_eq!(
+        pool.ongoing().iter().copied().collect::<Vec<u32>>(),
+        [7, 8, 9, 10]
+    );
+}
+
 /// Guards against a version that is completed because too few answers speak against it.
 #[test]
 fn a_version_that_is_not_proven_is_reverted_at_its_deadline() {
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -1,6 +1,6 @@
 //! Messages of the feed, by which a router syncs from another one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, ServiceName};
@@ -99,4 +99,7 @@
     pub elapsed_ms: u64,
     /// Counts of the fleet by request class.
     pub classes: BTreeMap<String, ClassCounts>,
+    /// Marks of ongoing conversations on the old versions.
+    #[serde(default)]
+    pub ongoing: BTreeSet<u32>,
 }
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -124,6 +124,14 @@
         tokio::spawn(self.closing.clone().run_until_cancelled_owned(task));
     }
 
+    /// Adds the ongoing conversations of this router to its evidence about roll-outs that have just been announced.
+    pub fn report_ongoing_conversations(&self) {
+        let bounds = self.settings.load().bounds;
+        let now = self.clock.now();
+        self.rollouts
+            .report_ongoing(bounds.exposure_share, bounds.session_gap, now);
+    }
+
     /// Counts a request of `service` towards its retry budget.
     pub fn record_new_request(&self, service: &ServiceName) {
         self.with_retries(service, RetryShare::record_new_request);
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -1,12 +1,12 @@
 //! State of one roll-out at this router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use ferry_decisions::names::VersionName;
 use ferry_decisions::rollout::{
     AnswerAspect, AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, ExposureBound, PlanInput,
-    RolloutOrder, RolloutPhase, RolloutPlan, VersionSide,
+    RolloutOrder, RolloutPhase, RolloutPlan, VersionSide, conversation_mark,
 };
 use ferry_decisions::time::MonotonicTime;
 
@@ -82,12 +82,16 @@
         };
         match phase {
             RolloutPhase::Completed => return VersionSide::Target,
-            RolloutPhase::Reverted => return VersionSide::Base,
+            RolloutPhase::Announced | RolloutPhase::Reverted => return VersionSide::Base,
             _ if self.harm.is_some() => return VersionSide::Base,
             RolloutPhase::Full => return VersionSide::Target,
             RolloutPhase::Canary | RolloutPhase::Ramp => {}
         }
-        let pinned = last == Some(VersionSide::Base) && self.plan.pins_old(self.elapsed(now));
+        let began_on_old = match last {
+            Some(side) => side == VersionSide::Base,
+            None => self.pool.ongoing().contains(&conversation_mark(point)),
+        };
+        let pinned = began_on_old && self.plan.pins_old(self.elapsed(now));
         let has_recent_exchange = self
             .exchanged_at
             .is_some_and(|at| now.since(at) < MAX_EXCHANGE_AGE);
@@ -132,6 +136,25 @@
         side == VersionSide::Target && self.test_for_harm()
     }
 
+    /// Whether ongoing conversations are to be reported: as long as the new version has no traffic here.
+    pub fn reports_ongoing(&self) -> bool {
+        self.phase
+            .is_none_or(|phase| phase == RolloutPhase::Announced)
+    }
+
+    /// Adds ongoing conversations with these points to this router's row.
+    pub fn add_ongoing(&mut self, points: Vec<f64>, now: MonotonicTime) {
+        self.own
+            .ongoing
+            .extend(points.into_iter().map(conversation_mark));
+        self.pool.merge(self.own.clone(), now);
+    }
+
+    /// Marks of the conversations that routers reported as ongoing.
+    pub fn ongoing(&self) -> &BTreeSet<u32> {
+        self.pool.ongoing()
+    }
+
     /// This router's current row, to be sent to the other routers.
     pub fn own_row(&mut self, upstreams: &UpstreamDirectory, now: MonotonicTime) -> EvidenceRow {
         let RolloutOrder {
@@ -181,11 +204,13 @@
     pub fn apply_pooled(
         &mut self,
         classes: BTreeMap<String, ClassCounts>,
+        ongoing: BTreeSet<u32>,
         elapsed: Duration,
         now: MonotonicTime,
     ) {
         self.started_at = self.started_at.min(now.before(elapsed));
         self.pool.set_reported_totals(classes);
+        self.pool.add_ongoing(ongoing);
         self.exchanged_at = Some(now);
         self.test_for_harm();
     }
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -121,6 +121,7 @@
 impl RolloutExchange {
     /// Runs one exchange for `services`, whose roll-outs have not ended, and proposes the phases that are due.
     async fn run(&mut self, services: &[ServiceName]) -> Result<(), StoreError> {
+        self.core.report_ongoing_conversations();
         if self.rounds.is_multiple_of(EXCHANGES_PER_STATUS_READ) {
             self.read_status().await?;
         }
@@ -148,7 +149,7 @@
             let (phase, canary_share) = match rollout.phase {
                 None => {
                     let share = RolloutPlan::canary_share(rollout.order.duration, &bound, rate);
-                    (RolloutPhase::Canary, share)
+                    (RolloutPhase::Announced, share)
                 }
                 Some(_) => (rollout.next_phase(&bound, now)?, rollout.canary_share()),
             };
@@ -188,6 +189,7 @@
 
     fn apply_status(&self, service: &ServiceName, status: &RolloutStatus) {
         let now = self.core.clock.now();
+        self.core.report_ongoing_conversations();
         self.core.rollouts.with(service, |rollout| {
             if rollout.offset == status.order {
                 rollout.enter(status.phase, status.canary_share, now);
@@ -316,6 +318,7 @@
 /// Whether two rows of one router carry the same evidence; the elapsed time is left out, since it always differs.
 fn has_same_evidence(one: &EvidenceRow, other: &EvidenceRow) -> bool {
     one.classes == other.classes
+        && one.ongoing == other.ongoing
         && one.target_sends == other.target_sends
         && one.base_sends == other.base_sends
         && one.old_in_flight == other.old_in_flight
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use ferry_decisions::hash_point;
 use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::rollout::{
     AnswerAspect, AnswerQuality, RolloutOrder, RolloutPhase, VersionSide,
@@ -11,7 +10,6 @@
 use ferry_decisions::time::MonotonicTime;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::active_rollout::ActiveRollout;
 use super::session_versions::{SessionKey, SessionVersions};
@@ -153,10 +151,9 @@
     ) -> Option<VersionPick> {
         let active = self.active.lock();
         let rollout = active.get(service)?;
-        let point = hash_point(xxh3_64_with_seed(session.as_bytes(), rollout.offset));
-        let last = self
-            .sessions
-            .last_version(SessionKey::new(service, session), gap, now);
+        let key = SessionKey::new(service, session);
+        let point = key.point(rollout.offset);
+        let last = self.sessions.last_version(key, gap, now);
         let last = last.map(|version| side_of(&version, rollout));
         let side = rollout.side(point, last, now);
         Some(VersionPick {
@@ -169,6 +166,24 @@
         })
     }
 
+    /// Adds the ongoing conversations of this router to its rows of roll-outs whose new version has no traffic yet.
+    ///
+    /// `max_share` bounds the canary share while it is not known.
+    pub fn report_ongoing(&self, max_share: f64, gap: Duration, now: MonotonicTime) {
+        let mut active = self.active.lock();
+        let reporting = active
+            .values_mut()
+            .filter(|rollout| rollout.reports_ongoing());
+        for rollout in reporting {
+            let share = match rollout.phase {
+                Some(_) => rollout.canary_share(),
+                None => max_share,
+            };
+            let points = self.sessions.points_below(share, rollout.offset, gap, now);
+            rollout.add_ongoing(points, now);
+        }
+    }
+
     /// Counts a send to `version` of `service`.
     pub fn record_send(&self, service: &ServiceName, version: &VersionName) {
         let mut active = self.active.lock();
--- a/crates/router/src/relay/rollouts/session_versions.rs
+++ b/crates/router/src/relay/rollouts/session_versions.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ferry_decisions::hash_point;
 use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::time::MonotonicTime;
 use ferry_kernel::shards::ShardMap;
@@ -21,6 +22,11 @@
 }
 
 impl SessionKey {
+    /// The conversation's fixed, uniform number in `0.0..1.0` for the roll-out whose order has the offset `order`.
+    pub fn point(self, order: u64) -> f64 {
+        hash_point(xxh3_64_with_seed(&self.0.to_le_bytes(), order))
+    }
+
     /// Key of the conversation `session` with `service`.
     pub fn new(service: &ServiceName, session: &str) -> Self {
         let seed = xxh3_64(service.as_str().as_bytes());
@@ -49,6 +55,25 @@
         })
     }
 
+    /// Points, below `share`, of the conversations with a request at most `gap` ago, for the roll-out with the order `order`.
+    ///
+    /// Conversations with other services are among them, with points that no conversation with this one has.
+    pub fn points_below(
+        &self,
+        share: f64,
+        order: u64,
+        gap: Duration,
+        now: MonotonicTime,
+    ) -> Vec<f64> {
+        let mut points = Vec::new();
+        self.versions.for_each_shard(|shard| {
+            let ongoing = shard.iter().filter(|(_, (_, at))| now.since(*at) <= gap);
+            let ongoing = ongoing.map(|(key, _)| key.point(order));
+            points.extend(ongoing.filter(|point| *point < share));
+        });
+        points
+    }
+
     /// Removes conversations without a request for longer than `gap`.
     pub fn expire(&self, gap: Duration, now: MonotonicTime) {
         self.versions
