Draw upstreams whose ports stay open, and conversations that continue at another relay under a roll-out, in the soak

Cause: the soak had neither, so that it found neither of the two faults that were mended before. Change: the upstreams that a part crashes refuse connections, close them, or serve again at once, by the seed, with answers without framing on one in four or on all; conversations of ten requests go to one relay after the other while a good version is rolled out, beside the stops, kills, cuts and outages of the plan. Moves in the first half count, but for those within 3 s of an unplanned fault.

--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -57,6 +57,16 @@
     Configure,
 }
 
+impl SoakFault {
+    /// Whether it is planned work, which excuses nothing.
+    pub fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Self::StopRelay(_) | Self::ReloadRelay(_) | Self::DrainReplica(_) | Self::Configure
+        )
+    }
+}
+
 /// Fault of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreFault {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod budget_plan;
 mod budget_run;
 mod caller_load;
+mod conversation_load;
 mod crash_load;
 mod fault_plan;
 mod guarantee_check;
@@ -28,10 +29,11 @@
 
 use budget_run::run_budget_seed;
 use caller_load::{CallOutcome, CallRecord, call_each_kind, call_until};
+use conversation_load::talk_until;
 use crash_load::{crash_times, crash_until, crash_violations};
 use fault_plan::{FAULT_WINDOW, FaultPlan, REVOKED_AT};
 use guarantee_check::SoakRecord;
-use part_load::send_parts_until;
+use part_load::{PartScenario, send_parts_until};
 use soak_fleet::SoakFleet;
 use soak_relay::keep_logs;
 
@@ -111,7 +113,13 @@
     let start = Instant::now();
     let load = tokio::spawn(call_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let crashes = tokio::spawn(crash_until(Arc::clone(&fleet), Arc::clone(&stop)));
-    let parts = tokio::spawn(send_parts_until(Arc::clone(&fleet), Arc::clone(&stop)));
+    let scenario = PartScenario::from_seed(seed);
+    let parts = tokio::spawn(send_parts_until(
+        Arc::clone(&fleet),
+        scenario,
+        Arc::clone(&stop),
+    ));
+    let talks = tokio::spawn(talk_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let revoked_at = tokio::spawn(revoke(Arc::clone(&fleet), start + REVOKED_AT));
     let faults = plan.faults.iter().map(|timed| {
         let (fleet, timed) = (Arc::clone(&fleet), *timed);
@@ -129,6 +137,7 @@
     let calls = load.await.unwrap();
     let crashes = crashes.await.unwrap();
     let parts = parts.await.unwrap();
+    let talks = talks.await.unwrap();
     let mut violations: Vec<_> = fault_results
         .into_iter()
         .filter_map(|result| {
@@ -148,6 +157,7 @@
     violations.extend(record.violations());
     violations.extend(crash_violations(&crashes));
     violations.extend(parts.violations(faults_end));
+    violations.extend(talks.violations(&plan));
     let codes = fleet.stop_all().await;
     if codes.iter().any(|code| *code != Some(0)) {
         violations.push(format!("exit codes of graceful stops: {codes:?}"));
@@ -156,8 +166,9 @@
     let crashes = crash_times(&crashes);
     let counts: Vec<usize> = crashes.values().map(Vec::len).collect();
     println!(
-        "seed {seed}: upstreams crashed by each request: {counts:?}, by a part: {}",
-        parts.arrivals.len()
+        "seed {seed}: upstreams crashed by each request: {counts:?}, by a part: {} ({scenario:?}), requests on a new version: {}",
+        parts.arrivals.len(),
+        talks.on_new,
     );
     violations
 }
--- a/tests/soak/part_load.rs
+++ b/tests/soak/part_load.rs
@@ -48,6 +48,32 @@
 /// Maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
+/// How the upstreams of a run answer and crash.
+#[derive(Debug, Clone, Copy)]
+pub struct PartScenario {
+    /// What the port of a crashed upstream does while it is down.
+    down_port: DownPort,
+    /// One in this many upstreams sends answers without framing; one that a crash cuts off ends like a complete one.
+    unframed_every: usize,
+}
+
+impl PartScenario {
+    /// The scenario of `seed`.
+    pub fn from_seed(seed: u64) -> Self {
+        Self {
+            down_port: match seed % 4 {
+                0 => DownPort::Closes,
+                1 => DownPort::Serves,
+                _ => DownPort::Refuses,
+            },
+            unframed_every: match seed % 8 {
+                0..=2 => 1,
+                _ => 4,
+            },
+        }
+    }
+}
+
 /// What was sent and what reached the upstreams.
 #[derive(Debug)]
 pub struct PartRecord {
@@ -58,10 +84,14 @@
 }
 
 /// Sends both kinds of requests until `stop` is set.
-pub async fn send_parts_until(fleet: Arc<SoakFleet>, stop: Arc<AtomicBool>) -> PartRecord {
+pub async fn send_parts_until(
+    fleet: Arc<SoakFleet>,
+    scenario: PartScenario,
+    stop: Arc<AtomicBool>,
+) -> PartRecord {
     let mut upstreams = Vec::new();
     for number in 0..UPSTREAM_COUNT {
-        let upstream = start_upstream(&fleet, number).await;
+        let upstream = start_upstream(&fleet, scenario, number).await;
         tokio::spawn(upstream.clone().supervise());
         upstreams.push(upstream);
     }
@@ -106,7 +136,11 @@
     }
 }
 
-async fn start_upstream(fleet: &SoakFleet, number: usize) -> CrashingUpstream {
+async fn start_upstream(
+    fleet: &SoakFleet,
+    scenario: PartScenario,
+    number: usize,
+) -> CrashingUpstream {
     let options = ReplicaOptions {
         id: format!("summary-{number}"),
         service: PART_SERVICE.to_owned(),
@@ -114,14 +148,13 @@
         slots: 64,
     };
     let upstream =
-        CrashingUpstream::start(fleet.store(), options, &[CRASHING_PART], DownPort::Refuses);
+        CrashingUpstream::start(fleet.store(), options, &[CRASHING_PART], scenario.down_port);
     let upstream = upstream.await.unwrap();
     upstream.standin.plan(ReplicaPlan {
         events: 6,
         gap: Duration::from_millis(50),
-        // Some have no framing: an answer that a crash cuts off there ends like a complete one.
-        framing: match number % 4 {
-            3 => BodyFraming::UntilClose,
+        framing: match number % scenario.unframed_every {
+            0 => BodyFraming::UntilClose,
             _ => BodyFraming::Delimited,
         },
         ..ReplicaPlan::default()
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -16,6 +16,7 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
+use crate::conversation_load::{TALK_RULE, TALK_SERVICE};
 use crate::crash_load::{FRAGILE_RULES, FRAGILE_SERVICE};
 use crate::fault_plan::{RELAYS, REPLICAS, ReplicaFault, SoakFault, StoreFault, TimedFault};
 use crate::part_load::{PART_RULE, PART_SERVICE};
@@ -248,11 +249,12 @@
         ("/drafts/", RunKind::Stream, STREAM_SERVICE),
     ];
     let fragile = FRAGILE_RULES.map(|(prefix, run)| (prefix, run, FRAGILE_SERVICE));
-    let (prefix, run) = PART_RULE;
+    let part = (PART_RULE.0, PART_RULE.1, PART_SERVICE);
+    let talk = (TALK_RULE.0, TALK_RULE.1, TALK_SERVICE);
     kinds
         .into_iter()
         .chain(fragile)
-        .chain([(prefix, run, PART_SERVICE)])
+        .chain([part, talk])
         .map(|(prefix, run, service)| {
             let mut rule = fixture_rule(prefix, run);
             rule.timeout = Duration::from_millis(5_000 + revision % 2 * 500);
