--- a/crates/decisions/src/rollout/evidence_row.rs
+++ b/crates/decisions/src/rollout/evidence_row.rs
@@ -121,6 +121,20 @@
     }
 }
 
+impl EvidenceRow {
+    /// Counts the time of an answer to a request of `class`: its `ratio` to what is expected, and whether that is slow.
+    pub fn record_time(
+        &mut self,
+        class: &str,
+        side: VersionSide,
+        aspect: AnswerAspect,
+        _ratio: f64,
+        quality: AnswerQuality,
+    ) {
+        self.record(class, side, aspect, quality);
+    }
+}
+
 impl ClassCounts {
     /// Adds one answer to the counts.
     pub fn add(&mut self, side: VersionSide, quality: AnswerQuality) {
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -374,6 +374,8 @@
     pool: EvidencePool,
     row: EvidenceRow,
     state: u64,
+    /// Whether harm was found at any time.
+    has_harm: bool,
 }
 
 impl EvidenceModel {
@@ -386,6 +388,7 @@
                 ..EvidenceRow::default()
             },
             state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            has_harm: false,
         };
         for _ in 0..OLD_ANSWERS {
             model.answer(VersionSide::Base, BUSY_OLD);
@@ -421,10 +424,14 @@
     }
 
     fn is_drawn(&mut self, share: f64) -> bool {
+        self.uniform() < share
+    }
+
+    fn uniform(&mut self) -> f64 {
         self.state ^= self.state << 13;
         self.state ^= self.state >> 7;
         self.state ^= self.state << 17;
-        ((self.state >> 11) as f64 / (1_u64 << 53) as f64) < share
+        (self.state >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
 
@@ -478,6 +485,112 @@
     assert!(unproven <= SEEDS / 50, "{unproven} not proven");
 }
 
+/// Multiple of the expected time from which an answer is slow.
+const SLOW_RATIO: f64 = 3.5;
+/// Answers of the new version of a service with few requests.
+const FEW_ANSWERS: usize = 27;
+
+impl EvidenceModel {
+    /// Adds an answer that took `ratio` times the expected time.
+    fn answer_in(&mut self, side: VersionSide, ratio: f64) {
+        let is_slow = ratio > SLOW_RATIO;
+        let quality = match is_slow {
+            true => AnswerQuality::Bad,
+            false => AnswerQuality::Good,
+        };
+        self.record(side, AnswerAspect::Failure, false);
+        self.row
+            .record_time("letters", side, AnswerAspect::Head, ratio, quality);
+        self.row.elapsed_ms += 50;
+        let now = MonotonicTime(self.row.elapsed_ms as i64 * 1_000_000);
+        self.pool.merge(self.row.clone(), now);
+        if side == VersionSide::Target {
+            self.has_harm |= self.pool.detect_harm().is_some();
+        }
+    }
+
+    /// Whether the version would be completed.
+    fn is_kept(&self) -> bool {
+        !self.has_harm && self.pool.is_proven()
+    }
+
+    /// A time like those of a calm old version: mostly from 0.7 to 1.5 times the expected one, one in fifty twice that.
+    fn calm_ratio(&mut self) -> f64 {
+        let usual = (self.uniform() - 0.5) * 1.1;
+        let tail = if self.is_drawn(0.02) { 1.0 } else { 0.0 };
+        (usual + tail).exp2()
+    }
+
+    /// Evidence of a calm old version, and of a new one with [`FEW_ANSWERS`], of which `slow_share` take `factor` times as long.
+    fn with_few_answers(seed: u64, slow_share: f64, factor: f64) -> Self {
+        let mut model = Self {
+            pool: EvidencePool::default(),
+            row: EvidenceRow {
+                router: "a".to_owned(),
+                ..EvidenceRow::default()
+            },
+            state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            has_harm: false,
+        };
+        for _ in 0..170 {
+            let ratio = model.calm_ratio();
+            model.answer_in(VersionSide::Base, ratio);
+        }
+        for _ in 0..FEW_ANSWERS {
+            let ratio = model.calm_ratio();
+            let is_slow = model.is_drawn(slow_share);
+            model.answer_in(
+                VersionSide::Target,
+                if is_slow { ratio * factor } else { ratio },
+            );
+        }
+        model
+    }
+}
+
+/// Guards against times that are cut to slow or not before they are compared: of a version that was three times slower in two of five
+/// answers, 2 of 27 counted as slow beside 0 of 260, and it was completed.
+#[test]
+fn a_few_answers_that_are_several_times_slower_leave_a_version_unproven() {
+    for factor in [3.0, 4.0, 8.0] {
+        let proven = (0..SEEDS).filter(|seed| {
+            let model = EvidenceModel::with_few_answers(*seed, 0.4, factor);
+            model.pool.is_proven()
+        });
+        let proven = proven.count() as u64;
+        assert!(
+            proven <= SEEDS / 100,
+            "{proven} of {SEEDS} proven at {factor}"
+        );
+    }
+}
+
+#[test]
+fn a_few_answers_like_those_of_the_old_version_prove_a_version() {
+    let proven = (0..SEEDS).filter(|seed| {
+        let model = EvidenceModel::with_few_answers(*seed, 0.0, 1.0);
+        model.is_kept()
+    });
+    let proven = proven.count() as u64;
+    assert!(proven >= SEEDS * 99 / 100, "{proven} of {SEEDS} proven");
+}
+
+/// Guards against a good version that is reverted because its first upstreams are cold, or its prompts longer.
+#[test]
+fn a_version_that_is_somewhat_slower_is_proven() {
+    for (slow_share, factor) in [(1.0, 1.4), (0.1, 4.0)] {
+        let proven = (0..SEEDS).filter(|seed| {
+            let model = EvidenceModel::with_few_answers(*seed, slow_share, factor);
+            model.is_kept()
+        });
+        let proven = proven.count() as u64;
+        assert!(
+            proven >= SEEDS * 9 / 10,
+            "{proven} of {SEEDS} proven at {factor}"
+        );
+    }
+}
+
 #[test]
 fn totals_reported_by_a_peer_never_lower_known_counts() {
     let mut pool = EvidencePool::default();
