Compare the times of a new version with the spread of the old ones, as its proof and as harm

Cause: a time was cut to slow or not, at 3.5 times the mean and never under 120 ms, before it was compared, so that answers three times slower than usual did not count. Class: what is thrown away before it is pooled can't be weighed. Change: half-octave counts of each class's times, for both versions, go with the evidence rows and the feed; proof and harm are likelihood ratios over them. Without such counts (an older router) the numbers of slow answers decide, as before. While all traffic is on the new version its times are not compared, as it has more load then.

--- a/crates/decisions/src/rollout.rs
+++ b/crates/decisions/src/rollout.rs
@@ -10,6 +10,7 @@
 mod rollout_order;
 mod rollout_phase;
 mod rollout_plan;
+mod time_spread;
 
 pub use evidence_pool::EvidencePool;
 pub use evidence_row::{
@@ -18,3 +19,4 @@
 pub use rollout_order::RolloutOrder;
 pub use rollout_phase::RolloutPhase;
 pub use rollout_plan::{ExposureBound, PlanInput, RolloutPlan};
+pub use time_spread::TimeSpread;
--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -4,7 +4,7 @@
 
 use super::evidence_cell::{CellScope, EvidenceCell};
 use super::evidence_row::counted_aspect;
-use super::{AnswerAspect, ClassCounts, EvidenceRow};
+use super::{AnswerAspect, ClassCounts, EvidenceRow, TimeSpread, time_spread};
 use crate::guard::SequentialTest;
 use crate::time::MonotonicTime;
 
@@ -13,12 +13,14 @@
 
 /// Answers of the new version in a class from which they count for its proof.
 const MIN_CLASS_ANSWERS: u64 = 8;
-/// Natural logarithm of the likelihood ratio from which a new version is proven: 3 to 1.
-const PROVEN_LN_RATIO: f64 = 1.1;
+/// Natural logarithm of the likelihood ratio from which a new version is proven: 5 to 1.
+const PROVEN_LN_RATIO: f64 = 1.6;
+/// Natural logarithm of the likelihood ratio of all times from which a roll-out must stop: a thousandth, for each of the alternatives.
+const HARMFUL_TIMES_LN_RATIO: f64 = -9.4;
 /// Answers within which a version that turns bad has most likely done so: those of a canary.
 const CHANGE_ANSWERS: f64 = 150.0;
-/// Natural logarithm of the likelihood ratio at which the latest answers speak against a version by their times: 1 to 20.
-const DOUBTED_BY_TIMES: f64 = -3.0;
+/// Natural logarithm of the likelihood ratio at which the latest answers speak against a version by their times: 1 to 90.
+const DOUBTED_BY_TIMES: f64 = -4.5;
 /// The same by their failures: 1 to 5, which a single failure does not reach.
 const DOUBTED_BY_FAILURES: f64 = -1.6;
 /// Aspects of answers, each of which has tests of its own: what one rarely is, another may often be.
@@ -36,6 +38,8 @@
     ongoing: BTreeSet<u32>,
     /// Fleet-wide counts by class, as last reported by a router that has all rows.
     reported: BTreeMap<String, ClassCounts>,
+    /// Fleet-wide times by class, from the same report.
+    reported_times: BTreeMap<String, TimeSpread>,
     /// Tests by class, with those over all classes of an aspect.
     tests: HashMap<String, SequentialTest>,
     /// What the latest answers say, by aspect.
@@ -75,6 +79,10 @@
             let joined = held.row.classes.entry(class.clone()).or_default();
             *joined = joined.join(*counts);
         }
+        for (class, spread) in &row.times {
+            let joined = held.row.times.entry(class.clone()).or_default();
+            *joined = joined.join(*spread);
+        }
         if row.elapsed_ms >= held.row.elapsed_ms {
             held.row.elapsed_ms = row.elapsed_ms;
             held.row.target_sends = row.target_sends;
@@ -96,8 +104,13 @@
     }
 
     /// Replaces the fleet-wide counts reported by a router that has all rows.
-    pub fn set_reported_totals(&mut self, classes: BTreeMap<String, ClassCounts>) {
+    pub fn set_reported_totals(
+        &mut self,
+        classes: BTreeMap<String, ClassCounts>,
+        times: BTreeMap<String, TimeSpread>,
+    ) {
         self.reported = classes;
+        self.reported_times = times;
     }
 
     /// Fleet-wide counts by class.
@@ -107,6 +120,21 @@
             .collect()
     }
 
+    /// Fleet-wide times by class.
+    pub fn time_totals(&self) -> BTreeMap<String, TimeSpread> {
+        let mut sums: BTreeMap<String, TimeSpread> = BTreeMap::new();
+        let rows = self.rows.values();
+        for (class, spread) in rows.flat_map(|received| &received.row.times) {
+            let sum = sums.entry(class.clone()).or_default();
+            *sum = sum.plus(*spread);
+        }
+        for (class, spread) in &self.reported_times {
+            let sum = sums.entry(class.clone()).or_default();
+            *sum = sum.join(*spread);
+        }
+        sums
+    }
+
     /// Fleet-wide counts over all classes.
     pub fn totals(&self) -> ClassCounts {
         let by_class = self.by_class();
@@ -129,7 +157,7 @@
             self.trends.entry(cell.aspect).or_default().update(cell);
         }
         let class_count = cells.len() - ASPECTS.len();
-        cells.iter().find_map(|cell| {
+        let by_counts = cells.iter().find_map(|cell| {
             // Half of the accepted false stops goes to the sums, half to the classes.
             let tests_of_scope = match cell.scope {
                 CellScope::Class => class_count,
@@ -150,7 +178,17 @@
                     cell.name
                 )
             })
-        })
+        });
+        by_counts.or_else(|| self.harmful_times())
+    }
+
+    /// Describes the times of the new version's answers if they are far likelier from a slow version than from a good one.
+    fn harmful_times(&self) -> Option<String> {
+        let times: Vec<TimeSpread> = self.time_totals().into_values().collect();
+        let ratio = time_spread::ln_ratio(&times)?;
+        let count: u64 = times.iter().map(TimeSpread::target_times).sum();
+        (ratio <= HARMFUL_TIMES_LN_RATIO)
+            .then(|| format!("{count} times of answers with a log likelihood ratio of {ratio:.1}"))
     }
 
     /// Whether the answers of the new version are likelier from a good version than from a bad one: clearly by their times, by
@@ -160,18 +198,28 @@
         let mut known = cells.iter().filter(|cell| {
             cell.scope == CellScope::AllClasses || cell.counts.target_answers() >= MIN_CLASS_ANSWERS
         });
-        let sums = cells
-            .iter()
-            .filter(|cell| cell.scope == CellScope::AllClasses);
-        let by_times: f64 = sums
-            .filter(|cell| cell.aspect != AnswerAspect::Failure)
-            .map(EvidenceCell::ln_ratio)
-            .sum();
         known.all(|cell| cell.ln_ratio() >= 0.0)
-            && by_times >= PROVEN_LN_RATIO
+            && self.has_good_times(&cells)
             && !self.is_doubted()
     }
 
+    /// Whether the times of the new version's answers speak for it: clearly over all classes, and not against it in one.
+    ///
+    /// Without times of the old versions to compare with, the numbers of slow answers decide.
+    fn has_good_times(&self, cells: &[EvidenceCell]) -> bool {
+        let times: Vec<TimeSpread> = self.time_totals().into_values().collect();
+        let Some(over_all) = time_spread::ln_ratio(&times) else {
+            return slow_ln_ratio(cells) >= PROVEN_LN_RATIO;
+        };
+        let mut known = times
+            .iter()
+            .filter(|spread| spread.target_times() >= MIN_CLASS_ANSWERS);
+        let speaks_for = |spread: &TimeSpread| {
+            time_spread::ln_ratio(&[*spread]).is_none_or(|ratio| ratio >= 0.0)
+        };
+        over_all >= PROVEN_LN_RATIO && known.all(speaks_for)
+    }
+
     /// Counts of each class, and of each aspect over all classes.
     fn cells(&self) -> Vec<EvidenceCell> {
         let by_class = self.by_class();
@@ -251,6 +299,15 @@
     }
 }
 
+/// Natural logarithm of how much likelier the numbers of slow answers are from a good version than from a bad one.
+fn slow_ln_ratio(cells: &[EvidenceCell]) -> f64 {
+    let sums = cells
+        .iter()
+        .filter(|cell| cell.scope == CellScope::AllClasses);
+    let by_time = sums.filter(|cell| cell.aspect != AnswerAspect::Failure);
+    by_time.map(EvidenceCell::ln_ratio).sum()
+}
+
 /// Counts of `aspect` over all classes.
 fn aspect_sum(by_class: &BTreeMap<&str, ClassCounts>, aspect: AnswerAspect) -> ClassCounts {
     let classes = by_class.iter();
--- a/crates/decisions/src/rollout/evidence_row.rs
+++ b/crates/decisions/src/rollout/evidence_row.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::RolloutPhase;
+use super::{RolloutPhase, TimeSpread};
 
 closed_set! {
     /// Version that gave an answer.
@@ -85,6 +85,9 @@
         pub router: String,
         /// Counts by request class.
         pub classes: BTreeMap<String, ClassCounts>,
+        /// Times of answers, by request class.
+        #[serde(default)]
+        pub times: BTreeMap<String, TimeSpread>,
         /// Ongoing conversations on the old versions that the canary share would move, as [`conversation_mark`]s; none is
         /// ever removed.
         #[serde(default)]
@@ -122,16 +125,18 @@
 }
 
 impl EvidenceRow {
-    /// Counts the time of an answer to a request of `class`: its `ratio` to what is expected, and whether that is slow.
+    /// Counts the time of an answer to a request of `class`, which took `ratio` times the expected time, and whether that is slow.
     pub fn record_time(
         &mut self,
         class: &str,
         side: VersionSide,
         aspect: AnswerAspect,
-        _ratio: f64,
+        ratio: f64,
         quality: AnswerQuality,
     ) {
         self.record(class, side, aspect, quality);
+        let spread = self.times.entry(counted_class(class, aspect)).or_default();
+        spread.add(side, ratio);
     }
 }
 
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -6,7 +6,7 @@
 use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::quarantine::CrashRow;
 use ferry_decisions::registry::UpstreamRecord;
-use ferry_decisions::rollout::{ClassCounts, EvidenceRow, RolloutPhase};
+use ferry_decisions::rollout::{ClassCounts, EvidenceRow, RolloutPhase, TimeSpread};
 use serde::{Deserialize, Serialize};
 
 /// A request for the changes since a revision.
@@ -99,6 +99,9 @@
     pub elapsed_ms: u64,
     /// Counts of the fleet by request class.
     pub classes: BTreeMap<String, ClassCounts>,
+    /// Times of the fleet's answers by request class.
+    #[serde(default)]
+    pub times: BTreeMap<String, TimeSpread>,
     /// Marks of ongoing conversations on the old versions.
     #[serde(default)]
     pub ongoing: BTreeSet<u32>,
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -6,11 +6,12 @@
 use ferry_decisions::names::VersionName;
 use ferry_decisions::rollout::{
     AnswerAspect, AnswerQuality, ClassCounts, EvidencePool, EvidenceRow, ExposureBound, PlanInput,
-    RolloutOrder, RolloutPhase, RolloutPlan, VersionSide, conversation_mark,
+    RolloutOrder, RolloutPhase, RolloutPlan, TimeSpread, VersionSide, conversation_mark,
 };
 use ferry_decisions::time::MonotonicTime;
 
 use super::pace_model::PaceModel;
+use super::rollout_manager::RatedTime;
 use crate::relay::latency_model::LatencyModel;
 use crate::relay::upstreams::UpstreamDirectory;
 
@@ -118,20 +119,37 @@
         }
     }
 
-    /// Counts what is known of an answer; returns whether the evidence shows harm for the first time with it.
-    pub fn record(
+    /// Counts one aspect of an answer.
+    pub fn count(
         &mut self,
         class: &str,
         side: VersionSide,
-        ratings: &[(AnswerAspect, AnswerQuality)],
-        now: MonotonicTime,
-    ) -> bool {
-        if self.is_final() {
-            return false;
-        }
-        for (aspect, quality) in ratings {
-            self.own.record(class, side, *aspect, *quality);
+        aspect: AnswerAspect,
+        quality: AnswerQuality,
+    ) {
+        self.own.record(class, side, aspect, quality);
+    }
+
+    /// Counts the time of an answer. With all traffic a new version has more load than the old ones had, so that times are compared
+    /// only before.
+    pub(super) fn count_time(
+        &mut self,
+        class: &str,
+        side: VersionSide,
+        aspect: AnswerAspect,
+        rated: RatedTime,
+    ) {
+        let shares_traffic = self.phase != Some(RolloutPhase::Full);
+        match rated.ratio.filter(|_| shares_traffic) {
+            Some(ratio) => self
+                .own
+                .record_time(class, side, aspect, ratio, rated.quality),
+            None => self.own.record(class, side, aspect, rated.quality),
         }
+    }
+
+    /// Pools what was counted, and tests it after an answer of the new version; returns whether it shows harm for the first time.
+    pub fn test_answer(&mut self, side: VersionSide, now: MonotonicTime) -> bool {
         self.pool.merge(self.own.clone(), now);
         side == VersionSide::Target && self.test_for_harm()
     }
@@ -195,6 +213,11 @@
         self.pool.class_totals()
     }
 
+    /// Times of answers over the fleet, by request class.
+    pub fn time_totals(&self) -> BTreeMap<String, TimeSpread> {
+        self.pool.time_totals()
+    }
+
     /// Time since the roll-out started.
     pub fn elapsed(&self, now: MonotonicTime) -> Duration {
         now.since(self.started_at)
@@ -204,12 +227,13 @@
     pub fn apply_pooled(
         &mut self,
         classes: BTreeMap<String, ClassCounts>,
+        times: BTreeMap<String, TimeSpread>,
         ongoing: BTreeSet<u32>,
         elapsed: Duration,
         now: MonotonicTime,
     ) {
         self.started_at = self.started_at.min(now.before(elapsed));
-        self.pool.set_reported_totals(classes);
+        self.pool.set_reported_totals(classes, times);
         self.pool.add_ongoing(ongoing);
         self.exchanged_at = Some(now);
         self.test_for_harm();
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -20,6 +20,9 @@
 /// Streams whose mean pause is at most this long never count as slow.
 const MIN_SLOW_PAUSE: Duration = Duration::from_millis(20);
 
+/// Part of these times up to which a time counts as the expected one at most.
+const NOTICED_PART: f64 = 0.4;
+
 /// Restricts a request to the upstreams of the target version, or to those of the others.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionPick {
@@ -210,19 +213,43 @@
     /// Counts an answer or a failure as evidence, and wakes the exchange if it shows harm.
     pub fn record(&self, answer: &AnswerEvidence<'_>, now: MonotonicTime) {
         let mut active = self.active.lock();
-        let Some(rollout) = active.get_mut(answer.service) else {
+        let rollout = active.get_mut(answer.service);
+        let Some(rollout) = rollout.filter(|rollout| !rollout.is_final()) else {
             return;
         };
         let side = side_of(answer.version, rollout);
-        let quality = rate_answer(rollout, side, answer);
-        let rated = (rated_aspect(answer.sign), quality);
-        let not_failed = (AnswerAspect::Failure, AnswerQuality::Good);
-        let shows_harm = match answer.sign {
-            AnswerSign::Head(_) => rollout.record(answer.class, side, &[rated, not_failed], now),
-            AnswerSign::Pace(_) | AnswerSign::Overdue | AnswerSign::Failure => {
-                rollout.record(answer.class, side, &[rated], now)
+        match answer.sign {
+            AnswerSign::Head(took) => {
+                let rated = rate_head(rollout, side, answer, took);
+                rollout.count_time(answer.class, side, AnswerAspect::Head, rated);
+                rollout.count(
+                    answer.class,
+                    side,
+                    AnswerAspect::Failure,
+                    AnswerQuality::Good,
+                );
             }
-        };
+            AnswerSign::Pace(pause) => {
+                let rated = rate_pace(rollout, side, answer, pause);
+                rollout.count_time(answer.class, side, AnswerAspect::Pace, rated);
+            }
+            AnswerSign::Overdue => {
+                let rated = RatedTime {
+                    ratio: Some(known_phase(rollout).slow_factor()),
+                    quality: AnswerQuality::Bad,
+                };
+                rollout.count_time(answer.class, side, AnswerAspect::Head, rated);
+            }
+            AnswerSign::Failure => {
+                rollout.count(
+                    answer.class,
+                    side,
+                    AnswerAspect::Failure,
+                    AnswerQuality::Bad,
+                );
+            }
+        }
+        let shows_harm = rollout.test_answer(side, now);
         if shows_harm {
             self.wake.notify_one();
         }
@@ -237,43 +264,26 @@
     }
 }
 
-fn rated_aspect(sign: AnswerSign) -> AnswerAspect {
-    match sign {
-        AnswerSign::Head(_) | AnswerSign::Overdue => AnswerAspect::Head,
-        AnswerSign::Pace(_) => AnswerAspect::Pace,
-        AnswerSign::Failure => AnswerAspect::Failure,
-    }
-}
-
 /// Class of the usual time to the head.
 fn latency_class(answer: &AnswerEvidence<'_>) -> String {
     format!("{}/{}", answer.class, answer.model)
 }
 
-/// Rates an answer by what is usual at the old versions, whose own answers are rated in the same way: some of them are slow
-/// too, for example in a burst.
-fn rate_answer(
-    rollout: &mut ActiveRollout,
-    side: VersionSide,
-    answer: &AnswerEvidence<'_>,
-) -> AnswerQuality {
-    let is_slow = match answer.sign {
-        AnswerSign::Head(took) => is_slow_head(rollout, side, answer, took),
-        AnswerSign::Pace(pause) => is_slow_pace(rollout, side, answer, pause),
-        AnswerSign::Overdue | AnswerSign::Failure => true,
-    };
-    match is_slow {
-        true => AnswerQuality::Bad,
-        false => AnswerQuality::Good,
-    }
+/// Time of an answer as a multiple of the expected one, and whether that is slow; `None` while nothing is expected yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RatedTime {
+    pub(super) ratio: Option<f64>,
+    pub(super) quality: AnswerQuality,
 }
 
-fn is_slow_head(
+/// Rates the time to the head of an answer by what is usual at the old versions, whose own answers are rated in the same way: some
+/// of them are slow too, for example in a burst.
+fn rate_head(
     rollout: &mut ActiveRollout,
     side: VersionSide,
     answer: &AnswerEvidence<'_>,
     took: Duration,
-) -> bool {
+) -> RatedTime {
     let class = latency_class(answer);
     let factor = known_phase(rollout).slow_factor();
     let latency = &mut rollout.base_latency;
@@ -281,21 +291,41 @@
     if side == VersionSide::Base {
         latency.record(&class, took, answer.prompt_tokens);
     }
-    took > MIN_SLOW_LATENCY && ratio.is_some_and(|ratio| ratio > factor)
+    RatedTime::new(ratio, factor, took, MIN_SLOW_LATENCY)
 }
 
-fn is_slow_pace(
+/// Rates the pace of a stream in the same way.
+fn rate_pace(
     rollout: &mut ActiveRollout,
     side: VersionSide,
     answer: &AnswerEvidence<'_>,
     pause: Duration,
-) -> bool {
+) -> RatedTime {
     let factor = known_phase(rollout).slow_pace_factor();
     let ratio = rollout.base_pace.ratio(answer.model, pause);
     if side == VersionSide::Base {
         rollout.base_pace.record(answer.model, pause);
     }
-    pause > MIN_SLOW_PAUSE && ratio.is_some_and(|ratio| ratio > factor)
+    RatedTime::new(ratio, factor, pause, MIN_SLOW_PAUSE)
+}
+
+impl RatedTime {
+    /// Rates `took`, which is `ratio` times the expected time; slow from `factor` on, unless it is at most `least_slow`.
+    fn new(ratio: Option<f64>, factor: f64, took: Duration, least_slow: Duration) -> Self {
+        let is_slow = took > least_slow && ratio.is_some_and(|ratio| ratio > factor);
+        // Callers hardly notice how many times slower a very short time is.
+        let limit = match took > least_slow.mul_f64(NOTICED_PART) {
+            true => f64::INFINITY,
+            false => 1.0,
+        };
+        Self {
+            ratio: ratio.map(|ratio| ratio.min(limit)),
+            quality: match is_slow {
+                true => AnswerQuality::Bad,
+                false => AnswerQuality::Good,
+            },
+        }
+    }
 }
 
 fn known_phase(rollout: &ActiveRollout) -> RolloutPhase {
--- a/crates/router/src/relay/rollouts/rollout_pool.rs
+++ b/crates/router/src/relay/rollouts/rollout_pool.rs
@@ -30,6 +30,7 @@
         canary_share: rollout.canary_share(),
         elapsed_ms: rollout.elapsed(now).as_millis() as u64,
         classes: rollout.class_totals(),
+        times: rollout.time_totals(),
         ongoing: rollout.ongoing().clone(),
     })
 }
@@ -44,7 +45,7 @@
                 return;
             }
             let elapsed = Duration::from_millis(pooled.elapsed_ms);
-            rollout.apply_pooled(pooled.classes, pooled.ongoing, elapsed, now);
+            rollout.apply_pooled(pooled.classes, pooled.times, pooled.ongoing, elapsed, now);
             if let Some(phase) = pooled.phase {
                 rollout.enter(phase, pooled.canary_share, now);
             }
