Give each upstream of a canary about the load of an old one

Cause: the canary spread its requests over all upstreams of the new version, so that each had a tenth of the usual load; answers of idle slow upstreams were compared with those of busy sound ones. Class: two things are compared under different conditions. Change: in the canary phase as many upstreams of the new version get requests as have the load of the old ones then, the same at all routers; a suspect one is replaced by the next.

--- a/crates/decisions/src/rollout/rollout_plan.rs
+++ b/crates/decisions/src/rollout/rollout_plan.rs
@@ -107,6 +107,18 @@
         }
     }
 
+    /// Number of the new version's `target` upstreams that take the requests of `phase`, so that each of them has about the load of
+    /// one of the `base` old ones: a fault that needs load shows, and times can be compared.
+    pub fn target_upstreams(&self, phase: RolloutPhase, target: usize, base: usize) -> usize {
+        let is_canary = matches!(phase, RolloutPhase::Canary | RolloutPhase::Ramp);
+        if !is_canary || base == 0 {
+            return target;
+        }
+        let share = self.share(phase);
+        let needed = (base as f64 * share / (1.0 - share).max(f64::EPSILON)).round();
+        (needed as usize).clamp(1, target.max(1))
+    }
+
     /// Whether conversations that began on an old version must still stay on it.
     pub fn pins_old(&self, elapsed: Duration) -> bool {
         elapsed < self.pinned_time()
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -164,6 +164,28 @@
     assert_eq!(plan.next_phase(&too_few_answers, &bound()), None);
 }
 
+/// Guards against a fault that needs load: a canary over all of its upstreams gave each of them a tenth of the usual load.
+#[test]
+fn upstreams_of_a_canary_have_about_the_load_of_old_ones() {
+    for (share, upstreams) in [(0.08, 18), (0.1, 12), (0.02, 90), (0.15, 12)] {
+        let plan = RolloutPlan {
+            canary_share: share,
+            ..plan()
+        };
+        let used = plan.target_upstreams(RolloutPhase::Canary, upstreams, upstreams);
+        let load = share / used as f64;
+        let usual = (1.0 - share) / upstreams as f64;
+        assert!(
+            (0.6..1.6).contains(&(load / usual)),
+            "{used} of {upstreams}"
+        );
+    }
+    let few = plan().target_upstreams(RolloutPhase::Canary, 3, 3);
+    assert_eq!(few, 1);
+    assert_eq!(plan().target_upstreams(RolloutPhase::Full, 12, 12), 12);
+    assert_eq!(plan().target_upstreams(RolloutPhase::Completed, 12, 0), 12);
+}
+
 /// Guards against a canary that begins before routers know which conversations are ongoing at the others.
 #[test]
 fn a_version_gets_no_traffic_until_the_ongoing_conversations_are_exchanged() {
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -239,6 +239,11 @@
         self.test_for_harm();
     }
 
+    /// Time limit and shares.
+    pub fn plan(&self) -> RolloutPlan {
+        self.plan
+    }
+
     /// Fraction of the conversations that the first phase moves to the target; 0 until a phase is known.
     pub fn canary_share(&self) -> f64 {
         self.plan.canary_share
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -5,7 +5,7 @@
 
 use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::rollout::{
-    AnswerAspect, AnswerQuality, RolloutOrder, RolloutPhase, VersionSide,
+    AnswerAspect, AnswerQuality, RolloutOrder, RolloutPhase, RolloutPlan, VersionSide,
 };
 use ferry_decisions::time::MonotonicTime;
 use parking_lot::Mutex;
@@ -24,12 +24,14 @@
 const NOTICED_PART: f64 = 0.4;
 
 /// Restricts a request to the upstreams of the target version, or to those of the others.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct VersionPick {
     /// Version that the roll-out introduces.
     pub target: VersionName,
     /// Whether the request uses the target version or any other version.
     pub side: VersionSide,
+    /// Plan and phase, which bound the number of target upstreams in use; absent before the first phase.
+    pub spread: Option<(RolloutPlan, RolloutPhase)>,
 }
 
 /// An answer or a failure that counts as evidence about a version.
@@ -161,6 +163,7 @@
         let side = rollout.side(point, last, now);
         Some(VersionPick {
             target: rollout.order.target.clone(),
+            spread: rollout.phase.map(|phase| (rollout.plan(), phase)),
             side: if rollout.avoids_target(failed) {
                 VersionSide::Base
             } else {
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -10,6 +10,7 @@
 use ferry_decisions::hash_point;
 use ferry_decisions::names::{HostName, ServiceName, ZoneName};
 use ferry_decisions::rollout::VersionSide;
+use ferry_decisions::time::MonotonicTime;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -57,7 +58,7 @@
 ) -> Result<Arc<RelayUpstream>, NoUpstream> {
     let now = core.clock.now();
     let list = core.upstreams.of_service(service);
-    let mut eligible = allowed_versions(&list, pick);
+    let mut eligible = allowed_versions(&list, pick, now);
     eligible.retain(|upstream| upstream.pause_left().is_none());
     let mut views: SmallVec<[UpstreamView<'_>; INLINE_UPSTREAMS]> =
         eligible.iter().map(|upstream| upstream.view(now)).collect();
@@ -101,6 +102,7 @@
 fn allowed_versions<'a>(
     list: &'a [Arc<RelayUpstream>],
     pick: Option<&VersionPick>,
+    now: MonotonicTime,
 ) -> EligibleUpstreams<'a> {
     let Some(pick) = pick else {
         return list.iter().collect();
@@ -113,7 +115,37 @@
     if allowed.iter().all(|upstream| upstream.is_leaving()) {
         return list.iter().collect();
     }
-    allowed
+    match (pick.side, pick.spread) {
+        (VersionSide::Target, Some((plan, phase))) => {
+            let base = list.iter().filter(|upstream| !upstream.is_leaving());
+            let base = base.filter(|upstream| !allows(upstream)).count();
+            let count = plan.target_upstreams(phase, allowed.len(), base);
+            loaded_targets(allowed, count, now)
+        }
+        _ => allowed,
+    }
+}
+
+/// The first `count` of the upstreams of a new version that can take requests, the same at all routers; all if none can.
+fn loaded_targets(
+    allowed: EligibleUpstreams<'_>,
+    count: usize,
+    now: MonotonicTime,
+) -> EligibleUpstreams<'_> {
+    let is_usable = |upstream: &RelayUpstream| {
+        upstream.pause_left().is_none() && upstream.view(now).state == UpstreamState::Live
+    };
+    let usable = allowed
+        .iter()
+        .copied()
+        .filter(|upstream| is_usable(upstream));
+    let mut usable: EligibleUpstreams<'_> = usable.collect();
+    if usable.is_empty() {
+        return allowed;
+    }
+    usable.sort_by(|one, other| one.id().cmp(other.id()));
+    usable.truncate(count);
+    usable
 }
 
 /// Affinity key: requests that share a long part of their prompt and use the same model prefer the same upstream.
