Compare times with the old ones from four answers on, and count none as good before

Class: absence of evidence taken for evidence. Change: a time without one to compare it with is not counted; four answers of a class suffice in a roll-out.

--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -21,7 +21,7 @@
 const CHANGE_ANSWERS: f64 = 150.0;
 /// Natural logarithm of the likelihood ratio at which the latest answers speak against a version by their times: 1 to 90.
 const DOUBTED_BY_TIMES: f64 = -4.5;
-/// The same by their failures: 1 to 5, which a single failure does not reach.
+/// The same by their failures: 1 to 5, which a single failure reaches only where the old versions have hardly any.
 const DOUBTED_BY_FAILURES: f64 = -1.6;
 /// Aspects of answers, each of which has tests of its own: what one rarely is, another may often be.
 const ASPECTS: [AnswerAspect; 3] = [
--- a/crates/router/src/relay/latency_model.rs
+++ b/crates/router/src/relay/latency_model.rs
@@ -5,15 +5,17 @@
 
 /// Weight of the newest response in the mean.
 const NEWEST_WEIGHT: f64 = 0.05;
-/// Minimum number of recorded responses for the mean to be used.
+/// Default number of recorded responses from which the mean is used.
 const MIN_ANSWERS: u32 = 8;
 /// The fixed part of the latency, expressed as a number of prompt tokens that take as long.
 const FIXED_TOKENS: f64 = 1_500.0;
 
 /// Mean latency of responses by class; the names of the classes include the model.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LatencyModel {
     means: HashMap<String, LatencyMean>,
+    /// Number of recorded responses from which a mean is used.
+    min_answers: u32,
 }
 
 /// Mean latency of one class.
@@ -25,7 +27,21 @@
     answers: u32,
 }
 
+impl Default for LatencyModel {
+    fn default() -> Self {
+        Self::with_min_answers(MIN_ANSWERS)
+    }
+}
+
 impl LatencyModel {
+    /// A model that uses a mean from `min_answers` responses on.
+    pub fn with_min_answers(min_answers: u32) -> Self {
+        Self {
+            means: HashMap::new(),
+            min_answers,
+        }
+    }
+
     /// Records that a response to a prompt of `prompt_tokens` tokens took `took` to begin.
     pub fn record(&mut self, class: &str, took: Duration, prompt_tokens: u32) {
         let latency = seconds_per_token(took, prompt_tokens);
@@ -54,7 +70,7 @@
 
     fn known(&self, class: &str) -> Option<f64> {
         let mean = self.means.get(class)?;
-        (mean.answers >= MIN_ANSWERS && mean.value > 0.0).then_some(mean.value)
+        (mean.answers >= self.min_answers && mean.value > 0.0).then_some(mean.value)
     }
 }
 
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -15,6 +15,8 @@
 use crate::relay::latency_model::LatencyModel;
 use crate::relay::upstreams::UpstreamDirectory;
 
+/// Answers of the old versions at this router from which their mean time is compared with: few, since a roll-out is short.
+const MIN_BASE_ANSWERS: u32 = 4;
 /// Age of the last exchange with the fleet at which conversations are no longer moved to the new version.
 const MAX_EXCHANGE_AGE: Duration = Duration::from_millis(2_500);
 /// Age beyond which a router's row is not counted for the requests in flight on the old versions.
@@ -63,7 +65,7 @@
                 router: router.to_owned(),
                 ..EvidenceRow::default()
             },
-            base_latency: LatencyModel::default(),
+            base_latency: LatencyModel::with_min_answers(MIN_BASE_ANSWERS),
             base_pace: PaceModel::default(),
             clients: BTreeMap::new(),
             pool: EvidencePool::default(),
@@ -130,8 +132,8 @@
         self.own.record(class, side, aspect, quality);
     }
 
-    /// Counts the time of an answer. With all traffic a new version has more load than the old ones had, so that times are compared
-    /// only before.
+    /// Counts the time of an answer, unless nothing is known to compare it with. With all traffic a new version has more load than the
+    /// old ones had, so that times are compared only before.
     pub(super) fn count_time(
         &mut self,
         class: &str,
@@ -139,12 +141,14 @@
         aspect: AnswerAspect,
         rated: RatedTime,
     ) {
-        let shares_traffic = self.phase != Some(RolloutPhase::Full);
-        match rated.ratio.filter(|_| shares_traffic) {
-            Some(ratio) => self
+        let Some(ratio) = rated.ratio else {
+            return;
+        };
+        match self.phase {
+            Some(RolloutPhase::Full) => self.own.record(class, side, aspect, rated.quality),
+            _ => self
                 .own
                 .record_time(class, side, aspect, ratio, rated.quality),
-            None => self.own.record(class, side, aspect, rated.quality),
         }
     }
 
