Keep the sums of the roll-out evidence, and test only after new answers of the new version

Cause: a router that others sync from added up the rows of all routers, and ran all tests, at each of their queries. Change: the sums grow with the merged rows; a test runs only if the new version has answers that were not tested. Rows are merged by reference.

--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -34,6 +34,12 @@
 #[derive(Debug, Default)]
 pub struct EvidencePool {
     rows: HashMap<String, ReceivedRow>,
+    /// Sums of the counts in `rows`, by class.
+    class_sums: BTreeMap<String, ClassCounts>,
+    /// Sums of the times in `rows`, by class.
+    time_sums: BTreeMap<String, TimeSpread>,
+    /// Answers of the new version, by all aspects, at the last test.
+    tested_answers: u64,
     /// Ongoing conversations of all routers.
     ongoing: BTreeSet<u32>,
     /// Fleet-wide counts by class, as last reported by a router that has all rows.
@@ -61,27 +67,38 @@
     received_at: MonotonicTime,
 }
 
+impl ReceivedRow {
+    /// A row of `router` without counts.
+    fn new(router: &str, now: MonotonicTime) -> Self {
+        Self {
+            row: EvidenceRow {
+                router: router.to_owned(),
+                ..EvidenceRow::default()
+            },
+            received_at: now,
+        }
+    }
+}
+
 impl EvidencePool {
     /// Merges a row received at `now`. Order and repetition do not change the counts.
-    pub fn merge(&mut self, row: EvidenceRow, now: MonotonicTime) {
+    pub fn merge(&mut self, row: &EvidenceRow, now: MonotonicTime) {
         self.ongoing.extend(&row.ongoing);
-        let Some(held) = self.rows.get_mut(&row.router) else {
-            self.rows.insert(
-                row.router.clone(),
-                ReceivedRow {
-                    row,
-                    received_at: now,
-                },
-            );
-            return;
-        };
+        let held = self.rows.entry(row.router.clone());
+        let held = held.or_insert_with(|| ReceivedRow::new(&row.router, now));
         for (class, counts) in &row.classes {
-            let joined = held.row.classes.entry(class.clone()).or_default();
-            *joined = joined.join(*counts);
+            let known = held.row.classes.entry(class.clone()).or_default();
+            let joined = known.join(*counts);
+            let sum = self.class_sums.entry(class.clone()).or_default();
+            *sum = sum.with_growth(*known, joined);
+            *known = joined;
         }
         for (class, spread) in &row.times {
-            let joined = held.row.times.entry(class.clone()).or_default();
-            *joined = joined.join(*spread);
+            let known = held.row.times.entry(class.clone()).or_default();
+            let joined = known.join(*spread);
+            let sum = self.time_sums.entry(class.clone()).or_default();
+            *sum = sum.with_growth(*known, joined);
+            *known = joined;
         }
         if row.elapsed_ms >= held.row.elapsed_ms {
             held.row.elapsed_ms = row.elapsed_ms;
@@ -122,12 +139,7 @@
 
     /// Fleet-wide times by class.
     pub fn time_totals(&self) -> BTreeMap<String, TimeSpread> {
-        let mut sums: BTreeMap<String, TimeSpread> = BTreeMap::new();
-        let rows = self.rows.values();
-        for (class, spread) in rows.flat_map(|received| &received.row.times) {
-            let sum = sums.entry(class.clone()).or_default();
-            *sum = sum.plus(*spread);
-        }
+        let mut sums = self.time_sums.clone();
         for (class, spread) in &self.reported_times {
             let sum = sums.entry(class.clone()).or_default();
             *sum = sum.join(*spread);
@@ -147,8 +159,13 @@
         aspect_sum(&self.by_class(), AnswerAspect::Failure).target_answers()
     }
 
-    /// Runs the tests and describes the harm if one of them trips.
+    /// Runs the tests if the new version has answers that are not tested yet, and describes the harm if one of them trips.
     pub fn detect_harm(&mut self) -> Option<String> {
+        let answers = self.totals().target_answers();
+        if answers == self.tested_answers {
+            return None;
+        }
+        self.tested_answers = answers;
         let cells = self.cells();
         for cell in cells
             .iter()
@@ -268,13 +285,9 @@
     }
 
     fn by_class(&self) -> BTreeMap<&str, ClassCounts> {
-        let mut sums: BTreeMap<&str, ClassCounts> = BTreeMap::new();
-        for received in self.rows.values() {
-            for (class, counts) in &received.row.classes {
-                let sum = sums.entry(class).or_default();
-                *sum = sum.plus(*counts);
-            }
-        }
+        let own = self.class_sums.iter();
+        let mut sums: BTreeMap<&str, ClassCounts> =
+            own.map(|(class, sum)| (class.as_str(), *sum)).collect();
         for (class, counts) in &self.reported {
             let sum = sums.entry(class).or_default();
             *sum = sum.join(*counts);
--- a/crates/decisions/src/rollout/evidence_row.rs
+++ b/crates/decisions/src/rollout/evidence_row.rs
@@ -174,6 +174,17 @@
         }
     }
 
+    /// This sum after one of its counts has grown from `before` to `after`.
+    #[must_use]
+    pub(super) fn with_growth(self, before: Self, after: Self) -> Self {
+        Self {
+            target_good: self.target_good + after.target_good - before.target_good,
+            target_bad: self.target_bad + after.target_bad - before.target_bad,
+            base_good: self.base_good + after.base_good - before.base_good,
+            base_bad: self.base_bad + after.base_bad - before.base_bad,
+        }
+    }
+
     /// Answers of the new version, good and bad.
     pub fn target_answers(&self) -> u64 {
         self.target_good + self.target_bad
--- a/crates/decisions/src/rollout/time_spread.rs
+++ b/crates/decisions/src/rollout/time_spread.rs
@@ -66,6 +66,18 @@
         }
     }
 
+    /// This sum after one of its spreads has grown from `before` to `after`.
+    #[must_use]
+    pub(super) fn with_growth(self, before: Self, after: Self) -> Self {
+        let grown = |sum: StepCounts, before: StepCounts, after: StepCounts| {
+            std::array::from_fn(|step| sum[step] + after[step] - before[step])
+        };
+        Self {
+            target: grown(self.target, before.target, after.target),
+            base: grown(self.base, before.base, after.base),
+        }
+    }
+
     /// Number of times of the new version.
     pub fn target_times(&self) -> u64 {
         total(&self.target)
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -84,7 +84,7 @@
             elapsed_ms: number,
             ..EvidenceRow::default()
         };
-        pool.merge(row, MonotonicTime(number as i64));
+        pool.merge(&row, MonotonicTime(number as i64));
         if pool.detect_harm().is_some() {
             return Some(counts.target_bad);
         }
@@ -207,7 +207,7 @@
     for (router, mark) in [("a", 7), ("b", 9), ("a", 8)] {
         let ongoing = [mark].into_iter().collect();
         pool.merge(
-            EvidenceRow {
+            &EvidenceRow {
                 ongoing,
                 ..row(router, 0, 0)
             },
@@ -244,7 +244,7 @@
 fn few_answers_prove_a_version_only_if_nearly_all_are_good() {
     let is_proven = |good, bad| {
         let mut pool = EvidencePool::default();
-        pool.merge(row("a", good, bad), MonotonicTime(1));
+        pool.merge(&row("a", good, bad), MonotonicTime(1));
         pool.is_proven()
     };
     assert!(is_proven(8, 0));
@@ -429,7 +429,7 @@
         }
         self.row.elapsed_ms += 50;
         let now = MonotonicTime(self.row.elapsed_ms as i64 * 1_000_000);
-        self.pool.merge(self.row.clone(), now);
+        self.pool.merge(&self.row, now);
         side == VersionSide::Target && self.pool.detect_harm().is_some()
     }
 
@@ -528,7 +528,7 @@
             .record_time("letters", side, AnswerAspect::Head, ratio, quality);
         self.row.elapsed_ms += 50;
         let now = MonotonicTime(self.row.elapsed_ms as i64 * 1_000_000);
-        self.pool.merge(self.row.clone(), now);
+        self.pool.merge(&self.row, now);
         if side == VersionSide::Target {
             self.has_harm |= self.pool.detect_harm().is_some();
         }
@@ -646,7 +646,7 @@
 #[test]
 fn totals_reported_by_a_peer_never_lower_known_counts() {
     let mut pool = EvidencePool::default();
-    pool.merge(row("a", 10, 5), MonotonicTime(1));
+    pool.merge(&row("a", 10, 5), MonotonicTime(1));
     let reported = ClassCounts {
         target_good: 30,
         target_bad: 2,
@@ -668,7 +668,7 @@
         let mut pool = EvidencePool::default();
         let again = order[repeated.index(order.len())].clone();
         for (number, row) in order.into_iter().chain([again]).enumerate() {
-            pool.merge(row, MonotonicTime(number as i64));
+            pool.merge(&row, MonotonicTime(number as i64));
         }
         let totals = pool.totals();
         prop_assert_eq!((totals.target_good, totals.target_bad), (9 + 9 + 9, 3 + 3 + 3));
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -154,7 +154,7 @@
 
     /// Pools what was counted, and tests it after an answer of the new version; returns whether it shows harm for the first time.
     pub fn test_answer(&mut self, side: VersionSide, now: MonotonicTime) -> bool {
-        self.pool.merge(self.own.clone(), now);
+        self.pool.merge(&self.own, now);
         side == VersionSide::Target && self.test_for_harm()
     }
 
@@ -169,7 +169,7 @@
         self.own
             .ongoing
             .extend(points.into_iter().map(conversation_mark));
-        self.pool.merge(self.own.clone(), now);
+        self.pool.merge(&self.own, now);
     }
 
     /// Marks of the conversations that routers reported as ongoing.
@@ -185,7 +185,7 @@
         self.own.old_in_flight = upstreams.in_flight_except(service, target);
         self.own.phase = self.phase;
         self.own.elapsed_ms = self.elapsed(now).as_millis() as u64;
-        self.pool.merge(self.own.clone(), now);
+        self.pool.merge(&self.own, now);
         self.own.clone()
     }
 
@@ -194,7 +194,7 @@
         for row in rows {
             let started_at = now.before(Duration::from_millis(row.elapsed_ms));
             self.started_at = self.started_at.min(started_at);
-            self.pool.merge(row, now);
+            self.pool.merge(&row, now);
         }
         self.exchanged_at = Some(now);
         self.test_for_harm();
@@ -202,8 +202,8 @@
 
     /// Merges the row of a router that syncs from this one.
     pub fn merge_client_row(&mut self, row: EvidenceRow, now: MonotonicTime) {
-        self.clients.insert(row.router.clone(), row.clone());
-        self.pool.merge(row, now);
+        self.pool.merge(&row, now);
+        self.clients.insert(row.router.clone(), row);
         self.test_for_harm();
     }
 
