Move the rating of times out of the roll-out manager

Cause: rollout_manager.rs had grown to hold the roll-outs and the rating of each answer. Change: the rating of heads and paces stands in rated_time.rs, as it was.

--- a/crates/router/src/relay/rollouts.rs
+++ b/crates/router/src/relay/rollouts.rs
@@ -3,6 +3,7 @@
 
 mod active_rollout;
 mod pace_model;
+mod rated_time;
 mod rollout_exchange;
 mod rollout_manager;
 mod rollout_pool;
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -11,7 +11,7 @@
 use ferry_decisions::time::MonotonicTime;
 
 use super::pace_model::PaceModel;
-use super::rollout_manager::RatedTime;
+use super::rated_time::RatedTime;
 use crate::relay::latency_model::LatencyModel;
 use crate::relay::upstreams::UpstreamDirectory;
 
