Keep the port of a crashed stand-in from other sockets, and end the soak's supervisors with their run

Cause, by strace of the soak: a crashed stand-in tries for good to bind its port (33051, EADDRINUSE), which another listener of the same process was given while the stand-in was down. Change: a stand-in reserves its port with a second socket that does not listen; connections to it are still refused. The supervisors of crashing upstreams end with the run. Product code is not touched.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
+use tokio::net::TcpSocket;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -52,6 +53,8 @@
 #[derive(Debug)]
 struct ServerInner {
     address: SocketAddr,
+    /// Keeps the main port from other sockets while the stand-in is crashed.
+    _reservation: TcpSocket,
     control: ServerHandle,
     /// Server of the main port; absent while the stand-in is crashed or stopped.
     main: Mutex<Option<ServerHandle>>,
@@ -70,6 +73,17 @@
 #[derive(Debug)]
 struct RestartOrder;
 
+/// Binds a socket to `address`, or to a free port if its port is 0, without listening; one that listens may be bound beside it.
+fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 impl StandinServer {
     /// Serves `api` at `address`, with the control port on a free port of the same IP address.
     pub(crate) async fn start(
@@ -86,9 +100,14 @@
             restarts,
         };
         let control = context.clone().serve_control(address).await?;
-        let main = context.clone().serve_main(address).await?;
+        let reservation = reserve(address)?;
+        let main = context
+            .clone()
+            .serve_main(reservation.local_addr()?)
+            .await?;
         let inner = ServerInner {
             address: main.address,
+            _reservation: reservation,
             control,
             main: Mutex::new(Some(main)),
             context,
--- a/crates/standin/tests/standin/faults.rs
+++ b/crates/standin/tests/standin/faults.rs
@@ -7,6 +7,7 @@
 use ferry_platform::log::LogClient;
 use ferry_standin::faults::{CrashOrder, SlowOrder};
 use ferry_standin::{EngineOptions, EngineStandin, FaultOrder, PlatformOptions, PlatformStandin};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
 use crate::calls::{TEST_TIMEOUT, chat, chat_call, eventually, read_text, send, stream_chunks};
@@ -149,3 +150,15 @@
     platform.stop().await;
     assert!(reading.await.unwrap().unwrap().records.is_empty());
 }
+
+/// Guards against a restart that waits for good, since another socket was given the port of a crashed stand-in.
+#[tokio::test]
+async fn the_port_of_a_crashed_engine_is_not_given_to_another_socket() {
+    let engine = engine().await;
+    engine.crash().await;
+    let other = TcpSocket::new_v4().unwrap();
+    assert!(other.bind(engine.address()).is_err());
+    assert!(TcpStream::connect(engine.address()).await.is_err());
+    engine.restart().await;
+    assert!(TcpStream::connect(engine.address()).await.is_ok());
+}
--- a/tests/soak/part_load.rs
+++ b/tests/soak/part_load.rs
@@ -14,6 +14,7 @@
 use ferry_platform::headers::CallerHeaders;
 use ferry_rig::{CrashingUpstream, DownPort, fixture_headers, fixture_request};
 use ferry_standin::{ReplicaOptions, ReplicaPlan};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep};
 
 use crate::caller_load::CALL_TIMEOUT;
@@ -90,9 +91,10 @@
     stop: Arc<AtomicBool>,
 ) -> PartRecord {
     let mut upstreams = Vec::new();
+    let mut supervision = JoinSet::new();
     for number in 0..UPSTREAM_COUNT {
         let upstream = start_upstream(&fleet, scenario, number).await;
-        tokio::spawn(upstream.clone().supervise());
+        supervision.spawn(upstream.clone().supervise());
         upstreams.push(upstream);
     }
     let mut relays = Vec::new();
