--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -126,7 +126,8 @@
     }
 }
 
-/// The first `count` of the upstreams of a new version that can take requests, the same at all routers; all if none can.
+/// The first `count` by id of the upstreams of a new version that can take requests; all if none can. Routers differ only in which
+/// of them they find usable.
 fn loaded_targets(
     allowed: EligibleUpstreams<'_>,
     count: usize,
