Log reads that end before the end of their topic, and whether a refusing router syncs from another one

Change: one line for each read that ended before the end of its topic (position, records, bytes, end), and synced in the line of a refusal.

--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -59,6 +59,7 @@
             reason = refusal.reason.name(),
             status = refusal.status().as_u16(),
             rules_age_ms = core.rules_confirmed.age().as_millis() as u64,
+            synced = core.fleet.is_synced_from_peer(),
         });
     })
 }
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ferry_platform::store::{
-    KeyedRecord, ReadQuery, StoreClient, StoreError, TopicPartition, decode_keyed,
+    KeyedRecord, ReadBatch, ReadQuery, StoreClient, StoreError, TopicPartition, decode_keyed,
 };
 
 /// Result of one call of [`TopicReader::next`].
@@ -60,7 +60,11 @@
             .await
         {
             Ok(batch) => {
-                self.position = Some(from + batch.records.len() as u64);
+                let position = from + batch.records.len() as u64;
+                if position < batch.end {
+                    self.log_short_read(from, &batch);
+                }
+                self.position = Some(position);
                 let records = batch.records.iter();
                 Ok(TopicChanges {
                     whole: false,
@@ -94,6 +98,18 @@
         })
     }
 
+    /// Logs a read that ended before the end of the topic.
+    fn log_short_read(&self, from: u64, batch: &ReadBatch) {
+        let contents = batch.records.iter().map(|record| record.content.len());
+        spdlog::info!("read ended before the end of the topic", kv: {
+            topic = self.topic,
+            from = from,
+            records = batch.records.len(),
+            bytes = contents.sum::<usize>(),
+            end = batch.end,
+        });
+    }
+
     fn partition(&self) -> TopicPartition<'static> {
         TopicPartition::only(self.topic)
     }
