Long histories of the store's topics over a small link, in three tests that fail, and the store's limits in its stand-in

Change: the stand-in holds a response to 1 MiB (reads and pages) as the store does, and tests can set the speed of a response and the calls a second. A read names the bytes that it takes (1 MiB, as before). Result: on the present logic all three fail. A router behind by 250 configurations of 24 KB refuses a new route with 404 later than 3 s (100 to 104 requests); one that reads the store again has a change in force after 7.0 s; an upstream that leaves behind 20,000 entries of others gets 9 to 34 requests after its bound.

--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -8,7 +8,8 @@
 use ferry_decisions::rollout::{EvidenceRow, ExposureBound, RolloutPhase, RolloutPlan};
 use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, rollout_key};
 use ferry_platform::store::{
-    AppendCondition, ReadQuery, STATUS_TOPIC, StoreError, StoreRecord, TopicPartition, encode_keyed,
+    AppendCondition, RESPONSE_BYTES, ReadQuery, STATUS_TOPIC, StoreError, StoreRecord,
+    TopicPartition, encode_keyed,
 };
 use tokio::time::{sleep, timeout};
 
@@ -243,6 +244,7 @@
         let query = ReadQuery {
             from: self.evidence_offset,
             wait: Duration::ZERO,
+            most_bytes: RESPONSE_BYTES,
         };
         let batch = match self.core.store.read(EVIDENCE, query).await {
             Err(StoreError::Trimmed { first }) => {
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use ferry_platform::store::{
-    KeyedRecord, ReadBatch, ReadQuery, StoreClient, StoreError, TopicPartition, decode_keyed,
+    KeyedRecord, RESPONSE_BYTES, ReadBatch, ReadQuery, StoreClient, StoreError, TopicPartition,
+    decode_keyed,
 };
 
 /// Result of one call of [`TopicReader::next`].
@@ -54,11 +55,12 @@
         let Some(from) = self.position else {
             return self.list().await;
         };
-        match self
-            .store
-            .read(self.partition(), ReadQuery { from, wait })
-            .await
-        {
+        let query = ReadQuery {
+            from,
+            wait,
+            most_bytes: RESPONSE_BYTES,
+        };
+        match self.store.read(self.partition(), query).await {
             Ok(batch) => {
                 let position = from + batch.records.len() as u64;
                 if position < batch.end {
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod events;
 mod failures;
 mod feeds;
+mod histories;
 mod raw_replica;
 mod requests;
 mod retry_budget;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -2,11 +2,14 @@
 //! without keys.
 //!
 //! Records of the operator and the upstreams are written with [`StoreStandin::put`]. Faults are
-//! injected as into every stand-in; an outage can be limited to paths with a given prefix.
+//! injected as into every stand-in; an outage can be limited to paths with a given prefix. A response holds a limited number of
+//! bytes, and tests may limit the link and the calls per second too.
 
+mod store_limits;
 mod store_state;
 mod topic_log;
 
+pub use store_limits::StoreLimits;
 pub(crate) use store_state::StoreState;
 
 use std::io;
@@ -54,6 +57,11 @@
         self.state.compact(topic);
     }
 
+    /// Sets the limits of the link and of the calls per second.
+    pub fn limit(&self, limits: StoreLimits) {
+        self.state.limit(limits);
+    }
+
     /// Number of calls received so far.
     pub fn calls(&self) -> u64 {
         self.state.calls()
--- a/crates/standin/src/store/store_state.rs
+++ b/crates/standin/src/store/store_state.rs
@@ -15,6 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
+use super::StoreLimits;
+use super::store_limits::LimitGate;
 use super::topic_log::TopicLog;
 use crate::reply;
 
@@ -29,6 +31,7 @@
     /// Number of appends, whose change wakes waiting reads.
     appends: watch::Sender<u64>,
     calls: AtomicU64,
+    limits: LimitGate,
 }
 
 impl Default for StoreState {
@@ -37,6 +40,7 @@
             topics: Mutex::default(),
             appends: watch::Sender::new(0),
             calls: AtomicU64::new(0),
+            limits: LimitGate::default(),
         }
     }
 }
@@ -60,6 +64,10 @@
         self.with_log(topic, 0, TopicLog::compact);
     }
 
+    pub(super) fn limit(&self, limits: StoreLimits) {
+        self.limits.set(limits);
+    }
+
     pub(super) fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
     }
@@ -67,6 +75,10 @@
     /// Answers a call of the store's published protocol.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
         self.calls.fetch_add(1, Ordering::Relaxed);
+        if !self.limits.admit() {
+            let message = "more calls a second than the store takes; call again later";
+            return reply::error(StatusCode::TOO_MANY_REQUESTS, message);
+        }
         let (head, body) = request.into_parts();
         let Some((partition, call)) = StoreCall::parse(&head.method, &head.uri) else {
             return reply::error(StatusCode::NOT_FOUND, "no such call; see the store's page");
@@ -84,7 +96,7 @@
                 .into()),
         };
         match result {
-            Ok(body) => Response::new(full(body)),
+            Ok(body) => Response::new(self.limits.paced(body)),
             Err(error) => {
                 let (status, body) = encode_refusal(&error);
                 let mut response = Response::new(full(body));
@@ -124,7 +136,7 @@
         let until = Instant::now() + query.wait;
         let mut appends = self.appends.subscribe();
         loop {
-            let batch = self.with_log(topic, part, |log| log.read(query.from))?;
+            let batch = self.with_log(topic, part, |log| log.read(query))?;
             if !batch.records.is_empty() {
                 return Ok(encode_batch(&batch));
             }
--- a/crates/standin/src/store/topic_log.rs
+++ b/crates/standin/src/store/topic_log.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use ferry_platform::store::{
-    AppendCondition, Appended, KeyedEntry, KeyedPage, ReadBatch, StoreError, StoreRecord,
-    decode_keyed,
+    AppendCondition, Appended, KeyedEntry, KeyedPage, LENGTH_BYTES, RESPONSE_BYTES, ReadBatch,
+    ReadQuery, StoreError, StoreRecord, decode_keyed,
 };
 
 /// Maximum number of entries in one page.
@@ -47,13 +47,21 @@
         })
     }
 
-    /// Reads all records, starting at offset `from`.
-    pub(super) fn read(&self, from: u64) -> Result<ReadBatch, StoreError> {
+    /// Reads records from an offset on: as many as a response may hold, but at least one.
+    pub(super) fn read(&self, query: ReadQuery) -> Result<ReadBatch, StoreError> {
+        let from = query.from;
         if from < self.first {
             return Err(StoreError::Trimmed { first: self.first });
         }
         let skipped = (from - self.first) as usize;
-        let contents = self.records.iter().skip(skipped).cloned();
+        let limit = query.most_bytes.min(RESPONSE_BYTES);
+        let mut bytes = 0;
+        let contents = self.records.iter().skip(skipped).enumerate();
+        let contents = contents.take_while(|(number, content)| {
+            bytes += content.len() + LENGTH_BYTES;
+            *number == 0 || bytes <= limit
+        });
+        let contents = contents.map(|(_, content)| content.clone());
         let records = contents
             .zip(from..)
             .map(|(content, offset)| StoreRecord { offset, content });
@@ -71,10 +79,20 @@
             .newest
             .range::<str, _>((start, std::ops::Bound::Unbounded))
             .map(|(_, entry)| entry.clone());
-        let entries: Vec<KeyedEntry> = rest.by_ref().take(PAGE_ENTRIES).collect();
+        let mut bytes = 0;
+        let mut entries: Vec<KeyedEntry> = Vec::new();
+        let mut has_more = false;
+        for entry in rest.by_ref() {
+            bytes += entry.key.len() + entry.value.len();
+            if entries.len() == PAGE_ENTRIES || (bytes > RESPONSE_BYTES && !entries.is_empty()) {
+                has_more = true;
+                break;
+            }
+            entries.push(entry);
+        }
         KeyedPage {
             entries,
-            has_more: rest.next().is_some(),
+            has_more,
             end: self.end(),
         }
     }
