--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -53,7 +53,9 @@
                 outages.record_success();
                 let rows = changes.records.iter().filter_map(decode_row).collect();
                 apply_stored(&core, rows);
-                sleep(READ_INTERVAL).await;
+                if changes.reaches_end {
+                    sleep(READ_INTERVAL).await;
+                }
             }
             Err(error) => {
                 outages.record_failure(&error);
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -36,9 +36,11 @@
         };
         match reader.next(wait).await {
             Ok(changes) => {
-                let confirmed = confirmed_at(requested_at, &changes);
+                let confirmed = confirmed_at(requested_at, wait, &changes);
                 apply(&core, changes.records);
-                core.rules_confirmed.confirm(confirmed);
+                if let Some(moment) = confirmed {
+                    core.rules_confirmed.confirm(moment);
+                }
                 outages.record_success();
             }
             Err(error) => {
@@ -49,16 +51,22 @@
     }
 }
 
-/// Latest moment at which the store certainly held nothing newer than the records that were read.
+/// Latest moment at which the store certainly held nothing newer than the records that were read; `None` if the read ended before
+/// the end of the topic.
 ///
-/// An empty response is sent only at the end of the wait. Any other response may have been on its way
+/// An empty response is sent only at the end of `wait`. Any other response may have been on its way
 /// since the request, so that only the time of the request is certain.
-fn confirmed_at(requested_at: Duration, changes: &TopicChanges) -> Duration {
-    let waited = ConfirmationTime::now().saturating_sub(requested_at) >= READ_WAIT;
-    if waited && !changes.whole && changes.records.is_empty() {
-        return requested_at + READ_WAIT;
-    }
-    requested_at
+fn confirmed_at(
+    requested_at: Duration,
+    wait: Duration,
+    changes: &TopicChanges,
+) -> Option<Duration> {
+    let waited = !changes.whole && changes.records.is_empty();
+    let moment = match waited {
+        true => requested_at + wait,
+        false => requested_at,
+    };
+    changes.reaches_end.then_some(moment)
 }
 
 /// Applies records of the operator, and publishes them to the routers that sync from this one.
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -14,6 +14,9 @@
     pub whole: bool,
     /// Changed records, in the order of the topic.
     pub records: Vec<KeyedRecord>,
+    /// Whether they are all records that the topic had at the time of the response. Others follow at once if not, and nothing is
+    /// known of what they change.
+    pub reaches_end: bool,
 }
 
 /// Reader of one topic, with its position.
@@ -71,6 +74,7 @@
                 Ok(TopicChanges {
                     whole: false,
                     records: records.filter_map(decode_keyed).collect(),
+                    reaches_end: position >= batch.end,
                 })
             }
             Err(StoreError::Trimmed { first }) => {
@@ -97,6 +101,7 @@
         Ok(TopicChanges {
             whole: true,
             records: records.collect(),
+            reaches_end: true,
         })
     }
 
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -37,8 +37,11 @@
         "the upstreams' topic is read again",
     );
     wait_for_sync(&core).await;
+    let mut is_behind = false;
     loop {
-        ticks.tick().await;
+        if !is_behind {
+            ticks.tick().await;
+        }
         core.fleet.wait_until_unsynced().await;
         if core.fleet.take_older_list() {
             reader.restart();
@@ -48,15 +51,17 @@
             Ok(changes) => changes,
             Err(error) => {
                 outages.record_failure(&error);
+                is_behind = false;
                 continue;
             }
         };
         outages.record_success();
         let now = core.clock.now();
         // Before the first list there is no entry that an outage could have removed.
-        let had_outage =
-            core.upstreams.is_listed() && core.upstreams_confirmed.age() > period * OUTAGE_READS;
-        core.upstreams_confirmed.confirm(requested_at);
+        let had_outage = !is_behind
+            && core.upstreams.is_listed()
+            && core.upstreams_confirmed.age() > period * OUTAGE_READS;
+        is_behind = !changes.reaches_end;
         let mut registry = core.registry.lock();
         if had_outage {
             registry.record_store_recovery(now);
@@ -66,6 +71,9 @@
         if changed || expired || !core.upstreams.is_listed() {
             publish(&core, &registry);
         }
+        if !is_behind {
+            core.upstreams_confirmed.confirm(requested_at);
+        }
     }
 }
 
