Let a router that reads the store again go on where it stands, whoever read the records before

Cause: each reader kept its own position, and stopped where this router had last read for itself. Change: one progress for each topic (position and confirmation), which reads and the feed advance; feed answers state the positions that their changes contain. Older records than the progress are ignored, so the list 'older than the last one read here', a second mechanism for that, is gone. A router that is further behind than there are keys lists the newest records instead of reading the rest; a read takes at most 384 KiB.

--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -88,6 +88,11 @@
         self.entries.is_empty()
     }
 
+    /// Number of subjects held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Records that `upstream` crashed while it ran the request for this router.
     pub fn record(
         &mut self,
--- a/crates/decisions/src/registry/upstream_registry.rs
+++ b/crates/decisions/src/registry/upstream_registry.rs
@@ -146,6 +146,16 @@
         self.known.values().any(|known| known.kept_until.is_some())
     }
 
+    /// Number of known upstreams.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// All upstreams with a readable entry, including those that are leaving.
     pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamRecord> {
         self.known
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -13,6 +13,7 @@
 mod rollouts;
 mod run;
 pub mod status;
+mod topic_progress;
 mod upstreams;
 mod watch;
 
--- a/crates/router/src/relay/confirmation_time.rs
+++ b/crates/router/src/relay/confirmation_time.rs
@@ -5,8 +5,8 @@
 
 use nix::time::{ClockId, clock_gettime};
 
-/// Part of the revocation bound that is reserved for sending a request to its upstream.
-const REVOCATION_MARGIN: Duration = Duration::from_millis(150);
+/// Part of a bound that is reserved for sending a request to its upstream.
+const SEND_MARGIN: Duration = Duration::from_millis(150);
 
 /// Time of the last confirmation that a copy of the store's records is current, on a clock that also
 /// runs while the host is suspended.
@@ -35,13 +35,8 @@
         Self::now().saturating_sub(confirmed)
     }
 
-    /// Whether the data was confirmed later than at `moment`.
-    pub fn is_after(&self, moment: Duration) -> bool {
-        Duration::from_millis(self.confirmed_ms.load(Ordering::Acquire)) > moment
-    }
-
-    /// Whether a key that was revoked longer than `revocation` ago is certainly known here.
-    pub fn covers(&self, revocation: Duration) -> bool {
-        self.age() + REVOCATION_MARGIN < revocation
+    /// Whether a change of `bound` ago is certainly known here, with a margin for sending a request.
+    pub fn covers(&self, bound: Duration) -> bool {
+        self.age() + SEND_MARGIN < bound
     }
 }
--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -36,7 +36,7 @@
 
 /// Follows the rows in the store until the relay closes; pauses while this router syncs from another one.
 pub async fn follow(core: SharedCore) {
-    let mut reader = TopicReader::new(core.store.clone(), CRASH_TOPIC);
+    let reader = TopicReader::new(core.store.clone(), CRASH_TOPIC);
     let mut outages = OutageLog::new(
         "the crashes of requests cannot be read from the store; retrying",
         "the crashes of requests are read from the store again",
@@ -48,11 +48,13 @@
             true => Duration::ZERO,
             false => READ_WAIT,
         };
-        match reader.next(wait).await {
+        let known_keys = core.crashes.subject_count();
+        match reader.next(&core.crash_topic, known_keys, wait).await {
             Ok(changes) => {
                 outages.record_success();
                 let rows = changes.records.iter().filter_map(decode_row).collect();
                 apply_stored(&core, rows);
+                core.crash_topic.advance(changes.position);
                 if changes.reaches_end {
                     sleep(READ_INTERVAL).await;
                 }
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -89,6 +89,11 @@
         self.tally.lock().is_empty()
     }
 
+    /// Number of requests and parts with crashes.
+    pub fn subject_count(&self) -> usize {
+        self.tally.lock().len()
+    }
+
     /// Whether the request must not run now because of its content.
     pub fn is_quarantined(&self, request: &RequestFingerprint) -> bool {
         self.tally.lock().is_quarantined(request, wall_clock::now())
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -9,7 +9,9 @@
 use ferry_platform::store::KeyedRecord;
 use tokio::time::{sleep, timeout};
 
-use super::feed_message::{EvidenceRecord, FeedAnswer, FeedChange, FeedChanges, FeedQuery};
+use super::feed_message::{
+    EvidenceRecord, FeedAnswer, FeedChange, FeedChanges, FeedPositions, FeedQuery,
+};
 use super::peer_body;
 use crate::peer::{self, PeerError, PeerMessage, PeerTopic};
 use crate::relay::confirmation_time::ConfirmationTime;
@@ -134,15 +136,11 @@
     if answer.holds_missing {
         return Err(FeedError::MissingUpstreams);
     }
-    let listed_at = requested_at.saturating_sub(listing);
-    let is_whole = matches!(answer.changes, FeedChanges::Whole(_));
-    if is_whole && core.upstreams_confirmed.is_after(listed_at) {
-        core.fleet.record_older_list();
-    }
     apply_answer(core, answer, position)?;
-    core.rules_confirmed
+    core.operator_topic
         .confirm(requested_at.saturating_sub(rules));
-    core.upstreams_confirmed.confirm(listed_at);
+    core.upstream_topic
+        .confirm(requested_at.saturating_sub(listing));
     Ok(())
 }
 
@@ -169,9 +167,13 @@
             FeedChange::Crashes(row) => rows.push(*row),
         }
     }
-    watch::apply_operator(core, operator);
-    watch::apply_synced_upstreams(core, whole, upstreams, &gone);
+    let positions = answer.positions;
+    watch::apply_synced_operator(core, positions.operator, operator);
+    watch::apply_synced_upstreams(core, positions.upstreams, whole, upstreams, &gone);
     crashes::apply_stored(core, rows);
+    if let Some(position) = positions.crashes {
+        core.crash_topic.advance(position);
+    }
     rollouts::apply_pooled(core, answer.rollouts);
     position.source = answer.source;
     position.revision = answer.revision;
@@ -197,13 +199,21 @@
     if !behind {
         let _ = timeout(ANSWER_WAIT, revisions.changed()).await;
     }
+    // Taken before the changes, which therefore contain all that they state.
+    let positions = FeedPositions {
+        operator: core.operator_topic.position(),
+        upstreams: core.upstream_topic.position(),
+        crashes: core.crash_topic.position(),
+    };
+    let (rules_age, listing_age) = (core.operator_topic.age(), core.upstream_topic.age());
     let (revision, changes) = core.fleet.feed.changes_since(&query.source, query.revision);
     let answer = FeedAnswer {
         source: core.fleet.feed.incarnation().to_owned(),
         revision,
         changes,
-        rules_age_ms: core.rules_confirmed.age().as_millis() as u64,
-        listing_age_ms: core.upstreams_confirmed.age().as_millis() as u64,
+        positions,
+        rules_age_ms: rules_age.as_millis() as u64,
+        listing_age_ms: listing_age.as_millis() as u64,
         holds_missing: core.registry.lock().holds_missing(),
         rollouts: rollouts::pooled_rollouts(core),
     };
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -33,6 +33,9 @@
     pub revision: u64,
     /// Changes in order, or the full state.
     pub changes: FeedChanges,
+    /// How far it knows the topics of the store; the changes contain all of that.
+    #[serde(default)]
+    pub positions: FeedPositions,
     /// Milliseconds since the answering router was last confirmed to have the operator's newest records.
     pub rules_age_ms: u64,
     /// Milliseconds since it was last confirmed to have the upstreams' newest entries.
@@ -43,6 +46,19 @@
     pub rollouts: Vec<PooledRollout>,
 }
 
+/// Offset before which all records of each topic are known; absent for a topic of which nothing is known, and from routers of an
+/// older build.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct FeedPositions {
+    /// The operator's records.
+    pub operator: Option<u64>,
+    /// The upstreams' entries.
+    pub upstreams: Option<u64>,
+    /// The routers' rows of crashes.
+    pub crashes: Option<u64>,
+}
+
 /// Changes since a revision, or the full state.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum FeedChanges {
--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -55,6 +55,11 @@
         &self.incarnation
     }
 
+    /// Number of keys of the operator's records.
+    pub fn operator_keys(&self) -> usize {
+        self.state.lock().operator.len()
+    }
+
     /// Receiver of the revision, to wait for changes.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.revision.subscribe()
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -39,8 +39,6 @@
     routers: Mutex<Option<Vec<RouterEntry>>>,
     /// Whether they were listed after routers that started together with this one had time to register.
     has_full_list: AtomicBool,
-    /// Whether this router applied an older list of upstreams than it had read itself.
-    has_older_list: AtomicBool,
     /// Time of the last failure of each router that failed to answer.
     failed: Mutex<HashMap<HostName, MonotonicTime>>,
     /// Whether this router gets the store's content from another router.
@@ -54,7 +52,6 @@
             hub: OnceLock::new(),
             routers: Mutex::default(),
             has_full_list: AtomicBool::new(false),
-            has_older_list: AtomicBool::new(false),
             failed: Mutex::default(),
             synced_from_peer: watch::Sender::new(false),
         }
@@ -144,16 +141,6 @@
             .map(|entry| entry.host.clone())
     }
 
-    /// Records that an older list of upstreams than the last one read here is in force now.
-    pub fn record_older_list(&self) {
-        self.has_older_list.store(true, Ordering::Release);
-    }
-
-    /// Whether all upstreams have to be listed again before only changes are read here, since the last call.
-    pub fn take_older_list(&self) -> bool {
-        self.has_older_list.swap(false, Ordering::AcqRel)
-    }
-
     /// Records that `host` failed to answer.
     pub fn record_failure(&self, host: &HostName, now: MonotonicTime) {
         self.failed.lock().insert(host.clone(), now);
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -17,11 +17,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::confirmation_time::ConfirmationTime;
 use super::crashes::CrashManager;
 use super::fleet::FleetManager;
 use super::latency_model::LatencyModel;
 use super::rollouts::RolloutManager;
+use super::topic_progress::TopicProgress;
 use super::upstreams::UpstreamDirectory;
 use crate::core::{LifecyclePhase, PhaseCell};
 use crate::membership::ProcessClock;
@@ -46,10 +46,12 @@
     pub rules: ArcSwapOption<RuleSet>,
     /// Limits on callers' connections, from the rules in force.
     pub caller_limits: LimitsCell,
-    /// When the rules were last confirmed to be the newest.
-    pub rules_confirmed: ConfirmationTime,
-    /// When the upstreams' entries were last confirmed to be the newest.
-    pub upstreams_confirmed: ConfirmationTime,
+    /// How far the operator's records are known here, from which the rules are.
+    pub operator_topic: TopicProgress,
+    /// How far the upstreams' entries are known here.
+    pub upstream_topic: TopicProgress,
+    /// How far the routers' rows of crashes are known here.
+    pub crash_topic: TopicProgress,
     /// Upstreams by service.
     pub upstreams: UpstreamDirectory,
     /// Registry of the upstreams' entries.
@@ -81,8 +83,9 @@
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             rules: ArcSwapOption::empty(),
             caller_limits: LimitsCell::default(),
-            rules_confirmed: ConfirmationTime::default(),
-            upstreams_confirmed: ConfirmationTime::default(),
+            operator_topic: TopicProgress::default(),
+            upstream_topic: TopicProgress::default(),
+            crash_topic: TopicProgress::default(),
             upstreams: UpstreamDirectory::default(),
             registry: Mutex::default(),
             latency: Mutex::default(),
@@ -106,7 +109,7 @@
             && self.rules.load().is_some()
             && self.upstreams.is_listed()
             && self.rollouts.has_all_phases()
-            && self.rules_confirmed.covers(revocation)
+            && self.operator_topic.covers(revocation)
     }
 
     /// Lifecycle phase of the relay.
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -58,7 +58,7 @@
             request_id = id.unwrap_or_default(),
             reason = refusal.reason.name(),
             status = refusal.status().as_u16(),
-            rules_age_ms = core.rules_confirmed.age().as_millis() as u64,
+            rules_age_ms = core.operator_topic.age().as_millis() as u64,
             synced = core.fleet.is_synced_from_peer(),
         });
     })
@@ -92,7 +92,7 @@
     let result = RelayRequest::read(request, facts, &rules, received_at).await;
     result.map_err(|refusal| match refusal.reason {
         RefusalReason::UnknownRoute | RefusalReason::UnknownKey
-            if core.rules_confirmed.age() > MAX_RULES_AGE =>
+            if core.operator_topic.age() > MAX_RULES_AGE =>
         {
             RelayRefusal::not_run(RefusalReason::Disconnected)
         }
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -15,6 +15,7 @@
 
 use crate::relay::fleet::{EvidenceRecord, read_record, write_body};
 use crate::relay::relay_core::SharedCore;
+use crate::relay::topic_progress::TopicProgress;
 use crate::relay::watch::{OutageLog, TopicReader};
 
 /// Topic of the routers' evidence rows.
@@ -36,6 +37,8 @@
 struct RolloutExchange {
     core: SharedCore,
     status: TopicReader,
+    /// How far the phases are known here.
+    status_topic: TopicProgress,
     /// Offset of the next evidence record to read.
     evidence_offset: u64,
     /// Rows appended last, by service and router.
@@ -51,6 +54,7 @@
 pub async fn follow(core: SharedCore) {
     let mut exchange = RolloutExchange {
         status: TopicReader::new(core.store.clone(), STATUS_TOPIC),
+        status_topic: TopicProgress::default(),
         core,
         evidence_offset: 0,
         last_sent: HashMap::new(),
@@ -169,7 +173,11 @@
 
     /// Reads and applies the phases that changed in the store.
     async fn read_status(&mut self) -> Result<(), StoreError> {
-        let changes = self.status.next(Duration::ZERO).await?;
+        let known_keys = self.core.rollouts.count();
+        let progress = &self.status_topic;
+        let next = self.status.next(progress, known_keys, Duration::ZERO);
+        let changes = next.await?;
+        self.status_topic.advance(changes.position);
         let core = &self.core;
         for service in core.rollouts.unfinished_services() {
             let key = rollout_key(&service);
@@ -286,7 +294,7 @@
         service: &ServiceName,
         status: &RolloutStatus,
     ) -> Result<(), StoreError> {
-        let Some(end) = self.status.position() else {
+        let Some(end) = self.status_topic.position() else {
             return Ok(());
         };
         let Some(record) = encode_keyed(&rollout_key(service), &encode_status(status)) else {
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -79,11 +79,12 @@
         }
     }
 
-    /// Starts the roll-out ordered at `offset`, in place of the service's former one; a known order changes nothing.
+    /// Starts the roll-out ordered at `offset`, in place of the service's former one; a known or an older order changes
+    /// nothing.
     pub fn apply_order(&self, order: RolloutOrder, offset: u64, now: MonotonicTime) {
         let mut active = self.active.lock();
         let known = active.get(&order.service);
-        if known.is_some_and(|known| known.offset == offset) {
+        if known.is_some_and(|known| known.offset >= offset) {
             return;
         }
         spdlog::info!("roll-out ordered", kv: {
@@ -103,6 +104,11 @@
         self.active.lock().remove(service);
     }
 
+    /// Number of known roll-outs.
+    pub fn count(&self) -> usize {
+        self.active.lock().len()
+    }
+
     /// Whether a phase is known for every roll-out.
     pub fn has_all_phases(&self) -> bool {
         let active = self.active.lock();
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -34,8 +34,8 @@
             sends = self.record.sends,
             in_flight = upstream.in_flight(),
             revision = self.request.revision,
-            rules_age_ms = core.rules_confirmed.age().as_millis() as u64,
-            upstreams_age_ms = core.upstreams_confirmed.age().as_millis() as u64,
+            rules_age_ms = core.operator_topic.age().as_millis() as u64,
+            upstreams_age_ms = core.upstream_topic.age().as_millis() as u64,
         });
     }
 
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -43,7 +43,7 @@
             self.pick_service()?;
         }
         let revocation = self.core.settings.load().bounds.revocation;
-        if self.request.holder.is_some() && !self.core.rules_confirmed.covers(revocation) {
+        if self.request.holder.is_some() && !self.core.operator_topic.covers(revocation) {
             let refusal = refuse(RefusalReason::Disconnected).with_run(self.run);
             return Err(refusal.with_retry_after(DISCONNECTED_RETRY_AFTER));
         }
--- /dev/null
+++ b/crates/router/src/relay/topic_progress.rs
@@ -0,0 +1,49 @@
+//! How far a topic of the store is known here, and since when.
+
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use super::confirmation_time::ConfirmationTime;
+
+/// What is known here of one topic, whether it was read from the store or came from another router.
+#[derive(Debug, Default)]
+pub struct TopicProgress {
+    /// All records before this offset are applied here; absent while nothing is known of the topic.
+    position: Mutex<Option<u64>>,
+    /// When the store certainly held no record beyond those that are applied here.
+    confirmed: ConfirmationTime,
+}
+
+impl TopicProgress {
+    /// Offset before which all records are applied here; `None` while nothing is known of the topic.
+    pub fn position(&self) -> Option<u64> {
+        *self.position.lock()
+    }
+
+    /// Whether more records are applied here than those before `position`; false if that is unknown.
+    pub fn is_beyond(&self, position: Option<u64>) -> bool {
+        position.is_some() && self.position() > position
+    }
+
+    /// Records that all records before `position` are applied here; a lower position than the recorded one has no effect.
+    pub fn advance(&self, position: u64) {
+        let mut current = self.position.lock();
+        *current = (*current).max(Some(position));
+    }
+
+    /// Records that the store held no further record at `moment`, a value of [`ConfirmationTime::now`].
+    pub fn confirm(&self, moment: Duration) {
+        self.confirmed.confirm(moment);
+    }
+
+    /// Time since the store certainly held no further record; since boot if that was never known.
+    pub fn age(&self) -> Duration {
+        self.confirmed.age()
+    }
+
+    /// Whether a record of `bound` ago is certainly applied here, with a margin for sending a request.
+    pub fn covers(&self, bound: Duration) -> bool {
+        self.confirmed.covers(bound)
+    }
+}
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -5,7 +5,7 @@
 mod topic_reader;
 mod upstream_watch;
 
-pub use operator_watch::apply as apply_operator;
+pub use operator_watch::apply_synced as apply_synced_operator;
 pub use outage_log::OutageLog;
 pub use topic_reader::TopicReader;
 pub use upstream_watch::apply_synced as apply_synced_upstreams;
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -20,7 +20,7 @@
 
 /// Follows the operator's topic until the relay closes.
 pub async fn follow(core: SharedCore) {
-    let mut reader = TopicReader::new(core.store.clone(), OPERATOR_TOPIC);
+    let reader = TopicReader::new(core.store.clone(), OPERATOR_TOPIC);
     let mut outages = OutageLog::new(
         "the operator's topic cannot be read",
         "the operator's topic is read again",
@@ -34,12 +34,16 @@
         } else {
             READ_WAIT
         };
-        match reader.next(wait).await {
+        let known_keys = core.fleet.feed.operator_keys();
+        match reader.next(&core.operator_topic, known_keys, wait).await {
             Ok(changes) => {
                 let confirmed = confirmed_at(requested_at, wait, &changes);
-                apply(&core, changes.records);
+                if !core.operator_topic.is_beyond(Some(changes.position)) {
+                    apply(&core, changes.records);
+                    core.operator_topic.advance(changes.position);
+                }
                 if let Some(moment) = confirmed {
-                    core.rules_confirmed.confirm(moment);
+                    core.operator_topic.confirm(moment);
                 }
                 outages.record_success();
             }
@@ -69,8 +73,19 @@
     changes.reaches_end.then_some(moment)
 }
 
+/// Applies records received from another router, which knows the topic up to `position`; older ones than those known here are ignored.
+pub fn apply_synced(core: &SharedCore, position: Option<u64>, records: Vec<KeyedRecord>) {
+    if core.operator_topic.is_beyond(position) {
+        return;
+    }
+    apply(core, records);
+    if let Some(position) = position {
+        core.operator_topic.advance(position);
+    }
+}
+
 /// Applies records of the operator, and publishes them to the routers that sync from this one.
-pub fn apply(core: &SharedCore, records: Vec<KeyedRecord>) {
+fn apply(core: &SharedCore, records: Vec<KeyedRecord>) {
     for record in records {
         core.fleet.feed.put_operator(&record);
         let KeyedRecord { key, value, offset } = record;
--- a/crates/router/src/relay/watch/topic_reader.rs
+++ b/crates/router/src/relay/watch/topic_reader.rs
@@ -1,12 +1,17 @@
-//! Reads a keyed topic: first the newest record of each key, then the records appended since.
+//! Reads a keyed topic: the newest record of each key, or the records appended since.
 
 use std::time::Duration;
 
 use ferry_platform::store::{
-    KeyedRecord, RESPONSE_BYTES, ReadBatch, ReadQuery, StoreClient, StoreError, TopicPartition,
-    decode_keyed,
+    KeyedRecord, ReadBatch, ReadQuery, StoreClient, StoreError, TopicPartition, decode_keyed,
 };
 
+use crate::relay::topic_progress::TopicProgress;
+
+/// Maximum size of the records that one read returns, in bytes: more than the largest record has, and a third of a second on the link of a
+/// small host.
+const READ_BYTES: usize = 384 * 1024;
+
 /// Result of one call of [`TopicReader::next`].
 #[derive(Debug)]
 pub struct TopicChanges {
@@ -14,85 +19,80 @@
     pub whole: bool,
     /// Changed records, in the order of the topic.
     pub records: Vec<KeyedRecord>,
+    /// Offset before which all records are known once these are applied.
+    pub position: u64,
     /// Whether they are all records that the topic had at the time of the response. Others follow at once if not, and nothing is
     /// known of what they change.
     pub reaches_end: bool,
 }
 
-/// Reader of one topic, with its position.
+/// Reader of one topic. What it has read is known from the topic's progress, so that it goes on where this router stands, whoever
+/// read the records before.
 #[derive(Debug)]
 pub struct TopicReader {
     store: StoreClient,
     topic: &'static str,
-    /// Offset of the next record to read; absent until all keys were listed.
-    position: Option<u64>,
 }
 
 impl TopicReader {
-    /// Creates a reader that begins with a list of all keys of `topic`.
+    /// Creates a reader of `topic`.
     pub fn new(store: StoreClient, topic: &'static str) -> Self {
-        Self {
-            store,
-            topic,
-            position: None,
-        }
-    }
-
-    /// Offset of the next record; `None` until all keys were listed.
-    pub fn position(&self) -> Option<u64> {
-        self.position
-    }
-
-    /// Lets the next call list all keys again.
-    pub fn restart(&mut self) {
-        self.position = None;
+        Self { store, topic }
     }
 
-    /// Returns all keys on the first call and after a gap in the records, and otherwise the records
-    /// appended since the last call, for which it waits up to `wait`.
+    /// Returns the records after those of `progress`, for which it waits up to `wait`; all keys if nothing is known of the topic or
+    /// records were dropped before they were read.
+    ///
+    /// A router that is far behind lists all keys too: it has about `known_keys` of them, and does not read a longer history.
     ///
     /// # Errors
     ///
-    /// Fails when the store does not answer; the next call continues at the same position.
-    pub async fn next(&mut self, wait: Duration) -> Result<TopicChanges, StoreError> {
-        let Some(from) = self.position else {
+    /// Fails when the store does not answer.
+    pub async fn next(
+        &self,
+        progress: &TopicProgress,
+        known_keys: usize,
+        wait: Duration,
+    ) -> Result<TopicChanges, StoreError> {
+        let Some(from) = progress.position() else {
             return self.list().await;
         };
         let query = ReadQuery {
             from,
             wait,
-            most_bytes: RESPONSE_BYTES,
+            most_bytes: READ_BYTES,
         };
-        match self.store.read(self.partition(), query).await {
-            Ok(batch) => {
-                let position = from + batch.records.len() as u64;
-                if position < batch.end {
-                    self.log_short_read(from, &batch);
-                }
-                self.position = Some(position);
-                let records = batch.records.iter();
-                Ok(TopicChanges {
-                    whole: false,
-                    records: records.filter_map(decode_keyed).collect(),
-                    reaches_end: position >= batch.end,
-                })
-            }
+        let batch = match self.store.read(self.partition(), query).await {
+            Ok(batch) => batch,
             Err(StoreError::Trimmed { first }) => {
                 spdlog::warn!("the store dropped records before they were read; all keys are listed again", kv: {
                     topic = self.topic,
                     position = from,
                     first_kept = first,
                 });
-                self.list().await
+                return self.list().await;
             }
-            Err(error) => Err(error),
+            Err(error) => return Err(error),
+        };
+        let position = from + batch.records.len() as u64;
+        let left = batch.end.saturating_sub(position);
+        if left > 0 {
+            self.log_short_read(from, &batch);
         }
+        if left > known_keys as u64 {
+            return self.list().await;
+        }
+        Ok(TopicChanges {
+            whole: false,
+            records: batch.records.iter().filter_map(decode_keyed).collect(),
+            position,
+            reaches_end: left == 0,
+        })
     }
 
     /// Lists all keys; the next read begins with the records appended while the list was read.
-    async fn list(&mut self) -> Result<TopicChanges, StoreError> {
-        let (entries, end) = self.store.newest_all(self.partition()).await?;
-        self.position = Some(end);
+    async fn list(&self) -> Result<TopicChanges, StoreError> {
+        let (entries, position) = self.store.newest_all(self.partition()).await?;
         let records = entries.into_iter().map(|entry| KeyedRecord {
             key: entry.key,
             value: Some(entry.value),
@@ -101,6 +101,7 @@
         Ok(TopicChanges {
             whole: true,
             records: records.collect(),
+            position,
             reaches_end: true,
         })
     }
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -29,7 +29,7 @@
 
 /// Follows the upstreams' topic until the relay closes.
 pub async fn follow(core: SharedCore) {
-    let mut reader = TopicReader::new(core.store.clone(), UPSTREAM_TOPIC);
+    let reader = TopicReader::new(core.store.clone(), UPSTREAM_TOPIC);
     let period = core.settings.load().bounds.drain / READS_PER_DRAIN;
     let mut ticks = ticks::every(period);
     let mut outages = OutageLog::new(
@@ -43,11 +43,10 @@
             ticks.tick().await;
         }
         core.fleet.wait_until_unsynced().await;
-        if core.fleet.take_older_list() {
-            reader.restart();
-        }
         let requested_at = ConfirmationTime::now();
-        let changes = match reader.next(Duration::ZERO).await {
+        let known_keys = core.registry.lock().len();
+        let next = reader.next(&core.upstream_topic, known_keys, Duration::ZERO);
+        let changes = match next.await {
             Ok(changes) => changes,
             Err(error) => {
                 outages.record_failure(&error);
@@ -60,7 +59,7 @@
         // Before the first list there is no entry that an outage could have removed.
         let had_outage = !is_behind
             && core.upstreams.is_listed()
-            && core.upstreams_confirmed.age() > period * OUTAGE_READS;
+            && core.upstream_topic.age() > period * OUTAGE_READS;
         is_behind = !changes.reaches_end;
         let mut registry = core.registry.lock();
         if had_outage {
@@ -72,7 +71,7 @@
             publish(&core, &registry);
         }
         if !is_behind {
-            core.upstreams_confirmed.confirm(requested_at);
+            core.upstream_topic.confirm(requested_at);
         }
     }
 }
@@ -106,17 +105,25 @@
     !core.fleet.is_listed() || sync_source.is_some()
 }
 
-/// Applies upstreams received from another router: changes, or all upstreams if `whole` is set.
+/// Applies upstreams received from another router, which knows the topic up to `position`: changes, or all upstreams if `whole` is
+/// set. Older ones than those known here are ignored, unless entries are missing here since an outage.
 pub fn apply_synced(
     core: &SharedCore,
+    position: Option<u64>,
     whole: bool,
     records: Vec<UpstreamRecord>,
     gone: &[HostName],
 ) {
+    let mut registry = core.registry.lock();
+    if core.upstream_topic.is_beyond(position) && !registry.holds_missing() {
+        return;
+    }
+    if let Some(position) = position {
+        core.upstream_topic.advance(position);
+    }
     if !whole && records.is_empty() && gone.is_empty() {
         return;
     }
-    let mut registry = core.registry.lock();
     if whole {
         let listed: HashSet<HostName> = records.iter().map(|r| r.incarnation.id.clone()).collect();
         registry.forget_unlisted(|id| listed.contains(id));
@@ -154,8 +161,12 @@
     }
 }
 
-/// Applies changes of the topic to the registry; returns whether one of them affects requests.
+/// Applies changes of the topic to the registry, unless it has newer ones; returns whether one of them affects requests.
 fn apply(core: &SharedCore, registry: &mut UpstreamRegistry, changes: TopicChanges) -> bool {
+    if core.upstream_topic.is_beyond(Some(changes.position)) {
+        return false;
+    }
+    core.upstream_topic.advance(changes.position);
     let now = core.clock.now();
     let mut changed = changes.whole;
     if changes.whole {
