Read all evidence of a roll-out before a phase is proposed

Change: an exchange reads to the end of the topic before it proposes a phase. Result: roll-out tests pass; no test shows the fault (by reading only).

--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -8,7 +8,7 @@
 use ferry_decisions::rollout::{EvidenceRow, ExposureBound, RolloutPhase, RolloutPlan};
 use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, rollout_key};
 use ferry_platform::store::{
-    AppendCondition, RESPONSE_BYTES, ReadQuery, STATUS_TOPIC, StoreError, StoreRecord,
+    AppendCondition, RESPONSE_BYTES, ReadBatch, ReadQuery, STATUS_TOPIC, StoreError, StoreRecord,
     TopicPartition, encode_keyed,
 };
 use tokio::time::{sleep, timeout};
@@ -245,29 +245,39 @@
         Ok(())
     }
 
-    /// Reads and merges new rows of all routers; returns whether one of them is in a later phase.
-    ///
-    /// If the store has trimmed the records to read, the next call starts at the first one kept.
+    /// Reads and merges all new rows of all routers; returns whether one of them is in a later phase.
     async fn read_rows(&mut self, services: &[ServiceName]) -> Result<bool, StoreError> {
-        let query = ReadQuery {
-            from: self.evidence_offset,
+        let mut ahead = false;
+        loop {
+            let batch = self.read_evidence().await?;
+            let records = batch.records.iter();
+            let decoded: Vec<EvidenceRecord> = records.filter_map(decode_row).collect();
+            for service in services {
+                ahead |= self.merge_rows(service, &decoded);
+            }
+            if self.evidence_offset >= batch.end {
+                return Ok(ahead);
+            }
+        }
+    }
+
+    /// Reads the next records of the evidence topic, from the first one kept if the store has dropped some of them.
+    async fn read_evidence(&mut self) -> Result<ReadBatch, StoreError> {
+        let query = |from| ReadQuery {
+            from,
             wait: Duration::ZERO,
             most_bytes: RESPONSE_BYTES,
         };
-        let batch = match self.core.store.read(EVIDENCE, query).await {
+        let store = &self.core.store;
+        let batch = match store.read(EVIDENCE, query(self.evidence_offset)).await {
             Err(StoreError::Trimmed { first }) => {
                 self.evidence_offset = first;
-                return Ok(false);
+                store.read(EVIDENCE, query(first)).await?
             }
             result => result?,
         };
         self.evidence_offset += batch.records.len() as u64;
-        let records = batch.records.iter();
-        let decoded: Vec<EvidenceRecord> = records.filter_map(decode_row).collect();
-        let merges = services
-            .iter()
-            .map(|service| self.merge_rows(service, &decoded));
-        Ok(merges.fold(false, |ahead, later| ahead | later))
+        Ok(batch)
     }
 
     /// Merges the rows about the order of `service`; returns whether one of them is in a later phase.
