--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -69,6 +70,8 @@
     /// Peer ports of hosts that are dialled only when a query is sent to them.
     directory: RwLock<HashMap<HostName, SocketAddr>>,
     on_demand: OnDemandLinks,
+    /// Bytes of all frames that the links have sent.
+    sent_bytes: Arc<AtomicU64>,
     stopping: CancellationToken,
     tasks: TaskTracker,
 }
@@ -105,6 +108,7 @@
             dialers: Mutex::default(),
             directory: RwLock::default(),
             on_demand: OnDemandLinks::default(),
+            sent_bytes: Arc::default(),
             stopping: CancellationToken::new(),
             tasks: TaskTracker::new(),
         });
@@ -207,6 +211,11 @@
         })
     }
 
+    /// Bytes of all frames that the links have sent so far.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// Hosts with a link, in order of their names.
     pub fn connected(&self) -> Vec<HostName> {
         self.links.read().hosts()
@@ -361,7 +370,7 @@
         peer: PeerIdentity,
         closing: CancellationToken,
     ) -> (Arc<PeerLink>, FrameQueue) {
-        let (link, queue) = PeerLink::new(peer, closing);
+        let (link, queue) = PeerLink::new(peer, closing, Arc::clone(&self.sent_bytes));
         if let Some(replaced) = self.links.write().insert(side, Arc::clone(&link)) {
             replaced.close();
         }
--- a/crates/router/src/peer/peer_link.rs
+++ b/crates/router/src/peer/peer_link.rs
@@ -50,14 +50,20 @@
     pending: Mutex<HashMap<u64, oneshot::Sender<QueryOutcome>>>,
     next_query: AtomicU64,
     closing: CancellationToken,
+    /// Bytes of all frames that the router's links have sent.
+    sent_bytes: Arc<AtomicU64>,
 }
 
 /// The receiving end of a link's send queue.
 pub type FrameQueue = mpsc::Receiver<EncodedFrame>;
 
 impl PeerLink {
-    /// Creates a link to `peer` that ends when `closing` is cancelled.
-    pub fn new(peer: PeerIdentity, closing: CancellationToken) -> (Arc<Self>, FrameQueue) {
+    /// Creates a link to `peer` that ends when `closing` is cancelled, and counts the bytes that it sends in `sent_bytes`.
+    pub fn new(
+        peer: PeerIdentity,
+        closing: CancellationToken,
+        sent_bytes: Arc<AtomicU64>,
+    ) -> (Arc<Self>, FrameQueue) {
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
         let link = Self {
             peer,
@@ -66,6 +72,7 @@
             pending: Mutex::new(HashMap::new()),
             next_query: AtomicU64::new(0),
             closing,
+            sent_bytes,
         };
         (Arc::new(link), receiver)
     }
@@ -178,6 +185,7 @@
     fn dequeue_frame(&self, frame: EncodedFrame) -> Message {
         let size = frame.bytes.len();
         self.queued_bytes.fetch_sub(size, Ordering::AcqRel);
+        self.sent_bytes.fetch_add(size as u64, Ordering::Relaxed);
         peer_metrics::count_sent(frame.topic, size);
         Message::Binary(frame.bytes)
     }
--- a/crates/router/src/relay/status/relay_status.rs
+++ b/crates/router/src/relay/status/relay_status.rs
@@ -27,6 +27,9 @@
     pub fed: bool,
     /// Number of registered relays.
     pub relays: usize,
+    /// Bytes that it has sent to other relays.
+    #[serde(default)]
+    pub peer_sent_bytes: u64,
     /// Number of requests in progress.
     pub in_progress: usize,
     /// Number of requests that are not run again, because they crashed the upstreams that ran them.
@@ -76,6 +79,7 @@
             upstreams_age_ms: core.upstream_topic.age().as_millis() as u64,
             fed: core.fleet.is_synced_from_peer(),
             relays: core.fleet.router_count(),
+            peer_sent_bytes: core.fleet.hub().map_or(0, |hub| hub.sent_bytes()),
             in_progress: core.work.len(),
             quarantined: core.crashes.quarantined(),
             services: ServiceStatus::all(core),
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ferry_decisions::registry::UpstreamStage;
-use ferry_decisions::ruleset::RunKind;
+use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_router::relay::RelayDaemon;
@@ -27,6 +27,14 @@
 /// routers' list.
 const ROUTER_CALL_LIMIT: u64 = 32;
 
+/// Number of rules of a large configuration.
+const MANY_RULES: usize = 1_450;
+/// Number of small changes of it that are counted.
+const SMALL_CHANGES: u64 = 5;
+/// Maximum number of bytes that a sync source sends to each of the others for such a change: 25 of them then fill a link of 10 Mbit/s for a fifth of
+/// a second.
+const CHANGE_BYTES: u64 = 10_000;
+
 /// Starts all routers and waits until all but one sync from another.
 async fn start_fleet(deployment: &Deployment) -> Vec<RelayDaemon> {
     let mut relays = Vec::new();
@@ -234,3 +242,74 @@
     assert_eq!(gone.runs().len(), before);
     assert!(staying.runs().len() >= 20);
 }
+
+fn many_rules(prefixes: &[&str]) -> Vec<RouteRule> {
+    let others = (0..MANY_RULES).map(|number| format!("/other-{number:x}/"));
+    let named = prefixes.iter().map(ToString::to_string);
+    let prefixes = named.chain(others);
+    prefixes
+        .map(|prefix| rule(&prefix, RunKind::Idempotent))
+        .collect()
+}
+
+async fn revision_is_in_force(relays: &[RelayDaemon], revision: u64) {
+    eventually("the configuration is in force", async || {
+        relays
+            .iter()
+            .all(|relay| relay.status().revision == revision)
+    })
+    .await;
+}
+
+/// Guards against a sync source whose link is full for seconds after each change of a large configuration.
+#[tokio::test]
+async fn a_small_change_of_a_large_configuration_is_not_sent_as_all_of_it() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &many_rules(&["/letters/"]));
+    let _replica = deployment.replica("up-1", "v1").await;
+    let relays = start_fleet(&deployment).await;
+    revision_is_in_force(&relays, 1).await;
+    let source = relays.iter().find(|relay| !relay.is_synced_from_peer());
+    let source = source.unwrap();
+    let before = source.status().peer_sent_bytes;
+    for revision in 2..2 + SMALL_CHANGES {
+        let prefix = format!("/memos-{revision}/");
+        deployment.configure(revision, &many_rules(&["/letters/", &prefix]));
+        revision_is_in_force(&relays, revision).await;
+    }
+    let sent = source.status().peer_sent_bytes - before;
+    let synced = relays.len() as u64 - 1;
+    let bytes = sent / synced / SMALL_CHANGES;
+    assert!(
+        bytes <= CHANGE_BYTES,
+        "{bytes} bytes for each change and router"
+    );
+}
+
+/// Guards against routers that all get the whole configuration again when their sync source is lost.
+#[tokio::test]
+async fn a_new_sync_source_does_not_send_the_configuration_that_the_others_have() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &many_rules(&["/letters/"]));
+    let _replica = deployment.replica("up-1", "v1").await;
+    let mut hosts = ROUTERS;
+    hosts.sort_by_key(|host| xxh3_64(host.as_bytes()));
+    let source_runtime = Runtime::new().unwrap();
+    let source = deployment.start_on(&source_runtime, hosts[0]).await;
+    eventually("the source is ready", async || is_ready(&source).await).await;
+    let second = deployment.relay_on(hosts[1]).await;
+    let third = deployment.relay_on(hosts[2]).await;
+    eventually("two routers sync from the first", async || {
+        second.is_synced_from_peer() && third.is_synced_from_peer()
+    })
+    .await;
+    let before = second.status().peer_sent_bytes;
+    source_runtime.shutdown_background();
+    eventually("the third router syncs from the second", async || {
+        !second.is_synced_from_peer() && third.is_synced_from_peer()
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    let bytes = second.status().peer_sent_bytes - before;
+    assert!(bytes <= CHANGE_BYTES, "{bytes} bytes");
+}
