Let the router with the fastest link of a zone read the store for the others

Cause: the order of sync sources was a hash of the hosts' names, so that a host with a link of 10 Mbit/s passed everything on to 25 others although one with 200 Mbit/s was there. Change: a router's entry states its link's speed, from the host's settings; faster ones come first. Entries without it come last. Result: the_router_with_the_fastest_link_of_a_zone_reads_the_store passes; on the order before, the first of the hash order reads (the test's hosts are sorted against it).

--- a/crates/router/src/relay/crashes/crash_report.rs
+++ b/crates/router/src/relay/crashes/crash_report.rs
@@ -55,7 +55,7 @@
     }
     let settings = core.settings.load_full();
     let now = core.clock.now();
-    let source = core.fleet.sync_source(&settings.host, &settings.zone, now);
+    let source = core.fleet.sync_source(&settings, now);
     if let Some(host) = source {
         send_report(core, host, false).await;
     }
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -72,9 +72,7 @@
     let mut position = FeedPosition::default();
     loop {
         let settings = core.settings.load_full();
-        let sync_source = core
-            .fleet
-            .sync_source(&settings.host, &settings.zone, core.clock.now());
+        let sync_source = core.fleet.sync_source(&settings, core.clock.now());
         let Some(sync_source) = sync_source else {
             core.fleet.set_synced_from_peer(false);
             sleep(SOURCE_CHECK_PERIOD).await;
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -90,6 +90,7 @@
         host: settings.host.clone(),
         zone: settings.zone.clone(),
         address: hub.address(),
+        link_mbps: settings.link_mbps,
     };
     core.fleet.connect(hub);
     let value = peer::encode(&entry)?;
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -1,5 +1,6 @@
 //! Registered routers, and which of them this router syncs from.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,6 +9,7 @@
 
 use ferry_decisions::names::{HostName, ZoneName};
 use ferry_decisions::time::MonotonicTime;
+use ferry_platform::host_settings::HostSettings;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -28,6 +30,9 @@
     pub zone: ZoneName,
     /// Address of the port for other routers.
     pub address: SocketAddr,
+    /// Speed of the host's link, in Mbit/s; 0 when it is not known.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 /// Registered routers, links to them, and the feed.
@@ -116,15 +121,11 @@
     }
 
     /// Router from which this one syncs: the first of its zone in a fixed order that did not fail
-    /// recently; `None` when that is this one.
+    /// recently; `None` when that is this one. Faster links come first, since a source sends most.
     ///
     /// Each router syncs only from routers before it in the order, so that there are no cycles.
-    pub fn sync_source(
-        &self,
-        own: &HostName,
-        zone: &ZoneName,
-        now: MonotonicTime,
-    ) -> Option<HostName> {
+    pub fn sync_source(&self, own: &HostSettings, now: MonotonicTime) -> Option<HostName> {
+        let own_rank = rank(&own.host, own.link_mbps);
         let failed = self.failed.lock();
         let is_usable = |host: &HostName| {
             failed
@@ -135,9 +136,9 @@
             .lock()
             .iter()
             .flatten()
-            .filter(|entry| entry.zone == *zone && rank(&entry.host) < rank(own))
+            .filter(|entry| entry.zone == own.zone && entry.rank() < own_rank)
             .filter(|entry| is_usable(&entry.host))
-            .min_by_key(|entry| rank(&entry.host))
+            .min_by_key(|entry| entry.rank())
             .map(|entry| entry.host.clone())
     }
 
@@ -168,7 +169,17 @@
     }
 }
 
-/// Sort key of a host in the fixed order, which is the same at every router.
-fn rank(host: &HostName) -> (u64, &HostName) {
-    (xxh3_64(host.as_str().as_bytes()), host)
+impl RouterEntry {
+    fn rank(&self) -> RouterRank<'_> {
+        rank(&self.host, self.link_mbps)
+    }
+}
+
+/// Sort key of a router in the fixed order.
+type RouterRank<'a> = (Reverse<u32>, u64, &'a HostName);
+
+/// Sort key of a router, which is the same at every router.
+fn rank(host: &HostName, link_mbps: u32) -> RouterRank<'_> {
+    let hash = xxh3_64(host.as_str().as_bytes());
+    (Reverse(link_mbps), hash, host)
 }
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -99,9 +99,7 @@
 /// Whether there is another router to sync from, or this one has not listed the routers yet.
 fn may_sync(core: &SharedCore) -> bool {
     let settings = core.settings.load();
-    let sync_source = core
-        .fleet
-        .sync_source(&settings.host, &settings.zone, core.clock.now());
+    let sync_source = core.fleet.sync_source(&settings, core.clock.now());
     !core.fleet.is_listed() || sync_source.is_some()
 }
 
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -36,6 +36,8 @@
     fixture: RelayFixture,
     /// Bounds for the relays that are started after this is set.
     pub bounds: DeploymentBounds,
+    /// Speed of the links of the relays that are started after this is set, in Mbit/s.
+    pub link_mbps: u32,
 }
 
 /// A response whose body was read until it ended or broke off.
@@ -56,6 +58,7 @@
         Self {
             fixture: RelayFixture::start().await.unwrap(),
             bounds: bounds(),
+            link_mbps: 0,
         }
     }
 
@@ -120,6 +123,7 @@
             readiness: loopback(),
             store: self.store.address(),
             peer_ports: (0, 0),
+            link_mbps: self.link_mbps,
             bounds: self.bounds,
         }
     }
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -313,3 +313,24 @@
     let bytes = second.status().peer_sent_bytes - before;
     assert!(bytes <= CHANGE_BYTES, "{bytes} bytes");
 }
+
+/// Guards against a router with a slow link that passes everything on to the others of its zone.
+#[tokio::test]
+async fn the_router_with_the_fastest_link_of_a_zone_reads_the_store() {
+    let mut deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let _replica = deployment.replica("up-1", "v1").await;
+    let mut hosts = ROUTERS;
+    // Without regard to the links, the last of them would be the last to read the store.
+    hosts.sort_by_key(|host| xxh3_64(host.as_bytes()));
+    let mut relays = Vec::new();
+    for (host, link_mbps) in hosts.into_iter().zip([10, 10, 200]) {
+        deployment.link_mbps = link_mbps;
+        relays.push(deployment.relay_on(host).await);
+    }
+    eventually("the others sync from the last router", async || {
+        let synced = relays.iter().map(RelayDaemon::is_synced_from_peer);
+        synced.eq([true, true, false])
+    })
+    .await;
+}
