Let a router that cannot read the store sync from one of another zone

What callers saw: 503 from a router that the store turned away, with all routers of its zone until they found another source, while others knew the newest rules and entries. Cause: sync sources were the routers before this one in its zone; the first of a zone had none, and waited for the store. Change: a router without a source whose rules have not been confirmed for 0.9 s syncs from a substitute (other zones first) for 3 s, then tries the store again. The ages that are passed on bound what a chain of routers hands down, as before.

--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
 use ferry_decisions::quarantine::RowOrigin;
+use ferry_decisions::time::MonotonicTime;
 use ferry_platform::store::KeyedRecord;
 use tokio::time::{sleep, timeout};
 
@@ -38,7 +39,11 @@
 /// Delay before the next feed request to a sync source that is also starting.
 const START_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Period of the checks for a sync source while there is none.
-const SOURCE_CHECK_PERIOD: Duration = Duration::from_millis(700);
+const SOURCE_CHECK_PERIOD: Duration = Duration::from_millis(350);
+/// Age of the rules above which a router that reads the store counts as unable to.
+const MAX_READ_AGE: Duration = Duration::from_millis(900);
+/// Time for which a substitute is used before the store is tried again.
+const SUBSTITUTE_TIME: Duration = Duration::from_secs(3);
 
 /// Why a sync failed; this router then reads the store itself.
 #[derive(Debug, thiserror::Error)]
@@ -70,10 +75,9 @@
 /// Syncs from another router while there is a sync source, until the relay closes.
 pub async fn follow(core: SharedCore) {
     let mut position = FeedPosition::default();
+    let mut substitute_since = None;
     loop {
-        let settings = core.settings.load_full();
-        let sync_source = core.fleet.sync_source(&settings, core.clock.now());
-        let Some(sync_source) = sync_source else {
+        let Some(sync_source) = choose_source(&core, &mut substitute_since) else {
             core.fleet.set_synced_from_peer(false);
             sleep(SOURCE_CHECK_PERIOD).await;
             continue;
@@ -100,6 +104,33 @@
     }
 }
 
+/// The sync source, or a substitute while there is none and the store cannot be read here. A substitute is used for a limited time; then the
+/// store is tried again.
+fn choose_source(
+    core: &SharedCore,
+    substitute_since: &mut Option<MonotonicTime>,
+) -> Option<HostName> {
+    let (settings, now) = (core.settings.load_full(), core.clock.now());
+    let sync_source = core.fleet.sync_source(&settings, now);
+    if sync_source.is_some() {
+        *substitute_since = None;
+        return sync_source;
+    }
+    let is_due = match *substitute_since {
+        Some(since) => now.since(since) < SUBSTITUTE_TIME,
+        None => core.operator_topic.age() > MAX_READ_AGE,
+    };
+    if !is_due {
+        *substitute_since = None;
+        return None;
+    }
+    let substitute = core.fleet.substitute_source(&settings, now);
+    *substitute_since = substitute
+        .is_some()
+        .then(|| substitute_since.unwrap_or(now));
+    substitute
+}
+
 async fn sync(
     core: &SharedCore,
     sync_source: &HostName,
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -126,22 +126,34 @@
     /// Each router syncs only from routers before it in the order, so that there are no cycles.
     pub fn sync_source(&self, own: &HostSettings, now: MonotonicTime) -> Option<HostName> {
         let own_rank = rank(&own.host, own.link_mbps);
-        let failed = self.failed.lock();
-        let is_usable = |host: &HostName| {
-            failed
-                .get(host)
-                .is_none_or(|at| now.since(*at) > FAILURE_BACKOFF)
-        };
-        self.routers
-            .lock()
-            .iter()
-            .flatten()
-            .filter(|entry| entry.zone == own.zone && entry.rank() < own_rank)
-            .filter(|entry| is_usable(&entry.host))
+        let routers = self.routers.lock();
+        let earlier = routers.iter().flatten();
+        let earlier = earlier.filter(|entry| entry.zone == own.zone && entry.rank() < own_rank);
+        earlier
+            .filter(|entry| self.is_usable(&entry.host, now))
             .min_by_key(|entry| entry.rank())
             .map(|entry| entry.host.clone())
     }
 
+    /// Router to sync from while this one cannot read the store itself: the first of the other zones that did not fail recently, and after
+    /// those one of its own zone.
+    pub fn substitute_source(&self, own: &HostSettings, now: MonotonicTime) -> Option<HostName> {
+        let routers = self.routers.lock();
+        let others = routers.iter().flatten();
+        let others = others.filter(|entry| entry.host != own.host);
+        others
+            .filter(|entry| self.is_usable(&entry.host, now))
+            .min_by_key(|entry| (entry.zone == own.zone, entry.rank()))
+            .map(|entry| entry.host.clone())
+    }
+
+    /// Whether `host` did not fail to answer recently.
+    fn is_usable(&self, host: &HostName, now: MonotonicTime) -> bool {
+        let failed = self.failed.lock();
+        let failed_at = failed.get(host);
+        failed_at.is_none_or(|at| now.since(*at) > FAILURE_BACKOFF)
+    }
+
     /// Records that `host` failed to answer.
     pub fn record_failure(&self, host: &HostName, now: MonotonicTime) {
         self.failed.lock().insert(host.clone(), now);
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -36,6 +36,8 @@
     fixture: RelayFixture,
     /// Bounds for the relays that are started after this is set.
     pub bounds: DeploymentBounds,
+    /// Address at which the relays that are started after this is set find the store; the store's own if absent.
+    pub store_address: Option<SocketAddr>,
     /// Speed of the links of the relays that are started after this is set, in Mbit/s.
     pub link_mbps: u32,
 }
@@ -58,6 +60,7 @@
         Self {
             fixture: RelayFixture::start().await.unwrap(),
             bounds: bounds(),
+            store_address: None,
             link_mbps: 0,
         }
     }
@@ -121,7 +124,7 @@
             zone: zone.into(),
             callers: loopback(),
             readiness: loopback(),
-            store: self.store.address(),
+            store: self.store_address.unwrap_or(self.store.address()),
             peer_ports: (0, 0),
             link_mbps: self.link_mbps,
             bounds: self.bounds,
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -6,6 +6,7 @@
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_rig::LinkProxy;
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::ReplicaPlan;
 use hyper::StatusCode;
@@ -13,7 +14,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::deployment::{Deployment, call, eventually, is_ready, request, rule};
+use crate::deployment::{Deployment, call, eventually, is_ready, loopback, request, rule};
 
 /// Hosts of the tests' routers, all in one availability zone.
 const ROUTERS: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
@@ -35,6 +36,11 @@
 /// a second.
 const CHANGE_BYTES: u64 = 10_000;
 
+/// Time for which a router has been cut off from the store before something changes.
+const STORE_CUT: Duration = Duration::from_secs(2);
+/// Time in which a change must be in force at each router.
+const APPLY_BOUND: Duration = Duration::from_secs(3);
+
 /// Starts all routers and waits until all but one sync from another.
 async fn start_fleet(deployment: &Deployment) -> Vec<RelayDaemon> {
     let mut relays = Vec::new();
@@ -334,3 +340,37 @@
     })
     .await;
 }
+
+/// Guards against a router that refuses requests for as long as the store turns it away, though others are in contact with it.
+#[tokio::test]
+async fn a_router_that_cannot_read_the_store_asks_one_of_another_zone() {
+    let mut deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let replica = deployment.replica("up-1", "v1").await;
+    let _staying = deployment.replica("up-2", "v1").await;
+    let other = deployment.relay_in("entry-1", "zone-b").await;
+    let link = LinkProxy::start(loopback().ip()).await.unwrap();
+    link.set_target(deployment.store.address());
+    deployment.store_address = Some(link.address);
+    let relay = deployment.relay_on("entry-2").await;
+    eventually("the routers know each other", async || {
+        relay.status().relays == 2
+    })
+    .await;
+    link.cut();
+    sleep(STORE_CUT).await;
+    replica.register(&deployment.store, UpstreamStage::Draining, 2);
+    deployment.configure(2, &[rule("/memos/", RunKind::Idempotent)]);
+    sleep(APPLY_BOUND).await;
+    let before = replica.runs().len();
+    for _ in 0..10 {
+        assert!(serves(&relay, "/memos/7").await);
+    }
+    assert_eq!(replica.runs().len(), before, "it has left");
+    link.heal();
+    eventually("the store is read again", async || {
+        !relay.is_synced_from_peer()
+    })
+    .await;
+    assert!(!other.is_synced_from_peer());
+}
