Let a router that starts know the crashes of requests before it serves any

Cause: readiness did not ask for the stored crashes, and crashes that could not be stored during an outage were only in the memory of the routers that had seen them. Change: a router serves no request and is not ready before the stored crashes are known and up to eight routers were asked for theirs, for at most 0.6 s; until 0.7 s after the start requests wait for that.

--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! Each router keeps rows of its own counts in a topic of the store, so that they outlive it. A router that reads
 //! the store stores the rows of those that sync from it too, and passes all rows on to them with the feed. While
-//! the store can't be used, routers exchange rows directly.
+//! the store can't be used, routers exchange rows directly; a router that starts asks some of the others, and serves no request before.
 
 mod crash_exchange;
 mod crash_manager;
@@ -17,6 +17,7 @@
 /// Starts the tasks that share the counts with the other routers.
 pub fn start(core: &SharedCore) {
     core.spawn(crash_exchange::follow(core.clone()));
+    core.spawn(crash_exchange::ask_at_start(core.clone()));
     core.spawn(crash_exchange::publish(core.clone()));
     core.spawn(crash_exchange::report(core.clone()));
     core.spawn(crash_exchange::expire(core.clone()));
--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -31,6 +31,10 @@
 /// Number of routers that new crashes of this router are sent to while they cannot be stored; they pass them on to one
 /// router after each delay.
 const NEWS_FANOUT: usize = 8;
+/// Number of routers that are asked for crashes at the start.
+const START_FANOUT: usize = 8;
+/// Time after the start after which no answer to that is waited for.
+const START_TIMEOUT: Duration = Duration::from_millis(600);
 /// Period of the checks for requests whose crashes are long ago.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
 
@@ -68,6 +72,20 @@
     }
 }
 
+/// Asks other routers, after the start, for rows that may not be in the store.
+pub async fn ask_at_start(core: SharedCore) {
+    let asking = async {
+        core.fleet.wait_until_listed().await;
+        exchange_with_some(&core, START_FANOUT).await;
+    };
+    if timeout(START_TIMEOUT, asking).await.is_err() {
+        spdlog::info!("not all routers that were asked for crashes at the start answered in time", kv: {
+            routers = core.fleet.router_count(),
+        });
+    }
+    core.crashes.record_asked_others();
+}
+
 /// Stores the rows of this router and of those that sync from it, until the relay closes.
 pub async fn publish(core: SharedCore) {
     let mut outages = OutageLog::new(
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -1,6 +1,7 @@
 //! This router's view of the fleet's crash count.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use ferry_decisions::quarantine::{
     AnswerProof, CrashRow, CrashRowKey, CrashSubject, CrashTally, CrashVerdict, RequestFingerprint,
@@ -23,6 +24,8 @@
     changed: Notify,
     /// Signal that this router saw a crash.
     recorded: Notify,
+    /// Whether other routers were asked, after the start, for rows that may not be in the store.
+    has_asked_others: AtomicBool,
 }
 
 impl CrashManager {
@@ -33,9 +36,20 @@
             tally: Mutex::new(CrashTally::new(router)),
             changed: Notify::new(),
             recorded: Notify::new(),
+            has_asked_others: AtomicBool::new(false),
         }
     }
 
+    /// Records that other routers were asked, after the start, for rows that may not be in the store.
+    pub fn record_asked_others(&self) {
+        self.has_asked_others.store(true, Ordering::Release);
+    }
+
+    /// Whether other routers were asked, after the start, for rows that may not be in the store.
+    pub fn has_asked_others(&self) -> bool {
+        self.has_asked_others.load(Ordering::Acquire)
+    }
+
     /// Records that `upstream` crashed while it ran the request, whose prompt has `parts` that others may share.
     pub fn record(
         &self,
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -229,9 +229,8 @@
     watch::apply_synced_operator(core, positions.operator, operator);
     watch::apply_synced_upstreams(core, positions.upstreams, whole, upstreams, &gone);
     crashes::apply_stored(core, rows);
-    if let Some(position) = positions.crashes {
-        core.crash_topic.advance(position);
-    }
+    // A router of an older build sends the rows without their position.
+    core.crash_topic.advance(positions.crashes.unwrap_or(0));
     rollouts::apply_pooled(core, answer.rollouts);
     position.source = answer.source;
     position.revision = answer.revision;
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -42,6 +42,8 @@
     hub: OnceLock<Arc<PeerHub>>,
     /// Registered routers; absent until they were first listed.
     routers: Mutex<Option<Vec<RouterEntry>>>,
+    /// Whether they were listed at least once.
+    is_listed: watch::Sender<bool>,
     /// Whether they were listed after routers that started together with this one had time to register.
     has_full_list: AtomicBool,
     /// Time of the last failure of each router that failed to answer.
@@ -56,6 +58,7 @@
             feed: FeedSource::default(),
             hub: OnceLock::new(),
             routers: Mutex::default(),
+            is_listed: watch::Sender::new(false),
             has_full_list: AtomicBool::new(false),
             failed: Mutex::default(),
             synced_from_peer: watch::Sender::new(false),
@@ -89,6 +92,13 @@
             spdlog::info!("number of registered routers changed", kv: { routers = routers.len(), before = before });
         }
         *self.routers.lock() = Some(routers);
+        self.is_listed.send_replace(true);
+    }
+
+    /// Waits until the routers were listed at least once.
+    pub async fn wait_until_listed(&self) {
+        // Cannot fail, because `self` keeps the sender.
+        let _ = self.is_listed.subscribe().wait_for(|listed| *listed).await;
     }
 
     /// Records that the list has the routers that started together with this one.
@@ -112,7 +122,7 @@
 
     /// Whether the routers were listed at least once.
     pub fn is_listed(&self) -> bool {
-        self.routers.lock().is_some()
+        *self.is_listed.borrow()
     }
 
     /// Number of registered routers; 0 until they were listed.
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -101,17 +101,23 @@
         }
     }
 
-    /// Whether requests can be answered: the relay is not stopping, rules, upstreams and the phases of
+    /// Whether requests can be answered: the relay is not stopping, rules, upstreams, crashes and the phases of
     /// roll-outs are known, and the rules were confirmed within the revocation bound.
     pub fn is_ready(&self) -> bool {
         let revocation = self.settings.load().bounds.revocation;
         self.phase() == LifecyclePhase::Serving
             && self.rules.load().is_some()
             && self.upstreams.is_listed()
+            && self.knows_crashes()
             && self.rollouts.has_all_phases()
             && self.operator_topic.covers(revocation)
     }
 
+    /// Whether the crashes of requests are known: those in the store, and those that some other routers hold in their memory.
+    pub fn knows_crashes(&self) -> bool {
+        self.crash_topic.position().is_some() && self.crashes.has_asked_others()
+    }
+
     /// Lifecycle phase of the relay.
     pub fn phase(&self) -> LifecyclePhase {
         self.phase.get()
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -19,7 +19,7 @@
 const MAX_RULES_AGE: Duration = Duration::from_millis(1_600);
 
 /// Time after the start of the process during which requests wait for the rules and upstreams to be read.
-const START_TIMEOUT: Duration = Duration::from_millis(400);
+const START_TIMEOUT: Duration = Duration::from_millis(700);
 /// Period at which waiting requests check whether the rules and upstreams are available.
 const START_POLL_PERIOD: Duration = Duration::from_millis(10);
 
@@ -77,7 +77,7 @@
     if core.phase() == LifecyclePhase::Draining {
         return Some(RefusalReason::Stopping);
     }
-    let known = core.rules.load().is_some() && core.upstreams.is_listed();
+    let known = core.rules.load().is_some() && core.upstreams.is_listed() && core.knows_crashes();
     (!known).then_some(RefusalReason::NotReady)
 }
 
--- a/crates/router/tests/relay/containment.rs
+++ b/crates/router/tests/relay/containment.rs
@@ -19,6 +19,8 @@
 
 /// Time after the third crash from which the fleet must not run the request again.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time after which a router has tried to store crashes, and waits to try again.
+const STORE_RETRY_TIME: Duration = Duration::from_millis(100);
 /// Number of sends at each router after that time.
 const LATER_SENDS: usize = 4;
 /// Ids of enough upstreams that the request can reach a new one each time.
@@ -260,6 +262,32 @@
     assert_contained_in_an_outage(&deployment, &relays, &replicas).await;
 }
 
+/// Guards against a router that is ready before it knows crashes that are only in the memory of others: it ran the request again.
+#[tokio::test]
+async fn a_router_that_starts_knows_crashes_that_are_not_stored_yet() {
+    let (deployment, replicas) = deployment(RunKind::Idempotent).await;
+    let relays = start_routers(&deployment, THREE_ZONES).await;
+    deployment.store.set_faults(FaultOrder {
+        outage: Some(OutageOrder {
+            answer: OutageAnswer::Unavailable,
+            path: "/api/log-append".to_owned(),
+        }),
+        ..FaultOrder::default()
+    });
+    call(request(&relays[2], CRASHING, "first")).await;
+    take_down_crashed(&replicas).await;
+    assert_eq!(runs_of(&replicas, CRASHING), 3);
+    // The crashes are stored only after a retry delay that has just begun.
+    sleep(STORE_RETRY_TIME).await;
+    deployment.store.set_faults(FaultOrder::default());
+    let started = deployment.unready_relay("entry-4").await;
+    for number in 0..20 {
+        call(request(&started, CRASHING, &format!("again-{number}"))).await;
+        take_down_crashed(&replicas).await;
+    }
+    assert_eq!(runs_of(&replicas, CRASHING), 3);
+}
+
 /// Guards against an upstream that restarts under its id and counts only once.
 #[tokio::test]
 async fn three_crashes_of_an_upstream_that_restarts_under_its_id_contain_a_request() {
