--- /dev/null
+++ b/crates/router/tests/relay/limits.rs
@@ -0,0 +1,254 @@
+//! Upstreams that name the requests per second that they take from all routers together.
+
+use std::time::Duration;
+
+use ferry_decisions::ruleset::RunKind;
+use ferry_router::relay::RelayDaemon;
+use ferry_standin::{ReplicaPlan, ReplicaStandin};
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::deployment::{CollectedResponse, Deployment, call, eventually, is_ready, request, rule};
+
+/// Time after which the limit that an upstream named must be kept.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Span in which arrivals are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Multiple of what the limit allows that may arrive in a window.
+const WINDOW_FACTOR: f64 = 1.5;
+/// Number of requests that may arrive beyond that.
+const WINDOW_EXTRA: f64 = 5.0;
+/// Time for which load is sent after the contact time.
+const LOAD_TIME: Duration = Duration::from_secs(9);
+/// Pause between two requests of the load.
+const LOAD_PAUSE: Duration = Duration::from_millis(25);
+/// Time in which a request that cannot be served must be rejected.
+const REJECTION_TIME: Duration = Duration::from_millis(700);
+/// Routers in three availability zones.
+const ROUTERS: [(&str, &str); 6] = [
+    ("entry-1", "zone-a"),
+    ("entry-2", "zone-b"),
+    ("entry-3", "zone-c"),
+    ("entry-4", "zone-a"),
+    ("entry-5", "zone-b"),
+    ("entry-6", "zone-c"),
+];
+
+/// A response, and how long the caller waited for it.
+struct TimedResponse {
+    response: CollectedResponse,
+    took: Duration,
+}
+
+/// How all upstreams answer, whatever they say of themselves.
+fn plan() -> ReplicaPlan {
+    ReplicaPlan {
+        wait: Duration::from_millis(10),
+        ..ReplicaPlan::default()
+    }
+}
+
+fn limited(limit: f64) -> ReplicaPlan {
+    ReplicaPlan {
+        limit: Some(limit),
+        ..plan()
+    }
+}
+
+async fn start_deployment() -> Deployment {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    deployment
+}
+
+async fn start_routers(deployment: &Deployment, count: usize) -> Vec<RelayDaemon> {
+    let mut relays = Vec::new();
+    for (host, zone) in &ROUTERS[..count] {
+        relays.push(deployment.relay_in(host, zone).await);
+    }
+    eventually("each router lists all", async || {
+        relays.iter().all(|relay| relay.status().relays == count)
+    })
+    .await;
+    relays
+}
+
+/// Sends requests to the routers in turn for `time`, without waiting for their answers.
+async fn send_load(relays: &[RelayDaemon], time: Duration) -> Vec<TimedResponse> {
+    let mut calls: Vec<JoinHandle<TimedResponse>> = Vec::new();
+    let started_at = Instant::now();
+    for number in 0.. {
+        if started_at.elapsed() >= time {
+            break;
+        }
+        let relay = &relays[number % relays.len()];
+        let request = request(relay, &format!("/letters/{number}"), &format!("a-{number}"));
+        calls.push(tokio::spawn(async move {
+            let sent_at = Instant::now();
+            TimedResponse {
+                response: call(request).await,
+                took: sent_at.elapsed(),
+            }
+        }));
+        sleep(LOAD_PAUSE).await;
+    }
+    let mut responses = Vec::new();
+    for call in calls {
+        responses.push(call.await.unwrap());
+    }
+    responses
+}
+
+/// Highest number of requests that reached `replica` in any window that begins after `from`.
+fn most_arrivals(replica: &ReplicaStandin, from: Instant) -> usize {
+    let runs = replica.runs();
+    let arrivals: Vec<Instant> = runs
+        .iter()
+        .map(|run| run.at)
+        .filter(|at| *at >= from)
+        .collect();
+    let in_window = |begin: &Instant| {
+        let end = *begin + WINDOW;
+        arrivals
+            .iter()
+            .filter(|at| (*begin..end).contains(at))
+            .count()
+    };
+    arrivals.iter().map(in_window).max().unwrap_or_default()
+}
+
+fn assert_kept(replica: &ReplicaStandin, limit: f64, from: Instant) {
+    let allowed = WINDOW_FACTOR * limit * WINDOW.as_secs_f64() + WINDOW_EXTRA;
+    let most = most_arrivals(replica, from);
+    assert!(
+        most as f64 <= allowed,
+        "{most} requests in {WINDOW:?}, allowed {allowed:.1}"
+    );
+}
+
+/// Checks that an upstream with a limit still gets a good part of what it takes.
+fn assert_used(replica: &ReplicaStandin, limit: f64, from: Instant) {
+    let arrived = replica.runs().iter().filter(|run| run.at >= from).count();
+    let taken = limit * LOAD_TIME.as_secs_f64();
+    assert!(arrived as f64 >= taken / 2.0, "{arrived} of {taken:.1}");
+}
+
+async fn assert_routers_keep_a_limit(routers: usize, limit: f64) {
+    let deployment = start_deployment().await;
+    let replicas = deployment.replicas(["up-1", "up-2", "up-3"], &plan()).await;
+    let relays = start_routers(&deployment, routers).await;
+    send_load(&relays, Duration::from_secs(1)).await;
+    replicas[0].plan(limited(limit));
+    let from = Instant::now() + CONTACT_TIME;
+    let responses = send_load(&relays, CONTACT_TIME + LOAD_TIME).await;
+    assert_kept(&replicas[0], limit, from);
+    assert_used(&replicas[0], limit, from);
+    let served = |timed: &&TimedResponse| timed.response.status == StatusCode::OK;
+    assert_eq!(responses.iter().filter(served).count(), responses.len());
+}
+
+#[tokio::test]
+async fn three_routers_keep_the_limit_of_an_upstream_together() {
+    assert_routers_keep_a_limit(3, 1.6).await;
+}
+
+#[tokio::test]
+async fn six_routers_keep_a_limit_below_their_number_together() {
+    assert_routers_keep_a_limit(6, 1.4).await;
+}
+
+#[tokio::test]
+async fn requests_beyond_the_limits_of_all_upstreams_are_rejected_at_once() {
+    let limit = 3.0;
+    let deployment = start_deployment().await;
+    let ids = ["up-1", "up-2", "up-3", "up-4", "up-5", "up-6"];
+    let replicas = deployment.replicas(ids, &limited(limit)).await;
+    let relays = start_routers(&deployment, 3).await;
+    let from = Instant::now() + CONTACT_TIME;
+    send_load(&relays, CONTACT_TIME).await;
+    let responses = send_load(&relays, LOAD_TIME).await;
+    for replica in &replicas {
+        assert_kept(replica, limit, from);
+    }
+    let served = responses
+        .iter()
+        .filter(|timed| timed.response.status == StatusCode::OK);
+    let all_limits = limit * ids.len() as f64 * LOAD_TIME.as_secs_f64();
+    let served = served.count();
+    assert!(
+        served as f64 >= all_limits * 0.6,
+        "{served} of {all_limits:.0}"
+    );
+    for timed in &responses {
+        match timed.response.status {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE => {
+                assert!(timed.response.headers.contains_key(RETRY_AFTER));
+                assert!(timed.took < REJECTION_TIME, "{:?}", timed.took);
+            }
+            status => panic!("{status}"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_upstream_that_names_no_limit_any_more_gets_its_share_again() {
+    let deployment = start_deployment().await;
+    let replicas = deployment.replicas(["up-1", "up-2"], &limited(1.6)).await;
+    replicas[1].plan(plan());
+    let relays = start_routers(&deployment, 3).await;
+    send_load(&relays, CONTACT_TIME).await;
+    replicas[0].plan(plan());
+    send_load(&relays, CONTACT_TIME).await;
+    let before = replicas[0].runs().len();
+    let sent = send_load(&relays, WINDOW).await.len();
+    let arrived = replicas[0].runs().len() - before;
+    assert!(arrived >= sent / 4, "{arrived} of {sent}");
+}
+
+/// Guards against a limit that nobody keeps, or an upstream that nobody uses, after the loss of one router.
+#[tokio::test]
+async fn a_limit_is_kept_and_used_after_the_loss_of_any_router() {
+    let limit = 1.6;
+    for (host, _) in &ROUTERS[..3] {
+        let deployment = start_deployment().await;
+        let replicas = deployment.replicas(["up-1", "up-2"], &plan()).await;
+        let runtime = Runtime::new().unwrap();
+        let dying = deployment.start_on(&runtime, host).await;
+        eventually("the router is ready", async || is_ready(&dying).await).await;
+        let mut relays = Vec::new();
+        for (host, zone) in ROUTERS[..3].iter().filter(|(other, _)| other != host) {
+            relays.push(deployment.relay_in(host, zone).await);
+        }
+        eventually("each router lists all", async || {
+            relays.iter().all(|relay| relay.status().relays == 3)
+        })
+        .await;
+        replicas[0].plan(limited(limit));
+        send_load(&relays, CONTACT_TIME).await;
+        runtime.shutdown_background();
+        let from = Instant::now();
+        send_load(&relays, LOAD_TIME).await;
+        assert_kept(&replicas[0], limit, from);
+        assert_used(&replicas[0], limit, from);
+    }
+}
+
+/// An upstream that says that it is leaving gets no more requests, whatever the store says.
+#[tokio::test]
+async fn an_upstream_that_says_in_an_answer_that_it_leaves_gets_no_more_requests() {
+    let deployment = start_deployment().await;
+    let replicas = deployment.replicas(["up-1", "up-2"], &plan()).await;
+    let relays = start_routers(&deployment, 3).await;
+    replicas[0].plan(ReplicaPlan {
+        leaves: true,
+        ..plan()
+    });
+    send_load(&relays, CONTACT_TIME).await;
+    let before = replicas[0].runs().len();
+    send_load(&relays, WINDOW).await;
+    assert_eq!(replicas[0].runs().len(), before);
+}
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod failures;
 mod feeds;
 mod histories;
+mod limits;
 mod raw_replica;
 mod requests;
 mod retry_budget;
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -56,6 +56,10 @@
     pub full: bool,
     /// Time for which refusals of a full upstream ask for no requests.
     pub pause: Option<Duration>,
+    /// Requests per second that all answers name as the upstream's limit, if any; the stand-in does not enforce it.
+    pub limit: Option<f64>,
+    /// Whether all answers say that the upstream is leaving.
+    pub leaves: bool,
     /// Confidence that answers state, if any.
     pub confidence: Option<u8>,
     /// Whether answers carry the identifier of another attempt.
@@ -74,6 +78,8 @@
             status: StatusCode::OK,
             full: false,
             pause: None,
+            limit: None,
+            leaves: false,
             confidence: None,
             wrong_attempt: false,
         }
@@ -121,7 +127,8 @@
         let bound = BoundRequest::read(&head.headers);
         let target = format!("{} {}", head.method, head.uri);
         let Ok(body) = collect_limited(body, BODY_LIMIT).await else {
-            return self.refuse(&bound, StatusCode::BAD_REQUEST, None);
+            let plan = self.plan.lock().clone();
+            return self.refuse(&bound, StatusCode::BAD_REQUEST, None, &plan);
         };
         let plan = self.plan.lock().clone();
         let is_misdirected = bound.bound_to.as_deref() != Some(self.options.id.as_str());
@@ -138,9 +145,11 @@
             pause: plan.pause.filter(|_| plan.full && !is_misdirected),
         });
         match (is_misdirected, plan.full) {
-            (true, _) => return self.refuse(&bound, StatusCode::MISDIRECTED_REQUEST, None),
+            (true, _) => {
+                return self.refuse(&bound, StatusCode::MISDIRECTED_REQUEST, None, &plan);
+            }
             (false, true) => {
-                return self.refuse(&bound, StatusCode::SERVICE_UNAVAILABLE, plan.pause);
+                return self.refuse(&bound, StatusCode::SERVICE_UNAVAILABLE, plan.pause, &plan);
             }
             (false, false) => {}
         }
@@ -166,13 +175,14 @@
         bound: &BoundRequest,
         status: StatusCode,
         pause: Option<Duration>,
+        plan: &ReplicaPlan,
     ) -> Response<HttpBody> {
         let mut response = Response::new(full("refused"));
         *response.status_mut() = status;
         let headers = AnswerHeaders {
             not_run: true,
             pause,
-            ..self.answer_headers(bound)
+            ..self.answer_headers(bound, plan)
         };
         headers.write(response.headers_mut());
         response
@@ -197,7 +207,7 @@
         *response.status_mut() = plan.status;
         let media_type = HeaderValue::from_static(media_type);
         response.headers_mut().insert(CONTENT_TYPE, media_type);
-        let mut headers = self.answer_headers(bound);
+        let mut headers = self.answer_headers(bound, plan);
         headers.signature = Some(format!("signed-by-{}", self.options.id));
         headers.confidence = plan.confidence;
         if plan.wrong_attempt {
@@ -207,8 +217,10 @@
         plan.framing.apply(response)
     }
 
-    fn answer_headers(&self, bound: &BoundRequest) -> AnswerHeaders {
+    fn answer_headers(&self, bound: &BoundRequest, plan: &ReplicaPlan) -> AnswerHeaders {
         AnswerHeaders {
+            limit: plan.limit,
+            leaves: plan.leaves,
             attempt_id: bound.attempt_id.clone(),
             load: Some(LoadFacts {
                 running: 0,
