Let a request wait a moment for newer entries where an upstream may have left unnoticed

What callers saw: after a suspension of a router's host, requests at upstreams that had left meanwhile. Cause: nothing on the way of a request asks how old the entries are; a resumed router answers what has arrived before its first read. Change: before each send a router whose entries are older than the bound waits up to 0.2 s for a confirmation. All requests of the router share that time, so that a long outage of the store delays no other; then it sends by what it knows.

--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -247,7 +247,7 @@
         if self.has_sent_events && self.splitter.last_id().is_none() {
             return Err(RelayRefusal::not_run(RefusalReason::UpstreamFailed));
         }
-        let upstream = self.run.next_upstream(&stream_failure())?;
+        let upstream = self.run.next_upstream(&stream_failure()).await?;
         self.resume_at(upstream).await
     }
 
@@ -255,7 +255,10 @@
     /// its answer may still complete.
     async fn handle_silence(&mut self) -> Result<(), RelayRefusal> {
         let resumable = !self.has_sent_events || self.splitter.last_id().is_some();
-        let next = resumable.then(|| self.run.next_upstream(&stream_failure()));
+        let next = match resumable {
+            true => Some(self.run.next_upstream(&stream_failure()).await),
+            false => None,
+        };
         match next {
             Some(Ok(upstream)) => {
                 self.discard_answer("the upstream is silent");
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -110,12 +110,12 @@
     /// # Errors
     ///
     /// Returns the final refusal when the request is not sent again.
-    pub fn next_upstream(
+    pub async fn next_upstream(
         &mut self,
         failure: &SendFailure,
     ) -> Result<Arc<RelayUpstream>, RelayRefusal> {
         self.decide_retry(failure)?;
-        self.plan_send()
+        self.plan_send().await
     }
 
     /// Resumes a stream after the event `last_event` at `upstream`, or at another upstream if that fails.
@@ -134,13 +134,13 @@
                 Ok(_) => SendFailure::without_answer(UpstreamFailure::MalformedAnswer),
                 Err(failure) => failure,
             };
-            upstream = self.next_upstream(&failure)?;
+            upstream = self.next_upstream(&failure).await?;
         }
     }
 
     pub(super) async fn dispatch(&mut self) -> Result<RunAnswer, RelayRefusal> {
         loop {
-            let upstream = self.plan_send()?;
+            let upstream = self.plan_send().await?;
             let sent = Instant::now();
             let result = match self.send_to(&upstream, None).await {
                 Ok(answer) if self.try_escalate(&answer, sent.elapsed()) => continue,
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -31,7 +31,15 @@
     ///
     /// Fails when the rules no longer allow the request, its key may have been revoked, it is quarantined, or no
     /// upstream is available.
-    pub(super) fn plan_send(&mut self) -> Result<Arc<RelayUpstream>, RelayRefusal> {
+    pub(super) async fn plan_send(&mut self) -> Result<Arc<RelayUpstream>, RelayRefusal> {
+        let drain = self.core.settings.load().bounds.drain;
+        self.core.upstream_topic.settle(drain).await;
+        self.check_rules()?;
+        self.choose()
+    }
+
+    /// Applies the current rules to the request.
+    fn check_rules(&mut self) -> Result<(), RelayRefusal> {
         let refuse = |reason| RelayRefusal::not_run(reason);
         let rules = self.core.rules.load();
         let rules = rules.as_ref().ok_or(refuse(RefusalReason::NotReady))?;
@@ -55,6 +63,11 @@
             };
             return Err(refuse(RefusalReason::Quarantined).with_run(run));
         }
+        Ok(())
+    }
+
+    fn choose(&self) -> Result<Arc<RelayUpstream>, RelayRefusal> {
+        let refuse = |reason| RelayRefusal::not_run(reason);
         let model = self.model();
         let service = self
             .service
--- a/crates/router/src/relay/topic_progress.rs
+++ b/crates/router/src/relay/topic_progress.rs
@@ -3,9 +3,14 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 
 use super::confirmation_time::ConfirmationTime;
 
+/// Time for which requests wait for a confirmation that is overdue. All that wait at the same time share it, so that a long outage delays none.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
 /// What is known here of one topic, whether it was read from the store or came from another router.
 #[derive(Debug, Default)]
 pub struct TopicProgress {
@@ -13,6 +18,10 @@
     position: Mutex<Option<u64>>,
     /// When the store certainly held no record beyond those that are applied here.
     confirmed: ConfirmationTime,
+    /// When the first request began to wait for the next confirmation.
+    overdue_since: Mutex<Option<Instant>>,
+    /// Signal of a confirmation.
+    confirmations: Notify,
 }
 
 impl TopicProgress {
@@ -35,6 +44,8 @@
     /// Records that the store held no further record at `moment`, a value of [`ConfirmationTime::now`].
     pub fn confirm(&self, moment: Duration) {
         self.confirmed.confirm(moment);
+        *self.overdue_since.lock() = None;
+        self.confirmations.notify_waiters();
     }
 
     /// Time since the store certainly held no further record; since boot if that was never known.
@@ -42,6 +53,19 @@
         self.confirmed.age()
     }
 
+    /// Waits a moment for a confirmation if a record of `bound` ago may not be applied here, as after a suspension of the host.
+    ///
+    /// Returns without one while nobody who can be reached knows more.
+    pub async fn settle(&self, bound: Duration) {
+        let confirmation = self.confirmations.notified();
+        if self.covers(bound) {
+            return;
+        }
+        let since = *self.overdue_since.lock().get_or_insert_with(Instant::now);
+        // Ignores the timeout: the caller goes on with what is known.
+        let _ = timeout_at(since + SETTLE_TIME, confirmation).await;
+    }
+
     /// Whether a record of `bound` ago is certainly applied here, with a margin for sending a request.
     pub fn covers(&self, bound: Duration) -> bool {
         self.confirmed.covers(bound)
