Keep the limit that an upstream names, over all routers together

What callers saw: an upstream in need that named 1.6 requests a second got 17 in 4 s, and more as the fleet grows; its callers were slow or failed. Cause: nothing read the header. Change: what an upstream says of its limit is read from each answer and goes to the routers of the zone with the feed; before each send to such an upstream a router asks one router of the fleet, the first that answers in an order that is the same everywhere, for a turn. One bucket counts for all, so that the bound holds whichever router has the traffic. Without a turn the upstream is left out; if all are, the request is rejected at once with a Retry-After that the sum of the limits can keep. A limit ends with an answer to a later request that names none.

--- a/crates/router/src/peer/peer_topic.rs
+++ b/crates/router/src/peer/peer_topic.rs
@@ -26,6 +26,8 @@
         /// Records that a router on the users' platform read from the store, for routers that don't read
         /// it.
         Feed,
+        /// Limits that upstreams name, and turns to send to them, on the users' platform.
+        Turns,
     }
 }
 
@@ -43,6 +45,7 @@
             Self::Hosts => "hosts",
             Self::Trail => "trail",
             Self::Feed => "feed",
+            Self::Turns => "turns",
         }
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -14,6 +14,7 @@
 mod run;
 pub mod status;
 mod topic_progress;
+mod turns;
 mod upstreams;
 mod watch;
 
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -11,6 +11,7 @@
 
 use super::operator_records::KnownOffsets;
 use super::record_patch::RecordPatch;
+use crate::relay::turns::LimitNotice;
 
 /// A request for the changes since a revision.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -29,6 +30,9 @@
     /// Crash counts that may not be in the store yet; absent from routers of an older build.
     #[serde(default)]
     pub crashes: Vec<CrashRow>,
+    /// What the requesting router heard of the limits of upstreams.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Response with the changes since the requested revision.
@@ -54,6 +58,9 @@
     pub holds_missing: bool,
     /// The fleet's evidence about each roll-out in progress.
     pub rollouts: Vec<PooledRollout>,
+    /// What the answering router heard of the limits of upstreams.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Offset before which all records of each topic are known; absent for a topic of which nothing is known, and from routers of an
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -22,6 +22,7 @@
 use super::latency_model::LatencyModel;
 use super::rollouts::RolloutManager;
 use super::topic_progress::TopicProgress;
+use super::turns::TurnManager;
 use super::upstreams::UpstreamDirectory;
 use crate::core::{LifecyclePhase, PhaseCell};
 use crate::membership::ProcessClock;
@@ -62,6 +63,8 @@
     pub answer_budget: BodyBudget,
     /// The fleet's count of upstreams that requests crashed.
     pub crashes: CrashManager,
+    /// Limits that upstreams name, and the turns to send to them.
+    pub turns: TurnManager,
     /// Registered routers, links to them, and the feed.
     pub fleet: FleetManager,
     /// Roll-outs known to this relay.
@@ -91,6 +94,7 @@
             latency: Mutex::default(),
             answer_budget: BodyBudget::new(WHOLE_ANSWER_LIMIT, ALL_ANSWERS_LIMIT),
             crashes: CrashManager::new(&router),
+            turns: TurnManager::default(),
             fleet: FleetManager::default(),
             rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -42,7 +42,7 @@
 /// Chooses the upstream of `service` that `request` is sent to next.
 ///
 /// Suspect upstreams are used only when no other upstream is left and `uses_suspects` is set, and those that asked for a
-/// pause never.
+/// pause or are at their limit never.
 ///
 /// # Errors
 ///
@@ -58,8 +58,8 @@
 ) -> Result<Arc<RelayUpstream>, NoUpstream> {
     let now = core.clock.now();
     let list = core.upstreams.of_service(service);
-    let mut eligible = allowed_versions(&list, pick, now);
-    eligible.retain(|upstream| upstream.pause_left().is_none());
+    let mut eligible = allowed_versions(core, &list, pick, now);
+    eligible.retain(|upstream| blocked_for(core, upstream, now).is_none());
     let mut views: SmallVec<[UpstreamView<'_>; INLINE_UPSTREAMS]> =
         eligible.iter().map(|upstream| upstream.view(now)).collect();
     let zone: ZoneName = core.settings.load().zone.clone();
@@ -91,15 +91,34 @@
     Ok(Arc::clone(eligible[index]))
 }
 
-/// Time until the first upstream of `service` that asked for a pause gets requests again; `None` if none did.
-pub fn soonest_pause_end(core: &RelayCore, service: &ServiceName) -> Option<Duration> {
+/// Time after which a caller of `service` may return whose request no upstream takes now, since each asked for a pause or is at its limit; `None`
+/// if none did.
+pub fn soonest_return(core: &RelayCore, service: &ServiceName) -> Option<Duration> {
+    let now = core.clock.now();
     let list = core.upstreams.of_service(service);
-    let serving = list.iter().filter(|upstream| !upstream.is_leaving());
-    serving.filter_map(|upstream| upstream.pause_left()).min()
+    let serving = || list.iter().filter(|upstream| !upstream.is_leaving());
+    let soonest = serving()
+        .filter_map(|upstream| blocked_for(core, upstream, now))
+        .min()?;
+    let limits = serving().filter_map(|upstream| core.turns.limit(&upstream.record.incarnation));
+    let per_second: f64 = limits.sum();
+    if per_second == 0.0 {
+        return Some(soonest);
+    }
+    let routers = core.fleet.router_count();
+    let return_time = core.turns.return_time(service, per_second, routers, now);
+    Some(soonest.max(return_time))
+}
+
+/// Time for which an upstream gets no request, because it asked for a pause or is at its limit.
+fn blocked_for(core: &RelayCore, upstream: &RelayUpstream, now: MonotonicTime) -> Option<Duration> {
+    let turn_wait = core.turns.wait(&upstream.record.incarnation, now);
+    upstream.pause_left().max(turn_wait)
 }
 
 /// The upstreams that `pick` allows; all upstreams if each of the allowed ones is leaving.
 fn allowed_versions<'a>(
+    core: &RelayCore,
     list: &'a [Arc<RelayUpstream>],
     pick: Option<&VersionPick>,
     now: MonotonicTime,
@@ -120,7 +139,7 @@
             let base = list.iter().filter(|upstream| !upstream.is_leaving());
             let base = base.filter(|upstream| !allows(upstream)).count();
             let count = plan.target_upstreams(phase, allowed.len(), base);
-            loaded_targets(allowed, count, now)
+            loaded_targets(core, allowed, count, now)
         }
         _ => allowed,
     }
@@ -128,19 +147,21 @@
 
 /// The first `count` by id of the upstreams of a new version that can take requests; all if none can. Routers differ only in which
 /// of them they find usable.
-fn loaded_targets(
-    allowed: EligibleUpstreams<'_>,
+fn loaded_targets<'a>(
+    core: &RelayCore,
+    allowed: EligibleUpstreams<'a>,
     count: usize,
     now: MonotonicTime,
-) -> EligibleUpstreams<'_> {
+) -> EligibleUpstreams<'a> {
     let is_usable = |upstream: &RelayUpstream| {
-        upstream.pause_left().is_none() && upstream.view(now).state == UpstreamState::Live
+        blocked_for(core, upstream, now).is_none()
+            && upstream.view(now).state == UpstreamState::Live
     };
     let usable = allowed
         .iter()
         .copied()
         .filter(|upstream| is_usable(upstream));
-    let mut usable: EligibleUpstreams<'_> = usable.collect();
+    let mut usable: EligibleUpstreams<'a> = usable.collect();
     if usable.is_empty() {
         return allowed;
     }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -11,11 +11,12 @@
 use tokio::time::Instant;
 
 use super::RelayRun;
-use super::run_placement::{choose_upstream, conversation_point, soonest_pause_end};
+use super::run_placement::{choose_upstream, conversation_point, soonest_return};
 use super::session_hold::SessionHold;
 use super::upstream_send::UpstreamAnswer;
 use crate::relay::request::{RefusalReason, RelayRefusal};
 use crate::relay::rollouts::{SessionKey, VersionPick};
+use crate::relay::turns::take_turn;
 use crate::relay::upstreams::RelayUpstream;
 
 /// Fraction of the retries that may be left over which a send to a larger model leaves for requests whose upstream
@@ -35,7 +36,12 @@
         let drain = self.core.settings.load().bounds.drain;
         self.core.upstream_topic.settle(drain).await;
         self.check_rules()?;
-        self.choose()
+        loop {
+            let upstream = self.choose()?;
+            if take_turn(&self.core, &upstream.record.incarnation).await {
+                return Ok(upstream);
+            }
+        }
     }
 
     /// Applies the current rules to the request.
@@ -86,7 +92,7 @@
         );
         chosen.map_err(|error: NoUpstream| {
             spdlog::debug!("request {}: {}", self.request.id, error);
-            match soonest_pause_end(&self.core, service) {
+            match soonest_return(&self.core, service) {
                 Some(end) => refuse(RefusalReason::Busy).with_retry_after(end),
                 None if self.rejected => refuse(RefusalReason::Busy),
                 None => refuse(RefusalReason::NoUpstream),
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -49,7 +49,7 @@
         self.hold_session(upstream);
         let before = std::mem::replace(&mut self.run, RunState::MayHaveRun);
         let sent = Instant::now();
-        let sending = send(upstream, &outgoing, &self.request.id);
+        let sending = send(&self.core, upstream, &outgoing, &self.request.id);
         let sending = self.watch_head(upstream, sending);
         let (result, was_overdue) = match self.head_timeout() {
             Some(limit) => timeout(limit, sending).await.unwrap_or_else(|_| {
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -11,6 +11,7 @@
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
+use crate::relay::RelayCore;
 use crate::relay::upstreams::{InFlightGuard, LinkLease, RelayUpstream, UpstreamLink};
 
 /// A request as it is sent to the upstream.
@@ -77,14 +78,19 @@
 /// Returns the kind of failure, which tells whether the request may have run, and the upstream's error
 /// answer if there is one.
 pub async fn send(
+    core: &RelayCore,
     upstream: &Arc<RelayUpstream>,
     outgoing: &OutgoingRequest,
     attempt_id: &str,
 ) -> Result<UpstreamAnswer, SendFailure> {
     let in_flight = upstream.begin();
+    let sent_at = core.clock.now();
     let (response, lease) = exchange(upstream, outgoing).await?;
     let (head, body) = response.into_parts();
     let facts = AnswerFacts::read(&head.headers);
+    let incarnation = &upstream.record.incarnation;
+    core.turns
+        .record_answer(incarnation, facts.limit, sent_at, core.clock.now());
     if let Some(pause) = facts
         .pause
         .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
--- /dev/null
+++ b/crates/router/src/relay/turns/turn_message.rs
@@ -0,0 +1,33 @@
+//! Messages about the limits of upstreams and the turns to send to them.
+
+use ferry_decisions::registry::UpstreamIncarnation;
+use serde::{Deserialize, Serialize};
+
+/// What a router last heard of an upstream's limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Upstream.
+    pub upstream: UpstreamIncarnation,
+    /// Requests per second that it takes from all routers together; absent if it named no limit any more.
+    pub per_second: Option<f64>,
+    /// Milliseconds since that was heard.
+    pub heard_ms: u64,
+}
+
+/// Query to the router that gives the turns of an upstream.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TurnQuery {
+    /// What the asking router last heard of the limit.
+    pub notice: LimitNotice,
+    /// Whether it asks for a turn.
+    pub wants_turn: bool,
+}
+
+/// Answer to it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TurnAnswer {
+    /// What the answering router last heard of the limit.
+    pub notice: LimitNotice,
+    /// Time after which to ask again, in milliseconds; absent if the turn is given.
+    pub wait_ms: Option<u64>,
+}
