--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -91,6 +91,10 @@
     let incarnation = &upstream.record.incarnation;
     core.turns
         .record_answer(incarnation, facts.limit, sent_at, core.clock.now());
+    if facts.leaves && !upstream.is_leaving() {
+        upstream.mark_leaving();
+        spdlog::info!("upstream says that it leaves", kv: { upstream = upstream.id() });
+    }
     if let Some(pause) = facts
         .pause
         .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
@@ -137,8 +141,8 @@
             spdlog::debug!("cannot connect to upstream {}: {}", upstream.id(), error);
             SendFailure::without_answer(UpstreamFailure::ConnectFailed)
         })?;
-    if upstream.pause_left().is_some() {
-        // It asked for the pause while the connection was opened.
+    if upstream.pause_left().is_some() || upstream.is_leaving() {
+        // It asked for the pause, or said that it leaves, while the connection was opened.
         return Err(SendFailure::without_answer(UpstreamFailure::RefusedNotRun));
     }
     exchange_on(upstream, link, outgoing).await
