Draw configurations in quick succession, new routes, upstreams with limits and the store's own limits in the soak

Cause: the soak's store sent any number of bytes at any speed to any number of calls, had a few short configurations, and no upstream named a limit. Change: the store of the soak has the link of a small host and the calls of a small deployment; four configurations of 16 KB a second, one in five with a new route, are written while faults come; a request to an added route may not be refused as unknown later than 2 s, and each relay serves the newest route after the faults; two upstreams name limits.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,7 +12,9 @@
 mod crash_load;
 mod fault_plan;
 mod guarantee_check;
+mod limit_load;
 mod part_load;
+mod route_load;
 mod soak_fleet;
 mod soak_relay;
 
@@ -33,7 +35,9 @@
 use crash_load::{crash_times, crash_until, crash_violations};
 use fault_plan::{FAULT_WINDOW, FaultPlan, REVOKED_AT};
 use guarantee_check::SoakRecord;
+use limit_load::limit_until;
 use part_load::{PartScenario, send_parts_until};
+use route_load::route_until;
 use soak_fleet::SoakFleet;
 use soak_relay::keep_logs;
 
@@ -120,6 +124,8 @@
         Arc::clone(&stop),
     ));
     let talks = tokio::spawn(talk_until(Arc::clone(&fleet), Arc::clone(&stop)));
+    let routes = tokio::spawn(route_until(Arc::clone(&fleet), Arc::clone(&stop)));
+    let limits = tokio::spawn(limit_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let revoked_at = tokio::spawn(revoke(Arc::clone(&fleet), start + REVOKED_AT));
     let faults = plan.faults.iter().map(|timed| {
         let (fleet, timed) = (Arc::clone(&fleet), *timed);
@@ -138,6 +144,8 @@
     let crashes = crashes.await.unwrap();
     let parts = parts.await.unwrap();
     let talks = talks.await.unwrap();
+    let routes = routes.await.unwrap();
+    let limits = limits.await.unwrap();
     let mut violations: Vec<_> = fault_results
         .into_iter()
         .filter_map(|result| {
@@ -158,6 +166,8 @@
     violations.extend(crash_violations(&crashes));
     violations.extend(parts.violations(faults_end));
     violations.extend(talks.violations(&plan));
+    violations.extend(routes.violations());
+    violations.extend(limits.violations(&plan));
     let codes = fleet.stop_all().await;
     if codes.iter().any(|code| *code != Some(0)) {
         violations.push(format!("exit codes of graceful stops: {codes:?}"));
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -10,6 +10,7 @@
 use ferry_platform::store::{OPERATOR_TOPIC, UPSTREAM_TOPIC};
 use ferry_rig::{KEY, LinkProxy, RelayFixture, SERVICE, WORKSPACE, fixture_rule};
 use ferry_standin::faults::{AnswerLoss, FaultOrder, OutageAnswer, OutageOrder, SlowOrder};
+use ferry_standin::store::StoreLimits;
 use ferry_standin::{ReplicaOptions, ReplicaPlan, ReplicaStandin, StoreStandin};
 use hyper::StatusCode;
 use parking_lot::Mutex;
@@ -19,7 +20,9 @@
 use crate::conversation_load::{TALK_RULE, TALK_SERVICE};
 use crate::crash_load::{FRAGILE_RULES, FRAGILE_SERVICE};
 use crate::fault_plan::{RELAYS, REPLICAS, ReplicaFault, SoakFault, StoreFault, TimedFault};
+use crate::limit_load::{LIMIT_RULE, LIMIT_SERVICE};
 use crate::part_load::{PART_RULE, PART_SERVICE};
+use crate::route_load::route_prefix;
 use crate::soak_relay::{SIGHUP, SIGTERM, SoakRelay, cut, stall};
 
 /// Key that is revoked during a run.
@@ -36,6 +39,14 @@
 const STREAM_SERVICE: &str = "chat";
 /// Time for which a draining upstream continues to serve.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
+/// Limits of the store: the link of a small host, and the calls of a small deployment.
+const STORE_LIMITS: StoreLimits = StoreLimits {
+    link_bytes_per_s: Some(1_250_000),
+    calls_per_s: Some(2_000),
+};
+/// Number of rules of each configuration that no caller uses; their names make up most of its 16 KB.
+const FILLER_RULES: usize = 50;
+
 /// One upstream, with the proxy in front of it.
 pub struct SoakReplica {
     /// Stand-in of the upstream.
@@ -62,6 +73,8 @@
     /// Temporary folder with settings and logs of the relays.
     pub folder: TempDir,
     revision: Mutex<u64>,
+    /// Number of routes that were added during the run.
+    routes: Mutex<u64>,
     /// Whether the second key has been revoked.
     is_key_revoked: Mutex<bool>,
 }
@@ -70,6 +83,7 @@
     /// Starts all relays and upstreams, without waiting until the relays are ready.
     pub async fn start() -> Self {
         let fixture = RelayFixture::start().await.unwrap();
+        fixture.store.limit(STORE_LIMITS);
         let folder = tempfile::tempdir().unwrap();
         let mut replicas = Vec::new();
         for number in 0..REPLICAS {
@@ -85,6 +99,7 @@
             replicas,
             folder,
             revision: Mutex::new(0),
+            routes: Mutex::new(0),
             is_key_revoked: Mutex::new(false),
         };
         fleet.configure();
@@ -194,8 +209,19 @@
         self.fixture.store.put(UPSTREAM_TOPIC, &id, &entry);
     }
 
+    /// Number of routes that were added during the run.
+    pub fn routes(&self) -> u64 {
+        *self.routes.lock()
+    }
+
+    /// Writes a configuration with one more route.
+    pub fn add_route(&self) {
+        *self.routes.lock() += 1;
+        self.configure();
+    }
+
     /// Writes the next configuration.
-    fn configure(&self) {
+    pub fn configure(&self) {
         let mut revision = self.revision.lock();
         *revision += 1;
         let holder = |workspace: &str| KeyHolder {
@@ -207,7 +233,7 @@
             keys.push((REVOKED_KEY, holder(REVOKED_WORKSPACE)));
         }
         self.fixture
-            .configure_keys(*revision, &rules(*revision), &keys);
+            .configure_keys(*revision, &rules(*revision, self.routes()), &keys);
     }
 }
 
@@ -240,8 +266,8 @@
     }
 }
 
-/// One rule for each kind of run; the timeouts change with the revision.
-fn rules(revision: u64) -> Vec<RouteRule> {
+/// One rule for each kind of run, for each added route, and others; the timeouts change with the revision.
+fn rules(revision: u64, routes: u64) -> Vec<RouteRule> {
     let kinds = [
         ("/notes/", RunKind::Idempotent, SERVICE),
         ("/letters/", RunKind::Once, SERVICE),
@@ -251,12 +277,21 @@
     let fragile = FRAGILE_RULES.map(|(prefix, run)| (prefix, run, FRAGILE_SERVICE));
     let part = (PART_RULE.0, PART_RULE.1, PART_SERVICE);
     let talk = (TALK_RULE.0, TALK_RULE.1, TALK_SERVICE);
+    let limit = (LIMIT_RULE.0, LIMIT_RULE.1, LIMIT_SERVICE);
+    let added = (1..=routes).map(|number| (route_prefix(number), RunKind::Idempotent, SERVICE));
+    let fillers = (0..FILLER_RULES).map(|number| {
+        let prefix = format!("/other-{number:0100}/");
+        (prefix, RunKind::Idempotent, SERVICE)
+    });
     kinds
         .into_iter()
         .chain(fragile)
-        .chain([part, talk])
+        .chain([part, talk, limit])
+        .map(|(prefix, run, service)| (prefix.to_owned(), run, service))
+        .chain(added)
+        .chain(fillers)
         .map(|(prefix, run, service)| {
-            let mut rule = fixture_rule(prefix, run);
+            let mut rule = fixture_rule(&prefix, run);
             rule.timeout = Duration::from_millis(5_000 + revision % 2 * 500);
             rule.event_gap = run.is_stream().then_some(Duration::from_millis(300));
             rule.shares[0].service = service.into();
