--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -44,8 +44,8 @@
     link_bytes_per_s: Some(1_250_000),
     calls_per_s: Some(2_000),
 };
-/// Number of rules of each configuration that no caller uses; their names make up most of its 16 KB.
-const FILLER_RULES: usize = 50;
+/// Number of rules of each configuration that no caller uses; their names make up most of its 100 KB.
+const FILLER_RULES: usize = 300;
 
 /// One upstream, with the proxy in front of it.
 pub struct SoakReplica {
