Ask a larger model at the same upstream if there is no other, and keep the smaller one's answer if none takes it

Cause: a request was not sent again to an upstream that it had been sent to, whether that had failed or answered. Since a canary has one upstream, the larger model had none; and the smaller one's answer was dropped before that was known. Class: a state recorded for one purpose (tried, so failed) read for another. Change: only upstreams that failed a request are left out; the upstream for a larger model is chosen before the answer is dropped.

--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -31,8 +31,8 @@
     pub(super) service: Option<ServiceName>,
     /// Present stage of the rule's cascade.
     pub(super) stage: usize,
-    /// Upstreams that the request has been sent to.
-    pub(super) tried: SmallVec<[HostName; 4]>,
+    /// Upstreams that failed the request; those that answered may be asked again for a larger model.
+    pub(super) failed_at: SmallVec<[HostName; 4]>,
     /// Version of the upstream that last failed the request.
     pub(super) failed_version: Option<VersionName>,
     /// Whether the last send was rejected by an upstream that is full.
@@ -66,7 +66,7 @@
             record,
             service: None,
             stage: 0,
-            tried: SmallVec::new(),
+            failed_at: SmallVec::new(),
             failed_version: None,
             rejected: false,
             possible_runs: 0,
@@ -139,12 +139,17 @@
     }
 
     pub(super) async fn dispatch(&mut self) -> Result<RunAnswer, RelayRefusal> {
+        let mut upstream = self.plan_send().await?;
         loop {
-            let upstream = self.plan_send().await?;
             let sent = Instant::now();
             let result = match self.send_to(&upstream, None).await {
-                Ok(answer) if self.try_escalate(&answer, sent.elapsed()) => continue,
-                Ok(answer) => self.read_answer(answer).await,
+                Ok(answer) => match self.try_escalate(&answer, sent.elapsed()).await {
+                    Some(next) => {
+                        upstream = next;
+                        continue;
+                    }
+                    None => self.read_answer(answer).await,
+                },
                 Err(failure) => Err(failure),
             };
             match result {
@@ -153,6 +158,7 @@
                     if let Err(refusal) = self.decide_retry(&failure) {
                         return self.final_answer(failure, refusal).await;
                     }
+                    upstream = self.plan_send().await?;
                 }
             }
         }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -85,7 +85,7 @@
             &self.request,
             service,
             model.as_deref(),
-            &self.tried,
+            &self.failed_at,
             pick.as_ref(),
             // An upstream that rejected a request a moment ago would most likely reject this one too.
             !self.rejected,
@@ -143,12 +143,45 @@
         cascade.get(stage).map(ToString::to_string)
     }
 
-    /// Moves on to the stage of a larger model if the answer's confidence is too low; returns whether it did.
+    /// Moves on to the stage of a larger model if the answer's confidence is too low; returns the upstream to ask.
     ///
-    /// The answer is then dropped by the calling function. A larger model needs enough time and retry budget.
-    pub(super) fn try_escalate(&mut self, answer: &UpstreamAnswer, took: Duration) -> bool {
+    /// The answer is then dropped by the calling function. A larger model needs enough time and retry budget, and an upstream that takes the
+    /// request.
+    pub(super) async fn try_escalate(
+        &mut self,
+        answer: &UpstreamAnswer,
+        took: Duration,
+    ) -> Option<Arc<RelayUpstream>> {
+        let stage = self.next_stage(answer, took)?;
+        if self.core.retries_left(self.service.as_ref()?) < 1.0 {
+            return None;
+        }
+        let present = std::mem::replace(&mut self.stage, stage);
+        let Ok(upstream) = self.plan_send().await else {
+            self.stage = present;
+            return None;
+        };
+        if !self
+            .core
+            .spend_retry(&upstream.record.service, RESERVED_FRACTION)
+        {
+            self.stage = present;
+            return None;
+        }
+        spdlog::info!("larger model asked", kv: {
+            request_id = self.request.id.as_str(),
+            upstream = self.record.upstream.as_str(),
+            confidence = answer.facts.confidence.map_or(-1, i32::from),
+            stage = present,
+            next_stage = stage,
+        });
+        Some(upstream)
+    }
+
+    /// The stage of a larger model if the answer's confidence is too low and there is time for one.
+    fn next_stage(&self, answer: &UpstreamAnswer, took: Duration) -> Option<usize> {
         if self.request.facts.model.is_some() || !answer.head.status.is_success() {
-            return false;
+            return None;
         }
         let query = EscalationQuery {
             stage: self.stage,
@@ -162,20 +195,6 @@
                 .answer_deadline
                 .saturating_duration_since(Instant::now()),
         };
-        let (Some(next), Some(service)) = (query.next_stage(), &self.service) else {
-            return false;
-        };
-        if !self.core.spend_retry(service, RESERVED_FRACTION) {
-            return false;
-        }
-        spdlog::info!("larger model asked", kv: {
-            request_id = self.request.id.as_str(),
-            upstream = self.record.upstream.as_str(),
-            confidence = answer.facts.confidence.map_or(-1, i32::from),
-            stage = self.stage,
-            next_stage = next,
-        });
-        self.stage = next;
-        true
+        query.next_stage()
     }
 }
--- a/crates/router/src/relay/run/run_retry.rs
+++ b/crates/router/src/relay/run/run_retry.rs
@@ -23,6 +23,7 @@
     ///
     /// Returns the final refusal when the request is not sent again.
     pub(super) fn decide_retry(&mut self, failure: &SendFailure) -> Result<(), RelayRefusal> {
+        self.failed_at.push(self.record.upstream.as_str().into());
         let left = self
             .request
             .answer_deadline
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -37,7 +37,6 @@
     ) -> Result<UpstreamAnswer, SendFailure> {
         let model = self.model();
         let outgoing = self.outgoing(upstream, model.as_deref(), last_event);
-        self.tried.push(upstream.record.incarnation.id.clone());
         self.record.sends += 1;
         self.record.upstream = upstream.id().to_owned();
         self.record.model = model.unwrap_or_default();
--- a/crates/router/tests/relay/cascades.rs
+++ b/crates/router/tests/relay/cascades.rs
@@ -58,3 +58,33 @@
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(models(&replica), ["small"]);
 }
+
+/// Guards against answers of smaller models that are dropped for a failure: a request whose version had one upstream got 502.
+#[tokio::test]
+async fn a_larger_model_is_asked_at_the_same_upstream_if_there_is_no_other() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[cascade_rule()]);
+    let replica = deployment.replica("up-1", "v1").await;
+    replica.plan(plan_with_confidence(10));
+    let relay = deployment.relay().await;
+    let answer = call(request(&relay, "/chat/7", "a")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(models(&replica), ["small", "large"]);
+}
+
+/// The same if no upstream may get the request for the larger model.
+#[tokio::test]
+async fn the_answer_of_a_smaller_model_is_kept_if_no_upstream_takes_a_larger_one() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[cascade_rule()]);
+    let replica = deployment.replica("up-1", "v1").await;
+    replica.plan(ReplicaPlan {
+        leaves: true,
+        ..plan_with_confidence(10)
+    });
+    let relay = deployment.relay().await;
+    let answer = call(request(&relay, "/chat/7", "a")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.body.is_some());
+    assert_eq!(models(&replica), ["small"]);
+}
