Give three quarters of an upstream's limit in turns, and let the link to the giving router open in the background

Cause, by reading: a router that does not reach the one that gives the turns asks the next one, so that two buckets may give at the same time, up to 8 x limit + 4 in 4 s with 6 x limit + 5 allowed; and a query that timed out while its link was being opened dropped the link, so that a slow host never got a turn. Change: a bucket is filled at 0.75 of the limit; a query goes on for 1 s while its request waits 0.2 s. Tests with larger models, retries and resumed streams at upstreams with limits.

--- a/crates/router/src/relay/turns/turn_giver.rs
+++ b/crates/router/src/relay/turns/turn_giver.rs
@@ -10,6 +10,10 @@
 /// Time after which the turns of an upstream for which nobody asks are forgotten.
 const IDLE_MEMORY: Duration = Duration::from_secs(60);
 
+/// Fraction of a limit that is given in turns. Two routers that both give them, since others reach only one of them, then stay within the bound of
+/// one and a half times the limit.
+const GIVEN_FRACTION: f64 = 0.75;
+
 /// Buckets by upstream.
 #[derive(Debug, Default)]
 pub struct TurnGiver {
@@ -36,6 +40,7 @@
     ) -> Result<(), Duration> {
         self.buckets
             .retain(|_, turns| now.since(turns.asked_at) < IDLE_MEMORY);
+        let per_second = per_second * GIVEN_FRACTION;
         let turns = self.buckets.entry(upstream.clone());
         let turns = turns.or_insert_with(|| GivenTurns {
             limiter: UpstreamLimiter::new(per_second, now),
--- a/crates/router/src/relay/turns/turn_taker.rs
+++ b/crates/router/src/relay/turns/turn_taker.rs
@@ -1,18 +1,22 @@
 //! Asks for turns, and answers other routers that ask for them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::UpstreamIncarnation;
+use tokio::time::timeout;
 
 use super::turn_message::{TurnAnswer, TurnQuery};
 use crate::peer::{PeerError, PeerMessage, PeerTopic};
 use crate::relay::fleet::{read_body, write_body};
 use crate::relay::relay_core::{RelayCore, SharedCore};
 
-/// Timeout of a query for a turn.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a request waits for the answer to a query for a turn.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of such a query, which may have to open a link that later queries use.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of routers that are asked for one turn.
 const MAX_QUERIES: usize = 2;
 /// Time after which a turn is asked for again if no router answered.
@@ -119,10 +123,16 @@
         notice: core.turns.notice(upstream, core.clock.now()),
         wants_turn,
     };
-    let sending = hub.send_query(host, PeerTopic::Turns, &query, QUERY_TIMEOUT);
-    let answer: TurnAnswer = tokio::time::timeout(QUERY_TIMEOUT, sending)
-        .await
-        .map_err(|_| PeerError::TimedOut(host.clone()))??;
+    let (hub, giver) = (Arc::clone(hub), host.clone());
+    let sending = tokio::spawn(async move {
+        hub.send_query(&giver, PeerTopic::Turns, &query, QUERY_TIMEOUT)
+            .await
+    });
+    let answer = timeout(ANSWER_TIMEOUT, sending).await;
+    let Ok(Ok(answer)) = answer else {
+        return Err(PeerError::TimedOut(host.clone()));
+    };
+    let answer: TurnAnswer = answer?;
     core.turns.merge(&[answer.notice], core.clock.now());
     Ok(answer.wait_ms.map(Duration::from_millis))
 }
--- a/crates/router/tests/relay/limits.rs
+++ b/crates/router/tests/relay/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_decisions::ruleset::RunKind;
+use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::StatusCode;
@@ -252,3 +252,69 @@
     send_load(&relays, WINDOW).await;
     assert_eq!(replicas[0].runs().len(), before);
 }
+
+/// Runs load on one upstream with a limit beside two others, and checks the limit and that all requests are served.
+async fn assert_kept_by_sends(rule: RouteRule, others: ReplicaPlan, with_limit: ReplicaPlan) {
+    let limit = with_limit.limit.unwrap();
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule]);
+    let replicas = deployment
+        .replicas(["up-1", "up-2", "up-3", "up-4"], &others)
+        .await;
+    let relays = start_routers(&deployment, 3).await;
+    replicas[0].plan(with_limit);
+    let from = Instant::now() + CONTACT_TIME;
+    let responses = send_load(&relays, CONTACT_TIME + LOAD_TIME).await;
+    assert_kept(&replicas[0], limit, from);
+    assert!(!replicas[0].runs().is_empty());
+    let served = |timed: &&TimedResponse| timed.response.status == StatusCode::OK;
+    assert_eq!(responses.iter().filter(served).count(), responses.len());
+}
+
+#[tokio::test]
+async fn sends_to_larger_models_need_a_turn_too() {
+    let mut cascade = rule("/letters/", RunKind::ResumableStream);
+    cascade.cascade = ["small", "large"].map(Into::into).into_iter().collect();
+    let unsure = ReplicaPlan {
+        events: 3,
+        confidence: Some(10),
+        ..plan()
+    };
+    let with_limit = ReplicaPlan {
+        limit: Some(1.6),
+        ..unsure.clone()
+    };
+    assert_kept_by_sends(cascade, unsure, with_limit).await;
+}
+
+#[tokio::test]
+async fn retries_need_a_turn_too() {
+    let failing = ReplicaPlan {
+        status: StatusCode::INTERNAL_SERVER_ERROR,
+        ..limited(1.6)
+    };
+    let rule = rule("/letters/", RunKind::Idempotent);
+    assert_kept_by_sends(rule, plan(), failing).await;
+}
+
+/// Streams that break off in the middle are resumed at upstreams that have a limit.
+#[tokio::test]
+async fn resumed_streams_need_a_turn_too() {
+    let breaking = ReplicaPlan {
+        events: 4,
+        break_after: Some(2),
+        ..plan()
+    };
+    let with_limit = ReplicaPlan {
+        events: 4,
+        ..limited(1.6)
+    };
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::ResumableStream)]);
+    let replicas = deployment.replicas(["up-1", "up-2"], &breaking).await;
+    let relays = start_routers(&deployment, 3).await;
+    replicas[0].plan(with_limit);
+    let from = Instant::now() + CONTACT_TIME;
+    send_load(&relays, CONTACT_TIME + LOAD_TIME).await;
+    assert_kept(&replicas[0], 1.6, from);
+}
