Ask other routers for crashes once they are listed, also after a start during an outage

Cause: the 0.6 s for the question began with the process, and ended before the store was back and the routers could be listed. Change: the time begins when the routers are listed, which the join now does before it writes the own entry.

--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -33,8 +33,12 @@
 const NEWS_FANOUT: usize = 8;
 /// Number of routers that are asked for crashes at the start.
 const START_FANOUT: usize = 8;
-/// Time after the start after which no answer to that is waited for.
+/// Time for which their answers are waited for.
 const START_TIMEOUT: Duration = Duration::from_millis(600);
+/// Period of the checks whether the store can be read.
+const LIST_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Time for which a router that can read the store waits for the list of the routers.
+const LIST_PATIENCE: Duration = Duration::from_secs(2);
 /// Period of the checks for requests whose crashes are long ago.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
 
@@ -74,10 +78,11 @@
 
 /// Asks other routers, after the start, for rows that may not be in the store.
 pub async fn ask_at_start(core: SharedCore) {
-    let asking = async {
-        core.fleet.wait_until_listed().await;
-        exchange_with_some(&core, START_FANOUT).await;
-    };
+    tokio::select! {
+        () = core.fleet.wait_until_listed() => {}
+        () = wait_without_list(&core) => {}
+    }
+    let asking = exchange_with_some(&core, START_FANOUT);
     if timeout(START_TIMEOUT, asking).await.is_err() {
         spdlog::info!("not all routers that were asked for crashes at the start answered in time", kv: {
             routers = core.fleet.router_count(),
@@ -86,6 +91,15 @@
     core.crashes.record_asked_others();
 }
 
+/// Waits until the routers could not be listed for a while although the store can be read.
+async fn wait_without_list(core: &SharedCore) {
+    while core.operator_topic.position().is_none() {
+        sleep(LIST_CHECK_PERIOD).await;
+    }
+    sleep(LIST_PATIENCE).await;
+    spdlog::warn!("the routers could not be listed; none was asked for crashes at the start");
+}
+
 /// Stores the rows of this router and of those that sync from it, until the relay closes.
 pub async fn publish(core: SharedCore) {
     let mut outages = OutageLog::new(
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -93,6 +93,8 @@
         link_mbps: settings.link_mbps,
     };
     core.fleet.connect(hub);
+    // Known before the own entry is written, which may fail while the store takes no appends.
+    core.fleet.set_routers(routers(&entries));
     let value = peer::encode(&entry)?;
     append(
         core,
--- a/crates/router/tests/relay/containment.rs
+++ b/crates/router/tests/relay/containment.rs
@@ -21,6 +21,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time after which a router has tried to store crashes, and waits to try again.
 const STORE_RETRY_TIME: Duration = Duration::from_millis(100);
+/// Time for which the store has been away before the crashes.
+const OUTAGE_TIME: Duration = Duration::from_secs(1);
 /// Number of sends at each router after that time.
 const LATER_SENDS: usize = 4;
 /// Ids of enough upstreams that the request can reach a new one each time.
@@ -288,6 +290,33 @@
     assert_eq!(runs_of(&replicas, CRASHING), 3);
 }
 
+/// The same for a router that has started during the outage, and knew no other router until its end.
+#[tokio::test]
+async fn a_router_that_starts_in_an_outage_knows_crashes_that_are_not_stored_yet() {
+    let (deployment, replicas) = deployment(RunKind::Idempotent).await;
+    let relays = start_routers(&deployment, THREE_ZONES).await;
+    deployment.store.set_faults(FaultOrder {
+        outage: Some(OutageOrder {
+            answer: OutageAnswer::Unavailable,
+            path: String::new(),
+        }),
+        ..FaultOrder::default()
+    });
+    let started = deployment.unready_relay("entry-4").await;
+    sleep(OUTAGE_TIME).await;
+    call(request(&relays[2], CRASHING, "first")).await;
+    take_down_crashed(&replicas).await;
+    assert_eq!(runs_of(&replicas, CRASHING), 3);
+    sleep(STORE_RETRY_TIME).await;
+    deployment.store.set_faults(FaultOrder::default());
+    for number in 0..60 {
+        call(request(&started, CRASHING, &format!("again-{number}"))).await;
+        take_down_crashed(&replicas).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(runs_of(&replicas, CRASHING), 3);
+}
+
 /// Guards against an upstream that restarts under its id and counts only once.
 #[tokio::test]
 async fn three_crashes_of_an_upstream_that_restarts_under_its_id_contain_a_request() {
