Ask a larger model at another upstream of the version first, also on a canary

Cause: with the mended sends of cascades, the one upstream of a canary got the small and the large model's sends of each of its requests, with cold prompts for both. Change: for a larger model one more upstream of the canary is used than for the first send, and the one that answered only if there is no other.

--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -31,8 +31,10 @@
     pub(super) service: Option<ServiceName>,
     /// Present stage of the rule's cascade.
     pub(super) stage: usize,
-    /// Upstreams that failed the request; those that answered may be asked again for a larger model.
+    /// Upstreams that failed the request.
     pub(super) failed_at: SmallVec<[HostName; 4]>,
+    /// Upstreams whose answers of a smaller model were dropped.
+    pub(super) answered_at: SmallVec<[HostName; 4]>,
     /// Version of the upstream that last failed the request.
     pub(super) failed_version: Option<VersionName>,
     /// Whether the last send was rejected by an upstream that is full.
@@ -67,6 +69,7 @@
             service: None,
             stage: 0,
             failed_at: SmallVec::new(),
+            answered_at: SmallVec::new(),
             failed_version: None,
             rejected: false,
             possible_runs: 0,
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -39,10 +39,27 @@
     hash_point(xxh3_64(request.conversation_id().as_bytes()))
 }
 
-/// Chooses the upstream of `service` that `request` is sent to next.
+/// What the next send of a request needs of its upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementQuery<'a> {
+    /// Service of the upstream.
+    pub service: &'a ServiceName,
+    /// Model that the router chose; absent if it chose none.
+    pub model: Option<&'a str>,
+    /// Upstreams that failed the request.
+    pub failed_at: &'a [HostName],
+    /// Upstreams that answered it with a smaller model.
+    pub answered_at: &'a [HostName],
+    /// Versions that the roll-out allows; absent if the service has none.
+    pub pick: Option<&'a VersionPick>,
+    /// Whether suspect upstreams are used when no other one is left.
+    pub uses_suspects: bool,
+}
+
+/// Chooses the upstream that `request` is sent to next.
 ///
-/// Suspect upstreams are used only when no other upstream is left and `uses_suspects` is set, and those that asked for a
-/// pause or are at their limit never.
+/// Upstreams that failed or answered it are not used, nor those that asked for a pause or are at their limit, and suspect ones only if the query
+/// allows it and no other one is left.
 ///
 /// # Errors
 ///
@@ -50,23 +67,22 @@
 pub fn choose_upstream(
     core: &RelayCore,
     request: &RelayRequest,
-    service: &ServiceName,
-    model: Option<&str>,
-    tried: &[HostName],
-    pick: Option<&VersionPick>,
-    uses_suspects: bool,
+    query: &PlacementQuery<'_>,
 ) -> Result<Arc<RelayUpstream>, NoUpstream> {
     let now = core.clock.now();
-    let list = core.upstreams.of_service(service);
-    let mut eligible = allowed_versions(core, &list, pick, now);
+    let list = core.upstreams.of_service(query.service);
+    let mut eligible = allowed_versions(core, &list, query, now);
     eligible.retain(|upstream| blocked_for(core, upstream, now).is_none());
     let mut views: SmallVec<[UpstreamView<'_>; INLINE_UPSTREAMS]> =
         eligible.iter().map(|upstream| upstream.view(now)).collect();
+    let excluded = query.failed_at.iter().chain(query.answered_at);
+    let excluded: SmallVec<[HostName; 4]> = excluded.cloned().collect();
     let zone: ZoneName = core.settings.load().zone.clone();
+    let uses_suspects = query.uses_suspects;
     let query = ChoiceQuery {
         zone: &zone,
-        affinity: affinity(request, model),
-        tried,
+        affinity: affinity(request, query.model),
+        tried: &excluded,
     };
     let points = ChoicePoints {
         first: rand::random(),
@@ -116,14 +132,14 @@
     upstream.pause_left().max(turn_wait)
 }
 
-/// The upstreams that `pick` allows; all upstreams if each of the allowed ones is leaving.
+/// The upstreams of the versions that the query allows; all upstreams if each of the allowed ones is leaving.
 fn allowed_versions<'a>(
     core: &RelayCore,
     list: &'a [Arc<RelayUpstream>],
-    pick: Option<&VersionPick>,
+    query: &PlacementQuery<'_>,
     now: MonotonicTime,
 ) -> EligibleUpstreams<'a> {
-    let Some(pick) = pick else {
+    let Some(pick) = query.pick else {
         return list.iter().collect();
     };
     let allows = |upstream: &RelayUpstream| {
@@ -139,7 +155,7 @@
             let base = list.iter().filter(|upstream| !upstream.is_leaving());
             let base = base.filter(|upstream| !allows(upstream)).count();
             let count = plan.target_upstreams(phase, allowed.len(), base);
-            loaded_targets(core, allowed, count, now)
+            loaded_targets(core, allowed, count + query.answered_at.len(), now)
         }
         _ => allowed,
     }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -5,13 +5,13 @@
 
 use ferry_decisions::cascade::EscalationQuery;
 use ferry_decisions::choice::NoUpstream;
-use ferry_decisions::names::ServiceName;
+use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::quarantine::CrashSubject;
 use ferry_decisions::retry::RunState;
 use tokio::time::Instant;
 
 use super::RelayRun;
-use super::run_placement::{choose_upstream, conversation_point, soonest_return};
+use super::run_placement::{PlacementQuery, choose_upstream, conversation_point, soonest_return};
 use super::session_hold::SessionHold;
 use super::upstream_send::UpstreamAnswer;
 use crate::relay::request::{RefusalReason, RelayRefusal};
@@ -80,16 +80,23 @@
             .as_ref()
             .ok_or(refuse(RefusalReason::NoUpstream))?;
         let pick = self.pick_version(service);
-        let chosen = choose_upstream(
-            &self.core,
-            &self.request,
-            service,
-            model.as_deref(),
-            &self.failed_at,
-            pick.as_ref(),
-            // An upstream that rejected a request a moment ago would most likely reject this one too.
-            !self.rejected,
-        );
+        let choose = |answered_at: &[HostName]| {
+            let query = PlacementQuery {
+                service,
+                model: model.as_deref(),
+                failed_at: &self.failed_at,
+                answered_at,
+                pick: pick.as_ref(),
+                // An upstream that rejected a request a moment ago would most likely reject this one too.
+                uses_suspects: !self.rejected,
+            };
+            choose_upstream(&self.core, &self.request, &query)
+        };
+        // A larger model is asked elsewhere, so that no upstream gets all sends of a request, if there is another upstream.
+        let chosen = choose(&self.answered_at).or_else(|error| match self.answered_at.is_empty() {
+            true => Err(error),
+            false => choose(&[]),
+        });
         chosen.map_err(|error: NoUpstream| {
             spdlog::debug!("request {}: {}", self.request.id, error);
             match soonest_return(&self.core, service) {
@@ -157,17 +164,16 @@
             return None;
         }
         let present = std::mem::replace(&mut self.stage, stage);
-        let Ok(upstream) = self.plan_send().await else {
+        self.answered_at.push(self.record.upstream.as_str().into());
+        let upstream = self.plan_send().await.ok();
+        let upstream = upstream.filter(|upstream| {
+            let service = &upstream.record.service;
+            self.core.spend_retry(service, RESERVED_FRACTION)
+        });
+        let Some(upstream) = upstream else {
             self.stage = present;
             return None;
         };
-        if !self
-            .core
-            .spend_retry(&upstream.record.service, RESERVED_FRACTION)
-        {
-            self.stage = present;
-            return None;
-        }
         spdlog::info!("larger model asked", kv: {
             request_id = self.request.id.as_str(),
             upstream = self.record.upstream.as_str(),
