--- a/crates/router/tests/relay/containment.rs
+++ b/crates/router/tests/relay/containment.rs
@@ -6,7 +6,7 @@
 use ferry_decisions::ruleset::RunKind;
 use ferry_decisions::time::UnixMillis;
 use ferry_platform::entries::encode_upstream;
-use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_platform::store::{APPEND_PATH, UPSTREAM_TOPIC};
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::replica::RunStatus;
@@ -272,7 +272,7 @@
     deployment.store.set_faults(FaultOrder {
         outage: Some(OutageOrder {
             answer: OutageAnswer::Unavailable,
-            path: "/api/log-append".to_owned(),
+            path: APPEND_PATH.to_owned(),
         }),
         ..FaultOrder::default()
     });
--- a/crates/router/tests/relay/histories.rs
+++ b/crates/router/tests/relay/histories.rs
@@ -5,7 +5,7 @@
 use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_platform::entries::encode_upstream;
-use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_platform::store::{READ_PATH, UPSTREAM_TOPIC};
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::store::StoreLimits;
@@ -74,7 +74,7 @@
     deployment.store.set_faults(FaultOrder {
         outage: Some(OutageOrder {
             answer: OutageAnswer::Unavailable,
-            path: "/api/log-read".to_owned(),
+            path: READ_PATH.to_owned(),
         }),
         ..FaultOrder::default()
     });
--- a/tests/wire_names.rs
+++ b/tests/wire_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Parts of names that only the platform's protocol, settings and headers use.
-const WIRE_NAMES: [&str; 21] = [
+const WIRE_NAMES: [&str; 25] = [
     "chestnutferry-",
     "Chestnutferry-",
     "CHESTNUTFERRY_SETTINGS",
@@ -20,6 +20,10 @@
     "log-read",
     "log-newest",
     "waitMs",
+    "maxKb",
+    "linkMbps",
+    "server-limit",
+    "server-leaving",
     "nodeName",
     "portRange",
     "revokeMs",
