--- a/crates/decisions/src/limits/upstream_limiter.rs
+++ b/crates/decisions/src/limits/upstream_limiter.rs
@@ -1,24 +1,24 @@
-//! Turns for the requests that an upstream takes from all routers together.
+//! Permits for the requests that an upstream takes from all routers together.
 
 use std::time::Duration;
 
 use crate::time::MonotonicTime;
 
-/// Turns that are kept while nobody asks for one.
+/// Permits that are kept while nobody asks for one.
 const CAPACITY: f64 = 2.0;
-/// Lowest rate at which turns are given, per second, so that an upstream that takes none is asked from time to time.
+/// Lowest rate at which permits are issued, per second, so that an upstream that takes none is asked from time to time.
 const MIN_RATE: f64 = 0.05;
-/// Time for which a router that asked counts among those that want turns.
+/// Time for which a router that asked counts among those that want permits.
 const ASKER_MEMORY: Duration = Duration::from_secs(2);
 
-/// Token bucket with the limit of one upstream. Empty at first, so that one that replaces another gives no turns twice.
+/// Token bucket with the limit of one upstream. Empty at first, so that one that replaces another issues no permits twice.
 #[derive(Debug, Clone)]
 pub struct UpstreamLimiter {
-    /// Turns per second.
+    /// Permits per second.
     rate: f64,
     tokens: f64,
     filled_to: MonotonicTime,
-    /// Decaying count of the turns that were asked for within [`ASKER_MEMORY`].
+    /// Decaying count of the permits that were asked for within [`ASKER_MEMORY`].
     asked: f64,
 }
 
@@ -39,7 +39,7 @@
         self.rate = rate.max(MIN_RATE);
     }
 
-    /// Takes a turn.
+    /// Takes a permit.
     ///
     /// # Errors
     ///
@@ -52,7 +52,7 @@
             return Ok(());
         }
         let missing = 1.0 - self.tokens;
-        // Those that ask share the turns, so that each of them asks about once for a turn of its own.
+        // Those that ask share the permits, so that each of them asks about once for a permit of its own.
         let wanted = (self.asked / (self.rate * ASKER_MEMORY.as_secs_f64())).max(1.0);
         Err(Duration::from_secs_f64(missing * wanted / self.rate))
     }
--- a/crates/router/src/peer/peer_topic.rs
+++ b/crates/router/src/peer/peer_topic.rs
@@ -26,8 +26,8 @@
         /// Records that a router on the users' platform read from the store, for routers that don't read
         /// it.
         Feed,
-        /// Limits that upstreams name, and turns to send to them, on the users' platform.
-        Turns,
+        /// Limits that upstreams name, and permits to send to them, on the users' platform.
+        Permits,
     }
 }
 
@@ -45,7 +45,7 @@
             Self::Hosts => "hosts",
             Self::Trail => "trail",
             Self::Feed => "feed",
-            Self::Turns => "turns",
+            Self::Permits => "permits",
         }
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod fleet;
 mod latency_model;
+mod permits;
 pub mod relay_app;
 mod relay_core;
 mod relay_daemon;
@@ -14,7 +15,6 @@
 mod run;
 pub mod status;
 mod topic_progress;
-mod turns;
 mod upstreams;
 mod watch;
 
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -20,9 +20,9 @@
 use crate::peer::{self, PeerError, PeerMessage, PeerTopic};
 use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::crashes;
+use crate::relay::permits;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::rollouts;
-use crate::relay::turns;
 use crate::relay::watch;
 
 /// Longest time for which an answer to a feed request waits for a change.
@@ -147,7 +147,7 @@
         known: Some(known_records(core, position)),
         evidence: rollouts::own_evidence(core),
         crashes: core.crashes.unstored(),
-        limits: core.turns.notices(core.clock.now()),
+        limits: core.permits.notices(core.clock.now()),
     };
     let requested_at = ConfirmationTime::now();
     let limit = if position.source.is_empty() {
@@ -234,7 +234,7 @@
     // A router of an older build sends the rows without their position.
     core.crash_topic.advance(positions.crashes.unwrap_or(0));
     rollouts::apply_pooled(core, answer.rollouts);
-    core.turns.merge(&answer.limits, core.clock.now());
+    core.permits.merge(&answer.limits, core.clock.now());
     position.source = answer.source;
     position.revision = answer.revision;
     Ok(())
@@ -245,7 +245,7 @@
     match message.topic {
         PeerTopic::Feed => answer_query(core, message).await,
         PeerTopic::Quarantine => crashes::answer_report(core, &message),
-        PeerTopic::Turns => turns::answer_query(core, &message),
+        PeerTopic::Permits => permits::answer_query(core, &message),
         _ => None,
     }
 }
@@ -255,7 +255,7 @@
     let known = query.known?;
     merge_evidence(core, query.evidence);
     core.crashes.merge(query.crashes, RowOrigin::Router);
-    core.turns.merge(&query.limits, core.clock.now());
+    core.permits.merge(&query.limits, core.clock.now());
     let mut revisions = core.fleet.feed.subscribe();
     let behind = query.source != core.fleet.feed.incarnation()
         || *revisions.borrow_and_update() > query.revision
@@ -281,7 +281,7 @@
         listing_age_ms: listing_age.as_millis() as u64,
         holds_missing: core.registry.lock().holds_missing(),
         rollouts: rollouts::pooled_rollouts(core),
-        limits: core.turns.notices(core.clock.now()),
+        limits: core.permits.notices(core.clock.now()),
     };
     peer_body::write(&answer, "an answer to a router")
 }
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -11,7 +11,7 @@
 
 use super::operator_records::KnownOffsets;
 use super::record_patch::RecordPatch;
-use crate::relay::turns::LimitNotice;
+use crate::relay::permits::LimitNotice;
 
 /// A request for the changes since a revision.
 #[derive(Debug, Default, Serialize, Deserialize)]
--- a/crates/router/src/relay/turns/limit_book.rs
+++ b/crates/router/src/relay/permits/limit_book.rs
@@ -26,8 +26,8 @@
     pub per_second: Option<f64>,
     /// When that was heard by the router that heard it.
     pub heard_at: MonotonicTime,
-    /// Time until which no turn is asked for.
-    pub no_turn_until: Option<MonotonicTime>,
+    /// Time until which no permit is asked for.
+    pub no_permit_until: Option<MonotonicTime>,
 }
 
 impl LimitBook {
@@ -59,17 +59,17 @@
         let heard = HeardLimit {
             per_second,
             heard_at,
-            no_turn_until: known.and_then(|known| known.no_turn_until),
+            no_permit_until: known.and_then(|known| known.no_permit_until),
         };
         self.heard.insert(upstream.clone(), heard);
         self.shrink();
         before != per_second
     }
 
-    /// Records that no turn is to be asked for until `until`.
+    /// Records that no permit is to be asked for until `until`.
     pub fn postpone(&mut self, upstream: &UpstreamIncarnation, until: MonotonicTime) {
         if let Some(heard) = self.heard.get_mut(upstream) {
-            heard.no_turn_until = Some(until);
+            heard.no_permit_until = Some(until);
         }
     }
 
@@ -100,10 +100,10 @@
 }
 
 impl HeardLimit {
-    /// Time for which no request is sent because no turn is expected; `None` if a turn can be asked for or none is needed.
+    /// Time for which no request is sent because no permit is expected; `None` if a permit can be asked for or none is needed.
     pub fn wait(&self, now: MonotonicTime) -> Option<Duration> {
         self.per_second?;
-        let left = self.no_turn_until?.since(now);
+        let left = self.no_permit_until?.since(now);
         (!left.is_zero()).then_some(left)
     }
 }
--- a/crates/router/src/relay/turns/turn_manager.rs
+++ b/crates/router/src/relay/permits/permit_manager.rs
@@ -1,4 +1,4 @@
-//! State of the limits of upstreams and of the turns at this router.
+//! State of the limits of upstreams and of the permits at this router.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,33 +14,33 @@
 
 use super::LimitNotice;
 use super::limit_book::{HeardLimit, LimitBook};
+use super::permit_issuer::PermitIssuer;
 use super::return_times::ReturnTimes;
-use super::turn_giver::TurnGiver;
 
-/// Time for which a router that did not answer is not asked for turns.
+/// Time for which a router that did not answer is not asked for permits.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(3);
 
-/// Limits heard, turns given, and routers that gave none.
+/// Limits heard, permits issued, and routers that gave none.
 #[derive(Debug, Default)]
-pub struct TurnManager {
+pub struct PermitManager {
     book: Mutex<LimitBook>,
     /// Whether the book has any limit; spares each choice the lock.
     has_limits: AtomicBool,
-    giver: Mutex<TurnGiver>,
+    issuer: Mutex<PermitIssuer>,
     /// When routers that did not answer were last asked.
     unreachable: Mutex<HashMap<HostName, MonotonicTime>>,
     returns: Mutex<ReturnTimes>,
     /// Upstreams whose limit ended by an answer to this router, not yet reported.
     ended: Mutex<Vec<UpstreamIncarnation>>,
     has_ended: Notify,
-    /// Locks by upstream, held while a turn is asked for, so that requests that want one at the same time ask one after the other.
+    /// Locks by upstream, held while a permit is asked for, so that requests that want one at the same time ask one after the other.
     asking: Mutex<HashMap<UpstreamIncarnation, AskLock>>,
 }
 
-/// Lock of the queries for turns of one upstream.
+/// Lock of the queries for permits of one upstream.
 type AskLock = Arc<tokio::sync::Mutex<()>>;
 
-impl TurnManager {
+impl PermitManager {
     /// Records what an answer says of its upstream's limit: `per_second`, or that it names none. The answer belongs to a request that was sent
     /// at `sent_at`.
     pub fn record_answer(
@@ -97,7 +97,7 @@
         self.book.lock().get(upstream)?.per_second
     }
 
-    /// Time for which `upstream` gets no request because no turn is expected.
+    /// Time for which `upstream` gets no request because no permit is expected.
     pub fn wait(&self, upstream: &UpstreamIncarnation, now: MonotonicTime) -> Option<Duration> {
         if !self.has_limits.load(Ordering::Acquire) {
             return None;
@@ -105,27 +105,27 @@
         self.book.lock().get(upstream)?.wait(now)
     }
 
-    /// Lock to be held while a turn for `upstream` is asked for.
+    /// Lock to be held while a permit for `upstream` is asked for.
     pub fn ask_lock(&self, upstream: &UpstreamIncarnation) -> AskLock {
         let mut locks = self.asking.lock();
         locks.retain(|_, lock| Arc::strong_count(lock) > 1);
         Arc::clone(locks.entry(upstream.clone()).or_default())
     }
 
-    /// Records that no turn for `upstream` is to be asked for until `until`.
+    /// Records that no permit for `upstream` is to be asked for until `until`.
     pub fn postpone(&self, upstream: &UpstreamIncarnation, until: MonotonicTime) {
         self.book.lock().postpone(upstream, until);
     }
 
-    /// Gives a turn to send to `upstream`; the time after which to ask again if there is none.
-    pub fn give(&self, upstream: &UpstreamIncarnation, now: MonotonicTime) -> Option<Duration> {
+    /// Issues a permit to send to `upstream`; the time after which to ask again if there is none.
+    pub fn issue(&self, upstream: &UpstreamIncarnation, now: MonotonicTime) -> Option<Duration> {
         let per_second = self.limit(upstream)?;
-        self.giver.lock().give(upstream, per_second, now).err()
+        self.issuer.lock().issue(upstream, per_second, now).err()
     }
 
-    /// The router of `hosts` that gives the turns of `upstream`: the first in an order that is the same at all routers, without those that did
+    /// The router of `hosts` that issues the permits of `upstream`: the first in an order that is the same at all routers, without those that did
     /// not answer a moment ago.
-    pub fn giver_of<'a>(
+    pub fn issuer_of<'a>(
         &self,
         upstream: &UpstreamIncarnation,
         hosts: &'a [HostName],
@@ -182,7 +182,7 @@
     }
 }
 
-/// Sort key of `host` among the routers that may give the turns of `upstream`.
+/// Sort key of `host` among the routers that may give the permits of `upstream`.
 fn order<'a>(upstream: &UpstreamIncarnation, host: &'a HostName) -> (u64, &'a HostName) {
     let both = format!("{} {}", upstream.id, host);
     (xxh3_64(both.as_bytes()), host)
--- a/crates/router/src/relay/turns/turn_message.rs
+++ b/crates/router/src/relay/permits/permit_message.rs
@@ -1,4 +1,4 @@
-//! Messages about the limits of upstreams and the turns to send to them.
+//! Messages about the limits of upstreams and the permits to send to them.
 
 use ferry_decisions::registry::UpstreamIncarnation;
 use serde::{Deserialize, Serialize};
@@ -14,20 +14,20 @@
     pub heard_ms: u64,
 }
 
-/// Query to the router that gives the turns of an upstream.
+/// Query to the router that issues the permits of an upstream.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct TurnQuery {
+pub struct PermitQuery {
     /// What the asking router last heard of the limit.
     pub notice: LimitNotice,
-    /// Whether it asks for a turn.
-    pub wants_turn: bool,
+    /// Whether it asks for a permit.
+    pub wants_permit: bool,
 }
 
 /// Answer to it.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct TurnAnswer {
+pub struct PermitAnswer {
     /// What the answering router last heard of the limit.
     pub notice: LimitNotice,
-    /// Time after which to ask again, in milliseconds; absent if the turn is given.
+    /// Time after which to ask again, in milliseconds; absent if the permit is issued.
     pub wait_ms: Option<u64>,
 }
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -20,9 +20,9 @@
 use super::crashes::CrashManager;
 use super::fleet::FleetManager;
 use super::latency_model::LatencyModel;
+use super::permits::PermitManager;
 use super::rollouts::RolloutManager;
 use super::topic_progress::TopicProgress;
-use super::turns::TurnManager;
 use super::upstreams::UpstreamDirectory;
 use crate::core::{LifecyclePhase, PhaseCell};
 use crate::membership::ProcessClock;
@@ -63,8 +63,8 @@
     pub answer_budget: BodyBudget,
     /// The fleet's count of upstreams that requests crashed.
     pub crashes: CrashManager,
-    /// Limits that upstreams name, and the turns to send to them.
-    pub turns: TurnManager,
+    /// Limits that upstreams name, and the permits to send to them.
+    pub permits: PermitManager,
     /// Registered routers, links to them, and the feed.
     pub fleet: FleetManager,
     /// Roll-outs known to this relay.
@@ -94,7 +94,7 @@
             latency: Mutex::default(),
             answer_budget: BodyBudget::new(WHOLE_ANSWER_LIMIT, ALL_ANSWERS_LIMIT),
             crashes: CrashManager::new(&router),
-            turns: TurnManager::default(),
+            permits: PermitManager::default(),
             fleet: FleetManager::default(),
             rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -116,20 +116,20 @@
     let soonest = serving()
         .filter_map(|upstream| blocked_for(core, upstream, now))
         .min()?;
-    let limits = serving().filter_map(|upstream| core.turns.limit(&upstream.record.incarnation));
+    let limits = serving().filter_map(|upstream| core.permits.limit(&upstream.record.incarnation));
     let per_second: f64 = limits.sum();
     if per_second == 0.0 {
         return Some(soonest);
     }
     let routers = core.fleet.router_count();
-    let return_time = core.turns.return_time(service, per_second, routers, now);
+    let return_time = core.permits.return_time(service, per_second, routers, now);
     Some(soonest.max(return_time))
 }
 
 /// Time for which an upstream gets no request, because it asked for a pause or is at its limit.
 fn blocked_for(core: &RelayCore, upstream: &RelayUpstream, now: MonotonicTime) -> Option<Duration> {
-    let turn_wait = core.turns.wait(&upstream.record.incarnation, now);
-    upstream.pause_left().max(turn_wait)
+    let permit_wait = core.permits.wait(&upstream.record.incarnation, now);
+    upstream.pause_left().max(permit_wait)
 }
 
 /// The upstreams of the versions that the query allows; all upstreams if each of the allowed ones is leaving.
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -14,9 +14,9 @@
 use super::run_placement::{PlacementQuery, choose_upstream, conversation_point, soonest_return};
 use super::session_hold::SessionHold;
 use super::upstream_send::UpstreamAnswer;
+use crate::relay::permits::take_permit;
 use crate::relay::request::{RefusalReason, RelayRefusal};
 use crate::relay::rollouts::{SessionKey, VersionPick};
-use crate::relay::turns::take_turn;
 use crate::relay::upstreams::RelayUpstream;
 
 /// Fraction of the retries that may be left over which a send to a larger model leaves for requests whose upstream
@@ -38,7 +38,7 @@
         self.check_rules()?;
         loop {
             let upstream = self.choose()?;
-            if take_turn(&self.core, &upstream.record.incarnation).await {
+            if take_permit(&self.core, &upstream.record.incarnation).await {
                 return Ok(upstream);
             }
         }
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -89,7 +89,7 @@
     let (head, body) = response.into_parts();
     let facts = AnswerFacts::read(&head.headers);
     let incarnation = &upstream.record.incarnation;
-    core.turns
+    core.permits
         .record_answer(incarnation, facts.limit, sent_at, core.clock.now());
     if facts.leaves && !upstream.is_leaving() {
         upstream.mark_leaving();
--- a/crates/router/tests/relay/limits.rs
+++ b/crates/router/tests/relay/limits.rs
@@ -272,7 +272,7 @@
 }
 
 #[tokio::test]
-async fn sends_to_larger_models_need_a_turn_too() {
+async fn sends_to_larger_models_need_a_permit_too() {
     let mut cascade = rule("/letters/", RunKind::ResumableStream);
     cascade.cascade = ["small", "large"].map(Into::into).into_iter().collect();
     let unsure = ReplicaPlan {
@@ -288,7 +288,7 @@
 }
 
 #[tokio::test]
-async fn retries_need_a_turn_too() {
+async fn retries_need_a_permit_too() {
     let failing = ReplicaPlan {
         status: StatusCode::INTERNAL_SERVER_ERROR,
         ..limited(1.6)
@@ -299,7 +299,7 @@
 
 /// Streams that break off in the middle are resumed at upstreams that have a limit.
 #[tokio::test]
-async fn resumed_streams_need_a_turn_too() {
+async fn resumed_streams_need_a_permit_too() {
     let breaking = ReplicaPlan {
         events: 4,
         break_after: Some(2),
