Forget the limits of upstreams that are gone

Cause, by reading: what was heard of a limit went to the routers of the zone with each feed request for as long as the process ran, for incarnations that are gone too. Change: the limits of upstreams that are not listed are dropped with each new list.

--- a/crates/decisions/src/registry/upstream_registry.rs
+++ b/crates/decisions/src/registry/upstream_registry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{UpstreamRecord, UpstreamStage};
+use super::{UpstreamIncarnation, UpstreamRecord, UpstreamStage};
 use crate::names::HostName;
 use crate::time::MonotonicTime;
 
@@ -146,6 +146,12 @@
         self.known.values().any(|known| known.kept_until.is_some())
     }
 
+    /// Whether this incarnation of an upstream is known.
+    pub fn is_known(&self, incarnation: &UpstreamIncarnation) -> bool {
+        let known = self.known.get(&incarnation.id);
+        known.is_some_and(|known| known.record.incarnation == *incarnation)
+    }
+
     /// Number of known upstreams.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/router/src/relay/permits/limit_book.rs
+++ b/crates/router/src/relay/permits/limit_book.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Forgets the upstreams for which `is_listed` returns false.
+    pub fn retain(&mut self, is_listed: impl Fn(&UpstreamIncarnation) -> bool) {
+        self.heard.retain(|upstream, _| is_listed(upstream));
+    }
+
     /// All statements, as messages to other routers.
     pub fn notices(&mut self, now: MonotonicTime) -> Vec<LimitNotice> {
         self.heard.retain(|_, heard| {
--- a/crates/router/src/relay/permits/permit_manager.rs
+++ b/crates/router/src/relay/permits/permit_manager.rs
@@ -72,6 +72,16 @@
         }
     }
 
+    /// Forgets the upstreams for which `is_listed` returns false.
+    pub fn retain_listed(&self, is_listed: impl Fn(&UpstreamIncarnation) -> bool) {
+        if !self.has_limits.load(Ordering::Acquire) {
+            return;
+        }
+        let mut book = self.book.lock();
+        book.retain(is_listed);
+        self.has_limits.store(book.has_limits(), Ordering::Release);
+    }
+
     /// What this router heard of all limits.
     pub fn notices(&self, now: MonotonicTime) -> Vec<LimitNotice> {
         self.book.lock().notices(now)
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -151,6 +151,8 @@
         }
     }
     core.fleet.feed.put_upstreams(registry.upstreams());
+    core.permits
+        .retain_listed(|upstream| registry.is_known(upstream));
 }
 
 fn log_change(upstream: &HostName, change: RegistryChange) {
