--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -1,5 +1,7 @@
 //! One send of a request to one upstream.
 
+use std::error::Error as _;
+use std::io::{self, ErrorKind};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -138,7 +140,10 @@
     let link = UpstreamLink::open(upstream.record.address)
         .await
         .map_err(|error| {
-            spdlog::debug!("cannot connect to upstream {}: {}", upstream.id(), error);
+            spdlog::info!("cannot connect to an upstream", kv: {
+                upstream = upstream.id(),
+                error:? = error.kind(),
+            });
             SendFailure::without_answer(UpstreamFailure::ConnectFailed)
         })?;
     if upstream.pause_left().is_some() || upstream.is_leaving() {
@@ -159,11 +164,11 @@
         Ok(response) => Ok((response, lease)),
         Err(mut error) => {
             let unsent = error.take_message().is_some();
-            spdlog::debug!(
-                "sending to upstream {} failed: {}",
-                upstream.id(),
-                error.error()
-            );
+            spdlog::info!("connection to an upstream broke", kv: {
+                upstream = upstream.id(),
+                unsent = unsent,
+                error:? = broken_by(error.error()),
+            });
             let kind = match (unsent, error.error().is_parse()) {
                 (true, _) => UpstreamFailure::ConnectFailed,
                 (false, true) => UpstreamFailure::MalformedAnswer,
@@ -174,6 +179,13 @@
     }
 }
 
+/// Kind of the I/O error that broke a connection; `Other` if it broke for another reason.
+fn broken_by(error: &hyper::Error) -> ErrorKind {
+    let cause = error.source();
+    let cause = cause.and_then(|cause| cause.downcast_ref::<io::Error>());
+    cause.map_or(ErrorKind::Other, io::Error::kind)
+}
+
 fn build_request(outgoing: &OutgoingRequest) -> Result<Request<Full<Bytes>>, SendFailure> {
     let mut request = Request::builder()
         .method(outgoing.method.clone())
