--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -19,7 +19,7 @@
 pub use crashing_upstream::{CrashingUpstream, DownPort};
 pub use curl_line::curl_request;
 pub use fleet::{ADMIN_TOKEN, EngineNode, FleetRig, Programs, RouterNode, ServiceNode};
-pub use link_proxy::LinkProxy;
+pub use link_proxy::{LinkProxy, PartitionScope};
 pub use operator_tool::ToolOutput;
 pub use pause_bound::worst_pause_excess;
 pub use process::{ChildProcess, RigError};
--- a/crates/rig/src/link_proxy.rs
+++ b/crates/rig/src/link_proxy.rs
@@ -1,12 +1,14 @@
-//! A TCP proxy between two processes that can cut or reset all connections or cut those of one source, or stall them.
+//! A TCP proxy between two processes that can cut or reset all connections, stall them, or cut those of one source: by closing
+//! them, or by a partition that drops packets.
 
 mod link_copy;
+mod packet_filter;
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -16,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use link_copy::copy_both;
+use packet_filter::drop_packets_from;
 
 /// TCP proxy in front of one port.
 #[derive(Debug, Clone)]
@@ -23,15 +26,28 @@
     /// Address that clients connect to instead of the target's.
     pub address: SocketAddr,
     state: Arc<Mutex<LinkState>>,
+    listener: Arc<TcpListener>,
     /// True while connections stay open but no data is forwarded.
     stalled: Arc<watch::Sender<bool>>,
 }
 
+/// Which packets a partition from one source drops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartitionScope {
+    /// All packets in both directions.
+    All,
+    /// Those from the source; what the target sends still arrives there.
+    OneWay,
+    /// Those that open connections; open connections live on.
+    NewLinks,
+}
+
 #[derive(Debug, Default)]
 struct LinkState {
     target: Option<SocketAddr>,
     all_cut: bool,
     cut_sources: HashSet<IpAddr>,
+    partitioned: HashMap<IpAddr, PartitionScope>,
     /// Open connections.
     open: Vec<OpenLink>,
 }
@@ -44,6 +60,10 @@
     token: CancellationToken,
     /// Whether the connection ends with a reset.
     resets: Arc<AtomicBool>,
+    /// The source's side, for packet filters; held by the task that copies.
+    socket: Weak<Socket>,
+    /// True while no data is forwarded.
+    stalled: Arc<watch::Sender<bool>>,
 }
 
 impl LinkProxy {
@@ -53,13 +73,14 @@
     ///
     /// Fails when no port can be bound.
     pub async fn start(ip: IpAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind((ip, 0)).await?;
+        let listener = Arc::new(TcpListener::bind((ip, 0)).await?);
         let proxy = Self {
             address: listener.local_addr()?,
             state: Arc::default(),
+            listener,
             stalled: Arc::default(),
         };
-        tokio::spawn(proxy.clone().accept(listener));
+        tokio::spawn(proxy.clone().accept());
         Ok(proxy)
     }
 
@@ -92,6 +113,25 @@
         open.for_each(|link| link.token.cancel());
     }
 
+    /// Drops the packets of connections from `source` that `scope` names, without closing any.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the kernel refuses a socket filter.
+    pub fn partition(&self, source: IpAddr, scope: PartitionScope) -> io::Result<()> {
+        let mut state = self.state.lock();
+        state.partitioned.insert(source, scope);
+        self.apply_partitions(&mut state)
+    }
+
+    /// Number of open connections from `source`.
+    pub fn open_from(&self, source: IpAddr) -> usize {
+        let state = self.state.lock();
+        let open = state.open.iter();
+        open.filter(|link| link.source == source && !link.token.is_cancelled())
+            .count()
+    }
+
     /// Stops forwarding data while connections stay open and new ones are accepted.
     pub fn stall(&self) {
         self.stalled.send_replace(true);
@@ -103,22 +143,44 @@
         let mut state = self.state.lock();
         state.all_cut = false;
         state.cut_sources.clear();
+        state.partitioned.clear();
+        // Removes filters only, which cannot fail for open sockets.
+        let _ = self.apply_partitions(&mut state);
     }
 
-    async fn accept(self, listener: TcpListener) {
-        while let Ok((stream, source)) = listener.accept().await {
-            let Some((target, link)) = self.admit(source.ip()) else {
+    fn apply_partitions(&self, state: &mut LinkState) -> io::Result<()> {
+        let partitioned = &state.partitioned;
+        drop_packets_from(&SockRef::from(&*self.listener), partitioned.keys())?;
+        state.open.retain(|open| !open.token.is_cancelled());
+        for link in &state.open {
+            let scope = partitioned.get(&link.source);
+            let drops = scope.is_some_and(|scope| *scope != PartitionScope::NewLinks);
+            let sources = drops.then_some(&link.source).into_iter();
+            if let Some(socket) = link.socket.upgrade() {
+                drop_packets_from(&SockRef::from(&*socket), sources)?;
+            }
+            link.stalled
+                .send_replace(scope == Some(&PartitionScope::All));
+        }
+        Ok(())
+    }
+
+    async fn accept(self) {
+        while let Ok((stream, source)) = self.listener.accept().await {
+            let Ok(socket) = SockRef::from(&stream).try_clone() else {
                 continue;
             };
-            let Ok(socket) = SockRef::from(&stream).try_clone() else {
+            let socket = Arc::new(socket);
+            let Some((target, link)) = self.admit(source.ip(), &socket) else {
                 continue;
             };
-            let copying = copy_both(stream, target, self.stalled.subscribe());
+            let stalls = [self.stalled.subscribe(), link.stalled.subscribe()];
+            let copying = copy_both(stream, target, stalls);
             tokio::spawn(copy_until_cut(copying, link, socket));
         }
     }
 
-    fn admit(&self, source: IpAddr) -> Option<(SocketAddr, OpenLink)> {
+    fn admit(&self, source: IpAddr, socket: &Arc<Socket>) -> Option<(SocketAddr, OpenLink)> {
         let mut state = self.state.lock();
         if state.all_cut || state.cut_sources.contains(&source) {
             return None;
@@ -128,6 +190,8 @@
             source,
             token: CancellationToken::new(),
             resets: Arc::default(),
+            socket: Arc::downgrade(socket),
+            stalled: Arc::default(),
         };
         state.open.retain(|open| !open.token.is_cancelled());
         state.open.push(link.clone());
@@ -135,11 +199,11 @@
     }
 }
 
-/// Copies until the link ends; `socket` is its client's side, which outlives the copying.
+/// Copies until the link ends; `socket` is its source's side, which outlives the copying.
 async fn copy_until_cut(
     copying: impl Future<Output = io::Result<()>>,
     link: OpenLink,
-    socket: Socket,
+    socket: Arc<Socket>,
 ) {
     let _finished = link.token.clone().drop_guard();
     let _ = link.token.run_until_cancelled(copying).await;
--- a/crates/rig/src/link_proxy/link_copy.rs
+++ b/crates/rig/src/link_proxy/link_copy.rs
@@ -10,32 +10,34 @@
 /// Buffer size per direction, in bytes.
 const BUFFER_BYTES: usize = 64 * 1024;
 
-/// Copies between `client` and `target` until both directions are closed or one fails.
+/// Copies between `client` and `target` until both directions are closed or one fails; copies nothing while one of `stalls` is true.
 pub(super) async fn copy_both(
     client: TcpStream,
     target: SocketAddr,
-    stalled: watch::Receiver<bool>,
+    stalls: [watch::Receiver<bool>; 2],
 ) -> io::Result<()> {
     let server = TcpStream::connect(target).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = server.into_split();
-    let to_server = copy_direction(client_in, server_out, stalled.clone());
-    let to_client = copy_direction(server_in, client_out, stalled);
+    let to_server = copy_direction(client_in, server_out, stalls.clone());
+    let to_client = copy_direction(server_in, client_out, stalls);
     tokio::try_join!(to_server, to_client).map(drop)
 }
 
 async fn copy_direction(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    mut stalled: watch::Receiver<bool>,
+    mut stalls: [watch::Receiver<bool>; 2],
 ) -> io::Result<()> {
     let mut chunk = vec![0; BUFFER_BYTES];
     loop {
         let length = from.read(&mut chunk).await?;
-        if stalled.wait_for(|stalled| !stalled).await.is_err() {
-            return Ok(());
+        for stalled in &mut stalls {
+            if stalled.wait_for(|stalled| !stalled).await.is_err() {
+                return Ok(());
+            }
         }
         if length == 0 {
             return to.shutdown().await;
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -1,7 +1,7 @@
 //! All links of one router: accepts links, dials neighbours, and sends messages on open links.
 
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use rand::Rng;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -27,6 +27,7 @@
 use super::peer_handshake::{accept_handshake, dial_handshake};
 use super::peer_link::{FrameQueue, PeerLink};
 use super::{PeerError, PeerIdentity, PeerSettings, PeerTopic, decode, encode, peer_metrics};
+use crate::ports::connect_from;
 
 /// Timeout of connecting and the handshake together.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -390,19 +391,6 @@
     }
 }
 
-/// Connects to `address` from the local address `own`, so that the other end sees the address on the
-/// host list.
-async fn connect_from(own: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    if own.is_ipv4() == address.is_ipv4() {
-        socket.bind(SocketAddr::new(own, 0))?;
-    }
-    socket.connect(address).await
-}
-
 fn notice(topic: PeerTopic, body: &impl Serialize) -> Result<EncodedFrame, PeerError> {
     let body = encode(body)?;
     PeerFrame::Notice { topic, body }.to_wire()
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -1,11 +1,12 @@
-//! Listening ports of the daemons.
+//! Listening ports of the daemons, and connections from a daemon's own address.
 
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use ferry_kernel::http::{HttpBody, LimitsCell, Server, ServerHandle};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use tokio::net::{TcpSocket, TcpStream};
 
 /// A port cannot be bound or served.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -79,3 +80,20 @@
         })
     }
 }
+
+/// Connects to `address` from the local address `own`, so that the other end sees the address on the
+/// host list.
+///
+/// # Errors
+///
+/// Fails when `own` does not belong to this host or the connection is refused.
+pub async fn connect_from(own: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if own.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(own, 0))?;
+    }
+    socket.connect(address).await
+}
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -185,7 +185,8 @@
         if !self.has_sent_events && is_event_stream(&answer.head.headers) {
             return ForwardStep::Broken("the stream ended before its first event".to_owned());
         }
-        if answer.upstream.has_ended().await {
+        let own = self.run.core.settings.load().callers.ip();
+        if answer.upstream.has_ended(own).await {
             return ForwardStep::Broken("the upstream ended".to_owned());
         }
         match self.framing {
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -220,7 +220,8 @@
     ) -> Result<Bytes, BodyError> {
         let body = self.core.answer_budget.collect(body).await?;
         self.log_end(framing, false, 0);
-        if framing == BodyFraming::UntilClose && upstream.has_ended().await {
+        let own = self.core.settings.load().callers.ip();
+        if framing == BodyFraming::UntilClose && upstream.has_ended(own).await {
             return Err(BodyError::Truncated("the upstream ended".to_owned()));
         }
         Ok(body)
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -87,7 +87,7 @@
 ) -> Result<UpstreamAnswer, SendFailure> {
     let in_flight = upstream.begin();
     let sent_at = core.clock.now();
-    let (response, lease) = exchange(upstream, outgoing).await?;
+    let (response, lease) = exchange(core, upstream, outgoing).await?;
     let (head, body) = response.into_parts();
     let facts = AnswerFacts::read(&head.headers);
     let incarnation = &upstream.record.incarnation;
@@ -128,6 +128,7 @@
 
 /// Sends on an idle connection, or on a new one if there is none or all idle ones turn out to be closed.
 async fn exchange(
+    core: &RelayCore,
     upstream: &Arc<RelayUpstream>,
     outgoing: &OutgoingRequest,
 ) -> Result<(Response<Incoming>, LinkLease), SendFailure> {
@@ -137,7 +138,8 @@
             result => return result,
         }
     }
-    let link = UpstreamLink::open(upstream.record.address)
+    let own = core.settings.load().callers.ip();
+    let link = UpstreamLink::open(own, upstream.record.address)
         .await
         .map_err(|error| {
             spdlog::info!("cannot connect to an upstream", kv: {
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -1,6 +1,7 @@
 //! One incarnation of an upstream, with its load, latency and idle connections at this router.
 
 use std::io::ErrorKind;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -224,12 +225,13 @@
 
     /// Whether its process has ended, so that it refuses connections, although its entry does not say so yet.
     ///
-    /// Opens a connection in place of the one that ended with an answer, and keeps it for the next request.
-    pub async fn has_ended(self: &Arc<Self>) -> bool {
+    /// Opens a connection from the local address `own` in place of the one that ended with an answer, and keeps it for the next
+    /// request.
+    pub async fn has_ended(self: &Arc<Self>, own: IpAddr) -> bool {
         if self.is_leaving() || self.pause_left().is_some() {
             return false;
         }
-        match UpstreamLink::open(self.record.address).await {
+        match UpstreamLink::open(own, self.record.address).await {
             Ok(link) => {
                 LinkLease::new(Arc::clone(self), link).give_back(None);
                 false
--- a/crates/router/src/relay/upstreams/upstream_link.rs
+++ b/crates/router/src/relay/upstreams/upstream_link.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::RelayUpstream;
+use crate::ports::connect_from;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -45,14 +46,14 @@
 }
 
 impl UpstreamLink {
-    /// Opens a connection.
+    /// Opens a connection from the local address `own`.
     ///
     /// # Errors
     ///
     /// Fails when the connection is refused or cannot be established within the timeout.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+    pub async fn open(own: IpAddr, address: SocketAddr) -> std::io::Result<Self> {
         let opened_at = Instant::now();
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        let stream = timeout(CONNECT_TIMEOUT, connect_from(own, address)).await??;
         set_dead_peer_timeouts(&stream)?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -1,6 +1,6 @@
 //! Test fixture: a store, upstreams of one service, and relays.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::ops::{Deref, DerefMut};
 use std::sync::Once;
 use std::time::Duration;
@@ -102,6 +102,17 @@
         relay
     }
 
+    /// Starts a relay on `host` in `zone` with the address `ip` of its own, and waits until it is ready.
+    pub async fn relay_at(&self, host: &str, zone: &str, ip: IpAddr) -> RelayDaemon {
+        let settings = HostSettings {
+            callers: SocketAddr::new(ip, 0),
+            ..self.settings(host, zone)
+        };
+        let relay = RelayDaemon::start(settings, OPTIONS).await.unwrap();
+        eventually("the relay is ready", async || is_ready(&relay).await).await;
+        relay
+    }
+
     /// Starts a relay on `host` without waiting until it is ready.
     pub async fn unready_relay(&self, host: &str) -> RelayDaemon {
         self.start_relay(host, ZONE).await
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod feeds;
 mod histories;
 mod limits;
+mod path_cuts;
 mod raw_replica;
 mod requests;
 mod retry_budget;
--- /dev/null
+++ b/crates/router/tests/relay/path_cuts.rs
@@ -0,0 +1,344 @@
+//! Routers that are partitioned from upstreams which other routers still reach.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+use ferry_decisions::registry::UpstreamStage;
+use ferry_decisions::ruleset::RunKind;
+use ferry_platform::entries::encode_upstream;
+use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_rig::{LinkProxy, PartitionScope};
+use ferry_router::relay::RelayDaemon;
+use ferry_standin::replica::RunStatus;
+use ferry_standin::{ReplicaPlan, ReplicaStandin};
+use hyper::StatusCode;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::deployment::{Deployment, begin, call, eventually, request, rule};
+
+/// Time after which callers of a router that is cut off must be served like others.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time for which load is sent after the contact time.
+const LOAD_TIME: Duration = Duration::from_secs(5);
+/// Pause between two requests to one router.
+const LOAD_PAUSE: Duration = Duration::from_millis(60);
+/// Fraction of the others' share of served first tries that a cut router must reach.
+const SERVED_FRACTION: f64 = 2.0 / 3.0;
+/// First tries that may fail at cut routers, and one in how many beyond them.
+const FAILED_EXTRA: usize = 10;
+const FAILED_ONE_IN: usize = 50;
+/// Longest pause between the end of a partition and the first direct connection.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// An upstream behind a proxy that can partition it from single routers.
+struct CutReplica {
+    standin: ReplicaStandin,
+    link: LinkProxy,
+}
+
+/// Served and failed first tries.
+#[derive(Debug, Default, Clone, Copy)]
+struct FirstTries {
+    served: usize,
+    failed: usize,
+}
+
+/// Routers, the first ones of which are partitioned, and upstreams.
+struct CutDeployment {
+    deployment: Deployment,
+    relays: Vec<RelayDaemon>,
+    replicas: Vec<CutReplica>,
+}
+
+/// Address of the router `number`.
+fn router_address(number: usize) -> IpAddr {
+    Ipv4Addr::new(127, 0, 0, 101 + number as u8).into()
+}
+
+impl CutDeployment {
+    /// Starts a router for each zone of `zones`, and `replicas` upstreams that follow `plan`, with rules of three kinds.
+    async fn start(zones: &[&str], replicas: usize, plan: &ReplicaPlan) -> Self {
+        let deployment = Deployment::start().await;
+        deployment.configure(
+            1,
+            &[
+                rule("/letters/", RunKind::Idempotent),
+                rule("/orders/", RunKind::Once),
+                rule("/chats/", RunKind::ResumableStream),
+            ],
+        );
+        let mut started = Vec::new();
+        for number in 0..replicas {
+            started.push(CutReplica::start(&deployment, number, plan).await);
+        }
+        let mut relays = Vec::new();
+        for (number, zone) in zones.iter().enumerate() {
+            let host = format!("entry-{number}");
+            let address = router_address(number);
+            relays.push(deployment.relay_at(&host, zone, address).await);
+        }
+        eventually("each router lists all", async || {
+            relays
+                .iter()
+                .all(|relay| relay.status().relays == zones.len())
+        })
+        .await;
+        Self {
+            deployment,
+            relays,
+            replicas: started,
+        }
+    }
+
+    /// Partitions the first `routers` routers from the first `replicas` upstreams.
+    fn partition(&self, routers: usize, replicas: usize, scope: PartitionScope) {
+        for replica in &self.replicas[..replicas] {
+            for number in 0..routers {
+                replica
+                    .link
+                    .partition(router_address(number), scope)
+                    .unwrap();
+            }
+        }
+    }
+
+    fn heal(&self) {
+        self.replicas.iter().for_each(|replica| replica.link.heal());
+    }
+
+    /// Sends requests below `path` to each router for `time`, one each [`LOAD_PAUSE`]; returns the first tries by router.
+    async fn send_load(&self, tag: &str, path: &str, time: Duration) -> Vec<FirstTries> {
+        let mut calls: Vec<(usize, JoinHandle<bool>)> = Vec::new();
+        let until = Instant::now() + time;
+        let mut round = 0;
+        while Instant::now() < until {
+            for (number, relay) in self.relays.iter().enumerate() {
+                let id = format!("{tag}-{number}-{round}");
+                let request = request(relay, &format!("{path}{id}"), &id);
+                let served = async move {
+                    let answer = call(request).await;
+                    answer.status == StatusCode::OK && answer.body.is_some()
+                };
+                calls.push((number, tokio::spawn(served)));
+            }
+            round += 1;
+            sleep(LOAD_PAUSE).await;
+        }
+        let mut tries = vec![FirstTries::default(); self.relays.len()];
+        for (number, call) in calls {
+            match call.await.unwrap() {
+                true => tries[number].served += 1,
+                false => tries[number].failed += 1,
+            }
+        }
+        tries
+    }
+
+    /// Sends load below `path` during the contact time, and then load that must be served at the first `cut` routers like at the others.
+    async fn check_served(&self, cut: usize, path: &str) {
+        self.send_load("early", path, CONTACT_TIME).await;
+        let tries = self.send_load("late", path, LOAD_TIME).await;
+        let (cut, others) = tries.split_at(cut);
+        let (cut, others) = (FirstTries::sum(cut), FirstTries::sum(others));
+        let allowed = FAILED_EXTRA + cut.total() / FAILED_ONE_IN;
+        assert!(
+            cut.failed <= allowed && cut.share() >= SERVED_FRACTION * others.share(),
+            "cut routers {cut:?}, the others {others:?}"
+        );
+    }
+}
+
+impl CutReplica {
+    async fn start(deployment: &Deployment, number: usize, plan: &ReplicaPlan) -> Self {
+        let id = format!("up-{number}");
+        let standin = deployment.replica(&id, "v1").await;
+        standin.plan(plan.clone());
+        let link = LinkProxy::start([127, 0, 0, 1].into()).await.unwrap();
+        link.set_target(standin.address());
+        let mut record = standin.record(UpstreamStage::Ready, 2);
+        record.address = link.address;
+        let store = &deployment.store;
+        store.put(UPSTREAM_TOPIC, &id, &encode_upstream(&record));
+        Self { standin, link }
+    }
+}
+
+impl FirstTries {
+    fn sum(tries: &[Self]) -> Self {
+        Self {
+            served: tries.iter().map(|tries| tries.served).sum(),
+            failed: tries.iter().map(|tries| tries.failed).sum(),
+        }
+    }
+
+    fn total(&self) -> usize {
+        self.served + self.failed
+    }
+
+    fn share(&self) -> f64 {
+        self.served as f64 / self.total().max(1) as f64
+    }
+}
+
+fn plan() -> ReplicaPlan {
+    ReplicaPlan {
+        wait: Duration::from_millis(20),
+        ..ReplicaPlan::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_that_is_silently_cut_off_from_all_upstreams_serves_its_callers() {
+    let fleet = CutDeployment::start(&["zone-a", "zone-a", "zone-b", "zone-b"], 4, &plan()).await;
+    fleet
+        .send_load("warm", "/letters/", Duration::from_secs(1))
+        .await;
+    fleet.partition(2, 4, PartitionScope::All);
+    fleet.check_served(2, "/letters/").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_whose_old_connections_live_on_serves_its_callers() {
+    let fleet = CutDeployment::start(&["zone-a", "zone-a", "zone-b"], 4, &plan()).await;
+    fleet
+        .send_load("warm", "/letters/", Duration::from_secs(1))
+        .await;
+    fleet.partition(1, 4, PartitionScope::NewLinks);
+    fleet.check_served(1, "/letters/").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_may_run_once_are_served_while_one_direction_is_lost() {
+    let fleet = CutDeployment::start(&["zone-a", "zone-b", "zone-c"], 4, &plan()).await;
+    fleet
+        .send_load("warm", "/orders/", Duration::from_secs(1))
+        .await;
+    fleet.partition(1, 4, PartitionScope::OneWay);
+    fleet.check_served(1, "/orders/").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn most_routers_that_reach_one_upstream_only_serve_their_callers() {
+    let fleet = CutDeployment::start(
+        &["zone-a", "zone-a", "zone-b", "zone-b", "zone-c"],
+        6,
+        &plan(),
+    )
+    .await;
+    fleet
+        .send_load("warm", "/letters/", Duration::from_secs(1))
+        .await;
+    fleet.partition(4, 5, PartitionScope::All);
+    fleet.check_served(4, "/letters/").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_whole_while_their_router_is_cut_off() {
+    let plan = ReplicaPlan {
+        events: 8,
+        gap: Duration::from_millis(40),
+        ..plan()
+    };
+    let fleet = CutDeployment::start(&["zone-a", "zone-b", "zone-c"], 4, &plan).await;
+    fleet
+        .send_load("warm", "/chats/", Duration::from_secs(1))
+        .await;
+    fleet.partition(1, 4, PartitionScope::All);
+    fleet.check_served(1, "/chats/").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_path_is_used_again_soon_after_a_cut() {
+    let fleet = CutDeployment::start(&["zone-a", "zone-b"], 2, &plan()).await;
+    fleet
+        .send_load("warm", "/letters/", Duration::from_secs(1))
+        .await;
+    fleet.partition(1, 2, PartitionScope::All);
+    fleet.check_served(1, "/letters/").await;
+    fleet.heal();
+    sleep(RETURN_TIME).await;
+    fleet
+        .send_load("healed", "/letters/", Duration::from_secs(1))
+        .await;
+    let replicas = fleet.replicas.iter();
+    let direct = replicas.filter(|replica| replica.link.open_from(router_address(0)) > 0);
+    assert_eq!(direct.count(), 2, "upstreams with direct connections again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_its_run_through_another_router() {
+    let slow = ReplicaPlan {
+        wait: Duration::from_secs(6),
+        ..plan()
+    };
+    let fleet = CutDeployment::start(&["zone-a", "zone-b"], 2, &plan()).await;
+    fleet
+        .send_load("warm", "/letters/", Duration::from_secs(1))
+        .await;
+    fleet.partition(1, 2, PartitionScope::All);
+    fleet.check_served(1, "/letters/").await;
+    fleet
+        .replicas
+        .iter()
+        .for_each(|replica| replica.standin.plan(slow.clone()));
+    let waiting = tokio::spawn(begin(request(&fleet.relays[0], "/letters/left", "left")));
+    let run_of = || {
+        let runs = fleet
+            .replicas
+            .iter()
+            .flat_map(|replica| replica.standin.runs());
+        let mut runs = runs.filter(|run| run.request.attempt_id == "left");
+        runs.next()
+    };
+    eventually("the request runs", async || run_of().is_some()).await;
+    waiting.abort();
+    let left_at = Instant::now();
+    eventually("the run is abandoned", async || {
+        run_of().is_some_and(|run| run.status == RunStatus::Abandoned)
+    })
+    .await;
+    assert!(
+        left_at.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        left_at.elapsed()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_stops_answers_the_requests_of_others_first() {
+    let slow = ReplicaPlan {
+        wait: Duration::from_millis(1_500),
+        ..plan()
+    };
+    let mut fleet = CutDeployment::start(&["zone-a", "zone-b", "zone-b"], 2, &plan()).await;
+    fleet
+        .send_load("warm", "/orders/", Duration::from_secs(1))
+        .await;
+    fleet.partition(1, 2, PartitionScope::All);
+    fleet.check_served(1, "/orders/").await;
+    fleet
+        .replicas
+        .iter()
+        .for_each(|replica| replica.standin.plan(slow.clone()));
+    let calls: Vec<_> = (0..12)
+        .map(|number| {
+            let id = format!("kept-{number}");
+            tokio::spawn(call(request(
+                &fleet.relays[0],
+                &format!("/orders/{id}"),
+                &id,
+            )))
+        })
+        .collect();
+    sleep(Duration::from_millis(500)).await;
+    fleet.relays.remove(1).stop().await;
+    for call in calls {
+        assert_eq!(call.await.unwrap().status, StatusCode::OK);
+    }
+    let tries = fleet
+        .send_load("after", "/orders/", Duration::from_secs(1))
+        .await;
+    assert_eq!(tries[0].failed, 0, "{tries:?}");
+    drop(fleet.deployment);
+}
