--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limits;
 pub mod membership;
 pub mod names;
+pub mod paths;
 pub mod quarantine;
 pub mod registry;
 pub mod retry;
--- a/crates/decisions/src/retry/upstream_failure.rs
+++ b/crates/decisions/src/retry/upstream_failure.rs
@@ -26,6 +26,9 @@
         RefusedNotRun,
         /// The connection broke after a byte of the request was sent and before the answer began.
         BrokenBeforeAnswer,
+        /// The path to the upstream was lost after a byte of the request was sent and before the answer began; the upstream may be
+        /// sound.
+        PathLost,
         /// The connection broke during the answer.
         BrokenInAnswer,
         /// The upstream answered with a server error that does not say whether the request ran.
@@ -46,9 +49,11 @@
             Self::ConnectFailed | Self::QueueFull | Self::Leaving | Self::RefusedNotRun => {
                 RunState::NotRun
             }
-            Self::BrokenBeforeAnswer | Self::ServerError | Self::TimedOut | Self::BadRequest => {
-                RunState::MayHaveRun
-            }
+            Self::BrokenBeforeAnswer
+            | Self::PathLost
+            | Self::ServerError
+            | Self::TimedOut
+            | Self::BadRequest => RunState::MayHaveRun,
             Self::BrokenInAnswer | Self::MalformedAnswer => RunState::Ran,
         }
     }
@@ -65,7 +70,8 @@
             | Self::BrokenBeforeAnswer
             | Self::BrokenInAnswer
             | Self::MalformedAnswer => true,
-            Self::QueueFull
+            Self::PathLost
+            | Self::QueueFull
             | Self::Leaving
             | Self::RefusedNotRun
             | Self::ServerError
--- a/crates/router/src/dispatch/dispatch_failure.rs
+++ b/crates/router/src/dispatch/dispatch_failure.rs
@@ -88,6 +88,7 @@
                 CallerRefusal::retry_after(RefusalKind::NoUpstream, detail, retry_after)
             }
             UpstreamFailure::BrokenBeforeAnswer
+            | UpstreamFailure::PathLost
             | UpstreamFailure::BrokenInAnswer
             | UpstreamFailure::ServerError
             | UpstreamFailure::MalformedAnswer => {
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,8 +16,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
+use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config, client_async_with_config};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -27,7 +28,7 @@
 use super::peer_handshake::{accept_handshake, dial_handshake};
 use super::peer_link::{FrameQueue, PeerLink};
 use super::{PeerError, PeerIdentity, PeerSettings, PeerTopic, decode, encode, peer_metrics};
-use crate::ports::connect_from;
+use crate::ports::{connect_from, set_dead_peer_timeouts};
 
 /// Timeout of connecting and the handshake together.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -41,6 +42,12 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time after which an on-demand link, to a host that is not a neighbour, is closed.
 const ON_DEMAND_LINK_LIFETIME: Duration = Duration::from_secs(600);
+/// Path that a dialling router requests for a link.
+const LINK_PATH: &str = "/peer";
+/// Path that a dialling router requests for a stream.
+const STREAM_PATH: &str = "/stream";
+/// Size of the buffers of a stream, in bytes.
+const STREAM_BUFFER_BYTES: usize = 16 * 1024;
 /// Longest time that a stop waits for the links to write their queued frames.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -60,10 +67,19 @@
 /// Notices of one link are handled one at a time in the order sent, queries concurrently.
 pub type PeerHandler = Arc<dyn Fn(PeerMessage) -> BoxFuture<'static, Option<Bytes>> + Send + Sync>;
 
+/// Connection to another router, after the handshake.
+pub type PeerSocket = WebSocketStream<TcpStream>;
+
+/// Serves one stream that another router opened, until it ends.
+pub type StreamHandler =
+    Arc<dyn Fn(PeerIdentity, PeerSocket) -> BoxFuture<'static, ()> + Send + Sync>;
+
 /// The links of one router.
 pub struct PeerHub {
     settings: PeerSettings,
     handler: PeerHandler,
+    /// Absent while no streams are served.
+    streams: OnceLock<StreamHandler>,
     address: SocketAddr,
     links: RwLock<LinkTable>,
     /// Neighbours that are dialled, and redialled until they are removed from the list.
@@ -104,6 +120,7 @@
         let hub = Arc::new(Self {
             settings,
             handler,
+            streams: OnceLock::new(),
             address,
             links: RwLock::default(),
             dialers: Mutex::default(),
@@ -117,6 +134,29 @@
         Ok(hub)
     }
 
+    /// Serves the streams that other routers open with `handler`; only the first call has an effect.
+    pub fn serve_streams(&self, handler: StreamHandler) {
+        // Ignores a second call, as documented.
+        let _ = self.streams.set(handler);
+    }
+
+    /// Opens a stream to `host`: a connection of its own, beside the links, whose messages the stream's handler defines.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host is not in the directory, cannot be reached, or does not prove that it knows the secret.
+    pub async fn open_stream(&self, host: &HostName) -> Result<PeerSocket, PeerError> {
+        let address = self.directory.read().get(host).copied();
+        let address = address.ok_or_else(|| PeerError::NotConnected(host.clone()))?;
+        let opening = self.dial(host, address, STREAM_PATH, stream_config());
+        let (socket, _) = timeout(HANDSHAKE_TIMEOUT, opening)
+            .await
+            .map_err(|_| handshake_timeout())??;
+        set_dead_peer_timeouts(socket.get_ref())
+            .map_err(|error| PeerError::Transport(error.to_string()))?;
+        Ok(socket)
+    }
+
     /// Address of the peer port.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -252,7 +292,7 @@
             return Ok(link);
         }
         let permit = self.on_demand.try_permit().ok_or(not_connected)?;
-        let (socket, peer) = timeout(HANDSHAKE_TIMEOUT, self.dial(host, address))
+        let (socket, peer) = timeout(HANDSHAKE_TIMEOUT, self.dial_link(host, address))
             .await
             .map_err(|_| handshake_timeout())??;
         let closing = self.stopping.child_token();
@@ -290,7 +330,11 @@
                 };
                 drop(permit);
                 let result = match opened {
-                    Ok(Ok((socket, peer))) => {
+                    Ok(Ok((socket, peer, true))) => {
+                        hub.serve_stream(peer, socket).await;
+                        Ok(())
+                    }
+                    Ok(Ok((socket, peer, false))) => {
                         let closing = hub.stopping.child_token();
                         let (link, queue) = hub.add_link(LinkSide::Accepted, peer, closing);
                         hub.run_link(LinkSide::Accepted, &link, socket, queue).await
@@ -303,16 +347,38 @@
         }
     }
 
+    /// Accepts a connection; returns whether it is a stream.
     async fn accept(
         &self,
         stream: TcpStream,
-    ) -> Result<(WebSocketStream<TcpStream>, PeerIdentity), PeerError> {
+    ) -> Result<(PeerSocket, PeerIdentity, bool), PeerError> {
         let _ = stream.set_nodelay(true);
-        let mut socket = accept_async_with_config(stream, Some(socket_config()))
+        let mut is_stream = false;
+        // The callback's type is the library's.
+        #[allow(clippy::result_large_err)]
+        let read_path = |request: &Request, response: Response| {
+            is_stream = request.uri().path() == STREAM_PATH;
+            Ok(response)
+        };
+        let mut socket = accept_hdr_async_with_config(stream, read_path, Some(socket_config()))
             .await
             .map_err(|error| PeerError::Handshake(error.to_string()))?;
         let peer = accept_handshake(&mut socket, &self.settings).await?;
-        Ok((socket, peer))
+        Ok((socket, peer, is_stream))
+    }
+
+    /// Serves a stream of `peer` until it ends or the hub stops.
+    async fn serve_stream(&self, peer: PeerIdentity, socket: PeerSocket) {
+        let Some(handler) = self.streams.get() else {
+            return;
+        };
+        if set_dead_peer_timeouts(socket.get_ref()).is_err() {
+            return;
+        }
+        tokio::select! {
+            () = handler(peer, socket) => {}
+            () = self.stopping.cancelled() => {}
+        }
     }
 
     async fn dial_loop(
@@ -324,7 +390,7 @@
         let mut backoff = MIN_REDIAL_BACKOFF;
         loop {
             let opened = tokio::select! {
-                opened = timeout(HANDSHAKE_TIMEOUT, self.dial(&host, address)) => opened,
+                opened = timeout(HANDSHAKE_TIMEOUT, self.dial_link(&host, address)) => opened,
                 () = stopping.cancelled() => return,
             };
             let result = match opened {
@@ -347,17 +413,27 @@
         }
     }
 
+    async fn dial_link(
+        &self,
+        host: &HostName,
+        address: SocketAddr,
+    ) -> Result<(PeerSocket, PeerIdentity), PeerError> {
+        self.dial(host, address, LINK_PATH, socket_config()).await
+    }
+
     async fn dial(
         &self,
         host: &HostName,
         address: SocketAddr,
-    ) -> Result<(WebSocketStream<TcpStream>, PeerIdentity), PeerError> {
+        path: &str,
+        config: WebSocketConfig,
+    ) -> Result<(PeerSocket, PeerIdentity), PeerError> {
         let stream = connect_from(self.settings.listen.ip(), address)
             .await
             .map_err(|error| PeerError::Transport(error.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let url = format!("ws://{address}/peer");
-        let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config()))
+        let url = format!("ws://{address}{path}");
+        let (mut socket, _) = client_async_with_config(url, stream, Some(config))
             .await
             .map_err(|error| PeerError::Handshake(error.to_string()))?;
         let peer = dial_handshake(&mut socket, &self.settings, host).await?;
@@ -402,6 +478,13 @@
         .max_frame_size(Some(FRAME_LIMIT))
 }
 
+/// Settings of a stream, of which a router may have hundreds: smaller buffers than those of a link.
+fn stream_config() -> WebSocketConfig {
+    socket_config()
+        .read_buffer_size(STREAM_BUFFER_BYTES)
+        .write_buffer_size(STREAM_BUFFER_BYTES)
+}
+
 fn handshake_timeout() -> PeerError {
     PeerError::Handshake("it timed out".to_owned())
 }
--- a/crates/router/src/peer/peer_topic.rs
+++ b/crates/router/src/peer/peer_topic.rs
@@ -28,6 +28,8 @@
         Feed,
         /// Limits that upstreams name, and permits to send to them, on the users' platform.
         Permits,
+        /// Which routers reach an upstream, on the users' platform.
+        Paths,
     }
 }
 
@@ -46,6 +48,7 @@
             Self::Trail => "trail",
             Self::Feed => "feed",
             Self::Permits => "permits",
+            Self::Paths => "paths",
         }
     }
 }
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -2,12 +2,19 @@
 
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
 use ferry_kernel::http::{HttpBody, LimitsCell, Server, ServerHandle};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 
+/// Time for which sent bytes may stay unacknowledged before the kernel closes the connection.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Idle time after which the kernel sends a keep-alive probe, and the interval of further probes.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
 /// A port cannot be bound or served.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 #[error(
@@ -97,3 +104,19 @@
     }
     socket.connect(address).await
 }
+
+/// Sets socket options that make the kernel close a connection whose other end no longer answers.
+///
+/// # Errors
+///
+/// Fails when the connection has just ended.
+pub fn set_dead_peer_timeouts(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod fleet;
 mod latency_model;
+mod paths;
 mod permits;
 pub mod relay_app;
 mod relay_core;
--- a/crates/router/src/relay/fleet/feed_client.rs
+++ b/crates/router/src/relay/fleet/feed_client.rs
@@ -20,6 +20,7 @@
 use crate::peer::{self, PeerError, PeerMessage, PeerTopic};
 use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::crashes;
+use crate::relay::paths;
 use crate::relay::permits;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::rollouts;
@@ -246,6 +247,7 @@
         PeerTopic::Feed => answer_query(core, message).await,
         PeerTopic::Quarantine => crashes::answer_report(core, &message),
         PeerTopic::Permits => permits::answer_query(core, &message),
+        PeerTopic::Paths => paths::answer_message(core, &message).await,
         _ => None,
     }
 }
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -13,6 +13,7 @@
 use super::feed_client::answer_peer;
 use super::fleet_manager::RouterEntry;
 use crate::peer::{self, PeerHandler, PeerHub, PeerSettings};
+use crate::relay::paths::tunnel_handler;
 use crate::relay::relay_core::SharedCore;
 
 /// Partition of the routers' entries.
@@ -141,7 +142,9 @@
         let core = weak.upgrade();
         Box::pin(async move { answer_peer(&core?, message).await })
     });
-    PeerHub::start(peer_settings, handler).await
+    let hub = PeerHub::start(peer_settings, handler).await?;
+    hub.serve_streams(tunnel_handler(core));
+    Ok(hub)
 }
 
 async fn append(
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -120,6 +120,16 @@
         entries.map(|entry| entry.host.clone()).collect()
     }
 
+    /// Entries of all registered routers but `own`.
+    pub fn others(&self, own: &HostName) -> Vec<RouterEntry> {
+        let routers = self.routers.lock();
+        let entries = routers.iter().flatten();
+        entries
+            .filter(|entry| entry.host != *own)
+            .cloned()
+            .collect()
+    }
+
     /// Whether the routers were listed at least once.
     pub fn is_listed(&self) -> bool {
         *self.is_listed.borrow()
--- /dev/null
+++ b/crates/router/src/relay/paths.rs
@@ -0,0 +1,27 @@
+//! Network paths from this router to the upstreams: which are lost, and the routers through which the upstreams behind a lost path are
+//! reached.
+
+mod open_link;
+mod path_keeper;
+mod path_manager;
+mod path_message;
+mod path_query;
+mod tunnel_server;
+mod tunnel_stream;
+mod upstream_path;
+
+pub use open_link::{DETOUR_WAIT, has_ended, open_link, record_lost_path, record_success};
+pub use path_manager::PathManager;
+pub use path_message::UpstreamStatement;
+pub use path_query::{answer_message, tell_router};
+pub use tunnel_server::tunnel_handler;
+pub use tunnel_stream::TunnelState;
+pub use upstream_path::UpstreamPath;
+
+use super::relay_core::SharedCore;
+
+/// Starts the tasks that probe lost paths and look for routers that reach their upstreams.
+pub fn start(core: &SharedCore) {
+    core.spawn(path_keeper::find_detours(core.clone()));
+    core.spawn(path_keeper::probe_paths(core.clone()));
+}
--- /dev/null
+++ b/crates/router/src/relay/paths/path_keeper.rs
@@ -0,0 +1,231 @@
+//! Tasks that probe lost paths, and look for routers that reach the upstreams behind them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::names::HostName;
+use ferry_decisions::registry::UpstreamIncarnation;
+use ferry_decisions::time::MonotonicTime;
+use futures::StreamExt;
+use futures::future::join_all;
+use futures::stream::FuturesUnordered;
+use rand::seq::IndexedRandom;
+use smallvec::SmallVec;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::open_link::probe;
+use super::path_query::{MAX_ASKED, ask_reached};
+use crate::peer::PeerError;
+use crate::relay::relay_core::SharedCore;
+use crate::relay::upstreams::RelayUpstream;
+
+/// Number of routers of the own availability zone, and of other ones, that are asked in one search.
+const ASKED_PER_SIDE: usize = 2;
+/// Shortest time between two searches without success.
+const MIN_SEARCH_PERIOD: Duration = Duration::from_millis(250);
+/// Longest time between two searches without success, and between two checks without a lost path.
+const MAX_SEARCH_PERIOD: Duration = Duration::from_secs(1);
+/// Number of paths, lost while other routers reach their upstreams, from which the other paths are in doubt.
+const DOUBT_PATHS: usize = 2;
+/// Time without data from an upstream after which its path is probed when it is in doubt.
+const UNHEARD_TIME: Duration = Duration::from_secs(1);
+/// Time for which further answers are waited for once each upstream has a detour, so that several routers share the requests.
+const SPREAD_WAIT: Duration = Duration::from_millis(50);
+/// Number of paths that are probed at once.
+const CONCURRENT_PROBES: usize = 32;
+
+/// Upstreams that lack a detour, and the routers found for each.
+struct DetourSearch {
+    upstreams: Vec<Arc<RelayUpstream>>,
+    found: Vec<SmallVec<[HostName; 4]>>,
+}
+
+/// Looks for routers that reach the upstreams whose path is lost, until the relay closes.
+pub async fn find_detours(core: SharedCore) {
+    let mut first = 0;
+    let mut period = MIN_SEARCH_PERIOD;
+    loop {
+        core.paths.wait_for_loss(period).await;
+        let lacking = lacking_upstreams(&core);
+        if lacking.is_empty() {
+            period = MAX_SEARCH_PERIOD;
+            continue;
+        }
+        let routers = asked_routers(&core, first);
+        let found_all = search(&core, lacking, &routers).await;
+        if found_all {
+            period = MAX_SEARCH_PERIOD;
+        } else {
+            first += ASKED_PER_SIDE;
+            period = (period * 2).clamp(MIN_SEARCH_PERIOD, MAX_SEARCH_PERIOD);
+        }
+        doubt_paths(&core);
+    }
+}
+
+/// Probes lost paths when they are due, until the relay closes.
+pub async fn probe_paths(core: SharedCore) {
+    loop {
+        let now = core.clock.now();
+        let lost: Vec<_> = core
+            .upstreams
+            .all_where(|upstream| !upstream.is_leaving() && upstream.is_path_lost());
+        let (due, later): (Vec<_>, Vec<_>) = lost
+            .into_iter()
+            .partition(|upstream| upstream.next_probe().is_some_and(|at| at <= now));
+        if due.is_empty() {
+            let next = later
+                .iter()
+                .filter_map(|upstream| upstream.next_probe())
+                .min();
+            let wait = next.map_or(MAX_SEARCH_PERIOD, |at| at.since(now));
+            core.paths.wait_for_probes(wait).await;
+            continue;
+        }
+        for due in due.chunks(CONCURRENT_PROBES) {
+            join_all(due.iter().map(|upstream| probe(&core, upstream))).await;
+        }
+    }
+}
+
+fn lacking_upstreams(core: &SharedCore) -> Vec<Arc<RelayUpstream>> {
+    let mut lacking = core
+        .upstreams
+        .all_where(|upstream| !upstream.is_leaving() && upstream.lacks_detour());
+    lacking.truncate(MAX_ASKED);
+    lacking
+}
+
+/// Routers to ask next: some of the own availability zone and some of others, from the place `first` on in an order that differs between
+/// routers.
+fn asked_routers(core: &SharedCore, first: usize) -> Vec<HostName> {
+    let settings = core.settings.load();
+    let mut routers = core.fleet.others(&settings.host);
+    let order = |host: &HostName| {
+        let pair = format!("{} {host}", settings.host);
+        (core.paths.has_failed(host), xxh3_64(pair.as_bytes()))
+    };
+    routers.sort_by_cached_key(|entry| order(&entry.host));
+    let (near, far): (Vec<_>, Vec<_>) = routers
+        .into_iter()
+        .partition(|entry| entry.zone == settings.zone);
+    let turn = |side: Vec<_>| {
+        let count = side.len();
+        let side = side.into_iter().cycle().skip(first % count.max(1));
+        side.take(ASKED_PER_SIDE.min(count))
+    };
+    let asked = turn(near).chain(turn(far));
+    asked.map(|entry| entry.host).collect()
+}
+
+/// Asks `routers` which of the upstreams they reach, and sets detours as the answers arrive; returns whether all have one.
+async fn search(
+    core: &SharedCore,
+    upstreams: Vec<Arc<RelayUpstream>>,
+    routers: &[HostName],
+) -> bool {
+    let incarnations = upstreams
+        .iter()
+        .map(|upstream| &upstream.record.incarnation);
+    let incarnations: Vec<UpstreamIncarnation> = incarnations.cloned().collect();
+    let asking = routers.iter().map(async |router| {
+        let answer = ask_reached(core, router, &incarnations).await;
+        (router, answer)
+    });
+    let mut answers: FuturesUnordered<_> = asking.collect();
+    let mut search = DetourSearch {
+        found: vec![SmallVec::new(); upstreams.len()],
+        upstreams,
+    };
+    while !search.is_complete() {
+        let Some((router, answer)) = answers.next().await else {
+            break;
+        };
+        search.add(router, answer);
+    }
+    core.paths.finish_search();
+    // The end of the wait leaves the detours that are set.
+    let _ = timeout(SPREAD_WAIT, async {
+        while let Some((router, answer)) = answers.next().await {
+            search.add(router, answer);
+        }
+    })
+    .await;
+    search.log();
+    search.is_complete()
+}
+
+impl DetourSearch {
+    /// Adds the answer of `router`, and shares the upstreams out among the routers found so far.
+    fn add(&mut self, router: &HostName, answer: Result<Vec<bool>, PeerError>) {
+        let reached = match answer {
+            Ok(reached) => reached,
+            Err(error) => {
+                spdlog::info!("no answer about paths: {}", error, kv: { router = router.as_str() });
+                return;
+            }
+        };
+        let found = self.found.iter_mut().zip(reached);
+        for (found, _) in found.filter(|(_, reached)| *reached) {
+            found.push(router.clone());
+        }
+        self.set_detours();
+    }
+
+    /// Gives each upstream one of the routers found for it.
+    fn set_detours(&self) {
+        for (upstream, found) in self.upstreams.iter().zip(&self.found) {
+            let Some(router) = found.choose(&mut rand::rng()) else {
+                continue;
+            };
+            upstream.set_detour(router);
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.found.iter().all(|found| !found.is_empty())
+    }
+
+    fn log(&self) {
+        let found = self.found.iter().filter(|found| !found.is_empty());
+        spdlog::info!("searched routers that reach upstreams", kv: {
+            wanted = self.upstreams.len(),
+            found = found.count(),
+        });
+    }
+}
+
+/// Probes the paths over which nothing was heard for a while if several paths are lost whose upstreams other routers reach.
+fn doubt_paths(core: &SharedCore) {
+    let now = core.clock.now();
+    let detoured = core
+        .upstreams
+        .all_where(|upstream| upstream.detour().is_some());
+    if detoured.len() < DOUBT_PATHS {
+        return;
+    }
+    let unheard = core
+        .upstreams
+        .all_where(|upstream| is_in_doubt(upstream, now));
+    if unheard.is_empty() {
+        return;
+    }
+    spdlog::info!("paths in doubt", kv: { lost = detoured.len(), probed = unheard.len() });
+    let core_of_task = core.clone();
+    core.spawn(async move {
+        for unheard in unheard.chunks(CONCURRENT_PROBES) {
+            let probes = unheard.iter().map(async |upstream| {
+                if !probe(&core_of_task, upstream).await {
+                    upstream.want_path();
+                }
+            });
+            join_all(probes).await;
+            core_of_task.paths.report_loss();
+        }
+    });
+}
+
+fn is_in_doubt(upstream: &RelayUpstream, now: MonotonicTime) -> bool {
+    !upstream.is_leaving() && upstream.is_path_unconfirmed(UNHEARD_TIME, now)
+}
--- /dev/null
+++ b/crates/router/src/relay/paths/path_message.rs
@@ -0,0 +1,55 @@
+//! Messages about paths between routers.
+
+use std::time::Duration;
+
+use ferry_decisions::registry::UpstreamIncarnation;
+use ferry_decisions::time::duration_micros;
+use serde::{Deserialize, Serialize};
+
+/// A message about paths.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum PathMessage {
+    /// Asks which of these upstreams the receiver reaches by its own paths.
+    Reach(Vec<UpstreamIncarnation>),
+    /// Says what an upstream stated in an answer that came through the receiver.
+    Statement(UpstreamStatement),
+}
+
+/// Answer to a message.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum PathAnswer {
+    /// Whether each upstream is reached, in the order of the question.
+    Reached(Vec<bool>),
+    /// The statement was taken note of.
+    Noted,
+}
+
+/// What an upstream stated about the requests that it wants.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct UpstreamStatement {
+    /// Upstream.
+    pub upstream: UpstreamIncarnation,
+    /// Whether it is leaving.
+    pub leaves: bool,
+    /// Time for which it wants no request from the router that it sees; zero if it asked for none.
+    #[serde(with = "duration_micros")]
+    pub pause: Duration,
+}
+
+/// First message on a tunnel.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TunnelQuery {
+    /// Upstream to connect to.
+    pub upstream: UpstreamIncarnation,
+}
+
+/// Answer to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelAnswer {
+    /// The upstream is connected; all further messages are data.
+    Opened,
+    /// The answering router does not reach the upstream.
+    Lost,
+    /// The upstream is not listed there, wants no request, or too many tunnels are open.
+    Refused,
+}
--- /dev/null
+++ b/crates/router/src/relay/paths/tunnel_server.rs
@@ -0,0 +1,160 @@
+//! The far end of a tunnel: connects to the upstream and copies bytes for another router.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::{SplitSink, SplitStream};
+use futures::{SinkExt, StreamExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+
+use super::open_link::connect_direct;
+use super::path_message::{TunnelAnswer, TunnelQuery};
+use super::path_query::find_upstream;
+use super::tunnel_stream::{MAX_DATA_BYTES, RESET_CODE};
+use crate::core::LifecyclePhase;
+use crate::peer::{self, PeerIdentity, PeerSocket, StreamHandler};
+use crate::relay::relay_core::SharedCore;
+
+/// Maximum number of tunnels that other routers have open through this one.
+const MAX_TUNNELS: usize = 256;
+/// Timeout of the first message of a tunnel.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Period at which a tunnel checks whether this router stops.
+const STOP_CHECK_PERIOD: Duration = Duration::from_millis(500);
+/// Content of the message that says that this router stops.
+const STOP_NOTICE: &str = "stops";
+
+/// Handler of the tunnels that other routers open to this one.
+pub fn tunnel_handler(core: &SharedCore) -> StreamHandler {
+    let weak = Arc::downgrade(core);
+    Arc::new(move |peer, socket| {
+        let core = weak.upgrade();
+        Box::pin(async move {
+            if let Some(core) = core {
+                serve_tunnel(&core, &peer, socket).await;
+            }
+        })
+    })
+}
+
+async fn serve_tunnel(core: &SharedCore, peer: &PeerIdentity, mut socket: PeerSocket) {
+    let message = timeout(QUERY_TIMEOUT, socket.next()).await;
+    let Ok(Some(Ok(Message::Binary(query)))) = message else {
+        return;
+    };
+    let query: TunnelQuery = match peer::decode(&query) {
+        Ok(query) => query,
+        Err(error) => {
+            spdlog::warn!("invalid query for a tunnel ignored: {}", error, kv: { router = peer.host.as_str() });
+            return;
+        }
+    };
+    let _work = core.work.token();
+    let guard = core.paths.begin_tunnel(MAX_TUNNELS);
+    let result = match guard {
+        Some(_) if core.phase() == LifecyclePhase::Serving => connect(core, &query).await,
+        _ => Err(TunnelAnswer::Refused),
+    };
+    let answer = result.as_ref().err().copied();
+    let answer = answer.unwrap_or(TunnelAnswer::Opened);
+    spdlog::info!("tunnel for another router", kv: {
+        router = peer.host.as_str(),
+        upstream = query.upstream.id.as_str(),
+        answer:? = answer,
+    });
+    let Ok(bytes) = peer::encode(&answer) else {
+        return;
+    };
+    if socket.send(Message::Binary(bytes)).await.is_err() {
+        return;
+    }
+    if let Ok(stream) = result {
+        copy(core, socket, stream).await;
+    }
+}
+
+async fn connect(core: &SharedCore, query: &TunnelQuery) -> Result<TcpStream, TunnelAnswer> {
+    let upstream = find_upstream(core, &query.upstream).ok_or(TunnelAnswer::Refused)?;
+    if upstream.is_leaving() || upstream.pause_left().is_some() {
+        return Err(TunnelAnswer::Refused);
+    }
+    if upstream.is_path_lost() {
+        return Err(TunnelAnswer::Lost);
+    }
+    let stream = connect_direct(core, &upstream).await;
+    stream.map_err(|_| TunnelAnswer::Lost)
+}
+
+/// Copies until one end closes; the other end is closed then.
+async fn copy(core: &SharedCore, socket: PeerSocket, stream: TcpStream) {
+    let (sink, messages) = socket.split();
+    let (reader, writer) = stream.into_split();
+    tokio::select! {
+        () = copy_to_router(core, reader, sink) => {}
+        () = copy_to_upstream(messages, writer) => {}
+    }
+}
+
+/// Forwards the upstream's bytes, and how its connection ends.
+async fn copy_to_router(
+    core: &SharedCore,
+    mut reader: OwnedReadHalf,
+    mut sink: SplitSink<PeerSocket, Message>,
+) {
+    let mut chunk = vec![0; MAX_DATA_BYTES];
+    let mut has_told_stop = false;
+    loop {
+        let read = timeout(STOP_CHECK_PERIOD, reader.read(&mut chunk)).await;
+        let message = match read {
+            Err(_) if has_told_stop || core.phase() == LifecyclePhase::Serving => continue,
+            Err(_) => {
+                has_told_stop = true;
+                Message::text(STOP_NOTICE)
+            }
+            Ok(Ok(0)) => close_message(CloseCode::Normal),
+            Ok(Ok(length)) => Message::Binary(Bytes::copy_from_slice(&chunk[..length])),
+            Ok(Err(error)) => close_after(&error),
+        };
+        let is_end = message.is_close();
+        if sink.send(message).await.is_err() || is_end {
+            return;
+        }
+    }
+}
+
+/// Forwards the router's bytes to the upstream until the router closes the tunnel.
+async fn copy_to_upstream(mut messages: SplitStream<PeerSocket>, mut writer: OwnedWriteHalf) {
+    while let Some(Ok(message)) = messages.next().await {
+        match message {
+            Message::Binary(data) if writer.write_all(&data).await.is_err() => {
+                // The reading half sees how the connection ended, and says so.
+                std::future::pending::<()>().await;
+            }
+            Message::Close(_) => return,
+            _ => {}
+        }
+    }
+}
+
+fn close_after(error: &io::Error) -> Message {
+    match error.kind() {
+        // The path to the upstream was lost, which says nothing of the upstream.
+        io::ErrorKind::TimedOut => close_message(CloseCode::Away),
+        _ => close_message(RESET_CODE),
+    }
+}
+
+fn close_message(code: CloseCode) -> Message {
+    Message::Close(Some(CloseFrame {
+        code,
+        reason: "".into(),
+    }))
+}
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -20,6 +20,7 @@
 use super::crashes::CrashManager;
 use super::fleet::FleetManager;
 use super::latency_model::LatencyModel;
+use super::paths::PathManager;
 use super::permits::PermitManager;
 use super::rollouts::RolloutManager;
 use super::topic_progress::TopicProgress;
@@ -65,6 +66,8 @@
     pub crashes: CrashManager,
     /// Limits that upstreams name, and the permits to send to them.
     pub permits: PermitManager,
+    /// Search for ways to upstreams whose paths are lost.
+    pub paths: PathManager,
     /// Registered routers, links to them, and the feed.
     pub fleet: FleetManager,
     /// Roll-outs known to this relay.
@@ -95,6 +98,7 @@
             answer_budget: BodyBudget::new(WHOLE_ANSWER_LIMIT, ALL_ANSWERS_LIMIT),
             crashes: CrashManager::new(&router),
             permits: PermitManager::default(),
+            paths: PathManager::default(),
             fleet: FleetManager::default(),
             rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -16,6 +16,7 @@
 use super::RelayRun;
 use super::event_splitter::EventSplitter;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
+use crate::relay::paths::{has_ended, record_lost_path};
 use crate::relay::request::{RefusalReason, RelayRefusal};
 use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
@@ -185,8 +186,7 @@
         if !self.has_sent_events && is_event_stream(&answer.head.headers) {
             return ForwardStep::Broken("the stream ended before its first event".to_owned());
         }
-        let own = self.run.core.settings.load().callers.ip();
-        if answer.upstream.has_ended(own).await {
+        if has_ended(&self.run.core, &answer.upstream).await {
             return ForwardStep::Broken("the upstream ended".to_owned());
         }
         match self.framing {
@@ -281,7 +281,14 @@
             last_event = self.splitter.last_id().map_or(-1, |id| id as i64),
         });
         self.splitter.take_partial();
-        if let Some(answer) = self.answer.take() {
+        let answer = self.answer.take();
+        let Some(answer) = answer else {
+            return;
+        };
+        let lease = &answer.lease;
+        if lease.is_tunnel_lost() {
+            record_lost_path(&self.run.core, &answer.upstream, lease.detour());
+        } else {
             answer.upstream.mark_suspect(self.run.core.clock.now());
             self.run.record_version_failure(&answer.upstream);
             self.run.record_crash(&answer.upstream);
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -39,6 +39,10 @@
     pub(super) failed_version: Option<VersionName>,
     /// Whether the last send was rejected by an upstream that is full.
     pub(super) rejected: bool,
+    /// Whether the last send found its upstream not reachable.
+    pub(super) was_not_reached: bool,
+    /// Whether the request has waited for another path to an upstream.
+    pub(super) has_waited_for_path: bool,
     /// Number of sends that ran or may have run at an upstream.
     pub(super) possible_runs: u32,
     /// Whether the request ran, over all sends; `MayHaveRun` while a send is in progress.
@@ -72,6 +76,8 @@
             answered_at: SmallVec::new(),
             failed_version: None,
             rejected: false,
+            was_not_reached: false,
+            has_waited_for_path: false,
             possible_runs: 0,
             run: RunState::NotRun,
             session: None,
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -14,6 +14,7 @@
 use super::run_placement::{PlacementQuery, choose_upstream, conversation_point, soonest_return};
 use super::session_hold::SessionHold;
 use super::upstream_send::UpstreamAnswer;
+use crate::relay::paths::DETOUR_WAIT;
 use crate::relay::permits::take_permit;
 use crate::relay::request::{RefusalReason, RelayRefusal};
 use crate::relay::rollouts::{SessionKey, VersionPick};
@@ -37,7 +38,7 @@
         self.core.upstream_topic.settle(drain).await;
         self.check_rules()?;
         loop {
-            let upstream = self.choose()?;
+            let upstream = self.choose_reached().await?;
             if take_permit(&self.core, &upstream.record.incarnation).await {
                 return Ok(upstream);
             }
@@ -72,6 +73,18 @@
         Ok(())
     }
 
+    /// Chooses an upstream; if none is reached, waits once for a search of other paths, and chooses again.
+    async fn choose_reached(&mut self) -> Result<Arc<RelayUpstream>, RelayRefusal> {
+        let chosen = self.choose();
+        if chosen.is_ok() || !self.was_not_reached || self.has_waited_for_path {
+            return chosen;
+        }
+        self.has_waited_for_path = true;
+        self.core.paths.wait_for_search(DETOUR_WAIT).await;
+        self.was_not_reached = false;
+        self.choose()
+    }
+
     fn choose(&self) -> Result<Arc<RelayUpstream>, RelayRefusal> {
         let refuse = |reason| RelayRefusal::not_run(reason);
         let model = self.model();
@@ -87,8 +100,8 @@
                 failed_at: &self.failed_at,
                 answered_at,
                 pick: pick.as_ref(),
-                // An upstream that rejected a request a moment ago would most likely reject this one too.
-                uses_suspects: !self.rejected,
+                // An upstream that rejected a request a moment ago, or was just not reached, would most likely fail this one too.
+                uses_suspects: !self.rejected && !self.was_not_reached,
             };
             choose_upstream(&self.core, &self.request, &query)
         };
--- a/crates/router/src/relay/run/run_retry.rs
+++ b/crates/router/src/relay/run/run_retry.rs
@@ -23,7 +23,10 @@
     ///
     /// Returns the final refusal when the request is not sent again.
     pub(super) fn decide_retry(&mut self, failure: &SendFailure) -> Result<(), RelayRefusal> {
-        self.failed_at.push(self.record.upstream.as_str().into());
+        // After a failed connect the same upstream may be reached through another router.
+        if failure.kind != UpstreamFailure::ConnectFailed {
+            self.failed_at.push(self.record.upstream.as_str().into());
+        }
         let left = self
             .request
             .answer_deadline
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -14,6 +14,7 @@
 use super::RelayRun;
 use super::relay_run::RunAnswer;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer, send};
+use crate::relay::paths::{has_ended, record_lost_path, record_success};
 use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -75,8 +76,12 @@
         was_overdue: bool,
     ) {
         upstream.clear_suspect();
+        if answer.lease.detour().is_none() {
+            record_success(&self.core, upstream);
+        }
         self.record_life(upstream, &answer.lease);
         self.rejected = false;
+        self.was_not_reached = false;
         if let Some(load) = answer.facts.load {
             upstream.record_load(load, self.core.clock.now());
         }
@@ -101,17 +106,21 @@
         self.run = before.max(run);
         if run != RunState::NotRun {
             self.possible_runs += 1;
+        }
+        if run != RunState::NotRun && failure != UpstreamFailure::PathLost {
             upstream.record_latency(FAILURE_LATENCY_RATIO, now);
             self.record_version_failure(upstream);
         }
         self.rejected = failure == UpstreamFailure::QueueFull;
+        self.was_not_reached = failure == UpstreamFailure::ConnectFailed;
         if self.rejected {
             upstream.record_rejection(now);
         }
         if failure == UpstreamFailure::Leaving {
             upstream.mark_leaving();
         }
-        if failure.makes_suspect() {
+        // A failed connect is about the path, which keeps its own state.
+        if failure.makes_suspect() && failure != UpstreamFailure::ConnectFailed {
             upstream.mark_suspect(now);
         }
         if failure == UpstreamFailure::BrokenBeforeAnswer {
@@ -204,8 +213,12 @@
                     upstream.id(),
                     error
                 );
-                upstream.mark_suspect(self.core.clock.now());
-                self.record_crash(&upstream);
+                if lease.is_tunnel_lost() {
+                    record_lost_path(&self.core, &upstream, lease.detour());
+                } else {
+                    upstream.mark_suspect(self.core.clock.now());
+                    self.record_crash(&upstream);
+                }
                 Err(SendFailure::without_answer(UpstreamFailure::BrokenInAnswer))
             }
         }
@@ -220,8 +233,7 @@
     ) -> Result<Bytes, BodyError> {
         let body = self.core.answer_budget.collect(body).await?;
         self.log_end(framing, false, 0);
-        let own = self.core.settings.load().callers.ip();
-        if framing == BodyFraming::UntilClose && upstream.has_ended(own).await {
+        if framing == BodyFraming::UntilClose && has_ended(&self.core, upstream).await {
             return Err(BodyError::Truncated("the upstream ended".to_owned()));
         }
         Ok(body)
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use ferry_decisions::names::HostName;
 use ferry_decisions::retry::UpstreamFailure;
 use ferry_kernel::http::BodyFraming;
 use ferry_platform::headers::AnswerFacts;
@@ -14,6 +15,8 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
 use crate::relay::RelayCore;
+use crate::relay::paths::{UpstreamStatement, open_link, record_lost_path, tell_router};
+use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{InFlightGuard, LinkLease, RelayUpstream, UpstreamLink};
 
 /// A request as it is sent to the upstream.
@@ -80,7 +83,7 @@
 /// Returns the kind of failure, which tells whether the request may have run, and the upstream's error
 /// answer if there is one.
 pub async fn send(
-    core: &RelayCore,
+    core: &SharedCore,
     upstream: &Arc<RelayUpstream>,
     outgoing: &OutgoingRequest,
     attempt_id: &str,
@@ -97,10 +100,20 @@
         upstream.mark_leaving();
         spdlog::info!("upstream says that it leaves", kv: { upstream = upstream.id() });
     }
-    if let Some(pause) = facts
+    let pause = facts
         .pause
-        .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
+        .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE);
+    if let Some(router) = lease.detour()
+        && (facts.leaves || pause.is_some())
     {
+        let statement = UpstreamStatement {
+            upstream: incarnation.clone(),
+            leaves: facts.leaves,
+            pause: pause.unwrap_or_default(),
+        };
+        tell_router(core, router.clone(), statement);
+    }
+    if let Some(pause) = pause {
         upstream.pause(pause);
         spdlog::info!("upstream asks for a pause", kv: {
             request_id = attempt_id,
@@ -133,29 +146,23 @@
     outgoing: &OutgoingRequest,
 ) -> Result<(Response<Incoming>, LinkLease), SendFailure> {
     while let Some(link) = upstream.take_idle() {
-        match exchange_on(upstream, link, outgoing).await {
+        match exchange_on(core, upstream, link, outgoing).await {
             Err(failure) if failure.kind == UpstreamFailure::ConnectFailed => {}
             result => return result,
         }
     }
-    let own = core.settings.load().callers.ip();
-    let link = UpstreamLink::open(own, upstream.record.address)
+    let link = open_link(core, upstream)
         .await
-        .map_err(|error| {
-            spdlog::info!("cannot connect to an upstream", kv: {
-                upstream = upstream.id(),
-                error:? = error.kind(),
-            });
-            SendFailure::without_answer(UpstreamFailure::ConnectFailed)
-        })?;
+        .map_err(|_| SendFailure::without_answer(UpstreamFailure::ConnectFailed))?;
     if upstream.pause_left().is_some() || upstream.is_leaving() {
         // It asked for the pause, or said that it leaves, while the connection was opened.
         return Err(SendFailure::without_answer(UpstreamFailure::RefusedNotRun));
     }
-    exchange_on(upstream, link, outgoing).await
+    exchange_on(core, upstream, link, outgoing).await
 }
 
 async fn exchange_on(
+    core: &RelayCore,
     upstream: &Arc<RelayUpstream>,
     link: UpstreamLink,
     outgoing: &OutgoingRequest,
@@ -166,14 +173,21 @@
         Ok(response) => Ok((response, lease)),
         Err(mut error) => {
             let unsent = error.take_message().is_some();
+            let cause = broken_by(error.error());
+            let is_path_lost = cause == ErrorKind::TimedOut || lease.is_tunnel_lost();
+            if is_path_lost {
+                record_lost_path(core, upstream, lease.detour());
+            }
             spdlog::info!("connection to an upstream broke", kv: {
                 upstream = upstream.id(),
+                router = lease.detour().map_or("", HostName::as_str),
                 unsent = unsent,
-                error:? = broken_by(error.error()),
+                error:? = cause,
             });
             let kind = match (unsent, error.error().is_parse()) {
                 (true, _) => UpstreamFailure::ConnectFailed,
                 (false, true) => UpstreamFailure::MalformedAnswer,
+                (false, false) if is_path_lost => UpstreamFailure::PathLost,
                 (false, false) => UpstreamFailure::BrokenBeforeAnswer,
             };
             Err(SendFailure::without_answer(kind))
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -1,12 +1,11 @@
 //! One incarnation of an upstream, with its load, latency and idle connections at this router.
 
-use std::io::ErrorKind;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use ferry_decisions::choice::{ReportedLoad, UpstreamLoad, UpstreamState, UpstreamView};
+use ferry_decisions::names::HostName;
 use ferry_decisions::registry::{UpstreamRecord, UpstreamStage};
 use ferry_decisions::time::MonotonicTime;
 use ferry_platform::headers::LoadFacts;
@@ -14,7 +13,8 @@
 use tokio::time::Instant;
 
 use super::unproven_ends::UnprovenEnds;
-use super::{LinkLease, UnprovenEnd, UpstreamLink};
+use super::{UnprovenEnd, UpstreamLink};
+use crate::relay::paths::UpstreamPath;
 
 /// Time for which an upstream that broke or refused a connection gets no new requests while others
 /// can take them.
@@ -45,6 +45,7 @@
     leaving: AtomicBool,
     state: Mutex<UpstreamActivity>,
     idle: Mutex<Vec<UpstreamLink>>,
+    path: Mutex<UpstreamPath>,
     unproven_ends: Mutex<UnprovenEnds>,
     /// Whether `unproven_ends` holds any; spares each piece of a stream the lock.
     has_unproven_ends: AtomicBool,
@@ -94,6 +95,7 @@
             record,
             state: Mutex::default(),
             idle: Mutex::default(),
+            path: Mutex::default(),
             unproven_ends: Mutex::default(),
             has_unproven_ends: AtomicBool::new(false),
         }
@@ -184,8 +186,9 @@
 
     /// State and load at `now`, as input to the choice of an upstream.
     pub fn view(&self, now: MonotonicTime) -> UpstreamView<'_> {
+        let is_reached = self.path.lock().is_usable();
         let state = self.state.lock();
-        let suspect = state.is_suspect(now);
+        let suspect = !is_reached || state.is_suspect(now);
         UpstreamView {
             name: &self.record.incarnation.id,
             zone: &self.record.zone,
@@ -223,24 +226,73 @@
         }
     }
 
-    /// Whether its process has ended, so that it refuses connections, although its entry does not say so yet.
-    ///
-    /// Opens a connection from the local address `own` in place of the one that ended with an answer, and keeps it for the next
-    /// request.
-    pub async fn has_ended(self: &Arc<Self>, own: IpAddr) -> bool {
-        if self.is_leaving() || self.pause_left().is_some() {
-            return false;
+    /// Whether the direct path to it is lost.
+    pub fn is_path_lost(&self) -> bool {
+        self.path.lock().health.is_lost()
+    }
+
+    /// Router through which it is reached while the direct path is lost.
+    pub fn detour(&self) -> Option<HostName> {
+        self.path.lock().detour.clone()
+    }
+
+    /// Whether a router that reaches it is to be looked for.
+    pub fn lacks_detour(&self) -> bool {
+        self.path.lock().lacks_detour()
+    }
+
+    /// Records that requests need it, so that a detour is looked for while its path is lost.
+    pub fn want_path(&self) {
+        self.path.lock().is_wanted = true;
+    }
+
+    /// Sets the router through which it is reached, if the direct path is lost.
+    pub fn set_detour(&self, router: &HostName) {
+        let mut path = self.path.lock();
+        if path.health.is_lost() {
+            path.detour = Some(router.clone());
         }
-        match UpstreamLink::open(own, self.record.address).await {
-            Ok(link) => {
-                LinkLease::new(Arc::clone(self), link).give_back(None);
-                false
-            }
-            Err(error) => {
-                spdlog::info!("upstream cannot be reached after its answer: {}", error, kv: { upstream = self.id() });
-                error.kind() == ErrorKind::ConnectionRefused
-            }
+    }
+
+    /// Records that it is not reached through `router`.
+    pub fn drop_detour(&self, router: &HostName) {
+        let mut path = self.path.lock();
+        path.detour.take_if(|detour| detour == router);
+    }
+
+    /// Records a failed connect over the direct path at `now`, and closes the idle connections if the path worked before; returns
+    /// whether it did.
+    pub fn record_path_failure(&self, now: MonotonicTime) -> bool {
+        let has_changed = self.path.lock().record_failure(now);
+        if has_changed {
+            self.idle.lock().clear();
+        }
+        has_changed
+    }
+
+    /// Records that it was heard over the direct path at `now`, and closes the idle tunnels if the path was lost before; returns
+    /// whether it was.
+    pub fn record_path_success(&self, now: MonotonicTime) -> bool {
+        let has_changed = self.path.lock().record_success(now);
+        if has_changed {
+            self.idle.lock().clear();
         }
+        has_changed
+    }
+
+    /// When the lost path is to be probed; `None` while it works.
+    pub fn next_probe(&self) -> Option<MonotonicTime> {
+        self.path.lock().health.next_probe()
+    }
+
+    /// Whether it was heard over the direct path in the last `span`.
+    pub fn was_heard_within(&self, span: Duration, now: MonotonicTime) -> bool {
+        self.path.lock().health.was_heard_within(span, now)
+    }
+
+    /// Whether the direct path works as far as known, but nothing was heard over it for `span`.
+    pub fn is_path_unconfirmed(&self, span: Duration, now: MonotonicTime) -> bool {
+        self.path.lock().is_unconfirmed(span, now)
     }
 
     /// Holds the end of an answer until it is known whether the upstream lived on.
--- a/crates/router/src/relay/upstreams/upstream_directory.rs
+++ b/crates/router/src/relay/upstreams/upstream_directory.rs
@@ -40,6 +40,25 @@
             .unwrap_or_else(|| Arc::new([]))
     }
 
+    /// The upstream with this id.
+    pub fn find(&self, id: &HostName) -> Option<Arc<RelayUpstream>> {
+        let by_service = self.by_service.load();
+        let mut upstreams = by_service.values().flat_map(|list| list.iter());
+        upstreams
+            .find(|upstream| upstream.record.incarnation.id == *id)
+            .cloned()
+    }
+
+    /// Upstreams of all services that meet `condition`.
+    pub fn all_where(&self, condition: impl Fn(&RelayUpstream) -> bool) -> Vec<Arc<RelayUpstream>> {
+        let by_service = self.by_service.load();
+        let upstreams = by_service.values().flat_map(|list| list.iter());
+        upstreams
+            .filter(|upstream| condition(upstream))
+            .cloned()
+            .collect()
+    }
+
     /// Requests of this router in flight on upstreams of `service` with another version.
     pub fn in_flight_except(&self, service: &ServiceName, version: &VersionName) -> u32 {
         self.of_service(service)
--- a/crates/router/src/relay/upstreams/upstream_link.rs
+++ b/crates/router/src/relay/upstreams/upstream_link.rs
@@ -1,27 +1,20 @@
 //! Connections to upstreams.
 
-use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::names::HostName;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::RelayUpstream;
-use crate::ports::connect_from;
-
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which sent bytes may stay unacknowledged before the kernel closes the connection.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Idle time after which the kernel sends a keep-alive probe, and the interval of further probes.
-const PROBE_PERIOD: Duration = Duration::from_secs(1);
+use crate::relay::paths::TunnelState;
+
 /// Time for which an upstream is assumed to keep an idle connection open if its response does not
 /// state it.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -43,18 +36,27 @@
     idle_until: Instant,
     /// When the connection was opened.
     opened_at: Instant,
+    /// Absent on a direct connection.
+    detour: Option<LinkDetour>,
 }
 
+/// Router through which a connection goes, and what becomes of the tunnel to it.
+pub type LinkDetour = (HostName, Arc<TunnelState>);
+
 impl UpstreamLink {
-    /// Opens a connection from the local address `own`.
+    /// A connection over `stream`, which was opened at `opened_at`; `detour` if it goes through another router.
     ///
     /// # Errors
     ///
-    /// Fails when the connection is refused or cannot be established within the timeout.
-    pub async fn open(own: IpAddr, address: SocketAddr) -> std::io::Result<Self> {
-        let opened_at = Instant::now();
-        let stream = timeout(CONNECT_TIMEOUT, connect_from(own, address)).await??;
-        set_dead_peer_timeouts(&stream)?;
+    /// Fails when the connection has just ended.
+    pub async fn over<S>(
+        stream: S,
+        opened_at: Instant,
+        detour: Option<LinkDetour>,
+    ) -> std::io::Result<Self>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -70,12 +72,17 @@
             driver: driver.abort_handle(),
             idle_until: opened_at,
             opened_at,
+            detour,
         })
     }
 
     /// Whether the connection is open, not busy, and within its idle time.
     pub fn is_usable(&self) -> bool {
-        self.sender.is_ready() && Instant::now() < self.idle_until
+        let stops = self
+            .detour
+            .as_ref()
+            .is_some_and(|(_, tunnel)| tunnel.stops());
+        self.sender.is_ready() && !stops && Instant::now() < self.idle_until
     }
 }
 
@@ -109,6 +116,17 @@
         self.link.opened_at
     }
 
+    /// Router through which the connection goes; `None` if it is direct.
+    pub fn detour(&self) -> Option<&HostName> {
+        self.link.detour.as_ref().map(|(router, _)| router)
+    }
+
+    /// Whether the connection broke between this router and another one through which it goes.
+    pub fn is_tunnel_lost(&self) -> bool {
+        let detour = self.link.detour.as_ref();
+        detour.is_some_and(|(_, tunnel)| tunnel.is_lost())
+    }
+
     /// Returns the connection to the idle ones of its upstream after a complete response.
     ///
     /// `keep_alive` is the time for which the upstream keeps it open, if the response stated one.
@@ -120,15 +138,3 @@
         self.upstream.put_idle(self.link);
     }
 }
-
-/// Sets socket options that make the kernel close a connection whose other end no longer answers.
-fn set_dead_peer_timeouts(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_PERIOD)
-        .with_interval(PROBE_PERIOD)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&probes)
-}
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -11,7 +11,7 @@
 pub use upstream_watch::apply_synced as apply_synced_upstreams;
 
 use super::relay_core::SharedCore;
-use super::{crashes, fleet, permits, rollouts};
+use super::{crashes, fleet, paths, permits, rollouts};
 
 /// Starts the tasks that follow the store and those that share its content with other routers.
 pub fn start(core: &SharedCore) {
@@ -20,6 +20,7 @@
     core.spawn(rollouts::follow(core.clone()));
     core.spawn(rollouts::expire_sessions(core.clone()));
     crashes::start(core);
+    paths::start(core);
     permits::start(core);
     fleet::start(core);
 }
