Do not count the loss of a path as a crash of its upstream

Cause: a connection that breaks was taken for a fact about the upstream. Change: a crash on a direct connection is still counted at once, and checked: if this router cannot connect right afterwards and another one can, the upstream survived, which the router adds to its rows for the whole fleet. Breaks of direct connections while a detour is known are not counted. A crash through a tunnel is, since the other router says how the upstream's connection ended.

--- a/crates/decisions/src/quarantine/crash_row.rs
+++ b/crates/decisions/src/quarantine/crash_row.rs
@@ -19,13 +19,16 @@
 
     /// Crashes and answers of one subject at one incarnation of a router.
     ///
-    /// Only that router changes the row. Crashes are only added and answers only grow, so that the newer of two
+    /// Only that router changes the row. Crashes and survivals are only added and answers only grow, so that the newer of two
     /// versions holds the older one.
     pub struct CrashRow {
         /// The subject, and the router that counts.
         pub key: CrashRowKey,
         /// Distinct incarnations of upstreams that crashed while they ran it.
         pub crashed: Vec<UpstreamIncarnation>,
+        /// Those of them that other routers still reached right after it, so that the break was one of the path to them.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub survived: Vec<UpstreamIncarnation>,
         /// Digests of the first distinct requests that ran with the part at a crash; empty for a request.
         pub requests: Vec<u32>,
         /// Answers shortly before the first crash that the router knew of, and since; for a part only those that
@@ -44,6 +47,7 @@
         Self {
             key,
             crashed: Vec::new(),
+            survived: Vec::new(),
             requests: Vec::new(),
             answers: 0,
             is_sound: false,
@@ -58,9 +62,25 @@
         }
     }
 
+    /// Records that `upstream` survived the break that was counted as its crash; returns whether that is news.
+    pub(super) fn add_survival(&mut self, upstream: &UpstreamIncarnation) -> bool {
+        let is_news = self.crashed.contains(upstream) && !self.survived.contains(upstream);
+        if is_news {
+            self.survived.push(upstream.clone());
+        }
+        is_news
+    }
+
+    /// Upstreams that crashed and did not survive.
+    pub(super) fn ended(&self) -> impl Iterator<Item = &UpstreamIncarnation> {
+        let crashed = self.crashed.iter();
+        crashed.filter(|upstream| !self.survived.contains(upstream))
+    }
+
     /// Replaces this version by `other` if that is newer; returns whether it was.
     pub(super) fn merge(&mut self, other: &Self) -> bool {
         let is_newer = other.crashed.len() > self.crashed.len()
+            || other.survived.len() > self.survived.len()
             || other.requests.len() > self.requests.len()
             || other.answers > self.answers
             || other.is_sound && !self.is_sound;
--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -123,6 +123,18 @@
         }
     }
 
+    /// Records that `upstream` survived what this router counted as its crash, since other routers still reach it; returns the
+    /// number of subjects of which that is news.
+    pub fn record_survival(&mut self, upstream: &UpstreamIncarnation) -> usize {
+        let router = self.router.as_str();
+        let entries = self.entries.values_mut();
+        let news =
+            entries.filter_map(|entry| entry.record_survival(router, upstream).then_some(()));
+        let count = news.count();
+        self.guilty.take();
+        count
+    }
+
     fn record_subject(
         &mut self,
         subject: CrashSubject,
--- a/crates/decisions/src/quarantine/tally_entry.rs
+++ b/crates/decisions/src/quarantine/tally_entry.rs
@@ -44,6 +44,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct StoredVersion {
     crashed: usize,
+    survived: usize,
     requests: usize,
     answers: u32,
     is_sound: bool,
@@ -78,6 +79,13 @@
         }
     }
 
+    /// Records in the row of `router` that `upstream` survived; returns whether that is news.
+    pub(super) fn record_survival(&mut self, router: &str, upstream: &UpstreamIncarnation) -> bool {
+        let mut rows = self.rows.iter_mut().map(|held| &mut held.row);
+        let own = rows.find(|row| row.key.router == router);
+        own.is_some_and(|row| row.add_survival(upstream))
+    }
+
     /// Adds a request that ran with the part at a crash to the row `key` of this router.
     pub(super) fn add_request(&mut self, key: CrashRowKey, request: &RequestFingerprint) {
         let last_crash = self.last_crash;
@@ -170,7 +178,7 @@
     }
 
     fn crashed_upstreams(&self) -> BTreeSet<&UpstreamIncarnation> {
-        self.rows().flat_map(|row| &row.crashed).collect()
+        self.rows().flat_map(CrashRow::ended).collect()
     }
 
     /// Whether the request crashed too many upstreams to run again at `now`.
@@ -186,7 +194,7 @@
         let CrashSubject::Part(part) = self.subject else {
             return None;
         };
-        let most: usize = self.rows().map(|row| row.crashed.len()).sum();
+        let most: usize = self.rows().map(|row| row.ended().count()).sum();
         if most < GUILTY_UPSTREAMS || self.is_sound() {
             return None;
         }
@@ -226,7 +234,9 @@
 impl HeldRow {
     fn has_new_crashes(&self) -> bool {
         let stored = self.stored.unwrap_or_default();
-        self.row.crashed.len() > stored.crashed || self.row.requests.len() > stored.requests
+        self.row.crashed.len() > stored.crashed
+            || self.row.survived.len() > stored.survived
+            || self.row.requests.len() > stored.requests
     }
 
     /// Whether the part has turned out to be sound, or the answers have grown enough to be stored again.
@@ -241,6 +251,7 @@
     fn of(row: &CrashRow) -> Self {
         Self {
             crashed: row.crashed.len(),
+            survived: row.survived.len(),
             requests: row.requests.len(),
             answers: row.answers,
             is_sound: row.is_sound,
--- a/crates/decisions/tests/crash_tally.rs
+++ b/crates/decisions/tests/crash_tally.rs
@@ -199,3 +199,26 @@
     assert!(own.is_quarantined(&request(), UnixMillis(59_999)));
     assert!(!own.is_quarantined(&request(), UnixMillis(60_000)));
 }
+
+#[test]
+fn upstreams_that_survived_do_not_count_as_crashed_at_any_router() {
+    let (mut first, mut second) = (tally(1), tally(2));
+    let now = UnixMillis(1_000);
+    for number in 0..3 {
+        first.record(request(), &upstream(number), now);
+    }
+    assert!(first.is_quarantined(&request(), now));
+    for row in first.rows(LIMIT) {
+        second.merge(row, RowOrigin::Router, now);
+    }
+    assert!(second.is_quarantined(&request(), now));
+    assert_eq!(first.record_survival(&upstream(1)), 1);
+    assert_eq!(first.record_survival(&upstream(1)), 0);
+    for row in first.unstored(LIMIT) {
+        second.merge(row, RowOrigin::Router, now);
+    }
+    for tally in [&first, &second] {
+        assert_eq!(tally.crashed(&request()), 2);
+        assert!(!tally.is_quarantined(&request(), now));
+    }
+}
--- a/crates/rig/src/link_proxy.rs
+++ b/crates/rig/src/link_proxy.rs
@@ -105,6 +105,15 @@
         });
     }
 
+    /// Resets the connections from `source`; new ones are forwarded.
+    pub fn reset_source(&self, source: IpAddr) {
+        let state = self.state.lock();
+        for link in state.open.iter().filter(|link| link.source == source) {
+            link.resets.store(true, Ordering::Release);
+            link.token.cancel();
+        }
+    }
+
     /// Closes connections from `source`, and closes new ones from it as soon as they are accepted.
     pub fn cut_source(&self, source: IpAddr) {
         let mut state = self.state.lock();
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -68,6 +68,23 @@
         verdict
     }
 
+    /// Records that `upstream` survived what this router counted as its crash.
+    pub fn record_survival(&self, upstream: &UpstreamIncarnation) {
+        let mut tally = self.tally.lock();
+        let before = tally.guilty_parts().clone();
+        let subjects = tally.record_survival(upstream);
+        if subjects == 0 {
+            return;
+        }
+        spdlog::info!("upstream was not crashed, its path was lost", kv: {
+            upstream = upstream.id.as_str(),
+            subjects = subjects,
+        });
+        log_guilty_parts(&before, &tally);
+        self.changed.notify_waiters();
+        self.recorded.notify_one();
+    }
+
     /// Records an answer to the request that ended without a sign of a crash.
     pub fn record_answer(&self, request: RequestFingerprint) {
         let mut tally = self.tally.lock();
--- a/crates/router/src/relay/paths.rs
+++ b/crates/router/src/relay/paths.rs
@@ -10,7 +10,9 @@
 mod tunnel_stream;
 mod upstream_path;
 
-pub use open_link::{DETOUR_WAIT, has_ended, open_link, record_lost_path, record_success};
+pub use open_link::{
+    DETOUR_WAIT, check_survival, has_ended, open_link, record_lost_path, record_success,
+};
 pub use path_manager::PathManager;
 pub use path_message::UpstreamStatement;
 pub use path_query::{answer_message, tell_router};
--- a/crates/router/src/relay/paths/open_link.rs
+++ b/crates/router/src/relay/paths/open_link.rs
@@ -16,12 +16,16 @@
 use crate::peer::{self, PeerError};
 use crate::ports::{connect_from, set_dead_peer_timeouts};
 use crate::relay::RelayCore;
+use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{LinkLease, RelayUpstream, UpstreamLink};
 
 /// Timeout for opening a direct connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for opening a tunnel, in which the other router connects to the upstream.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time in which other routers must reach an upstream that this one does not for a break not to count as its crash; a process that
+/// crashed takes longer to start again.
+const SURVIVAL_WAIT: Duration = Duration::from_millis(400);
 /// Time for which a request whose path was just lost waits for a router that reaches its upstream.
 pub const DETOUR_WAIT: Duration = Duration::from_millis(150);
 
@@ -49,13 +53,27 @@
     if was_lost || core.fleet.router_count() < 2 {
         return Err(error);
     }
-    core.paths.wait_for_search(DETOUR_WAIT).await;
-    match upstream.detour() {
+    match wait_for_detour(core, upstream).await {
         Some(router) => open_tunnel(core, upstream, &router).await,
         None => Err(error),
     }
 }
 
+/// Waits for a router that reaches `upstream`: until a search that was begun after now has ended, or for [`DETOUR_WAIT`].
+async fn wait_for_detour(core: &RelayCore, upstream: &RelayUpstream) -> Option<HostName> {
+    let until = Instant::now() + DETOUR_WAIT;
+    // The first one to end may have begun before.
+    for _ in 0..2 {
+        let left = until.saturating_duration_since(Instant::now());
+        core.paths.wait_for_search(left).await;
+        let detour = upstream.detour();
+        if detour.is_some() {
+            return detour;
+        }
+    }
+    None
+}
+
 async fn open_direct(core: &RelayCore, upstream: &RelayUpstream) -> io::Result<UpstreamLink> {
     let opened_at = Instant::now();
     let stream = connect_direct(core, upstream).await?;
@@ -139,6 +157,31 @@
     }
 }
 
+/// Checks in the background whether `upstream` survived the break of a direct connection that was counted as its crash: it did if this
+/// router cannot connect to it right afterwards and other routers can.
+pub fn check_survival(core: &SharedCore, upstream: &Arc<RelayUpstream>) {
+    if !upstream.begin_check() {
+        return;
+    }
+    let (core_of_task, upstream) = (core.clone(), Arc::clone(upstream));
+    core.spawn(async move {
+        if !probe(&core_of_task, &upstream).await {
+            upstream.want_path();
+            core_of_task.paths.report_loss();
+            let until = Instant::now() + SURVIVAL_WAIT;
+            while upstream.detour().is_none() && Instant::now() < until {
+                let left = until.saturating_duration_since(Instant::now());
+                core_of_task.paths.wait_for_search(left).await;
+            }
+            if upstream.detour().is_some() {
+                let incarnation = &upstream.record.incarnation;
+                core_of_task.crashes.record_survival(incarnation);
+            }
+        }
+        upstream.end_check();
+    });
+}
+
 async fn open_tunnel(
     core: &RelayCore,
     upstream: &Arc<RelayUpstream>,
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -291,7 +291,7 @@
         } else {
             answer.upstream.mark_suspect(self.run.core.clock.now());
             self.run.record_version_failure(&answer.upstream);
-            self.run.record_crash(&answer.upstream);
+            self.run.record_crash(&answer.upstream, lease.detour());
         }
     }
 
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -1,7 +1,9 @@
 //! Evidence that a run gives about its upstreams: latency, quality of versions, crashes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use ferry_decisions::names::HostName;
 use ferry_decisions::quarantine::{AnswerProof, CrashSubject, RequestFingerprint};
 use ferry_kernel::http::BodyFraming;
 use hyper::StatusCode;
@@ -9,6 +11,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::RelayRun;
+use crate::relay::paths::check_survival;
 use crate::relay::rollouts::{AnswerEvidence, AnswerSign};
 use crate::relay::upstreams::{LinkLease, RelayUpstream, UnprovenEnd};
 
@@ -111,8 +114,17 @@
         format!("{}/{}", self.request.rule.name, self.record.model)
     }
 
-    /// Counts a crash of `upstream` while it ran the request.
-    pub fn record_crash(&self, upstream: &RelayUpstream) {
+    /// Counts a crash of `upstream` while it ran the request on a connection that went through the router `detour`, or was direct.
+    ///
+    /// A crash on a direct connection is checked afterwards, since the path may have been lost instead.
+    pub fn record_crash(&self, upstream: &Arc<RelayUpstream>, detour: Option<&HostName>) {
+        if detour.is_none() && upstream.is_path_lost() && upstream.detour().is_some() {
+            spdlog::info!("connection ended with its path", kv: {
+                request_id = self.request.id.as_str(),
+                upstream = upstream.id(),
+            });
+            return;
+        }
         let fingerprint = self.request.fingerprint();
         let crashes = &self.core.crashes;
         let parts = self.request.facts.prompt.shareable_parts();
@@ -124,6 +136,9 @@
                 fingerprint = fingerprint.to_string(),
             });
         }
+        if detour.is_none() {
+            check_survival(&self.core, upstream);
+        }
     }
 
     /// Counts an answer that is known to be complete. One that ended with its connection is held by its upstream, until it is known
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -62,7 +62,7 @@
         };
         match &result {
             Ok(answer) => self.record_head(upstream, answer, sent.elapsed(), was_overdue),
-            Err(failure) => self.record_failure(upstream, failure.kind, before),
+            Err(failure) => self.record_failure(upstream, failure, before),
         }
         result
     }
@@ -97,10 +97,12 @@
     /// Records a failed send; `before` is the run state before it.
     fn record_failure(
         &mut self,
-        upstream: &RelayUpstream,
-        failure: UpstreamFailure,
+        upstream: &Arc<RelayUpstream>,
+        failure: &SendFailure,
         before: RunState,
     ) {
+        let SendFailure { kind, detour, .. } = failure;
+        let failure = *kind;
         let now = self.core.clock.now();
         let run = failure.run_state();
         self.run = before.max(run);
@@ -124,7 +126,7 @@
             upstream.mark_suspect(now);
         }
         if failure == UpstreamFailure::BrokenBeforeAnswer {
-            self.record_crash(upstream);
+            self.record_crash(upstream, detour.as_ref());
         }
     }
 
@@ -217,7 +219,7 @@
                     record_lost_path(&self.core, &upstream, lease.detour());
                 } else {
                     upstream.mark_suspect(self.core.clock.now());
-                    self.record_crash(&upstream);
+                    self.record_crash(&upstream, lease.detour());
                 }
                 Err(SendFailure::without_answer(UpstreamFailure::BrokenInAnswer))
             }
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -65,12 +65,18 @@
     pub kind: UpstreamFailure,
     /// The upstream's own error answer, forwarded to the caller if the request is not sent again.
     pub answer: Option<Box<UpstreamAnswer>>,
+    /// Router through which the broken connection went; absent if it was direct.
+    pub detour: Option<HostName>,
 }
 
 impl SendFailure {
     /// A failure of kind `kind` without an answer.
     pub fn without_answer(kind: UpstreamFailure) -> Self {
-        Self { kind, answer: None }
+        Self {
+            kind,
+            answer: None,
+            detour: None,
+        }
     }
 }
 
@@ -135,6 +141,7 @@
         Some(kind) => Err(SendFailure {
             kind,
             answer: (kind == UpstreamFailure::ServerError).then(|| Box::new(answer)),
+            detour: None,
         }),
     }
 }
@@ -190,7 +197,11 @@
                 (false, false) if is_path_lost => UpstreamFailure::PathLost,
                 (false, false) => UpstreamFailure::BrokenBeforeAnswer,
             };
-            Err(SendFailure::without_answer(kind))
+            Err(SendFailure {
+                kind,
+                answer: None,
+                detour: lease.detour().cloned(),
+            })
         }
     }
 }
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -46,6 +46,8 @@
     state: Mutex<UpstreamActivity>,
     idle: Mutex<Vec<UpstreamLink>>,
     path: Mutex<UpstreamPath>,
+    /// Whether it is being checked whether it survived the break of a connection.
+    is_checked: AtomicBool,
     unproven_ends: Mutex<UnprovenEnds>,
     /// Whether `unproven_ends` holds any; spares each piece of a stream the lock.
     has_unproven_ends: AtomicBool,
@@ -96,6 +98,7 @@
             state: Mutex::default(),
             idle: Mutex::default(),
             path: Mutex::default(),
+            is_checked: AtomicBool::new(false),
             unproven_ends: Mutex::default(),
             has_unproven_ends: AtomicBool::new(false),
         }
@@ -226,6 +229,16 @@
         }
     }
 
+    /// Begins a check of whether it survived the break of a connection; returns false if one is in progress.
+    pub fn begin_check(&self) -> bool {
+        !self.is_checked.swap(true, Ordering::AcqRel)
+    }
+
+    /// Ends that check.
+    pub fn end_check(&self) {
+        self.is_checked.store(false, Ordering::Release);
+    }
+
     /// Whether the direct path to it is lost.
     pub fn is_path_lost(&self) -> bool {
         self.path.lock().health.is_lost()
--- a/crates/router/tests/relay/path_cuts.rs
+++ b/crates/router/tests/relay/path_cuts.rs
@@ -266,6 +266,35 @@
     assert_eq!(direct.count(), 2, "upstreams with direct connections again");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_that_resets_connections_quarantines_no_request() {
+    let slow = ReplicaPlan {
+        wait: Duration::from_millis(600),
+        ..plan()
+    };
+    let fleet = CutDeployment::start(&["zone-a", "zone-b", "zone-c"], 4, &slow).await;
+    let equal = |number: usize| {
+        let id = format!("equal-{number}");
+        tokio::spawn(call(request(&fleet.relays[0], "/letters/equal", &id)))
+    };
+    let calls: Vec<_> = (0..16).map(equal).collect();
+    sleep(Duration::from_millis(200)).await;
+    fleet.partition(1, 4, PartitionScope::NewLinks);
+    for replica in &fleet.replicas {
+        replica.link.reset_source(router_address(0));
+    }
+    for call in calls {
+        call.await.unwrap();
+    }
+    sleep(CONTACT_TIME).await;
+    for relay in &fleet.relays {
+        assert_eq!(relay.status().quarantined, 0, "{}", relay.status().host);
+        let id = format!("again-{}", relay.status().host);
+        let answer = call(request(relay, "/letters/equal", &id)).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_ends_its_run_through_another_router() {
     let slow = ReplicaPlan {
