Brittle upstreams that are full, in a test that fails

What upstreams see: one that says how many rejections in a second it survives, summed over all routers, gets far more requests than it has room for. Cause: the header is new on the users' pages; nothing reads it.

--- a/crates/router/tests/relay/limits.rs
+++ b/crates/router/tests/relay/limits.rs
@@ -4,6 +4,7 @@
 
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_router::relay::RelayDaemon;
+use ferry_standin::replica::RunStatus;
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::StatusCode;
 use hyper::header::RETRY_AFTER;
@@ -318,3 +319,66 @@
     send_load(&relays, CONTACT_TIME + LOAD_TIME).await;
     assert_kept(&replicas[0], 1.6, from);
 }
+
+/// Rejections per second after which a brittle upstream of the tests breaks down.
+const BRITTLE_REJECTIONS: u32 = 4;
+
+/// Number of times at which `replica` had rejected more than [`BRITTLE_REJECTIONS`] requests in a second, after `from`.
+fn breakdowns(replica: &ReplicaStandin, from: Instant) -> usize {
+    let mut recent: Vec<Instant> = Vec::new();
+    let mut breakdowns = 0;
+    let runs = replica.runs();
+    let rejected = runs.iter().filter(|run| run.status == RunStatus::Refused);
+    for at in rejected.map(|run| run.at).filter(|at| *at >= from) {
+        recent.retain(|earlier| at - *earlier < Duration::from_secs(1));
+        recent.push(at);
+        if recent.len() > BRITTLE_REJECTIONS as usize {
+            breakdowns += 1;
+            recent.clear();
+        }
+    }
+    breakdowns
+}
+
+/// Number of requests that `replica` ran after `from`.
+fn ran(replica: &ReplicaStandin, from: Instant) -> usize {
+    let runs = replica.runs();
+    let ran = runs.iter().filter(|run| run.at >= from);
+    ran.filter(|run| run.status != RunStatus::Refused).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn brittle_upstreams_that_are_full_have_to_reject_few_requests() {
+    let deployment = start_deployment().await;
+    let brittle = ReplicaPlan {
+        wait: Duration::from_millis(200),
+        rejections: Some(BRITTLE_REJECTIONS),
+        ..plan()
+    };
+    let replicas = deployment
+        .replicas(["up-1", "up-2", "up-3"], &brittle)
+        .await;
+    let relays = start_routers(&deployment, 6).await;
+    send_load(&relays, CONTACT_TIME).await;
+    let full = ReplicaPlan {
+        room: Some(1),
+        ..brittle
+    };
+    replicas
+        .iter()
+        .for_each(|replica| replica.plan(full.clone()));
+    let from = Instant::now();
+    send_load(&relays, LOAD_TIME).await;
+    let broken: usize = replicas
+        .iter()
+        .map(|replica| breakdowns(replica, from))
+        .sum();
+    let ran: usize = replicas.iter().map(|replica| ran(replica, from)).sum();
+    // A run takes 200 ms, so that each upstream has room for five a second.
+    let room = 3 * 5 * LOAD_TIME.as_secs() as usize;
+    assert!(
+        broken <= 2 + replicas.len() / 10,
+        "{broken} breakdowns, {ran} of {room} ran"
+    );
+    assert!(ran >= room / 3, "{ran} of {room} ran");
+}
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -58,6 +58,10 @@
     pub pause: Option<Duration>,
     /// Requests per second that all answers name as the upstream's limit, if any; the stand-in does not enforce it.
     pub limit: Option<f64>,
+    /// Rejections per second that all answers name as what the upstream survives, if any; the stand-in does not break down.
+    pub rejections: Option<u32>,
+    /// Number of requests that run at most; more are refused like by a full upstream.
+    pub room: Option<usize>,
     /// Whether all answers say that the upstream is leaving.
     pub leaves: bool,
     /// Confidence that answers state, if any.
@@ -79,6 +83,8 @@
             full: false,
             pause: None,
             limit: None,
+            rejections: None,
+            room: None,
             leaves: false,
             confidence: None,
             wrong_attempt: false,
@@ -132,7 +138,8 @@
         };
         let plan = self.plan.lock().clone();
         let is_misdirected = bound.bound_to.as_deref() != Some(self.options.id.as_str());
-        let status = match is_misdirected || plan.full {
+        let is_full = plan.full || plan.room.is_some_and(|room| self.running() >= room);
+        let status = match is_misdirected || is_full {
             true => RunStatus::Refused,
             false => RunStatus::Running,
         };
@@ -142,9 +149,9 @@
             body,
             at: Instant::now(),
             status,
-            pause: plan.pause.filter(|_| plan.full && !is_misdirected),
+            pause: plan.pause.filter(|_| is_full && !is_misdirected),
         });
-        match (is_misdirected, plan.full) {
+        match (is_misdirected, is_full) {
             (true, _) => {
                 return self.refuse(&bound, StatusCode::MISDIRECTED_REQUEST, None, &plan);
             }
@@ -161,6 +168,15 @@
         self.run(&bound, &plan, guard)
     }
 
+    /// Number of requests that run.
+    fn running(&self) -> usize {
+        let runs = self.runs.lock();
+        let running = runs.iter();
+        running
+            .filter(|run| run.status == RunStatus::Running)
+            .count()
+    }
+
     fn record_run(&self, run: ReplicaRun) -> RunGuard {
         let mut runs = self.runs.lock();
         runs.push(run);
@@ -220,6 +236,7 @@
     fn answer_headers(&self, bound: &BoundRequest, plan: &ReplicaPlan) -> AnswerHeaders {
         AnswerHeaders {
             limit: plan.limit,
+            rejections: plan.rejections,
             leaves: plan.leaves,
             attempt_id: bound.attempt_id.clone(),
             load: Some(LoadFacts {
