Bound the rejections of brittle upstreams over all routers together

Cause: the header is new, and no mechanism bounds rejections; each router alone cannot know their number.

--- a/crates/router/src/relay/permits.rs
+++ b/crates/router/src/relay/permits.rs
@@ -8,8 +8,8 @@
 mod return_times;
 
 pub use permit_manager::PermitManager;
-pub use permit_message::LimitNotice;
-pub use permit_query::{answer_query, take_permit};
+pub use permit_message::{LimitNotice, StatedLimits};
+pub use permit_query::{answer_query, report_rejection, take_permit};
 
 use super::relay_core::SharedCore;
 
--- a/crates/router/src/relay/permits/limit_book.rs
+++ b/crates/router/src/relay/permits/limit_book.rs
@@ -6,7 +6,7 @@
 use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_decisions::time::MonotonicTime;
 
-use super::LimitNotice;
+use super::{LimitNotice, StatedLimits};
 
 /// Time after which an upstream of which nothing was heard is forgotten if it names no limit.
 const ENDED_MEMORY: Duration = Duration::from_secs(60);
@@ -22,8 +22,8 @@
 /// The newest statement about one upstream's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct HeardLimit {
-    /// Requests per second; absent if it named no limit any more.
-    pub per_second: Option<f64>,
+    /// What it stated; none if it names no limit any more.
+    pub stated: StatedLimits,
     /// When that was heard by the router that heard it.
     pub heard_at: MonotonicTime,
     /// Time until which no permit is asked for.
@@ -38,32 +38,32 @@
 
     /// Whether any upstream names a limit.
     pub fn has_limits(&self) -> bool {
-        self.heard.values().any(|heard| heard.per_second.is_some())
+        self.heard.values().any(|heard| !heard.stated.is_none())
     }
 
     /// Records a statement heard at `heard_at`, unless a newer one is known; returns whether the limit differs from the one before.
     pub fn record(
         &mut self,
         upstream: &UpstreamIncarnation,
-        per_second: Option<f64>,
+        stated: StatedLimits,
         heard_at: MonotonicTime,
     ) -> bool {
         let known = self.heard.get(upstream).copied();
         if known.is_some_and(|known| known.heard_at >= heard_at) {
             return false;
         }
-        let before = known.and_then(|known| known.per_second);
-        if known.is_none() && per_second.is_none() {
+        let before = known.map_or_else(StatedLimits::default, |known| known.stated);
+        if known.is_none() && stated.is_none() {
             return false;
         }
         let heard = HeardLimit {
-            per_second,
+            stated,
             heard_at,
             no_permit_until: known.and_then(|known| known.no_permit_until),
         };
         self.heard.insert(upstream.clone(), heard);
         self.shrink();
-        before != per_second
+        before != stated
     }
 
     /// Records that no permit is to be asked for until `until`.
@@ -80,14 +80,13 @@
 
     /// All statements, as messages to other routers.
     pub fn notices(&mut self, now: MonotonicTime) -> Vec<LimitNotice> {
-        self.heard.retain(|_, heard| {
-            heard.per_second.is_some() || now.since(heard.heard_at) < ENDED_MEMORY
-        });
+        self.heard
+            .retain(|_, heard| !heard.stated.is_none() || now.since(heard.heard_at) < ENDED_MEMORY);
         let notices = self.heard.iter();
         notices
             .map(|(upstream, heard)| LimitNotice {
                 upstream: upstream.clone(),
-                per_second: heard.per_second,
+                stated: heard.stated,
                 heard_ms: now.since(heard.heard_at).as_millis() as u64,
             })
             .collect()
@@ -107,7 +106,9 @@
 impl HeardLimit {
     /// Time for which no request is sent because no permit is expected; `None` if a permit can be asked for or none is needed.
     pub fn wait(&self, now: MonotonicTime) -> Option<Duration> {
-        self.per_second?;
+        if self.stated.is_none() {
+            return None;
+        }
         let left = self.no_permit_until?.since(now);
         (!left.is_zero()).then_some(left)
     }
--- a/crates/router/src/relay/permits/permit_manager.rs
+++ b/crates/router/src/relay/permits/permit_manager.rs
@@ -12,10 +12,10 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::LimitNotice;
 use super::limit_book::{HeardLimit, LimitBook};
 use super::permit_issuer::PermitIssuer;
 use super::return_times::ReturnTimes;
+use super::{LimitNotice, StatedLimits};
 
 /// Time for which a router that did not answer is not asked for permits.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(3);
@@ -41,24 +41,23 @@
 type AskLock = Arc<tokio::sync::Mutex<()>>;
 
 impl PermitManager {
-    /// Records what an answer says of its upstream's limit: `per_second`, or that it names none. The answer belongs to a request that was sent
-    /// at `sent_at`.
+    /// Records what an answer states of its upstream's limits. The answer belongs to a request that was sent at `sent_at`.
     pub fn record_answer(
         &self,
         upstream: &UpstreamIncarnation,
-        per_second: Option<f64>,
+        stated: StatedLimits,
         sent_at: MonotonicTime,
         now: MonotonicTime,
     ) {
-        if per_second.is_none() && !self.has_limits.load(Ordering::Acquire) {
+        if stated.is_none() && !self.has_limits.load(Ordering::Acquire) {
             return;
         }
-        let is_late = |heard: &HeardLimit| per_second.is_none() && heard.heard_at >= sent_at;
+        let is_late = |heard: &HeardLimit| stated.is_none() && heard.heard_at >= sent_at;
         if self.book.lock().get(upstream).is_some_and(is_late) {
             // The answer may have been made before the limit was named.
             return;
         }
-        if self.record(upstream, per_second, now) && per_second.is_none() {
+        if self.record(upstream, stated, now) && stated.is_none() {
             self.ended.lock().push(upstream.clone());
             self.has_ended.notify_one();
         }
@@ -68,7 +67,7 @@
     pub fn merge(&self, notices: &[LimitNotice], now: MonotonicTime) {
         for notice in notices {
             let heard_at = now.before(Duration::from_millis(notice.heard_ms));
-            self.record(&notice.upstream, notice.per_second, heard_at);
+            self.record(&notice.upstream, notice.stated, heard_at);
         }
     }
 
@@ -92,19 +91,21 @@
         let heard = self.book.lock().get(upstream).copied();
         LimitNotice {
             upstream: upstream.clone(),
-            per_second: heard.and_then(|heard| heard.per_second),
+            stated: heard.map_or_else(StatedLimits::default, |heard| heard.stated),
             heard_ms: heard.map_or(u64::MAX, |heard| {
                 now.since(heard.heard_at).as_millis() as u64
             }),
         }
     }
 
-    /// Limit of `upstream`, in requests per second.
-    pub fn limit(&self, upstream: &UpstreamIncarnation) -> Option<f64> {
+    /// Limits that `upstream` stated.
+    pub fn stated(&self, upstream: &UpstreamIncarnation) -> StatedLimits {
         if !self.has_limits.load(Ordering::Acquire) {
-            return None;
+            return StatedLimits::default();
         }
-        self.book.lock().get(upstream)?.per_second
+        let book = self.book.lock();
+        let heard = book.get(upstream);
+        heard.map_or_else(StatedLimits::default, |heard| heard.stated)
     }
 
     /// Time for which `upstream` gets no request because no permit is expected.
@@ -129,8 +130,16 @@
 
     /// Issues a permit to send to `upstream`; the time after which to ask again if there is none.
     pub fn issue(&self, upstream: &UpstreamIncarnation, now: MonotonicTime) -> Option<Duration> {
-        let per_second = self.limit(upstream)?;
-        self.issuer.lock().issue(upstream, per_second, now).err()
+        let stated = self.stated(upstream);
+        if stated.is_none() {
+            return None;
+        }
+        self.issuer.lock().issue(upstream, stated, now).err()
+    }
+
+    /// Records a rejection of `upstream`, whose permits this router issues.
+    pub fn record_rejection(&self, upstream: &UpstreamIncarnation, now: MonotonicTime) {
+        self.issuer.lock().record_rejection(upstream, now);
     }
 
     /// The router of `hosts` that issues the permits of `upstream`: the first in an order that is the same at all routers, without those that did
@@ -176,16 +185,17 @@
     fn record(
         &self,
         upstream: &UpstreamIncarnation,
-        per_second: Option<f64>,
+        stated: StatedLimits,
         heard_at: MonotonicTime,
     ) -> bool {
         let mut book = self.book.lock();
-        let has_changed = book.record(upstream, per_second, heard_at);
+        let has_changed = book.record(upstream, stated, heard_at);
         if has_changed {
             self.has_limits.store(book.has_limits(), Ordering::Release);
             spdlog::info!("limit of an upstream", kv: {
                 upstream = upstream.id.as_str(),
-                per_second = per_second.unwrap_or(-1.0),
+                per_second = stated.per_second.unwrap_or(-1.0),
+                rejections = stated.rejections.map_or(-1, i64::from),
             });
         }
         has_changed
--- a/crates/router/src/relay/permits/permit_query.rs
+++ b/crates/router/src/relay/permits/permit_query.rs
@@ -8,7 +8,7 @@
 use ferry_decisions::registry::UpstreamIncarnation;
 use tokio::time::timeout;
 
-use super::permit_message::{PermitAnswer, PermitQuery};
+use super::permit_message::{PermitAnswer, PermitPurpose, PermitQuery};
 use crate::peer::{PeerError, PeerMessage, PeerTopic};
 use crate::relay::fleet::{read_body, write_body};
 use crate::relay::relay_core::{RelayCore, SharedCore};
@@ -25,7 +25,7 @@
 /// Takes a permit to send a request to `upstream`; returns whether the request may be sent. Without a permit the upstream is left out until one is
 /// expected.
 pub async fn take_permit(core: &SharedCore, upstream: &UpstreamIncarnation) -> bool {
-    if core.permits.limit(upstream).is_none() {
+    if core.permits.stated(upstream).is_none() {
         return true;
     }
     let lock = core.permits.ask_lock(upstream);
@@ -39,7 +39,7 @@
         };
         let wait = match host == core.settings.load().host {
             true => Ok(core.permits.issue(upstream, core.clock.now())),
-            false => ask(core, &host, upstream, true).await,
+            false => ask(core, &host, upstream, PermitPurpose::Permit).await,
         };
         match wait {
             Ok(Some(wait)) => {
@@ -70,7 +70,7 @@
             let Some(host) = host.filter(|host| *host != core.settings.load().host) else {
                 continue;
             };
-            if let Err(error) = ask(&core, &host, &upstream, false).await {
+            if let Err(error) = ask(&core, &host, &upstream, PermitPurpose::Notice).await {
                 // The next router that gets a permit hears it from the upstream, and reports it.
                 spdlog::info!("the end of a limit was not reported: {}", error, kv: {
                     router = host.as_str(),
@@ -81,15 +81,41 @@
     }
 }
 
+/// Reports that `upstream` rejected a request for want of room to the router that issues its permits, if rejections endanger it.
+pub fn report_rejection(core: &SharedCore, upstream: &UpstreamIncarnation) {
+    if core.permits.stated(upstream).rejections.is_none() {
+        return;
+    }
+    let Some(host) = choose_issuer(core, upstream) else {
+        return;
+    };
+    if host == core.settings.load().host {
+        core.permits.record_rejection(upstream, core.clock.now());
+        return;
+    }
+    let (core_of_task, upstream) = (core.clone(), upstream.clone());
+    core.spawn(async move {
+        let report = ask(&core_of_task, &host, &upstream, PermitPurpose::Rejection);
+        if let Err(error) = report.await {
+            core_of_task.permits.record_unreachable(&host, core_of_task.clock.now());
+            spdlog::info!("a rejection was not reported: {}", error, kv: { router = host.as_str(), upstream = upstream.id.as_str() });
+        }
+    });
+}
+
 /// Answers a query for a permit, or the report of an ended limit.
 pub fn answer_query(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
     let query: PermitQuery = read_body(message, "query for a permit")?;
     let now = core.clock.now();
     let upstream = query.notice.upstream.clone();
     core.permits.merge(&[query.notice], now);
-    let wait = match query.wants_permit {
-        true => core.permits.issue(&upstream, now),
-        false => None,
+    let wait = match query.purpose {
+        PermitPurpose::Permit => core.permits.issue(&upstream, now),
+        PermitPurpose::Rejection => {
+            core.permits.record_rejection(&upstream, now);
+            None
+        }
+        PermitPurpose::Notice => None,
     };
     let answer = PermitAnswer {
         notice: core.permits.notice(&upstream, now),
@@ -114,7 +140,7 @@
     core: &SharedCore,
     host: &HostName,
     upstream: &UpstreamIncarnation,
-    wants_permit: bool,
+    purpose: PermitPurpose,
 ) -> Result<Option<Duration>, PeerError> {
     let hub = core
         .fleet
@@ -122,7 +148,7 @@
         .ok_or_else(|| PeerError::NotConnected(host.clone()))?;
     let query = PermitQuery {
         notice: core.permits.notice(upstream, core.clock.now()),
-        wants_permit,
+        purpose,
     };
     let (hub, issuer) = (Arc::clone(hub), host.clone());
     let sending = tokio::spawn(async move {
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -116,7 +116,8 @@
     let soonest = serving()
         .filter_map(|upstream| blocked_for(core, upstream, now))
         .min()?;
-    let limits = serving().filter_map(|upstream| core.permits.limit(&upstream.record.incarnation));
+    let stated = serving().map(|upstream| core.permits.stated(&upstream.record.incarnation));
+    let limits = stated.filter_map(|stated| stated.per_second);
     let per_second: f64 = limits.sum();
     if per_second == 0.0 {
         return Some(soonest);
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -15,6 +15,7 @@
 use super::relay_run::RunAnswer;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer, send};
 use crate::relay::paths::{has_ended, record_lost_path, record_success};
+use crate::relay::permits::report_rejection;
 use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -117,6 +118,7 @@
         self.was_not_reached = failure == UpstreamFailure::ConnectFailed;
         if self.rejected {
             upstream.record_rejection(now);
+            report_rejection(&self.core, &upstream.record.incarnation);
         }
         if failure == UpstreamFailure::Leaving {
             upstream.mark_leaving();
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -16,6 +16,7 @@
 
 use crate::relay::RelayCore;
 use crate::relay::paths::{UpstreamStatement, open_link, record_lost_path, tell_router};
+use crate::relay::permits::StatedLimits;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{InFlightGuard, LinkLease, RelayUpstream, UpstreamLink};
 
@@ -100,8 +101,12 @@
     let (head, body) = response.into_parts();
     let facts = AnswerFacts::read(&head.headers);
     let incarnation = &upstream.record.incarnation;
+    let stated = StatedLimits {
+        per_second: facts.limit,
+        rejections: facts.rejections,
+    };
     core.permits
-        .record_answer(incarnation, facts.limit, sent_at, core.clock.now());
+        .record_answer(incarnation, stated, sent_at, core.clock.now());
     if facts.leaves && !upstream.is_leaving() {
         upstream.mark_leaving();
         spdlog::info!("upstream says that it leaves", kv: { upstream = upstream.id() });
