--- a/crates/router/tests/relay/limits.rs
+++ b/crates/router/tests/relay/limits.rs
@@ -10,7 +10,7 @@
 use hyper::header::RETRY_AFTER;
 use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::deployment::{CollectedResponse, Deployment, call, eventually, is_ready, request, rule};
 
@@ -382,3 +382,66 @@
     );
     assert!(ran >= room / 3, "{ran} of {room} ran");
 }
+
+/// Pause that the upstreams of the following tests ask for, and the part of it in which requests may still arrive.
+const PAUSE: Duration = Duration::from_secs(3);
+const PAUSE_GRACE: Duration = Duration::from_millis(500);
+/// Number of requests that may arrive in the rest of a pause.
+const MAX_PAUSE_ARRIVALS: usize = 2;
+/// Time that the upstreams need for a refusal.
+const REFUSAL_WAIT: Duration = Duration::from_millis(60);
+
+/// Most requests that reached `replica` in the rest of any pause that it asked for.
+fn most_in_pause(replica: &ReplicaStandin) -> usize {
+    let runs = replica.runs();
+    let asked = runs.iter().filter(|run| run.pause.is_some());
+    let in_pause = asked.map(|asked| {
+        let refused_at = asked.at + REFUSAL_WAIT;
+        let pause = refused_at + PAUSE_GRACE..refused_at + PAUSE;
+        runs.iter().filter(|run| pause.contains(&run.at)).count()
+    });
+    in_pause.max().unwrap_or_default()
+}
+
+/// Sends requests to one relay whose callers leave after `patience`, while all upstreams ask for pauses; returns the most requests
+/// that reached one in a pause.
+async fn most_in_pause_of_callers_that_leave(patience: Duration) -> usize {
+    let deployment = start_deployment().await;
+    let refusing = ReplicaPlan {
+        full: true,
+        pause: Some(PAUSE),
+        refusal_wait: REFUSAL_WAIT,
+        ..plan()
+    };
+    let replicas = deployment
+        .replicas(["up-1", "up-2", "up-3", "up-4"], &refusing)
+        .await;
+    let relay = deployment.relay().await;
+    let until = Instant::now() + PAUSE * 2;
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let request = request(
+            &relay,
+            &format!("/letters/{number}"),
+            &format!("a-{number}"),
+        );
+        tokio::spawn(timeout(patience, call(request)));
+        sleep(LOAD_PAUSE).await;
+    }
+    let most = replicas.iter().map(most_in_pause);
+    most.max().unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_is_kept_that_was_asked_of_a_request_whose_caller_had_left() {
+    let most = most_in_pause_of_callers_that_leave(REFUSAL_WAIT - Duration::from_millis(20)).await;
+    assert!(most <= MAX_PAUSE_ARRIVALS, "{most} requests in a pause");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_is_kept_that_callers_waited_for() {
+    let most = most_in_pause_of_callers_that_leave(PAUSE).await;
+    assert!(most <= MAX_PAUSE_ARRIVALS, "{most} requests in a pause");
+}
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -56,6 +56,8 @@
     pub full: bool,
     /// Time for which refusals of a full upstream ask for no requests.
     pub pause: Option<Duration>,
+    /// Delay before a refusal; a request whose connection closes meanwhile counts as refused all the same.
+    pub refusal_wait: Duration,
     /// Requests per second that all answers name as the upstream's limit, if any; the stand-in does not enforce it.
     pub limit: Option<f64>,
     /// Rejections per second that all answers name as what the upstream survives, if any; the stand-in does not break down.
@@ -82,6 +84,7 @@
             status: StatusCode::OK,
             full: false,
             pause: None,
+            refusal_wait: Duration::ZERO,
             limit: None,
             rejections: None,
             room: None,
@@ -156,6 +159,7 @@
                 return self.refuse(&bound, StatusCode::MISDIRECTED_REQUEST, None, &plan);
             }
             (false, true) => {
+                tokio::time::sleep(plan.refusal_wait).await;
                 return self.refuse(&bound, StatusCode::SERVICE_UNAVAILABLE, plan.pause, &plan);
             }
             (false, false) => {}
