Hear what an answer says of its upstream although nobody waits for it any more

What upstreams see: one that has asked for 3 s without requests gets up to 28 from the router that it asked (2 are allowed), if callers leave shortly before its refusal. Cause: the exchange was dropped with the request that waited for it, and the answer was never read. Change: an exchange is a task of its own, which listens for 200 ms more once it is given up, then aborts the run; load, limits, pauses, leaving and rejections are recorded there, and told to the router between if there is one.

--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -11,6 +11,7 @@
 mod run_retry;
 mod run_send;
 mod session_hold;
+mod upstream_exchange;
 mod upstream_send;
 
 pub use relay_run::RelayRun;
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -15,7 +15,6 @@
 use super::relay_run::RunAnswer;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer, send};
 use crate::relay::paths::{has_ended, record_lost_path, record_success};
-use crate::relay::permits::report_rejection;
 use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -83,9 +82,6 @@
         self.record_life(upstream, &answer.lease);
         self.rejected = false;
         self.was_not_reached = false;
-        if let Some(load) = answer.facts.load {
-            upstream.record_load(load, self.core.clock.now());
-        }
         self.run = RunState::Ran;
         self.possible_runs += 1;
         self.record_latency(upstream, took);
@@ -116,13 +112,6 @@
         }
         self.rejected = failure == UpstreamFailure::QueueFull;
         self.was_not_reached = failure == UpstreamFailure::ConnectFailed;
-        if self.rejected {
-            upstream.record_rejection(now);
-            report_rejection(&self.core, &upstream.record.incarnation);
-        }
-        if failure == UpstreamFailure::Leaving {
-            upstream.mark_leaving();
-        }
         // A failed connect is about the path, which keeps its own state.
         if failure.makes_suspect() && failure != UpstreamFailure::ConnectFailed {
             upstream.mark_suspect(now);
--- /dev/null
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -0,0 +1,233 @@
+//! One exchange with an upstream: a request, and the answer up to its head.
+
+use std::error::Error as _;
+use std::io::{self, ErrorKind};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::HostName;
+use ferry_decisions::retry::UpstreamFailure;
+use ferry_decisions::time::MonotonicTime;
+use ferry_kernel::http::BodyFraming;
+use ferry_platform::headers::AnswerFacts;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer};
+use crate::relay::paths::{UpstreamStatement, record_lost_path, tell_router};
+use crate::relay::permits::{StatedLimits, report_rejection};
+use crate::relay::relay_core::SharedCore;
+use crate::relay::upstreams::{InFlightGuard, LinkLease, RelayUpstream, UpstreamLink};
+
+/// Time for which the head of an answer is still awaited once nobody waits for the answer. What it says of the upstream binds this
+/// router all the same; the run is aborted at the end.
+pub const LISTEN_TIME: Duration = Duration::from_millis(200);
+
+/// A request to one upstream, with what is recorded of its answer.
+pub(super) struct UpstreamExchange {
+    core: SharedCore,
+    upstream: Arc<RelayUpstream>,
+    outgoing: OutgoingRequest,
+    attempt_id: String,
+    in_flight: InFlightGuard,
+    sent_at: MonotonicTime,
+}
+
+impl UpstreamExchange {
+    /// An exchange that has not begun.
+    pub(super) fn new(
+        core: &SharedCore,
+        upstream: &Arc<RelayUpstream>,
+        outgoing: &OutgoingRequest,
+        attempt_id: &str,
+    ) -> Self {
+        Self {
+            core: Arc::clone(core),
+            upstream: Arc::clone(upstream),
+            outgoing: outgoing.clone(),
+            attempt_id: attempt_id.to_owned(),
+            in_flight: upstream.begin(),
+            sent_at: core.clock.now(),
+        }
+    }
+
+    /// Sends the request on `link`; if the future is dropped, the answer is heard for [`LISTEN_TIME`].
+    pub(super) async fn run(self, link: UpstreamLink) -> Result<UpstreamAnswer, SendFailure> {
+        let (mut sender, receiver) = oneshot::channel();
+        tokio::spawn(async move {
+            let exchange = self.exchange(link);
+            tokio::pin!(exchange);
+            let result = tokio::select! {
+                result = &mut exchange => result,
+                () = sender.closed() => {
+                    // Only what is recorded of the answer matters.
+                    let _ = timeout(LISTEN_TIME, exchange).await;
+                    return;
+                }
+            };
+            // Fails if the wait was given up just now; dropping the answer closes its connection.
+            let _ = sender.send(result);
+        });
+        let broken = SendFailure::without_answer(UpstreamFailure::BrokenBeforeAnswer);
+        receiver.await.unwrap_or(Err(broken))
+    }
+
+    async fn exchange(self, link: UpstreamLink) -> Result<UpstreamAnswer, SendFailure> {
+        let mut lease = LinkLease::new(Arc::clone(&self.upstream), link);
+        let request = build_request(&self.outgoing)?;
+        let response = match lease.link().sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                return Err(self.broken(&lease, unsent, error.error()));
+            }
+        };
+        let (head, body) = response.into_parts();
+        let answer = UpstreamAnswer {
+            facts: AnswerFacts::read(&head.headers),
+            framing: BodyFraming::of(&self.outgoing.method, &head),
+            head,
+            body,
+            lease,
+            in_flight: self.in_flight,
+            upstream: Arc::clone(&self.upstream),
+        };
+        let failure = classify(&answer, &self.attempt_id);
+        let statements = AnswerStatements {
+            core: &self.core,
+            upstream: &self.upstream,
+            attempt_id: &self.attempt_id,
+            sent_at: self.sent_at,
+        };
+        statements.record(&answer, failure);
+        match failure {
+            None => Ok(answer),
+            Some(kind) => Err(SendFailure {
+                kind,
+                answer: (kind == UpstreamFailure::ServerError).then(|| Box::new(answer)),
+                detour: None,
+            }),
+        }
+    }
+
+    /// The failure of an exchange whose connection broke before the head of the answer.
+    fn broken(&self, lease: &LinkLease, unsent: bool, error: &hyper::Error) -> SendFailure {
+        let cause = broken_by(error);
+        let is_path_lost = cause == ErrorKind::TimedOut || lease.is_tunnel_lost();
+        if is_path_lost {
+            record_lost_path(&self.core, &self.upstream, lease.detour());
+        }
+        spdlog::info!("connection to an upstream broke", kv: {
+            upstream = self.upstream.id(),
+            router = lease.detour().map_or("", HostName::as_str),
+            unsent = unsent,
+            error:? = cause,
+        });
+        let kind = match (unsent, error.is_parse()) {
+            (true, _) => UpstreamFailure::ConnectFailed,
+            (false, true) => UpstreamFailure::MalformedAnswer,
+            (false, false) if is_path_lost => UpstreamFailure::PathLost,
+            (false, false) => UpstreamFailure::BrokenBeforeAnswer,
+        };
+        SendFailure {
+            kind,
+            answer: None,
+            detour: lease.detour().cloned(),
+        }
+    }
+}
+
+/// Records what an answer says of its upstream, whoever waits for it.
+struct AnswerStatements<'a> {
+    core: &'a SharedCore,
+    upstream: &'a Arc<RelayUpstream>,
+    attempt_id: &'a str,
+    sent_at: MonotonicTime,
+}
+
+impl AnswerStatements<'_> {
+    /// Records load, limits, pause, leaving and rejection; `failure` is how the answer failed.
+    fn record(&self, answer: &UpstreamAnswer, failure: Option<UpstreamFailure>) {
+        let (core, upstream, facts) = (self.core, self.upstream, &answer.facts);
+        let now = core.clock.now();
+        let incarnation = &upstream.record.incarnation;
+        let stated = StatedLimits {
+            per_second: facts.limit,
+            rejections: facts.rejections,
+        };
+        core.permits
+            .record_answer(incarnation, stated, self.sent_at, now);
+        if let Some(load) = facts.load.filter(|_| failure.is_none()) {
+            upstream.record_load(load, now);
+        }
+        if facts.leaves && !upstream.is_leaving() {
+            spdlog::info!("upstream says that it leaves", kv: { upstream = upstream.id() });
+        }
+        if facts.leaves || failure == Some(UpstreamFailure::Leaving) {
+            upstream.mark_leaving();
+        }
+        if failure == Some(UpstreamFailure::QueueFull) {
+            upstream.record_rejection(now);
+            report_rejection(core, incarnation);
+        }
+        let is_unavailable = answer.head.status == StatusCode::SERVICE_UNAVAILABLE;
+        let pause = facts.pause.filter(|_| is_unavailable);
+        if let Some(pause) = pause {
+            upstream.pause(pause);
+            spdlog::info!("upstream asks for a pause", kv: {
+                request_id = self.attempt_id,
+                upstream = upstream.id(),
+                pause_ms = pause.as_millis() as u64,
+            });
+        }
+        if let Some(router) = answer.lease.detour()
+            && (facts.leaves || pause.is_some())
+        {
+            let statement = UpstreamStatement {
+                upstream: incarnation.clone(),
+                leaves: facts.leaves,
+                pause: pause.unwrap_or_default(),
+            };
+            tell_router(core, router.clone(), statement);
+        }
+    }
+}
+
+/// Kind of the I/O error that broke a connection; `Other` if it broke for another reason.
+fn broken_by(error: &hyper::Error) -> ErrorKind {
+    let cause = error.source();
+    let cause = cause.and_then(|cause| cause.downcast_ref::<io::Error>());
+    cause.map_or(ErrorKind::Other, io::Error::kind)
+}
+
+fn build_request(outgoing: &OutgoingRequest) -> Result<Request<Full<Bytes>>, SendFailure> {
+    let mut request = Request::builder()
+        .method(outgoing.method.clone())
+        .uri(outgoing.target.as_str())
+        .body(Full::new(outgoing.body.clone()))
+        .map_err(|_| SendFailure::without_answer(UpstreamFailure::BadRequest))?;
+    *request.headers_mut() = outgoing.headers.clone();
+    Ok(request)
+}
+
+/// Reason why an answer cannot be forwarded as it is; `None` when it can.
+fn classify(answer: &UpstreamAnswer, attempt_id: &str) -> Option<UpstreamFailure> {
+    let (status, facts) = (answer.head.status, &answer.facts);
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => return Some(UpstreamFailure::Leaving),
+        _ if facts.not_run && status == StatusCode::BAD_REQUEST => {
+            return Some(UpstreamFailure::BadRequest);
+        }
+        _ if facts.not_run && !status.is_success() => return Some(UpstreamFailure::QueueFull),
+        _ => {}
+    }
+    if !facts.signed || facts.attempt_id.as_deref() != Some(attempt_id) {
+        return Some(UpstreamFailure::MalformedAnswer);
+    }
+    status
+        .is_server_error()
+        .then_some(UpstreamFailure::ServerError)
+}
