Partition relays from upstreams in the soak

Cause: the soak cut upstreams from all relays only, so that no relay was worse off than the others, and RECOVER could not show.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod guarantee_check;
 mod limit_load;
 mod part_load;
+mod path_load;
 mod route_load;
 mod soak_fleet;
 mod soak_relay;
@@ -37,6 +38,7 @@
 use guarantee_check::SoakRecord;
 use limit_load::limit_until;
 use part_load::{PartScenario, send_parts_until};
+use path_load::path_until;
 use route_load::route_until;
 use soak_fleet::SoakFleet;
 use soak_relay::keep_logs;
@@ -126,6 +128,7 @@
     let talks = tokio::spawn(talk_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let routes = tokio::spawn(route_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let limits = tokio::spawn(limit_until(Arc::clone(&fleet), Arc::clone(&stop)));
+    let paths = tokio::spawn(path_until(Arc::clone(&fleet), seed, Arc::clone(&stop)));
     let revoked_at = tokio::spawn(revoke(Arc::clone(&fleet), start + REVOKED_AT));
     let faults = plan.faults.iter().map(|timed| {
         let (fleet, timed) = (Arc::clone(&fleet), *timed);
@@ -146,6 +149,7 @@
     let talks = talks.await.unwrap();
     let routes = routes.await.unwrap();
     let limits = limits.await.unwrap();
+    let paths = paths.await.unwrap();
     let mut violations: Vec<_> = fault_results
         .into_iter()
         .filter_map(|result| {
@@ -168,6 +172,7 @@
     violations.extend(talks.violations(&plan));
     violations.extend(routes.violations());
     violations.extend(limits.violations(&plan));
+    violations.extend(paths.violations(&plan));
     let codes = fleet.stop_all().await;
     if codes.iter().any(|code| *code != Some(0)) {
         violations.push(format!("exit codes of graceful stops: {codes:?}"));
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -22,6 +22,7 @@
 use crate::fault_plan::{RELAYS, REPLICAS, ReplicaFault, SoakFault, StoreFault, TimedFault};
 use crate::limit_load::{LIMIT_RULE, LIMIT_SERVICE};
 use crate::part_load::{PART_RULE, PART_SERVICE};
+use crate::path_load::{PATH_RULE, PATH_SERVICE};
 use crate::route_load::route_prefix;
 use crate::soak_relay::{SIGHUP, SIGTERM, SoakRelay, cut, stall};
 
@@ -277,6 +278,7 @@
     let fragile = FRAGILE_RULES.map(|(prefix, run)| (prefix, run, FRAGILE_SERVICE));
     let part = (PART_RULE.0, PART_RULE.1, PART_SERVICE);
     let talk = (TALK_RULE.0, TALK_RULE.1, TALK_SERVICE);
+    let paths = (PATH_RULE.0, PATH_RULE.1, PATH_SERVICE);
     let limit = (LIMIT_RULE.0, LIMIT_RULE.1, LIMIT_SERVICE);
     let added = (1..=routes).map(|number| (route_prefix(number), RunKind::Idempotent, SERVICE));
     let fillers = (0..FILLER_RULES).map(|number| {
@@ -286,7 +288,7 @@
     kinds
         .into_iter()
         .chain(fragile)
-        .chain([part, talk, limit])
+        .chain([part, talk, limit, paths])
         .map(|(prefix, run, service)| (prefix.to_owned(), run, service))
         .chain(added)
         .chain(fillers)
