Let requests outlive a silence of their upstream of up to two seconds

What callers saw: a request that may run once and waits for a slow answer got 502 when its upstream's host was silent for a bit more than a second. Cause: the user timeout of 1.5 s also decides when keep-alive probes give up: the first one, after a second, had no answer, and the second found 1.5 s passed. Change: 2.5 s; and the line of a send names the router through which the request goes, if any.

--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -10,8 +10,9 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 
-/// Time for which sent bytes may stay unacknowledged before the kernel closes the connection.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which sent bytes or keep-alive probes may stay unacknowledged before the kernel closes the connection. On Linux it decides
+/// for probes as well, whatever their number; a sound host may be silent for more than a second.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time after which the kernel sends a keep-alive probe, and the interval of further probes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -117,6 +118,6 @@
     let probes = TcpKeepalive::new()
         .with_time(PROBE_PERIOD)
         .with_interval(PROBE_PERIOD)
-        .with_retries(2);
+        .with_retries(3);
     socket.set_tcp_keepalive(&probes)
 }
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -32,6 +32,7 @@
             service = service.as_str(),
             retries_left = format!("{:.1}", core.retries_left(service)),
             upstream = upstream.id(),
+            through = upstream.detour().as_ref().map_or("", HostName::as_str),
             version = upstream.record.version.as_str(),
             model = self.record.model.as_str(),
             sends = self.record.sends,
--- a/crates/router/tests/relay/path_cuts.rs
+++ b/crates/router/tests/relay/path_cuts.rs
@@ -371,3 +371,18 @@
     assert_eq!(tries[0].failed, 0, "{tries:?}");
     drop(fleet.deployment);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_of_an_upstream_ends_no_request_that_waits_for_a_slow_answer() {
+    let slow = ReplicaPlan {
+        wait: Duration::from_secs(4),
+        ..plan()
+    };
+    let fleet = CutDeployment::start(&["zone-a"], 1, &slow).await;
+    let waiting = tokio::spawn(call(request(&fleet.relays[0], "/orders/slow", "slow")));
+    sleep(Duration::from_millis(300)).await;
+    fleet.partition(1, 1, PartitionScope::All);
+    sleep(Duration::from_millis(1_700)).await;
+    fleet.heal();
+    assert_eq!(waiting.await.unwrap().status, StatusCode::OK);
+}
