--- a/crates/router/src/relay/paths/path_keeper.rs
+++ b/crates/router/src/relay/paths/path_keeper.rs
@@ -24,7 +24,7 @@
 const ASKED_PER_SIDE: usize = 2;
 /// Shortest time between two searches without success.
 const MIN_SEARCH_PERIOD: Duration = Duration::from_millis(250);
-/// Longest time between two searches without success, and between two checks without a lost path.
+/// Longest time between two searches without success.
 const MAX_SEARCH_PERIOD: Duration = Duration::from_secs(1);
 /// Number of paths, lost while other routers reach their upstreams, from which the other paths are in doubt.
 const DOUBT_PATHS: usize = 2;
@@ -44,21 +44,22 @@
 /// Looks for routers that reach the upstreams whose path is lost, until the relay closes.
 pub async fn find_detours(core: SharedCore) {
     let mut first = 0;
-    let mut period = MIN_SEARCH_PERIOD;
+    let mut period = None;
     loop {
         core.paths.wait_for_loss(period).await;
         let lacking = lacking_upstreams(&core);
         if lacking.is_empty() {
-            period = MAX_SEARCH_PERIOD;
+            period = None;
             continue;
         }
         let routers = asked_routers(&core, first);
         let found_all = search(&core, lacking, &routers).await;
         if found_all {
-            period = MAX_SEARCH_PERIOD;
+            period = None;
         } else {
             first += ASKED_PER_SIDE;
-            period = (period * 2).clamp(MIN_SEARCH_PERIOD, MAX_SEARCH_PERIOD);
+            let longer = period.map_or(MIN_SEARCH_PERIOD, |period| period * 2);
+            period = Some(longer.min(MAX_SEARCH_PERIOD));
         }
         doubt_paths(&core);
     }
@@ -79,10 +80,11 @@
                 .iter()
                 .filter_map(|upstream| upstream.next_probe())
                 .min();
-            let wait = next.map_or(MAX_SEARCH_PERIOD, |at| at.since(now));
+            let wait = next.map(|at| at.since(now));
             core.paths.wait_for_probes(wait).await;
             continue;
         }
+        due.iter().for_each(|upstream| upstream.close_unusable());
         for due in due.chunks(CONCURRENT_PROBES) {
             join_all(due.iter().map(|upstream| probe(&core, upstream))).await;
         }
@@ -196,13 +198,15 @@
     }
 }
 
-/// Probes the paths over which nothing was heard for a while if several paths are lost whose upstreams other routers reach.
+/// Probes the paths over which nothing was heard for a while if several paths are lost whose upstreams other routers reach, and more
+/// than before.
 fn doubt_paths(core: &SharedCore) {
     let now = core.clock.now();
     let detoured = core
         .upstreams
         .all_where(|upstream| upstream.detour().is_some());
-    if detoured.len() < DOUBT_PATHS {
+    let is_growing = core.paths.record_detours(detoured.len());
+    if detoured.len() < DOUBT_PATHS || !is_growing {
         return;
     }
     let unheard = core
--- a/crates/router/src/relay/paths/path_manager.rs
+++ b/crates/router/src/relay/paths/path_manager.rs
@@ -18,6 +18,8 @@
     changed: Notify,
     /// Number of finished searches for detours.
     searches: watch::Sender<u64>,
+    /// Number of upstreams that were reached through other routers after the last search.
+    detours: AtomicUsize,
     /// Number of tunnels that other routers have open through this one.
     tunnels: AtomicUsize,
     /// Routers whose last tunnel failed, which are asked again last.
@@ -30,6 +32,7 @@
             lost: Notify::new(),
             changed: Notify::new(),
             searches: watch::Sender::new(0),
+            detours: AtomicUsize::new(0),
             tunnels: AtomicUsize::new(0),
             failed: Mutex::default(),
         }
@@ -49,10 +52,9 @@
         self.changed.notify_one();
     }
 
-    /// Waits for such a loss, at most for `limit`.
-    pub async fn wait_for_loss(&self, limit: Duration) {
-        // A timeout is the end of the wait, like a loss.
-        let _ = timeout(limit, self.lost.notified()).await;
+    /// Waits for such a loss, at most for `limit` if there is one.
+    pub async fn wait_for_loss(&self, limit: Option<Duration>) {
+        wait(&self.lost, limit).await;
     }
 
     /// Signals that other probes may be due.
@@ -60,10 +62,14 @@
         self.changed.notify_one();
     }
 
-    /// Waits until other probes may be due, at most for `limit`.
-    pub async fn wait_for_probes(&self, limit: Duration) {
-        // A timeout is the end of the wait, like a signal.
-        let _ = timeout(limit, self.changed.notified()).await;
+    /// Waits until other probes may be due, at most for `limit` if there is one.
+    pub async fn wait_for_probes(&self, limit: Option<Duration>) {
+        wait(&self.changed, limit).await;
+    }
+
+    /// Records that `detours` upstreams are reached through other routers; returns whether they are more than at the last call.
+    pub fn record_detours(&self, detours: usize) -> bool {
+        self.detours.swap(detours, Ordering::AcqRel) < detours
     }
 
     /// Records that a search for detours has ended.
@@ -113,6 +119,15 @@
     }
 }
 
+/// Waits for a signal, at most for `limit` if there is one.
+async fn wait(signal: &Notify, limit: Option<Duration>) {
+    match limit {
+        // A timeout is the end of the wait, like a signal.
+        Some(limit) => drop(timeout(limit, signal.notified()).await),
+        None => signal.notified().await,
+    }
+}
+
 /// Logs that the path to an upstream of `service` was lost or works again.
 pub fn log_path(service: &ServiceName, upstream: &str, state: &'static str) {
     metrics::counter!("ferry_relay_paths_total", "service" => service.to_string(), "state" => state)
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -220,6 +220,11 @@
         None
     }
 
+    /// Closes the idle connections that carry no further request.
+    pub fn close_unusable(&self) {
+        self.idle.lock().retain(UpstreamLink::is_usable);
+    }
+
     /// Keeps an idle connection for the next request, or drops it when there are enough or the upstream
     /// is leaving.
     pub fn put_idle(&self, link: UpstreamLink) {
