Brittle upstreams in the soak

Cause: rejections over several relays, with restarts and losses of the router that issues the permits, were tested by one test only.

--- a/tests/soak/limit_load.rs
+++ b/tests/soak/limit_load.rs
@@ -53,7 +53,9 @@
 pub async fn limit_until(fleet: Arc<SoakFleet>, stop: Arc<AtomicBool>) -> LimitRecord {
     let mut upstreams = Vec::new();
     for number in 0..=LIMITS.len() {
-        upstreams.push(start_upstream(&fleet, number).await);
+        let upstream = start_upstream(&fleet, &format!("advice-{number}"), LIMIT_SERVICE).await;
+        upstream.plan(plan(None));
+        upstreams.push(upstream);
     }
     let mut relays = Vec::new();
     for relay in &fleet.relays {
@@ -119,16 +121,16 @@
     }
 }
 
-async fn start_upstream(fleet: &SoakFleet, number: usize) -> ReplicaStandin {
+/// Starts an upstream of `service` with the id `id`, and registers it.
+pub async fn start_upstream(fleet: &SoakFleet, id: &str, service: &str) -> ReplicaStandin {
     let options = ReplicaOptions {
-        id: format!("advice-{number}"),
-        service: LIMIT_SERVICE.to_owned(),
+        id: id.to_owned(),
+        service: service.to_owned(),
         version: "v1".to_owned(),
         slots: 64,
     };
     let listen = "127.0.0.1:0".parse().unwrap();
     let upstream = ReplicaStandin::start(listen, options).await.unwrap();
-    upstream.plan(plan(None));
     upstream.register(fleet.store(), UpstreamStage::Ready, 1);
     upstream
 }
@@ -143,7 +145,7 @@
 }
 
 /// Whether a stop, kill or freeze of `relay` excuses a request that it sent at `at` from the start.
-fn is_disturbed(plan: &FaultPlan, relay: usize, at: Duration) -> bool {
+pub fn is_disturbed(plan: &FaultPlan, relay: usize, at: Duration) -> bool {
     plan.faults.iter().any(|timed| {
         let lasts = match timed.fault {
             SoakFault::StopRelay(number) if number == relay => STOP_TIME,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,6 +4,7 @@
 //! `FERRY_SOAK_SEEDS=1..50 cargo test --test soak -- --nocapture` runs other seeds than the default ones;
 //! `FERRY_SOAK_RELAYS=100` sets the number of relays before upstreams under strain.
 
+mod brittle_load;
 mod budget_check;
 mod budget_plan;
 mod budget_run;
@@ -30,6 +31,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use brittle_load::send_to_brittle_until;
 use budget_run::run_budget_seed;
 use caller_load::{CallOutcome, CallRecord, call_each_kind, call_until};
 use conversation_load::talk_until;
@@ -128,6 +130,7 @@
     let talks = tokio::spawn(talk_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let routes = tokio::spawn(route_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let limits = tokio::spawn(limit_until(Arc::clone(&fleet), Arc::clone(&stop)));
+    let brittle = tokio::spawn(send_to_brittle_until(Arc::clone(&fleet), Arc::clone(&stop)));
     let paths = tokio::spawn(path_until(Arc::clone(&fleet), seed, Arc::clone(&stop)));
     let revoked_at = tokio::spawn(revoke(Arc::clone(&fleet), start + REVOKED_AT));
     let faults = plan.faults.iter().map(|timed| {
@@ -150,6 +153,7 @@
     let routes = routes.await.unwrap();
     let limits = limits.await.unwrap();
     let paths = paths.await.unwrap();
+    let brittle = brittle.await.unwrap();
     let mut violations: Vec<_> = fault_results
         .into_iter()
         .filter_map(|result| {
@@ -173,6 +177,7 @@
     violations.extend(routes.violations());
     violations.extend(limits.violations(&plan));
     violations.extend(paths.violations(&plan));
+    violations.extend(brittle.violations(&plan));
     let codes = fleet.stop_all().await;
     if codes.iter().any(|code| *code != Some(0)) {
         violations.push(format!("exit codes of graceful stops: {codes:?}"));
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -17,6 +17,7 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
+use crate::brittle_load::{BRITTLE_RULE, BRITTLE_SERVICE};
 use crate::conversation_load::{TALK_RULE, TALK_SERVICE};
 use crate::crash_load::{FRAGILE_RULES, FRAGILE_SERVICE};
 use crate::fault_plan::{RELAYS, REPLICAS, ReplicaFault, SoakFault, StoreFault, TimedFault};
@@ -279,6 +280,7 @@
     let part = (PART_RULE.0, PART_RULE.1, PART_SERVICE);
     let talk = (TALK_RULE.0, TALK_RULE.1, TALK_SERVICE);
     let paths = (PATH_RULE.0, PATH_RULE.1, PATH_SERVICE);
+    let brittle = (BRITTLE_RULE.0, BRITTLE_RULE.1, BRITTLE_SERVICE);
     let limit = (LIMIT_RULE.0, LIMIT_RULE.1, LIMIT_SERVICE);
     let added = (1..=routes).map(|number| (route_prefix(number), RunKind::Idempotent, SERVICE));
     let fillers = (0..FILLER_RULES).map(|number| {
@@ -288,7 +290,7 @@
     kinds
         .into_iter()
         .chain(fragile)
-        .chain([part, talk, limit, paths])
+        .chain([part, talk, limit, paths, brittle])
         .map(|(prefix, run, service)| (prefix.to_owned(), run, service))
         .chain(added)
         .chain(fillers)
