Take a crash back only by connections opened after it, and a path as restored only by new connections

Cause, found by reading the diff: a crash was taken back when a search found a router that reached the upstream, which it may have said because of data heard up to 250 ms before the crash; breaks were not counted at all while a detour was known. And the head of an answer on an old connection that lives on restored a path to which new connections fail, so that each next request lost 300 ms. Change: other routers are asked for a new connection to that upstream before a crash is taken back, and every break is counted first; a lost path is restored by a connect only. No test showed either fault before; the first would need a crash right after an answer at another router.

--- a/crates/router/src/relay/paths.rs
+++ b/crates/router/src/relay/paths.rs
@@ -6,16 +6,16 @@
 mod path_manager;
 mod path_message;
 mod path_query;
+mod survival_check;
 mod tunnel_server;
 mod tunnel_stream;
 mod upstream_path;
 
-pub use open_link::{
-    DETOUR_WAIT, check_survival, has_ended, open_link, record_lost_path, record_success,
-};
+pub use open_link::{DETOUR_WAIT, has_ended, open_link, record_lost_path, record_success};
 pub use path_manager::PathManager;
 pub use path_message::UpstreamStatement;
 pub use path_query::{answer_message, tell_router};
+pub use survival_check::check_survival;
 pub use tunnel_server::tunnel_handler;
 pub use tunnel_stream::TunnelState;
 pub use upstream_path::UpstreamPath;
--- a/crates/router/src/relay/paths/open_link.rs
+++ b/crates/router/src/relay/paths/open_link.rs
@@ -16,16 +16,12 @@
 use crate::peer::{self, PeerError};
 use crate::ports::{connect_from, set_dead_peer_timeouts};
 use crate::relay::RelayCore;
-use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{LinkLease, RelayUpstream, UpstreamLink};
 
 /// Timeout for opening a direct connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for opening a tunnel, in which the other router connects to the upstream.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time in which other routers must reach an upstream that this one does not for a break not to count as its crash; a process that
-/// crashed takes longer to start again.
-const SURVIVAL_WAIT: Duration = Duration::from_millis(400);
 /// Time for which a request whose path was just lost waits for a router that reaches its upstream.
 pub const DETOUR_WAIT: Duration = Duration::from_millis(150);
 
@@ -157,31 +153,6 @@
     }
 }
 
-/// Checks in the background whether `upstream` survived the break of a direct connection that was counted as its crash: it did if this
-/// router cannot connect to it right afterwards and other routers can.
-pub fn check_survival(core: &SharedCore, upstream: &Arc<RelayUpstream>) {
-    if !upstream.begin_check() {
-        return;
-    }
-    let (core_of_task, upstream) = (core.clone(), Arc::clone(upstream));
-    core.spawn(async move {
-        if !probe(&core_of_task, &upstream).await {
-            upstream.want_path();
-            core_of_task.paths.report_loss();
-            let until = Instant::now() + SURVIVAL_WAIT;
-            while upstream.detour().is_none() && Instant::now() < until {
-                let left = until.saturating_duration_since(Instant::now());
-                core_of_task.paths.wait_for_search(left).await;
-            }
-            if upstream.detour().is_some() {
-                let incarnation = &upstream.record.incarnation;
-                core_of_task.crashes.record_survival(incarnation);
-            }
-        }
-        upstream.end_check();
-    });
-}
-
 async fn open_tunnel(
     core: &RelayCore,
     upstream: &Arc<RelayUpstream>,
--- a/crates/router/src/relay/paths/path_keeper.rs
+++ b/crates/router/src/relay/paths/path_keeper.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::open_link::probe;
+use super::path_message::{ReachProof, ReachQuery};
 use super::path_query::{MAX_ASKED, ask_reached};
 use crate::peer::PeerError;
 use crate::relay::relay_core::SharedCore;
@@ -101,7 +102,7 @@
 
 /// Routers to ask next: some of the own availability zone and some of others, from the place `first` on in an order that differs between
 /// routers.
-fn asked_routers(core: &SharedCore, first: usize) -> Vec<HostName> {
+pub fn asked_routers(core: &SharedCore, first: usize) -> Vec<HostName> {
     let settings = core.settings.load();
     let mut routers = core.fleet.others(&settings.host);
     let order = |host: &HostName| {
@@ -132,7 +133,11 @@
         .map(|upstream| &upstream.record.incarnation);
     let incarnations: Vec<UpstreamIncarnation> = incarnations.cloned().collect();
     let asking = routers.iter().map(async |router| {
-        let answer = ask_reached(core, router, &incarnations).await;
+        let query = ReachQuery {
+            upstreams: incarnations.clone(),
+            proof: ReachProof::Recent,
+        };
+        let answer = ask_reached(core, router, query).await;
         (router, answer)
     });
     let mut answers: FuturesUnordered<_> = asking.collect();
--- a/crates/router/src/relay/paths/path_message.rs
+++ b/crates/router/src/relay/paths/path_message.rs
@@ -9,12 +9,30 @@
 /// A message about paths.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum PathMessage {
-    /// Asks which of these upstreams the receiver reaches by its own paths.
-    Reach(Vec<UpstreamIncarnation>),
+    /// Asks which upstreams the receiver reaches by its own paths.
+    Reach(ReachQuery),
     /// Says what an upstream stated in an answer that came through the receiver.
     Statement(UpstreamStatement),
 }
 
+/// A question about upstreams.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ReachQuery {
+    /// Upstreams asked about.
+    pub upstreams: Vec<UpstreamIncarnation>,
+    /// How the receiver finds out.
+    pub proof: ReachProof,
+}
+
+/// What shows that an upstream is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReachProof {
+    /// Data heard a moment ago, or a new connection.
+    Recent,
+    /// A connection that is opened after the question.
+    NewConnection,
+}
+
 /// Answer to a message.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum PathAnswer {
--- a/crates/router/src/relay/paths/path_query.rs
+++ b/crates/router/src/relay/paths/path_query.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 
 use super::open_link::probe;
-use super::path_message::{PathAnswer, PathMessage, UpstreamStatement};
+use super::path_message::{PathAnswer, PathMessage, ReachProof, ReachQuery, UpstreamStatement};
 use crate::peer::{PeerError, PeerMessage, PeerTopic};
 use crate::relay::fleet::{read_body, write_body};
 use crate::relay::relay_core::{RelayCore, SharedCore};
@@ -25,9 +25,9 @@
 /// Answers a message of another router.
 pub async fn answer_message(core: &SharedCore, message: &PeerMessage) -> Option<Bytes> {
     let answer = match read_body(message, "message about paths")? {
-        PathMessage::Reach(upstreams) => {
-            let asked = upstreams.iter().take(MAX_ASKED);
-            let reached = asked.map(|upstream| reaches(core, upstream));
+        PathMessage::Reach(query) => {
+            let asked = query.upstreams.iter().take(MAX_ASKED);
+            let reached = asked.map(|upstream| reaches(core, upstream, query.proof));
             PathAnswer::Reached(join_all(reached).await)
         }
         PathMessage::Statement(statement) => {
@@ -38,7 +38,7 @@
     write_body(&answer, "an answer to a router")
 }
 
-/// Asks `router` which of `upstreams` it reaches.
+/// Asks `router` which upstreams it reaches.
 ///
 /// # Errors
 ///
@@ -46,10 +46,9 @@
 pub async fn ask_reached(
     core: &RelayCore,
     router: &HostName,
-    upstreams: &[UpstreamIncarnation],
+    query: ReachQuery,
 ) -> Result<Vec<bool>, PeerError> {
-    let question = PathMessage::Reach(upstreams.to_vec());
-    match send(core, router, &question).await? {
+    match send(core, router, &PathMessage::Reach(query)).await? {
         PathAnswer::Reached(reached) => Ok(reached),
         PathAnswer::Noted => Err(PeerError::Unanswered(router.clone())),
     }
@@ -91,14 +90,15 @@
 }
 
 /// Whether this router reaches the upstream now by its own path.
-async fn reaches(core: &SharedCore, incarnation: &UpstreamIncarnation) -> bool {
+async fn reaches(core: &SharedCore, incarnation: &UpstreamIncarnation, proof: ReachProof) -> bool {
     let Some(upstream) = find_upstream(core, incarnation) else {
         return false;
     };
     if upstream.is_leaving() || upstream.is_path_lost() {
         return false;
     }
-    if upstream.was_heard_within(HEARD_AGE, core.clock.now()) {
+    let is_recent = proof == ReachProof::Recent;
+    if is_recent && upstream.was_heard_within(HEARD_AGE, core.clock.now()) {
         return true;
     }
     probe(core, &upstream).await
--- /dev/null
+++ b/crates/router/src/relay/paths/survival_check.rs
@@ -0,0 +1,51 @@
+//! Checks whether an upstream survived the break of a connection that was counted as its crash.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+use super::open_link::probe;
+use super::path_keeper::asked_routers;
+use super::path_message::{ReachProof, ReachQuery};
+use super::path_query::ask_reached;
+use crate::relay::relay_core::SharedCore;
+use crate::relay::upstreams::RelayUpstream;
+
+/// Checks `upstream` in the background after the break of a direct connection: it survived if this router cannot connect to it right
+/// afterwards and another one can, which takes less time than the start of a process.
+pub fn check_survival(core: &SharedCore, upstream: &Arc<RelayUpstream>) {
+    if !upstream.begin_check() {
+        return;
+    }
+    let (core_of_task, upstream) = (core.clone(), Arc::clone(upstream));
+    core.spawn(async move {
+        if !probe(&core_of_task, &upstream).await
+            && is_reached_by_others(&core_of_task, &upstream).await
+        {
+            let incarnation = &upstream.record.incarnation;
+            core_of_task.crashes.record_survival(incarnation);
+        }
+        upstream.end_check();
+    });
+}
+
+/// Whether a router that is asked now can connect to `upstream`.
+async fn is_reached_by_others(core: &SharedCore, upstream: &RelayUpstream) -> bool {
+    let routers = asked_routers(core, 0);
+    let asking = routers.iter().map(|router| {
+        let query = ReachQuery {
+            upstreams: vec![upstream.record.incarnation.clone()],
+            proof: ReachProof::NewConnection,
+        };
+        ask_reached(core, router, query)
+    });
+    let mut answers: FuturesUnordered<_> = asking.collect();
+    while let Some(answer) = answers.next().await {
+        // A router that gives no answer is no proof.
+        if answer.is_ok_and(|reached| reached == [true]) {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -119,13 +119,6 @@
     ///
     /// A crash on a direct connection is checked afterwards, since the path may have been lost instead.
     pub fn record_crash(&self, upstream: &Arc<RelayUpstream>, detour: Option<&HostName>) {
-        if detour.is_none() && upstream.is_path_lost() && upstream.detour().is_some() {
-            spdlog::info!("connection ended with its path", kv: {
-                request_id = self.request.id.as_str(),
-                upstream = upstream.id(),
-            });
-            return;
-        }
         let fingerprint = self.request.fingerprint();
         let crashes = &self.core.crashes;
         let parts = self.request.facts.prompt.shareable_parts();
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -76,7 +76,8 @@
         was_overdue: bool,
     ) {
         upstream.clear_suspect();
-        if answer.lease.detour().is_none() {
+        // A lost path is restored by new connections only; older ones may live on without it.
+        if answer.lease.detour().is_none() && !upstream.is_path_lost() {
             record_success(&self.core, upstream);
         }
         self.record_life(upstream, &answer.lease);
