Count an earlier answer that is written once more for no other request

Cause: what an upstream says without running a request (503, 429, 421, 400) was believed without a look at the attempt that the answer names. Excluded: an extra answer on an idle connection, which closes it. Change: an answer that names another attempt is malformed, whatever it says; one that names none is believed on the first exchange of a connection only.

--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -214,8 +214,18 @@
 }
 
 /// Reason why an answer cannot be forwarded as it is; `None` when it can.
+///
+/// An upstream may write an answer once more, where the next one is expected. Whatever it says, it says of another request.
 fn classify(answer: &UpstreamAnswer, attempt_id: &str) -> Option<UpstreamFailure> {
     let (status, facts) = (answer.head.status, &answer.facts);
+    let is_own = match facts.attempt_id.as_deref() {
+        Some(named) => named == attempt_id,
+        // Only the first answer on a connection cannot belong to an earlier request.
+        None => !answer.lease.is_reused(),
+    };
+    if !is_own {
+        return Some(UpstreamFailure::MalformedAnswer);
+    }
     match status {
         StatusCode::MISDIRECTED_REQUEST => return Some(UpstreamFailure::Leaving),
         _ if facts.not_run && status == StatusCode::BAD_REQUEST => {
@@ -224,7 +234,7 @@
         _ if facts.not_run && !status.is_success() => return Some(UpstreamFailure::QueueFull),
         _ => {}
     }
-    if !facts.signed || facts.attempt_id.as_deref() != Some(attempt_id) {
+    if !facts.signed || facts.attempt_id.is_none() {
         return Some(UpstreamFailure::MalformedAnswer);
     }
     status
--- a/crates/router/src/relay/upstreams/upstream_link.rs
+++ b/crates/router/src/relay/upstreams/upstream_link.rs
@@ -36,6 +36,8 @@
     idle_until: Instant,
     /// When the connection was opened.
     opened_at: Instant,
+    /// Whether it has carried a request before.
+    is_reused: bool,
     /// Absent on a direct connection.
     detour: Option<LinkDetour>,
 }
@@ -72,6 +74,7 @@
             driver: driver.abort_handle(),
             idle_until: opened_at,
             opened_at,
+            is_reused: false,
             detour,
         })
     }
@@ -116,6 +119,11 @@
         self.link.opened_at
     }
 
+    /// Whether the connection has carried a request before.
+    pub fn is_reused(&self) -> bool {
+        self.link.is_reused
+    }
+
     /// Router through which the connection goes; `None` if it is direct.
     pub fn detour(&self) -> Option<&HostName> {
         self.link.detour.as_ref().map(|(router, _)| router)
@@ -135,6 +143,7 @@
             .unwrap_or(DEFAULT_IDLE_TIMEOUT)
             .saturating_sub(IDLE_MARGIN);
         self.link.idle_until = Instant::now() + idle;
+        self.link.is_reused = true;
         self.upstream.put_idle(self.link);
     }
 }
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod failures;
 mod feeds;
 mod histories;
+mod late_answers;
 mod limits;
 mod path_cuts;
 mod raw_replica;
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -76,6 +76,11 @@
     let listener = TcpListener::bind(loopback()).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(serve(listener, plan));
+    register_raw(deployment, id, address);
+}
+
+/// Registers an upstream with id `id` at `address`.
+pub fn register_raw(deployment: &Deployment, id: &str, address: SocketAddr) {
     let record = raw_record(id, address);
     let store = &deployment.store;
     store.put(UPSTREAM_TOPIC, id, &encode_upstream(&record));
@@ -85,15 +90,13 @@
 #[allow(dead_code)]
 pub async fn start_endless_replica(deployment: &Deployment, id: &str, part: EndlessPart) {
     let listener = TcpListener::bind(loopback()).await.unwrap();
-    let record = raw_record(id, listener.local_addr().unwrap());
+    register_raw(deployment, id, listener.local_addr().unwrap());
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
             tokio::spawn(send_endlessly(stream, part));
         }
     });
-    let store = &deployment.store;
-    store.put(UPSTREAM_TOPIC, id, &encode_upstream(&record));
 }
 
 #[allow(dead_code)]
@@ -200,7 +203,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<BoundRequest> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<BoundRequest> {
     let head = read_head(stream).await?;
     let mut headers = HeaderMap::new();
     for line in head.lines().skip(1) {
@@ -225,7 +228,7 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
-fn header_lines(headers: &HeaderMap) -> String {
+pub fn header_lines(headers: &HeaderMap) -> String {
     let lines = headers.iter();
     lines
         .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().unwrap()))
