Measure a stream's silence by complete events, not by bytes

Cause: each piece of data began the time anew after which an upstream counts as silent, so that one that sent a byte of an event now and then held its caller until the deadline (reported by other operators). Excluded: slow sound streams, whose events complete within four times the pause that their rule allows. Change: the time runs from the last complete event. Result: a_stream_whose_upstream_sends_single_bytes_is_resumed_elsewhere failed before (no answer before the deadline) and passes now.

--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::header::CONTENT_TYPE;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use super::RelayRun;
 use super::event_splitter::EventSplitter;
@@ -61,7 +61,7 @@
     /// The end of a connection, which proves nothing, in an answer that can only be ended as complete.
     UnprovenEnd,
     Broken(String),
-    /// The upstream sent no data for longer than `silence_limit`.
+    /// The upstream completed no event for longer than `silence_limit`.
     Silent,
 }
 
@@ -121,10 +121,11 @@
 
     /// Reads until at least one event is complete; `None` once no answer is left to read.
     async fn step(&mut self) -> Option<ForwardStep> {
-        let silence = self.silence_limit();
+        // Bytes of an event that does not end are no sign of progress.
+        let silent_at = Instant::now() + self.silence_limit();
         let answer = self.answer.as_mut()?;
         loop {
-            let Ok(frame) = timeout(silence, answer.body.frame()).await else {
+            let Ok(frame) = timeout_at(silent_at, answer.body.frame()).await else {
                 return Some(ForwardStep::Silent);
             };
             let frame = match frame {
@@ -195,7 +196,7 @@
         }
     }
 
-    /// Time without data after which the upstream counts as silent: a multiple of the event gap if the
+    /// Time without a complete event after which the upstream counts as silent: a multiple of the event gap if the
     /// stream can be resumed elsewhere, else the rule's timeout.
     fn silence_limit(&self) -> Duration {
         let rule = &self.run.request.rule;
--- a/crates/router/tests/relay/events.rs
+++ b/crates/router/tests/relay/events.rs
@@ -5,9 +5,13 @@
 use ferry_decisions::ruleset::RunKind;
 use ferry_standin::ReplicaPlan;
 use hyper::StatusCode;
+use tokio::time::Instant;
 
 use crate::deployment::{Deployment, call, eventually, request, rule};
+use crate::raw_replica::start_trickling_replica;
 
+/// Time within which a stream with pauses of up to 200 ms is resumed after its upstream stalled, and ends.
+const RESUME_BOUND: Duration = Duration::from_secs(3);
 /// Number of events in an answer.
 const EVENT_COUNT: u64 = 6;
 
@@ -98,3 +102,31 @@
     assert_eq!(answer.body.unwrap(), complete_stream());
     assert_eq!(replica.runs().len(), 1);
 }
+
+/// Guards against a stalled upstream that holds its caller until the deadline by a byte now and then.
+#[tokio::test]
+async fn a_stream_whose_upstream_sends_single_bytes_is_resumed_elsewhere() {
+    let deployment = Deployment::start().await;
+    let mut resumable = rule("/chat/", RunKind::ResumableStream);
+    resumable.event_gap = Some(Duration::from_millis(200));
+    deployment.configure(1, &[resumable]);
+    let begun = "id: 1\ndata: part 1\n\n";
+    let period = Duration::from_millis(100);
+    start_trickling_replica(&deployment, "up-1", begun, period).await;
+    let relay = deployment.relay().await;
+    let healthy = deployment.replica("up-2", "v1").await;
+    healthy.plan(stream_plan());
+    eventually("a stream is resumed after its first event", async || {
+        let began_at = Instant::now();
+        let answer = call(request(&relay, "/chat/7", "a")).await;
+        assert_eq!(answer.body.unwrap(), complete_stream());
+        assert!(
+            began_at.elapsed() < RESUME_BOUND,
+            "{:?}",
+            began_at.elapsed()
+        );
+        let runs = healthy.runs();
+        runs.iter().any(|run| run.request.last_event == Some(1))
+    })
+    .await;
+}
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -115,6 +115,37 @@
     while stream.write_all(chunk.as_bytes()).await.is_ok() {}
 }
 
+/// Starts an upstream with id `id` that sends the first events of a stream and then, for ever, a byte of the next event at a time.
+pub async fn start_trickling_replica(
+    deployment: &Deployment,
+    id: &str,
+    events: &'static str,
+    period: Duration,
+) {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    register_raw(deployment, id, listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(trickle(stream, events, period));
+        }
+    });
+}
+
+async fn trickle(mut stream: TcpStream, events: &str, period: Duration) {
+    let Some(bound) = read_request(&mut stream).await else {
+        return;
+    };
+    let head = answer_head(bound.attempt_id);
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let start = format!("{head}Transfer-Encoding: chunked\r\n\r\n{}", chunk(events));
+    let mut sent = stream.write_all(start.as_bytes()).await;
+    while sent.is_ok() {
+        tokio::time::sleep(period).await;
+        sent = stream.write_all(chunk("x").as_bytes()).await;
+    }
+}
+
 /// Head of an answer without the lines that mark the end of its body, and without its blank line.
 fn answer_head(attempt_id: String) -> String {
     let mut headers = HeaderMap::new();
