--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod routing;
 pub mod ruleset;
 pub mod session;
+pub mod sync;
 pub mod time;
 
 pub use hash_point::hash_point;
--- a/crates/decisions/src/registry/upstream_registry.rs
+++ b/crates/decisions/src/registry/upstream_registry.rs
@@ -98,23 +98,9 @@
         RegistryChange::Gone
     }
 
-    /// Removes `id` immediately, without the grace period: another router has already waited for it
-    /// to register again.
-    pub fn forget(&mut self, id: &str) -> RegistryChange {
-        match self.known.remove(id) {
-            Some(_) => RegistryChange::Gone,
-            None => RegistryChange::None,
-        }
-    }
-
-    /// Immediately removes all upstreams for which `is_listed` returns false.
-    pub fn forget_unlisted(&mut self, is_listed: impl Fn(&HostName) -> bool) {
-        self.known.retain(|id, _| is_listed(id));
-    }
-
-    /// Records that the store answers again after an outage.
-    pub fn record_store_recovery(&mut self, now: MonotonicTime) {
-        self.store_recovered_at = Some(now);
+    /// Records that the store answered again after an outage at `moment`; an earlier moment than the recorded one has no effect.
+    pub fn record_store_recovery(&mut self, moment: MonotonicTime) {
+        self.store_recovered_at = self.store_recovered_at.max(Some(moment));
     }
 
     /// Applies a complete listing: upstreams for which `is_listed` returns false were removed.
@@ -138,10 +124,12 @@
         self.known.len() < before
     }
 
+    /// Time since the store was last found to answer again after an outage; `None` if there was none.
+    pub fn outage_age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.store_recovered_at.map(|at| now.since(at))
+    }
+
     /// Whether upstreams are kept whose entries were missing after an outage.
-    ///
-    /// Other routers must not copy them from this one, since they may know that these upstreams
-    /// are gone.
     pub fn holds_missing(&self) -> bool {
         self.known.values().any(|known| known.kept_until.is_some())
     }
@@ -170,6 +158,18 @@
             .map(|known| &known.record)
     }
 
+    /// The same without those whose entries are missing since an outage. Other routers must not take these over, since
+    /// they may know that they are gone.
+    pub fn listed_upstreams(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        let known = self
+            .known
+            .values()
+            .filter(|known| known.kept_until.is_none());
+        known
+            .filter(|known| known.is_readable)
+            .map(|known| &known.record)
+    }
+
     fn insert(&mut self, id: HostName, record: UpstreamRecord) -> RegistryChange {
         let change = match record.stage {
             UpstreamStage::Ready => RegistryChange::Appeared,
--- a/crates/decisions/src/rollout/evidence_pool.rs
+++ b/crates/decisions/src/rollout/evidence_pool.rs
@@ -120,14 +120,20 @@
         &self.ongoing
     }
 
-    /// Replaces the fleet-wide counts reported by a router that has all rows.
-    pub fn set_reported_totals(
+    /// Joins the fleet-wide counts that another router reports with those reported before; they only grow.
+    pub fn join_reported_totals(
         &mut self,
         classes: BTreeMap<String, ClassCounts>,
         times: BTreeMap<String, TimeSpread>,
     ) {
-        self.reported = classes;
-        self.reported_times = times;
+        for (class, counts) in classes {
+            let known = self.reported.entry(class).or_default();
+            *known = known.join(counts);
+        }
+        for (class, spread) in times {
+            let known = self.reported_times.entry(class).or_default();
+            *known = known.join(spread);
+        }
     }
 
     /// Fleet-wide counts by class.
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -653,7 +653,7 @@
         ..ClassCounts::default()
     };
     let classes = [("letters".to_owned(), reported)].into_iter().collect();
-    pool.set_reported_totals(classes, BTreeMap::new());
+    pool.join_reported_totals(classes, BTreeMap::new());
     let totals = pool.totals();
     assert_eq!((totals.target_good, totals.target_bad), (30, 5));
 }
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -40,14 +40,14 @@
 const MAX_REDIAL_BACKOFF: Duration = Duration::from_secs(1);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Time after which an on-demand link, to a host that is not a neighbour, is closed.
-const ON_DEMAND_LINK_LIFETIME: Duration = Duration::from_secs(600);
+/// Time without a query after which an on-demand link, to a host that is not a neighbour, is closed.
+const ON_DEMAND_LINK_IDLE_TIME: Duration = Duration::from_secs(10);
 /// Path that a dialling router requests for a link.
 const LINK_PATH: &str = "/peer";
 /// Path that a dialling router requests for a stream.
 const STREAM_PATH: &str = "/stream";
-/// Size of the buffers of a stream, in bytes.
-const STREAM_BUFFER_BYTES: usize = 16 * 1024;
+/// Size of each buffer of a connection, in bytes; a router that others sync from has one for each of them.
+const BUFFER_BYTES: usize = 16 * 1024;
 /// Longest time that a stop waits for the links to write their queued frames.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -148,7 +148,7 @@
     pub async fn open_stream(&self, host: &HostName) -> Result<PeerSocket, PeerError> {
         let address = self.directory.read().get(host).copied();
         let address = address.ok_or_else(|| PeerError::NotConnected(host.clone()))?;
-        let opening = self.dial(host, address, STREAM_PATH, stream_config());
+        let opening = self.dial(host, address, STREAM_PATH);
         let (socket, _) = timeout(HANDSHAKE_TIMEOUT, opening)
             .await
             .map_err(|_| handshake_timeout())??;
@@ -301,7 +301,7 @@
         let running = Arc::clone(&link);
         self.tasks.spawn(async move {
             let run = hub.run_link(LinkSide::Dialled, &running, socket, queue);
-            let result = running.close_after(ON_DEMAND_LINK_LIFETIME, run).await;
+            let result = running.close_when_idle(ON_DEMAND_LINK_IDLE_TIME, run).await;
             log_link_error(result, Some(&running.peer().host));
             drop(permit);
         });
@@ -418,7 +418,7 @@
         host: &HostName,
         address: SocketAddr,
     ) -> Result<(PeerSocket, PeerIdentity), PeerError> {
-        self.dial(host, address, LINK_PATH, socket_config()).await
+        self.dial(host, address, LINK_PATH).await
     }
 
     async fn dial(
@@ -426,14 +426,13 @@
         host: &HostName,
         address: SocketAddr,
         path: &str,
-        config: WebSocketConfig,
     ) -> Result<(PeerSocket, PeerIdentity), PeerError> {
         let stream = connect_from(self.settings.listen.ip(), address)
             .await
             .map_err(|error| PeerError::Transport(error.to_string()))?;
         let _ = stream.set_nodelay(true);
         let url = format!("ws://{address}{path}");
-        let (mut socket, _) = client_async_with_config(url, stream, Some(config))
+        let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config()))
             .await
             .map_err(|error| PeerError::Handshake(error.to_string()))?;
         let peer = dial_handshake(&mut socket, &self.settings, host).await?;
@@ -476,13 +475,8 @@
     WebSocketConfig::default()
         .max_message_size(Some(FRAME_LIMIT))
         .max_frame_size(Some(FRAME_LIMIT))
-}
-
-/// Settings of a stream, of which a router may have hundreds: smaller buffers than those of a link.
-fn stream_config() -> WebSocketConfig {
-    socket_config()
-        .read_buffer_size(STREAM_BUFFER_BYTES)
-        .write_buffer_size(STREAM_BUFFER_BYTES)
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
 }
 
 fn handshake_timeout() -> PeerError {
--- a/crates/router/src/peer/peer_link.rs
+++ b/crates/router/src/peer/peer_link.rs
@@ -145,14 +145,25 @@
         result
     }
 
-    /// Runs `work`, and closes the link once `lifetime` has passed.
-    pub async fn close_after<T>(&self, lifetime: Duration, work: impl Future<Output = T>) -> T {
+    /// Runs `work`, and closes the link once no query was sent on it for `idle_time`.
+    pub async fn close_when_idle<T>(
+        &self,
+        idle_time: Duration,
+        work: impl Future<Output = T>,
+    ) -> T {
         tokio::pin!(work);
-        tokio::select! {
-            result = &mut work => return result,
-            () = sleep(lifetime) => self.close(),
+        loop {
+            let queries = self.next_query.load(Ordering::Relaxed);
+            tokio::select! {
+                result = &mut work => return result,
+                () = sleep(idle_time) => {}
+            }
+            if self.next_query.load(Ordering::Relaxed) == queries && self.pending.lock().is_empty()
+            {
+                self.close();
+                return work.await;
+            }
         }
-        work.await
     }
 
     fn host(&self) -> HostName {
--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -20,5 +20,6 @@
     core.spawn(crash_exchange::ask_at_start(core.clone()));
     core.spawn(crash_exchange::publish(core.clone()));
     core.spawn(crash_exchange::report(core.clone()));
+    core.spawn(crash_exchange::exchange_while_lacking(core.clone()));
     core.spawn(crash_exchange::expire(core.clone()));
 }
--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -9,7 +9,7 @@
 };
 use tokio::time::{sleep, timeout};
 
-use super::crash_report::{exchange_with_some, report_to_source};
+use super::crash_report::{exchange_with_some, exchange_with_sources, report_to_source};
 use crate::relay::fleet::{read_record, write_body};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{OutageLog, TopicReader};
@@ -42,7 +42,7 @@
 /// Period of the checks for requests whose crashes are long ago.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
 
-/// Follows the rows in the store until the relay closes; pauses while this router syncs from another one.
+/// Follows the rows in the store while this router reads it, until the relay closes.
 pub async fn follow(core: SharedCore) {
     let reader = TopicReader::new(core.store.clone(), CRASH_TOPIC);
     let mut outages = OutageLog::new(
@@ -50,7 +50,7 @@
         "the crashes of requests are read from the store again",
     );
     loop {
-        core.fleet.wait_until_unsynced().await;
+        core.fleet.wait_until(|state| state.is_own_reader()).await;
         // While the store fails, reads do not wait, so that its recovery is noticed soon.
         let wait = match outages.is_failing() {
             true => Duration::ZERO,
@@ -82,7 +82,7 @@
         () = core.fleet.wait_until_listed() => {}
         () = wait_without_list(&core) => {}
     }
-    let asking = exchange_with_some(&core, START_FANOUT);
+    let asking = exchange_with_sources(&core, START_FANOUT);
     if timeout(START_TIMEOUT, asking).await.is_err() {
         spdlog::info!("not all routers that were asked for crashes at the start answered in time", kv: {
             routers = core.fleet.router_count(),
@@ -115,6 +115,10 @@
             sleep(BATCH_TIME).await;
         }
         let rows = core.crashes.unstored();
+        if !core.fleet.sync_state().is_reader {
+            share_unstored(&core, rows, &mut last_sent).await;
+            continue;
+        }
         match append(&core, &rows).await {
             Ok(()) => {
                 outages.record_success();
@@ -126,20 +130,34 @@
             }
             Err(error) => {
                 outages.record_failure(&error);
-                let own = rows.into_iter().filter(|row| core.crashes.is_own(row));
-                let own: Vec<CrashRow> = own.collect();
-                let routers = match own == last_sent {
-                    true => 1,
-                    false => NEWS_FANOUT,
-                };
-                exchange_with_some(&core, routers).await;
-                last_sent = own;
-                sleep(RETRY_DELAY).await;
+                share_unstored(&core, rows, &mut last_sent).await;
             }
         }
     }
 }
 
+/// Sends `rows`, which cannot be stored, to other routers: to several if they have new ones of this router beside `last_sent`.
+async fn share_unstored(core: &SharedCore, rows: Vec<CrashRow>, last_sent: &mut Vec<CrashRow>) {
+    let own = rows.into_iter().filter(|row| core.crashes.is_own(row));
+    let own: Vec<CrashRow> = own.collect();
+    let routers = match own == *last_sent {
+        true => 1,
+        false => NEWS_FANOUT,
+    };
+    exchange_with_some(core, routers).await;
+    *last_sent = own;
+    sleep(RETRY_DELAY).await;
+}
+
+/// Exchanges rows with another router while neither the store nor a sync source gives this one recent content, until the relay closes.
+pub async fn exchange_while_lacking(core: SharedCore) {
+    loop {
+        core.fleet.wait_until(|state| state.is_lacking()).await;
+        sleep(RETRY_DELAY).await;
+        exchange_with_some(&core, 1).await;
+    }
+}
+
 /// Sends crashes that this router saw to the router that it syncs from, so that they don't wait for the next query of the
 /// feed, until the relay closes.
 pub async fn report(core: SharedCore) {
@@ -156,7 +174,7 @@
         sleep(EXPIRY_PERIOD).await;
         let keys = core.crashes.expire();
         core.fleet.feed.remove_crashes(&keys);
-        if keys.is_empty() || core.fleet.is_synced_from_peer() {
+        if keys.is_empty() || !core.fleet.sync_state().is_own_reader() {
             continue;
         }
         let removals = keys
--- a/crates/router/src/relay/crashes/crash_report.rs
+++ b/crates/router/src/relay/crashes/crash_report.rs
@@ -44,19 +44,26 @@
         .choose_multiple(&mut rand::rng(), count)
         .cloned()
         .collect();
-    let exchanges = chosen.into_iter().map(|host| send_report(core, host, true));
+    exchange_with(core, chosen).await;
+}
+
+/// Exchanges rows with `count` of the routers that read the store for others, which know the rows of those that sync from them.
+pub async fn exchange_with_sources(core: &SharedCore, count: usize) {
+    let settings = core.settings.load_full();
+    let mut hosts = core.fleet.order().first_of_zones(&settings.zone);
+    hosts.retain(|host| *host != settings.host);
+    hosts.truncate(count);
+    exchange_with(core, hosts).await;
+}
+
+async fn exchange_with(core: &SharedCore, hosts: Vec<HostName>) {
+    let exchanges = hosts.into_iter().map(|host| send_report(core, host, true));
     join_all(exchanges).await;
 }
 
 /// Sends rows to the router that this one syncs from, if there is one; its rows come with the feed.
 pub async fn report_to_source(core: &SharedCore) {
-    if !core.fleet.is_synced_from_peer() {
-        return;
-    }
-    let settings = core.settings.load_full();
-    let now = core.clock.now();
-    let source = core.fleet.sync_source(&settings, now);
-    if let Some(host) = source {
+    if let Some(host) = core.fleet.sync_source() {
         send_report(core, host, false).await;
     }
 }
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -2,19 +2,23 @@
 //! the store's content from another router.
 //!
 //! In each availability zone the first router in a fixed order reads the store, and the others sync
-//! from it. Nothing depends on which router that is: a router whose sync source does not answer, is
-//! slow or has no contact with the store reads the store itself at once.
+//! from it. Nothing depends on which router that is: a router whose sync source does not answer or has no contact
+//! with the store asks others, and reads the store itself only if none of them has.
 
-mod feed_client;
 mod feed_message;
+mod feed_position;
+mod feed_query;
+mod feed_reply;
 mod feed_source;
 mod fleet_join;
 mod fleet_manager;
 mod operator_records;
 mod peer_body;
 mod record_patch;
+mod router_directory;
+mod sync_task;
 
-pub use feed_message::{EvidenceRecord, PooledRollout};
+pub use feed_message::{EvidenceRecord, OngoingCount, PooledRollout};
 pub use feed_source::FeedSource;
 pub use fleet_manager::FleetManager;
 pub use peer_body::{read as read_body, read_record, write as write_body};
@@ -23,6 +27,8 @@
 
 /// Starts the tasks that join the fleet and sync from another router.
 pub fn start(core: &SharedCore) {
-    core.spawn(fleet_join::keep_joined(core.clone()));
-    core.spawn(feed_client::follow(core.clone()));
+    core.spawn(fleet_join::join_fleet(core.clone()));
+    core.spawn(fleet_join::follow_routers(core.clone()));
+    core.spawn(sync_task::follow(core.clone()));
+    core.spawn(sync_task::probe_store(core.clone()));
 }
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -1,12 +1,14 @@
 //! Messages of the feed, by which a router syncs from another one.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::quarantine::CrashRow;
 use ferry_decisions::registry::UpstreamRecord;
 use ferry_decisions::rollout::{ClassCounts, EvidenceRow, RolloutPhase, TimeSpread};
+use ferry_decisions::sync::RouterEntry;
 use serde::{Deserialize, Serialize};
 
 use super::operator_records::KnownOffsets;
@@ -33,6 +35,29 @@
     /// What the requesting router heard of the limits of upstreams.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
+    /// Entry of the requesting router, in its first query to this incarnation.
+    #[serde(default)]
+    pub entry: Option<RouterEntry>,
+    /// Revision of the list of routers that the requesting router has from this incarnation.
+    #[serde(default)]
+    pub routers_revision: u64,
+    /// Whether the answer must not wait for a change.
+    #[serde(default)]
+    pub at_once: bool,
+    /// Marks of ongoing conversations that the requesting router has.
+    #[serde(default)]
+    pub ongoing: Vec<OngoingCount>,
+}
+
+/// Number of marks of ongoing conversations that a router has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OngoingCount {
+    /// Service.
+    pub service: ServiceName,
+    /// Offset of the order.
+    pub order: u64,
+    /// Number of marks.
+    pub count: usize,
 }
 
 /// Response with the changes since the requested revision.
@@ -54,13 +79,42 @@
     pub rules_age_ms: u64,
     /// Milliseconds since it was last confirmed to have the upstreams' newest entries.
     pub listing_age_ms: u64,
-    /// Whether it keeps upstreams whose entries were missing after an outage.
+    /// Whether it keeps upstreams whose entries were missing after an outage; routers of an older build would take them over.
     pub holds_missing: bool,
     /// The fleet's evidence about each roll-out in progress.
     pub rollouts: Vec<PooledRollout>,
     /// What the answering router heard of the limits of upstreams.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
+    /// Entries of routers that changed after the requested revision of their list.
+    #[serde(default)]
+    pub routers: Vec<RouterEntry>,
+    /// Revision of the list of routers.
+    #[serde(default)]
+    pub routers_revision: u64,
+    /// Whether that list has the routers that started together with the answering one.
+    #[serde(default)]
+    pub has_full_list: bool,
+    /// Router that read the answering one's content from the store; absent from routers of an older build.
+    #[serde(default)]
+    pub origin: Option<HostName>,
+    /// The last outage of the store; absent from routers of an older build, whose upstreams include those that are missing since an outage.
+    #[serde(default)]
+    pub outage: Option<StoreOutage>,
+}
+
+/// The last outage of the store as the answering router saw it. Upstreams that are missing since then count as gone in the changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreOutage {
+    /// Time since its end, in milliseconds; absent if there was none.
+    pub ended_ms: Option<u64>,
+}
+
+impl StoreOutage {
+    /// Time since its end; `None` if there was none.
+    pub fn age(self) -> Option<Duration> {
+        self.ended_ms.map(Duration::from_millis)
+    }
 }
 
 /// Offset before which all records of each topic are known; absent for a topic of which nothing is known, and from routers of an
@@ -135,7 +189,7 @@
     /// Times of the fleet's answers by request class.
     #[serde(default)]
     pub times: BTreeMap<String, TimeSpread>,
-    /// Marks of ongoing conversations on the old versions.
+    /// Marks of ongoing conversations on the old versions; empty if the requesting router has as many.
     #[serde(default)]
     pub ongoing: BTreeSet<u32>,
 }
--- /dev/null
+++ b/crates/router/src/relay/fleet/feed_query.rs
@@ -0,0 +1,230 @@
+//! One feed request to another router, and what its answer changes here.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::time::Duration;
+
+use ferry_decisions::names::HostName;
+use ferry_decisions::registry::UpstreamRecord;
+use ferry_platform::store::KeyedRecord;
+use tokio::time::timeout;
+
+use super::feed_message::{FeedAnswer, FeedChange, FeedChanges, FeedQuery, StoreOutage};
+use super::feed_position::FeedPosition;
+use super::fleet_manager::own_entry;
+use super::operator_records::KnownOffsets;
+use super::record_patch::RecordPatch;
+use crate::peer::{self, PeerError, PeerTopic};
+use crate::relay::confirmation_time::ConfirmationTime;
+use crate::relay::crashes;
+use crate::relay::relay_core::SharedCore;
+use crate::relay::rollouts;
+use crate::relay::watch::{self, SyncedUpstreams};
+
+/// Timeout of a feed request whose answer may wait for a change.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(900);
+/// Timeout of a feed request that is answered at once.
+const PROMPT_QUERY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of the first feed request to a router, which is longer because its answer holds the full state.
+const FIRST_QUERY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Highest age of another router's rules at which they count as recent.
+const MAX_RULES_AGE: Duration = Duration::from_millis(1_300);
+/// Highest age of its upstream entries, as a fraction of the time in which a draining upstream must be noticed.
+const MAX_LISTING_AGE_FRACTION: f64 = 0.6;
+
+/// Why another router gave no recent content.
+#[derive(Debug, thiserror::Error)]
+pub enum FeedError {
+    /// This router has no links to others.
+    #[error("there are no links to other routers yet; they follow the join")]
+    NoLinks,
+    /// The query failed.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    /// Its content is what this router has read itself.
+    #[error("that router has its content from this one; it is asked again later")]
+    OwnReads,
+    /// Its content, which was applied all the same, is old.
+    #[error(
+        "that router's rules are {rules:?} old and its upstream entries {listing:?} old; another one may have newer ones"
+    )]
+    Outdated {
+        /// Age of the rules.
+        rules: Duration,
+        /// Age of the upstreams' entries.
+        listing: Duration,
+    },
+    /// A record was a difference to one that is not kept here.
+    #[error("a record of the operator cannot be restored: {0}; the next answer has it whole")]
+    Record(io::Error),
+    /// It is of an older build, and does not tell missing upstreams from others.
+    #[error(
+        "that router still lists upstreams whose entries are missing since a store outage; they are removed soon"
+    )]
+    MissingUpstreams,
+}
+
+/// Whether an answer may wait for a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueryUrgency {
+    /// It waits a moment, unless there is a change.
+    Waits,
+    /// It comes at once.
+    AtOnce,
+}
+
+/// Asks `source` for its changes after `position`, and applies them; returns the new position.
+///
+/// # Errors
+///
+/// Fails when the router does not answer or its content is not recent; what is newer than known here is applied even then.
+pub async fn ask_source(
+    core: &SharedCore,
+    source: &HostName,
+    mut position: FeedPosition,
+    urgency: QueryUrgency,
+) -> (FeedPosition, Result<(), FeedError>) {
+    let result = ask(core, source, &mut position, urgency).await;
+    (position, result)
+}
+
+async fn ask(
+    core: &SharedCore,
+    source: &HostName,
+    position: &mut FeedPosition,
+    urgency: QueryUrgency,
+) -> Result<(), FeedError> {
+    let hub = core.fleet.hub().ok_or(FeedError::NoLinks)?;
+    let query = build_query(core, position, urgency);
+    let limit = match (position.source.is_empty(), urgency) {
+        (true, _) => FIRST_QUERY_TIMEOUT,
+        (false, QueryUrgency::Waits) => QUERY_TIMEOUT,
+        (false, QueryUrgency::AtOnce) => PROMPT_QUERY_TIMEOUT,
+    };
+    let requested_at = ConfirmationTime::now();
+    let sending = hub.send_query(source, PeerTopic::Feed, &query, limit);
+    let answer: FeedAnswer = timeout(limit, sending)
+        .await
+        .map_err(|_| PeerError::TimedOut(source.clone()))??;
+    if answer.holds_missing && answer.outage.is_none() {
+        return Err(FeedError::MissingUpstreams);
+    }
+    let rules = Duration::from_millis(answer.rules_age_ms);
+    let listing = Duration::from_millis(answer.listing_age_ms);
+    let (positions, origin) = (answer.positions, answer.origin.clone());
+    apply_answer(core, answer, position)?;
+    // A router that knows nothing of a topic states the time since its own start.
+    if positions.operator.is_some() {
+        core.operator_topic
+            .confirm(requested_at.saturating_sub(rules));
+    }
+    if positions.upstreams.is_some() {
+        core.upstream_topic
+            .confirm(requested_at.saturating_sub(listing));
+    }
+    let drain = core.settings.load().bounds.drain;
+    if rules > MAX_RULES_AGE || listing > drain.mul_f64(MAX_LISTING_AGE_FRACTION) {
+        return Err(FeedError::Outdated { rules, listing });
+    }
+    if origin.as_ref() == Some(&core.settings.load().host) {
+        return Err(FeedError::OwnReads);
+    }
+    core.fleet.record_origin(origin);
+    Ok(())
+}
+
+fn build_query(core: &SharedCore, position: &FeedPosition, urgency: QueryUrgency) -> FeedQuery {
+    let is_first = position.source.is_empty();
+    let settings = core.settings.load();
+    let address = core.fleet.hub().map(|hub| hub.address());
+    let entry = address.filter(|_| is_first);
+    FeedQuery {
+        source: position.source.clone(),
+        revision: position.revision,
+        known: Some(known_records(core, position)),
+        evidence: rollouts::own_evidence(core),
+        crashes: core.crashes.unstored(),
+        limits: core.permits.notices(core.clock.now()),
+        entry: entry.map(|address| own_entry(&settings, address)),
+        routers_revision: position.routers_revision,
+        at_once: urgency == QueryUrgency::AtOnce,
+        ongoing: rollouts::ongoing_counts(core),
+    }
+}
+
+/// Offsets of the operator's records to which the next answer may hold differences.
+fn known_records(core: &SharedCore, position: &FeedPosition) -> KnownOffsets {
+    match position.needs_whole_records {
+        true => KnownOffsets::new(),
+        false => core.fleet.feed.known_records(),
+    }
+}
+
+fn restore_records(
+    core: &SharedCore,
+    patches: &[RecordPatch],
+    position: &mut FeedPosition,
+) -> Result<Vec<KeyedRecord>, FeedError> {
+    let records = patches
+        .iter()
+        .map(|patch| core.fleet.feed.restore_record(patch));
+    let records: io::Result<Vec<KeyedRecord>> = records.collect();
+    position.needs_whole_records = records.is_err();
+    records.map_err(FeedError::Record)
+}
+
+/// Applies what is newer in `answer` than known here.
+fn apply_answer(
+    core: &SharedCore,
+    answer: FeedAnswer,
+    position: &mut FeedPosition,
+) -> Result<(), FeedError> {
+    let is_whole = matches!(answer.changes, FeedChanges::Whole(_));
+    let changes = match answer.changes {
+        FeedChanges::Since(changes) => changes,
+        FeedChanges::Whole(changes) => peer::decode(&changes)?,
+    };
+    let mut operator = restore_records(core, &answer.operator, position)?;
+    let mut upstreams = BTreeMap::new();
+    let mut rows = Vec::new();
+    for change in changes {
+        match change {
+            FeedChange::Operator { key, offset, value } => {
+                operator.push(KeyedRecord { key, value, offset });
+            }
+            FeedChange::Upstream(record) => {
+                upstreams.insert(record.incarnation.id.clone(), Some(*record));
+            }
+            FeedChange::UpstreamGone(id) => {
+                upstreams.insert(id, None);
+            }
+            FeedChange::Crashes(row) => rows.push(*row),
+        }
+    }
+    let positions = answer.positions;
+    watch::apply_synced_operator(core, positions.operator, operator);
+    let upstreams: BTreeMap<HostName, Option<UpstreamRecord>> = upstreams;
+    watch::apply_synced_upstreams(
+        core,
+        SyncedUpstreams {
+            position: positions.upstreams,
+            is_whole,
+            changes: upstreams,
+            outage_age: answer.outage.and_then(StoreOutage::age),
+        },
+    );
+    crashes::apply_stored(core, rows);
+    if let Some(crashes) = positions.crashes {
+        core.crash_topic.advance(crashes);
+    }
+    rollouts::apply_pooled(core, answer.rollouts);
+    core.permits.merge(&answer.limits, core.clock.now());
+    core.fleet.add_routers(answer.routers);
+    if answer.has_full_list {
+        core.fleet.confirm_list();
+    }
+    position.source = answer.source;
+    position.revision = answer.revision;
+    position.routers_revision = answer.routers_revision;
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -0,0 +1,106 @@
+//! Answers to the feed requests of other routers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::quarantine::RowOrigin;
+use tokio::time::timeout;
+
+use super::feed_message::{EvidenceRecord, FeedAnswer, FeedPositions, FeedQuery, StoreOutage};
+use super::operator_records::KnownOffsets;
+use super::peer_body;
+use crate::peer::{PeerMessage, PeerTopic};
+use crate::relay::crashes;
+use crate::relay::paths;
+use crate::relay::permits;
+use crate::relay::relay_core::SharedCore;
+use crate::relay::rollouts;
+
+/// Longest time for which an answer waits for a change.
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+
+/// Answers a message of another router; `None` leaves it unanswered.
+pub async fn answer_peer(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
+    match message.topic {
+        PeerTopic::Feed => answer_query(core, message).await,
+        PeerTopic::Quarantine => crashes::answer_report(core, &message),
+        PeerTopic::Permits => permits::answer_query(core, &message),
+        PeerTopic::Paths => paths::answer_message(core, &message).await,
+        _ => None,
+    }
+}
+
+async fn answer_query(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
+    let mut query: FeedQuery = peer_body::read(&message, "feed request")?;
+    let known = query.known.take()?;
+    merge_evidence(core, std::mem::take(&mut query.evidence));
+    core.crashes
+        .merge(std::mem::take(&mut query.crashes), RowOrigin::Router);
+    core.permits.merge(&query.limits, core.clock.now());
+    core.fleet
+        .add_routers(query.entry.take().into_iter().collect());
+    wait_for_change(core, &query, &known).await;
+    let answer = build_answer(core, &query, &known);
+    peer_body::write(&answer, "an answer to a router")
+}
+
+/// Waits a moment for a change that the requesting router lacks.
+async fn wait_for_change(core: &SharedCore, query: &FeedQuery, known: &KnownOffsets) {
+    let mut revisions = core.fleet.feed.subscribe();
+    let is_behind = query.source != core.fleet.feed.incarnation()
+        || *revisions.borrow_and_update() > query.revision
+        || core.fleet.feed.has_news(known);
+    if is_behind || query.at_once {
+        return;
+    }
+    // The answer goes out with or without a change.
+    let _ = timeout(ANSWER_WAIT, revisions.changed()).await;
+}
+
+fn build_answer(core: &SharedCore, query: &FeedQuery, known: &KnownOffsets) -> FeedAnswer {
+    // Taken before the changes, which therefore contain all that they state.
+    let positions = FeedPositions {
+        operator: core.operator_topic.position(),
+        upstreams: core.upstream_topic.position(),
+        crashes: core.crash_topic.position(),
+    };
+    let (rules_age, listing_age) = (core.operator_topic.age(), core.upstream_topic.age());
+    let feed = &core.fleet.feed;
+    let (revision, changes) = feed.changes_since(&query.source, query.revision);
+    let is_same = query.source == feed.incarnation();
+    let routers_revision = if is_same { query.routers_revision } else { 0 };
+    let (routers, routers_revision) = core.fleet.router_changes(routers_revision);
+    let now = core.clock.now();
+    let registry = core.registry.lock();
+    let ended_ms = registry.outage_age(now).map(|age| age.as_millis() as u64);
+    let holds_missing = registry.holds_missing();
+    drop(registry);
+    FeedAnswer {
+        source: feed.incarnation().to_owned(),
+        revision,
+        changes,
+        operator: feed.record_patches(known),
+        positions,
+        rules_age_ms: rules_age.as_millis() as u64,
+        listing_age_ms: listing_age.as_millis() as u64,
+        holds_missing,
+        rollouts: rollouts::pooled_rollouts(core, &query.ongoing),
+        limits: core.permits.notices(now),
+        routers,
+        routers_revision,
+        has_full_list: core.fleet.confirmed_count().is_some(),
+        origin: core.fleet.origin(),
+        outage: Some(StoreOutage { ended_ms }),
+    }
+}
+
+fn merge_evidence(core: &SharedCore, records: Vec<EvidenceRecord>) {
+    let now = core.clock.now();
+    for record in records {
+        core.rollouts.with(&record.service, |rollout| {
+            if rollout.offset == record.order {
+                rollout.merge_client_row(record.row, now);
+            }
+        });
+    }
+}
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -5,32 +5,39 @@
 use std::time::Duration;
 
 use ferry_decisions::names::Incarnation;
+use ferry_decisions::sync::RouterEntry;
 use ferry_platform::store::{
-    AppendCondition, KeyedEntry, StoreError, TopicPartition, encode_keyed,
+    AppendCondition, KeyedEntry, KeyedRecord, StoreError, TopicPartition, encode_keyed,
 };
-use tokio::time::{sleep, timeout};
+use rand::Rng;
+use tokio::time::sleep;
 
-use super::feed_client::answer_peer;
-use super::fleet_manager::RouterEntry;
+use super::feed_reply::answer_peer;
+use super::fleet_manager::own_entry;
 use crate::peer::{self, PeerHandler, PeerHub, PeerSettings};
 use crate::relay::paths::tunnel_handler;
 use crate::relay::relay_core::SharedCore;
+use crate::relay::topic_progress::TopicProgress;
+use crate::relay::watch::TopicReader;
 
-/// Partition of the routers' entries.
-const ROUTERS: TopicPartition<'static> = TopicPartition::only("keyed.routers");
+/// Topic of the routers' entries.
+const ROUTER_TOPIC: &str = "keyed.routers";
+/// Its only partition.
+const ROUTERS: TopicPartition<'static> = TopicPartition::only(ROUTER_TOPIC);
 /// Key of the secret by which routers authenticate one another.
 const SECRET_KEY: &str = "secret";
 /// Prefix of the keys of the routers' entries.
 const ROUTER_PREFIX: &str = "router/";
-/// Delay after a failed attempt to join.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Delay after a failed attempt to join, and its maximum after several.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Time after which a router that cannot list the others goes on without them.
+const LIST_PATIENCE: Duration = Duration::from_secs(2);
 /// Delay before the routers are listed again after the join, so that those that start together have registered, and
 /// after such a list failed.
 const FIRST_LIST_DELAY: Duration = Duration::from_millis(1_500);
-/// Period of the reads of the routers' list.
-const LIST_PERIOD: Duration = Duration::from_secs(15);
-/// Minimum time before the list is read again when the sync from another router ends early.
-const MIN_LIST_PERIOD: Duration = Duration::from_secs(3);
+/// Period of the reads of the routers' entries.
+const LIST_PERIOD: Duration = Duration::from_secs(10);
 
 /// Why an attempt to join the fleet failed.
 #[derive(Debug, thiserror::Error)]
@@ -43,40 +50,50 @@
     SecretConflict,
 }
 
-/// Joins the fleet, then keeps the list of its routers up to date.
-pub async fn keep_joined(core: SharedCore) {
+/// Joins the fleet; tries again until that succeeds.
+pub async fn join_fleet(core: SharedCore) {
+    let mut delay = MIN_RETRY_DELAY;
     while let Err(error) = join(&core).await {
         spdlog::debug!("joining the fleet failed, will be retried: {}", error);
-        sleep(RETRY_DELAY).await;
+        if core.clock.elapsed() > LIST_PATIENCE {
+            core.fleet.record_list(core.clock.now());
+        }
+        let jitter = rand::rng().random_range(0.5..1.0);
+        sleep(delay.mul_f64(jitter)).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
+}
+
+/// Reads the entries of other routers while this one reads the store, until the relay closes. The others get them with the feed.
+pub async fn follow_routers(core: SharedCore) {
+    let reader = TopicReader::new(core.store.clone(), ROUTER_TOPIC);
+    let progress = TopicProgress::default();
+    core.fleet.wait_until_listed().await;
     sleep(FIRST_LIST_DELAY).await;
     loop {
-        match core.store.newest_all(ROUTERS).await {
-            Ok((entries, _)) => {
-                core.fleet.set_routers(routers(&entries));
+        core.fleet.wait_until(|state| state.is_own_reader()).await;
+        let known_keys = core.fleet.router_count();
+        let pause = match reader.next(&progress, known_keys, Duration::ZERO).await {
+            Ok(changes) => {
+                progress.advance(changes.position);
+                let entries = changes.records.iter().filter_map(decode_record).collect();
+                core.fleet.add_routers(entries);
                 core.fleet.confirm_list();
+                LIST_PERIOD
             }
             Err(error) => {
                 spdlog::info!("the routers could not be listed: {}", error);
-                if core.fleet.confirmed_count().is_none() {
-                    sleep(FIRST_LIST_DELAY).await;
-                    continue;
-                }
+                FIRST_LIST_DELAY
             }
-        }
-        let started_at = core.clock.now();
-        let _ = timeout(LIST_PERIOD, core.fleet.wait_until_unsynced()).await;
-        let left = MIN_LIST_PERIOD.saturating_sub(core.clock.now().since(started_at));
-        sleep(left).await;
-        if !core.fleet.is_synced_from_peer() {
-            sleep(LIST_PERIOD - MIN_LIST_PERIOD).await;
-        }
+        };
+        sleep(pause).await;
     }
 }
 
 /// Opens the port for other routers with the fleet's secret, and registers its address.
 async fn join(core: &SharedCore) -> Result<(), JoinError> {
     let (entries, end) = core.store.newest_all(ROUTERS).await?;
+    core.fleet.add_routers(routers(&entries));
     let stored_secret = entries.iter().find(|entry| entry.key == SECRET_KEY);
     let secret = match stored_secret {
         Some(entry) => String::from_utf8_lossy(&entry.value).into_owned(),
@@ -86,27 +103,19 @@
         Some(hub) => hub.clone(),
         None => start_hub(core, secret).await?,
     };
-    let settings = core.settings.load();
-    let entry = RouterEntry {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
-        address: hub.address(),
-        link_mbps: settings.link_mbps,
-    };
+    let entry = own_entry(&core.settings.load(), hub.address());
     core.fleet.connect(hub);
-    // Known before the own entry is written, which may fail while the store takes no appends.
-    core.fleet.set_routers(routers(&entries));
+    // Listed before the own entry is written, which may fail while the store takes no appends.
+    core.fleet.record_list(core.clock.now());
     let value = peer::encode(&entry)?;
-    append(
-        core,
-        &format!("{ROUTER_PREFIX}{}", entry.host),
-        &value,
-        AppendCondition::None,
-    )
-    .await?;
+    let key = format!("{ROUTER_PREFIX}{}", entry.host);
+    append(core, &key, &value, AppendCondition::None).await?;
+    if core.fleet.is_synced_from_peer() {
+        return Ok(());
+    }
     // Read after the own entry was written: of two routers that start together, one at least knows the other then.
     let (entries, _) = core.store.newest_all(ROUTERS).await?;
-    core.fleet.set_routers(routers(&entries));
+    core.fleet.add_routers(routers(&entries));
     Ok(())
 }
 
@@ -161,16 +170,24 @@
 }
 
 fn routers(entries: &[KeyedEntry]) -> Vec<RouterEntry> {
-    let router_entries = entries
-        .iter()
-        .filter(|entry| entry.key.starts_with(ROUTER_PREFIX));
-    router_entries
-        .filter_map(|entry| match peer::decode(&entry.value) {
-            Ok(router) => Some(router),
-            Err(error) => {
-                spdlog::warn!("invalid entry of a router ignored: {}", error, kv: { key = entry.key.as_str() });
-                None
-            }
-        })
+    let entries = entries.iter();
+    entries
+        .filter_map(|entry| decode_entry(&entry.key, &entry.value))
         .collect()
 }
+
+fn decode_record(record: &KeyedRecord) -> Option<RouterEntry> {
+    decode_entry(&record.key, record.value.as_ref()?)
+}
+
+/// Decodes the entry of a router; `None` for other records, and for malformed ones, which are logged.
+fn decode_entry(key: &str, value: &[u8]) -> Option<RouterEntry> {
+    if !key.starts_with(ROUTER_PREFIX) {
+        return None;
+    }
+    peer::decode(value)
+        .inspect_err(|error| {
+            spdlog::warn!("invalid entry of a router ignored: {}", error, kv: { key = key });
+        })
+        .ok()
+}
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -1,72 +1,82 @@
 //! Registered routers, and which of them this router syncs from.
 
-use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use ferry_decisions::names::{HostName, ZoneName};
+use ferry_decisions::names::HostName;
+use ferry_decisions::sync::{RouterEntry, SourceList, SyncOrder, SyncOutcome, SyncPlanner};
 use ferry_decisions::time::MonotonicTime;
 use ferry_platform::host_settings::HostSettings;
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::FeedSource;
+use super::router_directory::RouterDirectory;
 use crate::peer::PeerHub;
 
-/// Time for which a router that failed to answer is not chosen as sync source.
-const FAILURE_BACKOFF: Duration = Duration::from_secs(3);
-
-/// Entry that a router registers in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RouterEntry {
-    /// Name of the router's host.
-    pub host: HostName,
-    /// Availability zone.
-    pub zone: ZoneName,
-    /// Address of the port for other routers.
-    pub address: SocketAddr,
-    /// Speed of the host's link, in Mbit/s; 0 when it is not known.
-    #[serde(default)]
-    pub link_mbps: u32,
+/// Number of periods without a read of the upstreams' entries after which this router counts as cut off from them.
+const MAX_MISSED_READS: u32 = 3;
+
+/// Where this router gets the store's content from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SyncState {
+    /// Whether this router reads the store.
+    pub is_reader: bool,
+    /// Whether another router has given it recent content.
+    pub is_synced: bool,
+}
+
+impl SyncState {
+    /// Whether this router reads the store, and gets its content from there.
+    pub fn is_own_reader(self) -> bool {
+        self.is_reader && !self.is_synced
+    }
+
+    /// Whether neither this router's reads nor another router give it recent content.
+    pub fn is_lacking(self) -> bool {
+        !self.is_reader && !self.is_synced
+    }
 }
 
 /// Registered routers, links to them, and the feed.
 pub struct FleetManager {
     /// Content of the store for the routers that sync from this one.
     pub feed: FeedSource,
+    host: HostName,
     hub: OnceLock<Arc<PeerHub>>,
-    /// Registered routers; absent until they were first listed.
-    routers: Mutex<Option<Vec<RouterEntry>>>,
-    /// Whether they were listed at least once.
+    directory: Mutex<RouterDirectory>,
+    planner: Mutex<SyncPlanner>,
+    state: watch::Sender<SyncState>,
+    /// Whether the routers were listed at least once.
     is_listed: watch::Sender<bool>,
     /// Whether they were listed after routers that started together with this one had time to register.
     has_full_list: AtomicBool,
-    /// Time of the last failure of each router that failed to answer.
-    failed: Mutex<HashMap<HostName, MonotonicTime>>,
-    /// Whether this router gets the store's content from another router.
-    synced_from_peer: watch::Sender<bool>,
+    /// Router that read the content of the last recent answer from the store; absent if that is not known.
+    origin: Mutex<Option<HostName>>,
+    /// When the upstreams' entries were last read here from the store.
+    upstreams_read_at: Mutex<Option<MonotonicTime>>,
 }
 
-impl Default for FleetManager {
-    fn default() -> Self {
+impl FleetManager {
+    /// The manager of a router that starts at `now`.
+    pub fn new(settings: &HostSettings, now: MonotonicTime) -> Self {
+        let own = own_entry(settings, settings.callers);
         Self {
             feed: FeedSource::default(),
             hub: OnceLock::new(),
-            routers: Mutex::default(),
+            directory: Mutex::default(),
+            planner: Mutex::new(SyncPlanner::new(own, now)),
+            state: watch::Sender::default(),
             is_listed: watch::Sender::new(false),
             has_full_list: AtomicBool::new(false),
-            failed: Mutex::default(),
-            synced_from_peer: watch::Sender::new(false),
+            origin: Mutex::default(),
+            upstreams_read_at: Mutex::default(),
+            host: settings.host.clone(),
         }
     }
-}
 
-impl FleetManager {
     /// Links to the other routers; `None` until this one joined the fleet.
     pub fn hub(&self) -> Option<&Arc<PeerHub>> {
         self.hub.get()
@@ -74,25 +84,32 @@
 
     /// Sets the links; only the first call has an effect.
     pub fn connect(&self, hub: Arc<PeerHub>) {
+        set_directory(&hub, &self.order());
         // Ignores a second call: it comes from a repeated join, which reuses the first links.
         let _ = self.hub.set(hub);
     }
 
-    /// Replaces the list of registered routers.
-    pub fn set_routers(&self, routers: Vec<RouterEntry>) {
+    /// Adds or replaces entries of registered routers.
+    pub fn add_routers(&self, entries: Vec<RouterEntry>) {
+        let mut directory = self.directory.lock();
+        let before = directory.order().len();
+        if !directory.merge(entries) {
+            return;
+        }
+        let order = Arc::clone(directory.order());
+        drop(directory);
         if let Some(hub) = self.hub() {
-            let directory: Vec<_> = routers
-                .iter()
-                .map(|entry| (entry.host.clone(), entry.address))
-                .collect();
-            hub.set_directory(&directory);
+            set_directory(hub, &order);
         }
-        let before = self.router_count();
-        if routers.len() != before {
-            spdlog::info!("number of registered routers changed", kv: { routers = routers.len(), before = before });
+        if order.len() != before {
+            spdlog::info!("number of registered routers changed", kv: { routers = order.len(), before = before });
         }
-        *self.routers.lock() = Some(routers);
+    }
+
+    /// Records that the routers were listed, or that this router goes on without a list.
+    pub fn record_list(&self, now: MonotonicTime) {
         self.is_listed.send_replace(true);
+        self.publish_state(now);
     }
 
     /// Waits until the routers were listed at least once.
@@ -113,105 +130,171 @@
         is_confirmed.then(|| self.router_count())
     }
 
+    /// Registered routers in the order of sync sources.
+    pub fn order(&self) -> Arc<SyncOrder> {
+        Arc::clone(self.directory.lock().order())
+    }
+
+    /// Entries of routers that changed after `revision`, and the present revision.
+    pub fn router_changes(&self, revision: u64) -> (Vec<RouterEntry>, u64) {
+        let directory = self.directory.lock();
+        (directory.changes_since(revision), directory.revision())
+    }
+
     /// Hosts of all registered routers.
     pub fn hosts(&self) -> Vec<HostName> {
-        let routers = self.routers.lock();
-        let entries = routers.iter().flatten();
+        let order = self.order();
+        let entries = order.routers().iter();
         entries.map(|entry| entry.host.clone()).collect()
     }
 
     /// Entries of all registered routers but `own`.
     pub fn others(&self, own: &HostName) -> Vec<RouterEntry> {
-        let routers = self.routers.lock();
-        let entries = routers.iter().flatten();
+        let order = self.order();
+        let entries = order.routers().iter();
         entries
             .filter(|entry| entry.host != *own)
             .cloned()
             .collect()
     }
 
-    /// Whether the routers were listed at least once.
-    pub fn is_listed(&self) -> bool {
-        *self.is_listed.borrow()
-    }
-
     /// Number of registered routers; 0 until they were listed.
     pub fn router_count(&self) -> usize {
-        self.routers.lock().as_ref().map_or(0, Vec::len)
+        self.directory.lock().order().len()
+    }
+
+    /// Routers to ask next for the store's content; empty while this router reads the store and need not ask any.
+    pub fn next_sources(&self, now: MonotonicTime) -> SourceList {
+        let order = self.order();
+        let sources = self.planner.lock().sources(&order, now);
+        self.publish_state(now);
+        sources
+    }
+
+    /// Records how a query to `host` ended.
+    pub fn record_sync(&self, host: &HostName, outcome: SyncOutcome, now: MonotonicTime) {
+        self.planner.lock().record(host, outcome, now);
+        self.publish_state(now);
+    }
+
+    /// Records that no router can be asked.
+    pub fn record_lack(&self, now: MonotonicTime) {
+        self.planner.lock().record_lack(now);
+        self.publish_state(now);
+    }
+
+    /// When this router, which is no reader, is to read the store once; `None` while it need not.
+    pub fn next_probe(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let order = self.order();
+        self.planner.lock().next_probe(&order, now)
+    }
+
+    /// Records an attempt to read the store that [`Self::next_probe`] called for.
+    pub fn record_probe(&self, now: MonotonicTime) {
+        self.planner.lock().record_probe(now);
+    }
+
+    /// Records that such an attempt succeeded, so that this router reads the store for a time.
+    pub fn begin_reading(&self, now: MonotonicTime) {
+        self.planner.lock().record_read(now);
+        self.publish_state(now);
     }
 
-    /// Router from which this one syncs: the first of its zone in a fixed order that did not fail
-    /// recently; `None` when that is this one. Faster links come first, since a source sends most.
-    ///
-    /// Each router syncs only from routers before it in the order, so that there are no cycles.
-    pub fn sync_source(&self, own: &HostSettings, now: MonotonicTime) -> Option<HostName> {
-        let own_rank = rank(&own.host, own.link_mbps);
-        let routers = self.routers.lock();
-        let earlier = routers.iter().flatten();
-        let earlier = earlier.filter(|entry| entry.zone == own.zone && entry.rank() < own_rank);
-        earlier
-            .filter(|entry| self.is_usable(&entry.host, now))
-            .min_by_key(|entry| entry.rank())
-            .map(|entry| entry.host.clone())
+    /// Records that the operator's records were read from the store. The upstreams' entries, which are read once in `period`, must have been
+    /// read as well for this router to count as in contact with the store.
+    pub fn record_operator_read(&self, period: Duration, now: MonotonicTime) {
+        let read_at = *self.upstreams_read_at.lock();
+        if read_at.is_some_and(|at| now.since(at) < period * MAX_MISSED_READS) {
+            self.begin_reading(now);
+        }
     }
 
-    /// Router to sync from while this one cannot read the store itself: the first of the other zones that did not fail recently, and after
-    /// those one of its own zone.
-    pub fn substitute_source(&self, own: &HostSettings, now: MonotonicTime) -> Option<HostName> {
-        let routers = self.routers.lock();
-        let others = routers.iter().flatten();
-        let others = others.filter(|entry| entry.host != own.host);
-        others
-            .filter(|entry| self.is_usable(&entry.host, now))
-            .min_by_key(|entry| (entry.zone == own.zone, entry.rank()))
-            .map(|entry| entry.host.clone())
+    /// Records that the upstreams' entries were read from the store.
+    pub fn record_upstream_read(&self, now: MonotonicTime) {
+        *self.upstreams_read_at.lock() = Some(now);
     }
 
-    /// Whether `host` did not fail to answer recently.
-    fn is_usable(&self, host: &HostName, now: MonotonicTime) -> bool {
-        let failed = self.failed.lock();
-        let failed_at = failed.get(host);
-        failed_at.is_none_or(|at| now.since(*at) > FAILURE_BACKOFF)
+    /// The router that gave this one recent content.
+    pub fn sync_source(&self) -> Option<HostName> {
+        self.planner.lock().proven().cloned()
     }
 
-    /// Records that `host` failed to answer.
-    pub fn record_failure(&self, host: &HostName, now: MonotonicTime) {
-        self.failed.lock().insert(host.clone(), now);
+    /// Records which router read the content of a recent answer from the store, if that is known.
+    pub fn record_origin(&self, origin: Option<HostName>) {
+        *self.origin.lock() = origin;
+    }
+
+    /// Router that read this one's content from the store.
+    pub fn origin(&self) -> Option<HostName> {
+        match self.is_synced_from_peer() {
+            true => self.origin.lock().clone(),
+            false => Some(self.host.clone()),
+        }
+    }
+
+    /// Where this router gets the store's content from.
+    pub fn sync_state(&self) -> SyncState {
+        *self.state.borrow()
     }
 
     /// Whether this router gets the store's content from another router instead of the store.
     pub fn is_synced_from_peer(&self) -> bool {
-        *self.synced_from_peer.borrow()
+        self.sync_state().is_synced
+    }
+
+    /// Waits until `condition` holds of where this router gets the store's content from.
+    pub async fn wait_until(&self, condition: impl FnMut(&SyncState) -> bool) {
+        // Cannot fail, because `self` keeps the sender.
+        let _ = self.state.subscribe().wait_for(condition).await;
     }
 
-    /// Sets whether this router syncs from another one; returns whether that changed.
-    pub fn set_synced_from_peer(&self, synced: bool) -> bool {
-        self.synced_from_peer
-            .send_if_modified(|current| std::mem::replace(current, synced) != synced)
+    /// Waits until this router reads the store.
+    pub async fn wait_until_reader(&self) {
+        self.wait_until(|state| state.is_reader).await;
     }
 
-    /// Waits until this router has to read the store itself.
+    /// Waits until no other router gives this one recent content.
     pub async fn wait_until_unsynced(&self) {
-        // Cannot fail, because `self` keeps the sender.
-        let _ = self
-            .synced_from_peer
-            .subscribe()
-            .wait_for(|synced| !synced)
-            .await;
+        self.wait_until(|state| !state.is_synced).await;
     }
-}
 
-impl RouterEntry {
-    fn rank(&self) -> RouterRank<'_> {
-        rank(&self.host, self.link_mbps)
+    fn publish_state(&self, now: MonotonicTime) {
+        let order = self.order();
+        let planner = self.planner.lock();
+        let state = SyncState {
+            // Before the routers are listed, there is nobody else to be asked.
+            is_reader: *self.is_listed.borrow() && planner.is_reader(&order, now),
+            is_synced: planner.proven().is_some(),
+        };
+        drop(planner);
+        let changed = self.state.send_if_modified(|current| {
+            let is_other = *current != state;
+            *current = state;
+            is_other
+        });
+        if changed {
+            spdlog::info!("source of the store's content", kv: {
+                reads = state.is_reader,
+                router = self.sync_source().map_or_else(String::new, |host| host.to_string()),
+            });
+        }
     }
 }
 
-/// Sort key of a router in the fixed order.
-type RouterRank<'a> = (Reverse<u32>, u64, &'a HostName);
+/// Entry of this router, whose port for other routers is `address`.
+pub fn own_entry(settings: &HostSettings, address: SocketAddr) -> RouterEntry {
+    RouterEntry {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        address,
+        link_mbps: settings.link_mbps,
+    }
+}
 
-/// Sort key of a router, which is the same at every router.
-fn rank(host: &HostName, link_mbps: u32) -> RouterRank<'_> {
-    let hash = xxh3_64(host.as_str().as_bytes());
-    (Reverse(link_mbps), hash, host)
+fn set_directory(hub: &PeerHub, order: &SyncOrder) {
+    let entries = order.routers().iter();
+    let directory: Vec<_> = entries
+        .map(|entry| (entry.host.clone(), entry.address))
+        .collect();
+    hub.set_directory(&directory);
 }
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -84,8 +84,10 @@
     /// Creates the state without starting any background task.
     pub fn new(settings: HostSettings) -> Self {
         let router = format!("{}/{}", settings.host, Incarnation::random().0.simple());
+        let clock = ProcessClock::start();
         Self {
-            clock: ProcessClock::start(),
+            fleet: FleetManager::new(&settings, clock.now()),
+            clock,
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             rules: ArcSwapOption::empty(),
             caller_limits: LimitsCell::default(),
@@ -99,7 +101,6 @@
             crashes: CrashManager::new(&router),
             permits: PermitManager::default(),
             paths: PathManager::default(),
-            fleet: FleetManager::default(),
             rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
--- a/crates/router/src/relay/rollouts.rs
+++ b/crates/router/src/relay/rollouts.rs
@@ -11,5 +11,5 @@
 
 pub use rollout_exchange::{expire_sessions, follow};
 pub use rollout_manager::{AnswerEvidence, AnswerSign, RolloutManager, VersionPick};
-pub use rollout_pool::{apply_pooled, own_evidence, pooled_rollouts};
+pub use rollout_pool::{apply_pooled, ongoing_counts, own_evidence, pooled_rollouts};
 pub use session_versions::SessionKey;
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -237,7 +237,7 @@
         now: MonotonicTime,
     ) {
         self.started_at = self.started_at.min(now.before(elapsed));
-        self.pool.set_reported_totals(classes, times);
+        self.pool.join_reported_totals(classes, times);
         self.pool.add_ongoing(ongoing);
         self.exchanged_at = Some(now);
         self.test_for_harm();
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -50,7 +50,7 @@
 
 /// Runs an exchange once per period while roll-outs are in progress, until the relay closes.
 ///
-/// Pauses while this router syncs from another one, which does the exchange for both.
+/// Pauses unless this router reads the store; the one that it syncs from does the exchange for both.
 pub async fn follow(core: SharedCore) {
     let mut exchange = RolloutExchange {
         status: TopicReader::new(core.store.clone(), STATUS_TOPIC),
@@ -71,8 +71,10 @@
             core.rollouts.wake.notified().await;
             continue;
         }
-        if core.fleet.is_synced_from_peer() {
-            let _ = timeout(EXCHANGE_PERIOD, core.fleet.wait_until_unsynced()).await;
+        if !core.fleet.sync_state().is_own_reader() {
+            let reading = core.fleet.wait_until(|state| state.is_own_reader());
+            // The end of the time leads to another look at the unfinished roll-outs.
+            let _ = timeout(EXCHANGE_PERIOD, reading).await;
             continue;
         }
         match exchange.run(&services).await {
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -5,10 +5,10 @@
 mod topic_reader;
 mod upstream_watch;
 
-pub use operator_watch::apply_synced as apply_synced_operator;
+pub use operator_watch::{apply_synced as apply_synced_operator, read_operator};
 pub use outage_log::OutageLog;
 pub use topic_reader::TopicReader;
-pub use upstream_watch::apply_synced as apply_synced_upstreams;
+pub use upstream_watch::{SyncedUpstreams, apply_synced as apply_synced_upstreams};
 
 use super::relay_core::SharedCore;
 use super::{crashes, fleet, paths, permits, rollouts};
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -5,56 +5,83 @@
 
 use ferry_kernel::http::ServerLimits;
 use ferry_platform::entries::{CONFIG_KEY, decode_order, decode_rules, service_of_order_key};
-use ferry_platform::store::{KeyedRecord, OPERATOR_TOPIC};
+use ferry_platform::store::{KeyedRecord, OPERATOR_TOPIC, StoreError};
 use tokio::time::sleep;
 
 use super::OutageLog;
 use super::topic_reader::{TopicChanges, TopicReader};
+use super::upstream_watch;
 use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::relay_core::SharedCore;
 
 /// Time for which a read waits for new records; the rules are confirmed at least this often.
 const READ_WAIT: Duration = Duration::from_millis(550);
-/// Delay after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Delay after a failed read, and its maximum after several.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
+/// Delay after a list of all keys, which follows each change while the store keeps no history.
+const LIST_DELAY: Duration = Duration::from_millis(100);
 
-/// Follows the operator's topic until the relay closes.
+/// Follows the operator's topic while this router reads the store, until the relay closes.
 pub async fn follow(core: SharedCore) {
     let reader = TopicReader::new(core.store.clone(), OPERATOR_TOPIC);
     let mut outages = OutageLog::new(
         "the operator's topic cannot be read",
         "the operator's topic is read again",
     );
+    let mut delay = MIN_RETRY_DELAY;
     loop {
-        core.fleet.wait_until_unsynced().await;
-        let requested_at = ConfirmationTime::now();
+        core.fleet.wait_until_reader().await;
         // While the store fails, reads do not wait, so that its recovery is noticed soon.
         let wait = if outages.is_failing() {
             Duration::ZERO
         } else {
             READ_WAIT
         };
-        let known_keys = core.fleet.feed.operator_keys();
-        match reader.next(&core.operator_topic, known_keys, wait).await {
-            Ok(changes) => {
-                let confirmed = confirmed_at(requested_at, wait, &changes);
-                if !core.operator_topic.is_beyond(Some(changes.position)) {
-                    apply(&core, changes.records);
-                    core.operator_topic.advance(changes.position);
-                }
-                if let Some(moment) = confirmed {
-                    core.operator_topic.confirm(moment);
-                }
+        match read_operator(&core, &reader, wait).await {
+            Ok(()) => {
                 outages.record_success();
+                delay = MIN_RETRY_DELAY;
+                let period = upstream_watch::read_period(&core);
+                core.fleet.record_operator_read(period, core.clock.now());
             }
             Err(error) => {
                 outages.record_failure(&error);
-                sleep(RETRY_DELAY).await;
+                sleep(delay).await;
+                delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
         }
     }
 }
 
+/// Reads the operator's topic once, for which it waits up to `wait` for a record, and applies what it holds.
+///
+/// # Errors
+///
+/// Fails when the store does not answer.
+pub async fn read_operator(
+    core: &SharedCore,
+    reader: &TopicReader,
+    wait: Duration,
+) -> Result<(), StoreError> {
+    let requested_at = ConfirmationTime::now();
+    let known_keys = core.fleet.feed.operator_keys();
+    let changes = reader.next(&core.operator_topic, known_keys, wait).await?;
+    let confirmed = confirmed_at(requested_at, wait, &changes);
+    let is_repeated = changes.whole;
+    if !core.operator_topic.is_beyond(Some(changes.position)) {
+        apply(core, changes.records);
+        core.operator_topic.advance(changes.position);
+    }
+    if let Some(moment) = confirmed {
+        core.operator_topic.confirm(moment);
+    }
+    if is_repeated {
+        sleep(LIST_DELAY).await;
+    }
+    Ok(())
+}
+
 /// Latest moment at which the store certainly held nothing newer than the records that were read; `None` if the read ended before
 /// the end of the topic.
 ///
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -1,14 +1,14 @@
 //! Follows the topic of the upstreams' entries.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::{RegistryChange, UpstreamRecord, UpstreamRegistry};
+use ferry_decisions::time::MonotonicTime;
 use ferry_kernel::ticks;
 use ferry_platform::entries::decode_upstream;
-use ferry_platform::store::{KeyedRecord, TopicPartition, UPSTREAM_TOPIC};
-use tokio::time::sleep;
+use ferry_platform::store::{KeyedRecord, UPSTREAM_TOPIC};
 
 use super::OutageLog;
 use super::topic_reader::{TopicChanges, TopicReader};
@@ -17,32 +17,33 @@
 
 /// Number of reads within the time in which a draining upstream must be noticed.
 const READS_PER_DRAIN: u32 = 3;
-/// Partition of the upstreams' entries.
-const UPSTREAMS: TopicPartition<'static> = TopicPartition::only(UPSTREAM_TOPIC);
-/// Time for which a starting router waits to sync from another one when there are many upstreams.
-const START_SYNC_TIMEOUT: Duration = Duration::from_secs(6);
-/// Period of the checks whether a starting router has begun to sync from another one.
-const START_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Number of read periods without a confirmation after which the store counts as having been
 /// unavailable.
 const OUTAGE_READS: u32 = 3;
 
-/// Follows the upstreams' topic until the relay closes.
+/// Time between two reads of the upstreams' entries.
+pub fn read_period(core: &SharedCore) -> Duration {
+    core.settings.load().bounds.drain / READS_PER_DRAIN
+}
+
+/// Follows the upstreams' topic while this router reads the store, until the relay closes.
 pub async fn follow(core: SharedCore) {
     let reader = TopicReader::new(core.store.clone(), UPSTREAM_TOPIC);
-    let period = core.settings.load().bounds.drain / READS_PER_DRAIN;
+    let period = read_period(&core);
     let mut ticks = ticks::every(period);
     let mut outages = OutageLog::new(
         "the upstreams' topic cannot be read",
         "the upstreams' topic is read again",
     );
-    wait_for_sync(&core).await;
     let mut is_behind = false;
     loop {
+        if !is_behind && !core.fleet.sync_state().is_reader {
+            core.fleet.wait_until_reader().await;
+            ticks.reset_immediately();
+        }
         if !is_behind {
             ticks.tick().await;
         }
-        core.fleet.wait_until_unsynced().await;
         let requested_at = ConfirmationTime::now();
         let known_keys = core.registry.lock().len();
         let next = reader.next(&core.upstream_topic, known_keys, Duration::ZERO);
@@ -55,12 +56,10 @@
             }
         };
         outages.record_success();
-        let now = core.clock.now();
-        // Before the first list there is no entry that an outage could have removed.
-        let had_outage = !is_behind
-            && core.upstreams.is_listed()
-            && core.upstream_topic.age() > period * OUTAGE_READS;
+        core.fleet.record_upstream_read(core.clock.now());
+        let had_outage = !is_behind && had_outage(&core);
         is_behind = !changes.reaches_end;
+        let now = core.clock.now();
         let mut registry = core.registry.lock();
         if had_outage {
             registry.record_store_recovery(now);
@@ -70,70 +69,69 @@
         if changed || expired || !core.upstreams.is_listed() {
             publish(&core, &registry);
         }
+        drop(registry);
         if !is_behind {
             core.upstream_topic.confirm(requested_at);
         }
     }
 }
 
-/// Waits a limited time to sync from another router if the entries fill more than one page of the
-/// store: a fleet whose routers all start together would request more than the store can send.
-async fn wait_for_sync(core: &SharedCore) {
-    let first = core.store.newest(UPSTREAMS, None).await;
-    if !first.is_ok_and(|page| page.has_more) {
-        return;
-    }
-    let started_at = core.clock.now();
-    while core.clock.now().since(started_at) < START_SYNC_TIMEOUT && may_sync(core) {
-        if core.fleet.is_synced_from_peer() {
-            break;
-        }
-        sleep(START_CHECK_PERIOD).await;
-    }
-    spdlog::info!("many upstreams; waited at the start to sync from another router", kv: {
-        fed = core.fleet.is_synced_from_peer(),
-        waited_ms = core.clock.now().since(started_at).as_millis() as u64,
-    });
+/// Whether the entries were not confirmed for so long that the store counts as having been unavailable.
+fn had_outage(core: &SharedCore) -> bool {
+    // Before the first list there is no entry that an outage could have removed.
+    core.upstreams.is_listed() && core.upstream_topic.age() > read_period(core) * OUTAGE_READS
 }
 
-/// Whether there is another router to sync from, or this one has not listed the routers yet.
-fn may_sync(core: &SharedCore) -> bool {
-    let settings = core.settings.load();
-    let sync_source = core.fleet.sync_source(&settings, core.clock.now());
-    !core.fleet.is_listed() || sync_source.is_some()
+/// Upstreams received from another router.
+#[derive(Debug)]
+pub struct SyncedUpstreams {
+    /// How far that router knows the topic; absent if it knows nothing of it.
+    pub position: Option<u64>,
+    /// Whether `changes` holds all upstreams.
+    pub is_whole: bool,
+    /// Newest entry of each upstream that changed; absent for one that is gone.
+    pub changes: BTreeMap<HostName, Option<UpstreamRecord>>,
+    /// Time since the last outage of the store as that router saw it; absent if it saw none.
+    pub outage_age: Option<Duration>,
 }
 
-/// Applies upstreams received from another router, which knows the topic up to `position`: changes, or all upstreams if `whole` is
-/// set. Older ones than those known here are ignored, unless entries are missing here since an outage.
-pub fn apply_synced(
-    core: &SharedCore,
-    position: Option<u64>,
-    whole: bool,
-    records: Vec<UpstreamRecord>,
-    gone: &[HostName],
-) {
-    let mut registry = core.registry.lock();
-    if core.upstream_topic.is_beyond(position) && !registry.holds_missing() {
+/// Applies upstreams received from another router. Older ones than those known here are ignored.
+pub fn apply_synced(core: &SharedCore, synced: SyncedUpstreams) {
+    let Some(position) = synced.position else {
         return;
+    };
+    let had_outage = had_outage(core);
+    let now = core.clock.now();
+    let mut registry = core.registry.lock();
+    if let Some(age) = synced.outage_age.filter(|_| had_outage) {
+        registry.record_store_recovery(now.before(age));
     }
-    if let Some(position) = position {
+    let mut changed = registry.expire(now);
+    if !core.upstream_topic.is_beyond(Some(position)) {
         core.upstream_topic.advance(position);
+        changed |= synced.is_whole || !synced.changes.is_empty();
+        apply_changes(&mut registry, synced, now);
     }
-    if !whole && records.is_empty() && gone.is_empty() {
-        return;
+    if changed {
+        publish(core, &registry);
     }
-    if whole {
-        let listed: HashSet<HostName> = records.iter().map(|r| r.incarnation.id.clone()).collect();
-        registry.forget_unlisted(|id| listed.contains(id));
+}
+
+fn apply_changes(registry: &mut UpstreamRegistry, synced: SyncedUpstreams, now: MonotonicTime) {
+    let SyncedUpstreams {
+        is_whole, changes, ..
+    } = synced;
+    if is_whole {
+        let is_listed = |id: &HostName| changes.get(id).is_some_and(Option::is_some);
+        registry.retain_listed(is_listed, now);
     }
-    for record in records {
-        let (id, change) = (record.incarnation.id.clone(), registry.observe(record));
+    for (id, record) in changes {
+        let change = match record {
+            Some(record) => registry.observe(record),
+            None => registry.observe_removed(id.as_str(), now),
+        };
         log_change(&id, change);
     }
-    for id in gone {
-        log_change(id, registry.forget(id.as_str()));
-    }
-    publish(core, &registry);
 }
 
 /// Updates the directory that requests use, and the feed for the routers that sync from this one.
@@ -150,7 +148,7 @@
             });
         }
     }
-    core.fleet.feed.put_upstreams(registry.upstreams());
+    core.fleet.feed.put_upstreams(registry.listed_upstreams());
     core.permits
         .retain_listed(|upstream| registry.is_known(upstream));
 }
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -124,6 +124,11 @@
         runtime.spawn(start).await.unwrap().unwrap()
     }
 
+    /// Starts a relay on `host` in `zone` without waiting until it is ready.
+    pub async fn start_in(&self, host: &str, zone: &str) -> RelayDaemon {
+        self.start_relay(host, zone).await
+    }
+
     async fn start_relay(&self, host: &str, zone: &str) -> RelayDaemon {
         let start = RelayDaemon::start(self.settings(host, zone), OPTIONS);
         start.await.unwrap()
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod events;
 mod failures;
 mod feeds;
+mod fleet_storm;
 mod histories;
 mod late_answers;
 mod limits;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -57,6 +57,11 @@
         self.state.compact(topic);
     }
 
+    /// Sets whether keyed topics keep no record but the newest one of each key from now on.
+    pub fn forget_history(&self, forgets: bool) {
+        self.state.forget_history(forgets);
+    }
+
     /// Sets the limits of the link and of the calls per second.
     pub fn limit(&self, limits: StoreLimits) {
         self.state.limit(limits);
--- a/crates/standin/src/store/store_limits.rs
+++ b/crates/standin/src/store/store_limits.rs
@@ -6,7 +6,7 @@
 use ferry_kernel::http::{HttpBody, full, streamed};
 use futures::stream;
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Size of the pieces in which a response is sent over a link of limited speed, in bytes.
 const PIECE_BYTES: usize = 16 * 1024;
@@ -20,6 +20,8 @@
     pub link_bytes_per_s: Option<u64>,
     /// Calls per second of all clients together; further ones are rejected with 429.
     pub calls_per_s: Option<u32>,
+    /// Speed at which all responses together are sent, in bytes per second.
+    pub total_bytes_per_s: Option<u64>,
 }
 
 /// Limits in force, and the calls of the present second.
@@ -27,6 +29,8 @@
 pub(super) struct LimitGate {
     limits: Mutex<StoreLimits>,
     window: Mutex<CallWindow>,
+    /// Time at which the responses begun so far are sent, if all share one speed.
+    sent_until: Mutex<Option<Instant>>,
 }
 
 #[derive(Debug, Default)]
@@ -56,6 +60,20 @@
         limit.is_none_or(|limit| window.calls <= limit)
     }
 
+    /// Waits until a response of `size` bytes is sent behind those that were begun before it, if all share one speed.
+    pub(super) async fn wait_turn(&self, size: usize) {
+        let Some(speed) = self.limits.lock().total_bytes_per_s else {
+            return;
+        };
+        let time = Duration::from_secs_f64(size as f64 / speed as f64);
+        let end = {
+            let mut sent_until = self.sent_until.lock();
+            let start = sent_until.unwrap_or_else(Instant::now).max(Instant::now());
+            *sent_until.insert(start + time)
+        };
+        sleep_until(end).await;
+    }
+
     /// Body that is sent at the speed of the link.
     pub(super) fn paced(&self, content: Bytes) -> HttpBody {
         let Some(speed) = self.limits.lock().link_bytes_per_s else {
--- a/crates/standin/src/store/store_state.rs
+++ b/crates/standin/src/store/store_state.rs
@@ -1,7 +1,7 @@
 //! HTTP API of the store, and its topics.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bytes::Bytes;
 use ferry_kernel::http::{HttpBody, collect_limited, full};
@@ -32,6 +32,8 @@
     appends: watch::Sender<u64>,
     calls: AtomicU64,
     limits: LimitGate,
+    /// Whether keyed topics keep no record but the newest one of each key.
+    forgets_history: AtomicBool,
 }
 
 impl Default for StoreState {
@@ -41,6 +43,7 @@
             appends: watch::Sender::new(0),
             calls: AtomicU64::new(0),
             limits: LimitGate::default(),
+            forgets_history: AtomicBool::new(false),
         }
     }
 }
@@ -64,6 +67,10 @@
         self.with_log(topic, 0, TopicLog::compact);
     }
 
+    pub(super) fn forget_history(&self, forgets: bool) {
+        self.forgets_history.store(forgets, Ordering::Relaxed);
+    }
+
     pub(super) fn limit(&self, limits: StoreLimits) {
         self.limits.set(limits);
     }
@@ -96,7 +103,10 @@
                 .into()),
         };
         match result {
-            Ok(body) => Response::new(self.limits.paced(body)),
+            Ok(body) => {
+                self.limits.wait_turn(body.len()).await;
+                Response::new(self.limits.paced(body))
+            }
             Err(error) => {
                 let (status, body) = encode_refusal(&error);
                 let mut response = Response::new(full(body));
@@ -126,8 +136,14 @@
         condition: AppendCondition<'_>,
     ) -> Result<ferry_platform::store::Appended, StoreError> {
         let is_keyed = topic.starts_with(KEYED_PREFIX);
-        let appended =
-            self.with_log(topic, part, |log| log.append(records, condition, is_keyed))?;
+        let forgets = is_keyed && self.forgets_history.load(Ordering::Relaxed);
+        let appended = self.with_log(topic, part, |log| {
+            let appended = log.append(records, condition, is_keyed)?;
+            if forgets {
+                log.compact();
+            }
+            Ok::<_, StoreError>(appended)
+        })?;
         self.appends.send_modify(|count| *count += 1);
         Ok(appended)
     }
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -45,6 +45,7 @@
 const STORE_LIMITS: StoreLimits = StoreLimits {
     link_bytes_per_s: Some(1_250_000),
     calls_per_s: Some(2_000),
+    total_bytes_per_s: None,
 };
 /// Number of rules of each configuration that no caller uses; their names make up most of its 100 KB.
 const FILLER_RULES: usize = 300;
