Measure the lag of the event loop, the age of callers' bytes, waits at the links, and what fills the feed

Change: ferry_loop_lag_seconds and a line from 0.2 s on; the age of the bytes of a request when they are read, from TCP_INFO; ferry_peer_frame_seconds and ferry_peer_queued_bytes; ferry_feed_answer_bytes and a line for each answer of 64 KB or more; read_after_ms and sent_after_ms in the line of a request. No logic changes.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -1,5 +1,6 @@
 //! Small HTTP helpers over `hyper`, shared by the daemons and the tools.
 
+mod arrival;
 mod body;
 mod body_budget;
 mod caller_stream;
@@ -14,6 +15,7 @@
 /// connection that the server is closing.
 pub const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
+pub use arrival::ArrivalTime;
 pub use body::{
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
--- a/crates/kernel/src/http/caller_stream.rs
+++ b/crates/kernel/src/http/caller_stream.rs
@@ -1,4 +1,4 @@
-//! A server's side of a connection, which can end with a reset.
+//! A server's side of a connection, which can end with a reset and tells when its bytes arrived.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -11,6 +11,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::arrival::ArrivalClock;
+
 /// Whether the connection ends with a reset when it is dropped.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ResetFlag(Arc<AtomicBool>);
@@ -20,6 +22,7 @@
 pub(super) struct CallerStream {
     stream: TcpStream,
     resets: ResetFlag,
+    arrival: ArrivalClock,
 }
 
 impl ResetFlag {
@@ -30,8 +33,12 @@
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, resets: ResetFlag) -> Self {
-        Self { stream, resets }
+    pub(super) fn new(stream: TcpStream, resets: ResetFlag, arrival: ArrivalClock) -> Self {
+        Self {
+            stream,
+            resets,
+            arrival,
+        }
     }
 }
 
@@ -41,7 +48,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let filled = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > filled {
+            self.arrival.record(&self.stream);
+        }
+        result
     }
 }
 
--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::arrival::ArrivalClock;
 use super::caller_stream::{CallerStream, ResetFlag};
 use super::{HttpBody, KEEP_ALIVE};
 
@@ -188,13 +189,16 @@
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let arrival = ArrivalClock::default();
+    let requests = arrival.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(requests.of_request());
         let answer = handler(request, peer);
         async move { response_or_drop(answer.await) }
     });
     let limits = handle.limits.get();
     let resets = ResetFlag::default();
-    let caller = CallerStream::new(stream, resets.clone());
+    let caller = CallerStream::new(stream, resets.clone(), arrival);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod http;
 pub mod lifecycle;
 pub mod logs;
+pub mod loop_lag;
 pub mod metrics;
 pub mod settings;
 pub mod shards;
--- a/crates/router/src/peer/peer_frame.rs
+++ b/crates/router/src/peer/peer_frame.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use super::{PeerError, PeerTopic, decode, encode};
 
@@ -58,6 +59,8 @@
     pub topic: PeerTopic,
     /// Encoded frame, at most [`FRAME_LIMIT`] bytes.
     pub bytes: Bytes,
+    /// When it was encoded.
+    pub encoded_at: Instant,
 }
 
 impl PeerFrame {
@@ -82,6 +85,7 @@
         Ok(EncodedFrame {
             topic: self.topic(),
             bytes,
+            encoded_at: Instant::now(),
         })
     }
 
--- a/crates/router/src/peer/peer_link.rs
+++ b/crates/router/src/peer/peer_link.rs
@@ -97,6 +97,7 @@
         let queued = self.queued_bytes.fetch_add(size, Ordering::AcqRel);
         let has_room = queued + size <= MAX_QUEUED_BYTES;
         if has_room && self.queue.try_send(frame).is_ok() {
+            peer_metrics::change_queued(size as f64);
             return Ok(());
         }
         self.queued_bytes.fetch_sub(size, Ordering::AcqRel);
@@ -178,16 +179,24 @@
     ) -> Result<(), PeerError> {
         let mut pings = ticks::every(PING_PERIOD);
         loop {
-            let message = tokio::select! {
+            let frame = tokio::select! {
                 biased;
-                Some(frame) = queue.recv() => self.dequeue_frame(frame),
+                Some(frame) = queue.recv() => Some(frame),
                 () = self.closing.cancelled() => break,
-                _ = pings.tick() => Message::Ping(Bytes::new()),
+                _ = pings.tick() => None,
+            };
+            let queued = frame.as_ref().map(|frame| (frame.topic, frame.encoded_at));
+            let message = match frame {
+                Some(frame) => self.dequeue_frame(frame),
+                None => Message::Ping(Bytes::new()),
             };
             timeout(WRITE_TIMEOUT, sink.send(message))
                 .await
                 .map_err(|_| PeerError::Silent)?
                 .map_err(|error| PeerError::Transport(error.to_string()))?;
+            if let Some((topic, encoded_at)) = queued {
+                peer_metrics::record_frame_time(topic, encoded_at.elapsed());
+            }
         }
         let _ = timeout(WRITE_TIMEOUT, sink.close()).await;
         Ok(())
@@ -196,6 +205,7 @@
     fn dequeue_frame(&self, frame: EncodedFrame) -> Message {
         let size = frame.bytes.len();
         self.queued_bytes.fetch_sub(size, Ordering::AcqRel);
+        peer_metrics::change_queued(-(size as f64));
         self.sent_bytes.fetch_add(size as u64, Ordering::Relaxed);
         peer_metrics::count_sent(frame.topic, size);
         Message::Binary(frame.bytes)
@@ -297,6 +307,13 @@
     }
 }
 
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        let left = self.queued_bytes.load(Ordering::Acquire);
+        peer_metrics::change_queued(-(left as f64));
+    }
+}
+
 /// Removes a pending query when the future that waits for its reply ends or is dropped.
 struct PendingEntry<'a> {
     link: &'a PeerLink,
--- a/crates/router/src/peer/peer_metrics.rs
+++ b/crates/router/src/peer/peer_metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of the links between routers.
 
-use metrics::counter;
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
 
 use super::{PeerError, PeerTopic};
 
@@ -10,6 +12,16 @@
     counter!("ferry_peer_sent_bytes_total", "topic" => topic.as_str()).increment(size as u64);
 }
 
+/// Records the time between the encoding of a frame and the end of its write.
+pub fn record_frame_time(topic: PeerTopic, took: Duration) {
+    histogram!("ferry_peer_frame_seconds", "topic" => topic.as_str()).record(took.as_secs_f64());
+}
+
+/// Adds `bytes`, or removes them if negative, from the bytes that wait in the send queues of all links.
+pub fn change_queued(bytes: f64) {
+    gauge!("ferry_peer_queued_bytes").increment(bytes);
+}
+
 /// Counts a frame that was read from a link, and its bytes.
 pub fn count_received(topic: PeerTopic, size: usize) {
     counter!("ferry_peer_received_frames_total", "topic" => topic.as_str()).increment(1);
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::names::HostName;
 use ferry_decisions::quarantine::RowOrigin;
 use tokio::time::timeout;
 
-use super::feed_message::{EvidenceRecord, FeedAnswer, FeedPositions, FeedQuery, StoreOutage};
+use super::feed_message::{
+    EvidenceRecord, FeedAnswer, FeedChange, FeedChanges, FeedPositions, FeedQuery, StoreOutage,
+};
 use super::operator_records::KnownOffsets;
 use super::peer_body;
 use crate::peer::{PeerMessage, PeerTopic};
@@ -16,6 +19,8 @@
 use crate::relay::relay_core::SharedCore;
 use crate::relay::rollouts;
 
+/// Size from which on an answer is logged, in bytes.
+const LOGGED_BYTES: usize = 64 * 1024;
 /// Longest time for which an answer waits for a change.
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
 
@@ -41,7 +46,51 @@
         .add_routers(query.entry.take().into_iter().collect());
     wait_for_change(core, &query, &known).await;
     let answer = build_answer(core, &query, &known);
-    peer_body::write(&answer, "an answer to a router")
+    let content = AnswerContent::of(&answer);
+    let body = peer_body::write(&answer, "an answer to a router")?;
+    metrics::histogram!("ferry_feed_answer_bytes").record(body.len() as f64);
+    if body.len() >= LOGGED_BYTES {
+        content.log(&message.from, body.len());
+    }
+    Some(body)
+}
+
+/// Numbers of changes in an answer, for the log.
+struct AnswerContent {
+    is_whole: bool,
+    upstreams: usize,
+    crashes: usize,
+    records: usize,
+}
+
+impl AnswerContent {
+    fn of(answer: &FeedAnswer) -> Self {
+        let changes: &[FeedChange] = match &answer.changes {
+            FeedChanges::Since(changes) => changes,
+            FeedChanges::Whole(_) => &[],
+        };
+        let crashes = changes
+            .iter()
+            .filter(|change| matches!(change, FeedChange::Crashes(_)))
+            .count();
+        Self {
+            is_whole: matches!(answer.changes, FeedChanges::Whole(_)),
+            upstreams: changes.len() - crashes,
+            crashes,
+            records: answer.operator.len(),
+        }
+    }
+
+    fn log(&self, router: &HostName, bytes: usize) {
+        spdlog::info!("large answer to a router", kv: {
+            router = router.as_str(),
+            bytes = bytes,
+            whole = self.is_whole,
+            upstreams = self.upstreams,
+            crashes = self.crashes,
+            records = self.records,
+        });
+    }
 }
 
 /// Waits a moment for a change that the requesting router lacks.
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ferry_kernel::http::{HttpBody, ServerHandle, empty, full, json_response};
-use ferry_kernel::metrics;
+use ferry_kernel::{loop_lag, metrics};
 use ferry_platform::headers::READINESS_PATH;
 use ferry_platform::host_settings::{HostSettings, HostSettingsError};
 use hyper::body::Incoming;
@@ -54,6 +54,7 @@
     pub async fn start(settings: HostSettings, options: RelayOptions) -> Result<Self, PortError> {
         let core = Arc::new(RelayCore::new(settings));
         let settings = core.settings.load_full();
+        core.spawn(loop_lag::measure());
         watch::start(&core);
         let readiness = serve_readiness(&core, settings.readiness).await?;
         if let Some(port) = options.metrics_port {
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -6,7 +6,7 @@
 use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::quarantine::RequestFingerprint;
 use ferry_decisions::ruleset::{KeyHolder, KeyVerdict, RouteRule, RuleSet};
-use ferry_kernel::http::{BodyError, collect_limited};
+use ferry_kernel::http::{ArrivalTime, BodyError, collect_limited};
 use ferry_platform::headers::RequestFacts;
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -40,6 +40,8 @@
     pub holder: Option<KeyHolder>,
     /// Revision of the rules that were last applied to the request.
     pub revision: u64,
+    /// When the request arrived at this host, as far as the system tells.
+    pub arrived_at: Instant,
     /// When the request's head was read.
     pub received_at: Instant,
     /// When the caller stops waiting; the rule's timeout if the caller named no deadline.
@@ -74,6 +76,8 @@
             .deadline
             .map_or(rule_deadline, |wait| received_at + wait);
         let answer_deadline = deadline.min(rule_deadline);
+        let arrival = head.extensions.get::<ArrivalTime>();
+        let arrived_at = arrival.map_or(received_at, |arrival| arrival.0);
         let body = read_body(body, rules.limits.body_bytes, answer_deadline).await?;
         Ok(Self {
             id,
@@ -85,6 +89,7 @@
             rule,
             holder,
             revision: rules.revision,
+            arrived_at,
             received_at,
             deadline,
             answer_deadline,
--- a/crates/router/src/relay/run/request_record.rs
+++ b/crates/router/src/relay/run/request_record.rs
@@ -17,6 +17,10 @@
     session: String,
     revision: u64,
     received_at: Instant,
+    /// Time between the arrival of the request and its reading.
+    read_after: Duration,
+    /// Time between the reading of the request and its first send.
+    sent_after: Option<Duration>,
     /// Number of times that the request was sent to an upstream.
     pub sends: u32,
     /// Upstream that the request was last sent to.
@@ -53,6 +57,8 @@
             session: request.facts.session.clone().unwrap_or_default(),
             revision: request.revision,
             received_at: request.received_at,
+            read_after: request.received_at - request.arrived_at,
+            sent_after: None,
             sends: 0,
             upstream: String::new(),
             model: String::new(),
@@ -67,6 +73,17 @@
         }
     }
 
+    /// Records that the request is sent to `upstream`.
+    pub fn record_send(&mut self, upstream: &str) {
+        self.sends += 1;
+        self.upstream = upstream.to_owned();
+        if self.sent_after.is_none() {
+            let elapsed = self.received_at.elapsed();
+            self.sent_after = Some(elapsed);
+            metrics::histogram!("ferry_relay_send_delay_seconds").record(elapsed.as_secs_f64());
+        }
+    }
+
     /// Records that a piece of a stream is forwarded.
     pub fn record_piece(&mut self) {
         let now = Instant::now();
@@ -103,6 +120,8 @@
             status = self.status,
             outcome = self.outcome,
             run:? = self.run,
+            read_after_ms = self.read_after.as_millis() as u64,
+            sent_after_ms = self.sent_after.unwrap_or_default().as_millis() as u64,
             first_ms = self.first_ms.unwrap_or_default(),
             pieces = self.pieces,
             longest_gap_ms = self.longest_gap.as_millis() as u64,
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -38,8 +38,7 @@
     ) -> Result<UpstreamAnswer, SendFailure> {
         let model = self.model();
         let outgoing = self.outgoing(upstream, model.as_deref(), last_event);
-        self.record.sends += 1;
-        self.record.upstream = upstream.id().to_owned();
+        self.record.record_send(upstream.id());
         self.record.model = model.unwrap_or_default();
         self.log_send(upstream);
         let record = &upstream.record;
