Tell routers of crashes that matter to them, once

Cause: each request in flight at a crashed upstream is counted as one that may have crashed it. All these rows went from the router that reads the store to all others with the feed; rows that were not in the store yet went with each query, up to 256 each 20 ms, the same ones again until the feed confirmed them; and a router that had no source for a moment sent and got 46 to 92 KB in each exchange. Excluded: entries and rules, which are a few hundred KB in that time. Change: the feed has only the rows of subjects that one more crash may quarantine, which is all that a router needs that counts no crash of them itself. Rows are reported to the sync source once for each version and incarnation of it (ReportedRows). Rows that matter come first where not all fit. Exchanges with routers chosen at random hold 32 rows that are not stored. A router that has a source again after a moment leaves the storing to it. Routers of older builds get their stored rows back in the answer that they need.

--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -13,13 +13,16 @@
 //! sound for good, in the whole fleet, and its crashes are not counted.
 
 use std::cell::OnceCell;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::answer_counts::AnswerCounts;
 use super::part_suspect::guilty_parts;
+use super::row_version::RowVersion;
 use super::sound_parts::SoundParts;
 use super::tally_entry::TallyEntry;
-use super::{CrashRow, CrashRowKey, CrashSubject, RequestFingerprint};
+use super::{CrashRow, CrashRowKey, CrashSubject, ReportedRows, RequestFingerprint};
+use crate::names::HostName;
 use crate::registry::UpstreamIncarnation;
 use crate::time::UnixMillis;
 
@@ -216,17 +219,70 @@
         }
     }
 
-    /// Rows, at most `limit`, that are not in the store as they are here.
+    /// Rows, at most `limit`, that are not in the store as they are here: those of subjects that one more crash may quarantine first, then
+    /// those of the latest crashes.
     pub fn unstored(&self, limit: usize) -> Vec<CrashRow> {
-        let rows = self.entries.values().flat_map(TallyEntry::unstored);
+        self.unstored_beside(|_| None, limit)
+    }
+
+    /// Rows in the same order that are not in the store as they are here, and that `router` has not received yet.
+    pub fn unreported(
+        &self,
+        router: &HostName,
+        reported: &ReportedRows,
+        limit: usize,
+    ) -> Vec<CrashRow> {
+        self.unstored_beside(|key| reported.version(router, key), limit)
+    }
+
+    fn unstored_beside(
+        &self,
+        known: impl Fn(&CrashRowKey) -> Option<RowVersion> + Copy,
+        limit: usize,
+    ) -> Vec<CrashRow> {
+        let mut entries: Vec<&TallyEntry> = self.entries.values().collect();
+        entries.sort_by_key(|entry| Reverse((entry.is_near_quarantine(), entry.last_crash())));
+        let rows = entries
+            .into_iter()
+            .flat_map(|entry| entry.unstored_beside(known));
         rows.take(limit).cloned().collect()
     }
 
+    /// Whether there are rows that are not in the store as they are here.
+    pub fn has_unstored(&self) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.unstored().next().is_some())
+    }
+
+    /// Those of `rows` that are in the store as they are here, as they are here.
+    pub fn stored_of(&self, rows: &[CrashRow]) -> Vec<CrashRow> {
+        let held = rows.iter().filter_map(|row| {
+            let entry = self.entries.get(&row.key.subject)?;
+            entry.stored_row(&row.key)
+        });
+        held.cloned().collect()
+    }
+
+    /// Rows in the store of those of `subjects` that one more crash may quarantine. Only these matter to routers that count no crash of the
+    /// subject themselves: most requests that meet a crash did not cause it.
+    pub fn near_rows_of(&self, subjects: &BTreeSet<CrashSubject>) -> Vec<CrashRow> {
+        let entries = subjects
+            .iter()
+            .filter_map(|subject| self.entries.get(subject));
+        entries.flat_map(TallyEntry::near_rows).cloned().collect()
+    }
+
     /// Whether a subject is about to be quarantined and has rows that are not in the store.
     pub fn has_urgent(&self) -> bool {
         self.entries.values().any(TallyEntry::is_urgent)
     }
 
+    /// Rows, at most `limit`, in the store of subjects that one more crash may quarantine.
+    pub fn near_rows(&self, limit: usize) -> Vec<CrashRow> {
+        let rows = self.entries.values().flat_map(TallyEntry::near_rows);
+        rows.take(limit).cloned().collect()
+    }
+
     /// All rows, at most `limit`.
     pub fn rows(&self, limit: usize) -> Vec<CrashRow> {
         let rows = self.entries.values().flat_map(TallyEntry::rows);
--- a/crates/decisions/src/quarantine/tally_entry.rs
+++ b/crates/decisions/src/quarantine/tally_entry.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use super::part_suspect::{GUILTY_UPSTREAMS, PartSuspect};
+use super::row_version::RowVersion;
 use super::{CrashRow, CrashRowKey, CrashSubject, RequestFingerprint, RowOrigin};
 use crate::registry::UpstreamIncarnation;
 use crate::time::UnixMillis;
@@ -37,17 +38,7 @@
 struct HeldRow {
     row: CrashRow,
     /// Version of the row in the store.
-    stored: Option<StoredVersion>,
-}
-
-/// Size of a version of a row; rows only grow.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct StoredVersion {
-    crashed: usize,
-    survived: usize,
-    requests: usize,
-    answers: u32,
-    is_sound: bool,
+    stored: Option<RowVersion>,
 }
 
 impl TallyEntry {
@@ -108,7 +99,7 @@
 
     /// Merges a row of another router; returns whether it was news.
     pub(super) fn merge(&mut self, row: CrashRow, origin: RowOrigin, now: UnixMillis) -> bool {
-        let version = StoredVersion::of(&row);
+        let version = RowVersion::of(&row);
         let last_crash_at = row.last_crash_at.min(now);
         let held = self.rows.iter_mut().find(|held| held.row.key == row.key);
         let (held, is_news) = match held {
@@ -135,7 +126,7 @@
     pub(super) fn mark_stored(&mut self, row: &CrashRow) {
         let held = self.rows.iter_mut().find(|held| held.row.key == row.key);
         if let Some(held) = held {
-            held.stored = held.stored.max(Some(StoredVersion::of(row)));
+            held.stored = held.stored.max(Some(RowVersion::of(row)));
         }
     }
 
@@ -145,12 +136,32 @@
 
     /// Rows that are not in the store as they are here.
     pub(super) fn unstored(&self) -> impl Iterator<Item = &CrashRow> {
-        // Answers matter only to a subject that is about to be quarantined.
+        self.unstored_beside(|_| None)
+    }
+
+    /// Rows that are not in the store as they are here, beside the version that `known` returns for a row.
+    pub(super) fn unstored_beside(
+        &self,
+        known: impl Fn(&CrashRowKey) -> Option<RowVersion>,
+    ) -> impl Iterator<Item = &CrashRow> {
+        let is_near = self.is_near_quarantine();
         let rows = self.rows.iter();
-        rows.filter(|held| {
-            held.has_new_crashes() || (held.has_new_evidence() && self.is_near_quarantine())
-        })
-        .map(|held| &held.row)
+        rows.filter(move |held| held.has_news(held.stored.max(known(&held.row.key)), is_near))
+            .map(|held| &held.row)
+    }
+
+    /// Rows that are in the store as they are here, if one more crash may quarantine the subject.
+    pub(super) fn near_rows(&self) -> impl Iterator<Item = &CrashRow> {
+        let is_near = self.is_near_quarantine();
+        let rows = self.rows.iter().filter(move |_| is_near);
+        rows.filter_map(HeldRow::stored_row)
+    }
+
+    /// The row `key`, if it is in the store as it is here.
+    pub(super) fn stored_row(&self, key: &CrashRowKey) -> Option<&CrashRow> {
+        let mut rows = self.rows.iter();
+        let held = rows.find(|held| held.row.key == *key)?;
+        held.stored_row()
     }
 
     /// Whether there are rows that are not in the store, and one more crash may quarantine the subject.
@@ -158,7 +169,8 @@
         self.unstored().next().is_some() && self.is_near_quarantine()
     }
 
-    fn is_near_quarantine(&self) -> bool {
+    /// Whether one more crash may quarantine the subject.
+    pub(super) fn is_near_quarantine(&self) -> bool {
         let least = match self.subject {
             CrashSubject::Part(_) => GUILTY_UPSTREAMS,
             CrashSubject::Request(_) => QUARANTINE_UPSTREAMS,
@@ -232,29 +244,28 @@
 }
 
 impl HeldRow {
-    fn has_new_crashes(&self) -> bool {
-        let stored = self.stored.unwrap_or_default();
-        self.row.crashed.len() > stored.crashed
-            || self.row.survived.len() > stored.survived
-            || self.row.requests.len() > stored.requests
+    /// The row, if it is in the store as it is here.
+    fn stored_row(&self) -> Option<&CrashRow> {
+        (self.stored == Some(RowVersion::of(&self.row))).then_some(&self.row)
     }
 
-    /// Whether the part has turned out to be sound, or the answers have grown enough to be stored again.
-    fn has_new_evidence(&self) -> bool {
-        let stored = self.stored.unwrap_or_default();
-        let has_new_answers = self.row.answers >= (stored.answers * ANSWERS_GROWTH).max(1);
-        has_new_answers || self.row.is_sound && !stored.is_sound
+    /// Whether the row is to be passed on to one that knows the version `known`; `is_near` says whether one more crash may quarantine the
+    /// subject.
+    fn has_news(&self, known: Option<RowVersion>, is_near: bool) -> bool {
+        let known = known.unwrap_or_default();
+        // Answers matter only to a subject that is about to be quarantined.
+        self.has_new_crashes(known) || is_near && self.has_new_evidence(known)
     }
-}
 
-impl StoredVersion {
-    fn of(row: &CrashRow) -> Self {
-        Self {
-            crashed: row.crashed.len(),
-            survived: row.survived.len(),
-            requests: row.requests.len(),
-            answers: row.answers,
-            is_sound: row.is_sound,
-        }
+    fn has_new_crashes(&self, known: RowVersion) -> bool {
+        self.row.crashed.len() > known.crashed
+            || self.row.survived.len() > known.survived
+            || self.row.requests.len() > known.requests
+    }
+
+    /// Whether the part has turned out to be sound, or the answers have grown enough to be passed on again.
+    fn has_new_evidence(&self, known: RowVersion) -> bool {
+        let has_new_answers = self.row.answers >= (known.answers * ANSWERS_GROWTH).max(1);
+        has_new_answers || self.row.is_sound && !known.is_sound
     }
 }
--- a/crates/kernel/tests/arrival_time.rs
+++ b/crates/kernel/tests/arrival_time.rs
@@ -27,7 +27,9 @@
     let handle = server.serve(handler).unwrap();
     let mut caller = TcpStream::connect(handle.address).unwrap();
     for _ in 0..2 {
-        caller.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+        caller
+            .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            .unwrap();
         thread::sleep(BLOCKED);
         let read_at = Instant::now();
         let age = arrivals.recv().await.unwrap();
--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -1,9 +1,10 @@
 //! Exchange of the crash count with the other routers, through a topic of the store.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_decisions::quarantine::{CrashRow, RowOrigin};
+use ferry_decisions::quarantine::{CrashRow, CrashSubject, RowOrigin};
 use ferry_platform::store::{
     AppendCondition, KeyedRecord, StoreError, TopicPartition, encode_keyed,
 };
@@ -114,6 +115,10 @@
         if urgent.is_ok() {
             sleep(BATCH_TIME).await;
         }
+        if core.fleet.is_synced_from_peer() {
+            // Lost for a moment only: the source stores them.
+            continue;
+        }
         let rows = core.crashes.unstored();
         if !core.fleet.sync_state().is_reader {
             share_unstored(&core, rows, &mut last_sent).await;
@@ -123,7 +128,9 @@
             Ok(()) => {
                 outages.record_success();
                 core.crashes.mark_stored(&rows);
-                core.fleet.feed.put_crashes(&rows);
+                core.fleet
+                    .feed
+                    .put_crashes(&core.crashes.near_rows_of(&subjects_of(&rows)));
                 if urgent.is_ok() {
                     core.fleet.feed.wake();
                 }
@@ -158,11 +165,10 @@
     }
 }
 
-/// Sends crashes that this router saw to the router that it syncs from, so that they don't wait for the next query of the
-/// feed, until the relay closes.
+/// Sends rows that may not be in the store to the router that this one syncs from, each version once, until the relay closes.
 pub async fn report(core: SharedCore) {
     loop {
-        core.crashes.wait_for_crash().await;
+        core.crashes.wait_for_report().await;
         sleep(BATCH_TIME).await;
         report_to_source(&core).await;
     }
@@ -190,14 +196,22 @@
     }
 }
 
-/// Merges rows that are in the store, and passes them on to the routers that sync from this one.
+/// Merges rows that are in the store, and passes on to the routers that sync from this one those that matter to them.
 pub fn apply_stored(core: &SharedCore, rows: Vec<CrashRow>) {
-    core.fleet.feed.put_crashes(&rows);
-    if core.crashes.merge(rows, RowOrigin::Store) {
+    let subjects = subjects_of(&rows);
+    let quarantines = core.crashes.merge(rows, RowOrigin::Store);
+    core.fleet
+        .feed
+        .put_crashes(&core.crashes.near_rows_of(&subjects));
+    if quarantines {
         core.fleet.feed.wake();
     }
 }
 
+fn subjects_of(rows: &[CrashRow]) -> BTreeSet<CrashSubject> {
+    rows.iter().map(|row| row.key.subject).collect()
+}
+
 async fn append(core: &SharedCore, rows: &[CrashRow]) -> Result<(), StoreError> {
     let records: Vec<Vec<u8>> = rows.iter().filter_map(encode_row).collect();
     if records.is_empty() {
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use ferry_decisions::names::HostName;
 use ferry_decisions::quarantine::{
-    AnswerProof, CrashRow, CrashRowKey, CrashSubject, CrashTally, CrashVerdict, RequestFingerprint,
-    RowOrigin,
+    AnswerProof, CrashRow, CrashRowKey, CrashSubject, CrashTally, CrashVerdict, ReportedRows,
+    RequestFingerprint, RowOrigin,
 };
 use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_kernel::wall_clock;
@@ -14,6 +15,8 @@
 
 /// Maximum number of rows in one message or call.
 const ROW_LIMIT: usize = 256;
+/// Maximum number of rows that are not in the store in a message to a router that was chosen at random, and in the answer.
+const NEWS_LIMIT: usize = 32;
 
 /// Crash count, and the signal that rows have to be stored.
 #[derive(Debug)]
@@ -21,8 +24,10 @@
     /// This router, with its incarnation.
     router: String,
     tally: Mutex<CrashTally>,
+    /// What the routers that this one syncs from have received.
+    reported: Mutex<ReportedRows>,
     changed: Notify,
-    /// Signal that this router saw a crash.
+    /// Signal that there may be rows to be reported to the router that this one syncs from.
     recorded: Notify,
     /// Whether other routers were asked, after the start, for rows that may not be in the store.
     has_asked_others: AtomicBool,
@@ -34,6 +39,7 @@
         Self {
             router: router.to_owned(),
             tally: Mutex::new(CrashTally::new(router)),
+            reported: Mutex::default(),
             changed: Notify::new(),
             recorded: Notify::new(),
             has_asked_others: AtomicBool::new(false),
@@ -182,19 +188,52 @@
         self.tally.lock().unstored(ROW_LIMIT)
     }
 
+    /// Rows that are not in the store as they are here, and that `router` has not received yet.
+    pub fn unreported(&self, router: &HostName) -> Vec<CrashRow> {
+        let reported = self.reported.lock();
+        self.tally.lock().unreported(router, &reported, ROW_LIMIT)
+    }
+
+    /// Records that `router` has received `rows`.
+    pub fn record_report(&self, router: &HostName, rows: &[CrashRow]) {
+        if !rows.is_empty() {
+            self.reported.lock().add(router, rows);
+        }
+    }
+
+    /// Records that `router` answered as `incarnation`; another one than before gets all rows again.
+    pub fn record_incarnation(&self, router: &HostName, incarnation: &str) {
+        self.reported.lock().record_incarnation(router, incarnation);
+    }
+
+    /// Those of `rows` that are in the store as they are here, as they are here.
+    pub fn stored_of(&self, rows: &[CrashRow]) -> Vec<CrashRow> {
+        self.tally.lock().stored_of(rows)
+    }
+
+    /// Rows in the store of those of `subjects` that one more crash may quarantine.
+    pub fn near_rows_of(&self, subjects: &BTreeSet<CrashSubject>) -> Vec<CrashRow> {
+        self.tally.lock().near_rows_of(subjects)
+    }
+
     /// Whether this router counts in `row`.
     pub fn is_own(&self, row: &CrashRow) -> bool {
         row.key.router == self.router
     }
 
-    /// All rows.
-    pub fn rows(&self) -> Vec<CrashRow> {
-        self.tally.lock().rows(ROW_LIMIT)
+    /// Some of the rows that are not in the store as they are here, for routers that were chosen at random.
+    pub fn news(&self) -> Vec<CrashRow> {
+        self.tally.lock().unstored(NEWS_LIMIT)
+    }
+
+    /// Rows in the store of subjects that one more crash may quarantine.
+    pub fn near_rows(&self) -> Vec<CrashRow> {
+        self.tally.lock().near_rows(ROW_LIMIT)
     }
 
     /// Waits until there are rows that are not in the store.
     pub async fn wait_for_unstored(&self) {
-        self.wait_until(|tally| !tally.unstored(1).is_empty()).await;
+        self.wait_until(CrashTally::has_unstored).await;
     }
 
     /// Waits until such rows are about a request that is about to be quarantined.
@@ -212,8 +251,15 @@
         }
     }
 
-    /// Waits until this router has seen a crash since the last call.
-    pub async fn wait_for_crash(&self) {
+    /// Signals that there may be rows that the router that this one syncs from has not received.
+    pub fn wake_report(&self) {
+        if !self.is_empty() {
+            self.recorded.notify_one();
+        }
+    }
+
+    /// Waits until there may be rows to be reported to the router that this one syncs from.
+    pub async fn wait_for_report(&self) {
         self.recorded.notified().await;
     }
 
--- a/crates/router/src/relay/crashes/crash_report.rs
+++ b/crates/router/src/relay/crashes/crash_report.rs
@@ -29,9 +29,9 @@
 /// Answer to a report; without rows if they were not wanted.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct ReportAnswer {
-    /// Rows that the answering router knows to be in the store.
+    /// Rows that the answering router knows to be in the store, of subjects that one more crash may quarantine.
     stored: Vec<CrashRow>,
-    /// Its other rows.
+    /// Rows that may not be in the store yet.
     unstored: Vec<CrashRow>,
 }
 
@@ -57,30 +57,40 @@
 }
 
 async fn exchange_with(core: &SharedCore, hosts: Vec<HostName>) {
-    let exchanges = hosts.into_iter().map(|host| send_report(core, host, true));
+    let exchanges = hosts.into_iter().map(|host| {
+        let report = CrashReport {
+            unstored: core.crashes.news(),
+            wants_rows: true,
+        };
+        send_report(core, host, report)
+    });
     join_all(exchanges).await;
 }
 
-/// Sends rows to the router that this one syncs from, if there is one; its rows come with the feed.
+/// Sends rows that it has not received yet to the router that this one syncs from, if there is one; its rows come with the feed.
 pub async fn report_to_source(core: &SharedCore) {
-    if let Some(host) = core.fleet.sync_source() {
-        send_report(core, host, false).await;
+    let Some(host) = core.fleet.sync_source() else {
+        return;
+    };
+    let report = CrashReport {
+        unstored: core.crashes.unreported(&host),
+        wants_rows: false,
+    };
+    if !report.unstored.is_empty() {
+        send_report(core, host, report).await;
     }
 }
 
-async fn send_report(core: &SharedCore, host: HostName, wants_rows: bool) {
+async fn send_report(core: &SharedCore, host: HostName, report: CrashReport) {
     let Some(hub) = core.fleet.hub() else {
         return;
     };
-    let report = CrashReport {
-        unstored: core.crashes.unstored(),
-        wants_rows,
-    };
     let answer: Result<ReportAnswer, _> = hub
         .send_query(&host, PeerTopic::Quarantine, &report, EXCHANGE_TIMEOUT)
         .await;
     match answer {
         Ok(answer) => {
+            core.crashes.record_report(&host, &report.unstored);
             core.crashes.merge(answer.stored, RowOrigin::Store);
             core.crashes.merge(answer.unstored, RowOrigin::Router);
         }
@@ -93,20 +103,16 @@
     }
 }
 
-/// Merges another router's rows, and answers with all rows known here if it wants them.
+/// Merges another router's rows, and answers with the rows known here that matter to it if it wants them.
 pub fn answer_report(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
     let report: CrashReport = read_body(message, "report")?;
     core.crashes.merge(report.unstored, RowOrigin::Router);
     let answer = match report.wants_rows {
-        true => all_rows(core),
+        true => ReportAnswer {
+            stored: core.crashes.near_rows(),
+            unstored: core.crashes.news(),
+        },
         false => ReportAnswer::default(),
     };
     write_body(&answer, "an answer to a router")
 }
-
-fn all_rows(core: &RelayCore) -> ReportAnswer {
-    let unstored = core.crashes.unstored();
-    let mut stored = core.crashes.rows();
-    stored.retain(|row| !unstored.contains(row));
-    ReportAnswer { stored, unstored }
-}
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -29,8 +29,9 @@
     pub known: Option<KnownOffsets>,
     /// Roll-out evidence of the requesting router.
     pub evidence: Vec<EvidenceRecord>,
-    /// Crash counts that may not be in the store yet; absent from routers of an older build.
-    #[serde(default)]
+    /// Crash counts that may not be in the store yet, from a router of an older build, which repeats them until the feed has them; others
+    /// report each once.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashRow>,
     /// What the requesting router heard of the limits of upstreams.
     #[serde(default)]
--- a/crates/router/src/relay/fleet/feed_query.rs
+++ b/crates/router/src/relay/fleet/feed_query.rs
@@ -106,6 +106,7 @@
     let answer: FeedAnswer = timeout(limit, sending)
         .await
         .map_err(|_| PeerError::TimedOut(source.clone()))??;
+    core.crashes.record_incarnation(source, &answer.source);
     if answer.holds_missing && answer.outage.is_none() {
         return Err(FeedError::MissingUpstreams);
     }
@@ -130,6 +131,7 @@
         return Err(FeedError::OwnReads);
     }
     core.fleet.record_origin(origin);
+    core.crashes.wake_report();
     Ok(())
 }
 
@@ -143,7 +145,7 @@
         revision: position.revision,
         known: Some(known_records(core, position)),
         evidence: rollouts::own_evidence(core),
-        crashes: core.crashes.unstored(),
+        crashes: Vec::new(),
         limits: core.permits.notices(core.clock.now()),
         entry: entry.map(|address| own_entry(&settings, address)),
         routers_revision: position.routers_revision,
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -39,8 +39,7 @@
     let mut query: FeedQuery = peer_body::read(&message, "feed request")?;
     let known = query.known.take()?;
     merge_evidence(core, std::mem::take(&mut query.evidence));
-    core.crashes
-        .merge(std::mem::take(&mut query.crashes), RowOrigin::Router);
+    core.crashes.merge(query.crashes.clone(), RowOrigin::Router);
     core.permits.merge(&query.limits, core.clock.now());
     core.fleet
         .add_routers(query.entry.take().into_iter().collect());
@@ -115,7 +114,14 @@
     };
     let (rules_age, listing_age) = (core.operator_topic.age(), core.upstream_topic.age());
     let feed = &core.fleet.feed;
-    let (revision, changes) = feed.changes_since(&query.source, query.revision);
+    let (revision, mut changes) = feed.changes_since(&query.source, query.revision);
+    if let FeedChanges::Since(changes) = &mut changes
+        && !query.crashes.is_empty()
+    {
+        // Tells the requesting router, of an older build, that they are stored, so that it does not send them again.
+        let stored = core.crashes.stored_of(&query.crashes).into_iter();
+        changes.extend(stored.map(|row| FeedChange::Crashes(Box::new(row))));
+    }
     let is_same = query.source == feed.incarnation();
     let routers_revision = if is_same { query.routers_revision } else { 0 };
     let (routers, routers_revision) = core.fleet.router_changes(routers_revision);
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod histories;
 mod late_answers;
 mod limits;
+mod mass_failure;
 mod path_cuts;
 mod raw_replica;
 mod requests;
