Send the newest state of what changed, however many upstreams change at once

Cause: the feed kept the last 512 changes in order; a router that was further behind got the full state, each time for all that sync from this one. When many upstreams fall and return, that is many times what has changed, at the moment at which the links are busiest. Change: upstreams and rows of crashes are kept with the revision of their last change, removed upstreams with that of their removal (4,096 of them). A router gets each of those that are newer than its revision once. This also ends changes of one upstream that follow one another in one answer.

--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -17,8 +17,8 @@
 use super::peer_body;
 use super::record_patch::RecordPatch;
 
-/// Number of recent changes that are kept; a router that lags further behind gets the full state.
-const CHANGE_LIMIT: usize = 512;
+/// Number of upstreams that are gone whose removal is kept; a router that lags further behind gets the full state.
+const GONE_LIMIT: usize = 4_096;
 
 /// Full state and recent changes.
 #[derive(Debug)]
@@ -32,12 +32,17 @@
 
 #[derive(Debug, Default)]
 struct FeedState {
+    /// Number of the last change.
     revision: u64,
     operator: OperatorRecords,
-    upstreams: BTreeMap<HostName, UpstreamRecord>,
-    crashes: BTreeMap<CrashRowKey, CrashRow>,
-    /// Recent changes, oldest first; `revision` is the number of the last.
-    recent: VecDeque<FeedChange>,
+    /// Upstreams with the revision of their last change.
+    upstreams: BTreeMap<HostName, (UpstreamRecord, u64)>,
+    /// Upstreams that are gone with the revision of their removal, the oldest first; none that is listed again.
+    gone: VecDeque<(HostName, u64)>,
+    /// Revision up to which removals are no longer kept.
+    forgotten: u64,
+    /// Rows of crashes with the revision of their last change.
+    crashes: BTreeMap<CrashRowKey, (CrashRow, u64)>,
     /// Upstreams and crashes, encoded, and their revision; encoded at the first request for that revision.
     full_state: Option<(u64, Bytes)>,
 }
@@ -108,21 +113,21 @@
     /// Replaces the upstreams; entries that are equivalent to the known ones count as no change.
     pub fn put_upstreams<'a>(&self, records: impl Iterator<Item = &'a UpstreamRecord>) {
         let mut state = self.state.lock();
+        let before = state.revision;
         let mut gone = std::mem::take(&mut state.upstreams);
         for record in records {
             let id = record.incarnation.id.clone();
             let known = gone.remove(&id);
-            if known
-                .as_ref()
-                .is_none_or(|known| !is_equivalent(known, record))
-            {
-                let change = FeedChange::Upstream(Box::new(record.clone()));
-                self.push(&mut state, change);
-            }
-            state.upstreams.insert(id, record.clone());
+            let unchanged = known.filter(|(known, _)| is_equivalent(known, record));
+            let revision = match unchanged {
+                Some((_, revision)) => revision,
+                None => state.next_revision(),
+            };
+            state.upstreams.insert(id, (record.clone(), revision));
         }
-        for id in gone.into_keys() {
-            self.push(&mut state, FeedChange::UpstreamGone(id));
+        state.remove_upstreams(gone.into_keys());
+        if state.revision != before {
+            self.revision.send_replace(state.revision);
         }
     }
 
@@ -131,11 +136,14 @@
     pub fn put_crashes(&self, rows: &[CrashRow]) {
         let mut state = self.state.lock();
         for row in rows {
-            if state.crashes.get(&row.key) == Some(row) {
+            let known = state.crashes.get(&row.key);
+            if known.is_some_and(|(known, _)| known == row) {
                 continue;
             }
-            state.crashes.insert(row.key.clone(), row.clone());
-            state.push(FeedChange::Crashes(Box::new(row.clone())));
+            let revision = state.next_revision();
+            state
+                .crashes
+                .insert(row.key.clone(), (row.clone(), revision));
         }
     }
 
@@ -151,33 +159,46 @@
     /// `source`; their full state if that is another incarnation or the changes are no longer kept.
     pub fn changes_since(&self, source: &str, revision: u64) -> (u64, FeedChanges) {
         let mut state = self.state.lock();
-        let missed = state.revision.checked_sub(revision);
-        let kept = missed.filter(|missed| *missed <= state.recent.len() as u64);
-        let changes = match kept.filter(|_| source == self.incarnation) {
-            Some(missed) => {
-                let skipped = state.recent.len() - missed as usize;
-                FeedChanges::Since(state.recent.iter().skip(skipped).cloned().collect())
-            }
-            None => FeedChanges::Whole(state.encode_full()),
+        let is_kept = (state.forgotten..=state.revision).contains(&revision);
+        let changes = match is_kept && source == self.incarnation {
+            true => FeedChanges::Since(state.changes_since(revision)),
+            false => FeedChanges::Whole(state.encode_full()),
         };
         (state.revision, changes)
     }
-
-    fn push(&self, state: &mut FeedState, change: FeedChange) {
-        state.push(change);
-        self.revision.send_replace(state.revision);
-    }
 }
 
 impl FeedState {
-    fn push(&mut self, change: FeedChange) {
+    fn next_revision(&mut self) -> u64 {
         self.revision += 1;
-        self.recent.push_back(change);
-        if self.recent.len() > CHANGE_LIMIT {
-            self.recent.pop_front();
+        self.revision
+    }
+
+    /// Records that upstreams are gone, and that those that are listed now are not.
+    fn remove_upstreams(&mut self, ids: impl Iterator<Item = HostName>) {
+        let listed = &self.upstreams;
+        self.gone.retain(|(id, _)| !listed.contains_key(id));
+        for id in ids {
+            let revision = self.next_revision();
+            self.gone.push_back((id, revision));
+        }
+        while self.gone.len() > GONE_LIMIT {
+            let oldest = self.gone.pop_front();
+            self.forgotten = oldest.map_or(self.forgotten, |(_, revision)| revision);
         }
     }
 
+    /// The newest state of each upstream and row that changed after `revision`, once each.
+    fn changes_since(&self, revision: u64) -> Vec<FeedChange> {
+        let upstreams = self.upstreams.values().filter(|(_, at)| *at > revision);
+        let upstreams = upstreams.map(|(record, _)| FeedChange::Upstream(Box::new(record.clone())));
+        let gone = self.gone.iter().filter(|(_, at)| *at > revision);
+        let gone = gone.map(|(id, _)| FeedChange::UpstreamGone(id.clone()));
+        let crashes = self.crashes.values().filter(|(_, at)| *at > revision);
+        let crashes = crashes.map(|(row, _)| FeedChange::Crashes(Box::new(row.clone())));
+        upstreams.chain(gone).chain(crashes).collect()
+    }
+
     /// Upstreams and crashes, encoded once per revision.
     fn encode_full(&mut self) -> Bytes {
         if let Some((revision, encoded)) = &self.full_state
@@ -185,10 +206,10 @@
         {
             return encoded.clone();
         }
-        let upstreams = self.upstreams.values().cloned();
-        let upstreams = upstreams.map(|record| FeedChange::Upstream(Box::new(record)));
-        let crashes = self.crashes.values().cloned();
-        let crashes = crashes.map(|row| FeedChange::Crashes(Box::new(row)));
+        let upstreams = self.upstreams.values();
+        let upstreams = upstreams.map(|(record, _)| FeedChange::Upstream(Box::new(record.clone())));
+        let crashes = self.crashes.values();
+        let crashes = crashes.map(|(row, _)| FeedChange::Crashes(Box::new(row.clone())));
         let changes: Vec<_> = upstreams.chain(crashes).collect();
         let encoded = peer_body::write(&changes, "the full state of the feed").unwrap_or_default();
         self.full_state = Some((self.revision, encoded.clone()));
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -2,18 +2,21 @@
 
 use std::time::Duration;
 
-use ferry_decisions::registry::UpstreamStage;
+use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord, UpstreamStage};
 use ferry_decisions::ruleset::{RouteRule, RunKind};
+use ferry_decisions::time::UnixMillis;
+use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_rig::LinkProxy;
 use ferry_router::relay::RelayDaemon;
+use ferry_router::relay::status::ServiceStatus;
 use ferry_standin::ReplicaPlan;
 use hyper::StatusCode;
 use tokio::runtime::Runtime;
 use tokio::time::{Instant, sleep, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::deployment::{Deployment, call, eventually, is_ready, loopback, request, rule};
+use crate::deployment::{Deployment, SERVICE, call, eventually, is_ready, loopback, request, rule};
 
 /// Hosts of the tests' routers, all in one availability zone.
 const ROUTERS: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
@@ -36,6 +39,10 @@
 /// Time in which a change must be in force at each router.
 const APPLY_BOUND: Duration = Duration::from_secs(3);
 
+/// Number of listed upstreams, and of those that leave at once.
+const LISTED_UPSTREAMS: usize = 3_000;
+const LEAVING_UPSTREAMS: usize = 600;
+
 /// Starts all routers and waits until all but one sync from another.
 async fn start_fleet(deployment: &Deployment) -> Vec<RelayDaemon> {
     let mut relays = Vec::new();
@@ -329,3 +336,64 @@
     .await;
     assert!(!other.is_synced_from_peer());
 }
+
+fn listed_upstream(number: usize, stage: UpstreamStage) -> UpstreamRecord {
+    UpstreamRecord {
+        incarnation: UpstreamIncarnation {
+            id: format!("up-{number}").as_str().into(),
+            started_at: Some(UnixMillis(1)),
+        },
+        service: SERVICE.into(),
+        address: loopback(),
+        zone: "zone-a".into(),
+        version: "v1".into(),
+        slots: 8,
+        stage,
+        warm_up: Duration::ZERO,
+        sequence: 1,
+    }
+}
+
+/// Load pattern: a part of many upstreams changes at once. What the others get for it grows with the part, not with all.
+#[tokio::test]
+async fn a_change_of_many_upstreams_is_not_sent_as_the_full_state() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let put = |number, stage| {
+        let record = listed_upstream(number, stage);
+        let id = record.incarnation.id.clone();
+        let value = encode_upstream(&record);
+        deployment.store.put(UPSTREAM_TOPIC, id.as_str(), &value);
+    };
+    (0..LISTED_UPSTREAMS).for_each(|number| put(number, UpstreamStage::Ready));
+    let relays = start_fleet(&deployment).await;
+    let sent = || -> u64 {
+        relays
+            .iter()
+            .map(|relay| relay.status().peer_sent_bytes)
+            .sum()
+    };
+    let in_state = |relay: &RelayDaemon, state: fn(&ServiceStatus) -> u32| {
+        let services = relay.status().services;
+        services.iter().map(state).sum::<u32>() as usize
+    };
+    for relay in &relays {
+        eventually("all upstreams are listed", async || {
+            in_state(relay, |service| service.live) == LISTED_UPSTREAMS
+        })
+        .await;
+    }
+    let full_state = sent();
+    (0..LEAVING_UPSTREAMS).for_each(|number| put(number, UpstreamStage::Draining));
+    for relay in &relays {
+        eventually("the change is in force", async || {
+            in_state(relay, |service| service.leaving) == LEAVING_UPSTREAMS
+        })
+        .await;
+    }
+    let change = sent() - full_state;
+    assert!(
+        change <= full_state / 2,
+        "{change} bytes for a fifth of the upstreams, {full_state} for all"
+    );
+}
