Probe lost paths by a budget, however many are lost

Cause: each router probed each upstream that it could not connect to, each second and more often at first. Change: a router probes 16 lost paths a second, 32 at once after a pause, in the order in which they are due; when one works again, all others are probed at once. A failed connect is logged only where the path worked before.

--- a/crates/decisions/tests/path_health.rs
+++ b/crates/decisions/tests/path_health.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ferry_decisions::paths::PathHealth;
+use ferry_decisions::paths::{PathHealth, ProbeBudget};
 use ferry_decisions::time::MonotonicTime;
 use proptest::prelude::*;
 
@@ -39,3 +39,25 @@
         }
     }
 }
+
+/// Load pattern: half of several hundred upstreams are gone, and each router has lost all paths to them.
+#[test]
+fn a_router_makes_as_many_probes_for_many_lost_paths_as_for_few() {
+    for lost in [100, 10_000] {
+        let mut budget = ProbeBudget::new(at(0));
+        let probes: usize = (0..10_000)
+            .step_by(10)
+            .map(|ms| budget.take(lost, at(ms)))
+            .sum();
+        assert!((180..=200).contains(&probes), "{probes} probes in 10 s");
+    }
+}
+
+#[test]
+fn the_next_probe_can_be_taken_after_the_stated_wait() {
+    let mut budget = ProbeBudget::new(at(0));
+    assert_eq!(budget.take(1_000, at(0)), 32);
+    assert_eq!(budget.take(1, at(0)), 0);
+    let wait = budget.wait(at(0));
+    assert_eq!(budget.take(1, at(0).after(wait)), 1);
+}
--- a/crates/router/src/relay/paths/open_link.rs
+++ b/crates/router/src/relay/paths/open_link.rs
@@ -92,7 +92,9 @@
     match &stream {
         Ok(_) => record_success(core, upstream),
         Err(error) => {
-            spdlog::info!("cannot connect to an upstream", kv: { upstream = upstream.id(), error:? = error.kind() });
+            if !upstream.is_path_lost() {
+                spdlog::info!("cannot connect to an upstream", kv: { upstream = upstream.id(), error:? = error.kind() });
+            }
             record_failure(core, upstream);
         }
     }
--- a/crates/router/src/relay/paths/path_keeper.rs
+++ b/crates/router/src/relay/paths/path_keeper.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::HostName;
+use ferry_decisions::paths::ProbeBudget;
 use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_decisions::time::MonotonicTime;
 use futures::StreamExt;
@@ -66,32 +67,49 @@
     }
 }
 
-/// Probes lost paths when they are due, until the relay closes.
+/// Probes lost paths when they are due and the budget allows, until the relay closes. Once one works again, all others are probed.
 pub async fn probe_paths(core: SharedCore) {
+    let mut budget = ProbeBudget::new(core.clock.now());
     loop {
         let now = core.clock.now();
-        let lost: Vec<_> = core
-            .upstreams
-            .all_where(|upstream| !upstream.is_leaving() && upstream.is_path_lost());
-        let (due, later): (Vec<_>, Vec<_>) = lost
-            .into_iter()
-            .partition(|upstream| upstream.next_probe().is_some_and(|at| at <= now));
+        let mut due = lost_paths(&core);
+        let next = due.first().and_then(|upstream| upstream.next_probe());
+        due.retain(|upstream| upstream.next_probe().is_some_and(|at| at <= now));
+        let taken = budget.take(due.len(), now);
+        due.truncate(taken);
         if due.is_empty() {
-            let next = later
-                .iter()
-                .filter_map(|upstream| upstream.next_probe())
-                .min();
-            let wait = next.map(|at| at.since(now));
+            let wait = next.map(|at| at.since(now).max(budget.wait(now)));
             core.paths.wait_for_probes(wait).await;
             continue;
         }
-        due.iter().for_each(|upstream| upstream.close_unusable());
-        for due in due.chunks(CONCURRENT_PROBES) {
-            join_all(due.iter().map(|upstream| probe(&core, upstream))).await;
+        if probe_all(&core, &due).await {
+            probe_all(&core, &lost_paths(&core)).await;
         }
     }
 }
 
+/// Upstreams whose path is lost, the one to be probed next first.
+fn lost_paths(core: &SharedCore) -> Vec<Arc<RelayUpstream>> {
+    let mut lost = core
+        .upstreams
+        .all_where(|upstream| !upstream.is_leaving() && upstream.is_path_lost());
+    lost.sort_by_cached_key(|upstream| upstream.next_probe());
+    lost
+}
+
+/// Probes the paths to `upstreams`; returns whether one works.
+async fn probe_all(core: &SharedCore, upstreams: &[Arc<RelayUpstream>]) -> bool {
+    let mut works = false;
+    for upstreams in upstreams.chunks(CONCURRENT_PROBES) {
+        upstreams
+            .iter()
+            .for_each(|upstream| upstream.close_unusable());
+        let probes = upstreams.iter().map(|upstream| probe(core, upstream));
+        works |= join_all(probes).await.contains(&true);
+    }
+    works
+}
+
 fn lacking_upstreams(core: &SharedCore) -> Vec<Arc<RelayUpstream>> {
     let mut lacking = core
         .upstreams
