Count a caller's time from the arrival of its request, and send nothing whose time is over

Cause: deadlines counted from the moment at which the router had read the request, so that each delay before came on top; a send was not checked against the time, and the time left that the upstream got was computed before the connect. Shown by late_reads.rs, whose event loop is blocked while a request arrives: 504 after 1.03 s of 0.6 s, and 200 for a request whose time was over before it was read (both tests failed). Change: ArrivalTime, from the age of the bytes that the kernel tells with TCP_INFO, goes with each request on both interfaces. Before each send, and again after waits for a permit and a connect, the time left must be at least a quarter of the usual time to the head; what has less is rejected at once, as not run where that is so. The time left that is stated to the upstream is that of the send. Result: late_reads.rs 2 of 2, a_thawed_router_dispatches_nothing_whose_time_is_over on the own interface (a frozen process; answered on the code before).

--- a/crates/kernel/src/http/arrival.rs
+++ b/crates/kernel/src/http/arrival.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::http::Extensions;
 use metrics::histogram;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -14,6 +15,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ArrivalTime(pub Instant);
 
+impl ArrivalTime {
+    /// Arrival of the request with these `extensions`; now if it is not known.
+    pub fn of(extensions: &Extensions) -> Instant {
+        let known = extensions.get::<Self>();
+        known.map_or_else(Instant::now, |arrival| arrival.0)
+    }
+}
+
 /// Arrival of the bytes that were last read from one connection.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ArrivalClock(Arc<Mutex<Option<Instant>>>);
--- a/crates/router/src/caller/caller_request.rs
+++ b/crates/router/src/caller/caller_request.rs
@@ -7,8 +7,10 @@
 use ferry_decisions::labels::LabelSet;
 use ferry_decisions::names::{RequestId, WorkspaceName};
 use ferry_decisions::session::SessionToken;
+use ferry_kernel::http::ArrivalTime;
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
+use hyper::http::Extensions;
 use tokio::time::Instant;
 
 use super::{CallerRefusal, RefusalKind};
@@ -55,7 +57,7 @@
     pub labels: LabelSet,
     /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// Time at which the headers were read.
+    /// Time at which the request arrived at this host, as far as the system tells.
     pub arrived: Instant,
     /// Time by which the answer must be complete.
     pub deadline: Instant,
@@ -69,7 +71,7 @@
         RequestKey::new(&self.workspace, &self.id)
     }
 
-    /// Reads the headers of a request; `idempotent` is the default if they do not state it.
+    /// Reads the headers of a request with these `extensions`; `idempotent` is the default if they do not state it.
     ///
     /// # Errors
     ///
@@ -77,9 +79,10 @@
     pub fn read(
         core: &RouterCore,
         headers: &HeaderMap,
+        extensions: &Extensions,
         idempotent: bool,
     ) -> Result<Self, CallerRefusal> {
-        let arrived = Instant::now();
+        let arrived = ArrivalTime::of(extensions);
         let workspace = authenticate(core, headers)?;
         let idempotent = read_idempotent(headers)?.unwrap_or(idempotent);
         let id = read_id(headers, idempotent)?;
--- a/crates/router/src/caller/caller_server.rs
+++ b/crates/router/src/caller/caller_server.rs
@@ -100,7 +100,7 @@
     core: &RouterCore,
     request: &Request<Incoming>,
 ) -> Result<Response<HttpBody>, CallerRefusal> {
-    CallerRequest::read(core, request.headers(), true)?;
+    CallerRequest::read(core, request.headers(), request.extensions(), true)?;
     let view = core.config.view();
     let models = view.models.keys().map(ModelName::as_str);
     let cascades = view.cascades.keys().map(CascadeName::as_str);
--- a/crates/router/src/caller/chat_handler.rs
+++ b/crates/router/src/caller/chat_handler.rs
@@ -29,7 +29,7 @@
     permit: OwnedSemaphorePermit,
 ) -> Result<Response<HttpBody>, CallerRefusal> {
     let (head, body) = request.into_parts();
-    let request = CallerRequest::read(core, &head.headers, true)?;
+    let request = CallerRequest::read(core, &head.headers, &head.extensions, true)?;
     let id = request.id.clone();
     let body = collect_limited(body, core.settings.limits.body_bytes).await?;
     let chat = parse_chat(&body)?;
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -27,7 +27,8 @@
     permit: OwnedSemaphorePermit,
 ) -> Result<Response<HttpBody>, CallerRefusal> {
     let (head, body) = request.into_parts();
-    let request = CallerRequest::read(core, &head.headers, is_idempotent(&head.method))?;
+    let is_idempotent = is_idempotent(&head.method);
+    let request = CallerRequest::read(core, &head.headers, &head.extensions, is_idempotent)?;
     let id = request.id.clone();
     let (service, path) = split_path(&head)?;
     let body = collect_limited(body, core.settings.limits.body_bytes).await?;
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -27,8 +27,7 @@
 ///
 /// Once the relay no longer serves, responses close the caller's connection.
 pub async fn handle(core: SharedCore, request: Request<Incoming>) -> Response<HttpBody> {
-    let received_at = Instant::now();
-    let mut response = match admit(&core, request, received_at).await {
+    let mut response = match admit(&core, request).await {
         Ok(request) => RelayRun::new(core.clone(), request).answer().await,
         Err(refusal) => refusal.to_response(),
     };
@@ -42,14 +41,14 @@
 async fn admit(
     core: &SharedCore,
     request: Request<Incoming>,
-    received_at: Instant,
 ) -> Result<RelayRequest, RelayRefusal> {
+    let read_at = Instant::now();
     let facts = RequestFacts::read(request.headers());
     let id = facts.attempt_id.clone();
     await_rules(core).await;
     let result = match check_state(core) {
         Some(reason) => Err(RelayRefusal::not_run(reason)),
-        None => read(core, request, facts, received_at).await,
+        None => read(core, request, facts, read_at).await,
     };
     result.inspect_err(|refusal| {
         metrics::counter!("ferry_relay_refusals_total", "reason" => refusal.reason.name())
@@ -85,11 +84,11 @@
     core: &SharedCore,
     request: Request<Incoming>,
     facts: RequestFacts,
-    received_at: Instant,
+    read_at: Instant,
 ) -> Result<RelayRequest, RelayRefusal> {
     let rules = core.rules.load_full();
     let rules = rules.ok_or(RelayRefusal::not_run(RefusalReason::NotReady))?;
-    let result = RelayRequest::read(request, facts, &rules, received_at).await;
+    let result = RelayRequest::read(request, facts, &rules, read_at).await;
     result.map_err(|refusal| match refusal.reason {
         RefusalReason::UnknownRoute | RefusalReason::UnknownKey
             if core.operator_topic.age() > MAX_RULES_AGE =>
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, with the route rule that applies to it.
 
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_decisions::names::WorkspaceName;
@@ -40,10 +41,10 @@
     pub holder: Option<KeyHolder>,
     /// Revision of the rules that were last applied to the request.
     pub revision: u64,
-    /// When the request arrived at this host, as far as the system tells.
+    /// When the request arrived at this host, as far as the system tells; its caller's time counts from then.
     pub arrived_at: Instant,
     /// When the request's head was read.
-    pub received_at: Instant,
+    pub read_at: Instant,
     /// When the caller stops waiting; the rule's timeout if the caller named no deadline.
     pub deadline: Instant,
     /// Time by which the request must be answered: the earlier of `deadline` and the rule's timeout.
@@ -53,7 +54,7 @@
 }
 
 impl RelayRequest {
-    /// Matches a request to its rule and reads its body; `facts` are the values parsed from its headers.
+    /// Matches a request, whose head was read at `read_at`, to its rule and reads its body; `facts` are the values parsed from its headers.
     ///
     /// # Errors
     ///
@@ -63,7 +64,7 @@
         request: Request<Incoming>,
         facts: RequestFacts,
         rules: &RuleSet,
-        received_at: Instant,
+        read_at: Instant,
     ) -> Result<Self, RelayRefusal> {
         let (head, body) = request.into_parts();
         let (rule, holder) = apply_rules(rules, &head.headers, head.uri.path(), &facts)?;
@@ -71,13 +72,12 @@
             .attempt_id
             .clone()
             .ok_or(RelayRefusal::not_run(RefusalReason::Malformed))?;
-        let rule_deadline = received_at + rule.timeout;
+        let arrived_at = ArrivalTime::of(&head.extensions).min(read_at);
+        let rule_deadline = arrived_at + rule.timeout;
         let deadline = facts
             .deadline
-            .map_or(rule_deadline, |wait| received_at + wait);
+            .map_or(rule_deadline, |wait| arrived_at + wait);
         let answer_deadline = deadline.min(rule_deadline);
-        let arrival = head.extensions.get::<ArrivalTime>();
-        let arrived_at = arrival.map_or(received_at, |arrival| arrival.0);
         let body = read_body(body, rules.limits.body_bytes, answer_deadline).await?;
         Ok(Self {
             id,
@@ -90,7 +90,7 @@
             holder,
             revision: rules.revision,
             arrived_at,
-            received_at,
+            read_at,
             deadline,
             answer_deadline,
             fingerprint: OnceLock::new(),
@@ -108,7 +108,7 @@
         }
         let path = self.target.split('?').next().unwrap_or_default();
         let (rule, holder) = apply_rules(rules, &self.headers, path, &self.facts)?;
-        self.answer_deadline = self.deadline.min(self.received_at + rule.timeout);
+        self.answer_deadline = self.deadline.min(self.arrived_at + rule.timeout);
         self.rule = rule;
         self.holder = holder;
         self.fingerprint = OnceLock::new();
@@ -116,6 +116,12 @@
         Ok(())
     }
 
+    /// Time left until the answer deadline.
+    pub fn time_left(&self) -> Duration {
+        self.answer_deadline
+            .saturating_duration_since(Instant::now())
+    }
+
     /// Workspace of the caller; absent for public routes.
     pub fn workspace(&self) -> Option<&WorkspaceName> {
         self.holder.as_ref().map(|holder| &holder.workspace)
--- a/crates/router/src/relay/run/request_record.rs
+++ b/crates/router/src/relay/run/request_record.rs
@@ -16,10 +16,10 @@
     kind: &'static str,
     session: String,
     revision: u64,
-    received_at: Instant,
+    arrived_at: Instant,
     /// Time between the arrival of the request and its reading.
     read_after: Duration,
-    /// Time between the reading of the request and its first send.
+    /// Time between the arrival of the request and its first send.
     sent_after: Option<Duration>,
     /// Number of times that the request was sent to an upstream.
     pub sends: u32,
@@ -56,8 +56,8 @@
             kind: request.rule.run.as_str(),
             session: request.facts.session.clone().unwrap_or_default(),
             revision: request.revision,
-            received_at: request.received_at,
-            read_after: request.received_at - request.arrived_at,
+            arrived_at: request.arrived_at,
+            read_after: request.read_at - request.arrived_at,
             sent_after: None,
             sends: 0,
             upstream: String::new(),
@@ -78,7 +78,7 @@
         self.sends += 1;
         self.upstream = upstream.to_owned();
         if self.sent_after.is_none() {
-            let elapsed = self.received_at.elapsed();
+            let elapsed = self.arrived_at.elapsed();
             self.sent_after = Some(elapsed);
             metrics::histogram!("ferry_relay_send_delay_seconds").record(elapsed.as_secs_f64());
         }
@@ -96,7 +96,7 @@
 
     /// Records the time to the head of the answer.
     pub fn record_head(&mut self) {
-        let elapsed = self.received_at.elapsed();
+        let elapsed = self.arrived_at.elapsed();
         self.first_ms = Some(elapsed.as_millis() as u64);
         metrics::histogram!("ferry_relay_first_seconds", "rule" => self.rule.clone(), "workspace" => self.workspace.clone())
             .record(elapsed.as_secs_f64());
@@ -125,7 +125,7 @@
             first_ms = self.first_ms.unwrap_or_default(),
             pieces = self.pieces,
             longest_gap_ms = self.longest_gap.as_millis() as u64,
-            total_ms = self.received_at.elapsed().as_millis() as u64,
+            total_ms = self.arrived_at.elapsed().as_millis() as u64,
         });
     }
 }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -3,13 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_decisions::cascade::EscalationQuery;
-use ferry_decisions::choice::NoUpstream;
-use ferry_decisions::names::{HostName, ServiceName};
-use ferry_decisions::quarantine::CrashSubject;
-use ferry_decisions::retry::RunState;
-use tokio::time::Instant;
-
 use super::RelayRun;
 use super::run_placement::{PlacementQuery, choose_upstream, conversation_point, soonest_return};
 use super::session_hold::SessionHold;
@@ -19,10 +12,19 @@
 use crate::relay::request::{RefusalReason, RelayRefusal};
 use crate::relay::rollouts::{SessionKey, VersionPick};
 use crate::relay::upstreams::RelayUpstream;
+use ferry_decisions::cascade::EscalationQuery;
+use ferry_decisions::choice::NoUpstream;
+use ferry_decisions::names::{HostName, ServiceName};
+use ferry_decisions::quarantine::CrashSubject;
+use ferry_decisions::retry::RunState;
 
 /// Fraction of the retries that may be left over which a send to a larger model leaves for requests whose upstream
 /// failed.
 const RESERVED_FRACTION: f64 = 0.1;
+/// Least time left in which a request can be answered.
+const MIN_SEND_TIME: Duration = Duration::from_millis(20);
+/// Fraction of the usual time to the head of an answer that must be left for a send.
+const MIN_LATENCY_FRACTION: f64 = 0.25;
 /// Value of Retry-After when this router has no contact with the platform: another router can answer at once.
 const DISCONNECTED_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -39,12 +41,33 @@
         self.check_rules()?;
         loop {
             let upstream = self.choose_reached().await?;
+            self.check_time()?;
             if take_permit(&self.core, &upstream.record.incarnation).await {
+                // Asking may have taken a while.
+                self.check_time()?;
                 return Ok(upstream);
             }
         }
     }
 
+    /// Fails when too little time is left for an answer: nobody would use it, and another request could have the upstream's room.
+    fn check_time(&self) -> Result<(), RelayRefusal> {
+        if self.request.time_left() >= self.time_needed() {
+            return Ok(());
+        }
+        let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
+        Err(refusal.with_run(self.run))
+    }
+
+    /// Least time that must be left for the request to be sent.
+    pub(super) fn time_needed(&self) -> Duration {
+        let tokens = self.request.facts.prompt.prompt_tokens;
+        let latency = self.core.latency.lock();
+        let usual = latency.expected(&self.latency_class(), tokens);
+        let least = usual.map(|usual| usual.mul_f64(MIN_LATENCY_FRACTION));
+        least.unwrap_or_default().max(MIN_SEND_TIME)
+    }
+
     /// Applies the current rules to the request.
     fn check_rules(&mut self) -> Result<(), RelayRefusal> {
         let refuse = |reason| RelayRefusal::not_run(reason);
@@ -209,10 +232,7 @@
             sends: self.possible_runs,
             attempts: self.request.rule.attempts,
             took,
-            time_left: self
-                .request
-                .answer_deadline
-                .saturating_duration_since(Instant::now()),
+            time_left: self.request.time_left(),
         };
         query.next_stage()
     }
--- a/crates/router/src/relay/run/run_retry.rs
+++ b/crates/router/src/relay/run/run_retry.rs
@@ -1,17 +1,12 @@
 //! Decides what follows a failed send: a retry or the final answer.
 
-use std::time::Duration;
-
 use ferry_decisions::retry::{RetryPolicy, RetryQuery, RetryVerdict, UpstreamFailure};
-use tokio::time::Instant;
 
 use super::RelayRun;
 use super::relay_run::RunAnswer;
 use super::upstream_send::SendFailure;
 use crate::relay::request::{RefusalReason, RelayRefusal};
 
-/// Minimum time left before the deadline for the request to be sent again.
-const MIN_SEND_TIME: Duration = Duration::from_millis(20);
 /// Maximum number of sends per request that do not count as attempts, since upstreams refused them without
 /// running the request.
 const MAX_REFUSED_SENDS: u32 = 3;
@@ -27,10 +22,7 @@
         if failure.kind != UpstreamFailure::ConnectFailed {
             self.failed_at.push(self.record.upstream.as_str().into());
         }
-        let left = self
-            .request
-            .answer_deadline
-            .saturating_duration_since(Instant::now());
+        let left = self.request.time_left();
         let query = RetryQuery {
             failure: failure.kind,
             earlier: self.run,
@@ -40,7 +32,7 @@
                 .possible_runs
                 .max(self.record.sends.saturating_sub(MAX_REFUSED_SENDS)),
             time_left: Some(left),
-            time_needed: MIN_SEND_TIME,
+            time_needed: self.time_needed(),
         };
         let policy = RetryPolicy {
             most_attempts: self.request.rule.attempts,
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -149,9 +149,6 @@
         let facts = ForwardFacts {
             upstream: upstream.id(),
             workspace: request.workspace().map(WorkspaceName::as_str),
-            time_left: request
-                .answer_deadline
-                .saturating_duration_since(Instant::now()),
             model,
             rank: request.rank(),
         };
@@ -164,6 +161,7 @@
             target: request.target.clone(),
             headers,
             body: request.body.clone(),
+            until: request.answer_deadline,
         }
     }
 
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -10,7 +10,7 @@
 use ferry_decisions::retry::UpstreamFailure;
 use ferry_decisions::time::MonotonicTime;
 use ferry_kernel::http::BodyFraming;
-use ferry_platform::headers::AnswerFacts;
+use ferry_platform::headers::{AnswerFacts, set_time_left};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use tokio::sync::oneshot;
@@ -203,13 +203,21 @@
     cause.map_or(ErrorKind::Other, io::Error::kind)
 }
 
+/// The request as it is sent now.
+///
+/// # Errors
+///
+/// Fails when its time is over, or its target is malformed.
 fn build_request(outgoing: &OutgoingRequest) -> Result<Request<Full<Bytes>>, SendFailure> {
+    let expired = SendFailure::without_answer(UpstreamFailure::RefusedNotRun);
+    let time_left = outgoing.time_left().ok_or(expired)?;
     let mut request = Request::builder()
         .method(outgoing.method.clone())
         .uri(outgoing.target.as_str())
         .body(Full::new(outgoing.body.clone()))
         .map_err(|_| SendFailure::without_answer(UpstreamFailure::BadRequest))?;
     *request.headers_mut() = outgoing.headers.clone();
+    set_time_left(request.headers_mut(), time_left);
     Ok(request)
 }
 
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one upstream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
@@ -10,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method};
+use tokio::time::Instant;
 
 use super::upstream_exchange::UpstreamExchange;
 use crate::relay::paths::open_link;
@@ -27,6 +29,16 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Time by which the answer must be complete.
+    pub until: Instant,
+}
+
+impl OutgoingRequest {
+    /// Time left for the answer; `None` if it is over.
+    pub fn time_left(&self) -> Option<Duration> {
+        let left = self.until.checked_duration_since(Instant::now());
+        left.filter(|left| !left.is_zero())
+    }
 }
 
 /// An answer whose head has been read and whose body has not.
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod fleet_storm;
 mod histories;
 mod late_answers;
+mod late_reads;
 mod limits;
 mod mass_failure;
 mod path_cuts;
--- a/tests/membership/freezes.rs
+++ b/tests/membership/freezes.rs
@@ -1,7 +1,9 @@
 //! Routers that are frozen while the configuration changes, and snapshots that are appended late.
 
+use std::time::Duration;
+
 use ferry_decisions::config::ConfigRecord;
-use ferry_rig::{ChatResult, eventually};
+use ferry_rig::{ChatCall, ChatResult, eventually};
 use futures::future::join_all;
 
 use crate::fleet_checks::{
@@ -12,6 +14,8 @@
 
 /// Requests sent to a frozen router.
 const REQUESTS: usize = 16;
+/// Deadline of a request that arrives at a frozen router; longer than a run, and shorter than the configuration lease.
+const SHORT_DEADLINE_MS: u64 = 300;
 
 #[tokio::test]
 async fn a_thawed_router_dispatches_nothing_stale_and_reloads() {
@@ -44,6 +48,25 @@
     until_same_config(&rig, &[0, 1, 2], offset).await;
 }
 
+/// A caller's time counts from the arrival of its request, also while the router is not able to read it.
+#[tokio::test]
+async fn a_thawed_router_dispatches_nothing_whose_time_is_over() {
+    let rig = connected_fleet(3).await;
+    until_serving(&rig, 2).await;
+    let before = started_runs(&rig).await;
+    rig.routers[2].process.freeze();
+    let address = rig.callers(2);
+    let mut call = ChatCall::new(VERSION, "Text");
+    call.headers
+        .push(("ferry-deadline-ms", SHORT_DEADLINE_MS.to_string()));
+    let calling = tokio::spawn(async move { client().chat(&address, &call).await });
+    tokio::time::sleep(Duration::from_millis(SHORT_DEADLINE_MS * 2)).await;
+    rig.routers[2].process.thaw();
+    let result = calling.await.unwrap();
+    assert!(matches!(result, ChatResult::Refused(_)), "{result:?}");
+    assert_eq!(started_runs(&rig).await, before);
+}
+
 #[tokio::test]
 async fn a_stale_snapshot_changes_nothing() {
     let mut rig = connected_fleet(3).await;
