--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the relay against an emulated platform: a store and upstreams on loopback addresses.
 
+mod brittle_returns;
+mod brittle_upstream;
 mod cascades;
 mod containment;
 mod crashing_parts;
