Callers that leave before they are answered, in a test that fails

Evidence: callers_that_left.rs: 120 callers give up while the event loop of their router is blocked; 16 of their requests, one for each idle connection to the upstream, reach it a second later (3 are allowed). At brittle upstreams that are full, with callers that give up after 0.2 s, none arrives late. No logic changes.

--- a/crates/router/tests/relay/brittle_upstream.rs
+++ b/crates/router/tests/relay/brittle_upstream.rs
@@ -69,6 +69,7 @@
     rejected: VecDeque<Instant>,
     falls: Vec<Instant>,
     rejections: u32,
+    arrivals: Vec<(String, Instant)>,
 }
 
 impl UpstreamState {
@@ -113,6 +114,16 @@
         self.state.lock().rejections
     }
 
+    /// Attempt and time of each request that reached it.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.state.lock().arrivals.clone()
+    }
+
+    /// Number of requests that it runs.
+    pub fn running(&self) -> u32 {
+        self.state.lock().running
+    }
+
     /// Ends its process for another reason than rejections.
     pub fn crash(&self) {
         self.process.lock().cancel();
@@ -173,6 +184,8 @@
 
     async fn serve_connection(self: Arc<Self>, mut stream: TcpStream, slots: Arc<Semaphore>) {
         while let Some(bound) = read_request(&mut stream).await {
+            let arrival = (bound.attempt_id.clone(), Instant::now());
+            self.state.lock().arrivals.push(arrival);
             let answer = match self.admit() {
                 Some(waiting) => tokio::select! {
                     () = self.run(&slots, waiting) => self.answer(&bound.attempt_id, "200 OK", "ran"),
--- /dev/null
+++ b/crates/router/tests/relay/callers_that_left.rs
@@ -0,0 +1,129 @@
+//! Callers that leave before they are answered: nothing is sent for them any more, and nothing goes on.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::ruleset::{RouteRule, RunKind};
+use ferry_standin::ReplicaPlan;
+use ferry_standin::replica::RunStatus;
+use futures::future::join_all;
+use hyper::Method;
+use tokio::time::{Instant, interval, sleep, sleep_until, timeout};
+
+use crate::blocked_router::BlockedRouter;
+use crate::brittle_upstream::{BrittleTimes, BrittleUpstream, ReturnName};
+use crate::deployment::{Deployment, call, eventually, request, rule};
+
+/// Time after a caller has left from which on its request must reach no upstream.
+const LATE: Duration = Duration::from_millis(500);
+/// Requests that may reach one all the same.
+const ALLOWED: usize = 3;
+/// Callers that leave while the router reads nothing.
+const CALLERS: usize = 120;
+const PATIENCE: Duration = Duration::from_millis(200);
+
+fn rules() -> Vec<RouteRule> {
+    let kinds = [
+        ("/once/", RunKind::Once),
+        ("/idempotent/", RunKind::Idempotent),
+        ("/stream/", RunKind::ResumableStream),
+    ];
+    let rules = kinds.into_iter().flat_map(|(prefix, run)| {
+        let public = RouteRule {
+            public: true,
+            ..rule(&format!("/public{prefix}"), run)
+        };
+        [rule(prefix, run), public]
+    });
+    rules.collect()
+}
+
+/// Load pattern: callers give up while their requests are not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_caller_left_before_it_was_read_reaches_no_upstream() {
+    let router = BlockedRouter::start(&rules(), Duration::from_millis(100)).await;
+    // Leaves open connections to the upstream, on which requests can be sent at once.
+    let warm_up = (0..CALLERS).map(|number| {
+        let path = format!("/idempotent/{number}");
+        call(request(&router.relay, &path, &format!("w-{number}")))
+    });
+    join_all(warm_up).await;
+    let before = router.replica.runs().len();
+    router.replica.plan(ReplicaPlan {
+        wait: Duration::from_secs(5),
+        ..ReplicaPlan::default()
+    });
+    router.block(PATIENCE + LATE * 2).await;
+    let prefixes: Vec<String> = rules()
+        .iter()
+        .map(|rule| rule.path_prefix.clone())
+        .collect();
+    let calls = (0..CALLERS).map(|number| {
+        let path = format!("{}{number}", prefixes[number % prefixes.len()]);
+        let mut request = request(&router.relay, &path, &format!("a-{number}"));
+        if number % 2 == 0 {
+            // Without a body, all of the request is read at once.
+            request.method = Method::GET;
+            request.body = Bytes::new();
+        }
+        timeout(PATIENCE, call(request))
+    });
+    let answers = join_all(calls).await;
+    assert!(answers.iter().all(Result::is_err), "the router was blocked");
+    sleep(LATE * 3).await;
+    let runs = router.replica.runs().split_off(before);
+    assert!(runs.len() <= ALLOWED, "{} of {CALLERS} arrived", runs.len());
+    let going_on = runs.iter().filter(|run| run.status == RunStatus::Running);
+    assert_eq!(going_on.count(), 0);
+    router.stop();
+}
+
+/// Load pattern: more requests than brittle upstreams take, whose callers give up soon.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_reaches_a_brittle_upstream_long_after_its_caller_left() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &rules());
+    let mut relays = Vec::new();
+    for number in 0..6 {
+        let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
+        relays.push(deployment.relay_in(&format!("entry-{number}"), zone).await);
+    }
+    eventually("each router lists all", async || {
+        relays.iter().all(|relay| relay.status().relays == 6)
+    })
+    .await;
+    let begins = Instant::now();
+    let times = BrittleTimes {
+        says_so: begins,
+        queues_few: begins + Duration::from_secs(3),
+        ends: begins + Duration::from_secs(60),
+    };
+    let names = ["up-1", "up-2", "up-3"];
+    let starting = names.map(|name| {
+        BrittleUpstream::start(&deployment.store, name, "zone-a", times, ReturnName::Same)
+    });
+    let upstreams = join_all(starting).await;
+    let mut left_at = HashMap::new();
+    let mut ticks = interval(Duration::from_millis(8));
+    let mut calls = Vec::new();
+    for number in 0..1_000 {
+        let sent_at = ticks.tick().await;
+        let id = format!("a-{number}");
+        let relay = &relays[number % relays.len()];
+        let call = call(request(relay, &format!("/idempotent/{number}"), &id));
+        calls.push(tokio::spawn(timeout(PATIENCE, call)));
+        left_at.insert(id, sent_at + PATIENCE);
+    }
+    sleep_until(Instant::now() + LATE * 3).await;
+    for call in calls {
+        // Many callers leave, which is what is played.
+        let _ = call.await.unwrap();
+    }
+    let arrivals = upstreams.iter().flat_map(|upstream| upstream.arrivals());
+    let late: Vec<_> = arrivals
+        .filter(|(attempt, at)| *at > left_at[attempt] + LATE)
+        .collect();
+    assert!(late.len() <= ALLOWED, "{late:?}");
+    assert!(upstreams.iter().all(|upstream| upstream.running() == 0));
+}
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the relay against an emulated platform: a store and upstreams on loopback addresses.
 
+mod blocked_router;
 mod brittle_returns;
 mod brittle_upstream;
+mod callers_that_left;
 mod cascades;
 mod containment;
 mod crashing_parts;
