Wait in the tests until a frozen process has stopped

Cause: a test that freezes a router sent its requests after SIGSTOP was sent, not after the process had stopped. Beside load a router still read and sent one of them: a_thawed_router_dispatches_nothing_whose_time_is_over failed ("left: 2, right: 1") in 2 of 6 runs beside 5 busy processes, and the test of callers that left in 1 of 6 runs alone. A trace of the first one shows the run before the thaw (1 run before the freeze, 2 before the thaw, 2 after it; 1 of 24 trials).

Change: ChildProcess::freeze waits for the stop (waitid). The checks are as they were; what they say about a frozen router now holds for one.

--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -1,6 +1,7 @@
 //! Child processes of the rig: start, signals and exit.
 
 use std::fs::File;
+use std::mem;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -8,11 +9,14 @@
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdout, Command};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Timeout for a process to announce its addresses, and for a process to exit.
 const PROCESS_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time between two checks whether a process has stopped.
+const STOP_POLL: Duration = Duration::from_millis(1);
+
 /// Failure to start a process, write its files or bind a port.
 #[derive(Debug, thiserror::Error)]
 pub enum RigError {
@@ -111,9 +115,20 @@
         let _ = self.child.kill().await;
     }
 
-    /// Suspends the process (SIGSTOP).
-    pub fn freeze(&self) {
+    /// Suspends the process (SIGSTOP) and waits until all its threads have stopped.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not stop within a minute.
+    pub async fn freeze(&self) {
         self.signal(libc::SIGSTOP);
+        let stopping = async {
+            while !has_stopped(self.pid) {
+                sleep(STOP_POLL).await;
+            }
+        };
+        let stopped = timeout(PROCESS_TIMEOUT, stopping).await;
+        stopped.expect("the process stops within the time allowed");
     }
 
     /// Resumes a suspended process (SIGCONT).
@@ -149,6 +164,18 @@
     }
 }
 
+/// Whether the child process `pid` has stopped since it was last asked for; each stop is told once.
+fn has_stopped(pid: i32) -> bool {
+    // SAFETY: `siginfo_t` consists of integers and pointers, for which zeros are valid.
+    let mut info: libc::siginfo_t = unsafe { mem::zeroed() };
+    // SAFETY: the kernel writes into `info` only; without WEXITED no child is reaped.
+    unsafe {
+        let options = libc::WSTOPPED | libc::WNOHANG;
+        let result = libc::waitid(libc::P_PID, pid as libc::id_t, &raw mut info, options);
+        result == 0 && info.si_pid() == pid
+    }
+}
+
 /// Sends `signal` to the child process `pid`, which has not been waited for.
 pub(crate) fn send_signal(pid: i32, signal: i32) {
     // SAFETY: a child that has not been waited for keeps its id, so the id cannot belong to another process.
--- a/tests/fleet/run_once.rs
+++ b/tests/fleet/run_once.rs
@@ -203,7 +203,7 @@
         (appends(&rig).await > before).then_some(())
     })
     .await;
-    rig.routers[0].process.freeze();
+    rig.routers[0].process.freeze().await;
     rig.platform_heal().await;
     let (caller, address) = (client(), rig.callers(1));
     let late = ids.iter().map(|id| send_letter(&caller, &address, id));
@@ -237,7 +237,7 @@
         let answer = send_letter(&client(), &rig.callers(1), id).await;
         assert_eq!(answer, LetterAnswer::Answered, "the owner grants");
     }
-    rig.routers[0].process.freeze();
+    rig.routers[0].process.freeze().await;
     until_gone(&rig, 1, 0).await;
     let meanwhile: Vec<_> = ids.by_ref().take(4).collect();
     for id in &meanwhile {
--- a/tests/membership/freezes.rs
+++ b/tests/membership/freezes.rs
@@ -21,7 +21,7 @@
 async fn a_thawed_router_dispatches_nothing_stale_and_reloads() {
     let rig = connected_fleet(3).await;
     until_serving(&rig, 2).await;
-    rig.routers[2].process.freeze();
+    rig.routers[2].process.freeze().await;
     let offset = withdraw(&rig).await;
     until_in_force(&rig, 0, offset).await;
     keep_one_record(&rig).await;
@@ -54,7 +54,7 @@
     let rig = connected_fleet(3).await;
     until_serving(&rig, 2).await;
     let before = started_runs(&rig).await;
-    rig.routers[2].process.freeze();
+    rig.routers[2].process.freeze().await;
     let address = rig.callers(2);
     let mut call = ChatCall::new(VERSION, "Text");
     call.headers
--- a/tests/scenarios/fault_steps.rs
+++ b/tests/scenarios/fault_steps.rs
@@ -18,7 +18,7 @@
 
 #[when(expr = "router {int} is frozen")]
 async fn freeze(world: &mut ScenarioWorld, router: usize) {
-    world.rig().routers[router - 1].process.freeze();
+    world.rig().routers[router - 1].process.freeze().await;
 }
 
 #[when(expr = "router {int} is thawed")]
