Let a close that waits behind a request end it before it is handled

Cause: a server that finds a request and its caller's close in the same read handles the request first; with an idle connection to the upstream it is sent in the same poll, before the close is seen.

Change: collect_request reads a request and then yields, so that its connection is read once more; a close that has arrived drops the handler. Both interfaces use it.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -17,7 +17,8 @@
 
 pub use arrival::ArrivalTime;
 pub use body::{
-    BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
+    BodyError, BoxError, HttpBody, collect_limited, collect_request, empty, full, json_response,
+    streamed,
 };
 pub use body_budget::BodyBudget;
 pub use client::{HttpClient, HttpError, HttpRequest};
--- a/crates/kernel/src/http/body.rs
+++ b/crates/kernel/src/http/body.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
+use tokio::task::yield_now;
 
 /// Error that ends a body early; the connection is then closed without a final chunk.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -17,6 +18,10 @@
 /// Body of any response that the project's servers send.
 pub type HttpBody = UnsyncBoxBody<Bytes, BoxError>;
 
+/// Number of times that a handler yields for its connection to be read again: the server may poll the handler twice before
+/// it reads.
+const READ_ROUNDS: usize = 3;
+
 /// Why a body could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
@@ -86,6 +91,24 @@
     }
 }
 
+/// Reads the whole body of a request of at most `limit` bytes, and then lets its connection be read once more: if the caller
+/// has left meanwhile, the handler that awaits this is dropped.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `limit` or ends early.
+pub async fn collect_request<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body,
+    B::Error: Into<BoxError>,
+{
+    let body = collect_limited(body, limit).await?;
+    for _ in 0..READ_ROUNDS {
+        yield_now().await;
+    }
+    Ok(body)
+}
+
 fn into_box_error(error: Infallible) -> BoxError {
     match error {}
 }
--- a/crates/router/src/caller/chat_handler.rs
+++ b/crates/router/src/caller/chat_handler.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ferry_decisions::retry::RunState;
-use ferry_kernel::http::{HttpBody, collect_limited, full, streamed};
+use ferry_kernel::http::{HttpBody, collect_request, full, streamed};
 use ferry_platform::engine::ChatRequest;
 use futures::StreamExt;
 use hyper::body::Incoming;
@@ -31,7 +31,7 @@
     let (head, body) = request.into_parts();
     let request = CallerRequest::read(core, &head.headers, &head.extensions, true)?;
     let id = request.id.clone();
-    let body = collect_limited(body, core.settings.limits.body_bytes).await?;
+    let body = collect_request(body, core.settings.limits.body_bytes).await?;
     let chat = parse_chat(&body)?;
     let fingerprint = RequestFingerprint::new("POST", COMPLETIONS_PATH, &head.headers, &body);
     let deadline = request.deadline;
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -5,7 +5,7 @@
 
 use ferry_decisions::names::ServiceName;
 use ferry_decisions::retry::RunState;
-use ferry_kernel::http::{HttpBody, collect_limited, full};
+use ferry_kernel::http::{HttpBody, collect_request, full};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -31,7 +31,7 @@
     let request = CallerRequest::read(core, &head.headers, &head.extensions, is_idempotent)?;
     let id = request.id.clone();
     let (service, path) = split_path(&head)?;
-    let body = collect_limited(body, core.settings.limits.body_bytes).await?;
+    let body = collect_request(body, core.settings.limits.body_bytes).await?;
     let call = ServiceCall {
         service,
         path,
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -7,7 +7,7 @@
 use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::quarantine::RequestFingerprint;
 use ferry_decisions::ruleset::{KeyHolder, KeyVerdict, RouteRule, RuleSet};
-use ferry_kernel::http::{ArrivalTime, BodyError, collect_limited};
+use ferry_kernel::http::{ArrivalTime, BodyError, collect_request};
 use ferry_platform::headers::RequestFacts;
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -170,7 +170,7 @@
 }
 
 async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, RelayRefusal> {
-    let reason = match timeout_at(until, collect_limited(body, limit)).await {
+    let reason = match timeout_at(until, collect_request(body, limit)).await {
         Ok(Ok(body)) => return Ok(body),
         Ok(Err(BodyError::TooLarge { .. })) => RefusalReason::BodyTooLarge,
         Ok(Err(BodyError::Truncated(_) | BodyError::NoRoom { .. })) => RefusalReason::Malformed,
--- a/crates/router/tests/relay/callers_that_left.rs
+++ b/crates/router/tests/relay/callers_that_left.rs
@@ -54,7 +54,9 @@
         wait: Duration::from_secs(5),
         ..ReplicaPlan::default()
     });
-    router.block(PATIENCE + LATE + Duration::from_millis(100)).await;
+    router
+        .block(PATIENCE + LATE + Duration::from_millis(100))
+        .await;
     let prefixes: Vec<String> = rules()
         .iter()
         .map(|rule| rule.path_prefix.clone())
--- a/tests/membership/freezes.rs
+++ b/tests/membership/freezes.rs
@@ -5,6 +5,7 @@
 use ferry_decisions::config::ConfigRecord;
 use ferry_rig::{ChatCall, ChatResult, eventually};
 use futures::future::join_all;
+use tokio::time::{sleep, timeout};
 
 use crate::fleet_checks::{
     VERSION, config, connected_fleet, keep_one_record, log_earliest, send_request_to, started_runs,
@@ -38,7 +39,7 @@
         })
         .collect();
     // Gives the calls time to reach the frozen router's sockets; the checks hold without this pause as well.
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    sleep(Duration::from_millis(300)).await;
     rig.routers[2].process.thaw();
     for call in join_all(calls).await {
         let call = call.unwrap();
@@ -60,13 +61,35 @@
     call.headers
         .push(("ferry-deadline-ms", SHORT_DEADLINE_MS.to_string()));
     let calling = tokio::spawn(async move { client().chat(&address, &call).await });
-    tokio::time::sleep(Duration::from_millis(SHORT_DEADLINE_MS * 2)).await;
+    sleep(Duration::from_millis(SHORT_DEADLINE_MS * 2)).await;
     rig.routers[2].process.thaw();
     let result = calling.await.unwrap();
     assert!(matches!(result, ChatResult::Refused(_)), "{result:?}");
     assert_eq!(started_runs(&rig).await, before);
 }
 
+/// A caller that gives up while the router is not able to read its request gets nothing run.
+#[tokio::test]
+async fn a_thawed_router_dispatches_nothing_for_callers_that_left() {
+    let rig = connected_fleet(3).await;
+    until_serving(&rig, 2).await;
+    let before = started_runs(&rig).await;
+    rig.routers[2].process.freeze().await;
+    let address = rig.callers(2);
+    let patience = Duration::from_millis(SHORT_DEADLINE_MS);
+    let calls = (0..REQUESTS).map(|_| {
+        let address = address.clone();
+        async move { timeout(patience, send_request_to(&client(), &address)).await }
+    });
+    let answers = join_all(calls).await;
+    assert!(answers.iter().all(Result::is_err), "the router was frozen");
+    // Lets the connections close.
+    sleep(patience).await;
+    rig.routers[2].process.thaw();
+    sleep(patience * 4).await;
+    assert_eq!(started_runs(&rig).await, before);
+}
+
 #[tokio::test]
 async fn a_stale_snapshot_changes_nothing() {
     let mut rig = connected_fleet(3).await;
