--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod late_reads;
 mod limits;
 mod mass_failure;
+mod odd_entries;
 mod path_cuts;
 mod raw_replica;
 mod requests;
