Answer the requests that had arrived when a server is asked to stop

Callers saw (reported by operators): connections that ended with no answer in a planned stop.

Cause: on a stop the server closed connections that it believed idle, and its listening socket, without a look at what had arrived meanwhile. Requests on 30 of 30 kept connections and 30 of 30 connections that waited to be accepted got a reset (crates/kernel/tests/last_requests.rs on the code before).

Change: connections are accepted and read for 5 ms more after the stop was asked for, by timers and so after another look at the sockets; what is ready is taken before a close.

Result: both tests pass, 30 of 30 each. Bytes that arrive after that look are still reset, as HTTP/1.1 has no other way to close an idle connection; they are not passed on.

--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -25,6 +26,10 @@
 /// available.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after a stop in which the server still accepts connections and reads requests: those that had arrived when it was
+/// asked to stop are answered.
+const LAST_READ_TIME: Duration = Duration::from_millis(5);
+
 /// Response extension that makes the server close the connection instead of responding.
 #[derive(Debug, Clone, Copy, thiserror::Error)]
 #[error("the handler closed the connection; call again on a new one")]
@@ -153,6 +158,12 @@
         self.tasks.wait().await;
     }
 
+    /// Waits until requests that had arrived when the server was asked to stop have been read.
+    async fn last_read(&self) {
+        self.stop.cancelled().await;
+        sleep(LAST_READ_TIME).await;
+    }
+
     /// Stops accepting connections and closes open ones at once, aborting in-flight requests.
     pub async fn abort(&self) {
         self.abort.cancel();
@@ -165,13 +176,16 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<HttpBody>> + Send + 'static,
 {
+    let last_read = handle.last_read();
+    tokio::pin!(last_read);
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = handle.stop.cancelled() => return,
+            () = last_read.as_mut() => return,
         };
         let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let connection = serve_connection(stream, peer, handler.clone(), handle.clone());
@@ -207,9 +221,10 @@
         .with_upgrades();
     tokio::pin!(connection);
     tokio::select! {
+        biased;
         result = connection.as_mut() => return reset_if_broken(&result, &resets),
         () = handle.abort.cancelled() => return,
-        () = handle.stop.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = handle.last_read() => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         result = connection.as_mut() => reset_if_broken(&result, &resets),
