Answer requests that a stop does not wait for, and send none that it would end

Callers saw (reported by operators): in a planned stop, requests that were taken late in the grace and passed on were cut at its end with no answer.

Cause: what was still in progress 0.4 s before the end of the grace was cut with the process. Requests that came in the 3 s until the balancer notices were sent whatever time was left.

Change: WorkEnd, set when a stop begins. 0.6 s before the end of the grace the relay answers what is left by itself: 502 for what may have run, 503 for what has not, streams are broken off with a reset. The time left until then goes to the upstream, limits retries, and a request that usually takes longer is rejected at once as not run, on a connection that closes.

A request that comes more than 3 s after the stop began is rejected, or its connection has been closed, as before.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -18,6 +18,7 @@
 mod topic_progress;
 mod upstreams;
 mod watch;
+mod work_end;
 
 pub use relay_core::RelayCore;
 pub use relay_daemon::{RelayDaemon, RelayOptions, STATUS_PATH};
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -25,6 +25,7 @@
 use super::rollouts::RolloutManager;
 use super::topic_progress::TopicProgress;
 use super::upstreams::UpstreamDirectory;
+use super::work_end::WorkEnd;
 use crate::core::{LifecyclePhase, PhaseCell};
 use crate::membership::ProcessClock;
 
@@ -74,6 +75,8 @@
     pub rollouts: RolloutManager,
     /// Requests in progress, which a stop waits for.
     pub work: TaskTracker,
+    /// When a stop ends these requests.
+    pub work_end: WorkEnd,
     /// Cancels the background tasks.
     pub closing: CancellationToken,
     retries: Mutex<HashMap<ServiceName, RetryShare>>,
@@ -103,6 +106,7 @@
             paths: PathManager::default(),
             rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
+            work_end: WorkEnd::default(),
             closing: CancellationToken::new(),
             retries: Mutex::default(),
             phase: PhaseCell::default(),
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -23,6 +23,8 @@
 const BALANCER_LAG: Duration = Duration::from_millis(3_000);
 /// Part of the stop's grace period that is reserved at its end for closing links and logs.
 const CLOSING_TIME: Duration = Duration::from_millis(400);
+/// Time before the reserved part at which requests in progress are ended, so that their callers get answers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Timeout for closing the links to other routers.
 const LINK_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for the last log lines to be written.
@@ -109,12 +111,13 @@
     }
 
     /// Stops within the grace period: reports not ready, accepts requests until the load balancer has
-    /// noticed, then waits for the requests in progress.
+    /// noticed, then waits for the requests in progress. Those that take longer are answered by the relay itself.
     pub async fn stop(self) {
         let core = &self.core;
         let started_at = Instant::now();
         let grace = core.settings.load().bounds.stop_grace;
         let end = started_at + grace.saturating_sub(CLOSING_TIME);
+        core.work_end.set(end - LAST_ANSWERS_TIME);
         core.enter(LifecyclePhase::Leaving);
         spdlog::info!("relay leaves", kv: { in_progress = core.work.len() });
         sleep_until(end.min(started_at + BALANCER_LAG)).await;
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -88,7 +88,9 @@
 ) -> Result<RelayRequest, RelayRefusal> {
     let rules = core.rules.load_full();
     let rules = rules.ok_or(RelayRefusal::not_run(RefusalReason::NotReady))?;
-    let result = RelayRequest::read(request, facts, &rules, read_at).await;
+    let reading = RelayRequest::read(request, facts, &rules, read_at);
+    let result = core.work_end.run(reading).await;
+    let result = result.map_err(RelayRefusal::not_run).flatten();
     result.map_err(|refusal| match refusal.reason {
         RefusalReason::UnknownRoute | RefusalReason::UnknownKey
             if core.operator_topic.age() > MAX_RULES_AGE =>
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -90,12 +90,10 @@
     pub async fn next(&mut self) -> Option<Result<Bytes, BoxError>> {
         let until = self.run.request.answer_deadline;
         loop {
-            let step = match timeout_at(until, self.step()).await {
+            let core = self.run.core.clone();
+            let step = match core.work_end.run_until(until, self.step()).await {
                 Ok(step) => step?,
-                Err(_) => {
-                    let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
-                    return Some(Err(self.abort_stream(refusal)));
-                }
+                Err(reason) => return Some(Err(self.abort_stream(reason))),
             };
             let recovered = match step {
                 ForwardStep::Events(events) => {
@@ -114,7 +112,7 @@
                 ForwardStep::Broken(reason) => self.resume_elsewhere(&reason).await,
             };
             if let Err(refusal) = recovered {
-                return Some(Err(self.abort_stream(refusal)));
+                return Some(Err(self.abort_stream(refusal.reason)));
             }
         }
     }
@@ -299,9 +297,10 @@
     async fn resume_by(&mut self, planned: PlannedSend) -> Result<(), RelayRefusal> {
         let until = self.run.request.answer_deadline;
         let last_event = self.splitter.last_id();
-        let resumed = timeout_at(until, self.run.resume(last_event, planned)).await;
-        let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
-        self.answer = Some(resumed.unwrap_or(Err(refusal))?);
+        let core = self.run.core.clone();
+        let resuming = self.run.resume(last_event, planned);
+        let resumed = core.work_end.run_until(until, resuming).await;
+        self.answer = Some(resumed.map_err(RelayRefusal::not_run)??);
         self.began_at = None;
         self.has_survived = false;
         self.pieces = 0;
@@ -309,10 +308,10 @@
     }
 
     /// Ends the stream with an error, so that the caller sees that it is incomplete.
-    fn abort_stream(&mut self, refusal: RelayRefusal) -> BoxError {
+    fn abort_stream(&mut self, reason: RefusalReason) -> BoxError {
         self.answer = None;
         self.run.record.outcome = "broken_off";
-        refusal.reason.into()
+        reason.into()
     }
 }
 
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::answer_delivery::{deliver_events, deliver_whole};
@@ -16,7 +16,7 @@
 use super::session_hold::SessionHold;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
 use crate::relay::relay_core::SharedCore;
-use crate::relay::request::{RefusalReason, RelayRefusal, RelayRequest};
+use crate::relay::request::{RelayRefusal, RelayRequest};
 
 /// A request that is being answered.
 pub struct RelayRun {
@@ -86,9 +86,10 @@
     /// Answers the request no later than its answer deadline.
     pub async fn answer(mut self) -> Response<HttpBody> {
         let until = self.request.answer_deadline;
-        let result = timeout_at(until, self.dispatch()).await;
-        let result = result.unwrap_or_else(|_| {
-            let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
+        let core = self.core.clone();
+        let result = core.work_end.run_until(until, self.dispatch()).await;
+        let result = result.unwrap_or_else(|reason| {
+            let refusal = RelayRefusal::not_run(reason);
             Err(refusal.with_run(self.run))
         });
         match result {
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -18,6 +18,7 @@
 use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::quarantine::CrashSubject;
 use ferry_decisions::retry::RunState;
+use tokio::time::Instant;
 
 /// Number of upstreams whose issuers are asked for a permit for one send.
 const MAX_ASKED_UPSTREAMS: usize = 4;
@@ -45,7 +46,7 @@
         for _ in 0..MAX_ASKED_UPSTREAMS {
             let upstream = self.choose_reached().await?;
             self.check_time()?;
-            let time_left = self.request.time_left();
+            let time_left = self.time_left();
             if let Ok(permit) = take_permit(&self.core, &upstream, time_left).await {
                 // Asking may have taken a while.
                 self.check_time()?;
@@ -70,21 +71,36 @@
     }
 
     /// Fails when too little time is left for an answer: nobody would use it, and another request could have the upstream's room.
+    /// Also when the stop of this router would usually end the request: another router can still answer it.
     fn check_time(&self) -> Result<(), RelayRefusal> {
-        if self.request.time_left() >= self.time_needed() {
+        let reason = if self.request.time_left() < self.time_needed() {
+            RefusalReason::DeadlinePassed
+        } else if self.core.work_end.is_within(self.usual_time()) {
+            RefusalReason::Stopping
+        } else {
             return Ok(());
-        }
-        let refusal = RelayRefusal::not_run(RefusalReason::DeadlinePassed);
-        Err(refusal.with_run(self.run))
+        };
+        Err(RelayRefusal::not_run(reason).with_run(self.run))
+    }
+
+    /// Time left until the answer deadline, or until a stop ends the request.
+    pub(super) fn time_left(&self) -> Duration {
+        let until = self.core.work_end.limit(self.request.answer_deadline);
+        until.saturating_duration_since(Instant::now())
     }
 
     /// Least time that must be left for the request to be sent.
     pub(super) fn time_needed(&self) -> Duration {
+        let least = self.usual_time().mul_f64(MIN_LATENCY_FRACTION);
+        least.max(MIN_SEND_TIME)
+    }
+
+    /// Usual time to the head of an answer; 0 if it is not known.
+    fn usual_time(&self) -> Duration {
         let tokens = self.request.facts.prompt.prompt_tokens;
         let latency = self.core.latency.lock();
         let usual = latency.expected(&self.latency_class(), tokens);
-        let least = usual.map(|usual| usual.mul_f64(MIN_LATENCY_FRACTION));
-        least.unwrap_or_default().max(MIN_SEND_TIME)
+        usual.unwrap_or_default()
     }
 
     /// Applies the current rules to the request.
@@ -250,7 +266,7 @@
             sends: self.possible_runs,
             attempts: self.request.rule.attempts,
             took,
-            time_left: self.request.time_left(),
+            time_left: self.time_left(),
         };
         query.next_stage()
     }
--- a/crates/router/src/relay/run/run_retry.rs
+++ b/crates/router/src/relay/run/run_retry.rs
@@ -22,7 +22,7 @@
         if failure.kind != UpstreamFailure::ConnectFailed {
             self.failed_at.push(self.record.upstream.as_str().into());
         }
-        let left = self.request.time_left();
+        let left = self.time_left();
         let query = RetryQuery {
             failure: failure.kind,
             earlier: self.run,
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -163,7 +163,7 @@
             target: request.target.clone(),
             headers,
             body: request.body.clone(),
-            until: request.answer_deadline,
+            until: self.core.work_end.limit(request.answer_deadline),
         }
     }
 
