Test answers that end in the middle of their head

Reported by operators: clients got a 200 with an empty or short body after a replica stopped in the middle of its answer's head and closed.

Two upstreams cut the heads of their answers, each one a byte later than the one before: on new connections (closed and reset), on kept ones, and in the resumption of a stream; plain, not repeatable, streamed and resumable requests. No caller got a 200 other than for a whole answer, or for a stream that had begun and ended with a break: it does not happen here.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod cascades;
 mod containment;
 mod crashing_parts;
+mod cut_heads;
 mod deployment;
 mod events;
 mod failures;
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -147,7 +147,7 @@
 }
 
 /// Head of an answer without the lines that mark the end of its body, and without its blank line.
-fn answer_head(attempt_id: String) -> String {
+pub fn answer_head(attempt_id: String) -> String {
     let mut headers = HeaderMap::new();
     let answer = AnswerHeaders {
         attempt_id,
--- a/crates/router/tests/relay/stops.rs
+++ b/crates/router/tests/relay/stops.rs
@@ -196,7 +196,7 @@
     let mut answered = 0;
     let mut requests = requests.into_iter();
     while let Ok(mut stream) = TcpStream::connect(address).await {
-        while let Some(request) = requests.next() {
+        for request in requests.by_ref() {
             let Some(answer) = exchange(&mut stream, &request).await else {
                 break;
             };
