--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -4,6 +4,7 @@
 mod disconnects;
 mod fleet_checks;
 mod freezes;
+mod odd_records;
 mod partition;
 #[path = "../fleet/sample.rs"]
 mod sample;
