Take nothing but a stream for the rest of a stream

Reported by operators: a stream had begun and broke off; the next replica answered with an error, whose text clients found in the middle of their stream.

Cause: any successful answer to a request for the rest of a stream was forwarded as that rest.

Change: the rest of a stream has status 200 and is a stream of events, or doesn't say what it is. Two readings of the media type become one (BodyType).

--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -1,6 +1,7 @@
 //! Runs of requests: choice of the upstream, sends, retries, and forwarding of answers.
 
 mod answer_delivery;
+mod body_type;
 mod event_forwarder;
 mod event_splitter;
 mod planned_send;
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -8,8 +8,6 @@
 use ferry_decisions::ruleset::RunKind;
 use ferry_kernel::http::{BodyFraming, BoxError};
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
-use hyper::header::CONTENT_TYPE;
 use tokio::time::{Instant, timeout_at};
 
 use super::RelayRun;
@@ -29,8 +27,6 @@
 const MIN_PACE_PIECES: u32 = 4;
 /// Time from the first event of an answer after which its upstream has most likely survived the beginning.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-/// Media type of a stream of events.
-const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
 /// Forwards one stream of events to the caller.
 pub struct EventForwarder {
@@ -176,13 +172,13 @@
         };
         self.run
             .log_end(answer.framing, self.splitter.is_inside_event(), self.pieces);
-        if is_event_stream(&answer.head.headers) && self.splitter.is_inside_event() {
+        if answer.body_type().may_be_events() && self.splitter.is_inside_event() {
             return ForwardStep::Broken("the stream ended inside an event".to_owned());
         }
         if answer.framing == BodyFraming::Delimited {
             return ForwardStep::End;
         }
-        if !self.has_sent_events && is_event_stream(&answer.head.headers) {
+        if !self.has_sent_events && answer.body_type().may_be_events() {
             return ForwardStep::Broken("the stream ended before its first event".to_owned());
         }
         if has_ended(&self.run.core, &answer.upstream).await {
@@ -315,17 +311,6 @@
     }
 }
 
-/// Whether the body is a stream of events, which an answer of a streaming rule is unless it names another type.
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let media_type = headers
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok());
-    media_type.is_none_or(|media_type| {
-        let media_type = media_type.trim_start().to_ascii_lowercase();
-        media_type.starts_with(EVENT_STREAM_TYPE)
-    })
-}
-
 fn stream_failure() -> SendFailure {
     SendFailure::without_answer(UpstreamFailure::BrokenInAnswer)
 }
--- a/crates/router/src/relay/run/relay_run.rs
+++ b/crates/router/src/relay/run/relay_run.rs
@@ -4,8 +4,8 @@
 use ferry_decisions::names::{HostName, ServiceName, VersionName};
 use ferry_decisions::retry::{RunState, UpstreamFailure};
 use ferry_kernel::http::{BodyFraming, HttpBody};
-use hyper::Response;
 use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
@@ -135,7 +135,7 @@
     ) -> Result<UpstreamAnswer, RelayRefusal> {
         loop {
             let failure = match self.send_to(planned, last_event).await {
-                Ok(answer) if answer.head.status.is_success() => return Ok(answer),
+                Ok(answer) if is_rest_of_stream(&answer) => return Ok(answer),
                 Ok(_) => SendFailure::without_answer(UpstreamFailure::MalformedAnswer),
                 Err(failure) => failure,
             };
@@ -169,3 +169,8 @@
         }
     }
 }
+
+/// Whether an answer to a request for the rest of a stream is that rest, and not an error in place of it.
+fn is_rest_of_stream(answer: &UpstreamAnswer) -> bool {
+    answer.head.status == StatusCode::OK && answer.body_type().may_be_events()
+}
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -13,11 +13,11 @@
 use ferry_kernel::http::BodyFraming;
 use ferry_platform::headers::{AnswerFacts, set_time_left};
 use http_body_util::Full;
-use hyper::header::CONTENT_TYPE;
 use hyper::{Request, StatusCode};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::body_type::BodyType;
 use super::planned_send::PlannedSend;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer};
 use crate::relay::paths::{UpstreamStatement, record_lost_path, tell_router};
@@ -25,8 +25,6 @@
 use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{InFlightGuard, LinkLease, RelayUpstream, UpstreamLink};
 
-/// Media type of a stream of events.
-const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
 /// Time for which the head of an answer is still awaited once nobody waits for the answer. What it says of the upstream binds this
 /// router all the same; the run is aborted at the end.
 pub const LISTEN_TIME: Duration = Duration::from_millis(200);
@@ -180,7 +178,7 @@
         }
         match answer.in_flight.permit() {
             Some(permit) if is_rejected => permit.record_rejection(facts.load),
-            Some(permit) => permit.record_head(facts.load, is_stream(answer)),
+            Some(permit) => permit.record_head(facts.load, answer.body_type() == BodyType::Events),
             None if is_rejected => report_rejection(core, upstream),
             None => {}
         }
@@ -207,12 +205,6 @@
     }
 }
 
-/// Whether the body of an answer may come much later than its head.
-fn is_stream(answer: &UpstreamAnswer) -> bool {
-    let media_type = answer.head.headers.get(CONTENT_TYPE);
-    media_type.is_some_and(|media_type| media_type.as_bytes().starts_with(EVENT_STREAM_TYPE))
-}
-
 /// Kind of the I/O error that broke a connection; `Other` if it broke for another reason.
 fn broken_by(error: &hyper::Error) -> ErrorKind {
     let cause = error.source();
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
+use super::body_type::BodyType;
 use super::planned_send::PlannedSend;
 use super::upstream_exchange::UpstreamExchange;
 use crate::relay::paths::open_link;
@@ -62,6 +63,11 @@
 }
 
 impl UpstreamAnswer {
+    /// What the headers say of the body.
+    pub fn body_type(&self) -> BodyType {
+        BodyType::of(&self.head.headers)
+    }
+
     /// Whether the connection can carry another request after the end of the body.
     pub fn keeps_link(&self) -> bool {
         !self.facts.closes && self.framing == BodyFraming::Delimited
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -22,6 +22,7 @@
 mod path_cuts;
 mod raw_replica;
 mod requests;
+mod resumed_errors;
 mod retry_budget;
 mod rollouts;
 mod rules;
