--- a/crates/router/src/relay/permits.rs
+++ b/crates/router/src/relay/permits.rs
@@ -4,13 +4,15 @@
 mod permit_manager;
 mod permit_message;
 mod permit_query;
+mod permit_reply;
 mod return_times;
 mod send_permit;
 mod upstream_waits;
 
 pub use permit_manager::PermitManager;
 pub use permit_message::{BrittleNotice, LimitNews, LimitNotice};
-pub use permit_query::{answer_query, report_rejection, take_permit};
+pub use permit_query::{report_rejection, take_permit};
+pub use permit_reply::answer_query;
 pub use send_permit::SendPermit;
 
 use super::relay_core::SharedCore;
--- a/crates/router/src/relay/permits/permit_query.rs
+++ b/crates/router/src/relay/permits/permit_query.rs
@@ -1,23 +1,20 @@
-//! Asks for permits, and answers other routers that ask for them.
+//! Asks for permits, and reports what became of them.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use ferry_decisions::limits::{RoomQuery, StatedLimits};
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::UpstreamIncarnation;
 use futures::future::join_all;
 use tokio::time::timeout;
 
 use super::LimitNews;
-use super::permit_issuer::IssueQuery;
 use super::permit_message::{
     PermitAnswer, PermitDetails, PermitPurpose, PermitQuery, PermitReport,
 };
+use super::permit_reply::{IssuerAnswer, issue};
 use super::send_permit::{SendPermit, stated_load};
-use crate::peer::{PeerError, PeerMessage, PeerTopic};
-use crate::relay::fleet::{read_body, write_body};
+use crate::peer::{PeerError, PeerTopic};
 use crate::relay::relay_core::{RelayCore, SharedCore};
 use crate::relay::upstreams::RelayUpstream;
 
@@ -31,25 +28,11 @@
 const NO_ANSWER_WAIT: Duration = Duration::from_millis(500);
 /// Time that a permit outlives its request, in which the upstream may still answer it.
 const EXTRA_LIFETIME: Duration = Duration::from_millis(500);
-/// Lifetime of a permit of a router of an older build, which reports no ends.
-const UNREPORTED_LIFETIME: Duration = Duration::from_secs(1);
-/// Time after the start of this router in which others may still issue the permits that are its own to issue.
-const TAKE_OVER_TIME: Duration = Duration::from_secs(3);
-
 /// The upstream has no permit for the request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the upstream takes no request now; choose another one")]
 pub struct NoPermit;
 
-/// Answer of an issuer to a query.
-#[derive(Debug, Clone, Copy)]
-struct IssuerAnswer {
-    /// Time after which to ask again; absent if the permit is issued.
-    wait: Option<Duration>,
-    /// Requests per second that the upstream, which is brittle, has answered lately.
-    per_second: Option<f64>,
-}
-
 /// Takes a permit to send a request, for which `time_left` is left, to `upstream`; without one the upstream is left out until one is expected. Returns
 /// no permit to hold if the upstream needs none, or none whose end matters.
 ///
@@ -188,87 +171,6 @@
     });
 }
 
-/// Answers a query for a permit, or a report.
-pub fn answer_query(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
-    let query: PermitQuery = read_body(message, "query for a permit")?;
-    let now = core.clock.now();
-    let upstream = query.notice.upstream.clone();
-    core.permits.merge(
-        LimitNews {
-            limits: vec![query.notice],
-            brittle: Vec::new(),
-        },
-        now,
-    );
-    let mut permits = core.permits.issuer().lock();
-    for report in &query.reports {
-        permits.record_report(&message.from, report, now);
-    }
-    if query.purpose == PermitPurpose::Rejection {
-        permits.record_rejection(&upstream, now);
-    }
-    drop(permits);
-    let wait = (query.purpose == PermitPurpose::Permit)
-        .then(|| issue(core, &message.from, &upstream, query.details).wait);
-    let answer = PermitAnswer {
-        notice: core.permits.notice(&upstream, now),
-        wait_ms: wait.flatten().map(|wait| wait.as_millis() as u64),
-        per_second: core.permits.issuer().lock().per_second(&upstream),
-    };
-    write_body(&answer, "an answer to a router")
-}
-
-/// Issues a permit of this router to `router`.
-fn issue(
-    core: &RelayCore,
-    router: &HostName,
-    upstream: &UpstreamIncarnation,
-    details: Option<PermitDetails>,
-) -> IssuerAnswer {
-    let now = core.clock.now();
-    let listed = core.upstreams.find(&upstream.id);
-    let listed = listed.filter(|listed| listed.record.incarnation == *upstream);
-    let heard = core.permits.notice(upstream, now).stated;
-    let limits = listed.as_ref().map_or(heard, |listed| {
-        let limits = core.permits.limits(&listed.record);
-        StatedLimits {
-            per_second: limits.per_second.or(heard.per_second),
-            ..limits
-        }
-    });
-    let own = core.settings.load().host.clone();
-    let is_substitute = !core.permits.is_first(upstream, &core.fleet.hosts(), &own);
-    let room = match (details, limits.rejections) {
-        (Some(details), _) => Some(RoomQuery {
-            key: (router.clone(), details.number),
-            survived: details.survived,
-            slots: details.slots,
-            lifetime: Duration::from_millis(details.lifetime_ms),
-            is_substitute,
-        }),
-        (None, Some(survived)) => Some(RoomQuery {
-            key: (router.clone(), core.permits.next_number()),
-            survived,
-            slots: listed.map_or(1, |listed| listed.record.slots),
-            lifetime: UNREPORTED_LIFETIME,
-            is_substitute,
-        }),
-        (None, None) => None,
-    };
-    let query = IssueQuery {
-        upstream,
-        per_second: limits.per_second,
-        room: room.as_ref(),
-        load: details.and_then(|details| details.load),
-        is_only: !is_substitute && core.clock.elapsed() >= TAKE_OVER_TIME,
-    };
-    let mut permits = core.permits.issuer().lock();
-    IssuerAnswer {
-        wait: permits.issue(&query, now).err(),
-        per_second: permits.per_second(upstream),
-    }
-}
-
 /// Details of a permit for `upstream`; `None` if it is not brittle.
 fn permit_details(
     core: &RelayCore,
--- /dev/null
+++ b/crates/router/src/relay/permits/permit_reply.rs
@@ -0,0 +1,135 @@
+//! Answers other routers that ask for permits or report what became of them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::limits::{RoomQuery, StatedLimits};
+use ferry_decisions::names::HostName;
+use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord};
+
+use super::LimitNews;
+use super::permit_issuer::IssueQuery;
+use super::permit_message::{
+    PermitAnswer, PermitDetails, PermitPurpose, PermitQuery, PermitReport,
+};
+use crate::peer::PeerMessage;
+use crate::relay::fleet::{read_body, write_body};
+use crate::relay::relay_core::RelayCore;
+
+/// Lifetime, in milliseconds, of a permit of a router of an older build, which reports no ends.
+const UNREPORTED_LIFETIME_MS: u64 = 1_000;
+/// Time after the start of this router in which others may still issue the permits that are its own to issue.
+const TAKE_OVER_TIME: Duration = Duration::from_secs(3);
+
+/// Answer of an issuer to a query.
+#[derive(Debug, Clone, Copy)]
+pub struct IssuerAnswer {
+    /// Time after which to ask again; absent if the permit is issued.
+    pub wait: Option<Duration>,
+    /// Requests per second that the upstream, which is brittle, has answered lately.
+    pub per_second: Option<f64>,
+}
+
+/// Answers a query for a permit, or a report.
+pub fn answer_query(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
+    let query: PermitQuery = read_body(message, "query for a permit")?;
+    let now = core.clock.now();
+    let upstream = query.notice.upstream.clone();
+    let news = LimitNews {
+        limits: vec![query.notice],
+        brittle: Vec::new(),
+    };
+    core.permits.merge(news, now);
+    record_reports(core, &message.from, &query.reports);
+    let wait = match query.purpose {
+        PermitPurpose::Permit => issue(core, &message.from, &upstream, query.details).wait,
+        PermitPurpose::Rejection => {
+            let mut permits = core.permits.issuer().lock();
+            permits.record_rejection(&upstream, now);
+            None
+        }
+        PermitPurpose::Notice => None,
+    };
+    let answer = PermitAnswer {
+        notice: core.permits.notice(&upstream, now),
+        wait_ms: wait.map(|wait| wait.as_millis() as u64),
+        per_second: core.permits.issuer().lock().per_second(&upstream),
+    };
+    write_body(&answer, "an answer to a router")
+}
+
+fn record_reports(core: &RelayCore, router: &HostName, reports: &[PermitReport]) {
+    let now = core.clock.now();
+    let mut permits = core.permits.issuer().lock();
+    for report in reports {
+        permits.record_report(router, report, now);
+    }
+}
+
+/// Issues a permit of this router to `router`.
+pub fn issue(
+    core: &RelayCore,
+    router: &HostName,
+    upstream: &UpstreamIncarnation,
+    details: Option<PermitDetails>,
+) -> IssuerAnswer {
+    let now = core.clock.now();
+    let listed = core.upstreams.find(&upstream.id);
+    let listed = listed.filter(|listed| listed.record.incarnation == *upstream);
+    let listed = listed.as_ref().map(|listed| &listed.record);
+    let limits = known_limits(core, upstream, listed);
+    let host = core.settings.load().host.clone();
+    let is_substitute = !core.permits.is_first(upstream, &core.fleet.hosts(), &host);
+    let details = details.or_else(|| unreported_details(core, limits, listed));
+    let room = details.map(|details| RoomQuery {
+        key: (router.clone(), details.number),
+        survived: details.survived,
+        slots: details.slots,
+        lifetime: Duration::from_millis(details.lifetime_ms),
+        is_substitute,
+    });
+    let query = IssueQuery {
+        upstream,
+        per_second: limits.per_second,
+        room: room.as_ref(),
+        load: details.and_then(|details| details.load),
+        is_only: !is_substitute && core.clock.elapsed() >= TAKE_OVER_TIME,
+    };
+    let mut permits = core.permits.issuer().lock();
+    IssuerAnswer {
+        wait: permits.issue(&query, now).err(),
+        per_second: permits.per_second(upstream),
+    }
+}
+
+/// Limits of `upstream`: those of its service if it is `listed`, and those that other routers told of it.
+fn known_limits(
+    core: &RelayCore,
+    upstream: &UpstreamIncarnation,
+    listed: Option<&UpstreamRecord>,
+) -> StatedLimits {
+    let heard = core.permits.notice(upstream, core.clock.now()).stated;
+    let Some(record) = listed else {
+        return heard;
+    };
+    let limits = core.permits.limits(record);
+    StatedLimits {
+        per_second: limits.per_second.or(heard.per_second),
+        ..limits
+    }
+}
+
+/// Details of a permit that a router of an older build asks for, which sends none; `None` if the upstream is not brittle.
+fn unreported_details(
+    core: &RelayCore,
+    limits: StatedLimits,
+    listed: Option<&UpstreamRecord>,
+) -> Option<PermitDetails> {
+    Some(PermitDetails {
+        number: core.permits.next_number(),
+        survived: limits.rejections?,
+        slots: listed.map_or(1, |record| record.slots),
+        lifetime_ms: UNREPORTED_LIFETIME_MS,
+        load: None,
+    })
+}
