Pass on crash rows that grew while they were stored, and crashes that are taken back

A row went with the feed only while it was in the store exactly as it is here, so that one whose answers grew while it was appended was passed on to nobody, with all news in it. And a request whose crashes were taken back was no longer near its quarantine, so that its rows, with this news, were not passed on to the routers that held the crashes: it stayed quarantined there.

Change: any row of which a version is in the store is passed on as it is here, and "near" counts crashes that were taken back too.

--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -263,7 +263,7 @@
         held.cloned().collect()
     }
 
-    /// Rows in the store of those of `subjects` that one more crash may quarantine. Only these matter to routers that count no crash of the
+    /// Rows in the store of those of `subjects` that one more crash may quarantine, or could have. Only these matter to routers that count no crash of the
     /// subject themselves: most requests that meet a crash did not cause it.
     pub fn near_rows_of(&self, subjects: &BTreeSet<CrashSubject>) -> Vec<CrashRow> {
         let entries = subjects
@@ -277,7 +277,7 @@
         self.entries.values().any(TallyEntry::is_urgent)
     }
 
-    /// Rows, at most `limit`, in the store of subjects that one more crash may quarantine.
+    /// Rows, at most `limit`, in the store of subjects that one more crash may quarantine, or could have.
     pub fn near_rows(&self, limit: usize) -> Vec<CrashRow> {
         let rows = self.entries.values().flat_map(TallyEntry::near_rows);
         rows.take(limit).cloned().collect()
--- a/crates/decisions/src/quarantine/tally_entry.rs
+++ b/crates/decisions/src/quarantine/tally_entry.rs
@@ -150,11 +150,15 @@
             .map(|held| &held.row)
     }
 
-    /// Rows that are in the store as they are here, if one more crash may quarantine the subject.
+    /// Rows of which a version is in the store, if one more crash may quarantine the subject, or could have before crashes of it were
+    /// taken back: the routers that got its rows then have to hear of that.
     pub(super) fn near_rows(&self) -> impl Iterator<Item = &CrashRow> {
-        let is_near = self.is_near_quarantine();
+        let crashes = self.rows().flat_map(|row| &row.crashed);
+        let crashes: BTreeSet<&UpstreamIncarnation> = crashes.collect();
+        let is_near = crashes.len() + 1 >= self.least_crashes();
         let rows = self.rows.iter().filter(move |_| is_near);
-        rows.filter_map(HeldRow::stored_row)
+        rows.filter(|held| held.stored.is_some())
+            .map(|held| &held.row)
     }
 
     /// The row `key`, if it is in the store as it is here.
@@ -171,11 +175,15 @@
 
     /// Whether one more crash may quarantine the subject.
     pub(super) fn is_near_quarantine(&self) -> bool {
-        let least = match self.subject {
+        self.crashed() + 1 >= self.least_crashes()
+    }
+
+    /// Least number of upstreams that the subject crashed before it is quarantined.
+    fn least_crashes(&self) -> usize {
+        match self.subject {
             CrashSubject::Part(_) => GUILTY_UPSTREAMS,
             CrashSubject::Request(_) => QUARANTINE_UPSTREAMS,
-        };
-        self.crashed() + 1 >= least
+        }
     }
 
     /// Keys of the rows that are in the store.
--- a/crates/decisions/tests/crash_reports.rs
+++ b/crates/decisions/tests/crash_reports.rs
@@ -121,3 +121,46 @@
         "of {INNOCENTS} rows"
     );
 }
+
+/// Guards against news of a row that is passed on to no router, since an answer came while the row was being stored.
+#[test]
+fn news_of_a_row_is_passed_on_although_the_row_grew_while_it_was_stored() {
+    let mut tally = CrashTally::new("entry-1/a");
+    let culprit = request(1);
+    for number in 0..2 {
+        tally.record(culprit, &upstream(number), NOW);
+    }
+    let appended = tally.unstored(LIMIT);
+    tally.record_answer(culprit, NOW);
+    for row in &appended {
+        tally.mark_stored(row);
+    }
+    let only = [CrashSubject::Request(culprit)].into();
+    assert_eq!(tally.near_rows_of(&only).len(), appended.len());
+    assert_eq!(tally.near_rows(LIMIT).len(), appended.len());
+}
+
+/// Guards against a request that stays quarantined at the routers that sync, since its crashes were taken back at their source only.
+#[test]
+fn a_crash_that_is_taken_back_is_passed_on_to_the_routers_that_know_it() {
+    let mut tally = CrashTally::new("entry-1/a");
+    let culprit = request(1);
+    for number in 0..3 {
+        tally.record(culprit, &upstream(number), NOW);
+    }
+    store_all(&mut tally);
+    let only = [CrashSubject::Request(culprit)].into();
+    let mut follower = CrashTally::new("entry-2/a");
+    for row in tally.near_rows_of(&only) {
+        follower.merge(row, RowOrigin::Store, NOW);
+    }
+    assert!(follower.is_quarantined(&culprit, NOW));
+    for number in 0..3 {
+        tally.record_survival(&upstream(number));
+    }
+    store_all(&mut tally);
+    for row in tally.near_rows_of(&only) {
+        follower.merge(row, RowOrigin::Store, NOW);
+    }
+    assert!(!follower.is_quarantined(&culprit, NOW));
+}
