Send nothing to a new version before the orders were confirmed after its listing

Change: while a service has no order here, requests go to versions of which one upstream was listed before the orders were last confirmed; to any if there is none (confirmed_versions). An order precedes the start of the upstreams of its version.

--- a/crates/decisions/src/rollout.rs
+++ b/crates/decisions/src/rollout.rs
@@ -7,6 +7,7 @@
 mod evidence_cell;
 mod evidence_pool;
 mod evidence_row;
+mod listed_version;
 mod rollout_order;
 mod rollout_phase;
 mod rollout_plan;
@@ -16,6 +17,7 @@
 pub use evidence_row::{
     AnswerAspect, AnswerQuality, ClassCounts, EvidenceRow, VersionSide, conversation_mark,
 };
+pub use listed_version::{ListedVersion, confirmed_versions};
 pub use rollout_order::RolloutOrder;
 pub use rollout_phase::RolloutPhase;
 pub use rollout_plan::{ExposureBound, PlanInput, RolloutPlan};
--- a/crates/router/src/relay/run/run_placement.rs
+++ b/crates/router/src/relay/run/run_placement.rs
@@ -9,12 +9,13 @@
 };
 use ferry_decisions::hash_point;
 use ferry_decisions::names::{HostName, ServiceName, ZoneName};
-use ferry_decisions::rollout::VersionSide;
+use ferry_decisions::rollout::{VersionSide, confirmed_versions};
 use ferry_decisions::time::MonotonicTime;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::relay::RelayCore;
+use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::request::RelayRequest;
 use crate::relay::rollouts::VersionPick;
 use crate::relay::upstreams::RelayUpstream;
@@ -140,7 +141,7 @@
     now: MonotonicTime,
 ) -> EligibleUpstreams<'a> {
     let Some(pick) = query.pick else {
-        return list.iter().collect();
+        return versions_without_order(core, list);
     };
     let allows = |upstream: &RelayUpstream| {
         let is_target = upstream.record.version == pick.target;
@@ -161,6 +162,27 @@
     }
 }
 
+/// The upstreams of the versions that may be used while no order is known; all upstreams if each of these is leaving.
+fn versions_without_order<'a>(
+    core: &RelayCore,
+    list: &'a [Arc<RelayUpstream>],
+) -> EligibleUpstreams<'a> {
+    let confirmed_age = core.operator_topic.age();
+    let now = ConfirmationTime::now();
+    let listed = || list.iter().map(|upstream| upstream.listed_version(now));
+    if listed().all(|listed| listed.is_confirmed(confirmed_age)) {
+        return list.iter().collect();
+    }
+    let versions = confirmed_versions(listed(), confirmed_age);
+    let is_usable = |upstream: &RelayUpstream| versions.contains(&&upstream.record.version);
+    let usable: EligibleUpstreams<'a> =
+        list.iter().filter(|upstream| is_usable(upstream)).collect();
+    if usable.iter().all(|upstream| upstream.is_leaving()) {
+        return list.iter().collect();
+    }
+    usable
+}
+
 /// The first `count` by id of the upstreams of a new version that can take requests; all if none can. Routers differ only in which
 /// of them they find usable.
 fn loaded_targets<'a>(
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -7,6 +7,7 @@
 use ferry_decisions::choice::{ReportedLoad, UpstreamLoad, UpstreamState, UpstreamView};
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::{UpstreamRecord, UpstreamStage};
+use ferry_decisions::rollout::ListedVersion;
 use ferry_decisions::time::MonotonicTime;
 use ferry_platform::headers::LoadFacts;
 use parking_lot::Mutex;
@@ -14,6 +15,7 @@
 
 use super::unproven_ends::UnprovenEnds;
 use super::{UnprovenEnd, UpstreamLink};
+use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::paths::UpstreamPath;
 use crate::relay::permits::SendPermit;
 
@@ -43,6 +45,8 @@
 pub struct RelayUpstream {
     /// Its entry when it was first listed; later stages are kept in `leaving`.
     pub record: UpstreamRecord,
+    /// When it was first listed here, a value of [`ConfirmationTime::now`].
+    listed_at: Duration,
     leaving: AtomicBool,
     state: Mutex<UpstreamActivity>,
     idle: Mutex<Vec<UpstreamLink>>,
@@ -104,6 +108,7 @@
         Self {
             leaving: AtomicBool::new(record.stage == UpstreamStage::Draining),
             record,
+            listed_at: ConfirmationTime::now(),
             state: Mutex::default(),
             idle: Mutex::default(),
             path: Mutex::default(),
@@ -121,6 +126,14 @@
             && self.record.version == record.version
     }
 
+    /// Its version, and how long ago it was listed at `now`, a value of [`ConfirmationTime::now`].
+    pub fn listed_version(&self, now: Duration) -> ListedVersion<'_> {
+        ListedVersion {
+            version: &self.record.version,
+            listed_age: now.saturating_sub(self.listed_at),
+        }
+    }
+
     /// Identifier of the upstream, to which each send is bound.
     pub fn id(&self) -> &str {
         self.record.incarnation.id.as_str()
