--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -181,6 +181,7 @@
     loop {
         let accepted = tokio::select! {
             biased;
+            () = handle.abort.cancelled() => return,
             accepted = listener.accept() => accepted,
             () = last_read.as_mut() => return,
         };
