--- a/crates/router/tests/relay/callers_that_left.rs
+++ b/crates/router/tests/relay/callers_that_left.rs
@@ -7,13 +7,14 @@
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_standin::ReplicaPlan;
 use ferry_standin::replica::RunStatus;
+use ferry_standin::{BrittleTimes, ReplicaPlan};
 use futures::future::join_all;
 use hyper::Method;
 use tokio::time::{Instant, interval, sleep, sleep_until, timeout};
 
 use crate::blocked_router::BlockedRouter;
-use crate::brittle_upstream::{BrittleTimes, BrittleUpstream, ReturnName};
-use crate::deployment::{Deployment, call, eventually, request, rule};
+use crate::brittle_upstream::{brittle_options, start_brittle};
+use crate::deployment::{Deployment, SERVICE, call, eventually, request, rule};
 
 /// Time after a caller has left from which on its request must reach no upstream.
 const LATE: Duration = Duration::from_millis(500);
@@ -103,7 +104,8 @@
     };
     let names = ["up-1", "up-2", "up-3"];
     let starting = names.map(|name| {
-        BrittleUpstream::start(&deployment.store, name, "zone-a", times, ReturnName::Same)
+        let options = brittle_options(name, "zone-a", ReturnName::Same);
+        start_brittle(&deployment.store, options, times)
     });
     let upstreams = join_all(starting).await;
     let mut left_at = HashMap::new();
@@ -124,7 +126,7 @@
     }
     let arrivals = upstreams.iter().flat_map(|upstream| upstream.arrivals());
     let late: Vec<_> = arrivals
-        .filter(|(attempt, at)| *at > left_at[attempt] + LATE)
+        .filter(|arrival| arrival.at > left_at[&arrival.attempt_id] + LATE)
         .collect();
     assert!(late.len() <= ALLOWED, "{late:?}");
     assert!(upstreams.iter().all(|upstream| upstream.running() == 0));
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay against an emulated platform: a store and upstreams on loopback addresses.
 
 mod blocked_router;
+mod brittle_play;
 mod brittle_returns;
 mod brittle_upstream;
 mod callers_that_left;
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -7,11 +7,11 @@
 use ferry_decisions::time::UnixMillis;
 use ferry_kernel::http::HttpRequest;
 use ferry_platform::entries::encode_upstream;
-use ferry_platform::headers::{AnswerHeaders, BoundRequest};
+use ferry_platform::headers::AnswerHeaders;
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_router::relay::RelayDaemon;
+pub use ferry_standin::raw_http::{header_lines, read_request};
 use hyper::HeaderMap;
-use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -234,38 +234,6 @@
     }
 }
 
-pub async fn read_request(stream: &mut TcpStream) -> Option<BoundRequest> {
-    let head = read_head(stream).await?;
-    let mut headers = HeaderMap::new();
-    for line in head.lines().skip(1) {
-        let Some((name, value)) = line.split_once(": ") else {
-            continue;
-        };
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        headers.insert(name, HeaderValue::from_str(value).ok()?);
-    }
-    let length = headers.get(CONTENT_LENGTH);
-    let length: usize = length.map_or(0, |length| length.to_str().unwrap().parse().unwrap());
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).await.ok()?;
-    Some(BoundRequest::read(&headers))
-}
-
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    while !head.ends_with(HEAD_END) {
-        head.push(stream.read_u8().await.ok()?);
-    }
-    Some(String::from_utf8_lossy(&head).into_owned())
-}
-
-pub fn header_lines(headers: &HeaderMap) -> String {
-    let lines = headers.iter();
-    lines
-        .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().unwrap()))
-        .collect()
-}
-
 /// Sends a request on a connection of its own, and reads its answer until the connection ends.
 pub async fn read_raw(relay: &RelayDaemon, path: &str, attempt_id: &str) -> RawAnswer {
     let HttpRequest { headers, body, .. } = request(relay, path, attempt_id);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,11 +6,13 @@
 //! serve counters there.
 
 pub mod app;
+pub mod brittle;
 pub mod counters;
 pub mod digest;
 pub mod engine;
 pub mod faults;
 pub mod platform;
+pub mod raw_http;
 mod registration;
 pub mod replica;
 mod reply;
@@ -18,6 +20,7 @@
 pub mod service;
 pub mod store;
 
+pub use brittle::{BrittleOptions, BrittleStandin, BrittleTimes};
 pub use engine::{EngineOptions, EngineStandin};
 pub use faults::FaultOrder;
 pub use platform::{PlatformOptions, PlatformStandin};
