Ask again for all upstreams after an answer of a router that knows none yet

Callers saw routers that stayed unready where no upstream is listed. Cause: a router took the first answer of its sync source for a state of the upstreams though that source had not listed them, and was told of changes only. routers_are_ready_without_any_upstream failed before.

--- a/crates/router/src/relay/fleet/feed_position.rs
+++ b/crates/router/src/relay/fleet/feed_position.rs
@@ -10,7 +10,7 @@
 /// Position in the changes of one router.
 #[derive(Debug, Default, Clone)]
 pub struct FeedPosition {
-    /// Incarnation of that router; empty before its first answer.
+    /// Incarnation of that router; empty before its first answer with the upstreams.
     pub source: String,
     /// Revision of the last change that was received.
     pub revision: u64,
--- a/crates/router/src/relay/fleet/feed_query.rs
+++ b/crates/router/src/relay/fleet/feed_query.rs
@@ -232,7 +232,11 @@
     if answer.has_full_list {
         core.fleet.confirm_list();
     }
-    position.source = answer.source;
+    // A router that knows nothing of the upstreams has given no state of them: the next answer has it whole.
+    position.source = match positions.upstreams {
+        Some(_) => answer.source,
+        None => String::new(),
+    };
     position.revision = answer.revision;
     position.routers_revision = answer.routers_revision;
     Ok(())
--- a/crates/router/tests/relay/feeds.rs
+++ b/crates/router/tests/relay/feeds.rs
@@ -6,11 +6,13 @@
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_decisions::time::UnixMillis;
 use ferry_platform::entries::encode_upstream;
-use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_platform::store::{NEWEST_PATH, UPSTREAM_TOPIC};
 use ferry_rig::LinkProxy;
 use ferry_router::relay::RelayDaemon;
 use ferry_router::relay::status::ServiceStatus;
 use ferry_standin::ReplicaPlan;
+use ferry_standin::faults::{FaultOrder, SlowOrder};
+use futures::future::join_all;
 use hyper::StatusCode;
 use tokio::runtime::Runtime;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -26,6 +28,8 @@
 /// routers' list.
 const ROUTER_CALL_LIMIT: u64 = 32;
 
+/// Number of routers of a larger fleet.
+const MANY_ROUTERS: usize = 12;
 /// Number of rules of a large configuration.
 const MANY_RULES: usize = 1_450;
 /// Number of small changes of it that are counted.
@@ -404,3 +408,33 @@
         "{change} bytes for a tenth of the upstreams, {full_state} for all"
     );
 }
+
+/// Routers that begin to sync from one that has not listed the upstreams yet become ready though there are none.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_are_ready_without_any_upstream() {
+    let mut deployment = Deployment::start().await;
+    // Content that is as old as the start counts as recent.
+    deployment.bounds.drain = Duration::from_secs(4);
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    deployment.store.set_faults(FaultOrder {
+        slow: Some(SlowOrder {
+            ms: 200,
+            path: format!("{NEWEST_PATH}?topic={UPSTREAM_TOPIC}"),
+        }),
+        ..FaultOrder::default()
+    });
+    let hosts: Vec<String> = (0..MANY_ROUTERS)
+        .map(|number| format!("entry-{number}"))
+        .collect();
+    let starting = hosts.iter().map(|host| deployment.start_in(host, "zone-a"));
+    let relays = join_all(starting).await;
+    eventually("all routers are ready", async || {
+        for relay in &relays {
+            if !is_ready(relay).await {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
--- a/crates/standin/src/faults/fault_order.rs
+++ b/crates/standin/src/faults/fault_order.rs
@@ -35,7 +35,7 @@
     pub struct OutageOrder {
         /// How the calls fail.
         pub answer: OutageAnswer,
-        /// Prefix of the affected paths; empty for all paths.
+        /// Prefix of the affected paths, which may go on into their query; empty for all paths.
         #[serde(default)]
         pub path: String,
     }
@@ -44,7 +44,7 @@
     pub struct SlowOrder {
         /// Added delay, in milliseconds.
         pub ms: u64,
-        /// Prefix of the affected paths; empty for all paths.
+        /// Prefix of the affected paths, which may go on into their query; empty for all paths.
         #[serde(default)]
         pub path: String,
     }
@@ -53,7 +53,7 @@
     pub struct AnswerLoss {
         /// Number of answers to lose; GET calls are never affected and not counted.
         pub count: u64,
-        /// Prefix of the affected paths; empty for all paths.
+        /// Prefix of the affected paths, which may go on into their query; empty for all paths.
         #[serde(default)]
         pub path: String,
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -245,7 +245,11 @@
         if request.uri().path().starts_with(CONTROL_PREFIX) {
             return self.answer_control(request).await;
         }
-        let path = request.uri().path().to_owned();
+        let uri = request.uri();
+        let path = uri
+            .path_and_query()
+            .map_or(uri.path(), |path| path.as_str());
+        let path = path.to_owned();
         self.gate.wait_while_frozen().await;
         match self.gate.outage(&path) {
             Some(OutageAnswer::Drop) => return dropped_connection(),
