--- a/crates/operator/src/ctl_app/relays_command.rs
+++ b/crates/operator/src/ctl_app/relays_command.rs
@@ -79,6 +79,9 @@
         "LIVE",
         "LEAVING",
         "SUSPECT",
+        "BRITTLE",
+        "PERMITS",
+        "NO PERMIT",
         "IN FLIGHT",
         "REPEATS LEFT",
     ];
@@ -128,6 +131,11 @@
         service.live.to_string(),
         service.leaving.to_string(),
         service.suspect.to_string(),
+        service
+            .brittle
+            .map_or_else(|| "-".to_owned(), |survived| survived.to_string()),
+        service.permits_open.to_string(),
+        service.without_permits.to_string(),
         service.in_flight.to_string(),
         format!("{:.1}", service.repeats_left),
     ]
--- a/crates/router/src/relay/permits.rs
+++ b/crates/router/src/relay/permits.rs
@@ -3,6 +3,7 @@
 mod permit_issuer;
 mod permit_manager;
 mod permit_message;
+mod permit_metrics;
 mod permit_query;
 mod permit_reply;
 mod return_times;
@@ -11,6 +12,7 @@
 
 pub use permit_manager::PermitManager;
 pub use permit_message::{BrittleNotice, LimitNews, LimitNotice};
+pub use permit_metrics::{count_brittle_answer, count_brittle_end, count_brittle_rejection};
 pub use permit_query::{report_rejection, take_permit};
 pub use permit_reply::answer_query;
 pub use send_permit::SendPermit;
--- a/crates/router/src/relay/permits/permit_manager.rs
+++ b/crates/router/src/relay/permits/permit_manager.rs
@@ -210,6 +210,11 @@
     }
 
     /// Records that `upstream` has answered `per_second` requests per second lately.
+    /// Records that `issuer` is asked for permits of `upstream`; returns whether another one was asked before.
+    pub fn record_issuer(&self, upstream: &UpstreamIncarnation, issuer: &HostName) -> bool {
+        self.waits.lock().record_issuer(upstream, issuer)
+    }
+
     pub fn record_rate(&self, upstream: &UpstreamIncarnation, per_second: f64) {
         self.waits.lock().record_rate(upstream, per_second);
     }
--- a/crates/router/src/relay/permits/permit_query.rs
+++ b/crates/router/src/relay/permits/permit_query.rs
@@ -12,7 +12,8 @@
 use super::permit_message::{
     PermitAnswer, PermitDetails, PermitPurpose, PermitQuery, PermitReport,
 };
-use super::permit_reply::{IssuerAnswer, issue};
+use super::permit_metrics::{self, QueryEnd};
+use super::permit_reply::{AskedUpstream, IssuerAnswer, issue};
 use super::send_permit::{SendPermit, stated_load};
 use crate::peer::{PeerError, PeerTopic};
 use crate::relay::relay_core::{RelayCore, SharedCore};
@@ -62,6 +63,9 @@
         let Some(issuer) = choose_issuer(core, &record.incarnation) else {
             break;
         };
+        if core.permits.record_issuer(&record.incarnation, &issuer) {
+            permit_metrics::count_issuer_change(&record.service);
+        }
         let details = permit_details(core, upstream, time_left);
         // Ends the permit if the wait for it is given up, or its answer is lost.
         let permit = details.map(|details| {
@@ -74,14 +78,17 @@
                     core.permits.record_rate(&record.incarnation, per_second);
                 }
                 let Some(wait) = answer.wait else {
+                    permit_metrics::count_query(&record.service, QueryEnd::Issued);
                     return Ok(permit);
                 };
+                permit_metrics::count_query(&record.service, QueryEnd::Refused);
                 if let Some(permit) = permit {
                     permit.record_refusal();
                 }
                 return postpone(wait);
             }
             Err(error) => {
+                permit_metrics::count_query(&record.service, QueryEnd::Unanswered);
                 core.permits.record_unreachable(&issuer, core.clock.now());
                 spdlog::info!("no permit from another router: {}", error, kv: {
                     router = issuer.as_str(),
@@ -209,7 +216,11 @@
 ) -> Result<IssuerAnswer, PeerError> {
     let incarnation = &upstream.record.incarnation;
     if *issuer == core.settings.load().host {
-        return Ok(issue(core, issuer, incarnation, details));
+        let asked = AskedUpstream {
+            incarnation,
+            service: Some(&upstream.record.service),
+        };
+        return Ok(issue(core, issuer, asked, details));
     }
     let query = PermitQuery {
         details,
--- a/crates/router/src/relay/permits/permit_reply.rs
+++ b/crates/router/src/relay/permits/permit_reply.rs
@@ -30,11 +30,21 @@
     pub per_second: Option<f64>,
 }
 
+/// The upstream of a query.
+#[derive(Debug, Clone, Copy)]
+pub struct AskedUpstream<'a> {
+    /// Its process.
+    pub incarnation: &'a UpstreamIncarnation,
+    /// Its service, if the asking router named it.
+    pub service: Option<&'a ServiceName>,
+}
+
 /// Answers a query for a permit, or a report.
 pub fn answer_query(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
     let query: PermitQuery = read_body(message, "query for a permit")?;
     let now = core.clock.now();
     let upstream = query.notice.upstream.clone();
+    let service = query.notice.service.clone();
     let news = LimitNews {
         limits: vec![query.notice],
         brittle: Vec::new(),
@@ -42,7 +52,13 @@
     core.permits.merge(news, now);
     record_reports(core, &message.from, &query.reports);
     let wait = match query.purpose {
-        PermitPurpose::Permit => issue(core, &message.from, &upstream, query.details).wait,
+        PermitPurpose::Permit => {
+            let asked = AskedUpstream {
+                incarnation: &upstream,
+                service: service.as_ref(),
+            };
+            issue(core, &message.from, asked, query.details).wait
+        }
         PermitPurpose::Rejection => {
             let mut permits = core.permits.issuer().lock();
             permits.record_rejection(&upstream, now);
@@ -70,10 +86,11 @@
 pub fn issue(
     core: &RelayCore,
     router: &HostName,
-    upstream: &UpstreamIncarnation,
+    asked: AskedUpstream<'_>,
     details: Option<PermitDetails>,
 ) -> IssuerAnswer {
     let now = core.clock.now();
+    let upstream = asked.incarnation;
     let listed = core.upstreams.find(&upstream.id);
     let listed = listed.filter(|listed| listed.record.incarnation == *upstream);
     let listed = listed.as_ref().map(|listed| &listed.record);
@@ -88,8 +105,11 @@
         lifetime: Duration::from_millis(details.lifetime_ms),
         is_substitute,
     });
+    let service = listed.map(|record| &record.service).or(asked.service);
+    let unknown = ServiceName::new("");
     let query = IssueQuery {
         upstream,
+        service: service.unwrap_or(&unknown),
         per_second: limits.per_second,
         room: room.as_ref(),
         load: details.and_then(|details| details.load),
--- a/crates/router/src/relay/permits/upstream_waits.rs
+++ b/crates/router/src/relay/permits/upstream_waits.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use ferry_decisions::names::HostName;
 use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_decisions::time::MonotonicTime;
 
@@ -13,12 +14,14 @@
 }
 
 /// What the issuer of one upstream told.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct UpstreamWait {
     /// Time until which no permit is asked for.
     until: Option<MonotonicTime>,
     /// Requests per second that the upstream answers.
     per_second: Option<f64>,
+    /// Router that was asked last.
+    issuer: Option<HostName>,
 }
 
 impl UpstreamWaits {
@@ -32,6 +35,15 @@
         self.wait(upstream).per_second = Some(per_second);
     }
 
+    /// Records that `issuer` is asked; returns whether another one was asked before.
+    pub fn record_issuer(&mut self, upstream: &UpstreamIncarnation, issuer: &HostName) -> bool {
+        let known = &mut self.wait(upstream).issuer;
+        if known.as_ref() == Some(issuer) {
+            return false;
+        }
+        known.replace(issuer.clone()).is_some()
+    }
+
     /// Time left until a permit for `upstream` is to be asked for; `None` if it can be now.
     pub fn left(&self, upstream: &UpstreamIncarnation, now: MonotonicTime) -> Option<Duration> {
         let left = self.waits.get(upstream)?.until?.since(now);
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -21,7 +21,7 @@
 use super::planned_send::PlannedSend;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer};
 use crate::relay::paths::{UpstreamStatement, record_lost_path, tell_router};
-use crate::relay::permits::report_rejection;
+use crate::relay::permits::{count_brittle_answer, count_brittle_rejection, report_rejection};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{InFlightGuard, LinkLease, RelayUpstream, UpstreamLink};
 
@@ -180,6 +180,13 @@
             Some(permit) if is_rejected => permit.record_rejection(facts.load),
             Some(permit) => permit.record_head(facts.load, answer.body_type() == BodyType::Events),
             None if is_rejected => report_rejection(core, upstream),
+        if facts.rejections.is_some() {
+            let (service, permit) = (&upstream.record.service, answer.in_flight.permit());
+            count_brittle_answer(service, permit.is_some());
+            if is_rejected {
+                count_brittle_rejection(service, permit.is_some());
+            }
+        }
             None => {}
         }
         let is_unavailable = answer.head.status == StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/router/src/relay/status/service_status.rs
+++ b/crates/router/src/relay/status/service_status.rs
@@ -21,6 +21,15 @@
     /// Number of upstreams that asked this relay for a pause, which has not ended; absent from relays of an older build.
     #[serde(default)]
     pub paused: u32,
+    /// Rejections in a second that its upstreams survive, if they say that they are brittle; absent from relays of an older build.
+    #[serde(default)]
+    pub brittle: Option<u32>,
+    /// Number of open permits that this relay has issued for its upstreams.
+    #[serde(default)]
+    pub permits_open: usize,
+    /// Number of its upstreams for which this relay asks for no permit now, since there is none.
+    #[serde(default)]
+    pub without_permits: u32,
     /// Number of requests of this relay in flight.
     pub in_flight: u32,
     /// Number of retries that its budget covers now; may be a fraction or below 0.
@@ -46,6 +55,9 @@
             leaving: 0,
             suspect: 0,
             paused: 0,
+            brittle: None,
+            permits_open: core.permits.issuer().lock().open(service),
+            without_permits: 0,
             in_flight: 0,
             repeats_left: core.retries_left(service),
         };
@@ -56,6 +68,11 @@
                 UpstreamState::Leaving => status.leaving += 1,
                 UpstreamState::Suspect => status.suspect += 1,
             }
+            let survived = core.permits.limits(&upstream.record).rejections;
+            status.brittle = survived.into_iter().chain(status.brittle).min();
+            if core.permits.wait(&upstream.record, now).is_some() {
+                status.without_permits += 1;
+            }
             status.in_flight += upstream.in_flight();
         }
         status
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -13,6 +13,7 @@
 use super::OutageLog;
 use super::topic_reader::{TopicChanges, TopicReader};
 use crate::relay::confirmation_time::ConfirmationTime;
+use crate::relay::permits::count_brittle_end;
 use crate::relay::relay_core::SharedCore;
 
 /// Number of reads within the time in which a draining upstream must be noticed.
@@ -138,6 +139,9 @@
 fn publish(core: &SharedCore, registry: &UpstreamRegistry) {
     for replaced in core.upstreams.update(registry.upstreams()) {
         let incarnation = &replaced.record.incarnation;
+        if core.permits.limits(&replaced.record).rejections.is_some() {
+            count_brittle_end(&replaced.record.service);
+        }
         for end in replaced.take_crashed_ends() {
             let parts = end.parts.iter().copied();
             let verdict = core.crashes.record(end.request, parts, incarnation);
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -1,6 +1,7 @@
 //! Runs the commands of the operations page on real processes: from a failed request's id to its cause, and the state
 //! that relays report.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
@@ -12,7 +13,9 @@
     KEY, RelayFixture, RelayProcess, SERVICE, eventually, fixture_headers, fixture_request,
     fixture_rule,
 };
+use ferry_router::relay::status::RelayStatus;
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
+use futures::future::join_all;
 
 const PAGE: &str = include_str!("../docs/OPERATIONS.md");
 const SAMPLE: &str = include_str!("../platform/tests/samples/host.toml");
@@ -26,6 +29,9 @@
 const TIMEOUT: Duration = Duration::from_secs(30);
 /// Number of requests after which a relay that has just started may repeat one.
 const EARNING_REQUESTS: usize = 6;
+/// Rejections in a second that brittle upstreams survive, and requests that are sent to them at once.
+const SURVIVED: u32 = 3;
+const BRITTLE_CALLS: usize = 8;
 /// Longest answer that is read, in bytes.
 const ANSWER_LIMIT: usize = 1 << 20;
 
@@ -145,7 +151,7 @@
         .iter()
         .find(|row| row.get(1) == Some(&SERVICE))
         .unwrap();
-    assert_eq!(service[2..6], ["2", "0", "0", "0"], "{text}");
+    assert_eq!(service[2..9], ["2", "0", "0", "-", "0", "0", "0"], "{text}");
 
     let unreachable = |arg: String| match arg.contains(':') {
         true => "127.0.0.1:1".to_owned(),
@@ -155,6 +161,52 @@
     assert_eq!(output.status.code(), Some(1));
 }
 
+/// Each metric of permits is on the page, and the relay's state names what its brittle upstreams survive.
+#[tokio::test]
+async fn permits_for_brittle_upstreams_are_shown() {
+    let plan = ReplicaPlan {
+        rejections: Some(SURVIVED),
+        room: Some(1),
+        wait: Duration::from_millis(50),
+        ..ReplicaPlan::default()
+    };
+    let incident = Incident::start(RunKind::Idempotent, &plan).await;
+    incident.call("first-1", KEY).await;
+    join_all((0..BRITTLE_CALLS).map(|number| {
+        let id = format!("beside-{number}");
+        let incident = &incident;
+        async move { incident.call(&id, KEY).await }
+    }))
+    .await;
+    let client = HttpClient::default();
+    let url = format!("http://{}/metrics", incident.relay.metrics());
+    let text = client.fetch(HttpRequest::get(&url), TIMEOUT).await.unwrap();
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let names = text
+        .lines()
+        .filter_map(|line| line.split(['{', ' ']).next());
+    let names: BTreeSet<&str> = names
+        .filter(|name| name.starts_with("ferry_permit") || name.starts_with("ferry_brittle"))
+        .collect();
+    for name in &names {
+        assert!(PAGE.contains(&format!("`{name}`")), "{name}");
+    }
+    for name in [
+        "ferry_permits_total",
+        "ferry_permits_open",
+        "ferry_permit_queries_total",
+        "ferry_permit_ends_total",
+        "ferry_permit_issuer_starts_total",
+        "ferry_brittle_answers_total",
+    ] {
+        assert!(names.contains(name), "{name} in {text}");
+    }
+    let url = format!("http://{}/status", incident.relay.metrics());
+    let status = client.fetch(HttpRequest::get(&url), TIMEOUT).await.unwrap();
+    let status: RelayStatus = serde_json::from_slice(&status).unwrap();
+    assert_eq!(status.services[0].brittle, Some(SURVIVED));
+}
+
 #[tokio::test]
 async fn a_request_refused_at_once_is_explained() {
     let incident = Incident::start(RunKind::Once, &ReplicaPlan::default()).await;
