--- a/crates/decisions/src/limits.rs
+++ b/crates/decisions/src/limits.rs
@@ -2,6 +2,7 @@
 //! router gives turns to all.
 
 mod brittle_service;
+mod issuer_choice;
 mod limit_book;
 mod local_limit;
 mod pooled_demand;
@@ -11,6 +12,7 @@
 mod upstream_limiter;
 
 pub use brittle_service::BrittleService;
+pub use issuer_choice::{IssuerChoice, is_first_issuer};
 pub use limit_book::{HeardLimit, LimitBook};
 pub use local_limit::LocalLimit;
 pub use pooled_demand::{OfferedCount, PooledDemand};
--- a/crates/router/src/relay/permits/permit_manager.rs
+++ b/crates/router/src/relay/permits/permit_manager.rs
@@ -5,13 +5,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use ferry_decisions::limits::{BrittleService, HeardLimit, LimitBook, StatedLimits};
+use ferry_decisions::limits::{BrittleService, HeardLimit, IssuerChoice, LimitBook, StatedLimits};
 use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord};
 use ferry_decisions::time::MonotonicTime;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::permit_issuer::PermitIssuer;
 use super::permit_message::PermitReport;
@@ -19,9 +18,6 @@
 use super::upstream_waits::UpstreamWaits;
 use super::{BrittleNotice, LimitNews, LimitNotice};
 
-/// Time for which a router that did not answer is not asked for permits.
-const UNREACHABLE_TIME: Duration = Duration::from_secs(3);
-
 /// Limits heard, permits issued, and routers that gave none.
 #[derive(Debug)]
 pub struct PermitManager {
@@ -30,8 +26,8 @@
     has_limits: AtomicBool,
     waits: Mutex<UpstreamWaits>,
     issuer: Mutex<PermitIssuer>,
-    /// When routers that did not answer were last asked.
-    unreachable: Mutex<HashMap<HostName, MonotonicTime>>,
+    /// Which routers answer that are asked for permits.
+    choice: Mutex<IssuerChoice>,
     returns: Mutex<ReturnTimes>,
     /// Upstreams whose limit ended by an answer to this router, not yet reported.
     ended: Mutex<Vec<UpstreamIncarnation>>,
@@ -55,7 +51,7 @@
             has_limits: AtomicBool::new(false),
             waits: Mutex::default(),
             issuer: Mutex::default(),
-            unreachable: Mutex::default(),
+            choice: Mutex::default(),
             returns: Mutex::default(),
             ended: Mutex::default(),
             has_ended: Notify::new(),
@@ -210,15 +206,15 @@
     }
 
     /// Records that `upstream` has answered `per_second` requests per second lately.
+    pub fn record_rate(&self, upstream: &UpstreamIncarnation, per_second: f64) {
+        self.waits.lock().record_rate(upstream, per_second);
+    }
+
     /// Records that `issuer` is asked for permits of `upstream`; returns whether another one was asked before.
     pub fn record_issuer(&self, upstream: &UpstreamIncarnation, issuer: &HostName) -> bool {
         self.waits.lock().record_issuer(upstream, issuer)
     }
 
-    pub fn record_rate(&self, upstream: &UpstreamIncarnation, per_second: f64) {
-        self.waits.lock().record_rate(upstream, per_second);
-    }
-
     /// The permits that this router issues.
     pub fn issuer(&self) -> &Mutex<PermitIssuer> {
         &self.issuer
@@ -242,37 +238,24 @@
         std::mem::take(&mut *self.reports.lock())
     }
 
-    /// The router of `hosts` that issues the permits of `upstream`: the first in an order that is the same at all routers, without those that did
-    /// not answer a moment ago.
+    /// The router of `hosts` to ask for a permit of `upstream`; `None` while none of those that may issue it answers.
     pub fn issuer_of<'a>(
         &self,
         upstream: &UpstreamIncarnation,
         hosts: &'a [HostName],
         now: MonotonicTime,
     ) -> Option<&'a HostName> {
-        let unreachable = self.unreachable.lock();
-        let is_reachable = |host: &&HostName| {
-            let asked_at = unreachable.get(*host);
-            asked_at.is_none_or(|at| now.since(*at) >= UNREACHABLE_TIME)
-        };
-        let hosts = hosts.iter().filter(is_reachable);
-        hosts.min_by_key(|host| order(upstream, host))
+        self.choice.lock().choose(upstream, hosts, now)
     }
 
-    /// Whether `host` is the first one of `hosts` to issue the permits of `upstream`.
-    pub fn is_first(
-        &self,
-        upstream: &UpstreamIncarnation,
-        hosts: &[HostName],
-        host: &HostName,
-    ) -> bool {
-        let first = hosts.iter().min_by_key(|host| order(upstream, host));
-        first.is_none_or(|first| first == host)
+    /// Records that `host` answered a query.
+    pub fn record_reachable(&self, host: &HostName) {
+        self.choice.lock().record_answer(host);
     }
 
     /// Records that `host` did not answer.
     pub fn record_unreachable(&self, host: &HostName, now: MonotonicTime) {
-        self.unreachable.lock().insert(host.clone(), now);
+        self.choice.lock().record_silence(host, now);
     }
 
     /// Time after which the next rejected caller of `service` may return, whose upstreams take `per_second` requests per second from `routers`
@@ -312,9 +295,3 @@
         self.has_limits.store(book.has_limits(), Ordering::Release);
     }
 }
-
-/// Sort key of `host` among the routers that may give the permits of `upstream`.
-fn order<'a>(upstream: &UpstreamIncarnation, host: &'a HostName) -> (u64, &'a HostName) {
-    let both = format!("{} {}", upstream.id, host);
-    (xxh3_64(both.as_bytes()), host)
-}
--- a/crates/router/src/relay/permits/permit_query.rs
+++ b/crates/router/src/relay/permits/permit_query.rs
@@ -263,6 +263,7 @@
         return Err(PeerError::TimedOut(host.clone()));
     };
     let answer: PermitAnswer = answer?;
+    core.permits.record_reachable(host);
     let news = LimitNews {
         limits: vec![answer.notice.clone()],
         brittle: Vec::new(),
--- a/crates/router/src/relay/permits/permit_reply.rs
+++ b/crates/router/src/relay/permits/permit_reply.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_decisions::limits::{RoomQuery, StatedLimits};
-use ferry_decisions::names::HostName;
+use ferry_decisions::limits::{RoomQuery, StatedLimits, is_first_issuer};
+use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord};
 
 use super::LimitNews;
@@ -96,7 +96,7 @@
     let listed = listed.as_ref().map(|listed| &listed.record);
     let limits = known_limits(core, upstream, listed);
     let host = core.settings.load().host.clone();
-    let is_substitute = !core.permits.is_first(upstream, &core.fleet.hosts(), &host);
+    let is_substitute = !is_first_issuer(upstream, &core.fleet.hosts(), &host);
     let details = details.or_else(|| unreported_details(core, limits, listed));
     let room = details.map(|details| RoomQuery {
         key: (router.clone(), details.number),
