Keep permits open while the upstream may run the request on, and issue one per stated load beside another issuer

Cause: a permit was free when its router gave up, not when the upstream was done; and two issuers that know of one another by the load acted on the same load.

--- a/crates/decisions/src/limits/room_guard.rs
+++ b/crates/decisions/src/limits/room_guard.rs
@@ -24,6 +24,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Time after a rejection for which no more permits are open than the upstream runs requests.
 const CALM_TIME: Duration = Duration::from_secs(10);
+/// Time after which an upstream that drops a request whose connection was closed has done so, and states a load without it.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Requests that this issuer did not permit and that are no sign of another one.
 const FOREIGN_TOLERANCE: u32 = 1;
 
@@ -63,8 +65,10 @@
 pub enum PermitOutcome {
     /// The request was answered.
     Done,
-    /// The request was not sent, or is no longer waited for.
+    /// The request was not sent.
     Unused,
+    /// It was sent, and nobody waits for its answer any more; the upstream may run it on.
+    Abandoned,
     /// The upstream rejected it for want of room.
     Rejected,
 }
@@ -72,11 +76,14 @@
 /// Permits of one upstream, as issued by one router.
 #[derive(Debug, Clone)]
 pub struct RoomGuard {
-    /// End of the lifetime of each open permit.
-    open: HashMap<PermitKey, MonotonicTime>,
+    open: HashMap<PermitKey, OpenPermit>,
+    /// Permits of requests for which nobody waits. They count as open until a load is stated that shows what has become of them.
+    abandoned: Vec<AbandonedPermit>,
     /// Rejections of the last [`SPAN`].
     rejected: VecDeque<MonotonicTime>,
     load: Option<KnownLoad>,
+    /// Permits issued since the load was stated that is known.
+    issued_since_load: u32,
     /// Most requests that the upstream has run at once, less those for which it had no room later.
     shown: u32,
     /// When the upstream last rejected a request.
@@ -87,12 +94,30 @@
     /// Since when permits have been asked for without a longer pause; absent if this router has been the only issuer before.
     asked_since: Option<MonotonicTime>,
     asked_at: MonotonicTime,
+    /// Permits whose lifetime has ended since they were last taken.
+    expired: u64,
     /// Times of queries in the last [`RATE_SPAN`].
     queries: VecDeque<MonotonicTime>,
     /// Ends of requests, as their routers saw them, that were reported in the last [`RATE_SPAN`].
     ends: VecDeque<PermitEnd>,
 }
 
+/// A permit whose outcome is not known.
+#[derive(Debug, Clone, Copy)]
+struct OpenPermit {
+    issued_at: MonotonicTime,
+    /// End of its lifetime.
+    until: MonotonicTime,
+}
+
+/// Permit of a request for which nobody waits any more.
+#[derive(Debug, Clone, Copy)]
+struct AbandonedPermit {
+    permit: OpenPermit,
+    /// Since when nobody waits.
+    since: MonotonicTime,
+}
+
 /// End of a request, and when it was reported.
 #[derive(Debug, Clone, Copy)]
 struct PermitEnd {
@@ -103,6 +128,7 @@
 /// The last report of the load.
 #[derive(Debug, Clone, Copy)]
 struct KnownLoad {
+    /// When the upstream stated it.
     at: MonotonicTime,
     slots: u32,
     /// Requests that this issuer did not permit.
@@ -114,14 +140,17 @@
     pub fn new(is_only: bool, now: MonotonicTime) -> Self {
         Self {
             open: HashMap::new(),
+            abandoned: Vec::new(),
             rejected: VecDeque::new(),
             load: None,
+            issued_since_load: 0,
             shown: 0,
             last_rejection: None,
             foreign_at: None,
             begun_at: now,
             asked_since: (!is_only).then_some(now),
             asked_at: now,
+            expired: 0,
             queries: VecDeque::new(),
             ends: VecDeque::new(),
         }
@@ -139,11 +168,17 @@
         }
         self.asked_at = now;
         self.queries.push_back(now);
-        if self.open.len() as u32 >= self.limit(query, now) {
+        let is_within = self.held() < self.limit(query, now) && !self.awaits_load(query, now);
+        let is_probe = self.open.is_empty() && self.may_probe(query, now);
+        if !is_within && !is_probe {
             return Err(self.wait(now));
         }
-        let end = now.after(query.lifetime);
-        self.open.insert(query.key.clone(), end);
+        let permit = OpenPermit {
+            issued_at: now,
+            until: now.after(query.lifetime),
+        };
+        self.open.insert(query.key.clone(), permit);
+        self.issued_since_load += 1;
         Ok(())
     }
 
@@ -157,12 +192,17 @@
         now: MonotonicTime,
     ) {
         let open = self.open.len() as u32;
-        self.open.remove(key);
+        let permit = self.open.remove(key);
         if let Some(load) = load {
             self.record_load(load, now);
         }
         match outcome {
             PermitOutcome::Unused => {}
+            PermitOutcome::Abandoned => {
+                let since = now.before(age);
+                let abandoned = permit.map(|permit| AbandonedPermit { permit, since });
+                self.abandoned.extend(abandoned);
+            }
             PermitOutcome::Done => {
                 // It ran beside those that the load states, or has been let in beside as many as before.
                 let beside = load.map_or(self.shown, |load| load.running);
@@ -177,7 +217,7 @@
                     // It has run as many of this issuer alone.
                     self.record_foreign(now);
                 }
-                let foreign = self.load.map_or(0, |load| load.foreign);
+                let foreign = self.foreign();
                 self.shown = self.shown.min((open + foreign).saturating_sub(1));
                 self.record_rejection(now);
             }
@@ -196,24 +236,41 @@
         if self.load.is_some_and(|known| known.at >= at) {
             return;
         }
-        // Those that have ended since were at the upstream.
-        let ended = self.ends.iter().filter(|end| end.ended_at > at);
-        let own = (self.open.len() + ended.count()) as u32;
-        let foreign = (load.running + load.waiting).saturating_sub(own);
+        // What is left of them now shows in the load.
+        self.abandoned
+            .retain(|permit| permit.since.after(SETTLE_TIME) > at);
+        let known = KnownLoad {
+            at,
+            slots: load.slots,
+            foreign: (load.running + load.waiting).saturating_sub(self.own(at)),
+        };
         self.shown = self.shown.max(load.running);
-        if foreign > FOREIGN_TOLERANCE {
-            self.record_foreign(now);
-        } else if self
-            .foreign_at
-            .is_some_and(|at| now.since(at) >= ESTABLISHED_TIME)
-        {
+        self.issued_since_load = 0;
+        self.load = Some(known);
+        self.watch_foreign(now);
+        let is_alone = known.foreign <= FOREIGN_TOLERANCE;
+        let was_long_ago = |at| now.since(at) >= ESTABLISHED_TIME;
+        if is_alone && self.foreign_at.is_some_and(was_long_ago) {
             self.foreign_at = None;
         }
-        self.load = Some(KnownLoad {
-            at,
-            slots: load.slots,
-            foreign,
-        });
+    }
+
+    /// Requests of this issuer that may have been at the upstream when it stated a load at `at`.
+    fn own(&self, at: MonotonicTime) -> u32 {
+        // Those that have ended since were there.
+        let ended = self.ends.iter().filter(|end| end.ended_at > at);
+        self.held() + ended.count() as u32
+    }
+
+    /// Requests of the last load that this issuer did not permit.
+    fn foreign(&self) -> u32 {
+        self.load.map_or(0, |load| load.foreign)
+    }
+
+    fn watch_foreign(&mut self, now: MonotonicTime) {
+        if self.foreign() > FOREIGN_TOLERANCE {
+            self.record_foreign(now);
+        }
     }
 
     /// Records requests that this issuer did not permit. At first they are those that were sent before permits were needed.
@@ -229,32 +286,64 @@
         (ends > 0).then(|| ends as f64 / RATE_SPAN.as_secs_f64())
     }
 
-    /// Number of open permits.
+    /// Number of open permits, with those of requests for which nobody waits any more.
     pub fn open(&self) -> usize {
-        self.open.len()
+        self.open.len() + self.abandoned.len()
+    }
+
+    /// Takes the number of permits whose lifetime ended before their outcome was reported.
+    pub fn take_expired(&mut self) -> u64 {
+        std::mem::take(&mut self.expired)
     }
 
     /// Whether nobody has asked for a permit for `span`, and none is open.
     pub fn is_idle(&self, span: Duration, now: MonotonicTime) -> bool {
-        now.since(self.asked_at) >= span && self.open.values().all(|end| *end <= now)
+        let is_held = self.held_permits().any(|permit| permit.until > now);
+        now.since(self.asked_at) >= span && !is_held
     }
 
     /// Highest number of open permits.
     fn limit(&self, query: &RoomQuery, now: MonotonicTime) -> u32 {
         let rejected = self.rejected.len() as u32;
-        let is_only = self.is_established(now) && self.foreign_at.is_none();
-        let limit = match is_only && (!query.is_substitute || self.load.is_some()) {
+        match self.is_only(query, now) {
             true => self.room(query, now).saturating_sub(rejected),
             false if rejected == 0 => self.shared_room(query, now),
             false => 0,
-        };
-        match rejected {
-            // One at a time tells what there is to know.
-            0 => limit.max(1),
-            _ => limit,
         }
     }
 
+    /// Whether another router may issue permits, and the upstream has to state its load before this one issues more.
+    fn awaits_load(&self, query: &RoomQuery, now: MonotonicTime) -> bool {
+        let may_be_shared = query.is_substitute || self.foreign_at.is_some();
+        may_be_shared && self.issued_since_load > 0
+    }
+
+    /// Whether one permit may be open whatever is known: one at a time tells what there is to know. An upstream that survives one rejection has
+    /// none left for a substitute, unless that has been asked for long, or is asked again after a pause.
+    fn may_probe(&self, query: &RoomQuery, now: MonotonicTime) -> bool {
+        let has_begun = now.since(self.begun_at) >= ESTABLISHED_TIME;
+        let is_after_pause = has_begun && self.asked_since == Some(now);
+        let may_reject = query.survived > 1 || !query.is_substitute || is_after_pause;
+        self.rejected.is_empty() && (may_reject || self.is_only(query, now))
+    }
+
+    /// Whether no other router issues permits, as far as is known.
+    fn is_only(&self, query: &RoomQuery, now: MonotonicTime) -> bool {
+        let is_alone = self.is_established(now) && self.foreign_at.is_none();
+        is_alone && (!query.is_substitute || self.load.is_some())
+    }
+
+    /// Permits that count as open.
+    fn held_permits(&self) -> impl Iterator<Item = &OpenPermit> {
+        let abandoned = self.abandoned.iter().map(|abandoned| &abandoned.permit);
+        self.open.values().chain(abandoned)
+    }
+
+    /// Number of permits that count as open.
+    fn held(&self) -> u32 {
+        (self.open.len() + self.abandoned.len()) as u32
+    }
+
     /// Whether no other router has issued permits lately, as far as the time tells.
     fn is_established(&self, now: MonotonicTime) -> bool {
         let asked_since = self.asked_since;
@@ -263,7 +352,7 @@
 
     /// Permits that may be open while this router is the only issuer, before rejections are taken off.
     fn room(&self, query: &RoomQuery, now: MonotonicTime) -> u32 {
-        let foreign = self.load.map_or(0, |load| load.foreign);
+        let foreign = self.foreign();
         let last_rejection = self.last_rejection;
         if last_rejection.is_some_and(|at| now.since(at) < CALM_TIME) {
             return self.shown.saturating_sub(foreign);
@@ -294,8 +383,17 @@
             .clamp(MIN_WAIT, MAX_WAIT)
     }
 
+    /// Ends permits whose lifetime is over.
+    fn expire(&mut self, now: MonotonicTime) {
+        let is_open = |permit: &OpenPermit| permit.until > now;
+        let before = self.open.len();
+        self.open.retain(|_, permit| is_open(permit));
+        self.expired += (before - self.open.len()) as u64;
+        self.abandoned.retain(|abandoned| is_open(&abandoned.permit));
+    }
+
     fn forget(&mut self, now: MonotonicTime) {
-        self.open.retain(|_, end| *end > now);
+        self.expire(now);
         for (times, span) in [(&mut self.rejected, SPAN), (&mut self.queries, RATE_SPAN)] {
             while times.front().is_some_and(|at| now.since(*at) > span) {
                 times.pop_front();
--- a/crates/router/src/relay/permits/permit_message.rs
+++ b/crates/router/src/relay/permits/permit_message.rs
@@ -91,6 +91,9 @@
     pub number: u64,
     /// What became of it.
     pub event: PermitEvent,
+    /// Whether the request was sent although it is no longer waited for, so that the upstream may run it on.
+    #[serde(default)]
+    pub was_sent: bool,
     /// Milliseconds since then.
     pub age_ms: u64,
     /// Load that the answer stated.
--- a/crates/router/src/relay/permits/send_permit.rs
+++ b/crates/router/src/relay/permits/send_permit.rs
@@ -26,6 +26,8 @@
 struct PermitState {
     /// What is reported at the end; absent if the permit was not issued.
     event: Option<PermitEvent>,
+    /// Whether the request may have reached the upstream.
+    is_sent: bool,
     /// Load that the answer stated, and when it came.
     load: Option<(LoadFacts, MonotonicTime)>,
 }
@@ -45,22 +47,40 @@
             number,
             state: Mutex::new(PermitState {
                 event: Some(PermitEvent::Unused),
+                is_sent: false,
                 load: None,
             }),
         }
     }
 
-    /// Records that the head of the answer has come, with the load that it states; `goes_on` if the rest comes much later.
+    /// Records that the request is sent now.
+    pub fn record_send(&self) {
+        self.state.lock().is_sent = true;
+    }
+
+    /// Records that it was not sent after all.
+    pub fn record_unsent(&self) {
+        self.state.lock().is_sent = false;
+    }
+
+    /// Records that the head of the answer has come, with the load that it states; `goes_on` if the rest comes much later, and its end is recorded.
     pub fn record_head(&self, load: Option<LoadFacts>, goes_on: bool) {
         let now = self.core.clock.now();
         let load = load.map(|load| (load, now));
+        if goes_on {
+            self.report(self.report_of(PermitEvent::Answering, load));
+            return;
+        }
         let mut state = self.state.lock();
         state.event = Some(PermitEvent::Done);
-        if goes_on {
-            drop(state);
-            self.report(PermitEvent::Answering, load);
-        } else {
-            state.load = load;
+        state.load = load;
+    }
+
+    /// Records that the rest of the answer has come.
+    pub fn record_end(&self) {
+        let mut state = self.state.lock();
+        if state.event == Some(PermitEvent::Unused) {
+            state.event = Some(PermitEvent::Done);
         }
     }
 
@@ -77,17 +97,25 @@
         state.load = load.map(|load| (load, now));
     }
 
-    fn report(&self, event: PermitEvent, load: Option<(LoadFacts, MonotonicTime)>) {
+    fn report_of(
+        &self,
+        event: PermitEvent,
+        load: Option<(LoadFacts, MonotonicTime)>,
+    ) -> PermitReport {
         let now = self.core.clock.now();
         let age_ms = load.map_or(0, |(_, at)| now.since(at).as_millis() as u64);
         let load = load.map(|(facts, _)| stated_load(facts, age_ms));
-        let report = PermitReport {
+        PermitReport {
             upstream: self.upstream.clone(),
             number: self.number,
             event,
+            was_sent: false,
             age_ms,
             load,
-        };
+        }
+    }
+
+    fn report(&self, report: PermitReport) {
         record_report(&self.core, &self.issuer, report);
     }
 }
@@ -95,10 +123,13 @@
 impl Drop for SendPermit {
     fn drop(&mut self) {
         let state = self.state.lock();
-        let (event, load) = (state.event, state.load);
+        let (event, is_sent, load) = (state.event, state.is_sent, state.load);
         drop(state);
         if let Some(event) = event {
-            self.report(event, load);
+            self.report(PermitReport {
+                was_sent: is_sent && event == PermitEvent::Unused,
+                ..self.report_of(event, load)
+            });
         }
     }
 }
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -206,6 +206,7 @@
         if (MIN_PACE_PIECES..PACE_PIECES).contains(&self.pieces) {
             self.record_pace(&answer.upstream);
         }
+        answer.in_flight.record_end();
         self.run.record.outcome = "answered";
         // An answer without events, such as one that resumes after the last event, began nothing and proves nothing.
         if self.pieces > 0 {
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -187,10 +187,11 @@
             body,
             lease,
             upstream,
-            in_flight: _in_flight,
+            in_flight,
         } = answer;
         match self.collect_body(&upstream, framing, body).await {
             Ok(body) => {
+                in_flight.record_end();
                 if keeps_link {
                     lease.give_back(facts.keep_alive);
                 }
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -81,10 +81,17 @@
     async fn exchange(self, link: UpstreamLink) -> Result<UpstreamAnswer, SendFailure> {
         let mut lease = LinkLease::new(Arc::clone(&self.upstream), link);
         let request = build_request(&self.outgoing)?;
+        let permit = self.in_flight.permit();
+        if let Some(permit) = permit {
+            permit.record_send();
+        }
         let response = match lease.link().sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
+                if let Some(permit) = permit.filter(|_| unsent) {
+                    permit.record_unsent();
+                }
                 return Err(self.broken(&lease, unsent, error.error()));
             }
         };
@@ -173,13 +180,6 @@
             upstream.mark_leaving();
         }
         let is_rejected = failure == Some(UpstreamFailure::QueueFull);
-        if is_rejected {
-            upstream.record_rejection(now);
-        }
-        match answer.in_flight.permit() {
-            Some(permit) if is_rejected => permit.record_rejection(facts.load),
-            Some(permit) => permit.record_head(facts.load, answer.body_type() == BodyType::Events),
-            None if is_rejected => report_rejection(core, upstream),
         if facts.rejections.is_some() {
             let (service, permit) = (&upstream.record.service, answer.in_flight.permit());
             count_brittle_answer(service, permit.is_some());
@@ -187,6 +187,13 @@
                 count_brittle_rejection(service, permit.is_some());
             }
         }
+        if is_rejected {
+            upstream.record_rejection(now);
+        }
+        match answer.in_flight.permit() {
+            Some(permit) if is_rejected => permit.record_rejection(facts.load),
+            Some(permit) => permit.record_head(facts.load, answer.body_type() == BodyType::Events),
+            None if is_rejected => report_rejection(core, upstream),
             None => {}
         }
         let is_unavailable = answer.head.status == StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -96,6 +96,13 @@
 }
 
 impl InFlightGuard {
+    /// Records that the answer has come to its end.
+    pub fn record_end(&self) {
+        if let Some(permit) = &self.permit {
+            permit.record_end();
+        }
+    }
+
     /// The request's permit, if it has one.
     pub fn permit(&self) -> Option<&SendPermit> {
         self.permit.as_deref()
--- a/crates/router/tests/relay/callers_that_left.rs
+++ b/crates/router/tests/relay/callers_that_left.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use ferry_decisions::ruleset::{RouteRule, RunKind};
-use ferry_standin::ReplicaPlan;
+use ferry_standin::brittle::{AnswerPlan, BrittleOptions, ReturnName};
 use ferry_standin::replica::RunStatus;
 use ferry_standin::{BrittleTimes, ReplicaPlan};
 use futures::future::join_all;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use tokio::time::{Instant, interval, sleep, sleep_until, timeout};
 
 use crate::blocked_router::BlockedRouter;
@@ -23,6 +23,9 @@
 /// Callers that leave while the router reads nothing.
 const CALLERS: usize = 120;
 const PATIENCE: Duration = Duration::from_millis(200);
+/// Time for which an upstream runs on.
+const RUN_ON_TIME: Duration = Duration::from_secs(2);
+const TAKE_OVER_TIME: Duration = Duration::from_secs(3);
 
 fn rules() -> Vec<RouteRule> {
     let kinds = [
@@ -131,3 +134,70 @@
     assert!(late.len() <= ALLOWED, "{late:?}");
     assert!(upstreams.iter().all(|upstream| upstream.running() == 0));
 }
+
+/// Load pattern: a brittle upstream runs on for all callers that it served, which left, and would have to reject the next requests.
+async fn assert_runs_for_callers_that_left_count(prefix: &str, plan: AnswerPlan) {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &rules());
+    let relay = deployment.relay_in("entry-1", "zone-a").await;
+    // From then on no other router can have issued permits.
+    sleep(TAKE_OVER_TIME).await;
+    let begins = Instant::now();
+    let times = BrittleTimes {
+        says_so: begins,
+        queues_few: begins + Duration::from_millis(500),
+        ends: begins + Duration::from_secs(60),
+    };
+    let options = BrittleOptions {
+        slots: 2,
+        short_queue: 0,
+        survived: 1,
+        keeps_abandoned: true,
+        ..brittle_options("up-1", "zone-a", ReturnName::Same)
+    };
+    let upstream = start_brittle(&deployment.store, options, times).await;
+    let requests = |prefix: &str, kind: &str| {
+        let ids = (0..4).map(|number| format!("a-{kind}-{number}"));
+        ids.map(|id| request(&relay, &format!("{prefix}{id}"), &id))
+            .collect::<Vec<_>>()
+    };
+    eventually("the upstream serves", async || {
+        let answers = join_all(requests("/idempotent/", "warm").into_iter().map(call)).await;
+        answers.iter().all(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+    sleep_until(times.queues_few).await;
+    upstream.plan(plan);
+    eventually("both slots are used for callers that left", async || {
+        let leaving = requests(prefix, "left").into_iter();
+        join_all(leaving.map(|request| timeout(PATIENCE, call(request)))).await;
+        upstream.running() == 2
+    })
+    .await;
+    sleep(LATE).await;
+    assert_eq!(upstream.running(), 2);
+    let status = relay.status();
+    let service = status
+        .services
+        .iter()
+        .find(|status| status.service == SERVICE);
+    assert!(service.is_some_and(|service| service.permits_open >= 2));
+    join_all(requests(prefix, "next").into_iter().map(call)).await;
+    assert!(upstream.falls().is_empty(), "{:?}", upstream.rejections());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_for_callers_that_left_before_the_answer_keep_their_permits() {
+    assert_runs_for_callers_that_left_count("/idempotent/", AnswerPlan::whole(RUN_ON_TIME)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_for_callers_that_left_in_the_answer_keep_their_permits() {
+    let plan = AnswerPlan {
+        run_time: Duration::from_millis(20),
+        events: 20,
+        gap: RUN_ON_TIME / 20,
+        link_time: Duration::ZERO,
+    };
+    assert_runs_for_callers_that_left_count("/stream/", plan).await;
+}
