Let a substitute whose first issuer is gone use all slots

Cause: a substitute issued one permit for each stated load for good. One that has been asked for 6 s and sees no requests of another issuer issues two. a_lasting_substitute_uses_all_slots failed before.

--- a/crates/decisions/src/limits/room_guard.rs
+++ b/crates/decisions/src/limits/room_guard.rs
@@ -17,6 +17,8 @@
 const IDLE_TIME: Duration = Duration::from_secs(1);
 /// Time for which an issuer is asked before it counts as the only one, and after the last sign of another one.
 const ESTABLISHED_TIME: Duration = Duration::from_secs(3);
+/// Further time for which a substitute has to be asked, and to see no requests of another issuer, before it takes the first one for gone.
+const WATCH_TIME: Duration = Duration::from_secs(3);
 /// Span over which ends and queries are counted for the times to wait.
 const RATE_SPAN: Duration = Duration::from_secs(2);
 /// Shortest and longest time after which to ask again.
@@ -26,6 +28,8 @@
 const CALM_TIME: Duration = Duration::from_secs(10);
 /// Time after which an upstream that drops a request whose connection was closed has done so, and states a load without it.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// Permits that a substitute issues for one stated load once it takes the first issuer for gone: one in place of the request that was answered, and one more.
+const LASTING_PERMITS_PER_LOAD: u32 = 2;
 /// Requests that this issuer did not permit and that are no sign of another one.
 const FOREIGN_TOLERANCE: u32 = 1;
 
@@ -315,7 +319,18 @@
     /// Whether another router may issue permits, and the upstream has to state its load before this one issues more.
     fn awaits_load(&self, query: &RoomQuery, now: MonotonicTime) -> bool {
         let may_be_shared = query.is_substitute || self.foreign_at.is_some();
-        may_be_shared && self.issued_since_load > 0
+        let most = match query.is_substitute && self.is_lasting(query, now) {
+            true => LASTING_PERMITS_PER_LOAD,
+            false => 1,
+        };
+        may_be_shared && self.issued_since_load >= most
+    }
+
+    /// Whether a substitute has watched for requests of another issuer for long enough, and sees none.
+    fn is_lasting(&self, query: &RoomQuery, now: MonotonicTime) -> bool {
+        let asked_since = self.asked_since.unwrap_or(self.begun_at);
+        let has_watched = now.since(asked_since) >= ESTABLISHED_TIME + WATCH_TIME;
+        has_watched && self.foreign() <= FOREIGN_TOLERANCE && self.is_only(query, now)
     }
 
     /// Whether one permit may be open whatever is known: one at a time tells what there is to know. An upstream that survives one rejection has
