Soak brittle upstreams beside suspended, restarted and added relays

Change: a third part of the soak with relays as processes; size, program and logs are set by variables (CONTRIBUTING.md). Break downs are counted at the upstreams.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -2,9 +2,11 @@
 //! against the records of callers and upstreams.
 //!
 //! `FERRY_SOAK_SEEDS=1..50 cargo test --test soak -- --nocapture` runs other seeds than the default ones;
-//! `FERRY_SOAK_RELAYS=100` sets the number of relays before upstreams under strain.
+//! CONTRIBUTING.md lists the other variables.
 
 mod brittle_load;
+mod brittle_plan;
+mod brittle_run;
 mod budget_check;
 mod budget_plan;
 mod budget_run;
@@ -32,6 +34,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use brittle_load::send_to_brittle_until;
+use brittle_run::run_brittle_seed;
 use budget_run::run_budget_seed;
 use caller_load::{CallOutcome, CallRecord, call_each_kind, call_until};
 use conversation_load::talk_until;
@@ -53,6 +56,10 @@
 /// Seeds of each test run on upstreams under strain: restarts during a failure that lasts (4, 11), pauses (10), and
 /// many relays (7).
 const DEFAULT_BUDGET_SEEDS: [u64; 4] = [4, 7, 10, 11];
+/// Seeds of each test run on brittle upstreams.
+const DEFAULT_BRITTLE_SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// Environment variable that replaces the number of seeds that run at the same time.
+const CONCURRENT_VARIABLE: &str = "FERRY_SOAK_AT_ONCE";
 /// Number of seeds that run at the same time.
 const CONCURRENT_SEEDS: usize = 4;
 /// Time for which the load continues after all faults have ended.
@@ -75,11 +82,21 @@
     run_all(seeds, |seed| tokio::spawn(run_budget_seed(seed))).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn every_seed_keeps_brittle_upstreams_up() {
+    let seeds = given_seeds().unwrap_or(DEFAULT_BRITTLE_SEEDS.to_vec());
+    run_all(seeds, |seed| tokio::spawn(run_brittle_seed(seed))).await;
+}
+
 /// Runs the seeds, a few at the same time, and fails with what they violated.
 async fn run_all(seeds: Vec<u64>, run: impl Fn(u64) -> JoinHandle<Vec<String>>) {
     let _turn = SOAK_TURN.lock().await;
     let mut violations = Vec::new();
-    for seeds in seeds.chunks(CONCURRENT_SEEDS) {
+    let concurrent = std::env::var(CONCURRENT_VARIABLE).ok();
+    let concurrent = concurrent.map_or(CONCURRENT_SEEDS, |text| {
+        text.parse().expect("a number of seeds")
+    });
+    for seeds in seeds.chunks(concurrent) {
         let runs = seeds.iter().map(|seed| run(*seed));
         for (seed, result) in seeds.iter().zip(join_all(runs).await) {
             let problems =
--- a/tests/soak/soak_relay.rs
+++ b/tests/soak/soak_relay.rs
@@ -7,6 +7,10 @@
 use ferry_rig::{LinkProxy, RelayFixture, RelayProcess};
 use tokio::time::sleep;
 
+/// Environment variable with the path of the relay program, if it is to be of another build.
+const PROGRAM_VARIABLE: &str = "FERRY_SOAK_PROGRAM";
+/// Environment variable that keeps the logs of all runs.
+const KEEP_VARIABLE: &str = "FERRY_SOAK_KEEP_LOGS";
 /// Signal for a graceful stop.
 pub const SIGTERM: i32 = 15;
 /// Signal that reloads the settings.
@@ -33,9 +37,16 @@
     pub async fn start(number: usize, fixture: &RelayFixture, folder: &Path) -> Self {
         let store_link = LinkProxy::start([127, 0, 0, 1].into()).await.unwrap();
         store_link.set_target(fixture.store.address());
-        let program = Path::new(env!("CARGO_BIN_EXE_ferry-relay"));
+        let program = std::env::var(PROGRAM_VARIABLE);
+        let program = program.unwrap_or(env!("CARGO_BIN_EXE_ferry-relay").to_owned());
         let host = format!("edge-{number}");
-        let process = RelayProcess::start(program, folder, SAMPLE, &host, store_link.address);
+        let process = RelayProcess::start(
+            Path::new(&program),
+            folder,
+            SAMPLE,
+            &host,
+            store_link.address,
+        );
         let process = process.unwrap();
         Self {
             callers: process.callers(),
@@ -82,6 +93,11 @@
     link.heal();
 }
 
+/// Whether the logs of all runs are kept, not only of those that violate a guarantee.
+pub fn keeps_all_logs() -> bool {
+    std::env::var_os(KEEP_VARIABLE).is_some()
+}
+
 /// Copies the logs in `folder` to the temporary folder, under `name`.
 pub fn keep_logs(name: &str, folder: &Path) {
     let kept = std::env::temp_dir().join(format!("ferry-soak-{name}"));
