Hold back no reports of permits for an issuer that does not answer

Cause: the ends of permits were reported to all issuers at once, and the next ones only after the slowest answer: 0.2 s for each issuer that is suspended, in which the room at all other upstreams stayed taken. Each issuer has its own message on its way now (PendingReports). Found by reading; a_router_that_does_not_answer_holds_back_no_reports_to_others plays it. The effect on the use of brittle upstreams was not measured by itself.

--- a/crates/router/src/relay/permits.rs
+++ b/crates/router/src/relay/permits.rs
@@ -6,6 +6,7 @@
 mod permit_metrics;
 mod permit_query;
 mod permit_reply;
+mod permit_reports;
 mod return_times;
 mod send_permit;
 mod upstream_waits;
@@ -22,5 +23,5 @@
 /// Starts the tasks that report ended limits and the ends of permits to the routers that issue the permits.
 pub fn start(core: &SharedCore) {
     core.spawn(permit_query::report_ends(core.clone()));
-    core.spawn(permit_query::send_reports(core.clone()));
+    core.spawn(permit_reports::send_reports(core.clone()));
 }
--- a/crates/router/src/relay/permits/permit_manager.rs
+++ b/crates/router/src/relay/permits/permit_manager.rs
@@ -5,12 +5,17 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use ferry_decisions::limits::{BrittleService, HeardLimit, IssuerChoice, LimitBook, StatedLimits};
+use ferry_decisions::limits::{
+    BrittleService, HeardLimit, IssuerChoice, LimitBook, PendingReport, PendingReports,
+    StatedLimits,
+};
 use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord};
 use ferry_decisions::time::MonotonicTime;
+use futures::future::OptionFuture;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 use super::permit_issuer::PermitIssuer;
 use super::permit_message::PermitReport;
@@ -33,7 +38,7 @@
     ended: Mutex<Vec<UpstreamIncarnation>>,
     has_ended: Notify,
     /// What became of permits of other routers, not yet reported to them.
-    reports: Mutex<HashMap<HostName, Vec<PermitReport>>>,
+    reports: Mutex<PendingReports<PermitReport>>,
     has_reports: Notify,
     /// Number of the next permit. Begins at random, so that a restarted router gives none of its numbers again.
     next_number: AtomicU64,
@@ -226,16 +231,44 @@
     }
 
     /// Keeps `report` for `issuer` until it is sent.
-    pub fn report(&self, issuer: &HostName, report: PermitReport) {
-        let mut reports = self.reports.lock();
-        reports.entry(issuer.clone()).or_default().push(report);
+    pub fn report(&self, issuer: &HostName, report: PendingReport<PermitReport>) {
+        self.reports.lock().push(issuer, report);
         self.has_reports.notify_one();
     }
 
-    /// Waits for reports to other routers.
-    pub async fn take_reports(&self) -> HashMap<HostName, Vec<PermitReport>> {
-        self.has_reports.notified().await;
-        std::mem::take(&mut *self.reports.lock())
+    /// Waits until there are reports to other routers that may be due.
+    pub async fn await_reports(&self, now: MonotonicTime) {
+        let rest = self.reports.lock().rest_left(now);
+        let rest = OptionFuture::from(rest.map(sleep));
+        tokio::select! {
+            () = self.has_reports.notified() => {}
+            Some(()) = rest => {}
+        }
+    }
+
+    /// Takes the reports to other routers that are due.
+    pub fn take_reports(
+        &self,
+        now: MonotonicTime,
+    ) -> Vec<(HostName, Vec<PendingReport<PermitReport>>)> {
+        self.reports.lock().take_due(now)
+    }
+
+    /// Records that `issuer` answered the message with reports.
+    pub fn record_reported(&self, issuer: &HostName) {
+        self.reports.lock().record_answer(issuer);
+        self.has_reports.notify_one();
+    }
+
+    /// Records that `issuer` did not answer the message with the reports `sent`.
+    pub fn record_unreported(
+        &self,
+        issuer: &HostName,
+        sent: Vec<PendingReport<PermitReport>>,
+        now: MonotonicTime,
+    ) {
+        self.reports.lock().record_silence(issuer, sent, now);
+        self.has_reports.notify_one();
     }
 
     /// The router of `hosts` to ask for a permit of `upstream`; `None` while none of those that may issue it answers.
--- a/crates/router/src/relay/permits/permit_query.rs
+++ b/crates/router/src/relay/permits/permit_query.rs
@@ -5,13 +5,10 @@
 
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::UpstreamIncarnation;
-use futures::future::join_all;
 use tokio::time::timeout;
 
 use super::LimitNews;
-use super::permit_message::{
-    PermitAnswer, PermitDetails, PermitPurpose, PermitQuery, PermitReport,
-};
+use super::permit_message::{PermitAnswer, PermitDetails, PermitPurpose, PermitQuery};
 use super::permit_metrics::{self, QueryEnd};
 use super::permit_reply::{AskedUpstream, IssuerAnswer, issue};
 use super::send_permit::{SendPermit, stated_load};
@@ -67,10 +64,13 @@
             permit_metrics::count_issuer_change(&record.service);
         }
         let details = permit_details(core, upstream, time_left);
+        let asked_at = core.clock.now();
         // Ends the permit if the wait for it is given up, or its answer is lost.
         let permit = details.map(|details| {
             let incarnation = record.incarnation.clone();
-            SendPermit::new(core.clone(), issuer.clone(), incarnation, details.number)
+            let until = asked_at.after(Duration::from_millis(details.lifetime_ms));
+            let (core, issuer) = (core.clone(), issuer.clone());
+            SendPermit::new(core, issuer, incarnation, details.number, until)
         });
         match ask_for_permit(core, &issuer, upstream, details).await {
             Ok(answer) => {
@@ -120,39 +120,6 @@
     }
 }
 
-/// Sends reports about permits to the routers that issued them, until the relay closes.
-pub async fn send_reports(core: SharedCore) {
-    loop {
-        let reports = core.permits.take_reports().await;
-        let sending = reports.into_iter().map(async |(issuer, reports)| {
-            let upstream = match reports.first() {
-                Some(report) => report.upstream.clone(),
-                None => return,
-            };
-            let query = PermitQuery {
-                reports,
-                ..query(&core, &upstream, PermitPurpose::Notice)
-            };
-            if let Err(error) = send(&core, &issuer, query).await {
-                // The permits end with their lifetime.
-                spdlog::info!("ends of permits were not reported: {}", error, kv: { router = issuer.as_str() });
-            }
-        });
-        join_all(sending).await;
-    }
-}
-
-/// Records a report about a permit of this router: here if this router issued it, or else for the next message to `issuer`.
-pub fn record_report(core: &SharedCore, issuer: &HostName, report: PermitReport) {
-    let host = core.settings.load().host.clone();
-    if *issuer == host {
-        let mut permits = core.permits.issuer().lock();
-        permits.record_report(&host, &report, core.clock.now());
-    } else {
-        core.permits.report(issuer, report);
-    }
-}
-
 /// Reports that `upstream` rejected a request that was sent without a permit for want of room to the router that issues its permits, if
 /// rejections endanger it.
 pub fn report_rejection(core: &SharedCore, upstream: &RelayUpstream) {
@@ -234,7 +201,11 @@
 }
 
 /// A query about `upstream` without details and reports.
-fn query(core: &RelayCore, upstream: &UpstreamIncarnation, purpose: PermitPurpose) -> PermitQuery {
+pub(super) fn query(
+    core: &RelayCore,
+    upstream: &UpstreamIncarnation,
+    purpose: PermitPurpose,
+) -> PermitQuery {
     PermitQuery {
         notice: core.permits.notice(upstream, core.clock.now()),
         purpose,
@@ -244,7 +215,7 @@
 }
 
 /// Sends `query` to `host`, and merges what it answers of the limit.
-async fn send(
+pub(super) async fn send(
     core: &SharedCore,
     host: &HostName,
     query: PermitQuery,
--- a/crates/router/src/relay/permits/send_permit.rs
+++ b/crates/router/src/relay/permits/send_permit.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 
 use super::permit_message::{PermitEvent, PermitReport, StatedLoad};
-use super::permit_query::record_report;
+use super::permit_reports::record_report;
 use crate::relay::relay_core::SharedCore;
 
 /// Held from the issue of the permit to the end of the answer; its end is reported to the issuer when it is dropped.
@@ -18,6 +18,8 @@
     issuer: HostName,
     upstream: UpstreamIncarnation,
     number: u64,
+    /// End of its lifetime.
+    until: MonotonicTime,
     state: Mutex<PermitState>,
 }
 
@@ -33,18 +35,20 @@
 }
 
 impl SendPermit {
-    /// A permit that `issuer` has issued under `number`.
+    /// A permit that `issuer` has issued under `number`, which ends at `until`.
     pub(super) fn new(
         core: SharedCore,
         issuer: HostName,
         upstream: UpstreamIncarnation,
         number: u64,
+        until: MonotonicTime,
     ) -> Self {
         Self {
             core,
             issuer,
             upstream,
             number,
+            until,
             state: Mutex::new(PermitState {
                 event: Some(PermitEvent::Unused),
                 is_sent: false,
@@ -68,7 +72,8 @@
         let now = self.core.clock.now();
         let load = load.map(|load| (load, now));
         if goes_on {
-            self.report(self.report_of(PermitEvent::Answering, load));
+            // The next load makes up for one that is lost.
+            self.report(self.report_of(PermitEvent::Answering, load), now);
             return;
         }
         let mut state = self.state.lock();
@@ -115,8 +120,8 @@
         }
     }
 
-    fn report(&self, report: PermitReport) {
-        record_report(&self.core, &self.issuer, report);
+    fn report(&self, report: PermitReport, until: MonotonicTime) {
+        record_report(&self.core, &self.issuer, report, until);
     }
 }
 
@@ -126,10 +131,11 @@
         let (event, is_sent, load) = (state.event, state.is_sent, state.load);
         drop(state);
         if let Some(event) = event {
-            self.report(PermitReport {
+            let report = PermitReport {
                 was_sent: is_sent && event == PermitEvent::Unused,
                 ..self.report_of(event, load)
-            });
+            };
+            self.report(report, self.until);
         }
     }
 }
