Count the time that a report of a permit waited into the age of its load

Cause: the age was taken when the report was made, and the issuer took a load that waited 0.2 s for one of now, with its own later permits in it, which hid requests of another issuer. Found by reading; no test of its own.

--- a/crates/router/src/relay/permits/permit_reports.rs
+++ b/crates/router/src/relay/permits/permit_reports.rs
@@ -1,5 +1,7 @@
 //! Reports what became of permits to the routers that issued them.
 
+use std::time::Duration;
+
 use ferry_decisions::limits::PendingReport;
 use ferry_decisions::names::HostName;
 use ferry_decisions::time::MonotonicTime;
@@ -50,9 +52,13 @@
     let Some(first) = reports.first() else {
         return;
     };
-    let own = reports.iter().map(|pending| pending.report.clone());
+    let now = core.clock.now();
+    let aged = reports.iter().map(|pending| {
+        let waited = now.since(pending.recorded_at);
+        aged(&pending.report, waited)
+    });
     let query = PermitQuery {
-        reports: own.collect(),
+        reports: aged.collect(),
         ..query(&core, &first.report.upstream, PermitPurpose::Notice)
     };
     match send(&core, &issuer, query).await {
@@ -64,3 +70,14 @@
         }
     }
 }
+
+/// `report` after it has waited for `waited`.
+fn aged(report: &PermitReport, waited: Duration) -> PermitReport {
+    let waited_ms = waited.as_millis() as u64;
+    let mut report = report.clone();
+    report.age_ms += waited_ms;
+    if let Some(load) = &mut report.load {
+        load.age_ms += waited_ms;
+    }
+    report
+}
