--- a/crates/decisions/src/limits/pending_reports.rs
+++ b/crates/decisions/src/limits/pending_reports.rs
@@ -1,7 +1,8 @@
 //! Reports about permits that wait to be sent to the routers that issued them.
 //!
 //! Each router gets its reports in one message at a time, whatever becomes of the messages to others: one that is suspended or cut off holds nobody
-//! else's back.
+//! else's back. Reports of a message that is not answered are sent again as long as they are of use; the router that issued the permits may get them
+//! twice.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -105,12 +106,15 @@
     pub fn record_silence(
         &mut self,
         host: &HostName,
-        _sent: Vec<PendingReport<R>>,
+        mut sent: Vec<PendingReport<R>>,
         now: MonotonicTime,
     ) {
         if let Some(reports) = self.hosts.get_mut(host) {
             reports.is_sending = false;
             reports.rests_until = Some(now.after(RESEND_TIME));
+            sent.append(&mut reports.waiting);
+            sent.retain(|report| report.until > now);
+            reports.waiting = sent;
         }
         self.forget_idle();
     }
--- a/crates/decisions/src/limits/room_guard.rs
+++ b/crates/decisions/src/limits/room_guard.rs
@@ -226,10 +226,13 @@
                 // It ran beside those that the load states, or has been let in beside as many as before.
                 let beside = load.map_or(self.shown, |load| load.running);
                 self.shown = self.shown.max(open.min(beside + 1));
-                self.ends.push_back(PermitEnd {
-                    ended_at: now.before(age),
-                    reported_at: now,
-                });
+                // A report that comes twice is about one end.
+                if permit.is_some() {
+                    self.ends.push_back(PermitEnd {
+                        ended_at: now.before(age),
+                        reported_at: now,
+                    });
+                }
             }
             PermitOutcome::Rejected => {
                 if open <= self.shown {
--- a/crates/decisions/tests/pending_reports.rs
+++ b/crates/decisions/tests/pending_reports.rs
@@ -55,3 +55,36 @@
     assert!(pending.take_due(START.after(USE_TIME)).is_empty());
     assert_eq!(pending.rest_left(START), None);
 }
+
+/// Load pattern: the issuer of a permit is not reached for a time, and each message is given up after a while.
+#[test]
+fn reports_reach_a_router_that_is_reached_again_while_they_are_of_use() {
+    let mut pending = PendingReports::default();
+    pending.push(&host(0), report(0));
+    let mut now = START;
+    let back_at = START.after(Duration::from_millis(1_500));
+    loop {
+        let due = pending.take_due(now);
+        if let Some((issuer, sent)) = due.into_iter().next() {
+            if now >= back_at {
+                assert_eq!(sent, [report(0)]);
+                break;
+            }
+            now = now.after(ANSWER_TIMEOUT);
+            pending.record_silence(&issuer, sent, now);
+        }
+        now = now.after(pending.rest_left(now).unwrap());
+    }
+    assert!(now.since(back_at) < RESENT_TIME, "{now:?}");
+}
+
+#[test]
+fn reports_are_not_kept_for_a_router_that_is_gone() {
+    let mut pending = PendingReports::default();
+    pending.push(&host(0), report(0));
+    let sent = pending.take_due(START).remove(0).1;
+    let late = START.after(USE_TIME);
+    pending.record_silence(&host(0), sent, late);
+    assert_eq!(pending.rest_left(late), None);
+    assert!(pending.take_due(late.after(USE_TIME)).is_empty());
+}
--- a/crates/decisions/tests/permit_fleet/fleet_world.rs
+++ b/crates/decisions/tests/permit_fleet/fleet_world.rs
@@ -25,6 +25,8 @@
 const EXTRA_LIFETIME_MS: u64 = 500;
 /// Time for which a router still listens once the caller has left.
 const LISTEN_MS: u64 = 200;
+/// Time after which a report that was not answered is sent again.
+const RESEND_MS: u64 = ANSWER_TIMEOUT_MS + 300;
 /// Time after the start in which others may still issue the permits of a router.
 const TAKE_OVER_MS: u64 = 3_000;
 
@@ -63,6 +65,8 @@
     Answer(u64, Option<bool>, StatedLoad),
     /// What became of a permit reaches its issuer.
     Report(Ask, Reported, StatedLoad),
+    /// A report that was not answered is sent again.
+    Resend(Ask, Reported, StatedLoad),
 }
 
 /// What a report says.
@@ -158,7 +162,9 @@
             Event::Leave(request) | Event::Close(request) | Event::Answer(request, ..) => {
                 self.router(request)
             }
-            Event::Reply(ask, _) | Event::Timeout(ask) => self.router(ask.request),
+            Event::Reply(ask, _) | Event::Timeout(ask) | Event::Resend(ask, ..) => {
+                self.router(ask.request)
+            }
             Event::Query(ask) | Event::Report(ask, ..) => ask.issuer,
             Event::Request(_) | Event::Arrival(_) | Event::Closed(_) | Event::RunEnd(_) => {
                 return None;
@@ -180,6 +186,7 @@
             Event::RunEnd(number) => self.end_run(now, number),
             Event::Answer(number, outcome, load) => self.take_answer(now, number, outcome, load),
             Event::Report(ask, reported, load) => self.take_report(now, ask, reported, load),
+            Event::Resend(ask, reported, load) => self.resend(now, ask, reported, load),
         }
     }
 
@@ -303,11 +310,25 @@
         }
     }
 
+    /// Sends a report to the issuer that `ask` went to, and again if no answer comes.
     fn report(&mut self, now: u64, ask: Ask, reported: Reported, load: StatedLoad) {
-        if !self.play.is_cut(self.router(ask.request), ask.issuer, now) {
-            let delay = self.delay();
+        let is_cut = self.play.is_cut(self.router(ask.request), ask.issuer, now);
+        let delay = self.delay();
+        if !is_cut {
             self.schedule(now + delay, Event::Report(ask, reported, load));
         }
+        let frozen_until = self.play.is_frozen(ask.issuer, now + delay);
+        let is_late = frozen_until.is_some_and(|end| end > now + ANSWER_TIMEOUT_MS);
+        if reported != Reported::Answering && (is_cut || is_late) {
+            self.schedule(now + RESEND_MS, Event::Resend(ask, reported, load));
+        }
+    }
+
+    fn resend(&mut self, now: u64, ask: Ask, reported: Reported, load: StatedLoad) {
+        let sent_at = self.requests[&ask.request].1;
+        if now < sent_at + DEADLINE_MS + EXTRA_LIFETIME_MS {
+            self.report(now, ask, reported, load);
+        }
     }
 
     fn take_report(&mut self, now: u64, ask: Ask, reported: Reported, load: StatedLoad) {
