--- a/crates/decisions/src/limits/room_guard.rs
+++ b/crates/decisions/src/limits/room_guard.rs
@@ -137,17 +137,16 @@
     /// When this issuer heard of it.
     heard_at: MonotonicTime,
     slots: u32,
-    /// Requests that ran or waited.
-    requests: u32,
-    /// Those of them that this issuer permitted, as far as is known: less those that turned out not to have been at the upstream, or whose
-    /// outcome nobody reported.
-    own: u32,
+    /// Requests beyond those of the permits of this issuer.
+    beyond: u32,
+    /// Permits that counted as requests at the upstream and turned out not to have been there, or whose outcome nobody reported.
+    doubtful: u32,
 }
 
 impl KnownLoad {
-    /// Requests that this issuer did not permit.
+    /// Requests that this issuer did not permit. Each doubtful permit may have hidden one of them, however few the load shows.
     fn foreign(&self) -> u32 {
-        self.requests.saturating_sub(self.own)
+        self.beyond + self.doubtful
     }
 }
 
@@ -209,8 +208,14 @@
     ) {
         let open = self.open.len() as u32;
         let permit = self.open.remove(key);
-        if matches!(outcome, PermitOutcome::Unused | PermitOutcome::Rejected) {
-            self.discount(permit, now);
+        let ended_at = now.before(age);
+        let was_there = match outcome {
+            PermitOutcome::Unused | PermitOutcome::Rejected => false,
+            PermitOutcome::Abandoned => true,
+            PermitOutcome::Done => self.load.is_none_or(|load| load.at <= ended_at),
+        };
+        if !was_there {
+            self.doubt(permit, now);
         }
         if let Some(load) = load {
             self.record_load(load, now);
@@ -218,7 +223,7 @@
         match outcome {
             PermitOutcome::Unused => {}
             PermitOutcome::Abandoned => {
-                let since = now.before(age);
+                let since = ended_at;
                 let abandoned = permit.map(|permit| AbandonedPermit { permit, since });
                 self.abandoned.extend(abandoned);
             }
@@ -229,7 +234,7 @@
                 // A report that comes twice is about one end.
                 if permit.is_some() {
                     self.ends.push_back(PermitEnd {
-                        ended_at: now.before(age),
+                        ended_at,
                         reported_at: now,
                     });
                 }
@@ -265,8 +270,8 @@
             at,
             heard_at: now,
             slots: load.slots,
-            requests: load.running + load.waiting,
-            own: self.own(at),
+            beyond: (load.running + load.waiting).saturating_sub(self.own(at)),
+            doubtful: 0,
         };
         self.shown = self.shown.max(load.running);
         self.issued_since_load = 0;
@@ -287,12 +292,12 @@
     }
 
     /// Takes `permit` for one of a request that was not at the upstream when it stated its load: it may have hidden a request of another issuer.
-    fn discount(&mut self, permit: Option<OpenPermit>, now: MonotonicTime) {
+    fn doubt(&mut self, permit: Option<OpenPermit>, now: MonotonicTime) {
         let Some((permit, load)) = permit.zip(self.load.as_mut()) else {
             return;
         };
         if permit.issued_at <= load.heard_at {
-            load.own = load.own.saturating_sub(1);
+            load.doubtful += 1;
             self.watch_foreign(now);
         }
     }
@@ -435,14 +440,14 @@
         let expired: Vec<_> = self.open.extract_if(|_, permit| is_over(permit)).collect();
         self.expired += expired.len() as u64;
         for (_, permit) in expired {
-            self.discount(Some(permit), now);
+            self.doubt(Some(permit), now);
         }
         let abandoned: Vec<_> = self
             .abandoned
             .extract_if(.., |abandoned| is_over(&abandoned.permit))
             .collect();
         for abandoned in abandoned {
-            self.discount(Some(abandoned.permit), now);
+            self.doubt(Some(abandoned.permit), now);
         }
     }
 
