--- a/crates/decisions/src/limits/room_guard.rs
+++ b/crates/decisions/src/limits/room_guard.rs
@@ -217,6 +217,13 @@
         if !was_there {
             self.doubt(permit, now);
         }
+        // A report that comes twice is about one end.
+        if outcome == PermitOutcome::Done && permit.is_some() {
+            self.ends.push_back(PermitEnd {
+                ended_at,
+                reported_at: now,
+            });
+        }
         if let Some(load) = load {
             self.record_load(load, now);
         }
@@ -231,13 +238,6 @@
                 // It ran beside those that the load states, or has been let in beside as many as before.
                 let beside = load.map_or(self.shown, |load| load.running);
                 self.shown = self.shown.max(open.min(beside + 1));
-                // A report that comes twice is about one end.
-                if permit.is_some() {
-                    self.ends.push_back(PermitEnd {
-                        ended_at,
-                        reported_at: now,
-                    });
-                }
             }
             PermitOutcome::Rejected => {
                 if open <= self.shown {
@@ -286,8 +286,8 @@
 
     /// Requests of this issuer that may have been at the upstream when it stated a load at `at`.
     fn own(&self, at: MonotonicTime) -> u32 {
-        // Those that have ended since were there.
-        let ended = self.ends.iter().filter(|end| end.ended_at > at);
+        // Those that have ended since were there, and so was the one whose answer states the load.
+        let ended = self.ends.iter().filter(|end| end.ended_at >= at);
         self.held() + ended.count() as u32
     }
 
