Let few requests wait in the tests of runs for callers that left only once the upstream serves

Cause: the upstream let no request wait from 0.5 s after its start on, whether it had served or not; a router that had not listed it by then could never have four requests answered at once by two slots. No bound changes.

--- a/crates/router/tests/relay/callers_that_left.rs
+++ b/crates/router/tests/relay/callers_that_left.rs
@@ -143,10 +143,11 @@
     // From then on no other router can have issued permits.
     sleep(TAKE_OVER_TIME).await;
     let begins = Instant::now();
+    let ends = begins + Duration::from_secs(60);
     let times = BrittleTimes {
         says_so: begins,
-        queues_few: begins + Duration::from_millis(500),
-        ends: begins + Duration::from_secs(60),
+        queues_few: ends,
+        ends,
     };
     let options = BrittleOptions {
         slots: 2,
@@ -166,7 +167,10 @@
         answers.iter().all(|answer| answer.status == StatusCode::OK)
     })
     .await;
-    sleep_until(times.queues_few).await;
+    upstream.schedule(BrittleTimes {
+        queues_few: Instant::now(),
+        ..times
+    });
     upstream.plan(plan);
     eventually("both slots are used for callers that left", async || {
         let leaving = requests(prefix, "left").into_iter();
