Begin the tests of runs for callers that left once the upstream serves one request

Cause: the tests began when four requests at once were served, which two slots that survive one rejection do only while no router knows that the upstream is brittle, so in the first round or never.

--- a/crates/router/tests/relay/callers_that_left.rs
+++ b/crates/router/tests/relay/callers_that_left.rs
@@ -164,7 +164,7 @@
     };
     eventually("the upstream serves", async || {
         let answers = join_all(requests("/idempotent/", "warm").into_iter().map(call)).await;
-        answers.iter().all(|answer| answer.status == StatusCode::OK)
+        answers.iter().any(|answer| answer.status == StatusCode::OK)
     })
     .await;
     upstream.schedule(BrittleTimes {
