Doubt a load for late reports only, not for those that others overtake

Where answers come fast, reports overtake one another all the time, and the issuer went on as if another one issued permits too. Ends that are reported within 0.3 s are taken off the issuer's own exactly; later ones, and permits that nobody reported, are doubted.

--- a/crates/decisions/src/limits/room_guard.rs
+++ b/crates/decisions/src/limits/room_guard.rs
@@ -28,6 +28,8 @@
 const CALM_TIME: Duration = Duration::from_secs(10);
 /// Time after which an upstream that drops a request whose connection was closed has done so, and states a load without it.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// Age from which a report is late. Reports of different routers overtake one another by less.
+const LATE_TIME: Duration = Duration::from_millis(300);
 /// Permits that a substitute issues for one stated load once it takes the first issuer for gone: one in place of the request that was answered, and one more.
 const LASTING_PERMITS_PER_LOAD: u32 = 2;
 /// Requests that this issuer did not permit and that are no sign of another one.
@@ -137,16 +139,18 @@
     /// When this issuer heard of it.
     heard_at: MonotonicTime,
     slots: u32,
-    /// Requests beyond those of the permits of this issuer.
-    beyond: u32,
-    /// Permits that counted as requests at the upstream and turned out not to have been there, or whose outcome nobody reported.
+    /// Requests that ran or waited.
+    requests: u32,
+    /// Those of them that this issuer permitted, as far as is known: less those that turned out not to have been there.
+    own: u32,
+    /// Permits that turned out late to have ended before, or whose outcome nobody reported.
     doubtful: u32,
 }
 
 impl KnownLoad {
     /// Requests that this issuer did not permit. Each doubtful permit may have hidden one of them, however few the load shows.
     fn foreign(&self) -> u32 {
-        self.beyond + self.doubtful
+        self.requests.saturating_sub(self.own) + self.doubtful
     }
 }
 
@@ -214,8 +218,10 @@
             PermitOutcome::Abandoned => true,
             PermitOutcome::Done => self.load.is_none_or(|load| load.at <= ended_at),
         };
-        if !was_there {
-            self.doubt(permit, now);
+        match was_there {
+            true => {}
+            false if age < LATE_TIME => self.discount(permit, now),
+            false => self.doubt(permit, now),
         }
         // A report that comes twice is about one end.
         if outcome == PermitOutcome::Done && permit.is_some() {
@@ -270,7 +276,8 @@
             at,
             heard_at: now,
             slots: load.slots,
-            beyond: (load.running + load.waiting).saturating_sub(self.own(at)),
+            requests: load.running + load.waiting,
+            own: self.own(at),
             doubtful: 0,
         };
         self.shown = self.shown.max(load.running);
@@ -291,17 +298,30 @@
         self.held() + ended.count() as u32
     }
 
-    /// Takes `permit` for one of a request that was not at the upstream when it stated its load: it may have hidden a request of another issuer.
+    /// Takes `permit` for one of a request that was not at the upstream when it stated its load.
+    fn discount(&mut self, permit: Option<OpenPermit>, now: MonotonicTime) {
+        if let Some(load) = self.load_with(permit) {
+            load.own = load.own.saturating_sub(1);
+            self.watch_foreign(now);
+        }
+    }
+
+    /// The same where it is known late only: until then it may have hidden a request of another issuer from more loads than this one.
     fn doubt(&mut self, permit: Option<OpenPermit>, now: MonotonicTime) {
-        let Some((permit, load)) = permit.zip(self.load.as_mut()) else {
-            return;
-        };
-        if permit.issued_at <= load.heard_at {
+        if let Some(load) = self.load_with(permit) {
             load.doubtful += 1;
             self.watch_foreign(now);
         }
     }
 
+    /// The last load, if `permit` counted as a request of it.
+    fn load_with(&mut self, permit: Option<OpenPermit>) -> Option<&mut KnownLoad> {
+        let permit = permit?;
+        self.load
+            .as_mut()
+            .filter(|load| permit.issued_at <= load.heard_at)
+    }
+
     /// Requests of the last load that this issuer did not permit.
     fn foreign(&self) -> u32 {
         self.load.map_or(0, |load| load.foreign())
--- a/crates/decisions/tests/permit_fleet/main.rs
+++ b/crates/decisions/tests/permit_fleet/main.rs
@@ -129,3 +129,23 @@
     });
     assert!(used >= 0.75, "{used} of the room is used");
 }
+
+/// Load pattern: answers of many routers' requests come so fast that their reports overtake one another.
+#[test]
+fn an_upstream_whose_reports_overtake_one_another_is_used() {
+    for streams in [false, true] {
+        let used = used(FleetPlay {
+            routers: 40,
+            slots: 16,
+            run_ms: 100,
+            streams,
+            pause_ms: 5,
+            delay_ms: 10,
+            ..calm_play()
+        });
+        assert!(
+            used >= 0.75,
+            "{used} of the room is used, streams {streams}"
+        );
+    }
+}
