--- a/crates/decisions/src/limits/room_guard.rs
+++ b/crates/decisions/src/limits/room_guard.rs
@@ -293,8 +293,8 @@
 
     /// Requests of this issuer that may have been at the upstream when it stated a load at `at`.
     fn own(&self, at: MonotonicTime) -> u32 {
-        // Those that have ended since were there, and so was the one whose answer states the load.
-        let ended = self.ends.iter().filter(|end| end.ended_at >= at);
+        // Those that have ended since were there.
+        let ended = self.ends.iter().filter(|end| end.ended_at > at);
         self.held() + ended.count() as u32
     }
 
