--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -26,6 +26,25 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+class Output:
+    """Standard output or error; that nobody reads it changes no exit code."""
+
+    def __init__(self, stream):
+        self.stream = stream
+
+    def write(self, text):
+        try:
+            return os.write(self.stream.fileno(), text.encode())
+        except OSError:
+            return len(text)
+
+    def flush(self):
+        pass
+
+
+sys.stdout, sys.stderr = Output(sys.stdout), Output(sys.stderr)
+
+
 class CannotRun(Exception):
     """The case could not be run: exit code 2."""
 
