--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod session;
 pub mod sync;
 pub mod time;
+pub mod topic;
 
 pub use hash_point::hash_point;
--- a/crates/decisions/src/quarantine/crash_tally.rs
+++ b/crates/decisions/src/quarantine/crash_tally.rs
@@ -219,6 +219,13 @@
         }
     }
 
+    /// Records that the store may have lost rows: those that it does not list again count as not stored.
+    pub fn forget_stored(&mut self) {
+        self.entries
+            .values_mut()
+            .for_each(TallyEntry::forget_stored);
+    }
+
     /// Rows, at most `limit`, that are not in the store as they are here: those of subjects that one more crash may quarantine first, then
     /// those of the latest crashes.
     pub fn unstored(&self, limit: usize) -> Vec<CrashRow> {
--- a/crates/decisions/src/quarantine/tally_entry.rs
+++ b/crates/decisions/src/quarantine/tally_entry.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Records that the store has lost its rows.
+    pub(super) fn forget_stored(&mut self) {
+        self.rows.iter_mut().for_each(|held| held.stored = None);
+    }
+
     pub(super) fn rows(&self) -> impl Iterator<Item = &CrashRow> {
         self.rows.iter().map(|held| &held.row)
     }
--- a/crates/decisions/src/registry/upstream_registry.rs
+++ b/crates/decisions/src/registry/upstream_registry.rs
@@ -10,6 +10,9 @@
 /// Time after an outage of the store within which a live upstream registers again.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time for which a removed entry is remembered: more than the age of the copies from which the store comes back.
+const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
+
 /// Effect of an entry on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -30,6 +33,19 @@
     /// Time at which this router last found the store to answer again after an outage; absent
     /// before the first outage.
     store_recovered_at: Option<MonotonicTime>,
+    /// Newest entries of the upstreams that were removed of late.
+    removed: HashMap<HostName, RemovedUpstream>,
+    /// The same as it was when the store came back from an older copy, which may hold these entries again.
+    removed_before_era: HashMap<HostName, RemovedUpstream>,
+}
+
+/// An upstream whose entry was removed.
+#[derive(Debug, Clone, PartialEq)]
+struct RemovedUpstream {
+    incarnation: UpstreamIncarnation,
+    /// Sequence of its newest entry.
+    sequence: u64,
+    removed_at: MonotonicTime,
 }
 
 #[derive(Debug)]
@@ -49,6 +65,9 @@
     /// upstream that is leaving remains so until it restarts.
     pub fn observe(&mut self, record: UpstreamRecord) -> RegistryChange {
         let id = record.incarnation.id.clone();
+        if self.is_copied(&record) {
+            return RegistryChange::None;
+        }
         let Some(known) = self.known.get_mut(&id) else {
             return self.insert(id, record);
         };
@@ -94,10 +113,19 @@
             known.kept_until = known.kept_until.or(kept_until);
             return RegistryChange::None;
         }
-        self.known.remove(id);
+        if let Some(known) = self.known.remove(id) {
+            self.remember_removed(known.record, now);
+        }
         RegistryChange::Gone
     }
 
+    /// Records at `now` that the store came back from an older copy: entries that are missing in it are written again, and it may hold
+    /// entries of upstreams that have left since.
+    pub fn begin_era(&mut self, now: MonotonicTime) {
+        self.record_store_recovery(now);
+        self.removed_before_era.clone_from(&self.removed);
+    }
+
     /// Records that the store answered again after an outage at `moment`; an earlier moment than the recorded one has no effect.
     pub fn record_store_recovery(&mut self, moment: MonotonicTime) {
         self.store_recovered_at = self.store_recovered_at.max(Some(moment));
@@ -170,6 +198,25 @@
             .map(|known| &known.record)
     }
 
+    /// Whether `record` is one of the copy from which the store came back, of an upstream that has left.
+    fn is_copied(&self, record: &UpstreamRecord) -> bool {
+        let removed = self.removed_before_era.get(&record.incarnation.id);
+        removed.is_some_and(|removed| {
+            removed.incarnation == record.incarnation && record.sequence <= removed.sequence
+        })
+    }
+
+    fn remember_removed(&mut self, record: UpstreamRecord, now: MonotonicTime) {
+        self.removed
+            .retain(|_, removed| now.since(removed.removed_at) < REMOVAL_RETENTION);
+        let removed = RemovedUpstream {
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+            removed_at: now,
+        };
+        self.removed.insert(removed.incarnation.id.clone(), removed);
+    }
+
     fn insert(&mut self, id: HostName, record: UpstreamRecord) -> RegistryChange {
         let change = match record.stage {
             UpstreamStage::Ready => RegistryChange::Appeared,
--- a/crates/decisions/src/rollout.rs
+++ b/crates/decisions/src/rollout.rs
@@ -8,6 +8,7 @@
 mod evidence_pool;
 mod evidence_row;
 mod listed_version;
+mod order_history;
 mod rollout_order;
 mod rollout_phase;
 mod rollout_plan;
@@ -18,6 +19,7 @@
     AnswerAspect, AnswerQuality, ClassCounts, EvidenceRow, VersionSide, conversation_mark,
 };
 pub use listed_version::{ListedVersion, confirmed_versions};
+pub use order_history::{OrderHistory, OrderStep};
 pub use rollout_order::RolloutOrder;
 pub use rollout_phase::RolloutPhase;
 pub use rollout_plan::{ExposureBound, PlanInput, RolloutPlan};
--- a/crates/decisions/tests/crash_tally.rs
+++ b/crates/decisions/tests/crash_tally.rs
@@ -222,3 +222,15 @@
         assert!(!tally.is_quarantined(&request(), now));
     }
 }
+
+/// Guards against crashes that are forgotten because the store lost their rows when it came back from an older copy.
+#[test]
+fn rows_that_the_store_lost_are_stored_again() {
+    let mut tally = tally(1);
+    tally.record(request(), &upstream(1), UnixMillis(1_000));
+    let rows = tally.unstored(LIMIT);
+    rows.iter().for_each(|row| tally.mark_stored(row));
+    assert!(!tally.has_unstored());
+    tally.forget_stored();
+    assert_eq!(tally.unstored(LIMIT), rows);
+}
--- a/crates/decisions/tests/registry.rs
+++ b/crates/decisions/tests/registry.rs
@@ -163,3 +163,35 @@
         .flat_map(|started_at| (1..=4).map(move |sequence| ready("a", started_at, sequence)))
         .collect()
 }
+
+/// Guards against an upstream that left and comes back because the copy from which the store came back holds its entry.
+#[test]
+fn an_entry_of_the_copy_brings_no_upstream_back_that_has_left() {
+    let mut registry = UpstreamRegistry::default();
+    registry.observe(ready("a", 10, 5));
+    registry.observe_removed("a", at(0));
+    registry.begin_era(at(1_000));
+    assert_eq!(registry.observe(ready("a", 10, 4)), RegistryChange::None);
+    assert_eq!(
+        registry.observe(ready("a", 10, 6)),
+        RegistryChange::Appeared
+    );
+    registry.observe_removed("a", at(9_000));
+    assert_eq!(
+        registry.observe(ready("a", 11, 1)),
+        RegistryChange::Appeared
+    );
+}
+
+/// Guards against live upstreams that get no request because the copy lacks their entries.
+#[test]
+fn an_upstream_that_the_copy_lacks_is_kept_until_it_registers_again() {
+    let mut registry = UpstreamRegistry::default();
+    registry.observe(ready("a", 10, 5));
+    registry.begin_era(at(1_000));
+    registry.retain_listed(|_| false, at(1_000));
+    assert_eq!(ids(&registry), ["a"]);
+    registry.observe(ready("a", 10, 6));
+    registry.expire(at(9_000));
+    assert_eq!(ids(&registry), ["a"]);
+}
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -22,6 +22,6 @@
     streamed,
 };
 pub use body_budget::BodyBudget;
-pub use client::{HttpClient, HttpError, HttpRequest};
+pub use client::{HttpClient, HttpError, HttpRequest, successful_body};
 pub use framing::BodyFraming;
 pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/kernel/src/http/client.rs
+++ b/crates/kernel/src/http/client.rs
@@ -199,24 +199,34 @@
     ///
     /// As [`HttpClient::send`], and when the status is not a success or the body cannot be read.
     pub async fn fetch(&self, request: HttpRequest, timeout: Duration) -> Result<Bytes, HttpError> {
+        let url = request.url.clone();
+        let response = self
+            .fetch_response(request, timeout, RESPONSE_LIMIT)
+            .await?;
+        successful_body(url, response)
+    }
+
+    /// Sends `request` and reads the whole response of at most `limit` bytes, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`], and when the body cannot be read.
+    pub async fn fetch_response(
+        &self,
+        request: HttpRequest,
+        timeout: Duration,
+        limit: usize,
+    ) -> Result<Response<Bytes>, HttpError> {
         let url = request.url.clone();
         let exchange = async {
-            let response = self.send(request, timeout).await?;
-            let status = response.status();
-            let body = collect_limited(response.into_body(), RESPONSE_LIMIT)
+            let (head, body) = self.send(request, timeout).await?.into_parts();
+            let body = collect_limited(body, limit)
                 .await
                 .map_err(|error: BodyError| HttpError::Broken {
                     url: url.clone(),
                     reason: error.to_string(),
                 })?;
-            if status.is_success() {
-                return Ok(body);
-            }
-            Err(HttpError::Status {
-                url: url.clone(),
-                status,
-                body: String::from_utf8_lossy(&body).into_owned(),
-            })
+            Ok(Response::from_parts(head, body))
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
@@ -243,6 +253,24 @@
     }
 }
 
+/// Body of a `response` of `url` with a success status.
+///
+/// # Errors
+///
+/// [`HttpError::Status`] when the status is another one.
+pub fn successful_body(url: String, response: Response<Bytes>) -> Result<Bytes, HttpError> {
+    let status = response.status();
+    let body = response.into_body();
+    if status.is_success() {
+        return Ok(body);
+    }
+    Err(HttpError::Status {
+        url,
+        status,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
+
 fn error_chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -157,6 +157,11 @@
         Ok(socket)
     }
 
+    /// Secret by which the routers of the fleet authenticate one another.
+    pub fn secret(&self) -> &str {
+        &self.settings.secret
+    }
+
     /// Address of the peer port.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -8,7 +8,7 @@
 mod crash_manager;
 mod crash_report;
 
-pub use crash_exchange::apply_stored;
+pub use crash_exchange::apply_synced;
 pub use crash_manager::CrashManager;
 pub use crash_report::answer_report;
 
--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::quarantine::{CrashRow, CrashSubject, RowOrigin};
+use ferry_decisions::topic::TopicPosition;
 use ferry_platform::store::{
     AppendCondition, KeyedRecord, StoreError, TopicPartition, encode_keyed,
 };
@@ -62,8 +63,7 @@
             Ok(changes) => {
                 outages.record_success();
                 let rows = changes.records.iter().filter_map(decode_row).collect();
-                apply_stored(&core, rows);
-                core.crash_topic.advance(changes.position);
+                apply_synced(&core, Some(changes.position), rows);
                 if changes.reaches_end {
                     sleep(READ_INTERVAL).await;
                 }
@@ -196,10 +196,18 @@
     }
 }
 
-/// Merges rows that are in the store, and passes on to the routers that sync from this one those that matter to them.
-pub fn apply_stored(core: &SharedCore, rows: Vec<CrashRow>) {
+/// Merges rows that are in the store, where they are known up to `position`, and passes on to the routers that sync from this one
+/// those that matter to them.
+pub fn apply_synced(core: &SharedCore, position: Option<TopicPosition>, rows: Vec<CrashRow>) {
     let subjects = subjects_of(&rows);
-    let quarantines = core.crashes.merge(rows, RowOrigin::Store);
+    let enters_era = position.is_some_and(|position| core.crash_topic.enters_era(position));
+    let quarantines = match enters_era {
+        true => core.crashes.begin_era(rows),
+        false => core.crashes.merge(rows, RowOrigin::Store),
+    };
+    if let Some(position) = position {
+        core.crash_topic.advance(position);
+    }
     core.fleet
         .feed
         .put_crashes(&core.crashes.near_rows_of(&subjects));
--- a/crates/router/src/relay/crashes/crash_manager.rs
+++ b/crates/router/src/relay/crashes/crash_manager.rs
@@ -177,6 +177,16 @@
         quarantines
     }
 
+    /// Merges `rows`, all that the store has in a new era; the others are to be stored again. Returns whether a request or a part is
+    /// quarantined by them.
+    pub fn begin_era(&self, rows: Vec<CrashRow>) -> bool {
+        self.tally.lock().forget_stored();
+        let quarantines = self.merge(rows, RowOrigin::Store);
+        self.changed.notify_waiters();
+        self.recorded.notify_one();
+        quarantines
+    }
+
     /// Marks these versions of rows as being in the store.
     pub fn mark_stored(&self, rows: &[CrashRow]) {
         let mut tally = self.tally.lock();
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -9,6 +9,7 @@
 use ferry_decisions::registry::UpstreamRecord;
 use ferry_decisions::rollout::{ClassCounts, EvidenceRow, RolloutPhase, TimeSpread};
 use ferry_decisions::sync::RouterEntry;
+use ferry_decisions::topic::{StoreEra, TopicPosition};
 use serde::{Deserialize, Serialize};
 
 use super::operator_records::KnownOffsets;
@@ -27,6 +28,9 @@
     /// answer.
     #[serde(default)]
     pub known: Option<KnownOffsets>,
+    /// Era of these offsets; absent from routers of an older build.
+    #[serde(default)]
+    pub known_era: Option<StoreEra>,
     /// Roll-out evidence of the requesting router.
     pub evidence: Vec<EvidenceRecord>,
     /// Crash counts that may not be in the store yet, from a router of an older build, which repeats them until the feed has them; others
@@ -135,6 +139,66 @@
     pub upstreams: Option<u64>,
     /// The routers' rows of crashes.
     pub crashes: Option<u64>,
+    /// Eras of these offsets.
+    pub eras: FeedEras,
+}
+
+/// Era of the store in which each topic is known; absent for a topic of which nothing is known, and from routers of an older build.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct FeedEras {
+    /// Of the operator's records.
+    pub operator: Option<StoreEra>,
+    /// Of the upstreams' entries.
+    pub upstreams: Option<StoreEra>,
+    /// Of the routers' rows of crashes.
+    pub crashes: Option<StoreEra>,
+}
+
+/// How far a router knows each topic.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct TopicPositions {
+    /// The operator's records.
+    pub operator: Option<TopicPosition>,
+    /// The upstreams' entries.
+    pub upstreams: Option<TopicPosition>,
+    /// The routers' rows of crashes.
+    pub crashes: Option<TopicPosition>,
+}
+
+impl From<TopicPositions> for FeedPositions {
+    fn from(positions: TopicPositions) -> Self {
+        let TopicPositions {
+            operator,
+            upstreams,
+            crashes,
+        } = positions;
+        Self {
+            operator: operator.map(|position| position.offset),
+            upstreams: upstreams.map(|position| position.offset),
+            crashes: crashes.map(|position| position.offset),
+            eras: FeedEras {
+                operator: operator.map(|position| position.era),
+                upstreams: upstreams.map(|position| position.era),
+                crashes: crashes.map(|position| position.era),
+            },
+        }
+    }
+}
+
+impl FeedPositions {
+    /// The positions, for a router that itself knows the topics up to `own`: an offset without an era counts as one of the same era.
+    pub fn resolve(&self, own: &TopicPositions) -> TopicPositions {
+        let position = |offset: Option<u64>, era: Option<StoreEra>, own: Option<TopicPosition>| {
+            let era = era.unwrap_or_else(|| own.unwrap_or_default().era);
+            offset.map(|offset| TopicPosition::new(era, offset))
+        };
+        TopicPositions {
+            operator: position(self.operator, self.eras.operator, own.operator),
+            upstreams: position(self.upstreams, self.eras.upstreams, own.upstreams),
+            crashes: position(self.crashes, self.eras.crashes, own.crashes),
+        }
+    }
 }
 
 /// Changes since a revision, or the full state.
--- a/crates/router/src/relay/fleet/feed_query.rs
+++ b/crates/router/src/relay/fleet/feed_query.rs
@@ -6,13 +6,16 @@
 
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::UpstreamRecord;
+use ferry_decisions::topic::TopicPosition;
 use ferry_platform::store::KeyedRecord;
 use tokio::time::timeout;
 
-use super::feed_message::{FeedAnswer, FeedChange, FeedChanges, FeedQuery, StoreOutage};
+use super::feed_message::{
+    FeedAnswer, FeedChange, FeedChanges, FeedQuery, StoreOutage, TopicPositions,
+};
 use super::feed_position::FeedPosition;
 use super::fleet_manager::own_entry;
-use super::operator_records::KnownOffsets;
+use super::operator_records::{KnownOffsets, KnownRecords};
 use super::record_patch::RecordPatch;
 use crate::peer::{self, PeerError, PeerTopic};
 use crate::relay::confirmation_time::ConfirmationTime;
@@ -113,19 +116,22 @@
     }
     let rules = Duration::from_millis(answer.rules_age_ms);
     let listing = Duration::from_millis(answer.listing_age_ms);
-    let (positions, origin) = (answer.positions, answer.origin.clone());
-    apply_answer(core, answer, position)?;
+    let own = core.topic_positions();
+    let positions = answer.positions.resolve(&own);
+    let origin = answer.origin.clone();
+    apply_answer(core, answer, &positions, position)?;
     // A router that knows nothing of a topic states the time since its own start.
-    if positions.operator.is_some() {
+    if let Some(operator) = positions.operator {
         core.operator_topic
-            .confirm(requested_at.saturating_sub(rules));
+            .confirm(operator.era, requested_at.saturating_sub(rules));
     }
-    if positions.upstreams.is_some() {
+    if let Some(upstreams) = positions.upstreams {
         core.upstream_topic
-            .confirm(requested_at.saturating_sub(listing));
+            .confirm(upstreams.era, requested_at.saturating_sub(listing));
     }
     let drain = core.settings.load().bounds.drain;
-    if rules > MAX_RULES_AGE || listing > drain.mul_f64(MAX_LISTING_AGE_FRACTION) {
+    let is_old = rules > MAX_RULES_AGE || listing > drain.mul_f64(MAX_LISTING_AGE_FRACTION);
+    if is_old || is_of_past_era(&positions, &own) {
         return Err(FeedError::Outdated { rules, listing });
     }
     if origin.as_ref() == Some(&core.settings.load().host) {
@@ -136,16 +142,27 @@
     Ok(())
 }
 
+/// Whether the operator's records or the upstreams' entries of a router at `positions` are of an earlier era than `own`.
+fn is_of_past_era(positions: &TopicPositions, own: &TopicPositions) -> bool {
+    let is_past = |position: Option<TopicPosition>, own: Option<TopicPosition>| {
+        let eras = position.zip(own);
+        eras.is_some_and(|(position, own)| position.era < own.era)
+    };
+    is_past(positions.operator, own.operator) || is_past(positions.upstreams, own.upstreams)
+}
+
 fn build_query(core: &SharedCore, position: &FeedPosition, urgency: QueryUrgency) -> FeedQuery {
     let is_first = position.source.is_empty();
     let settings = core.settings.load();
     let address = core.fleet.hub().map(|hub| hub.address());
     let entry = address.filter(|_| is_first);
     let news = core.permits.news(core.clock.now());
+    let known = known_records(core, position);
     FeedQuery {
         source: position.source.clone(),
         revision: position.revision,
-        known: Some(known_records(core, position)),
+        known: Some(known.offsets),
+        known_era: known.era,
         evidence: rollouts::own_evidence(core),
         crashes: Vec::new(),
         limits: news.limits,
@@ -157,12 +174,13 @@
     }
 }
 
-/// Offsets of the operator's records to which the next answer may hold differences.
-fn known_records(core: &SharedCore, position: &FeedPosition) -> KnownOffsets {
-    match position.needs_whole_records {
-        true => KnownOffsets::new(),
-        false => core.fleet.feed.known_records(),
+/// The operator's records to which the next answer may hold differences.
+fn known_records(core: &SharedCore, position: &FeedPosition) -> KnownRecords {
+    let mut known = core.fleet.feed.known_records();
+    if position.needs_whole_records {
+        known.offsets = KnownOffsets::new();
     }
+    known
 }
 
 fn restore_records(
@@ -182,6 +200,7 @@
 fn apply_answer(
     core: &SharedCore,
     answer: FeedAnswer,
+    positions: &TopicPositions,
     position: &mut FeedPosition,
 ) -> Result<(), FeedError> {
     let is_whole = matches!(answer.changes, FeedChanges::Whole(_));
@@ -206,7 +225,6 @@
             FeedChange::Crashes(row) => rows.push(*row),
         }
     }
-    let positions = answer.positions;
     watch::apply_synced_operator(core, positions.operator, operator);
     let upstreams: BTreeMap<HostName, Option<UpstreamRecord>> = upstreams;
     watch::apply_synced_upstreams(
@@ -218,10 +236,7 @@
             outage_age: answer.outage.and_then(StoreOutage::age),
         },
     );
-    crashes::apply_stored(core, rows);
-    if let Some(crashes) = positions.crashes {
-        core.crash_topic.advance(crashes);
-    }
+    crashes::apply_synced(core, positions.crashes, rows);
     rollouts::apply_pooled(core, answer.rollouts);
     let news = LimitNews {
         limits: answer.limits,
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -8,9 +8,9 @@
 use tokio::time::timeout;
 
 use super::feed_message::{
-    EvidenceRecord, FeedAnswer, FeedChange, FeedChanges, FeedPositions, FeedQuery, StoreOutage,
+    EvidenceRecord, FeedAnswer, FeedChange, FeedChanges, FeedQuery, StoreOutage,
 };
-use super::operator_records::KnownOffsets;
+use super::operator_records::KnownRecords;
 use super::peer_body;
 use crate::peer::{PeerMessage, PeerTopic};
 use crate::relay::crashes;
@@ -37,7 +37,10 @@
 
 async fn answer_query(core: &SharedCore, message: PeerMessage) -> Option<Bytes> {
     let mut query: FeedQuery = peer_body::read(&message, "feed request")?;
-    let known = query.known.take()?;
+    let known = KnownRecords {
+        era: query.known_era,
+        offsets: query.known.take()?,
+    };
     merge_evidence(core, std::mem::take(&mut query.evidence));
     core.crashes.merge(query.crashes.clone(), RowOrigin::Router);
     let news = LimitNews {
@@ -97,7 +100,7 @@
 }
 
 /// Waits a moment for a change that the requesting router lacks.
-async fn wait_for_change(core: &SharedCore, query: &FeedQuery, known: &KnownOffsets) {
+async fn wait_for_change(core: &SharedCore, query: &FeedQuery, known: &KnownRecords) {
     let mut revisions = core.fleet.feed.subscribe();
     let is_behind = query.source != core.fleet.feed.incarnation()
         || *revisions.borrow_and_update() > query.revision
@@ -109,13 +112,9 @@
     let _ = timeout(ANSWER_WAIT, revisions.changed()).await;
 }
 
-fn build_answer(core: &SharedCore, query: &FeedQuery, known: &KnownOffsets) -> FeedAnswer {
+fn build_answer(core: &SharedCore, query: &FeedQuery, known: &KnownRecords) -> FeedAnswer {
     // Taken before the changes, which therefore contain all that they state.
-    let positions = FeedPositions {
-        operator: core.operator_topic.position(),
-        upstreams: core.upstream_topic.position(),
-        crashes: core.crash_topic.position(),
-    };
+    let positions = core.topic_positions();
     let (rules_age, listing_age) = (core.operator_topic.age(), core.upstream_topic.age());
     let feed = &core.fleet.feed;
     let (revision, mut changes) = feed.changes_since(&query.source, query.revision);
@@ -139,8 +138,8 @@
         source: feed.incarnation().to_owned(),
         revision,
         changes,
-        operator: feed.record_patches(known),
-        positions,
+        operator: feed.record_patches(positions.operator.unwrap_or_default().era, known),
+        positions: positions.into(),
         rules_age_ms: rules_age.as_millis() as u64,
         listing_age_ms: listing_age.as_millis() as u64,
         holds_missing,
@@ -159,7 +158,7 @@
     let now = core.clock.now();
     for record in records {
         core.rollouts.with(&record.service, |rollout| {
-            if rollout.offset == record.order {
+            if rollout.offset() == record.order {
                 rollout.merge_client_row(record.row, now);
             }
         });
--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -8,12 +8,13 @@
 use ferry_decisions::names::{HostName, Incarnation};
 use ferry_decisions::quarantine::{CrashRow, CrashRowKey};
 use ferry_decisions::registry::UpstreamRecord;
+use ferry_decisions::topic::StoreEra;
 use ferry_platform::store::KeyedRecord;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use super::feed_message::{FeedChange, FeedChanges};
-use super::operator_records::{KnownOffsets, OperatorRecords};
+use super::operator_records::{KnownRecords, OperatorRecords};
 use super::peer_body;
 use super::record_patch::RecordPatch;
 
@@ -79,26 +80,31 @@
         self.revision.send_modify(|_| {});
     }
 
-    /// Stores a record of the operator, and wakes the tasks that wait for a change if it was not known.
-    pub fn put_operator(&self, record: &KeyedRecord) {
-        if self.state.lock().operator.put(record) {
+    /// Stores records of the operator that the store gave out in `era`, and wakes the tasks that wait for a change if one of them was not
+    /// known.
+    pub fn put_operator(&self, era: StoreEra, records: &[KeyedRecord]) {
+        if self.state.lock().operator.put_all(era, records) {
             self.wake();
         }
     }
 
-    /// Offsets of the operator's newest records.
-    pub fn known_records(&self) -> KnownOffsets {
+    /// Which of the operator's records are known here.
+    pub fn known_records(&self) -> KnownRecords {
         self.state.lock().operator.known()
     }
 
     /// Whether a router that has the records `known` of the operator lacks one.
-    pub fn has_news(&self, known: &KnownOffsets) -> bool {
+    pub fn has_news(&self, known: &KnownRecords) -> bool {
         self.state.lock().operator.has_news(known)
     }
 
-    /// Records of the operator that a router that has `known` lacks.
-    pub fn record_patches(&self, known: &KnownOffsets) -> Vec<RecordPatch> {
-        self.state.lock().operator.patches(known)
+    /// Records of the operator, as of `era`, that a router that has `known` lacks; none if those kept here are of another era.
+    pub fn record_patches(&self, era: StoreEra, known: &KnownRecords) -> Vec<RecordPatch> {
+        let operator = &mut self.state.lock().operator;
+        match operator.era() == era {
+            true => operator.patches(known),
+            false => Vec::new(),
+        }
     }
 
     /// Restores a record of the operator that another router sent.
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -1,5 +1,6 @@
 //! Registration of this router in the store, and the list of the registered routers.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,10 +8,11 @@
 use ferry_decisions::names::Incarnation;
 use ferry_decisions::sync::RouterEntry;
 use ferry_platform::store::{
-    AppendCondition, KeyedEntry, KeyedRecord, StoreError, TopicPartition, encode_keyed,
+    AppendCondition, KeyedEntry, KeyedListing, KeyedRecord, StoreError, TopicPartition,
+    encode_keyed,
 };
 use rand::Rng;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::feed_reply::answer_peer;
 use super::fleet_manager::own_entry;
@@ -18,7 +20,7 @@
 use crate::relay::paths::tunnel_handler;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::topic_progress::TopicProgress;
-use crate::relay::watch::TopicReader;
+use crate::relay::watch::{TopicChanges, TopicReader};
 
 /// Topic of the routers' entries.
 const ROUTER_TOPIC: &str = "keyed.routers";
@@ -70,34 +72,100 @@
     let progress = TopicProgress::default();
     core.fleet.wait_until_listed().await;
     sleep(FIRST_LIST_DELAY).await;
+    let mut eras = core.store.eras().subscribe();
     loop {
         core.fleet.wait_until(|state| state.is_own_reader()).await;
-        let known_keys = core.fleet.router_count();
-        let pause = match reader.next(&progress, known_keys, Duration::ZERO).await {
-            Ok(changes) => {
-                progress.advance(changes.position);
-                let entries = changes.records.iter().filter_map(decode_record).collect();
-                core.fleet.add_routers(entries);
-                core.fleet.confirm_list();
-                LIST_PERIOD
-            }
+        let pause = match read_routers(&core, &reader, &progress).await {
+            Ok(()) => LIST_PERIOD,
             Err(error) => {
                 spdlog::info!("the routers could not be listed: {}", error);
                 FIRST_LIST_DELAY
             }
         };
-        sleep(pause).await;
+        // A new era is looked at before the end of the pause.
+        let _ = timeout(pause, eras.changed()).await;
     }
 }
 
+/// Reads the entries of other routers once; after the store came back from an older copy, writes again what it lost.
+async fn read_routers(
+    core: &SharedCore,
+    reader: &TopicReader,
+    progress: &TopicProgress,
+) -> Result<(), StoreError> {
+    let known_keys = core.fleet.router_count();
+    let changes = reader.next(progress, known_keys, Duration::ZERO).await?;
+    if progress.enters_era(changes.position) {
+        restore_records(core, &changes).await?;
+    }
+    progress.advance(changes.position);
+    let entries = changes.records.iter().filter_map(decode_record).collect();
+    core.fleet.add_routers(entries);
+    core.fleet.confirm_list();
+    Ok(())
+}
+
+/// Writes again the secret and the routers' entries that are missing in `listing`, unless another router writes at the same time. The
+/// caller then lists the topic again.
+async fn restore_records(core: &SharedCore, listing: &TopicChanges) -> Result<(), StoreError> {
+    let Some(hub) = core.fleet.hub() else {
+        return Ok(());
+    };
+    let listed: HashSet<&str> = listing
+        .records
+        .iter()
+        .map(|record| record.key.as_str())
+        .collect();
+    let mut secrets = listing
+        .records
+        .iter()
+        .filter(|record| record.key == SECRET_KEY);
+    if secrets.any(|record| record.value.as_deref() != Some(hub.secret().as_bytes())) {
+        spdlog::error!(
+            "the store holds another secret than this router's links; restart this router to join the others"
+        );
+    }
+    let settings = core.settings.load();
+    let own = own_entry(&settings, hub.address());
+    let entries = core.fleet.others(&settings.host).into_iter().chain([own]);
+    let entries = entries.filter_map(|entry| {
+        let value = peer::encode(&entry).ok()?;
+        Some((router_key(&entry), value))
+    });
+    let secret = (
+        SECRET_KEY.to_owned(),
+        hub.secret().as_bytes().to_vec().into(),
+    );
+    let records = entries.chain([secret]);
+    let missing = records.filter(|(key, _)| !listed.contains(key.as_str()));
+    let missing: Vec<Vec<u8>> = missing
+        .filter_map(|(key, value)| encode_keyed(&key, &value))
+        .collect();
+    if missing.is_empty() {
+        return Ok(());
+    }
+    let contents = missing.iter().map(|record| &record[..]);
+    let guard = AppendCondition::EndsAt(listing.position.offset);
+    core.store.append(ROUTERS, contents, guard).await?;
+    spdlog::info!("routers' records written again in the store's new era", kv: {
+        era = listing.position.era.0,
+        records = missing.len(),
+    });
+    Ok(())
+}
+
+fn router_key(entry: &RouterEntry) -> String {
+    format!("{ROUTER_PREFIX}{}", entry.host)
+}
+
 /// Opens the port for other routers with the fleet's secret, and registers its address.
 async fn join(core: &SharedCore) -> Result<(), JoinError> {
-    let (entries, end) = core.store.newest_all(ROUTERS).await?;
+    let KeyedListing { entries, end } = core.store.newest_all(ROUTERS).await?;
     core.fleet.add_routers(routers(&entries));
     let stored_secret = entries.iter().find(|entry| entry.key == SECRET_KEY);
     let secret = match stored_secret {
         Some(entry) => String::from_utf8_lossy(&entry.value).into_owned(),
-        None => make_secret(core, end).await?,
+        None => make_secret(core, end.offset).await?,
     };
     let hub = match core.fleet.hub() {
         Some(hub) => hub.clone(),
@@ -108,14 +176,13 @@
     // Listed before the own entry is written, which may fail while the store takes no appends.
     core.fleet.record_list(core.clock.now());
     let value = peer::encode(&entry)?;
-    let key = format!("{ROUTER_PREFIX}{}", entry.host);
-    append(core, &key, &value, AppendCondition::None).await?;
+    append(core, &router_key(&entry), &value, AppendCondition::None).await?;
     if core.fleet.is_synced_from_peer() {
         return Ok(());
     }
     // Read after the own entry was written: of two routers that start together, one at least knows the other then.
-    let (entries, _) = core.store.newest_all(ROUTERS).await?;
-    core.fleet.add_routers(routers(&entries));
+    let listing = core.store.newest_all(ROUTERS).await?;
+    core.fleet.add_routers(routers(&listing.entries));
     Ok(())
 }
 
--- a/crates/router/src/relay/fleet/operator_records.rs
+++ b/crates/router/src/relay/fleet/operator_records.rs
@@ -1,9 +1,12 @@
 //! The operator's newest records, and the differences between them that are sent to other routers.
 
+use std::borrow::Cow;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 
 use bytes::Bytes;
+use ferry_decisions::topic::StoreEra;
 use ferry_platform::store::KeyedRecord;
 use smallvec::SmallVec;
 
@@ -15,9 +18,20 @@
 /// Offsets of the newest records by key.
 pub type KnownOffsets = BTreeMap<String, u64>;
 
-/// Records of the operator by key.
+/// Which of the operator's records a router has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownRecords {
+    /// Era of the offsets; absent from routers of an older build, which do not tell eras apart.
+    pub era: Option<StoreEra>,
+    /// Offsets of its newest records.
+    pub offsets: KnownOffsets,
+}
+
+/// Records of the operator by key, all of one era.
 #[derive(Debug, Default)]
 pub struct OperatorRecords {
+    /// Era of all offsets.
+    era: StoreEra,
     by_key: BTreeMap<String, KeyHistory>,
 }
 
@@ -31,8 +45,23 @@
 }
 
 impl OperatorRecords {
+    /// Stores the newest records of their keys, as the store gave them out in `era`; returns whether one of them was not known.
+    ///
+    /// The first ones of a later era replace all former ones, and those of an earlier era have no effect.
+    pub fn put_all(&mut self, era: StoreEra, records: &[KeyedRecord]) -> bool {
+        if era < self.era {
+            return false;
+        }
+        if era > self.era {
+            self.by_key.clear();
+            self.era = era;
+        }
+        let news = records.iter().filter(|record| self.put(record));
+        news.count() > 0
+    }
+
     /// Stores the newest record of its key; returns whether it was not known.
-    pub fn put(&mut self, record: &KeyedRecord) -> bool {
+    fn put(&mut self, record: &KeyedRecord) -> bool {
         let history = self.by_key.entry(record.key.clone()).or_default();
         if history.recent.back() == Some(record) {
             return false;
@@ -50,28 +79,52 @@
         self.by_key.len()
     }
 
-    /// Offset of the newest record of each key.
-    pub fn known(&self) -> KnownOffsets {
+    /// Era of the records.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Which records are known here.
+    pub fn known(&self) -> KnownRecords {
         let newest = self.by_key.values().filter_map(KeyHistory::newest);
-        newest
-            .map(|record| (record.key.clone(), record.offset))
-            .collect()
+        KnownRecords {
+            era: Some(self.era),
+            offsets: newest
+                .map(|record| (record.key.clone(), record.offset))
+                .collect(),
+        }
     }
 
     /// Whether a router that knows `known` lacks a record.
-    pub fn has_news(&self, known: &KnownOffsets) -> bool {
+    pub fn has_news(&self, known: &KnownRecords) -> bool {
+        let Some(offsets) = self.comparable(known) else {
+            return false;
+        };
         let mut newest = self.by_key.values().filter_map(KeyHistory::newest);
-        newest.any(|record| is_news(record, known))
+        newest.any(|record| is_news(record, &offsets))
     }
 
     /// The records that a router that knows `known` lacks, as differences to those that it has.
-    pub fn patches(&mut self, known: &KnownOffsets) -> Vec<RecordPatch> {
+    pub fn patches(&mut self, known: &KnownRecords) -> Vec<RecordPatch> {
+        let Some(offsets) = self.comparable(known) else {
+            return Vec::new();
+        };
         let histories = self.by_key.iter_mut();
         histories
-            .filter_map(|(key, history)| history.patch(known.get(key).copied()))
+            .filter_map(|(key, history)| history.patch(offsets.get(key).copied()))
             .collect()
     }
 
+    /// The offsets of `known` that have the same meaning here: none if they are of an earlier era. `None` if they are of a later one,
+    /// to which nothing here is news.
+    fn comparable<'a>(&self, known: &'a KnownRecords) -> Option<Cow<'a, KnownOffsets>> {
+        match known.era.unwrap_or(self.era).cmp(&self.era) {
+            Ordering::Less => Some(Cow::Owned(KnownOffsets::new())),
+            Ordering::Equal => Some(Cow::Borrowed(&known.offsets)),
+            Ordering::Greater => None,
+        }
+    }
+
     /// Restores the record that another router sent.
     ///
     /// # Errors
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -18,7 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::crashes::CrashManager;
-use super::fleet::FleetManager;
+use super::fleet::{FleetManager, TopicPositions};
 use super::latency_model::LatencyModel;
 use super::paths::PathManager;
 use super::permits::PermitManager;
@@ -126,6 +126,15 @@
             && self.operator_topic.covers(revocation)
     }
 
+    /// How far the topics of the store are known here.
+    pub fn topic_positions(&self) -> TopicPositions {
+        TopicPositions {
+            operator: self.operator_topic.position(),
+            upstreams: self.upstream_topic.position(),
+            crashes: self.crash_topic.position(),
+        }
+    }
+
     /// Whether the crashes of requests are known: those in the store, and those that some other routers hold in their memory.
     pub fn knows_crashes(&self) -> bool {
         self.crash_topic.position().is_some() && self.crashes.has_asked_others()
--- a/crates/router/src/relay/rollouts/active_rollout.rs
+++ b/crates/router/src/relay/rollouts/active_rollout.rs
@@ -9,6 +9,8 @@
     RolloutOrder, RolloutPhase, RolloutPlan, TimeSpread, VersionSide, conversation_mark,
 };
 use ferry_decisions::time::MonotonicTime;
+use ferry_decisions::topic::TopicPosition;
+use ferry_platform::entries::RolloutStatus;
 
 use super::pace_model::PaceModel;
 use super::rated_time::RatedTime;
@@ -27,8 +29,10 @@
 pub struct ActiveRollout {
     /// The operator's order: service, target version and duration.
     pub order: RolloutOrder,
-    /// Offset of the order in the operator's topic.
-    pub offset: u64,
+    /// Position of the order in the operator's topic, which is another one after the store came back from an older copy.
+    pub position: TopicPosition,
+    /// Seed of the conversations' numbers: the first offset of the order, so that conversations keep their versions.
+    pub seed: u64,
     /// Phase in force; absent until one is read from the store or received from another router.
     pub phase: Option<RolloutPhase>,
     /// Evidence row of this router.
@@ -51,15 +55,21 @@
 }
 
 impl ActiveRollout {
-    /// A roll-out whose order has just been read at `offset`; `router` names this router in its evidence row.
-    pub fn new(order: RolloutOrder, offset: u64, router: &str, now: MonotonicTime) -> Self {
+    /// A roll-out whose order has just been read at `position`; `router` names this router in its evidence row.
+    pub fn new(
+        order: RolloutOrder,
+        position: TopicPosition,
+        router: &str,
+        now: MonotonicTime,
+    ) -> Self {
         Self {
             plan: RolloutPlan {
                 duration: order.duration,
                 canary_share: 0.0,
             },
             order,
-            offset,
+            position,
+            seed: position.offset,
             phase: None,
             own: EvidenceRow {
                 router: router.to_owned(),
@@ -76,6 +86,11 @@
         }
     }
 
+    /// Offset of the order in the operator's topic, by which routers name the roll-out.
+    pub fn offset(&self) -> u64 {
+        self.position.offset
+    }
+
     /// Side that a conversation gets.
     ///
     /// `point` is the conversation's fixed, uniform number in `0.0..1.0`, and `last` the side of its last request.
@@ -243,6 +258,16 @@
         self.test_for_harm();
     }
 
+    /// Phase in force, as it is stored; `None` while no phase is known.
+    pub fn status(&self) -> Option<RolloutStatus> {
+        Some(RolloutStatus {
+            order: self.offset(),
+            target: self.order.target.clone(),
+            phase: self.phase?,
+            canary_share: self.canary_share(),
+        })
+    }
+
     /// Time limit and shares.
     pub fn plan(&self) -> RolloutPlan {
         self.plan
--- a/crates/router/src/relay/rollouts/rollout_exchange.rs
+++ b/crates/router/src/relay/rollouts/rollout_exchange.rs
@@ -6,7 +6,10 @@
 use bytes::Bytes;
 use ferry_decisions::names::ServiceName;
 use ferry_decisions::rollout::{EvidenceRow, ExposureBound, RolloutPhase, RolloutPlan};
-use ferry_platform::entries::{RolloutStatus, decode_status, encode_status, rollout_key};
+use ferry_decisions::topic::{StoreEra, TopicPosition};
+use ferry_platform::entries::{
+    RolloutStatus, decode_status, encode_status, rollout_key, service_of_rollout_key,
+};
 use ferry_platform::store::{
     AppendCondition, RESPONSE_BYTES, ReadBatch, ReadQuery, STATUS_TOPIC, StoreError, StoreRecord,
     TopicPartition, encode_keyed,
@@ -39,8 +42,12 @@
     status: TopicReader,
     /// How far the phases are known here.
     status_topic: TopicProgress,
-    /// Offset of the next evidence record to read.
-    evidence_offset: u64,
+    /// Position of the next evidence record to read.
+    evidence_position: TopicPosition,
+    /// Phases in the store, by service, as they were read last.
+    stored: HashMap<ServiceName, RolloutStatus>,
+    /// Era of the store in which the phases that are known here are stored, also those that it lost; 0 before its first answer.
+    restored_era: StoreEra,
     /// Rows appended last, by service and router.
     last_sent: HashMap<(ServiceName, String), EvidenceRow>,
     /// Number of exchanges so far, without those that could not read the phases.
@@ -52,11 +59,14 @@
 ///
 /// Pauses unless this router reads the store; the one that it syncs from does the exchange for both.
 pub async fn follow(core: SharedCore) {
+    let mut eras = core.store.eras().subscribe();
     let mut exchange = RolloutExchange {
         status: TopicReader::new(core.store.clone(), STATUS_TOPIC),
         status_topic: TopicProgress::default(),
         core,
-        evidence_offset: 0,
+        evidence_position: TopicPosition::default(),
+        stored: HashMap::new(),
+        restored_era: StoreEra::default(),
         last_sent: HashMap::new(),
         rounds: 0,
         outages: OutageLog::new(
@@ -67,8 +77,13 @@
     loop {
         let core = exchange.core.clone();
         let services = core.rollouts.unfinished_services();
-        if services.is_empty() {
-            core.rollouts.wake.notified().await;
+        exchange.note_first_era();
+        if services.is_empty() && !exchange.must_restore() {
+            tokio::select! {
+                () = core.rollouts.wake.notified() => {}
+                // The sender is as old as the relay.
+                _ = eras.changed() => {}
+            }
             continue;
         }
         if !core.fleet.sync_state().is_own_reader() {
@@ -129,6 +144,9 @@
     /// Runs one exchange for `services`, whose roll-outs have not ended, and proposes the phases that are due.
     async fn run(&mut self, services: &[ServiceName]) -> Result<(), StoreError> {
         self.core.report_ongoing_conversations();
+        if self.must_restore() {
+            self.restore_phases().await?;
+        }
         if self.rounds.is_multiple_of(EXCHANGES_PER_STATUS_READ) {
             self.read_status().await?;
         }
@@ -161,7 +179,7 @@
                 Some(_) => (rollout.next_phase(&bound, now)?, rollout.canary_share()),
             };
             Some(RolloutStatus {
-                order: rollout.offset,
+                order: rollout.offset(),
                 target: rollout.order.target.clone(),
                 phase,
                 canary_share,
@@ -180,29 +198,80 @@
         let next = self.status.next(progress, known_keys, Duration::ZERO);
         let changes = next.await?;
         self.status_topic.advance(changes.position);
-        let core = &self.core;
-        for service in core.rollouts.unfinished_services() {
-            let key = rollout_key(&service);
-            let values = changes.records.iter().filter(|record| record.key == key);
-            for value in values.filter_map(|record| record.value.as_ref()) {
-                match decode_status(value) {
-                    Ok(status) => self.apply_status(&service, &status),
-                    Err(error) => spdlog::warn!(
-                        "ignoring the malformed roll-out status of {}: {}",
-                        service,
-                        error
-                    ),
+        if changes.whole {
+            self.stored.clear();
+        }
+        for record in &changes.records {
+            let service = service_of_rollout_key(&record.key);
+            let Some((service, value)) = service.zip(record.value.as_ref()) else {
+                continue;
+            };
+            match decode_status(value) {
+                Ok(status) => {
+                    self.apply_status(&service, &status);
+                    self.stored.insert(service, status);
                 }
+                Err(error) => spdlog::warn!(
+                    "ignoring the malformed roll-out status of {}: {}",
+                    service,
+                    error
+                ),
             }
         }
         Ok(())
     }
 
+    /// Notes the era of the store's first answer, before which no phase is known here that it could have lost.
+    fn note_first_era(&mut self) {
+        if self.restored_era == StoreEra::default() {
+            self.restored_era = self.core.store.eras().newest();
+        }
+    }
+
+    /// Whether the store came back from an older copy since the phases were last stored.
+    fn must_restore(&self) -> bool {
+        self.core.store.eras().newest() > self.restored_era
+    }
+
+    /// Stores again the phases that the store lost when it came back from an older copy, those of ended roll-outs too.
+    async fn restore_phases(&mut self) -> Result<(), StoreError> {
+        let era = self.core.store.eras().newest();
+        let orders = self.core.operator_topic.position();
+        if orders.is_none_or(|orders| orders.era < era) {
+            // The positions of the orders in the new era, by which phases name them, are read first.
+            return Ok(());
+        }
+        self.read_status().await?;
+        let phases = self.core.rollouts.map_all(|service, rollout| {
+            let status = rollout.status()?;
+            (rollout.position.era == era).then(|| (service.clone(), status))
+        });
+        let lost: Vec<(ServiceName, RolloutStatus)> = phases
+            .into_iter()
+            .flatten()
+            .filter(|(service, status)| status.is_missing_in(self.stored.get(service)))
+            .collect();
+        for (service, status) in &lost {
+            self.propose(service, status).await?;
+        }
+        let is_stored = |(service, status): &(ServiceName, RolloutStatus)| {
+            !status.is_missing_in(self.stored.get(service))
+        };
+        if lost.iter().all(is_stored) {
+            spdlog::info!("phases of roll-outs stored again in the store's new era", kv: {
+                era = era.0,
+                phases = lost.len(),
+            });
+            self.restored_era = era;
+        }
+        Ok(())
+    }
+
     fn apply_status(&self, service: &ServiceName, status: &RolloutStatus) {
         let now = self.core.clock.now();
         self.core.report_ongoing_conversations();
         self.core.rollouts.with(service, |rollout| {
-            if rollout.offset == status.order {
+            if rollout.offset() == status.order && rollout.order.target == status.target {
                 rollout.enter(status.phase, status.canary_share, now);
             }
         });
@@ -216,7 +285,7 @@
         let rows = core.rollouts.with(service, |rollout| {
             let own = rollout.own_row(&core.upstreams, now);
             let rows: Vec<EvidenceRow> = rollout.client_rows().cloned().chain([own]).collect();
-            (rollout.offset, rows)
+            (rollout.offset(), rows)
         });
         let Some((order, mut rows)) = rows else {
             return Ok(());
@@ -257,7 +326,7 @@
             for service in services {
                 ahead |= self.merge_rows(service, &decoded);
             }
-            if self.evidence_offset >= batch.end {
+            if self.evidence_position.offset >= batch.end {
                 return Ok(ahead);
             }
         }
@@ -271,14 +340,27 @@
             most_bytes: RESPONSE_BYTES,
         };
         let store = &self.core.store;
-        let batch = match store.read(EVIDENCE, query(self.evidence_offset)).await {
+        let newest = store.eras().newest();
+        if newest > self.evidence_position.era {
+            // All rows are read again, and those that the store lost are sent again.
+            self.evidence_position = TopicPosition::new(newest, 0);
+            self.last_sent.clear();
+        }
+        let from = self.evidence_position.offset;
+        let (era, batch) = match store.read(EVIDENCE, query(from)).await {
             Err(StoreError::Trimmed { first }) => {
-                self.evidence_offset = first;
+                self.evidence_position.offset = first;
                 store.read(EVIDENCE, query(first)).await?
             }
             result => result?,
         };
-        self.evidence_offset += batch.records.len() as u64;
+        if era > self.evidence_position.era {
+            return Err(StoreError::PastEra {
+                era: self.evidence_position.era.0,
+                newest: era.0,
+            });
+        }
+        self.evidence_position.offset += batch.records.len() as u64;
         Ok(batch)
     }
 
@@ -288,7 +370,7 @@
         let ahead = self.core.rollouts.with(service, |rollout| {
             let rows: Vec<EvidenceRow> = records
                 .iter()
-                .filter(|record| record.service == *service && record.order == rollout.offset)
+                .filter(|record| record.service == *service && record.order == rollout.offset())
                 .map(|record| record.row.clone())
                 .collect();
             let ahead = rows.iter().any(|row| row.phase > rollout.phase);
@@ -316,7 +398,7 @@
             );
             return Ok(());
         };
-        let guard = AppendCondition::EndsAt(end);
+        let guard = AppendCondition::EndsAt(end.offset);
         match self.core.store.append(STATUS, [&record[..]], guard).await {
             Ok(_) | Err(StoreError::EndMismatch { .. }) => self.read_status().await,
             Err(error) => Err(error),
--- a/crates/router/src/relay/rollouts/rollout_manager.rs
+++ b/crates/router/src/relay/rollouts/rollout_manager.rs
@@ -5,9 +5,11 @@
 
 use ferry_decisions::names::{ServiceName, VersionName};
 use ferry_decisions::rollout::{
-    AnswerAspect, AnswerQuality, RolloutOrder, RolloutPhase, RolloutPlan, VersionSide,
+    AnswerAspect, AnswerQuality, OrderHistory, OrderStep, RolloutOrder, RolloutPhase, RolloutPlan,
+    VersionSide,
 };
 use ferry_decisions::time::MonotonicTime;
+use ferry_decisions::topic::TopicPosition;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -62,6 +64,8 @@
     /// Host and random incarnation of this process, which identify it in evidence rows.
     router: String,
     active: Mutex<HashMap<ServiceName, ActiveRollout>>,
+    /// Orders of each service, by which those that the store gives out again after it came back from an older copy are told.
+    histories: Mutex<HashMap<ServiceName, OrderHistory>>,
     /// Version that each recent conversation uses.
     pub sessions: SessionVersions,
     /// Wakes the evidence exchange before its next period: on a new order, or when harm is found.
@@ -74,33 +78,56 @@
         Self {
             router: router.to_owned(),
             active: Mutex::default(),
+            histories: Mutex::default(),
             sessions: SessionVersions::default(),
             wake: Notify::new(),
         }
     }
 
-    /// Starts the roll-out ordered at `offset`, in place of the service's former one; a known or an older order changes
+    /// Starts the roll-out ordered at `position`, in place of the service's former one; a known or an older order changes
     /// nothing.
-    pub fn apply_order(&self, order: RolloutOrder, offset: u64, now: MonotonicTime) {
-        let mut active = self.active.lock();
-        let known = active.get(&order.service);
-        if known.is_some_and(|known| known.offset >= offset) {
-            return;
+    pub fn apply_order(&self, order: RolloutOrder, position: TopicPosition, now: MonotonicTime) {
+        let mut histories = self.histories.lock();
+        let history = histories.entry(order.service.clone()).or_default();
+        match history.observe(&order, position) {
+            OrderStep::Begin => self.begin_rollout(order, position, now),
+            OrderStep::Move => self.move_rollout(&order.service, position),
+            OrderStep::Ignore => return,
         }
+        self.wake.notify_one();
+    }
+
+    fn begin_rollout(&self, order: RolloutOrder, position: TopicPosition, now: MonotonicTime) {
         spdlog::info!("roll-out ordered", kv: {
             service = order.service.as_str(),
             target = order.target.as_str(),
             duration_ms = order.duration.as_millis() as u64,
-            order = offset,
+            order = position.offset,
         });
         let service = order.service.clone();
-        let rollout = ActiveRollout::new(order, offset, &self.router, now);
-        active.insert(service, rollout);
-        self.wake.notify_one();
+        let rollout = ActiveRollout::new(order, position, &self.router, now);
+        self.active.lock().insert(service, rollout);
+    }
+
+    /// Lets the roll-out of `service` go on under the position that its order has in a new era of the store.
+    fn move_rollout(&self, service: &ServiceName, position: TopicPosition) {
+        self.with(service, |rollout| {
+            spdlog::info!("roll-out goes on in the store's new era", kv: {
+                service = service.as_str(),
+                target = rollout.order.target.as_str(),
+                order = position.offset,
+                former = rollout.offset(),
+                era = position.era.0,
+            });
+            rollout.position = position;
+        });
     }
 
     /// Drops the roll-out of `service` after the operator withdrew its order.
     pub fn remove_order(&self, service: &ServiceName) {
+        if let Some(history) = self.histories.lock().get_mut(service) {
+            history.withdraw();
+        }
         self.active.lock().remove(service);
     }
 
@@ -155,7 +182,7 @@
         let active = self.active.lock();
         let rollout = active.get(service)?;
         let key = SessionKey::new(service, session);
-        let point = key.point(rollout.offset);
+        let point = key.point(rollout.seed);
         let last = self.sessions.last_version(key, gap, now);
         let last = last.map(|version| side_of(&version, rollout));
         let side = rollout.side(point, last, now);
@@ -183,7 +210,7 @@
                 Some(_) => rollout.canary_share(),
                 None => max_share,
             };
-            let points = self.sessions.points_below(share, rollout.offset, gap, now);
+            let points = self.sessions.points_below(share, rollout.seed, gap, now);
             rollout.add_ongoing(points, now);
         }
     }
--- a/crates/router/src/relay/rollouts/rollout_pool.rs
+++ b/crates/router/src/relay/rollouts/rollout_pool.rs
@@ -18,7 +18,7 @@
     rows.filter_map(|service| {
         core.rollouts.with(&service, |rollout| EvidenceRecord {
             service: service.clone(),
-            order: rollout.offset,
+            order: rollout.offset(),
             row: rollout.own_row(&core.upstreams, now),
         })
     })
@@ -33,7 +33,7 @@
 fn ongoing_count(service: &ServiceName, rollout: &ActiveRollout) -> OngoingCount {
     OngoingCount {
         service: service.clone(),
-        order: rollout.offset,
+        order: rollout.offset(),
         count: rollout.ongoing().len(),
     }
 }
@@ -46,7 +46,7 @@
     core.rollouts.map_all(|service, rollout| {
         let mut pooled = PooledRollout {
             service: service.clone(),
-            order: rollout.offset,
+            order: rollout.offset(),
             phase: rollout.phase,
             canary_share: rollout.canary_share(),
             elapsed_ms: rollout.elapsed(now).as_millis() as u64,
@@ -71,7 +71,7 @@
     core.report_ongoing_conversations();
     for pooled in rollouts {
         core.rollouts.with(&pooled.service, |rollout| {
-            if rollout.offset != pooled.order {
+            if rollout.offset() != pooled.order {
                 return;
             }
             let elapsed = Duration::from_millis(pooled.elapsed_ms);
--- a/crates/router/src/relay/topic_progress.rs
+++ b/crates/router/src/relay/topic_progress.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ferry_decisions::topic::{StoreEra, TopicPosition};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
@@ -14,8 +15,8 @@
 /// What is known here of one topic, whether it was read from the store or came from another router.
 #[derive(Debug, Default)]
 pub struct TopicProgress {
-    /// All records before this offset are applied here; absent while nothing is known of the topic.
-    position: Mutex<Option<u64>>,
+    /// All records before this position are applied here; absent while nothing is known of the topic.
+    position: Mutex<Option<TopicPosition>>,
     /// When the store certainly held no record beyond those that are applied here.
     confirmed: ConfirmationTime,
     /// When the first request began to wait for the next confirmation.
@@ -25,24 +26,35 @@
 }
 
 impl TopicProgress {
-    /// Offset before which all records are applied here; `None` while nothing is known of the topic.
-    pub fn position(&self) -> Option<u64> {
+    /// Position before which all records are applied here; `None` while nothing is known of the topic.
+    pub fn position(&self) -> Option<TopicPosition> {
         *self.position.lock()
     }
 
     /// Whether more records are applied here than those before `position`; false if that is unknown.
-    pub fn is_beyond(&self, position: Option<u64>) -> bool {
+    pub fn is_beyond(&self, position: Option<TopicPosition>) -> bool {
         position.is_some() && self.position() > position
     }
 
+    /// Whether `position` is in a later era than what is applied here; false while nothing is known of the topic.
+    pub fn enters_era(&self, position: TopicPosition) -> bool {
+        self.position()
+            .is_some_and(|known| known.era < position.era)
+    }
+
     /// Records that all records before `position` are applied here; a lower position than the recorded one has no effect.
-    pub fn advance(&self, position: u64) {
+    pub fn advance(&self, position: TopicPosition) {
         let mut current = self.position.lock();
         *current = (*current).max(Some(position));
     }
 
-    /// Records that the store held no further record at `moment`, a value of [`ConfirmationTime::now`].
-    pub fn confirm(&self, moment: Duration) {
+    /// Records that the store, in `era`, held no further record at `moment`, a value of [`ConfirmationTime::now`].
+    ///
+    /// Without effect unless records of that era are applied here: an earlier one tells nothing about the records of this one.
+    pub fn confirm(&self, era: StoreEra, moment: Duration) {
+        if self.position().is_none_or(|known| known.era != era) {
+            return;
+        }
         self.confirmed.confirm(moment);
         *self.overdue_since.lock() = None;
         self.confirmations.notify_waiters();
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -7,7 +7,7 @@
 
 pub use operator_watch::{apply_synced as apply_synced_operator, read_operator};
 pub use outage_log::OutageLog;
-pub use topic_reader::TopicReader;
+pub use topic_reader::{TopicChanges, TopicReader};
 pub use upstream_watch::{SyncedUpstreams, apply_synced as apply_synced_upstreams};
 
 use super::relay_core::SharedCore;
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ferry_decisions::topic::{StoreEra, TopicPosition};
 use ferry_kernel::http::ServerLimits;
-use ferry_platform::entries::{CONFIG_KEY, decode_order, decode_rules, service_of_order_key};
+use ferry_platform::entries::{CONFIG_KEY, decode_order, decode_rules, service_of_rollout_key};
 use ferry_platform::store::{KeyedRecord, OPERATOR_TOPIC, StoreError};
 use tokio::time::sleep;
 
@@ -70,11 +71,11 @@
     let confirmed = confirmed_at(requested_at, wait, &changes);
     let is_repeated = changes.whole;
     if !core.operator_topic.is_beyond(Some(changes.position)) {
-        apply(core, changes.records);
+        apply(core, changes.position.era, changes.records);
         core.operator_topic.advance(changes.position);
     }
     if let Some(moment) = confirmed {
-        core.operator_topic.confirm(moment);
+        core.operator_topic.confirm(changes.position.era, moment);
     }
     if is_repeated {
         sleep(LIST_DELAY).await;
@@ -101,25 +102,30 @@
 }
 
 /// Applies records received from another router, which knows the topic up to `position`; older ones than those known here are ignored.
-pub fn apply_synced(core: &SharedCore, position: Option<u64>, records: Vec<KeyedRecord>) {
+pub fn apply_synced(core: &SharedCore, position: Option<TopicPosition>, records: Vec<KeyedRecord>) {
     if core.operator_topic.is_beyond(position) {
         return;
     }
-    apply(core, records);
+    let known = core.operator_topic.position();
+    let era = position.or(known).unwrap_or_default().era;
+    apply(core, era, records);
     if let Some(position) = position {
         core.operator_topic.advance(position);
     }
 }
 
-/// Applies records of the operator, and publishes them to the routers that sync from this one.
-fn apply(core: &SharedCore, records: Vec<KeyedRecord>) {
+/// Applies records of the operator that the store gave out in `era`, and publishes them to the routers that sync from this one.
+fn apply(core: &SharedCore, era: StoreEra, records: Vec<KeyedRecord>) {
+    core.fleet.feed.put_operator(era, &records);
     for record in records {
-        core.fleet.feed.put_operator(&record);
         let KeyedRecord { key, value, offset } = record;
-        let service = service_of_order_key(&key);
+        let service = service_of_rollout_key(&key);
         match (service, value) {
             (Some(service), Some(value)) => match decode_order(&value) {
-                Ok(order) => core.rollouts.apply_order(order, offset, core.clock.now()),
+                Ok(order) => {
+                    let position = TopicPosition::new(era, offset);
+                    core.rollouts.apply_order(order, position, core.clock.now());
+                }
                 Err(error) => spdlog::error!(
                     "invalid roll-out order for service {} ignored: {}",
                     service,
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -6,6 +6,7 @@
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::{RegistryChange, UpstreamRecord, UpstreamRegistry};
 use ferry_decisions::time::MonotonicTime;
+use ferry_decisions::topic::TopicPosition;
 use ferry_kernel::ticks;
 use ferry_platform::entries::decode_upstream;
 use ferry_platform::store::{KeyedRecord, UPSTREAM_TOPIC};
@@ -65,6 +66,7 @@
         if had_outage {
             registry.record_store_recovery(now);
         }
+        let era = changes.position.era;
         let changed = apply(&core, &mut registry, changes);
         let expired = registry.expire(now.after(period));
         if changed || expired || !core.upstreams.is_listed() {
@@ -72,7 +74,7 @@
         }
         drop(registry);
         if !is_behind {
-            core.upstream_topic.confirm(requested_at);
+            core.upstream_topic.confirm(era, requested_at);
         }
     }
 }
@@ -87,7 +89,7 @@
 #[derive(Debug)]
 pub struct SyncedUpstreams {
     /// How far that router knows the topic; absent if it knows nothing of it.
-    pub position: Option<u64>,
+    pub position: Option<TopicPosition>,
     /// Whether `changes` holds all upstreams.
     pub is_whole: bool,
     /// Newest entry of each upstream that changed; absent for one that is gone.
@@ -109,6 +111,7 @@
     }
     let mut changed = registry.expire(now);
     if !core.upstream_topic.is_beyond(Some(position)) {
+        enter_era(core, &mut registry, position, now);
         core.upstream_topic.advance(position);
         changed |= synced.is_whole || !synced.changes.is_empty();
         apply_changes(&mut registry, synced, now);
@@ -163,13 +166,26 @@
     }
 }
 
+/// Prepares the registry for the entries of a new era if `position` is the first one of it that is known here.
+fn enter_era(
+    core: &SharedCore,
+    registry: &mut UpstreamRegistry,
+    position: TopicPosition,
+    now: MonotonicTime,
+) {
+    if core.upstream_topic.enters_era(position) {
+        registry.begin_era(now);
+    }
+}
+
 /// Applies changes of the topic to the registry, unless it has newer ones; returns whether one of them affects requests.
 fn apply(core: &SharedCore, registry: &mut UpstreamRegistry, changes: TopicChanges) -> bool {
     if core.upstream_topic.is_beyond(Some(changes.position)) {
         return false;
     }
-    core.upstream_topic.advance(changes.position);
     let now = core.clock.now();
+    enter_era(core, registry, changes.position, now);
+    core.upstream_topic.advance(changes.position);
     let mut changed = changes.whole;
     if changes.whole {
         let listed: HashSet<HostName> = changes
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod mass_failure;
 mod odd_entries;
+mod older_copies;
 mod path_cuts;
 mod raw_replica;
 mod requests;
--- a/crates/router/tests/relay/rollouts.rs
+++ b/crates/router/tests/relay/rollouts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::ServiceName;
+use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::rollout::{RolloutOrder, RolloutPhase};
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_platform::entries::{decode_status, encode_order, rollout_key};
@@ -313,3 +314,45 @@
     let moved = send_conversations(&second, "old", CONVERSATION_COUNT, &target).await;
     assert!(moved <= MOVED_LIMIT, "{moved} conversations moved");
 }
+
+/// Guards against phases that the store lost when it came back from an older copy: the operator waited for an end that was never stored.
+#[tokio::test]
+async fn a_phase_that_the_store_lost_is_stored_again() {
+    let (deployment, relays, _candidate) = start_fleet(ReplicaPlan::default()).await;
+    eventually("the roll-out has begun", async || {
+        stored_phase(&deployment).is_some()
+    })
+    .await;
+    let copy = deployment.store.copy();
+    let last = send_until_final(&deployment, &relays).await;
+    assert_eq!(last, Some(RolloutPhase::Completed));
+    deployment.store.come_back_from(copy);
+    assert_ne!(stored_phase(&deployment), last);
+    eventually("the end is stored again", async || {
+        stored_phase(&deployment) == last
+    })
+    .await;
+}
+
+/// Guards against a roll-out that begins anew because its order, which the store lost, is written again at another offset.
+#[tokio::test]
+async fn an_order_that_is_written_again_does_not_begin_anew() {
+    let rules = [rule("/chat/", RunKind::Idempotent)];
+    let (deployment, old) = start_old_versions(&rules, &ReplicaPlan::default()).await;
+    let copy = deployment.store.copy();
+    let (deployment, relays, candidate) = order_version(deployment, ReplicaPlan::default()).await;
+    let last = send_until_final(&deployment, &relays).await;
+    assert_eq!(last, Some(RolloutPhase::Completed));
+    deployment.store.come_back_from(copy);
+    deployment.configure(2, &rules);
+    deployment.configure(3, &rules);
+    place_order(&deployment);
+    for replica in old.iter().chain([&candidate]) {
+        replica.register(&deployment.store, UpstreamStage::Ready, 2);
+    }
+    eventually("the phase is stored again", async || {
+        stored_phase(&deployment).is_some()
+    })
+    .await;
+    assert_eq!(stored_phase(&deployment), last);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,4 +28,4 @@
 pub use replica::{ReplicaOptions, ReplicaPlan, ReplicaStandin};
 pub use server::{CrashMode, StandinServer};
 pub use service::{ServiceOptions, ServiceStandin};
-pub use store::StoreStandin;
+pub use store::{StoreCopy, StoreStandin};
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -10,6 +10,7 @@
 mod topic_log;
 
 pub use store_limits::StoreLimits;
+pub use store_state::StoreCopy;
 pub(crate) use store_state::StoreState;
 
 use std::io;
@@ -62,6 +63,22 @@
         self.state.forget_history(forgets);
     }
 
+    /// Copies the store's content.
+    pub fn copy(&self) -> StoreCopy {
+        self.state.copy()
+    }
+
+    /// Replaces the content by an older `copy`, in a new era; returns the former content. What the operator and the upstreams wrote since is
+    /// to be written again by the test.
+    pub fn come_back_from(&self, copy: StoreCopy) -> StoreCopy {
+        self.state.come_back_from(copy)
+    }
+
+    /// Writes the newest records of a keyed topic again as they were in `lost`.
+    pub fn write_again(&self, topic: &str, lost: &StoreCopy) {
+        self.state.write_again(topic, lost);
+    }
+
     /// Sets the limits of the link and of the calls per second.
     pub fn limit(&self, limits: StoreLimits) {
         self.state.limit(limits);
--- a/crates/standin/src/store/store_state.rs
+++ b/crates/standin/src/store/store_state.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use ferry_kernel::http::{HttpBody, collect_limited, full};
 use ferry_platform::store::{
-    AppendCondition, KEYED_PREFIX, ReadQuery, StoreCall, StoreError, decode_records, encode_batch,
-    encode_keyed, encode_refusal,
+    AppendCondition, ERA_HEADER, KEYED_PREFIX, ReadQuery, StoreCall, StoreError, decode_records,
+    encode_batch, encode_keyed, encode_refusal,
 };
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -23,6 +24,15 @@
 /// Maximum size of the body of an append, in bytes.
 const BODY_LIMIT: usize = 2 * 1024 * 1024;
 
+/// Era of a store that never came back from an older copy.
+const FIRST_ERA: u64 = 1;
+
+/// Content of a store at one moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    topics: HashMap<(String, u32), TopicLog>,
+}
+
 /// State of the store.
 #[derive(Debug)]
 pub(crate) struct StoreState {
@@ -31,6 +41,8 @@
     /// Number of appends, whose change wakes waiting reads.
     appends: watch::Sender<u64>,
     calls: AtomicU64,
+    /// Number that rises when the store comes back from an older copy.
+    era: AtomicU64,
     limits: LimitGate,
     /// Whether keyed topics keep no record but the newest one of each key.
     forgets_history: AtomicBool,
@@ -42,6 +54,7 @@
             topics: Mutex::default(),
             appends: watch::Sender::new(0),
             calls: AtomicU64::new(0),
+            era: AtomicU64::new(FIRST_ERA),
             limits: LimitGate::default(),
             forgets_history: AtomicBool::new(false),
         }
@@ -71,6 +84,39 @@
         self.forgets_history.store(forgets, Ordering::Relaxed);
     }
 
+    pub(super) fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            topics: self.topics.lock().clone(),
+        }
+    }
+
+    pub(super) fn come_back_from(&self, copy: StoreCopy) -> StoreCopy {
+        let mut topics = self.topics.lock();
+        let lost = std::mem::replace(&mut *topics, copy.topics);
+        self.era.fetch_add(1, Ordering::AcqRel);
+        drop(topics);
+        self.appends.send_modify(|count| *count += 1);
+        StoreCopy { topics: lost }
+    }
+
+    pub(super) fn write_again(&self, topic: &str, lost: &StoreCopy) {
+        let partition = (topic.to_owned(), 0);
+        let Some(log) = lost.topics.get(&partition) else {
+            return;
+        };
+        let present = self.with_log(topic, 0, |log| log.clone());
+        for entry in log.entries() {
+            if present.newest(&entry.key).map(|newest| &newest.value) != Some(&entry.value) {
+                self.put(topic, &entry.key, &entry.value);
+            }
+        }
+        for entry in present.entries() {
+            if log.newest(&entry.key).is_none() {
+                self.put(topic, &entry.key, b"");
+            }
+        }
+    }
+
     pub(super) fn limit(&self, limits: StoreLimits) {
         self.limits.set(limits);
     }
@@ -79,8 +125,17 @@
         self.calls.load(Ordering::Relaxed)
     }
 
-    /// Answers a call of the store's published protocol.
+    /// Answers a call of the store's published protocol, with the era in which it was carried out.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let mut response = self.carry_out(request).await;
+        let era = self.era.load(Ordering::Acquire);
+        response
+            .headers_mut()
+            .insert(ERA_HEADER, HeaderValue::from(era));
+        response
+    }
+
+    async fn carry_out(&self, request: Request<Incoming>) -> Response<HttpBody> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         if !self.limits.admit() {
             let message = "more calls a second than the store takes; call again later";
--- a/crates/standin/src/store/topic_log.rs
+++ b/crates/standin/src/store/topic_log.rs
@@ -12,7 +12,7 @@
 const PAGE_ENTRIES: usize = 500;
 
 /// Log of one partition, with the newest record of each key.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(super) struct TopicLog {
     /// Offset of the oldest retained record.
     first: u64,
@@ -50,7 +50,7 @@
     /// Reads records from an offset on: as many as a response may hold, but at least one.
     pub(super) fn read(&self, query: ReadQuery) -> Result<ReadBatch, StoreError> {
         let from = query.from;
-        if from < self.first {
+        if from < self.first || from > self.end() {
             return Err(StoreError::Trimmed { first: self.first });
         }
         let skipped = (from - self.first) as usize;
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Newest record of each key.
+    pub(super) fn entries(&self) -> impl Iterator<Item = &KeyedEntry> {
+        self.newest.values()
+    }
+
     /// Newest record of `key`.
     pub(super) fn newest(&self, key: &str) -> Option<&KeyedEntry> {
         self.newest.get(key)
--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -21,6 +21,8 @@
 const STOP_INTERVAL: Duration = Duration::from_millis(5_500);
 /// One in this many of the other seeds has a store outage that spans the revocation of the key.
 const STORE_OUTAGE_EVERY: u64 = 4;
+/// One in this many of the other seeds has a store that comes back from an older copy.
+const OLDER_COPY_EVERY: u64 = 5;
 /// One in this many seeds has planned work only.
 const PLANNED_WORK_EVERY: u64 = 3;
 
@@ -43,6 +45,8 @@
     DisruptStore(StoreFault),
     /// The store compacts its topics: it keeps only the newest record of each key.
     CompactStore,
+    /// The store comes back, at the end of the fault, from the copy that it has at its start.
+    ReturnOlderStore,
     /// An upstream's connections are cut.
     CutReplica(usize),
     /// An upstream's connections stay open but transfer no data.
@@ -137,6 +141,9 @@
         if !planned_only && seed % STORE_OUTAGE_EVERY == STORE_OUTAGE_EVERY - 1 {
             faults.push(store_outage(seed));
         }
+        if !planned_only && seed % OLDER_COPY_EVERY == 2 {
+            faults.push(older_copy(seed));
+        }
         if !planned_only {
             faults.extend(answer_faults(seed));
         }
@@ -166,6 +173,14 @@
     }
 }
 
+/// A store that comes back from a copy some seconds old, at any time of the run.
+///
+/// It uses a separate random generator, so that the other faults of a seed do not change.
+fn older_copy(seed: u64) -> TimedFault {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32) ^ 2);
+    at_random_time(&mut random, SoakFault::ReturnOlderStore)
+}
+
 /// Answers that end with their connection, and connections that are reset.
 ///
 /// They use a separate random generator, so that the other faults of a seed do not change.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -51,7 +51,7 @@
 /// Environment variable that replaces the default seeds, as FIRST..END (END is excluded).
 const SEEDS_VARIABLE: &str = "FERRY_SOAK_SEEDS";
 /// Seeds of each test run: one with planned work only (3), one with a store outage while a key is revoked
-/// (7), and two others.
+/// (7), two others, and a store that comes back from an older copy (2, 7).
 const DEFAULT_SEEDS: [u64; 4] = [1, 2, 3, 7];
 /// Seeds of each test run on upstreams under strain: restarts during a failure that lasts (4, 11), pauses (10), and
 /// many relays (7).
--- a/tests/soak/soak_fleet.rs
+++ b/tests/soak/soak_fleet.rs
@@ -164,6 +164,14 @@
                 self.fixture.store.compact(OPERATOR_TOPIC);
                 self.fixture.store.compact(UPSTREAM_TOPIC);
             }
+            SoakFault::ReturnOlderStore => {
+                let store = &self.fixture.store;
+                let copy = store.copy();
+                sleep(timed.duration).await;
+                let lost = store.come_back_from(copy);
+                store.write_again(OPERATOR_TOPIC, &lost);
+                store.write_again(UPSTREAM_TOPIC, &lost);
+            }
             SoakFault::ResetReplica(number) => self.replicas[number].link.reset(),
             SoakFault::CutReplica(number) => cut(&self.replicas[number].link, timed.duration).await,
             SoakFault::StallReplica(number) => {
