Join the pieces of a body as they come, and count the memory that they take

What callers saw: one answer without end, a byte to a chunk, took a router over 260 MB; the end of the process lost 10 of 10 requests in flight to another service.

Cause: the limit counted bytes of data, while each kept piece costs its handle and allocation. Pieces of 16 KB stay within the limit, so it is asked on this path; a body that never touches the HTTP library took as much, so it is not the library.

Change: JoinedBody, a buffer that grows by a quarter, for answers read whole, requests' bodies and answers of services, engines and the store; the limit over all answers counts what the buffers hold. On the own interface an event that does not end is an error after 256 KB, and held events are counted by the memory they take.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -5,7 +5,9 @@
 mod body_budget;
 mod caller_stream;
 mod client;
+mod event_splitter;
 mod framing;
+mod joined_body;
 mod server;
 mod socket_state;
 
@@ -23,5 +25,7 @@
 };
 pub use body_budget::BodyBudget;
 pub use client::{HttpClient, HttpError, HttpRequest, successful_body};
+pub use event_splitter::{EventSplitter, EventTooLong, complete_events};
 pub use framing::BodyFraming;
+pub use joined_body::{JoinedBody, held_piece_bytes};
 pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/kernel/src/http/body.rs
+++ b/crates/kernel/src/http/body.rs
@@ -1,17 +1,20 @@
 //! Bodies of requests and responses.
 
 use std::convert::Infallible;
+use std::pin::pin;
 
 use bytes::Bytes;
 use futures::Stream;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, Empty, Full, StreamBody};
 use hyper::body::{Body, Frame};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 use tokio::task::yield_now;
 
+use super::JoinedBody;
+
 /// Error that ends a body early; the connection is then closed without a final chunk.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -81,14 +84,35 @@
 /// Fails when the body is longer than `limit` or ends early.
 pub async fn collect_limited<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
-    B: Body,
+    B: Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
+    collect_checked(body, |joined| match joined.len() > limit {
+        true => Err(BodyError::TooLarge { limit }),
+        false => Ok(()),
+    })
+    .await
+}
+
+/// Reads a whole body, which `check` may refuse after each piece because of what it has taken so far.
+pub(super) async fn collect_checked<B>(
+    body: B,
+    mut check: impl FnMut(&JoinedBody) -> Result<(), BodyError>,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
     B::Error: Into<BoxError>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge { limit }),
-        Err(error) => Err(BodyError::Truncated(error.to_string())),
+    let mut body = pin!(body);
+    let mut joined = JoinedBody::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Truncated(error.into().to_string()))?;
+        if let Ok(piece) = frame.into_data() {
+            joined.push(piece);
+            check(&joined)?;
+        }
     }
+    Ok(joined.into_bytes())
 }
 
 /// Reads the whole body of a request of at most `limit` bytes, and then lets its connection be read once more: if the caller
@@ -99,7 +123,7 @@
 /// Fails when the body is longer than `limit` or ends early.
 pub async fn collect_request<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
-    B: Body,
+    B: Body<Data = Bytes>,
     B::Error: Into<BoxError>,
 {
     let body = collect_limited(body, limit).await?;
--- a/crates/kernel/src/http/body_budget.rs
+++ b/crates/kernel/src/http/body_budget.rs
@@ -1,24 +1,24 @@
-//! Limit on the bytes of all bodies that are being read at the same time.
+//! Limit on the memory of all bodies that are being read at the same time.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::Body;
 
-use super::{BodyError, BoxError};
+use super::body::collect_checked;
+use super::{BodyError, BoxError, JoinedBody};
 
-/// Bytes that bodies may take while they are read, in one process.
+/// Memory that bodies may take while they are read, in one process.
 #[derive(Debug)]
 pub struct BodyBudget {
     /// Maximum size of one body, in bytes.
     body_limit: usize,
-    /// Maximum size of all bodies, in bytes.
+    /// Maximum memory of all bodies, in bytes.
     total_limit: usize,
     used: AtomicUsize,
 }
 
-/// Bytes that one body has taken of the budget, given back when dropped.
+/// Memory that one body has taken of the budget, in bytes; given back when dropped.
 struct TakenBytes<'a> {
     budget: &'a BodyBudget,
     count: usize,
@@ -39,33 +39,27 @@
     /// # Errors
     ///
     /// Fails when the body ends early, is too long, or finds the budget used up by other bodies.
-    pub async fn collect<B>(&self, mut body: B) -> Result<Bytes, BodyError>
+    pub async fn collect<B>(&self, body: B) -> Result<Bytes, BodyError>
     where
-        B: Body<Data = Bytes> + Unpin,
+        B: Body<Data = Bytes>,
         B::Error: Into<BoxError>,
     {
         let mut taken = TakenBytes {
             budget: self,
             count: 0,
         };
-        let mut chunks = Vec::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| BodyError::Truncated(error.into().to_string()))?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            taken.take(data.len())?;
-            chunks.push(data);
-        }
-        Ok(chunks.concat().into())
+        collect_checked(body, |joined| taken.update(joined)).await
     }
 }
 
 impl TakenBytes<'_> {
-    fn take(&mut self, count: usize) -> Result<(), BodyError> {
-        self.count += count;
-        let used = self.budget.used.fetch_add(count, Ordering::Relaxed) + count;
-        if self.count > self.budget.body_limit {
+    /// Takes what `joined` holds more than before.
+    fn update(&mut self, joined: &JoinedBody) -> Result<(), BodyError> {
+        let held = joined.held_bytes();
+        let more = held.saturating_sub(self.count);
+        self.count += more;
+        let used = self.budget.used.fetch_add(more, Ordering::Relaxed) + more;
+        if joined.len() > self.budget.body_limit {
             return Err(BodyError::TooLarge {
                 limit: self.budget.body_limit,
             });
--- a/crates/router/src/relay/run/event_splitter.rs
+++ b/crates/kernel/src/http/event_splitter.rs
@@ -1,8 +1,13 @@
 //! Splits a stream of bytes into complete events without changing them.
 
 use bytes::{Bytes, BytesMut};
+use futures::{Stream, StreamExt};
+use http_body_util::BodyDataStream;
+use hyper::body::Body;
 use memchr::memmem;
 
+use super::BoxError;
+
 /// Longest event, in bytes; a longer one counts as a failure of its upstream.
 const EVENT_LIMIT: usize = 256 * 1024;
 /// Field that holds an event's identifier.
@@ -61,6 +66,20 @@
     }
 }
 
+/// The bytes of `body` up to the end of each event, so that no more of an event that does not end is kept than the limit; bytes after the
+/// last event are left out.
+pub fn complete_events<B>(body: B) -> impl Stream<Item = Result<Bytes, BoxError>>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
+    let mut splitter = EventSplitter::default();
+    BodyDataStream::new(body).map(move |piece| {
+        let piece = piece.map_err(Into::into)?;
+        Ok(splitter.push(&piece)?)
+    })
+}
+
 /// Position after the last blank line; a blank line ends an event.
 fn last_event_end(data: &[u8]) -> Option<usize> {
     let ends = BLANK_LINES.iter().filter_map(|blank_line| {
--- a/crates/router/src/dispatch/engine_stream.rs
+++ b/crates/router/src/dispatch/engine_stream.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
+use ferry_kernel::http::{complete_events, held_piece_bytes};
 use ferry_platform::engine::{ChatChunk, STREAM_END, TokenUsage};
 use futures::{Stream, StreamExt};
-use http_body_util::BodyDataStream;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
@@ -104,7 +104,7 @@
         let mut events = Vec::new();
         let mut size = 0;
         while let StreamStep::Event(event) = self.next(deadline).await? {
-            size += event.len();
+            size += held_piece_bytes(&event);
             if size > limit {
                 return Err(DispatchFailure::broken_answer(&format!(
                     "it is longer than {limit} bytes"
@@ -199,6 +199,6 @@
 }
 
 fn event_stream(body: Incoming) -> EventStream {
-    let events = BodyDataStream::new(body).eventsource();
+    let events = complete_events(body).eventsource();
     Box::pin(events.map(|event| event.map_err(|error| error.to_string())))
 }
--- a/crates/router/src/joins/shared_run.rs
+++ b/crates/router/src/joins/shared_run.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
+use ferry_kernel::http::held_piece_bytes;
 use parking_lot::Mutex;
 use smallvec::SmallVec;
 use tokio::sync::watch;
@@ -51,7 +52,7 @@
 pub(super) struct SharedRun {
     fingerprint: RequestFingerprint,
     state: Mutex<SharedState>,
-    /// Bytes buffered by all runs.
+    /// Memory that the events buffered by all runs take, in bytes.
     total_buffered_bytes: Arc<AtomicUsize>,
     changed: watch::Sender<()>,
 }
@@ -63,7 +64,7 @@
     events: VecDeque<Bytes>,
     /// Number of the first buffered event. If it is above 0, the run cannot be joined.
     first_kept: usize,
-    /// Bytes in `events`.
+    /// Memory that `events` take, in bytes.
     buffered_bytes: usize,
     end: Option<StreamEnd>,
     /// Number of the next event for each listener; `None` once the listener is dropped.
@@ -137,9 +138,9 @@
 
     pub(super) fn push(&self, event: Bytes) {
         let mut state = self.state.lock();
-        state.buffered_bytes += event.len();
+        state.buffered_bytes += held_piece_bytes(&event);
         self.total_buffered_bytes
-            .fetch_add(event.len(), Ordering::Relaxed);
+            .fetch_add(held_piece_bytes(&event), Ordering::Relaxed);
         state.events.push_back(event);
         self.trim(&mut state);
         drop(state);
@@ -198,10 +199,10 @@
             let Some(event) = state.events.pop_front() else {
                 return;
             };
-            state.buffered_bytes -= event.len();
+            state.buffered_bytes -= held_piece_bytes(&event);
             state.first_kept += 1;
             self.total_buffered_bytes
-                .fetch_sub(event.len(), Ordering::Relaxed);
+                .fetch_sub(held_piece_bytes(&event), Ordering::Relaxed);
         }
     }
 }
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -3,7 +3,6 @@
 mod answer_delivery;
 mod body_type;
 mod event_forwarder;
-mod event_splitter;
 mod planned_send;
 mod relay_run;
 mod request_record;
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -6,12 +6,11 @@
 use ferry_decisions::quarantine::AnswerProof;
 use ferry_decisions::retry::UpstreamFailure;
 use ferry_decisions::ruleset::RunKind;
-use ferry_kernel::http::{BodyFraming, BoxError};
+use ferry_kernel::http::{BodyFraming, BoxError, EventSplitter};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 
 use super::RelayRun;
-use super::event_splitter::EventSplitter;
 use super::planned_send::PlannedSend;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
 use crate::relay::paths::{has_ended, record_lost_path};
