Let the system reset a connection whose end would end an answer

What callers saw: 8 of 8 streams without framing at a killed router ended in order, before their last event.

Cause: the system closes the connections of a killed process just as the end of such an answer does; the router's own reset needs code that runs.

Change: from before the first byte of an answer that ends with its connection until all its bytes are written and the connection is shut down, the socket is set to be reset on close. In the server of all interfaces, so also for joined answers, services of the own interface, and streams to callers of HTTP/1.0, which always end so. Chunks instead would vouch for an end that nobody knows (decisions/platform.md).

--- a/crates/kernel/src/http/framing.rs
+++ b/crates/kernel/src/http/framing.rs
@@ -1,6 +1,7 @@
 //! How the end of a response body is marked on the wire.
 
 use http_body_util::BodyDataStream;
+use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Response, StatusCode, Version};
@@ -66,6 +67,15 @@
     Response::from_parts(head, streamed(chunks))
 }
 
+/// Whether the end of `response` to a request of HTTP `version` is marked by the end of the connection: a body of unknown length without
+/// chunks, which HTTP/1.0 does not have.
+pub(super) fn ends_with_connection(version: Version, response: &Response<HttpBody>) -> bool {
+    let has_chunks = version > Version::HTTP_10 && response.version() > Version::HTTP_10;
+    let has_length = response.headers().contains_key(CONTENT_LENGTH)
+        || response.body().size_hint().exact().is_some();
+    !has_chunks && !has_length
+}
+
 /// Whether `chunked` is the last transfer coding.
 fn ends_chunked(headers: &HeaderMap) -> bool {
     let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -17,7 +17,8 @@
 use tokio_util::task::TaskTracker;
 
 use super::arrival::ArrivalClock;
-use super::caller_stream::{CallerStream, ResetFlag};
+use super::caller_stream::{CallerStream, ConnectionEnd};
+use super::framing::ends_with_connection;
 use super::{HttpBody, KEEP_ALIVE};
 
 /// Smallest buffer for a request head that `hyper` accepts, in bytes.
@@ -206,14 +207,23 @@
     let _ = stream.set_nodelay(true);
     let arrival = ArrivalClock::default();
     let requests = arrival.clone();
+    let end = ConnectionEnd::default();
+    let answers_end = end.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(requests.of_request());
+        let version = request.version();
         let answer = handler(request, peer);
-        async move { response_or_drop(answer.await) }
+        let end = answers_end.clone();
+        async move {
+            let response = answer.await;
+            if ends_with_connection(version, &response) {
+                end.ends_answer();
+            }
+            response_or_drop(response)
+        }
     });
     let limits = handle.limits.get();
-    let resets = ResetFlag::default();
-    let caller = CallerStream::new(stream, resets.clone(), arrival);
+    let caller = CallerStream::new(stream, end.clone(), arrival);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -223,20 +233,20 @@
     tokio::pin!(connection);
     tokio::select! {
         biased;
-        result = connection.as_mut() => return reset_if_broken(&result, &resets),
+        result = connection.as_mut() => return reset_if_broken(&result, &end),
         () = handle.abort.cancelled() => return,
         () = handle.last_read() => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
-        result = connection.as_mut() => reset_if_broken(&result, &resets),
+        result = connection.as_mut() => reset_if_broken(&result, &end),
         () = handle.abort.cancelled() => {}
     }
 }
 
 /// Ends the connection with a reset if a body was broken off.
-fn reset_if_broken(result: &hyper::Result<()>, resets: &ResetFlag) {
+fn reset_if_broken(result: &hyper::Result<()>, end: &ConnectionEnd) {
     if result.as_ref().is_err_and(hyper::Error::is_user) {
-        resets.set();
+        end.reset_on_drop();
     }
 }
 
