Ask one gate before each send whether the request may run again

What callers saw: on routes with several models, 15 of 30 requests that may run once and 18 of 30 streams that may not be resumed ran at one upstream and again on a larger model.

Cause: "may run again" was a condition of the retry after a failure; the escalation to a larger model did not have it.

Change: RunGate in decisions, asked by the retry, by the escalation, and by the planning of each send whatever its reason. A request that may run once goes to the largest model at once, as on the own interface.

--- a/crates/decisions/src/cascade/escalation_query.rs
+++ b/crates/decisions/src/cascade/escalation_query.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::retry::RunGate;
+
 /// Minimum confidence with which an answer is kept, from 0 to 100.
 const MIN_CONFIDENCE: u8 = 50;
 /// Minimum time that a larger model needs, as a multiple of the time that the answer took.
@@ -10,6 +12,8 @@
 /// Facts about an answer of which no event has reached the caller yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EscalationQuery {
+    /// Whether the request, which ran for this answer, may run again.
+    pub gate: RunGate,
     /// Index of the stage that answered.
     pub stage: usize,
     /// Number of stages of the cascade.
@@ -34,7 +38,7 @@
     pub fn next_stage(&self) -> Option<usize> {
         let last = self.stages.checked_sub(1)?;
         let is_doubtful = self.confidence? < MIN_CONFIDENCE;
-        let allowed = self.stage < last && self.sends < self.attempts;
+        let allowed = self.gate.admits() && self.stage < last && self.sends < self.attempts;
         let in_time = self.time_left > self.took * MIN_TIME_FACTOR;
         (is_doubtful && allowed && in_time).then_some(last)
     }
--- a/crates/decisions/src/retry.rs
+++ b/crates/decisions/src/retry.rs
@@ -5,10 +5,12 @@
 mod retry_budget;
 mod retry_policy;
 mod retry_share;
+mod run_gate;
 mod upstream_failure;
 
 pub use fleet_retry_bound::FleetRetryBound;
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
 pub use retry_policy::{GiveUpReason, RetryPolicy, RetryQuery, RetryVerdict};
 pub use retry_share::{RetryShare, RetryShareConfig};
+pub use run_gate::RunGate;
 pub use upstream_failure::{RunState, UpstreamFailure};
--- a/crates/decisions/src/retry/retry_policy.rs
+++ b/crates/decisions/src/retry/retry_policy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{RunState, UpstreamFailure};
+use super::{RunGate, RunState, UpstreamFailure};
 
 /// State of a request after a failed attempt.
 #[derive(Debug, Clone, Copy)]
@@ -96,10 +96,14 @@
     /// Reason against a retry other than the budget; `None` when a retry is possible.
     fn give_up_reason(&self, query: &RetryQuery, run: RunState) -> Option<GiveUpReason> {
         let too_near = query.time_left.is_some_and(|t| t < query.time_needed);
+        let gate = RunGate {
+            is_repeatable: query.idempotent,
+            run,
+        };
         match query.failure {
             failure if !failure.may_succeed_elsewhere() => Some(GiveUpReason::BadRequest),
             _ if query.answer_begun => Some(GiveUpReason::AnswerBegun),
-            _ if !query.idempotent && run != RunState::NotRun => Some(GiveUpReason::MayHaveRun),
+            _ if !gate.admits() => Some(GiveUpReason::MayHaveRun),
             _ if query.attempts >= self.most_attempts => Some(GiveUpReason::AttemptsUsed),
             _ if too_near => Some(GiveUpReason::DeadlineTooNear),
             _ => None,
--- a/crates/decisions/tests/relay_decisions.rs
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -7,6 +7,7 @@
 use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::quarantine::{CrashTally, RequestFingerprint};
 use ferry_decisions::registry::UpstreamIncarnation;
+use ferry_decisions::retry::{RunGate, RunState};
 use ferry_decisions::ruleset::{
     KeyHolder, KeyVerdict, RequestLimits, RouteRule, RuleSet, RunKind, ServiceShare,
 };
@@ -22,6 +23,10 @@
 
 fn low_confidence() -> EscalationQuery {
     EscalationQuery {
+        gate: RunGate {
+            is_repeatable: true,
+            run: RunState::Ran,
+        },
         stage: 0,
         stages: 3,
         confidence: Some(20),
@@ -66,6 +71,27 @@
     }
 }
 
+/// Guards against a second run of a request that may run once, for a larger model.
+#[test]
+fn a_low_confidence_answer_to_a_request_that_may_run_once_is_kept() {
+    let query = EscalationQuery {
+        gate: RunGate {
+            is_repeatable: false,
+            run: RunState::Ran,
+        },
+        ..low_confidence()
+    };
+    assert_eq!(query.next_stage(), None);
+}
+
+#[test]
+fn a_request_that_may_run_once_is_admitted_until_it_may_have_run() {
+    let admits = |is_repeatable, run| RunGate { is_repeatable, run }.admits();
+    let states = [RunState::NotRun, RunState::MayHaveRun, RunState::Ran];
+    assert_eq!(states.map(|run| admits(false, run)), [true, false, false]);
+    assert!(states.into_iter().all(|run| admits(true, run)));
+}
+
 #[test]
 fn a_request_that_crashed_three_upstreams_is_quarantined_until_it_expires() {
     let workspace = WorkspaceName::new("clinic");
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -17,7 +17,7 @@
 use ferry_decisions::choice::NoUpstream;
 use ferry_decisions::names::{HostName, ServiceName};
 use ferry_decisions::quarantine::CrashSubject;
-use ferry_decisions::retry::RunState;
+use ferry_decisions::retry::{RunGate, RunState};
 use tokio::time::Instant;
 
 /// Number of upstreams whose issuers are asked for a permit for one send.
@@ -37,12 +37,13 @@
     ///
     /// # Errors
     ///
-    /// Fails when the rules no longer allow the request, its key may have been revoked, it is quarantined, or no
-    /// upstream is available.
+    /// Fails when the rules no longer allow the request, its key may have been revoked, it is quarantined, it must not run
+    /// again, or no upstream is available.
     pub(super) async fn plan_send(&mut self) -> Result<PlannedSend, RelayRefusal> {
         let drain = self.core.settings.load().bounds.drain;
         self.core.upstream_topic.settle(drain).await;
         self.check_rules()?;
+        self.check_gate()?;
         for _ in 0..MAX_ASKED_UPSTREAMS {
             let upstream = self.choose_reached().await?;
             self.check_time()?;
@@ -103,6 +104,22 @@
         usual.unwrap_or_default()
     }
 
+    /// Whether the request may run, for the first time or again.
+    fn run_gate(&self) -> RunGate {
+        RunGate {
+            is_repeatable: self.request.rule.run.is_repeatable(),
+            run: self.run,
+        }
+    }
+
+    /// Fails when the request may have run and must not run again.
+    fn check_gate(&self) -> Result<(), RelayRefusal> {
+        match self.run_gate().admits() {
+            true => Ok(()),
+            false => Err(RelayRefusal::not_run(RefusalReason::UpstreamFailed).with_run(self.run)),
+        }
+    }
+
     /// Applies the current rules to the request.
     fn check_rules(&mut self) -> Result<(), RelayRefusal> {
         let refuse = |reason| RelayRefusal::not_run(reason);
@@ -211,13 +228,18 @@
     }
 
     /// Model of the present cascade stage; absent if the caller names a model or the rule has no cascade.
+    ///
+    /// A request that may run once goes to the largest model, since its answer can't be replaced by a better one.
     pub(super) fn model(&self) -> Option<String> {
+        let rule = &self.request.rule;
         if self.request.facts.model.is_some() {
             return None;
         }
-        let cascade = &self.request.rule.cascade;
-        let stage = self.stage.min(cascade.len().checked_sub(1)?);
-        cascade.get(stage).map(ToString::to_string)
+        let model = match rule.run.is_repeatable() {
+            true => rule.cascade.get(self.stage).or(rule.cascade.last()),
+            false => rule.cascade.last(),
+        };
+        model.map(ToString::to_string)
     }
 
     /// Moves on to the stage of a larger model if the answer's confidence is too low; returns the upstream to ask.
@@ -260,6 +282,7 @@
             return None;
         }
         let query = EscalationQuery {
+            gate: self.run_gate(),
             stage: self.stage,
             stages: self.request.rule.cascade.len(),
             confidence: answer.facts.confidence,
--- a/crates/router/tests/relay/cascades.rs
+++ b/crates/router/tests/relay/cascades.rs
@@ -88,3 +88,30 @@
     assert!(answer.body.is_some());
     assert_eq!(models(&replica), ["small"]);
 }
+
+/// Guards against a second run of a request that may run once, for a larger model (TWICE).
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_sent_to_a_larger_model_after_an_answer() {
+    for run in [RunKind::Once, RunKind::Stream] {
+        let deployment = Deployment::start().await;
+        let rule = RouteRule {
+            run,
+            ..cascade_rule()
+        };
+        deployment.configure(1, &[rule]);
+        let plan = plan_with_confidence(10);
+        let replicas = deployment.replicas(["up-1", "up-2"], &plan).await;
+        let relay = deployment.relay().await;
+        for number in 0..10 {
+            let answer = call(request(
+                &relay,
+                &format!("/chat/{number}"),
+                &format!("a-{number}"),
+            ))
+            .await;
+            assert_eq!(answer.status, StatusCode::OK, "{run:?}");
+        }
+        let used: Vec<String> = replicas.iter().flat_map(models).collect();
+        assert_eq!(used, ["large"; 10], "{run:?}");
+    }
+}
