Search each byte of an event once for its end

Found by the test of an event without end: with a byte to a piece, all bytes of the event so far were searched with each piece, three times over. An event that stays within its limit of 256 KB so held the event loop. The bytes before the new ones hold no blank line but one that ends in them, so that the search begins two bytes before them.

--- a/crates/kernel/src/http/event_splitter.rs
+++ b/crates/kernel/src/http/event_splitter.rs
@@ -15,6 +15,8 @@
 
 /// Line breaks that end a line and the blank line after it.
 const BLANK_LINES: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+/// Length of the longest of them, in bytes.
+const LONGEST_BLANK_LINE: usize = 3;
 
 /// An upstream sent an event longer than `EVENT_LIMIT`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -37,8 +39,11 @@
     ///
     /// Fails when an event does not end within `EVENT_LIMIT` bytes.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventTooLong> {
+        // The bytes before hold no blank line but one that ends in the new ones, so that each byte is searched about once.
+        let searched = self.partial.len().saturating_sub(LONGEST_BLANK_LINE - 1);
         self.partial.extend_from_slice(data);
-        let Some(end) = last_event_end(&self.partial) else {
+        let end = last_event_end(&self.partial[searched..]).map(|end| searched + end);
+        let Some(end) = end else {
             return match self.partial.len() {
                 0..=EVENT_LIMIT => Ok(Bytes::new()),
                 _ => Err(EventTooLong),
