--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 mod operator_tool;
 mod pause_bound;
 mod process;
+mod raw_call;
 mod relay_fixture;
 mod relay_process;
 mod retry_excess;
@@ -23,6 +24,7 @@
 pub use operator_tool::ToolOutput;
 pub use pause_bound::worst_pause_excess;
 pub use process::{ChildProcess, RigError};
+pub use raw_call::{RawBytes, call_raw};
 pub use relay_fixture::{
     FIXTURE_DEADLINE, HOST_NAME, KEY, RelayFixture, SERVICE, WORKSPACE, fixture_headers,
     fixture_request, fixture_rule,
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -5,22 +5,19 @@
 
 use ferry_decisions::registry::{UpstreamIncarnation, UpstreamRecord, UpstreamStage};
 use ferry_decisions::time::UnixMillis;
-use ferry_kernel::http::HttpRequest;
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::headers::AnswerHeaders;
 use ferry_platform::store::UPSTREAM_TOPIC;
+use ferry_rig::{RawBytes, call_raw};
 use ferry_router::relay::RelayDaemon;
 pub use ferry_standin::raw_http::{header_lines, read_request};
 use hyper::HeaderMap;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
 use crate::deployment::{Deployment, SERVICE, loopback, request};
 
-/// Time within which the end of an answer must arrive.
-const READ_TIMEOUT: Duration = Duration::from_secs(15);
 /// End of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Last chunk of a body.
@@ -236,21 +233,11 @@
 
 /// Sends a request on a connection of its own, and reads its answer until the connection ends.
 pub async fn read_raw(relay: &RelayDaemon, path: &str, attempt_id: &str) -> RawAnswer {
-    let HttpRequest { headers, body, .. } = request(relay, path, attempt_id);
-    let mut stream = TcpStream::connect(relay.callers_address()).await.unwrap();
-    let head = format!(
-        "POST {path} HTTP/1.1\r\n{}Connection: close\r\nContent-Length: {}\r\n\r\n",
-        header_lines(&headers),
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).await.unwrap();
-    stream.write_all(&body).await.unwrap();
-    let mut bytes = Vec::new();
-    // A reset leaves what was read before it.
-    let end = timeout(READ_TIMEOUT, stream.read_to_end(&mut bytes))
-        .await
-        .expect("the answer ends in time");
-    let was_reset = end.is_err();
+    let answer = call_raw(request(relay, path, attempt_id), "HTTP/1.1").await;
+    let RawBytes {
+        mut bytes,
+        was_reset,
+    } = answer.expect("the answer ends in time");
     let end = bytes
         .windows(HEAD_END.len())
         .position(|bytes| bytes == HEAD_END);
--- a/tests/killed_relay.rs
+++ b/tests/killed_relay.rs
@@ -5,15 +5,13 @@
 use std::time::Duration;
 
 use ferry_decisions::ruleset::RunKind;
-use ferry_kernel::http::{BodyFraming, HttpRequest};
+use ferry_kernel::http::BodyFraming;
 use ferry_rig::{
-    RelayFixture, RelayProcess, eventually, fixture_headers, fixture_request, fixture_rule,
+    RawBytes, RelayFixture, RelayProcess, call_raw, eventually, fixture_headers, fixture_request,
+    fixture_rule,
 };
-use ferry_standin::raw_http::header_lines;
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Settings file of the platform's sample host.
 const SAMPLE: &str = include_str!("../platform/tests/samples/host.toml");
@@ -22,29 +20,24 @@
 const EVENT_GAP: Duration = Duration::from_millis(100);
 /// Time from the request to the kill, in the middle of the stream.
 const KILL_DELAY: Duration = Duration::from_millis(550);
-/// Time within which the end of an answer must arrive.
-const READ_TIMEOUT: Duration = Duration::from_secs(15);
 /// Last chunk of a body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 const FRAMINGS: [BodyFraming; 2] = [BodyFraming::UntilClose, BodyFraming::Delimited];
 const VERSIONS: [&str; 2] = ["HTTP/1.1", "HTTP/1.0"];
 
-/// Bytes of an answer as its caller received them.
-struct ReadAnswer {
-    bytes: Vec<u8>,
-    was_reset: bool,
-}
+/// An answer as its caller received it.
+struct ReadAnswer(RawBytes);
 
 impl ReadAnswer {
     /// Whether the caller must take the answer for a whole one.
     fn looks_complete(&self) -> bool {
-        let head = String::from_utf8_lossy(&self.bytes).to_ascii_lowercase();
+        let head = String::from_utf8_lossy(&self.0.bytes).to_ascii_lowercase();
         let is_chunked = head.contains("transfer-encoding: chunked");
-        !self.was_reset && (!is_chunked || self.bytes.ends_with(LAST_CHUNK))
+        !self.0.was_reset && (!is_chunked || self.0.bytes.ends_with(LAST_CHUNK))
     }
 
     fn has_all_events(&self) -> bool {
-        let text = String::from_utf8_lossy(&self.bytes);
+        let text = String::from_utf8_lossy(&self.0.bytes);
         (1..=EVENTS).all(|number| text.contains(&format!("id: {number}\n")))
     }
 }
@@ -90,24 +83,8 @@
 
 /// Sends a request of HTTP `version` on a connection of its own, and reads its answer until the connection ends.
 async fn read_answer(relay: SocketAddr, version: &str) -> ReadAnswer {
-    let HttpRequest { headers, body, .. } =
-        fixture_request(relay, "/chats/7", &fixture_headers("a"));
-    let mut stream = TcpStream::connect(relay).await.unwrap();
-    let head = format!(
-        "POST /chats/7 {version}\r\n{}Connection: close\r\nContent-Length: {}\r\n\r\n",
-        header_lines(&headers),
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).await.unwrap();
-    stream.write_all(&body).await.unwrap();
-    let mut bytes = Vec::new();
-    let end = timeout(READ_TIMEOUT, stream.read_to_end(&mut bytes))
-        .await
-        .expect("the answer ends in time");
-    ReadAnswer {
-        bytes,
-        was_reset: end.is_err(),
-    }
+    let request = fixture_request(relay, "/chats/7", &fixture_headers("a"));
+    ReadAnswer(call_raw(request, version).await.unwrap())
 }
 
 /// Guards against streams that look complete because the process that forwarded them was killed (ORDER).
@@ -123,7 +100,7 @@
             let answer = reading.await.unwrap();
             let label = format!("{framing:?}, {version}");
             assert!(
-                !answer.bytes.is_empty() && !answer.has_all_events(),
+                !answer.0.bytes.is_empty() && !answer.has_all_events(),
                 "{label}"
             );
             assert!(!answer.looks_complete(), "{label}");
