Judge routers among many upstreams by the pages that they list

The log line "source of the store's content" tells them apart: entry-2 synced from entry-3 for 902 ms, whose loop was then 765 ms behind (it encodes 12,000 upstreams for the third router, in a debug build), so that a query of 900 ms timed out; entry-2 then read what is new at the store, as decided for a source that does not answer, and synced again later.

So the check took a momentary state for the failure that it guards against.

In its place a check that is stricter about that failure: the store's stand-in counts the pages that it gives to those that list all keys, and no router but the first lists one, until all of them sync. The number of calls, which also counted the reads of the routers that had started before (53 beside load, 24 allowed, not looked at unless `fed` was true at the end), is not used any more.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -88,6 +88,11 @@
     pub fn calls(&self) -> u64 {
         self.state.calls()
     }
+
+    /// Number of pages given out so far to those that list all keys of a keyed topic.
+    pub fn listed_pages(&self, topic: &str) -> u64 {
+        self.state.listed_pages(topic)
+    }
 }
 
 impl Deref for StoreStandin {
--- a/crates/standin/src/store/store_state.rs
+++ b/crates/standin/src/store/store_state.rs
@@ -41,6 +41,8 @@
     /// Number of appends, whose change wakes waiting reads.
     appends: watch::Sender<u64>,
     calls: AtomicU64,
+    /// Number of pages of newest records given out, by topic.
+    listed_pages: Mutex<HashMap<String, u64>>,
     /// Number that rises when the store comes back from an older copy.
     era: AtomicU64,
     limits: LimitGate,
@@ -54,6 +56,7 @@
             topics: Mutex::default(),
             appends: watch::Sender::new(0),
             calls: AtomicU64::new(0),
+            listed_pages: Mutex::default(),
             era: AtomicU64::new(FIRST_ERA),
             limits: LimitGate::default(),
             forgets_history: AtomicBool::new(false),
@@ -125,6 +128,11 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    pub(super) fn listed_pages(&self, topic: &str) -> u64 {
+        let pages = self.listed_pages.lock();
+        pages.get(topic).copied().unwrap_or_default()
+    }
+
     /// Answers a call of the store's published protocol, with the era in which it was carried out.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
         let mut response = self.carry_out(request).await;
@@ -152,10 +160,7 @@
                 Err(error) => Err(StoreError::Unreadable(error.to_string())),
             },
             StoreCall::Read(query) => self.read(topic, part, query).await,
-            StoreCall::Newest(after) => Ok(self
-                .with_log(topic, part, |log| log.page(after))
-                .encode()
-                .into()),
+            StoreCall::Newest(after) => Ok(self.list_page(topic, part, after)),
         };
         match result {
             Ok(body) => {
@@ -203,6 +208,16 @@
         Ok(appended)
     }
 
+    fn list_page(&self, topic: &str, part: u32, after: Option<&str>) -> Bytes {
+        *self
+            .listed_pages
+            .lock()
+            .entry(topic.to_owned())
+            .or_default() += 1;
+        let page = self.with_log(topic, part, |log| log.page(after));
+        page.encode().into()
+    }
+
     async fn read(&self, topic: &str, part: u32, query: ReadQuery) -> Result<Bytes, StoreError> {
         let until = Instant::now() + query.wait;
         let mut appends = self.appends.subscribe();
--- a/tests/many_upstreams.rs
+++ b/tests/many_upstreams.rs
@@ -20,7 +20,7 @@
 const HOSTS: [&str; 3] = ["entry-3", "entry-2", "entry-1"];
 /// Number of upstreams of a large deployment.
 const MANY_UPSTREAMS: usize = 12_000;
-/// Number of pages of the store that their entries fill.
+/// Lowest number of pages of the store that their entries fill.
 const PAGES: u64 = 24;
 /// Timeout of a request.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -52,30 +52,26 @@
     let program = Path::new(env!("CARGO_BIN_EXE_ferry-relay"));
     let settings = SAMPLE.replace("drainMs = 2000", "drainMs = 600");
     let mut relays = Vec::new();
+    let mut listed_pages = Vec::new();
     for host in HOSTS {
-        let before = fixture.store.calls();
         let store = fixture.store.address();
         let relay = RelayProcess::start(program, folder.path(), &settings, host, store).unwrap();
         let ready = async || relay.is_ready().await.then_some(());
         eventually("the relay is ready", ready).await;
-        let calls = fixture.store.calls() - before;
-        relays.push((relay, calls));
+        relays.push(relay);
+        listed_pages.push(fixture.store.listed_pages(UPSTREAM_TOPIC));
     }
-    let mut synced_calls = Vec::new();
-    for (relay, calls) in &relays {
-        if status(relay).await.fed {
-            synced_calls.push(*calls);
-        }
+    // A source whose loop is late is replaced by reads of what is new at the store for a time, so that one look is not enough.
+    for relay in &relays[1..] {
+        let synced = async || status(relay).await.fed.then_some(());
+        eventually("the relay syncs from another router", synced).await;
     }
-    assert_eq!(
-        synced_calls.len(),
-        HOSTS.len() - 1,
-        "all but the first sync from another router"
-    );
-    for calls in synced_calls {
-        assert!(calls < PAGES, "{calls} calls");
+    listed_pages.push(fixture.store.listed_pages(UPSTREAM_TOPIC));
+    assert!(listed_pages[0] >= PAGES, "the first router lists all");
+    for pages in &listed_pages[1..] {
+        assert_eq!(*pages, listed_pages[0], "another router listed them too");
     }
-    for (relay, _) in &relays {
+    for relay in &relays {
         let request = fixture_request(relay.callers(), "/letters/7", &fixture_headers("a"));
         let answer = HttpClient::default().send(request, CALL_TIMEOUT).await;
         assert_eq!(answer.unwrap().status(), 200);
