Tell a configuration without keys from one that asks for none

Cause: the decoder kept a map from keys to workspaces, and the check took an empty map for a configuration without workspaces.

Change: `KeyPolicy` says whether requests need a key, apart from how many there are. The line `configuration in force` shows the number of keys.

--- a/crates/decisions/src/ruleset/rule_set.rs
+++ b/crates/decisions/src/ruleset/rule_set.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::RouteRule;
+use super::{KeyPolicy, RouteRule};
 use crate::names::{ModelName, ServiceName, WorkspaceName};
 
 /// Size and time limits on requests from callers.
@@ -80,8 +80,7 @@
     pub limits: RequestLimits,
     /// Rules by host, longest path prefix first.
     rules: HashMap<String, Vec<Arc<RouteRule>>>,
-    /// Workspaces by API key; empty when no request needs a key.
-    keys: HashMap<String, KeyHolder>,
+    keys: KeyPolicy,
     services: HashMap<ServiceName, ServiceSpec>,
 }
 
@@ -91,7 +90,7 @@
         revision: u64,
         limits: RequestLimits,
         rules: Vec<RouteRule>,
-        keys: HashMap<String, KeyHolder>,
+        keys: KeyPolicy,
         services: Vec<ServiceSpec>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<RouteRule>>> = HashMap::new();
@@ -129,13 +128,18 @@
 
     /// Checks `key` for a request that matches `rule`.
     pub fn check_key(&self, rule: &RouteRule, key: Option<&str>) -> KeyVerdict<'_> {
-        match key.and_then(|key| self.keys.get(key)) {
+        match key.and_then(|key| self.keys.holder(key)) {
             Some(holder) => KeyVerdict::Held(holder),
-            None if rule.public || self.keys.is_empty() => KeyVerdict::Open,
+            None if rule.public || self.keys == KeyPolicy::Open => KeyVerdict::Open,
             None => KeyVerdict::Unknown,
         }
     }
 
+    /// Number of API keys; `None` if no request needs one.
+    pub fn key_count(&self) -> Option<usize> {
+        self.keys.key_count()
+    }
+
     /// Description of `service`; `None` if the configuration has none.
     pub fn service(&self, service: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(service)
--- a/crates/decisions/tests/relay_decisions.rs
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -9,7 +9,7 @@
 use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_decisions::retry::{RunGate, RunState};
 use ferry_decisions::ruleset::{
-    KeyHolder, KeyVerdict, RequestLimits, RouteRule, RuleSet, RunKind, ServiceShare,
+    KeyHolder, KeyPolicy, KeyVerdict, RequestLimits, RouteRule, RuleSet, RunKind, ServiceShare,
 };
 use ferry_decisions::time::UnixMillis;
 
@@ -180,6 +180,7 @@
         priority: None,
     };
     let keys = HashMap::from([("key".to_owned(), holder.clone())]);
+    let keys = KeyPolicy::Keyed(keys);
     let set = RuleSet::new(3, RequestLimits::default(), rules, keys, Vec::new());
     let long = set.find_rule("CLINIC.example:8080", "/a/b/c").unwrap();
     assert_eq!(long.path_prefix, "/a/b/");
@@ -191,6 +192,22 @@
     assert_eq!(set.check_key(short, Some("key")), KeyVerdict::Held(&holder));
 }
 
+/// Guards against a configuration whose last key was taken away, which let everybody in.
+#[test]
+fn a_configuration_without_keys_is_open_only_if_it_asks_for_none() {
+    let verdict = |keys, public, key| {
+        let rules = vec![rule("/a/", public)];
+        let set = RuleSet::new(3, RequestLimits::default(), rules, keys, Vec::new());
+        let rule = set.find_rule("clinic.example", "/a/b").unwrap();
+        set.check_key(rule, key) == KeyVerdict::Open
+    };
+    for key in [None, Some(""), Some("key")] {
+        assert!(verdict(KeyPolicy::Open, false, key));
+        assert!(verdict(KeyPolicy::default(), true, key));
+        assert!(!verdict(KeyPolicy::default(), false, key));
+    }
+}
+
 #[test]
 fn requests_follow_the_weights_and_a_weight_of_zero_gets_none() {
     let rule = rule("/a/", false);
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -156,6 +156,7 @@
         revision = rules.revision,
         replaced = current.unwrap_or_default(),
         rules = rules.rule_count(),
+        keys:? = rules.key_count(),
     });
     core.caller_limits.set(ServerLimits {
         head_bytes: rules.limits.head_bytes,
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod feeds;
 mod fleet_storm;
 mod histories;
+mod last_keys;
 mod late_answers;
 mod late_reads;
 mod limits;
