Let the bodies of requests take a share of the host's memory, and wait beyond it

Cause: bodies are held whole, each within its limit, and nothing bounded them together.

Change: `RequestMemory`, a share of the memory that the host's settings name, counted by the buffers until the last clone of a body is dropped; the first 64 KiB of each body come out of another share. A body that finds no room stays unread for half of its request's time; its request is then refused as not run. The same on the own interface (`limits.memory_mib`). The share of whole answers follows the settings too.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod memory;
 pub mod names;
 pub mod paths;
 pub mod quarantine;
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -8,6 +8,7 @@
 mod event_splitter;
 mod framing;
 mod joined_body;
+mod request_memory;
 mod server;
 mod socket_state;
 
@@ -20,12 +21,12 @@
 
 pub use arrival::ArrivalTime;
 pub use body::{
-    BodyError, BoxError, HttpBody, collect_limited, collect_request, empty, full, json_response,
-    streamed,
+    BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
 pub use body_budget::BodyBudget;
 pub use client::{HttpClient, HttpError, HttpRequest, successful_body};
 pub use event_splitter::{EventSplitter, EventTooLong, complete_events};
 pub use framing::BodyFraming;
 pub use joined_body::{JoinedBody, held_piece_bytes};
+pub use request_memory::{BodyRoom, HeldBody, RequestMemory};
 pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/kernel/src/http/body.rs
+++ b/crates/kernel/src/http/body.rs
@@ -34,8 +34,10 @@
         /// Longest body allowed, in bytes.
         limit: usize,
     },
-    /// All bodies that are being read are longer than allowed together.
-    #[error("the bodies being read take more than {limit} bytes; try again when fewer are read")]
+    /// All bodies that are held take as much as they may together.
+    #[error(
+        "the bodies being held take the {limit} bytes that they may; try again when fewer are held"
+    )]
     NoRoom {
         /// Maximum size of all bodies, in bytes.
         limit: usize,
@@ -106,7 +108,7 @@
     let mut body = pin!(body);
     let mut joined = JoinedBody::default();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| BodyError::Truncated(error.into().to_string()))?;
+        let frame = frame.map_err(truncated)?;
         if let Ok(piece) = frame.into_data() {
             joined.push(piece);
             check(&joined)?;
@@ -115,22 +117,15 @@
     Ok(joined.into_bytes())
 }
 
-/// Reads the whole body of a request of at most `limit` bytes, and then lets its connection be read once more: if the caller
-/// has left meanwhile, the handler that awaits this is dropped.
-///
-/// # Errors
-///
-/// Fails when the body is longer than `limit` or ends early.
-pub async fn collect_request<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
-where
-    B: Body<Data = Bytes>,
-    B::Error: Into<BoxError>,
-{
-    let body = collect_limited(body, limit).await?;
+/// Lets the connection of a request be read once more: if the caller has left, the handler that awaits this is dropped.
+pub(super) async fn read_connection_again() {
     for _ in 0..READ_ROUNDS {
         yield_now().await;
     }
-    Ok(body)
+}
+
+pub(super) fn truncated(error: impl Into<BoxError>) -> BodyError {
+    BodyError::Truncated(error.into().to_string())
 }
 
 fn into_box_error(error: Infallible) -> BoxError {
--- a/crates/rig/src/relay_process.rs
+++ b/crates/rig/src/relay_process.rs
@@ -118,6 +118,11 @@
         answer.is_ok_and(|answer| answer.status().is_success())
     }
 
+    /// Identifier of the process; `None` if it has not been started or was waited for.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Whether the process has been started and has not exited.
     pub fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -197,7 +197,7 @@
     duration.as_millis().div_ceil(1_000).max(1) as u64
 }
 
-/// `Retry-After` when this router cannot confirm its configuration; another router may.
+/// `Retry-After` when this router cannot confirm its configuration, or has no memory for the body; another router may.
 const OTHER_ROUTER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl From<LeaseProblem> for CallerRefusal {
@@ -235,11 +235,14 @@
 
 impl From<BodyError> for CallerRefusal {
     fn from(error: BodyError) -> Self {
-        let kind = match error {
-            BodyError::TooLarge { .. } => RefusalKind::BodyTooLarge,
-            BodyError::Truncated(_) | BodyError::NoRoom { .. } => RefusalKind::BadRequest,
-        };
-        Self::permanent(kind, error.to_string())
+        let detail = error.to_string();
+        match error {
+            BodyError::TooLarge { .. } => Self::permanent(RefusalKind::BodyTooLarge, detail),
+            BodyError::Truncated(_) => Self::permanent(RefusalKind::BadRequest, detail),
+            BodyError::NoRoom { .. } => {
+                Self::retry_after(RefusalKind::Overloaded, detail, OTHER_ROUTER_RETRY_AFTER)
+            }
+        }
     }
 }
 
--- a/crates/router/src/caller/caller_request.rs
+++ b/crates/router/src/caller/caller_request.rs
@@ -7,8 +7,9 @@
 use ferry_decisions::labels::LabelSet;
 use ferry_decisions::names::{RequestId, WorkspaceName};
 use ferry_decisions::session::SessionToken;
-use ferry_kernel::http::ArrivalTime;
+use ferry_kernel::http::{ArrivalTime, HeldBody};
 use hyper::HeaderMap;
+use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::http::Extensions;
 use tokio::time::Instant;
@@ -108,6 +109,17 @@
     }
 }
 
+/// Reads the body of `request`, whose memory counts as taken as long as the body is held.
+pub async fn collect_body(
+    core: &RouterCore,
+    request: &CallerRequest,
+    body: Incoming,
+) -> Result<HeldBody, CallerRefusal> {
+    let limit = core.settings.limits.body_bytes;
+    let collecting = core.request_memory.collect(body, limit, request.deadline);
+    Ok(collecting.await?)
+}
+
 /// Identifier chosen by the caller if it is valid, for refusals of requests that cannot be read.
 pub fn caller_chosen_id(headers: &HeaderMap) -> Option<RequestId> {
     let text = headers.get(ID_HEADER)?.to_str().ok()?;
--- a/crates/router/src/caller/chat_handler.rs
+++ b/crates/router/src/caller/chat_handler.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ferry_decisions::retry::RunState;
-use ferry_kernel::http::{HttpBody, collect_request, full, streamed};
+use ferry_kernel::http::{BodyRoom, HttpBody, full, streamed};
 use ferry_platform::engine::ChatRequest;
 use futures::StreamExt;
 use hyper::body::Incoming;
@@ -13,7 +13,7 @@
 use tokio::time::timeout_at;
 
 use super::caller_refusal::REQUEST_ID_ANSWER_HEADER;
-use super::caller_request::SESSION_HEADER;
+use super::caller_request::{SESSION_HEADER, collect_body};
 use super::caller_server::{COMPLETIONS_PATH, count_refusal, join_timed_out};
 use super::{CallerRefusal, CallerRequest, RefusalKind};
 use crate::core::RouterCore;
@@ -31,16 +31,18 @@
     let (head, body) = request.into_parts();
     let request = CallerRequest::read(core, &head.headers, &head.extensions, true)?;
     let id = request.id.clone();
-    let body = collect_request(body, core.settings.limits.body_bytes).await?;
+    let (body, room) = collect_body(core, &request, body).await?.into_parts();
     let chat = parse_chat(&body)?;
     let fingerprint = RequestFingerprint::new("POST", COMPLETIONS_PATH, &head.headers, &body);
+    drop(body);
     let deadline = request.deadline;
     let answer = match core.joins.join_or_start(&request.key(), fingerprint)? {
         JoinStart::First(publisher, listener) => {
-            start(core, request, chat, publisher, permit);
+            start(core, request, HeldChat { chat, room }, publisher, permit);
             answer_from(listener, None).await
         }
         JoinStart::Joined(listener) => {
+            drop((chat, room));
             let answer = timeout_at(deadline, answer_from(listener, Some(permit)));
             answer.await.unwrap_or_else(|_| Err(join_timed_out()))
         }
@@ -51,19 +53,26 @@
     })
 }
 
+/// A chat and the room for it.
+struct HeldChat {
+    chat: ChatRequest,
+    room: BodyRoom,
+}
+
 /// Starts the run of `request`; its answer goes to all listeners of `publisher`.
 fn start(
     core: &Arc<RouterCore>,
     request: CallerRequest,
-    chat: ChatRequest,
+    held: HeldChat,
     publisher: RunPublisher,
     permit: OwnedSemaphorePermit,
 ) {
     let (sender, receiver) = oneshot::channel();
+    let HeldChat { chat, room } = held;
     let run = ChatRun::new(Arc::clone(core), request, chat);
     core.work.spawn(async move {
         run.execute(sender).await;
-        drop(permit);
+        drop((permit, room));
     });
     tokio::spawn(publisher.publish_completion(receiver, missing_answer()));
 }
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -5,7 +5,7 @@
 
 use ferry_decisions::names::ServiceName;
 use ferry_decisions::retry::RunState;
-use ferry_kernel::http::{HttpBody, collect_request, full};
+use ferry_kernel::http::{HttpBody, full};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -14,6 +14,7 @@
 use tokio::time::timeout_at;
 
 use super::caller_refusal::REQUEST_ID_ANSWER_HEADER;
+use super::caller_request::collect_body;
 use super::caller_server::{SERVICES_PREFIX, count_refusal, join_timed_out};
 use super::{CallerRefusal, CallerRequest, RefusalKind};
 use crate::core::RouterCore;
@@ -31,7 +32,7 @@
     let request = CallerRequest::read(core, &head.headers, &head.extensions, is_idempotent)?;
     let id = request.id.clone();
     let (service, path) = split_path(&head)?;
-    let body = collect_request(body, core.settings.limits.body_bytes).await?;
+    let body = collect_body(core, &request, body).await?.into_bytes();
     let call = ServiceCall {
         service,
         path,
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -7,9 +7,10 @@
 use ferry_decisions::guard::RouterId;
 use ferry_decisions::lease::LeaseOwner;
 use ferry_decisions::membership::{ConfigPosition, MemberRow};
+use ferry_decisions::memory::MemoryShares;
 use ferry_decisions::names::Incarnation;
 use ferry_decisions::session::SessionKeys;
-use ferry_kernel::http::HttpClient;
+use ferry_kernel::http::{HttpClient, RequestMemory};
 use ferry_kernel::wall_clock;
 use ferry_platform::hosts::HostsClient;
 use ferry_platform::log::LogClient;
@@ -33,6 +34,9 @@
 use crate::trace::TraceBuffer;
 use crate::upstream::UpstreamTable;
 
+/// Bytes of a mebibyte.
+const BYTES_PER_MIB: usize = 1_024 * 1_024;
+
 /// State of one router process.
 pub struct RouterCore {
     /// Settings as read at the start.
@@ -75,6 +79,8 @@
     pub traces: TraceBuffer,
     /// Keys of session tokens.
     pub sessions: SessionKeys,
+    /// Memory for bodies of requests.
+    pub request_memory: RequestMemory,
     /// Permits that limit the number of requests in progress.
     pub request_permits: Arc<Semaphore>,
     /// Tasks of the requests in progress; a stopping router waits for them.
@@ -162,6 +168,9 @@
             upstreams: UpstreamTable::default(),
             traces: TraceBuffer::default(),
             sessions,
+            request_memory: RequestMemory::new(MemoryShares::of(
+                settings.limits.memory_mib * BYTES_PER_MIB,
+            )),
             request_permits: Arc::new(Semaphore::new(settings.limits.in_progress)),
             work: TaskTracker::new(),
             closing: CancellationToken::new(),
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use ferry_decisions::memory::MemoryShares;
 use ferry_decisions::names::{Incarnation, ServiceName};
 use ferry_decisions::registry::UpstreamRegistry;
 use ferry_decisions::retry::{FleetRetryBound, RetryShare, RetryShareConfig};
 use ferry_decisions::ruleset::RuleSet;
 use ferry_decisions::time::MonotonicTime;
-use ferry_kernel::http::{BodyBudget, LimitsCell};
+use ferry_kernel::http::{BodyBudget, LimitsCell, RequestMemory};
 use ferry_platform::host_settings::HostSettings;
 use ferry_platform::store::StoreClient;
 use parking_lot::Mutex;
@@ -34,8 +35,6 @@
 
 /// Maximum size of an answer that is read completely before it is forwarded, in bytes.
 const WHOLE_ANSWER_LIMIT: usize = 16 * 1024 * 1024;
-/// Maximum size of all such answers that are being read, in bytes; a fraction of a small host's memory.
-const ALL_ANSWERS_LIMIT: usize = 32 * 1024 * 1024;
 
 /// State of one relay process.
 pub struct RelayCore {
@@ -61,6 +60,8 @@
     pub registry: Mutex<UpstreamRegistry>,
     /// Usual latency of the responses of all upstreams.
     pub latency: Mutex<LatencyModel>,
+    /// Memory for bodies of requests.
+    pub request_memory: RequestMemory,
     /// Bytes of answers that are read completely before they are forwarded.
     pub answer_budget: BodyBudget,
     /// The fleet's count of upstreams that requests crashed.
@@ -88,6 +89,7 @@
     pub fn new(settings: HostSettings) -> Self {
         let router = format!("{}/{}", settings.host, Incarnation::random().0.simple());
         let clock = ProcessClock::start();
+        let shares = MemoryShares::of(settings.memory_bytes);
         Self {
             fleet: FleetManager::new(&settings, clock.now()),
             clock,
@@ -100,7 +102,8 @@
             upstreams: UpstreamDirectory::default(),
             registry: Mutex::default(),
             latency: Mutex::default(),
-            answer_budget: BodyBudget::new(WHOLE_ANSWER_LIMIT, ALL_ANSWERS_LIMIT),
+            request_memory: RequestMemory::new(shares),
+            answer_budget: BodyBudget::new(WHOLE_ANSWER_LIMIT, shares.answers),
             crashes: CrashManager::new(&router),
             permits: PermitManager::default(),
             paths: PathManager::default(),
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -88,7 +88,7 @@
 ) -> Result<RelayRequest, RelayRefusal> {
     let rules = core.rules.load_full();
     let rules = rules.ok_or(RelayRefusal::not_run(RefusalReason::NotReady))?;
-    let reading = RelayRequest::read(request, facts, &rules, read_at);
+    let reading = RelayRequest::read(request, facts, &rules, &core.request_memory, read_at);
     let result = core.work_end.run(reading).await;
     let result = result.map_err(RelayRefusal::not_run).flatten();
     result.map_err(|refusal| match refusal.reason {
--- a/crates/router/src/relay/request/relay_refusal.rs
+++ b/crates/router/src/relay/request/relay_refusal.rs
@@ -32,6 +32,9 @@
     /// The body is longer than the rules allow.
     #[error("the body is longer than allowed; send a shorter one")]
     BodyTooLarge,
+    /// The bodies of other requests took the memory for bodies until too little time was left.
+    #[error("this router holds too many large bodies now; call again after the Retry-After time")]
+    NoMemory,
     /// No upstream is available for the request now.
     #[error("no upstream can take the request now; call again after the Retry-After time")]
     NoUpstream,
@@ -60,6 +63,7 @@
             Self::UnknownKey => "unknown_key",
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "body_too_large",
+            Self::NoMemory => "no_memory",
             Self::NoUpstream => "no_upstream",
             Self::Busy => "busy",
             Self::DeadlinePassed => "deadline_passed",
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -7,7 +7,7 @@
 use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::quarantine::RequestFingerprint;
 use ferry_decisions::ruleset::{KeyHolder, KeyVerdict, RouteRule, RuleSet};
-use ferry_kernel::http::{ArrivalTime, BodyError, collect_request};
+use ferry_kernel::http::{ArrivalTime, BodyError, RequestMemory};
 use ferry_platform::headers::RequestFacts;
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -59,11 +59,12 @@
     /// # Errors
     ///
     /// Fails when no rule matches, the key is unknown, the attempt identifier is missing, or the body is
-    /// too long, cut off or not complete before the deadline.
+    /// too long, cut off, not complete before the deadline, or finds no room in `memory`.
     pub async fn read(
         request: Request<Incoming>,
         facts: RequestFacts,
         rules: &RuleSet,
+        memory: &RequestMemory,
         read_at: Instant,
     ) -> Result<Self, RelayRefusal> {
         let (head, body) = request.into_parts();
@@ -78,7 +79,7 @@
             .deadline
             .map_or(rule_deadline, |wait| arrived_at + wait);
         let answer_deadline = deadline.min(rule_deadline);
-        let body = read_body(body, rules.limits.body_bytes, answer_deadline).await?;
+        let body = read_body(body, rules.limits.body_bytes, memory, answer_deadline).await?;
         Ok(Self {
             id,
             target: target_of(&head),
@@ -169,11 +170,18 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, RelayRefusal> {
-    let reason = match timeout_at(until, collect_request(body, limit)).await {
-        Ok(Ok(body)) => return Ok(body),
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    memory: &RequestMemory,
+    until: Instant,
+) -> Result<Bytes, RelayRefusal> {
+    let reading = memory.collect(body, limit, until);
+    let reason = match timeout_at(until, reading).await {
+        Ok(Ok(body)) => return Ok(body.into_bytes()),
         Ok(Err(BodyError::TooLarge { .. })) => RefusalReason::BodyTooLarge,
-        Ok(Err(BodyError::Truncated(_) | BodyError::NoRoom { .. })) => RefusalReason::Malformed,
+        Ok(Err(BodyError::Truncated(_))) => RefusalReason::Malformed,
+        Ok(Err(BodyError::NoRoom { .. })) => RefusalReason::NoMemory,
         Err(_) => RefusalReason::DeadlinePassed,
     };
     Err(RelayRefusal::not_run(reason))
--- a/crates/router/src/settings/router_settings.rs
+++ b/crates/router/src/settings/router_settings.rs
@@ -91,6 +91,8 @@
     pub body_bytes: usize,
     /// Maximum size of an answer that is buffered completely, in bytes.
     pub answer_bytes: usize,
+    /// Memory that the process may take, in MiB; bodies of requests take a share of it.
+    pub memory_mib: usize,
     /// Maximum number of requests in progress.
     pub in_progress: usize,
     /// Deadline of a request that sets none, in milliseconds.
@@ -112,6 +114,7 @@
         Self {
             body_bytes: 4 * 1024 * 1024,
             answer_bytes: 16 * 1024 * 1024,
+            memory_mib: 256,
             in_progress: 10_000,
             default_deadline_ms: 60_000,
             longest_deadline_ms: 600_000,
@@ -257,6 +260,7 @@
         };
         zero_problem("body_bytes", limits.body_bytes as u64)
             .or_else(|| zero_problem("answer_bytes", limits.answer_bytes as u64))
+            .or_else(|| zero_problem("memory_mib", limits.memory_mib as u64))
             .or_else(|| zero_problem("in_progress", limits.in_progress as u64))
             .or_else(|| zero_problem("default_deadline_ms", limits.default_deadline_ms))
             .or_else(|| zero_problem("freshness_ms", self.freshness_ms))
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -20,6 +20,8 @@
 
 pub use ferry_rig::{HOST_NAME, KEY, SERVICE, WORKSPACE, fixture_rule as rule};
 
+/// Memory of a relay, in bytes.
+const HOST_MEMORY: usize = 256_000_000;
 /// Availability zone of a relay unless a test names another one.
 const ZONE: &str = "zone-a";
 /// Start options of all relays.
@@ -143,6 +145,7 @@
             store: self.store_address.unwrap_or(self.store.address()),
             peer_ports: (0, 0),
             link_mbps: self.link_mbps,
+            memory_bytes: HOST_MEMORY,
             bounds: self.bounds,
         }
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod id_window;
 mod idle;
 mod joined_sends;
+mod large_bodies;
 mod ledger_tool;
 mod letters;
 mod log_outage;
