Wait until a large body is held before the next one is sent in its test

The test of large bodies on the own interface gave the first body half a second to arrive, so that beside load the second one could take the room in its place.

It waits for the gauge `ferry_request_body_bytes` now, and checks at the end that the gauge is back at 0, which is stricter than before: that a third body is answered is still asked.

--- a/tests/fleet/large_bodies.rs
+++ b/tests/fleet/large_bodies.rs
@@ -1,7 +1,5 @@
 //! Large bodies of requests on a router with little memory.
 
-use std::time::Duration;
-
 use ferry_rig::{ChatCall, ChatResult, FleetRig, eventually};
 use hyper::Method;
 use serde_json::Value;
@@ -36,6 +34,16 @@
     )
 }
 
+/// Memory that the bodies of requests take at the router, in bytes.
+async fn taken_bytes(rig: &FleetRig) -> f64 {
+    let metrics = rig.metrics(0).await.unwrap_or_default();
+    let mut values = metrics
+        .lines()
+        .filter_map(|line| line.strip_prefix("ferry_request_body_bytes "));
+    let value = values.next().and_then(|value| value.parse().ok());
+    value.unwrap_or_default()
+}
+
 /// Guards against callers whose bodies together take a router over its memory (LOST).
 #[tokio::test]
 async fn a_large_body_without_room_is_refused_as_not_run_and_small_ones_go_on() {
@@ -50,7 +58,10 @@
     let rig = &rig;
     let first = send(rig, LARGE, LONG_DEADLINE_MS);
     let others = async {
-        tokio::time::sleep(Duration::from_millis(500)).await;
+        eventually("the first body takes its room", async || {
+            (taken_bytes(rig).await >= LARGE as f64).then_some(())
+        })
+        .await;
         let refused = send(rig, LARGE, SHORT_DEADLINE_MS).await;
         let expected = (503, "overloaded".to_owned(), "not_run".to_owned());
         assert_eq!(refused, expected);
@@ -65,9 +76,10 @@
     };
     let (first, small) = tokio::join!(first, others);
     assert_eq!((first.0, small), (200, 200));
+    let third = send(rig, LARGE, LONG_DEADLINE_MS).await;
+    assert_eq!(third.0, 200);
     eventually("the memory is free again", async || {
-        let (status, ..) = send(rig, LARGE, LONG_DEADLINE_MS).await;
-        (status == 200).then_some(())
+        (taken_bytes(rig).await == 0.0).then_some(())
     })
     .await;
 }
