Read a refused body on, so that its caller gets the refusal

Cause: a body that announces more than the limit was refused at once since, while its caller still sent: the connection broke in place of the 413.

Change: a body that is refused, for its length or for want of memory, is read and thrown away up to twice the limit. It holds no memory while that happens.

--- a/crates/kernel/src/http/request_memory.rs
+++ b/crates/kernel/src/http/request_memory.rs
@@ -64,7 +64,7 @@
     /// meanwhile, the handler that awaits this is dropped.
     ///
     /// While there is no memory for the body, it is left unread for half of the time until `deadline`; the rest is left for an answer, also from
-    /// another router. If there is none then, it is read and thrown away, so that its caller gets the refusal.
+    /// another router. A body that is refused is read and thrown away up to twice `limit`, since its caller gets no answer while it sends.
     ///
     /// # Errors
     ///
@@ -83,8 +83,8 @@
         let until = now + deadline.saturating_duration_since(now) / ROOM_WAIT_DIVISOR;
         let mut body = pin!(body);
         let held = self.read(body.as_mut(), limit, until).await;
-        if matches!(held, Err(BodyError::NoRoom { .. })) {
-            discard(body, limit).await;
+        if held.is_err() {
+            discard(body, limit.saturating_mul(2)).await;
         }
         read_connection_again().await;
         held
@@ -240,12 +240,12 @@
     u32::try_from(units).unwrap_or(u32::MAX)
 }
 
-/// Reads the rest of a body of at most `limit` bytes and drops it.
-async fn discard<B>(mut body: Pin<&mut B>, limit: usize)
+/// Reads up to `most` bytes of the rest of a body and drops them.
+async fn discard<B>(mut body: Pin<&mut B>, most: usize)
 where
     B: Body<Data = Bytes>,
 {
-    let mut left = limit;
+    let mut left = most;
     while let Some(Ok(frame)) = body.frame().await {
         let length = frame.data_ref().map_or(0, Bytes::len);
         match left.checked_sub(length) {
--- a/crates/kernel/tests/request_memory.rs
+++ b/crates/kernel/tests/request_memory.rs
@@ -3,6 +3,7 @@
 //! Load pattern: more large bodies at once than the memory holds, beside small ones.
 
 use std::convert::Infallible;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -85,6 +86,25 @@
     assert!(collect(&memory, LARGE).await.is_ok());
 }
 
+/// Guards against a refusal that its caller, who still sends the body, does not get.
+#[tokio::test(start_paused = true)]
+async fn a_refused_body_is_read_to_its_end() {
+    let memory = RequestMemory::new(SHARES);
+    let held = collect(&memory, LARGE).await.unwrap();
+    for (pieces, limit) in [(400, LARGE), (250, 200 * SMALL)] {
+        let read = AtomicUsize::new(0);
+        let pieces_read = (0..pieces).map(|_| {
+            read.fetch_add(1, Ordering::Relaxed);
+            Ok::<_, Infallible>(Frame::data(vec![7; SMALL].into()))
+        });
+        let body = StreamBody::new(stream::iter(pieces_read));
+        let refused = memory.collect(body, limit, Instant::now() + TIME).await;
+        assert!(refused.is_err());
+        assert_eq!(read.into_inner(), pieces);
+    }
+    drop(held);
+}
+
 #[tokio::test(start_paused = true)]
 async fn too_long_bodies_are_refused_whatever_they_announce() {
     let memory = RequestMemory::new(SHARES);
