Give each large buffer memory of its own

Excluded: bodies that the budget doesn't count.

The test reads the memory in the unit that the system states, not in pages of an assumed size, and asks also that what is left after the last body leaves room for all that bodies may take below the same bound.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod lifecycle;
 pub mod logs;
 pub mod loop_lag;
+pub mod memory;
 pub mod metrics;
 pub mod settings;
 pub mod shards;
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -4,7 +4,7 @@
 
 use ferry_kernel::lifecycle::{StopSignal, stop_signals};
 use ferry_kernel::settings::BAD_SETTINGS_EXIT;
-use ferry_kernel::{logs, metrics};
+use ferry_kernel::{logs, memory, metrics};
 use miette::{IntoDiagnostic, Report, Result};
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -39,6 +39,7 @@
 fn run(settings: RouterSettings) -> Result<()> {
     logs::install(settings.log_level).into_diagnostic()?;
     metrics::install();
+    memory::set_large_buffers_apart();
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
     runtime.block_on(serve(settings))
 }
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
+use ferry_decisions::memory::MemoryShares;
 use ferry_decisions::ruleset::RunKind;
 use ferry_kernel::http::{HttpClient, HttpRequest};
 use ferry_rig::{
@@ -31,14 +32,17 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between two looks at the memory.
 const LOOK_PERIOD: Duration = Duration::from_millis(2);
-/// Size of a page of memory, in bytes, as the system counts it here.
-const PAGE_BYTES: usize = 4_096;
+/// Memory of the sample's host, in bytes.
+const HOST_MEMORY: usize = 260_000_000;
+/// Unit in which the system states memory, in bytes.
+const SYSTEM_UNIT: usize = 1_024;
 
 /// Memory of the process `pid`, in bytes.
 fn resident_bytes(pid: u32) -> usize {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
-    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
-    pages.map_or(0, |pages: usize| pages * PAGE_BYTES)
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let units = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    units.map_or(0, |units: usize| units * SYSTEM_UNIT)
 }
 
 /// Looks again and again at the memory of a process.
@@ -97,7 +101,8 @@
     let relay = RelayProcess::start(program, folder.path(), SAMPLE, "entry-1", store).unwrap();
     let ready = async || relay.is_ready().await.then_some(());
     eventually("the relay is ready", ready).await;
-    let memory = MemoryWatch::start(relay.id().unwrap());
+    let pid = relay.id().unwrap();
+    let memory = MemoryWatch::start(pid);
     let mut large = JoinSet::new();
     for number in 0..LARGE_CLIENTS {
         let request = request(&relay, &format!("large-{number}"), LARGE_BODY);
@@ -126,6 +131,7 @@
         unanswered += usize::from(!status.is_ok_and(|status| status == StatusCode::OK));
     }
     let peak = memory.peak();
+    let afterwards = resident_bytes(pid);
     for status in &statuses {
         let status = status.as_ref().unwrap();
         let is_promise = *status == StatusCode::SERVICE_UNAVAILABLE;
@@ -133,4 +139,10 @@
     }
     assert_eq!(unanswered, 0, "of {count} small requests");
     assert!(peak < MEMORY_BOUND, "{peak} bytes");
+    let shares = MemoryShares::of(HOST_MEMORY);
+    let without_bodies = MEMORY_BOUND - shares.small_requests - shares.large_requests;
+    assert!(
+        afterwards < without_bodies,
+        "{afterwards} bytes after the last body"
+    );
 }
