Let the reading of one peer's bytes give way to all others

Cause: the runtime lets a task do 128 operations before the others have their turn, and counts a read as one whatever it brings; the HTTP library skips interim heads without end while there are bytes. Shown by the processor time between two looks of another task: 1.99 s with one such server. Excluded: requests that wait for the replica's connections. Small messages of another router have the same cause (52 ms); answers and callers' bodies in pieces of a byte don't (2 and 4 ms).

Change: PacedStream reads at most 16 KiB at once and counts each 256 bytes as an operation, on connections to upstreams (also through another router), of pooled clients (store, engines) and between routers; the server's connections count likewise. HeadLimit ends an answer whose heads, interim ones included, pass 128 KiB: malformed, so that the request goes elsewhere where it may. tower-service, which was in the lock file already, is declared.

--- a/crates/kernel/src/http/caller_stream.rs
+++ b/crates/kernel/src/http/caller_stream.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use super::arrival::ArrivalClock;
+use super::paced_stream::count_as_work;
 use super::socket_state::SocketState;
 
 /// How the connection ends, as far as it is not shut down in order.
@@ -110,7 +111,9 @@
         }
         let filled = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > filled {
+        let count = buffer.filled().len() - filled;
+        if count > 0 {
+            count_as_work(count, cx);
             let state = SocketState::of(&self.stream);
             self.arrival.record(state);
             self.is_closed_by_peer = state.is_closed_by_peer;
--- a/crates/kernel/src/http/client.rs
+++ b/crates/kernel/src/http/client.rs
@@ -8,18 +8,16 @@
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::KEEP_ALIVE;
 use super::body::{BodyError, collect_limited};
+use super::paced_connector::PacedConnector;
 
 /// Longest response body that [`HttpClient::fetch`] reads, in bytes.
 const RESPONSE_LIMIT: usize = 64 * 1024 * 1024;
-/// Time allowed for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an idle connection is closed: half of the time after which servers close it.
 const IDLE_TIMEOUT: Duration = KEEP_ALIVE.checked_div(2).unwrap();
 
@@ -134,19 +132,16 @@
 /// Client with a pool of connections; clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    inner: Client<PacedConnector, Full<Bytes>>,
 }
 
 impl Default for HttpClient {
     fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(true)
-            .build(connector);
+            .build(PacedConnector::default());
         Self { inner }
     }
 }
--- a/crates/router/src/peer/peer_handshake.rs
+++ b/crates/router/src/peer/peer_handshake.rs
@@ -11,12 +11,10 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
-use tokio::net::TcpStream;
-use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use uuid::Uuid;
 
-use super::{PeerError, PeerSettings, decode, encode};
+use super::{PeerError, PeerSettings, PeerSocket, decode, encode};
 
 /// Version of the frame format and the handshake.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -122,7 +120,7 @@
 
 /// Runs the handshake as dialling end; `expected` is the host that was dialled.
 pub async fn dial_handshake(
-    socket: &mut WebSocketStream<TcpStream>,
+    socket: &mut PeerSocket,
     settings: &PeerSettings,
     expected: &HostName,
 ) -> Result<PeerIdentity, PeerError> {
@@ -148,7 +146,7 @@
 
 /// Runs the handshake as accepting end.
 pub async fn accept_handshake(
-    socket: &mut WebSocketStream<TcpStream>,
+    socket: &mut PeerSocket,
     settings: &PeerSettings,
 ) -> Result<PeerIdentity, PeerError> {
     let theirs: PeerHello = receive(socket).await?;
@@ -168,10 +166,7 @@
     Ok(theirs.identity)
 }
 
-async fn send(
-    socket: &mut WebSocketStream<TcpStream>,
-    value: &impl Serialize,
-) -> Result<(), PeerError> {
+async fn send(socket: &mut PeerSocket, value: &impl Serialize) -> Result<(), PeerError> {
     let message = Message::Binary(encode(value)?);
     socket
         .send(message)
@@ -179,9 +174,7 @@
         .map_err(|error| PeerError::Handshake(error.to_string()))
 }
 
-async fn receive<T: DeserializeOwned>(
-    socket: &mut WebSocketStream<TcpStream>,
-) -> Result<T, PeerError> {
+async fn receive<T: DeserializeOwned>(socket: &mut PeerSocket) -> Result<T, PeerError> {
     match socket.next().await {
         Some(Ok(Message::Binary(bytes))) => decode(&bytes),
         Some(Ok(Message::Close(_))) | None => {
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
+use ferry_kernel::http::PacedStream;
 use futures::future::BoxFuture;
 use parking_lot::{Mutex, RwLock};
 use rand::Rng;
@@ -68,7 +69,7 @@
 pub type PeerHandler = Arc<dyn Fn(PeerMessage) -> BoxFuture<'static, Option<Bytes>> + Send + Sync>;
 
 /// Connection to another router, after the handshake.
-pub type PeerSocket = WebSocketStream<TcpStream>;
+pub type PeerSocket = WebSocketStream<PacedStream<TcpStream>>;
 
 /// Serves one stream that another router opened, until it ends.
 pub type StreamHandler =
@@ -152,7 +153,7 @@
         let (socket, _) = timeout(HANDSHAKE_TIMEOUT, opening)
             .await
             .map_err(|_| handshake_timeout())??;
-        set_dead_peer_timeouts(socket.get_ref())
+        set_dead_peer_timeouts(socket.get_ref().inner())
             .map_err(|error| PeerError::Transport(error.to_string()))?;
         Ok(socket)
     }
@@ -358,6 +359,7 @@
         stream: TcpStream,
     ) -> Result<(PeerSocket, PeerIdentity, bool), PeerError> {
         let _ = stream.set_nodelay(true);
+        let stream = PacedStream::without_limit(stream);
         let mut is_stream = false;
         // The callback's type is the library's.
         #[allow(clippy::result_large_err)]
@@ -377,7 +379,7 @@
         let Some(handler) = self.streams.get() else {
             return;
         };
-        if set_dead_peer_timeouts(socket.get_ref()).is_err() {
+        if set_dead_peer_timeouts(socket.get_ref().inner()).is_err() {
             return;
         }
         tokio::select! {
@@ -436,6 +438,7 @@
             .await
             .map_err(|error| PeerError::Transport(error.to_string()))?;
         let _ = stream.set_nodelay(true);
+        let stream = PacedStream::without_limit(stream);
         let url = format!("ws://{address}{path}");
         let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config()))
             .await
@@ -462,7 +465,7 @@
         &self,
         side: LinkSide,
         link: &Arc<PeerLink>,
-        socket: WebSocketStream<TcpStream>,
+        socket: PeerSocket,
         queue: FrameQueue,
     ) -> Result<(), PeerError> {
         let result = link.run(socket, queue, &self.handler).await;
--- a/crates/router/src/peer/peer_link.rs
+++ b/crates/router/src/peer/peer_link.rs
@@ -12,15 +12,15 @@
 use futures::stream::{SplitSink, SplitStream};
 use futures::{FutureExt, SinkExt, StreamExt};
 use parking_lot::Mutex;
-use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
 use tokio_util::sync::CancellationToken;
 
 use super::peer_frame::{EncodedFrame, PeerFrame, QueryOutcome};
-use super::{PeerError, PeerHandler, PeerIdentity, PeerMessage, PeerTopic, peer_metrics};
+use super::{
+    PeerError, PeerHandler, PeerIdentity, PeerMessage, PeerSocket, PeerTopic, peer_metrics,
+};
 
 /// Maximum number of frames in a send queue.
 const MAX_QUEUED_FRAMES: usize = 4_096;
@@ -37,8 +37,6 @@
 /// Timeout of one write.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 
-type Socket = WebSocketStream<TcpStream>;
-
 /// A link whose handshake is complete.
 #[derive(Debug)]
 pub struct PeerLink {
@@ -130,7 +128,7 @@
     /// Runs the link until it fails or is closed.
     pub async fn run(
         self: &Arc<Self>,
-        socket: Socket,
+        socket: PeerSocket,
         queue: FrameQueue,
         handler: &PeerHandler,
     ) -> Result<(), PeerError> {
@@ -174,7 +172,7 @@
     /// Writes queued frames and pings; ends once the link is closing and the queue is written.
     async fn write_loop(
         &self,
-        mut sink: SplitSink<Socket, Message>,
+        mut sink: SplitSink<PeerSocket, Message>,
         mut queue: FrameQueue,
     ) -> Result<(), PeerError> {
         let mut pings = ticks::every(PING_PERIOD);
@@ -213,7 +211,7 @@
 
     async fn read_loop(
         self: &Arc<Self>,
-        mut stream: SplitStream<Socket>,
+        mut stream: SplitStream<PeerSocket>,
         inbox: &mpsc::Sender<PeerMessage>,
         handler: &PeerHandler,
     ) -> Result<(), PeerError> {
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -85,6 +85,7 @@
         if let Some(permit) = permit {
             permit.record_send();
         }
+        lease.link().heads.begin();
         let response = match lease.link().sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -95,6 +96,7 @@
                 return Err(self.broken(&lease, unsent, error.error()));
             }
         };
+        lease.link().heads.end();
         let (head, body) = response.into_parts();
         let answer = UpstreamAnswer {
             facts: AnswerFacts::read(&head.headers),
@@ -136,7 +138,8 @@
             unsent = unsent,
             error:? = cause,
         });
-        let kind = match (unsent, error.is_parse()) {
+        let is_malformed = error.is_parse() || cause == ErrorKind::InvalidData;
+        let kind = match (unsent, is_malformed) {
             (true, _) => UpstreamFailure::ConnectFailed,
             (false, true) => UpstreamFailure::MalformedAnswer,
             (false, false) if is_path_lost => UpstreamFailure::PathLost,
--- a/crates/router/src/relay/upstreams/upstream_link.rs
+++ b/crates/router/src/relay/upstreams/upstream_link.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
+use ferry_kernel::http::{HeadLimit, PacedStream};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -24,12 +25,16 @@
 
 /// Maximum size of a response head, and of the data read ahead, in bytes.
 const BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum size of a response head and the interim heads before it, in bytes.
+const HEADS_BYTES: usize = 2 * BUFFER_BYTES;
 
 /// An open HTTP/1.1 connection, which carries one request at a time.
 #[derive(Debug)]
 pub struct UpstreamLink {
     /// Handle for sending requests.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Bounds the heads of the response that is awaited.
+    pub heads: HeadLimit,
     /// Aborts the task that drives the connection, which closes the connection.
     driver: AbortHandle,
     /// End of the time for which the connection can be used while idle.
@@ -59,6 +64,8 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let heads = HeadLimit::new(HEADS_BYTES);
+        let stream = PacedStream::new(stream, heads.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -71,6 +78,7 @@
         });
         Ok(Self {
             sender,
+            heads,
             driver: driver.abort_handle(),
             idle_until: opened_at,
             opened_at,
