Hold signals until their handlers are installed

Cause: a handler is installed in two steps; from the first the system calls it, and until the second the libraries drop the signal. Excluded by the log: a stop that began and hung. A test that lets SIGTERM arrive right after the system's call finds it lost.

--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -2,7 +2,7 @@
 
 mod flags;
 
-use ferry_kernel::lifecycle::{StopSignal, stop_signals};
+use ferry_kernel::lifecycle::{HeldSignals, StopSignal, stop_signals};
 use ferry_kernel::settings::BAD_SETTINGS_EXIT;
 use ferry_kernel::{logs, memory, metrics};
 use miette::{IntoDiagnostic, Report, Result};
@@ -37,15 +37,17 @@
 }
 
 fn run(settings: RouterSettings) -> Result<()> {
+    let held = HeldSignals::hold();
     logs::install(settings.log_level).into_diagnostic()?;
     metrics::install();
     memory::set_large_buffers_apart();
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, held))
 }
 
-async fn serve(settings: RouterSettings) -> Result<()> {
+async fn serve(settings: RouterSettings, held: HeldSignals) -> Result<()> {
     let mut signals = stop_signals().into_diagnostic()?;
+    drop(held);
     let daemon = RouterDaemon::start(settings).await?;
     print_addresses(&daemon);
     signals.recv().await;
--- a/crates/router/src/relay/relay_app.rs
+++ b/crates/router/src/relay/relay_app.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
-use ferry_kernel::lifecycle::{StopSignal, stop_signals};
+use ferry_kernel::lifecycle::{HeldSignals, StopSignal, stop_signals};
 use ferry_kernel::logs::LogLevel;
 use ferry_kernel::settings::BAD_SETTINGS_EXIT;
 use ferry_kernel::{logs, memory, metrics, ticks};
@@ -103,12 +103,14 @@
 ///
 /// The signal handlers are installed first, so that a signal during the start does not kill the process.
 fn run(flags: &FerryRelay) -> Result<()> {
+    let held = HeldSignals::hold();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .into_diagnostic()?;
     runtime.block_on(async {
         let signals = RelaySignals::install().into_diagnostic()?;
+        drop(held);
         let plan = StartPlan::read_or_exit(flags);
         metrics::install();
         logs::install_queued(plan.level).into_diagnostic()?;
