Let one odd value of the configuration cost itself alone

Excluded by the log: a revision or era that kept it out.

What cannot be told apart (version, lists, limits, a rule's host or path) costs the whole, and then no rules are confirmed, here or from another router, until a configuration can be read.

--- a/crates/decisions/src/ruleset.rs
+++ b/crates/decisions/src/ruleset.rs
@@ -8,5 +8,8 @@
 
 pub use key_policy::KeyPolicy;
 pub use route_rule::{RouteRule, ServiceShare};
-pub use rule_set::{KeyHolder, KeyVerdict, ModelCost, RequestLimits, RuleSet, ServiceSpec};
+pub use rule_set::{
+    KeyHolder, KeyVerdict, ModelCost, RequestLimits, RuleMatch, RuleSet, ServiceSpec,
+    UnreadableRule,
+};
 pub use run_kind::RunKind;
--- a/crates/decisions/src/ruleset/rule_set.rs
+++ b/crates/decisions/src/ruleset/rule_set.rs
@@ -60,6 +60,36 @@
     pub priority: Option<u8>,
 }
 
+/// A host and path prefix for which the configuration has a rule that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnreadableRule {
+    /// Host that the rule applies to, in lower case.
+    pub host: String,
+    /// Path prefix that the rule applies to.
+    pub path_prefix: String,
+}
+
+/// What the configuration says of a host and path.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RuleMatch<'a> {
+    /// This rule applies.
+    Rule(&'a Arc<RouteRule>),
+    /// The rule that applies cannot be read, so that no request may be sent.
+    Unreadable,
+    /// No rule applies.
+    Unknown,
+}
+
+impl<'a> RuleMatch<'a> {
+    /// The rule that applies; `None` if there is none that can be read.
+    pub fn rule(self) -> Option<&'a Arc<RouteRule>> {
+        match self {
+            Self::Rule(rule) => Some(rule),
+            Self::Unreadable | Self::Unknown => None,
+        }
+    }
+}
+
 /// Result of checking a request's API key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeyVerdict<'a> {
@@ -80,6 +110,7 @@
     pub limits: RequestLimits,
     /// Rules by host, longest path prefix first.
     rules: HashMap<String, Vec<Arc<RouteRule>>>,
+    unreadable: Vec<UnreadableRule>,
     keys: KeyPolicy,
     services: HashMap<ServiceName, ServiceSpec>,
 }
@@ -107,23 +138,48 @@
             revision,
             limits,
             rules: by_host,
+            unreadable: Vec::new(),
             keys,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
         }
     }
 
+    /// The same rules, and others that cannot be read: no shorter prefix takes their requests.
+    #[must_use]
+    pub fn with_unreadable(mut self, rules: Vec<UnreadableRule>) -> Self {
+        self.unreadable = rules;
+        self
+    }
+
     /// The rule of `host` with the longest prefix of `path`; a port in `host` is ignored if no rule
     /// names it.
-    pub fn find_rule(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+    pub fn find_rule(&self, host: &str, path: &str) -> RuleMatch<'_> {
         let host = host.to_ascii_lowercase();
         let without_port = host.rsplit_once(':').map(|(name, _)| name);
-        let rules = self
-            .rules
-            .get(&host)
-            .or_else(|| without_port.and_then(|without_port| self.rules.get(without_port)))?;
-        rules
-            .iter()
-            .find(|rule| path.starts_with(rule.path_prefix.as_str()))
+        let hosts = [Some(host.as_str()), without_port];
+        let mut hosts = hosts.into_iter().flatten();
+        let Some(host) = hosts.find(|host| self.names_host(host)) else {
+            return RuleMatch::Unknown;
+        };
+        let rules = self.rules.get(host).into_iter().flatten();
+        let mut matches = rules.filter(|rule| path.starts_with(rule.path_prefix.as_str()));
+        let rule = matches.next();
+        let length = rule.map_or(0, |rule| rule.path_prefix.len());
+        let hides = |hidden: &UnreadableRule| {
+            hidden.host == host
+                && hidden.path_prefix.len() >= length
+                && path.starts_with(hidden.path_prefix.as_str())
+        };
+        match rule {
+            _ if self.unreadable.iter().any(hides) => RuleMatch::Unreadable,
+            Some(rule) => RuleMatch::Rule(rule),
+            None => RuleMatch::Unknown,
+        }
+    }
+
+    fn names_host(&self, host: &str) -> bool {
+        let is_unreadable = |rule: &UnreadableRule| rule.host == host;
+        self.rules.contains_key(host) || self.unreadable.iter().any(is_unreadable)
     }
 
     /// Checks `key` for a request that matches `rule`.
@@ -145,7 +201,12 @@
         self.services.get(service)
     }
 
-    /// Number of rules.
+    /// Number of rules that cannot be read.
+    pub fn unreadable_count(&self) -> usize {
+        self.unreadable.len()
+    }
+
+    /// Number of rules that can be read.
     pub fn rule_count(&self) -> usize {
         self.rules.values().map(Vec::len).sum()
     }
--- a/crates/decisions/tests/relay_decisions.rs
+++ b/crates/decisions/tests/relay_decisions.rs
@@ -9,7 +9,8 @@
 use ferry_decisions::registry::UpstreamIncarnation;
 use ferry_decisions::retry::{RunGate, RunState};
 use ferry_decisions::ruleset::{
-    KeyHolder, KeyPolicy, KeyVerdict, RequestLimits, RouteRule, RuleSet, RunKind, ServiceShare,
+    KeyHolder, KeyPolicy, KeyVerdict, RequestLimits, RouteRule, RuleMatch, RuleSet, RunKind,
+    ServiceShare, UnreadableRule,
 };
 use ferry_decisions::time::UnixMillis;
 
@@ -182,11 +183,14 @@
     let keys = HashMap::from([("key".to_owned(), holder.clone())]);
     let keys = KeyPolicy::Keyed(keys);
     let set = RuleSet::new(3, RequestLimits::default(), rules, keys, Vec::new());
-    let long = set.find_rule("CLINIC.example:8080", "/a/b/c").unwrap();
+    let long = set
+        .find_rule("CLINIC.example:8080", "/a/b/c")
+        .rule()
+        .unwrap();
     assert_eq!(long.path_prefix, "/a/b/");
-    let short = set.find_rule("clinic.example", "/a/x").unwrap();
+    let short = set.find_rule("clinic.example", "/a/x").rule().unwrap();
     assert_eq!(short.path_prefix, "/a/");
-    assert!(set.find_rule("clinic.example", "/b/").is_none());
+    assert_eq!(set.find_rule("clinic.example", "/b/"), RuleMatch::Unknown);
     assert_eq!(set.check_key(long, None), KeyVerdict::Open);
     assert_eq!(set.check_key(short, None), KeyVerdict::Unknown);
     assert_eq!(set.check_key(short, Some("key")), KeyVerdict::Held(&holder));
@@ -198,7 +202,7 @@
     let verdict = |keys, public, key| {
         let rules = vec![rule("/a/", public)];
         let set = RuleSet::new(3, RequestLimits::default(), rules, keys, Vec::new());
-        let rule = set.find_rule("clinic.example", "/a/b").unwrap();
+        let rule = set.find_rule("clinic.example", "/a/b").rule().unwrap();
         set.check_key(rule, key) == KeyVerdict::Open
     };
     for key in [None, Some(""), Some("key")] {
@@ -208,6 +212,29 @@
     }
 }
 
+/// Guards against a rule that cannot be read, whose requests a shorter prefix takes.
+#[test]
+fn a_rule_that_cannot_be_read_hides_shorter_prefixes_and_no_longer_ones() {
+    let rules = vec![rule("/a/", true), rule("/a/b/c/", true)];
+    let keys = KeyPolicy::default();
+    let set = RuleSet::new(3, RequestLimits::default(), rules, keys, Vec::new());
+    let unreadable = ["/a/b/", "/d/"].map(|path_prefix| UnreadableRule {
+        host: "clinic.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+    });
+    let set = set.with_unreadable(unreadable.to_vec());
+    let prefix = |path| {
+        let found = set.find_rule("CLINIC.example:8080", path);
+        found.rule().map(|rule| rule.path_prefix.as_str())
+    };
+    assert_eq!(prefix("/a/x"), Some("/a/"));
+    assert_eq!(prefix("/a/b/c/x"), Some("/a/b/c/"));
+    for path in ["/a/b/", "/a/b/x", "/d/x"] {
+        assert_eq!(set.find_rule("clinic.example", path), RuleMatch::Unreadable);
+    }
+    assert_eq!(set.find_rule("other.example", "/d/"), RuleMatch::Unknown);
+}
+
 #[test]
 fn requests_follow_the_weights_and_a_weight_of_zero_gets_none() {
     let rule = rule("/a/", false);
--- a/crates/operator/src/ctl_app/relays_command.rs
+++ b/crates/operator/src/ctl_app/relays_command.rs
@@ -65,6 +65,7 @@
         "PHASE",
         "READY",
         "REVISION",
+        "UNREADABLE",
         "RULES AGE",
         "UPSTREAMS AGE",
         "FED",
@@ -117,6 +118,7 @@
         json!(relay.phase).as_str().unwrap_or_default().to_owned(),
         yes_or_no(relay.ready),
         relay.revision.to_string(),
+        unreadable(relay),
         format!("{} ms", relay.rules_age_ms),
         format!("{} ms", relay.upstreams_age_ms),
         yes_or_no(relay.fed),
@@ -124,6 +126,14 @@
     ]
 }
 
+/// How much of the newest configuration cannot be read: all of it, or this many of its rules.
+fn unreadable(relay: &RelayStatus) -> String {
+    match relay.newest_unreadable {
+        true => "all".to_owned(),
+        false => relay.unreadable_rules.to_string(),
+    }
+}
+
 fn service_row(relay: &RelayStatus, service: &ServiceStatus) -> Vec<String> {
     vec![
         relay.host.clone(),
--- a/crates/rig/src/relay_fixture.rs
+++ b/crates/rig/src/relay_fixture.rs
@@ -63,22 +63,32 @@
 
     /// Writes a configuration with `rules` as `revision`, with the key of the only workspace.
     pub fn configure(&self, revision: u64, rules: &[RouteRule]) {
+        let config = self.configuration(revision, rules);
+        self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config);
+    }
+
+    /// A configuration with `rules` as `revision`, with the key of the only workspace, as the operator writes it.
+    pub fn configuration(&self, revision: u64, rules: &[RouteRule]) -> Vec<u8> {
         let holder = KeyHolder {
             workspace: WORKSPACE.into(),
             priority: None,
         };
-        self.configure_keys(revision, rules, &[(KEY, holder)]);
+        self.encode(revision, rules, &[(KEY, holder)])
     }
 
     /// Writes a configuration with `rules` and `keys` as `revision`.
     pub fn configure_keys(&self, revision: u64, rules: &[RouteRule], keys: &[(&str, KeyHolder)]) {
+        let config = self.encode(revision, rules, keys);
+        self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config);
+    }
+
+    fn encode(&self, revision: u64, rules: &[RouteRule], keys: &[(&str, KeyHolder)]) -> Vec<u8> {
         let service = ServiceSpec {
             name: SERVICE.into(),
             connections: CONNECTION_LIMIT,
             models: Vec::new(),
         };
-        let value = encode_rules(revision, &self.limits, rules, keys, &[service]);
-        self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &value);
+        encode_rules(revision, &self.limits, rules, keys, &[service])
     }
 
     /// Starts an upstream of `version` and registers it.
--- a/crates/router/src/relay/request/relay_refusal.rs
+++ b/crates/router/src/relay/request/relay_refusal.rs
@@ -23,6 +23,11 @@
     /// No rule matches the host and path.
     #[error("no rule is for this host and path; check the address")]
     UnknownRoute,
+    /// The rule for the host and path cannot be read.
+    #[error(
+        "the rule for this host and path cannot be read; call again after the operator has written it again"
+    )]
+    UnreadableRule,
     /// The key is missing or belongs to no workspace.
     #[error("the key is missing or not known; send Authorization: Bearer KEY with a valid key")]
     UnknownKey,
@@ -60,6 +65,7 @@
             Self::Disconnected => "out_of_touch",
             Self::Stopping => "stopping",
             Self::UnknownRoute => "unknown_route",
+            Self::UnreadableRule => "unreadable_rule",
             Self::UnknownKey => "unknown_key",
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "body_too_large",
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use ferry_decisions::names::WorkspaceName;
 use ferry_decisions::quarantine::RequestFingerprint;
-use ferry_decisions::ruleset::{KeyHolder, KeyVerdict, RouteRule, RuleSet};
+use ferry_decisions::ruleset::{KeyHolder, KeyVerdict, RouteRule, RuleMatch, RuleSet};
 use ferry_kernel::http::{ArrivalTime, BodyError, RequestMemory};
 use ferry_platform::headers::RequestFacts;
 use hyper::body::Incoming;
@@ -160,9 +160,11 @@
         .get(HOST)
         .and_then(|host| host.to_str().ok())
         .unwrap_or_default();
-    let rule = rules
-        .find_rule(host, path)
-        .ok_or(RelayRefusal::not_run(RefusalReason::UnknownRoute))?;
+    let rule = match rules.find_rule(host, path) {
+        RuleMatch::Rule(rule) => rule,
+        RuleMatch::Unreadable => return Err(RelayRefusal::not_run(RefusalReason::UnreadableRule)),
+        RuleMatch::Unknown => return Err(RelayRefusal::not_run(RefusalReason::UnknownRoute)),
+    };
     match rules.check_key(rule, facts.key.as_deref()) {
         KeyVerdict::Open => Ok((Arc::clone(rule), None)),
         KeyVerdict::Held(holder) => Ok((Arc::clone(rule), Some(holder.clone()))),
--- a/crates/router/src/relay/status/relay_status.rs
+++ b/crates/router/src/relay/status/relay_status.rs
@@ -19,6 +19,12 @@
     pub ready: bool,
     /// Revision of the configuration in force; 0 before the first one.
     pub revision: u64,
+    /// Number of its rules that cannot be read, whose requests are refused.
+    #[serde(default)]
+    pub unreadable_rules: usize,
+    /// Whether the newest configuration cannot be read at all, so that the one in force is confirmed no more.
+    #[serde(default)]
+    pub newest_unreadable: bool,
     /// Time since the configuration was last confirmed, in milliseconds.
     pub rules_age_ms: u64,
     /// Time since the upstreams' entries were last confirmed, in milliseconds.
@@ -75,6 +81,8 @@
             phase: core.phase(),
             ready: core.is_ready(),
             revision: rules.as_ref().map_or(0, |rules| rules.revision),
+            unreadable_rules: rules.as_ref().map_or(0, |rules| rules.unreadable_count()),
+            newest_unreadable: core.operator_topic.is_unreadable(),
             rules_age_ms: core.operator_topic.age().as_millis() as u64,
             upstreams_age_ms: core.upstream_topic.age().as_millis() as u64,
             fed: core.fleet.is_synced_from_peer(),
--- a/crates/router/src/relay/topic_progress.rs
+++ b/crates/router/src/relay/topic_progress.rs
@@ -1,5 +1,6 @@
 //! How far a topic of the store is known here, and since when.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use ferry_decisions::topic::{StoreEra, TopicPosition};
@@ -19,6 +20,8 @@
     position: Mutex<Option<TopicPosition>>,
     /// When the store certainly held no record beyond those that are applied here.
     confirmed: ConfirmationTime,
+    /// Whether the newest record cannot be read, so that what is in force here is not what the store holds.
+    is_unreadable: AtomicBool,
     /// When the first request began to wait for the next confirmation.
     overdue_since: Mutex<Option<Instant>>,
     /// Signal of a confirmation.
@@ -48,11 +51,22 @@
         *current = (*current).max(Some(position));
     }
 
+    /// Records whether the newest record can be read; while it cannot, nothing is confirmed.
+    pub fn set_unreadable(&self, is_unreadable: bool) {
+        self.is_unreadable.store(is_unreadable, Ordering::Release);
+    }
+
+    /// Whether the newest record cannot be read.
+    pub fn is_unreadable(&self) -> bool {
+        self.is_unreadable.load(Ordering::Acquire)
+    }
+
     /// Records that the store, in `era`, held no further record at `moment`, a value of [`ConfirmationTime::now`].
     ///
-    /// Without effect unless records of that era are applied here: an earlier one tells nothing about the records of this one.
+    /// Without effect unless records of that era are applied here: an earlier one tells nothing about the records of this one. Without effect, too,
+    /// while the newest record cannot be read.
     pub fn confirm(&self, era: StoreEra, moment: Duration) {
-        if self.position().is_none_or(|known| known.era != era) {
+        if self.position().is_none_or(|known| known.era != era) || self.is_unreadable() {
             return;
         }
         self.confirmed.confirm(moment);
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -5,7 +5,9 @@
 
 use ferry_decisions::topic::{StoreEra, TopicPosition};
 use ferry_kernel::http::ServerLimits;
-use ferry_platform::entries::{CONFIG_KEY, decode_order, decode_rules, service_of_rollout_key};
+use ferry_platform::entries::{
+    CONFIG_KEY, ConfigPart, UnreadablePart, decode_order, decode_rules, service_of_rollout_key,
+};
 use ferry_platform::store::{KeyedRecord, OPERATOR_TOPIC, StoreError};
 use tokio::time::sleep;
 
@@ -20,6 +22,10 @@
 /// Delay after a failed read, and its maximum after several.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
+/// Most parts of one configuration that are logged; the metric counts all.
+const LOGGED_PARTS: usize = 10;
+/// Metric: parts of the newest configuration that cannot be read, by kind; the kind `configuration` for all of it.
+const UNREADABLE_METRIC: &str = "ferry_unreadable_entries";
 /// Delay after a list of all keys, which follows each change while the store keeps no history.
 const LIST_DELAY: Duration = Duration::from_millis(100);
 
@@ -139,15 +145,45 @@
     }
 }
 
+/// Shows which parts of the configuration in force cannot be read.
+fn show_unreadable(parts: &[UnreadablePart]) {
+    for kind in ConfigPart::ALL {
+        let count = parts.iter().filter(|part| part.kind == kind).count();
+        set_unreadable_count(kind.name(), count);
+    }
+    for part in parts.iter().take(LOGGED_PARTS) {
+        spdlog::error!("part of the configuration not applied: {}", part.error, kv: {
+            kind = part.kind.name(),
+            index = part.index,
+            parts = parts.len(),
+        });
+    }
+}
+
+/// Shows how many parts of this `kind` of the newest configuration cannot be read.
+fn set_unreadable_count(kind: &'static str, count: usize) {
+    metrics::gauge!(UNREADABLE_METRIC, "kind" => kind).set(count as f64);
+}
+
 /// Puts a configuration in force unless its revision is not newer than the one in force.
+///
+/// While the newest one cannot be read, the one in force is confirmed no more, so that requests are refused once it may be out of date.
 fn apply_rules(core: &SharedCore, value: &[u8]) {
-    let rules = match decode_rules(value) {
-        Ok(rules) => rules,
+    let decoded = decode_rules(value);
+    core.operator_topic.set_unreadable(decoded.is_err());
+    let decoded = match decoded {
+        Ok(decoded) => decoded,
         Err(error) => {
-            spdlog::error!("invalid configuration ignored: {}", error);
+            set_unreadable_count("configuration", 1);
+            spdlog::error!(
+                "configuration not applied, and none confirmed until one can be read: {}",
+                error
+            );
             return;
         }
     };
+    set_unreadable_count("configuration", 0);
+    let rules = decoded.rules;
     let current = core.rules.load().as_ref().map(|current| current.revision);
     if current.is_some_and(|current| current >= rules.revision) {
         return;
@@ -158,6 +194,7 @@
         rules = rules.rule_count(),
         keys:? = rules.key_count(),
     });
+    show_unreadable(&decoded.unreadable);
     core.caller_limits.set(ServerLimits {
         head_bytes: rules.limits.head_bytes,
         head_timeout: rules.limits.idle_time,
--- a/crates/router/tests/relay/odd_entries.rs
+++ b/crates/router/tests/relay/odd_entries.rs
@@ -204,6 +204,78 @@
     .await;
 }
 
+/// Guards against one rule's odd field that keeps a whole configuration, and a key that it takes away, from coming into force.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rule_with_a_wide_priority_comes_into_force_with_the_rest() {
+    let deployment = Deployment::start().await;
+    let _sound = deployment.replica("up-1", "v1").await;
+    let rules = [rule("/letters/", RunKind::Idempotent)];
+    deployment.configure(1, &rules);
+    let relays = start_fleet(&deployment).await;
+    let config = encode_rules(2, &deployment.limits, &rules, &[], &[]);
+    let config = with_field(&config, "/routes/0", "priority", json!(1000));
+    deployment.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config);
+    for relay in &relays {
+        until_status(relay, "/letters/7", StatusCode::UNAUTHORIZED).await;
+    }
+}
+
+/// Guards against a rule that cannot be read, which costs other rules or lets a shorter prefix take its requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rule_that_cannot_be_read_refuses_its_requests_alone() {
+    let deployment = Deployment::start().await;
+    let _sound = deployment.replica("up-1", "v1").await;
+    let paths = ["/letters/", "/letters/new/", "/memos/"];
+    let rules = paths.map(|path| rule(path, RunKind::Idempotent));
+    deployment.configure(1, &rules);
+    let relays = start_fleet(&deployment).await;
+    let config = deployment.configuration(2, &rules);
+    let config = with_field(&config, "/routes/1", "attempts", json!("many"));
+    deployment.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config);
+    for relay in &relays {
+        until_status(relay, "/letters/new/7", StatusCode::SERVICE_UNAVAILABLE).await;
+        assert!(serves(relay, "/letters/7").await);
+        assert!(serves(relay, "/memos/7").await);
+    }
+}
+
+/// Guards against rules that are confirmed as current while a newer configuration could not be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_are_not_confirmed_while_the_newest_cannot_be_read() {
+    let deployment = Deployment::start().await;
+    let _sound = deployment.replica("up-1", "v1").await;
+    let rules = [rule("/letters/", RunKind::Idempotent)];
+    deployment.configure(1, &rules);
+    let relays = start_fleet(&deployment).await;
+    deployment
+        .store
+        .put(OPERATOR_TOPIC, CONFIG_KEY, b"{\"version\":2}");
+    sleep(deployment.bounds.revocation).await;
+    for relay in &relays {
+        until_status(relay, "/letters/7", StatusCode::SERVICE_UNAVAILABLE).await;
+        assert!(relay.status().newest_unreadable);
+    }
+    deployment.configure(3, &rules);
+    for relay in &relays {
+        until_status(relay, "/letters/7", StatusCode::OK).await;
+        assert!(!relay.status().newest_unreadable);
+    }
+}
+
+/// `entry` with the value `value` in `field` of the object at `pointer`.
+fn with_field(entry: &[u8], pointer: &str, field: &str, value: Value) -> Vec<u8> {
+    let mut entry: Value = serde_json::from_slice(entry).unwrap();
+    entry.pointer_mut(pointer).unwrap()[field] = value;
+    entry.to_string().into_bytes()
+}
+
+async fn until_status(relay: &RelayDaemon, path: &str, status: StatusCode) {
+    eventually("the router answers with the status", async || {
+        call(request(relay, path, "a")).await.status == status
+    })
+    .await;
+}
+
 /// Guards against odd entries among what the routers write for one another.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_odd_entry_in_the_routers_own_topics_costs_only_itself() {
