Let 421 for a caller's model say nothing of the upstream

Cause: the replica answers 421 both to "not this replica's" and to "not this model", and the relay took each for the first, which is for good. The request was sent again, so that one took three replicas. Found by reading and by the test, whose caller got 503 where its 421 belongs.

Change: 421 to a request for which the caller named a model that the configuration doesn't list for the service is UnknownModel: not run, not sent again, 421 to the caller, nothing believed of the upstream, also through other routers.

--- a/crates/decisions/src/retry/upstream_failure.rs
+++ b/crates/decisions/src/retry/upstream_failure.rs
@@ -24,6 +24,8 @@
         Leaving,
         /// The upstream refused the request for another reason and reported that it did not run it.
         RefusedNotRun,
+        /// The upstream does not have the model that the caller named, and did not run the request; no other upstream of the service does.
+        UnknownModel,
         /// The connection broke after a byte of the request was sent and before the answer began.
         BrokenBeforeAnswer,
         /// The path to the upstream was lost after a byte of the request was sent and before the answer began; the upstream may be
@@ -46,9 +48,11 @@
     /// What this failure implies about whether the request ran.
     pub fn run_state(self) -> RunState {
         match self {
-            Self::ConnectFailed | Self::QueueFull | Self::Leaving | Self::RefusedNotRun => {
-                RunState::NotRun
-            }
+            Self::ConnectFailed
+            | Self::QueueFull
+            | Self::Leaving
+            | Self::RefusedNotRun
+            | Self::UnknownModel => RunState::NotRun,
             Self::BrokenBeforeAnswer
             | Self::PathLost
             | Self::ServerError
@@ -60,7 +64,7 @@
 
     /// Whether another upstream might answer the request.
     pub fn may_succeed_elsewhere(self) -> bool {
-        self != Self::BadRequest
+        !matches!(self, Self::BadRequest | Self::UnknownModel)
     }
 
     /// Whether the upstream should temporarily receive no other requests.
@@ -74,6 +78,7 @@
             | Self::QueueFull
             | Self::Leaving
             | Self::RefusedNotRun
+            | Self::UnknownModel
             | Self::ServerError
             | Self::TimedOut
             | Self::BadRequest => false,
--- a/crates/decisions/tests/retry.rs
+++ b/crates/decisions/tests/retry.rs
@@ -8,11 +8,12 @@
 };
 use proptest::prelude::*;
 
-const FAILURES: [UpstreamFailure; 10] = [
+const FAILURES: [UpstreamFailure; 11] = [
     UpstreamFailure::ConnectFailed,
     UpstreamFailure::QueueFull,
     UpstreamFailure::Leaving,
     UpstreamFailure::RefusedNotRun,
+    UpstreamFailure::UnknownModel,
     UpstreamFailure::BrokenBeforeAnswer,
     UpstreamFailure::BrokenInAnswer,
     UpstreamFailure::ServerError,
--- a/crates/rig/src/relay_fixture.rs
+++ b/crates/rig/src/relay_fixture.rs
@@ -139,6 +139,7 @@
 /// Headers of the request `attempt_id` with [`KEY`] and the default deadline.
 pub fn fixture_headers(attempt_id: &str) -> CallerHeaders<'_> {
     CallerHeaders {
+        model: None,
         attempt_id,
         key: Some(KEY),
         deadline: Some(FIXTURE_DEADLINE),
--- a/crates/router/src/dispatch/dispatch_failure.rs
+++ b/crates/router/src/dispatch/dispatch_failure.rs
@@ -94,7 +94,7 @@
             | UpstreamFailure::MalformedAnswer => {
                 CallerRefusal::retry_after(RefusalKind::UpstreamFailed, detail, retry_after)
             }
-            UpstreamFailure::BadRequest => {
+            UpstreamFailure::BadRequest | UpstreamFailure::UnknownModel => {
                 CallerRefusal::permanent(RefusalKind::UpstreamRefused, detail)
             }
             UpstreamFailure::TimedOut => {
--- a/crates/router/src/relay/request/relay_refusal.rs
+++ b/crates/router/src/relay/request/relay_refusal.rs
@@ -40,6 +40,9 @@
     /// The bodies of other requests took the memory for bodies until too little time was left.
     #[error("this router holds too many large bodies now; call again after the Retry-After time")]
     NoMemory,
+    /// The upstreams of the service do not have the model that the caller named.
+    #[error("no upstream has the model of the request; name another one, or let the router choose")]
+    UnknownModel,
     /// No upstream is available for the request now.
     #[error("no upstream can take the request now; call again after the Retry-After time")]
     NoUpstream,
@@ -70,6 +73,7 @@
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "body_too_large",
             Self::NoMemory => "no_memory",
+            Self::UnknownModel => "unknown_model",
             Self::NoUpstream => "no_upstream",
             Self::Busy => "busy",
             Self::DeadlinePassed => "deadline_passed",
@@ -117,7 +121,7 @@
         self
     }
 
-    /// HTTP status; 503 is used only for requests that did not run.
+    /// HTTP status; 503 and 421 are used only for requests that did not run.
     pub fn status(&self) -> StatusCode {
         let not_run = self.run == RunState::NotRun;
         match self.reason {
@@ -126,6 +130,7 @@
             RefusalReason::Malformed => StatusCode::BAD_REQUEST,
             RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalReason::Quarantined => StatusCode::INTERNAL_SERVER_ERROR,
+            RefusalReason::UnknownModel if not_run => StatusCode::MISDIRECTED_REQUEST,
             _ if not_run => StatusCode::SERVICE_UNAVAILABLE,
             RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
--- a/crates/router/src/relay/run/run_retry.rs
+++ b/crates/router/src/relay/run/run_retry.rs
@@ -58,6 +58,7 @@
         let reason = match failure.kind {
             UpstreamFailure::QueueFull => RefusalReason::Busy,
             UpstreamFailure::ConnectFailed | UpstreamFailure::Leaving => RefusalReason::NoUpstream,
+            UpstreamFailure::UnknownModel => RefusalReason::UnknownModel,
             _ => RefusalReason::UpstreamFailed,
         };
         Err(RelayRefusal::not_run(reason).with_run(run))
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_decisions::names::WorkspaceName;
+use ferry_decisions::names::{ModelName, WorkspaceName};
 use ferry_decisions::retry::{RunState, UpstreamFailure};
 use ferry_kernel::http::{BodyError, BodyFraming};
-use ferry_platform::headers::{ForwardFacts, forward_headers, set_resume_point};
+use ferry_platform::headers::{ForwardFacts, forward_headers, named_model, set_resume_point};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
@@ -158,9 +158,11 @@
         if let Some(event) = last_event {
             set_resume_point(&mut headers, event);
         }
+        let caller_model = named_model(&request.headers).filter(|_| model.is_none());
         OutgoingRequest {
             method: request.method.clone(),
             target: request.target.clone(),
+            caller_model: caller_model.as_deref().map(ModelName::new),
             headers,
             body: request.body.clone(),
             until: self.core.work_end.limit(request.answer_deadline),
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -97,6 +97,7 @@
             }
         };
         lease.link().heads.end();
+        let may_lack_model = self.may_lack_model();
         let (head, body) = response.into_parts();
         let answer = UpstreamAnswer {
             facts: AnswerFacts::read(&head.headers),
@@ -107,7 +108,7 @@
             in_flight: self.in_flight,
             upstream: Arc::clone(&self.upstream),
         };
-        let failure = classify(&answer, &self.attempt_id);
+        let failure = classify(&answer, &self.attempt_id, may_lack_model);
         let statements = AnswerStatements {
             core: &self.core,
             upstream: &self.upstream,
@@ -125,6 +126,19 @@
         }
     }
 
+    /// Whether the upstream may be right and sound that refuses the request as misdirected: its caller named a model that the service isn't
+    /// known to have.
+    fn may_lack_model(&self) -> bool {
+        let Some(named) = &self.outgoing.caller_model else {
+            return false;
+        };
+        let rules = self.core.rules.load();
+        let service = &self.upstream.record.service;
+        let spec = rules.as_ref().and_then(|rules| rules.service(service));
+        let known = spec.map(|spec| spec.models.as_slice()).unwrap_or_default();
+        known.iter().all(|known| known.model != *named)
+    }
+
     /// The failure of an exchange whose connection broke before the head of the answer.
     fn broken(&self, lease: &LinkLease, unsent: bool, error: &hyper::Error) -> SendFailure {
         let cause = broken_by(error);
@@ -249,8 +263,13 @@
 
 /// Reason why an answer cannot be forwarded as it is; `None` when it can.
 ///
-/// An upstream may write an answer once more, where the next one is expected. Whatever it says, it says of another request.
-fn classify(answer: &UpstreamAnswer, attempt_id: &str) -> Option<UpstreamFailure> {
+/// An upstream may write an answer once more, where the next one is expected. Whatever it says, it says of another request. One that refuses a
+/// request as misdirected isn't the one that the request is for, unless it `may_lack_model`: then the caller alone may be wrong.
+fn classify(
+    answer: &UpstreamAnswer,
+    attempt_id: &str,
+    may_lack_model: bool,
+) -> Option<UpstreamFailure> {
     let (status, facts) = (answer.head.status, &answer.facts);
     let is_own = match facts.attempt_id.as_deref() {
         Some(named) => named == attempt_id,
@@ -261,6 +280,9 @@
         return Some(UpstreamFailure::MalformedAnswer);
     }
     match status {
+        StatusCode::MISDIRECTED_REQUEST if may_lack_model => {
+            return Some(UpstreamFailure::UnknownModel);
+        }
         StatusCode::MISDIRECTED_REQUEST => return Some(UpstreamFailure::Leaving),
         _ if facts.not_run && status == StatusCode::BAD_REQUEST => {
             return Some(UpstreamFailure::BadRequest);
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_decisions::names::HostName;
+use ferry_decisions::names::{HostName, ModelName};
 use ferry_decisions::retry::UpstreamFailure;
 use ferry_kernel::http::BodyFraming;
 use ferry_platform::headers::AnswerFacts;
@@ -29,6 +29,8 @@
     pub target: String,
     /// Headers to forward, including those that the router adds.
     pub headers: HeaderMap,
+    /// Model that the caller named; absent if the router chose it or none is named.
+    pub caller_model: Option<ModelName>,
     /// Complete body.
     pub body: Bytes,
     /// Time by which the answer must be complete.
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod late_reads;
 mod limits;
 mod mass_failure;
+mod odd_callers;
 mod odd_entries;
 mod older_copies;
 mod path_cuts;
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -70,6 +70,8 @@
     pub confidence: Option<u8>,
     /// Whether answers carry the identifier of another attempt.
     pub wrong_attempt: bool,
+    /// Models that requests may name; another one is refused as misdirected. Any if empty.
+    pub models: Vec<String>,
 }
 
 impl Default for ReplicaPlan {
@@ -91,10 +93,19 @@
             leaves: false,
             confidence: None,
             wrong_attempt: false,
+            models: Vec::new(),
         }
     }
 }
 
+impl ReplicaPlan {
+    /// Whether the upstream has the model that `request` names, if it names one.
+    fn knows(&self, request: &BoundRequest) -> bool {
+        let named = request.model.as_ref();
+        self.models.is_empty() || named.is_none_or(|model| self.models.contains(model))
+    }
+}
+
 /// State shared by the requests of an upstream.
 #[derive(Debug)]
 pub(crate) struct ReplicaState {
@@ -140,7 +151,8 @@
             return self.refuse(&bound, StatusCode::BAD_REQUEST, None, &plan);
         };
         let plan = self.plan.lock().clone();
-        let is_misdirected = bound.bound_to.as_deref() != Some(self.options.id.as_str());
+        let is_misdirected =
+            bound.bound_to.as_deref() != Some(self.options.id.as_str()) || !plan.knows(&bound);
         let is_full = plan.full || plan.room.is_some_and(|room| self.running() >= room);
         let status = match is_misdirected || is_full {
             true => RunStatus::Refused,
