Try a class of requests that is refused for its usual time

Cause: the usual time is learned from answers, and what is refused brings none. Shown by the test: refused for 20 s after all upstreams had become fast; no other reason stays that long.

Change: one request of such a class is let through every 5 s in which no answer of it came (TrialPace, pure); if it is answered in time, what was learned before is forgotten.

--- a/crates/decisions/src/retry.rs
+++ b/crates/decisions/src/retry.rs
@@ -6,6 +6,7 @@
 mod retry_policy;
 mod retry_share;
 mod run_gate;
+mod trial_pace;
 mod upstream_failure;
 
 pub use fleet_retry_bound::FleetRetryBound;
@@ -13,4 +14,5 @@
 pub use retry_policy::{GiveUpReason, RetryPolicy, RetryQuery, RetryVerdict};
 pub use retry_share::{RetryShare, RetryShareConfig};
 pub use run_gate::RunGate;
+pub use trial_pace::{TRIAL_PERIOD, TrialPace};
 pub use upstream_failure::{RunState, UpstreamFailure};
--- a/crates/decisions/tests/retry.rs
+++ b/crates/decisions/tests/retry.rs
@@ -4,8 +4,9 @@
 
 use ferry_decisions::retry::{
     GiveUpReason, RetryBudget, RetryBudgetConfig, RetryPolicy, RetryQuery, RetryVerdict, RunState,
-    UpstreamFailure,
+    TRIAL_PERIOD, TrialPace, UpstreamFailure,
 };
+use ferry_decisions::time::MonotonicTime;
 use proptest::prelude::*;
 
 const FAILURES: [UpstreamFailure; 11] = [
@@ -143,3 +144,22 @@
         give_up(RunState::MayHaveRun, GiveUpReason::MayHaveRun)
     );
 }
+
+/// Load pattern: a class of which all requests are refused, some each second, until one that is let through is answered.
+#[test]
+fn one_request_of_a_refused_class_is_let_through_in_each_period_without_evidence() {
+    let start = MonotonicTime::default().after(TRIAL_PERIOD);
+    let mut pace = TrialPace::default();
+    assert!(!pace.may_try("letters", start));
+    assert!(!pace.record("letters", start));
+    let steps = 1..=100;
+    let tried = steps.filter(|step| {
+        let now = start.after(TRIAL_PERIOD.mul_f64(f64::from(*step) / 20.0));
+        pace.may_try("letters", now)
+    });
+    assert_eq!(tried.collect::<Vec<_>>(), [20, 40, 60, 80, 100]);
+    let end = start.after(TRIAL_PERIOD * 5);
+    assert!(pace.record("letters", end), "the trial is answered");
+    assert!(!pace.record("letters", end));
+    assert!(!pace.may_try("letters", end.after(TRIAL_PERIOD / 2)));
+}
--- a/crates/router/src/relay/latency_model.rs
+++ b/crates/router/src/relay/latency_model.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Forgets what was recorded of `class`.
+    pub fn forget(&mut self, class: &str) {
+        self.means.remove(class);
+    }
+
     /// Ratio of the latency `took` to the usual one; `None` until enough responses are recorded.
     pub fn ratio(&self, class: &str, took: Duration, prompt_tokens: u32) -> Option<f64> {
         let mean = self.known(class)?;
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -8,7 +8,7 @@
 use ferry_decisions::memory::MemoryShares;
 use ferry_decisions::names::{Incarnation, ServiceName};
 use ferry_decisions::registry::UpstreamRegistry;
-use ferry_decisions::retry::{FleetRetryBound, RetryShare, RetryShareConfig};
+use ferry_decisions::retry::{FleetRetryBound, RetryShare, RetryShareConfig, TrialPace};
 use ferry_decisions::ruleset::RuleSet;
 use ferry_decisions::time::MonotonicTime;
 use ferry_kernel::http::{BodyBudget, LimitsCell, RequestMemory};
@@ -60,6 +60,8 @@
     pub registry: Mutex<UpstreamRegistry>,
     /// Usual latency of the responses of all upstreams.
     pub latency: Mutex<LatencyModel>,
+    /// When classes that are refused for their usual latency are tried again.
+    pub latency_trials: Mutex<TrialPace>,
     /// Memory for bodies of requests.
     pub request_memory: RequestMemory,
     /// Bytes of answers that are read completely before they are forwarded.
@@ -102,6 +104,7 @@
             upstreams: UpstreamDirectory::default(),
             registry: Mutex::default(),
             latency: Mutex::default(),
+            latency_trials: Mutex::default(),
             request_memory: RequestMemory::new(shares),
             answer_budget: BodyBudget::new(WHOLE_ANSWER_LIMIT, shares.answers),
             crashes: CrashManager::new(&router),
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -104,9 +104,14 @@
     pub(super) fn record_latency(&self, upstream: &RelayUpstream, took: Duration) {
         let tokens = self.request.facts.prompt.prompt_tokens;
         let class = self.latency_class();
+        let now = self.core.clock.now();
+        let was_tried = self.core.latency_trials.lock().record(&class, now);
         let mut latency = self.core.latency.lock();
+        if was_tried {
+            latency.forget(&class);
+        }
         if let Some(ratio) = latency.ratio(&class, took, tokens) {
-            upstream.record_latency(ratio, self.core.clock.now());
+            upstream.record_latency(ratio, now);
         }
         latency.record(&class, took, tokens);
     }
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -73,8 +73,8 @@
 
     /// Fails when too little time is left for an answer: nobody would use it, and another request could have the upstream's room.
     /// Also when the stop of this router would usually end the request: another router can still answer it.
-    fn check_time(&self) -> Result<(), RelayRefusal> {
-        let reason = if self.request.time_left() < self.time_needed() {
+    fn check_time(&mut self) -> Result<(), RelayRefusal> {
+        let reason = if self.request.time_left() < self.time_needed() && !self.begin_trial() {
             RefusalReason::DeadlinePassed
         } else if self.core.work_end.is_within(self.usual_time()) {
             RefusalReason::Stopping
@@ -84,6 +84,17 @@
         Err(RelayRefusal::not_run(reason).with_run(self.run))
     }
 
+    /// Whether the request is sent now although answers of its class usually take too long: what is refused can't show that they no longer do.
+    fn begin_trial(&mut self) -> bool {
+        if self.request.time_left() < MIN_SEND_TIME {
+            return false;
+        }
+        let class = self.latency_class();
+        let now = self.core.clock.now();
+        self.is_trial = self.is_trial || self.core.latency_trials.lock().may_try(&class, now);
+        self.is_trial
+    }
+
     /// Time left until the answer deadline, or until a stop ends the request.
     pub(super) fn time_left(&self) -> Duration {
         let until = self.core.work_end.limit(self.request.answer_deadline);
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -32,3 +32,4 @@
 mod rules;
 mod stops;
 mod unframed;
+mod usual_times;
