--- a/crates/kernel/src/memory.rs
+++ b/crates/kernel/src/memory.rs
@@ -7,7 +7,7 @@
 /// Lets each large buffer have memory of its own, which the system gets back when the buffer is dropped.
 ///
 /// To be called before large buffers are made. Without it, the allocator of `glibc` puts large buffers between small ones once one of them has
-/// been dropped; memory that only such gaps hold counts as the process's, and comes to twice of what the buffers hold.
+/// been dropped; the gaps that they leave stay with the process.
 pub fn set_large_buffers_apart() {
     #[cfg(target_env = "gnu")]
     // SAFETY: the call takes no pointers and only changes a parameter of the allocator.
--- a/crates/kernel/tests/early_signals.rs
+++ b/crates/kernel/tests/early_signals.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Guards against a process that never stops, because the signal came while it installed its handlers (found by the soak, budget seed 7).
+/// Guards against a process that never stops, because the signal came while it installed its handlers.
 #[tokio::test]
 async fn a_signal_that_comes_while_its_handler_is_installed_is_received() {
     let mut signals = stop_signals().unwrap();
