Log each panic with the functions that led to it, and count it

A panic wrote its place on standard error as plain text only.

Both programs now write a log line with the place, the project's functions on the way, the innermost first, and the task, and count in ferry_panics_total, which is 0 from the start on. What the default hook writes stays.

Test: a_panic_of_a_task_is_logged_with_its_place_and_counted.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod loop_lag;
 pub mod memory;
 pub mod metrics;
+pub mod panics;
 pub mod settings;
 pub mod shards;
 pub mod ticks;
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -4,7 +4,7 @@
 
 use ferry_kernel::lifecycle::{HeldSignals, StopSignal, stop_signals};
 use ferry_kernel::settings::BAD_SETTINGS_EXIT;
-use ferry_kernel::{logs, memory, metrics};
+use ferry_kernel::{logs, memory, metrics, panics};
 use miette::{IntoDiagnostic, Report, Result};
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -40,6 +40,7 @@
     let held = HeldSignals::hold();
     logs::install(settings.log_level).into_diagnostic()?;
     metrics::install();
+    panics::report();
     memory::set_large_buffers_apart();
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
     runtime.block_on(serve(settings, held))
--- a/crates/router/src/relay/relay_app.rs
+++ b/crates/router/src/relay/relay_app.rs
@@ -7,7 +7,7 @@
 use ferry_kernel::lifecycle::{HeldSignals, StopSignal, stop_signals};
 use ferry_kernel::logs::LogLevel;
 use ferry_kernel::settings::BAD_SETTINGS_EXIT;
-use ferry_kernel::{logs, memory, metrics, ticks};
+use ferry_kernel::{logs, memory, metrics, panics, ticks};
 use ferry_platform::host_settings::{HostSettings, HostSettingsError, SETTINGS_VARIABLE};
 use miette::{IntoDiagnostic, Report, Result, miette};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -114,6 +114,7 @@
         let plan = StartPlan::read_or_exit(flags);
         metrics::install();
         logs::install_queued(plan.level).into_diagnostic()?;
+        panics::report();
         memory::set_large_buffers_apart();
         serve(plan, signals).await
     })
