--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -22,6 +22,7 @@
 mod mass_failure;
 mod odd_callers;
 mod odd_entries;
+mod odd_numbers;
 mod older_copies;
 mod path_cuts;
 mod raw_replica;
--- a/crates/router/tests/relay/path_cuts.rs
+++ b/crates/router/tests/relay/path_cuts.rs
@@ -6,6 +6,7 @@
 use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::RunKind;
 use ferry_platform::entries::encode_upstream;
+use ferry_platform::headers::IDLE_TIME_HEADER;
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_rig::{LinkProxy, PartitionScope};
 use ferry_router::relay::RelayDaemon;
@@ -291,6 +292,25 @@
     fleet.check_served(1, "/chats/").await;
 }
 
+/// Guards against a stated number that ends the task of a caller's connection where the answer comes by way of another router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_is_cut_off_answers_whatever_idle_timeout_is_stated() {
+    let longest = IDLE_TIME_HEADER.stating("9223372036854775807");
+    let plan = ReplicaPlan {
+        headers: longest.into_iter().collect(),
+        ..plan()
+    };
+    let fleet = CutDeployment::start_cut(
+        &["zone-a", "zone-b", "zone-c"],
+        4,
+        &plan,
+        "/orders/",
+        cut(1, 4, PartitionScope::All),
+    )
+    .await;
+    fleet.check_served(1, "/orders/").await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_path_is_used_again_soon_after_a_cut() {
     let fleet = CutDeployment::start_cut(
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -10,8 +10,8 @@
 use ferry_platform::headers::{AnswerHeaders, BoundRequest, LoadFacts};
 use futures::stream;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -72,6 +72,8 @@
     pub wrong_attempt: bool,
     /// Models that requests may name; another one is refused as misdirected. Any if empty.
     pub models: Vec<String>,
+    /// Headers of all answers besides the usual ones, each in place of one of the same name.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
 }
 
 impl Default for ReplicaPlan {
@@ -94,11 +96,19 @@
             confidence: None,
             wrong_attempt: false,
             models: Vec::new(),
+            headers: Vec::new(),
         }
     }
 }
 
 impl ReplicaPlan {
+    /// Adds the plan's own headers to those of an answer.
+    fn write_headers(&self, headers: &mut HeaderMap) {
+        for (name, value) in &self.headers {
+            headers.insert(name, value.clone());
+        }
+    }
+
     /// Whether the upstream has the model that `request` names, if it names one.
     fn knows(&self, request: &BoundRequest) -> bool {
         let named = request.model.as_ref();
@@ -217,6 +227,7 @@
             ..self.answer_headers(bound, plan)
         };
         headers.write(response.headers_mut());
+        plan.write_headers(response.headers_mut());
         response
     }
 
@@ -246,6 +257,7 @@
             headers.attempt_id.push('x');
         }
         headers.write(response.headers_mut());
+        plan.write_headers(response.headers_mut());
         plan.framing.apply(response)
     }
 
