Keep the counts that upstreams state within a range

An upstream that states 4294967295,4294967295,8 as its load runs and queues some 8.6e9 requests; their sum was taken in 32 bits. In a release build it wraps round, so that such an upstream looks as good as idle; in a debug build it ends the task of the caller's connection.

The sums of UpstreamLoad hold the largest number in place of wrapping, since other builds and the own interface state loads too.

--- a/crates/decisions/src/choice/upstream_view.rs
+++ b/crates/decisions/src/choice/upstream_view.rs
@@ -73,8 +73,8 @@
     }
 
     fn share(&self, count: u32) -> f64 {
-        let total = self.lower + self.same + self.higher;
-        f64::from(count) / f64::from(total.max(1))
+        let total = f64::from(self.lower) + f64::from(self.same) + f64::from(self.higher);
+        f64::from(count) / total.max(1.0)
     }
 }
 
@@ -114,13 +114,17 @@
     /// Estimated number of requests on the upstream now: reported requests that no router knew of
     /// at the time of the report, plus those that the routers have in flight now.
     pub fn corrected(&self) -> u32 {
-        let known = self.own_at_report + self.peers_at_report;
-        self.reported().saturating_sub(known) + self.own_in_flight + self.peers_in_flight
+        let known = self.own_at_report.saturating_add(self.peers_at_report);
+        let unknown = self.reported().saturating_sub(known);
+        unknown
+            .saturating_add(self.own_in_flight)
+            .saturating_add(self.peers_in_flight)
     }
 
     /// Number of requests in the last report, uncorrected; 0 before the first report.
     pub fn reported(&self) -> u32 {
-        self.report.map_or(0, |r| r.running + r.queued)
+        self.report
+            .map_or(0, |r| r.running.saturating_add(r.queued))
     }
 
     /// Capacity of the batch, in requests; at least 1.
--- a/crates/decisions/tests/choice.rs
+++ b/crates/decisions/tests/choice.rs
@@ -228,3 +228,28 @@
     let views = views(&hosts, &zone, &[slow, load(9, 0, 0), load(0, 0, 0)]);
     assert_eq!(UpstreamChoice::default().cheapest(&views, &query), Ok(1));
 }
+
+proptest! {
+    /// Guards against a full upstream that looks idle, since the requests that it states don't fit into their type when added.
+    #[test]
+    fn a_load_is_no_smaller_than_any_part_that_is_stated(
+        running in any_count(),
+        queued in any_count(),
+        batch_limit in any_count(),
+        own_in_flight in 0_u32..100,
+    ) {
+        let load = UpstreamLoad {
+            own_in_flight,
+            report: Some(ReportedLoad { running, queued, batch_limit, ..ReportedLoad::default() }),
+            ..UpstreamLoad::default()
+        };
+        prop_assert!(load.reported() >= running.max(queued));
+        prop_assert!(load.corrected() >= running.max(queued));
+        prop_assert!(load.cost().is_finite() && load.cost() >= 0.0);
+    }
+}
+
+/// Counts of all sizes, the largest and their neighbours among them.
+fn any_count() -> impl Strategy<Value = u32> {
+    prop_oneof![0_u32..100, any::<u32>(), (u32::MAX - 2)..=u32::MAX]
+}
