--- a/crates/decisions/src/admission/deadline_admission.rs
+++ b/crates/decisions/src/admission/deadline_admission.rs
@@ -4,6 +4,7 @@
 
 use super::{AdmissionConfig, FairStanding, PriorityClass, ServiceEstimate};
 use crate::choice::{UpstreamLoad, UpstreamView};
+use crate::time::nearest_span;
 
 /// Largest random fraction added to a Retry-After time, so that callers do not retry together.
 const RETRY_JITTER: f64 = 0.25;
@@ -148,11 +149,10 @@
     }
     let rounds = (load.waiting_ahead() + 1.0) / f64::from(slots);
     let left = (1.0 - query.higher_rank_share).max(MIN_SHARE_LEFT);
-    mean.mul_f64(rounds / left)
+    nearest_span(mean.as_secs_f64() * rounds / left)
 }
 
 /// Lengthens `time` by the fraction `point` of [`RETRY_JITTER`]; at least [`MIN_RETRY_AFTER`].
 fn with_jitter(time: Duration, point: f64) -> Duration {
-    time.mul_f64(1.0 + RETRY_JITTER * point)
-        .max(MIN_RETRY_AFTER)
+    nearest_span(time.as_secs_f64() * (1.0 + RETRY_JITTER * point)).max(MIN_RETRY_AFTER)
 }
--- a/crates/decisions/src/admission/service_estimate.rs
+++ b/crates/decisions/src/admission/service_estimate.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::{AdmissionConfig, DecayingHistogram, PriorityClass};
+use crate::time::nearest_span;
 
 /// Time that a request needs once it runs in a batch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,7 +65,7 @@
         let quantile = quantile_of(own).or_else(|| quantile_of(&self.all))?;
         let bound = query.most_steps.map_or(f64::INFINITY, f64::from);
         let age = own.newest_age(now).or_else(|| self.all.newest_age(now))?;
-        let duration = |steps: f64| Duration::from_secs_f64(steps * query.step_ms / 1_000.0);
+        let duration = |steps: f64| nearest_span(steps * query.step_ms / 1_000.0);
         Some(ServiceEstimate {
             mean: duration(self.all.mean()?),
             quantile: duration(quantile.min(bound)),
--- a/crates/decisions/src/time.rs
+++ b/crates/decisions/src/time.rs
@@ -42,6 +42,14 @@
     }
 }
 
+/// `seconds` as a span of time: the longest one where it is too large or not a number, none where it is negative.
+pub fn nearest_span(seconds: f64) -> Duration {
+    match seconds <= 0.0 {
+        true => Duration::ZERO,
+        false => Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX),
+    }
+}
+
 /// Microseconds of `span`, limited to the maximum of an `i64`.
 fn micros(span: Duration) -> i64 {
     i64::try_from(span.as_micros()).unwrap_or(i64::MAX)
--- a/crates/decisions/tests/admission.rs
+++ b/crates/decisions/tests/admission.rs
@@ -128,6 +128,44 @@
     }
 }
 
+/// Step durations of all sizes, the largest and smallest among them.
+fn any_step_ms() -> impl Strategy<Value = f64> {
+    let extremes = [0.0, -1.0, f64::MIN_POSITIVE, 1e18, 1e19, 1e300, f64::MAX];
+    prop_oneof![0.1..100.0_f64, prop::sample::select(extremes.to_vec())]
+}
+
+proptest! {
+    /// Guards against a step duration that an engine states and that no clock can hold.
+    #[test]
+    fn a_step_duration_of_any_size_gives_a_decision(
+        step_ms in any_step_ms(),
+        steps in prop_oneof![1_u32..1_000, Just(u32::MAX)],
+        queued in prop_oneof![0_u32..100, Just(u32::MAX)],
+        higher_rank_share in 0.0..=1.0_f64,
+    ) {
+        let config = AdmissionConfig::default();
+        let mut history = ServiceHistory::default();
+        for _ in 0..20 {
+            history.record(Duration::ZERO, PriorityClass::Normal, steps);
+        }
+        let load = UpstreamLoad {
+            report: Some(ReportedLoad { running: 10, queued, batch_limit: 1, queue_limit: 100, step_ms }),
+            ..UpstreamLoad::default()
+        };
+        let service = history.estimate(Duration::ZERO, &config, &service_query(load.step_ms(), None));
+        prop_assert!(service.is_some());
+        let decided = DeadlineAdmission::default().decide(&AdmissionQuery {
+            service,
+            load,
+            higher_rank_share,
+            ..query(0, 3_000)
+        });
+        if step_ms >= 1e18 {
+            prop_assert!(decided.is_err());
+        }
+    }
+}
+
 #[test]
 fn a_request_that_cannot_end_in_time_is_refused_with_the_reason() {
     let admission = DeadlineAdmission::default();
--- a/crates/standin/src/engine/engine_state.rs
+++ b/crates/standin/src/engine/engine_state.rs
@@ -203,6 +203,11 @@
         self.options.step.mul_f64(factor)
     }
 
+    fn stated_step_ms(&self) -> f64 {
+        let real = self.step_time().as_secs_f64() * 1_000.0;
+        self.gate.order().stated_step_ms.unwrap_or(real)
+    }
+
     fn sample(&self) -> LoadReport {
         let batch = self.batch.lock();
         LoadReport {
@@ -210,7 +215,7 @@
             queued: batch.queued() as u32,
             batch_limit: self.options.batch_limit as u32,
             queue_limit: self.options.queue_limit as u32,
-            step_ms: self.step_time().as_secs_f64() * 1_000.0,
+            step_ms: self.stated_step_ms(),
             leaving: self.is_leaving(),
             age_ms: 0,
         }
--- a/crates/standin/src/faults/fault_order.rs
+++ b/crates/standin/src/faults/fault_order.rs
@@ -26,6 +26,8 @@
         pub break_streams_after: Option<u64>,
         /// Factor by which the duration of engine steps is multiplied; engines only.
         pub step_factor: Option<f64>,
+        /// Step duration that load reports state in place of the real one, in milliseconds, which may be any number; engines only.
+        pub stated_step_ms: Option<f64>,
         /// Fraction of the answers, from 0 to 1, that contain the marker of a bad answer; engines
         /// only.
         pub bad_answers: Option<f64>,
@@ -137,6 +139,7 @@
                 is_engine,
             ),
             ("step_factor", self.step_factor.is_some(), is_engine),
+            ("stated_step_ms", self.stated_step_ms.is_some(), is_engine),
             ("bad_answers", self.bad_answers.is_some(), is_engine),
         ];
         if let Some((fault, ..)) = availability
--- a/tests/fleet/admission.rs
+++ b/tests/fleet/admission.rs
@@ -6,8 +6,10 @@
     ObjectKey, ObjectKind, ObjectSpec, RateLimit, WorkspaceSpec, key_digest,
 };
 use ferry_decisions::labels::LabelSet;
-use ferry_rig::{ChatCall, ChatResult, FleetRig, RigClient};
+use ferry_rig::{ChatCall, ChatResult, FleetRig, RigClient, eventually};
 use futures::future::join_all;
+use hyper::Method;
+use serde_json::json;
 use tokio::time::timeout;
 
 use crate::sample::{client, fleet};
@@ -87,3 +89,37 @@
     }
     assert!(refused > 0, "no request was refused for its deadline");
 }
+
+/// Guards against a step duration in a load report that ends the task of each request to its engine, which then gets no answer.
+#[tokio::test]
+async fn a_step_duration_of_any_size_costs_no_request_its_answer() {
+    let rig = fleet(1).await;
+    let address = rig.callers(0);
+    let call = ChatCall::new("small-1", "Text").tokens(200);
+    let caller = client();
+    let warm_up = (0..40).map(|_| caller.chat(&address, &call));
+    for result in join_all(warm_up).await {
+        result.answer();
+    }
+    for engine in &rig.engines {
+        let engine = engine.process.address("listening");
+        let stated = json!({ "stated_step_ms": 1e300 });
+        rig.order(&engine, Method::PUT, "/standin/faults", &stated)
+            .await;
+    }
+    // Once the router has read the reports, the answer would come too late.
+    let refused = eventually("the router reads the load reports", || async {
+        match timeout(REFUSAL_TIMEOUT, caller.chat(&address, &call)).await {
+            Ok(ChatResult::Answered(_)) => None,
+            result => Some(result.unwrap()),
+        }
+    })
+    .await;
+    match refused {
+        ChatResult::Refused(refusal) => {
+            assert_eq!(refusal.kind(), "deadline_too_near");
+            assert_eq!(refusal.run, "not_run");
+        }
+        other => panic!("{other:?}"),
+    }
+}
