Refuse with a time below the lowest limit of a workspace

Found by the test of numbers of all sizes.

Change: time_to_fall uses nearest_span. Test, failing before (1 of 1): a_limit_of_any_size_refuses_with_a_time; passes.

--- a/crates/decisions/src/limits/pooled_demand.rs
+++ b/crates/decisions/src/limits/pooled_demand.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::names::Incarnation;
+use crate::time::nearest_span;
 
 /// Maximum number of router incarnations to keep counts of; beyond it, the one whose last report is
 /// oldest is removed.
@@ -94,7 +95,7 @@
 
     /// Time in which the estimate falls from `rate` to `target` if no more requests are offered.
     pub fn time_to_fall(&self, rate: f64, target: f64) -> Duration {
-        self.window.mul_f64((rate / target).ln().max(0.0))
+        nearest_span(self.window.as_secs_f64() * (rate / target).ln())
     }
 
     fn add(&mut self, now: Duration, amount: u64) {
--- a/crates/decisions/tests/limits.rs
+++ b/crates/decisions/tests/limits.rs
@@ -127,3 +127,20 @@
     assert!(limit.fraction(Duration::ZERO) < 1.0);
     assert_eq!(limit.fraction(Duration::from_secs(10)), 1.0);
 }
+
+/// Guards against a limit so low that the time until the demand is within it does not fit on the clock.
+#[test]
+fn a_limit_of_any_size_refuses_with_a_time() {
+    for rate in [f64::from_bits(1), f64::MIN_POSITIVE, 1e-300, 1e-9, f64::MAX] {
+        let config = LimitConfig {
+            rate,
+            burst: 1.0,
+            count_delay_ms: u64::MAX,
+        };
+        let mut limit = PooledLimit::new(config, Duration::ZERO);
+        for number in 0..100 {
+            // Either verdict is one.
+            let _ = limit.offer(Duration::from_millis(number));
+        }
+    }
+}
