Bill any number of tokens at no lower a price, on the own interface

An engine's answer may state any number of tokens; tokens x price and its sums were taken in 64 bits. In a release build they wrap round, so that the bill is too low; in a debug build the run ends, and the caller gets a 502 in place of its answer.

Change: TokenPrice works the price out in 128 bits and gives the largest that a bill holds if it is larger; sums over stages hold the largest number.

--- a/crates/decisions/tests/bills.rs
+++ b/crates/decisions/tests/bills.rs
@@ -5,7 +5,7 @@
 
 use ferry_decisions::bill::{
     BILL_WINDOW_MS, BillAnomaly, BillBatch, BillDecision, BillEntry, BillFold, BillOutcome,
-    BillStep, LedgerCheckpoint, LedgerReport, WorkspaceTotal,
+    BillStep, LedgerCheckpoint, LedgerReport, TokenPrice, WorkspaceTotal,
 };
 use ferry_decisions::claim::{RequestKey, shard_of};
 use ferry_decisions::names::{HostName, RequestId, VersionName, WorkspaceName};
@@ -201,3 +201,15 @@
     let key = RequestKey::new(&bill(0, 5).workspace, &bill(0, 5).request);
     assert_eq!(fold.billed_at(&key), None);
 }
+
+#[test]
+fn tokens_are_priced_by_the_thousand_and_rounded_up() {
+    let price = TokenPrice {
+        prompt: 100,
+        completion: 1_000,
+    };
+    assert_eq!(price.of(0, 0), 0);
+    assert_eq!(price.of(1_000, 1_000), 1_100);
+    assert_eq!(price.of(1, 0), 1);
+    assert_eq!(price.of(u64::MAX, u64::MAX), u64::MAX);
+}
--- a/crates/router/src/dispatch/run_bill.rs
+++ b/crates/router/src/dispatch/run_bill.rs
@@ -1,6 +1,6 @@
 //! Accumulates the cost of a run and creates its bill.
 
-use ferry_decisions::bill::{BillEntry, BillOutcome};
+use ferry_decisions::bill::{BillEntry, BillOutcome, TokenPrice};
 use ferry_decisions::names::VersionName;
 use ferry_kernel::wall_clock;
 use ferry_platform::engine::TokenUsage;
@@ -8,9 +8,6 @@
 use crate::caller::CallerRequest;
 use crate::core::RouterCore;
 
-/// Number of tokens that a configured price refers to.
-const PRICE_UNIT_TOKENS: u64 = 1_000;
-
 /// Tokens and price of all stages of one run.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RunBill {
@@ -26,15 +23,18 @@
     /// Adds the tokens of one stage at the prices of `version`; only the tokens if the configuration
     /// no longer has the version.
     pub fn add(&mut self, core: &RouterCore, version: &VersionName, usage: TokenUsage) {
-        self.prompt_tokens += usage.prompt_tokens;
-        self.completion_tokens += usage.completion_tokens;
+        let (prompt, completion) = (usage.prompt_tokens, usage.completion_tokens);
+        self.prompt_tokens = self.prompt_tokens.saturating_add(prompt);
+        self.completion_tokens = self.completion_tokens.saturating_add(completion);
         let view = core.config.view();
         let Some(entry) = view.version(version.as_str()) else {
             return;
         };
-        let prompt = usage.prompt_tokens * entry.spec.prompt_price;
-        let completion = usage.completion_tokens * entry.spec.completion_price;
-        self.cost += (prompt + completion).div_ceil(PRICE_UNIT_TOKENS);
+        let price = TokenPrice {
+            prompt: entry.spec.prompt_price,
+            completion: entry.spec.completion_price,
+        };
+        self.cost = self.cost.saturating_add(price.of(prompt, completion));
     }
 
     /// Creates the bill for `request`, answered by `version`.
