Take an answer that ends with its connection for whole only if its process lives

Cause: has_ended said "has not ended", without asking, of an upstream that leaves, has asked for a pause, or whose path is lost, which the first refused connect of the same crash brings about. "Not known" was the same value as "no". On the own interface nobody asked at all for answers of plain services.

Change: ferry_decisions::ends judges an end as whole, broken or unproven. The relay asks by a connection after each unmarked end, whatever the upstream said of itself; where that fails, other routers try to connect. Many ends at once share the checks.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod choice;
 pub mod claim;
 pub mod config;
+pub mod ends;
 pub mod guard;
 mod hash_point;
 pub mod labels;
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -11,6 +11,7 @@
 mod run_answer;
 mod run_bill;
 mod service_call;
+mod service_end;
 mod service_run;
 mod stage_run;
 
--- a/crates/router/src/dispatch/service_call.rs
+++ b/crates/router/src/dispatch/service_call.rs
@@ -1,6 +1,7 @@
 //! Dispatches a call to a plain service.
 
 use bytes::Bytes;
+use ferry_decisions::ends::EndVerdict;
 use ferry_kernel::http::{BodyFraming, HttpRequest, collect_limited};
 use ferry_platform::engine::REQUEST_ID_HEADER;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
@@ -8,6 +9,7 @@
 
 use super::engine_call::is_marked_not_run;
 use super::run_answer::ServiceAnswer;
+use super::service_end::judge_close;
 use super::service_run::ServiceCall;
 use super::{DispatchFailure, engine_call};
 use crate::caller::CallerRequest;
@@ -40,9 +42,15 @@
         .await
         .map_err(|_| DispatchFailure::deadline_passed())?
         .map_err(|error| DispatchFailure::broken_answer(&error.to_string()))?;
+    let framing = BodyFraming::of(&call.method, &head);
+    if framing == BodyFraming::UntilClose && judge_close(guard.host()).await != EndVerdict::Whole {
+        return Err(DispatchFailure::broken_answer(
+            "the answer may have been cut off",
+        ));
+    }
     Ok(ServiceAnswer {
         status: head.status,
-        framing: BodyFraming::of(&call.method, &head),
+        framing,
         headers: content_headers(&head.headers),
         body,
     })
--- a/crates/router/src/relay/paths.rs
+++ b/crates/router/src/relay/paths.rs
@@ -1,6 +1,7 @@
 //! Network paths from this router to the upstreams: which are lost, and the routers through which the upstreams behind a lost path are
 //! reached.
 
+mod end_check;
 mod open_link;
 mod path_keeper;
 mod path_manager;
@@ -11,7 +12,8 @@
 mod tunnel_stream;
 mod upstream_path;
 
-pub use open_link::{DETOUR_WAIT, has_ended, open_link, record_lost_path, record_success};
+pub use end_check::{LastEndCheck, check_process};
+pub use open_link::{DETOUR_WAIT, open_link, record_lost_path, record_success};
 pub use path_manager::PathManager;
 pub use path_message::UpstreamStatement;
 pub use path_query::{answer_message, tell_router};
--- /dev/null
+++ b/crates/router/src/relay/paths/end_check.rs
@@ -0,0 +1,117 @@
+//! Finds out whether the process of an upstream lived on after the end of a connection that marked the end of an answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ferry_decisions::ends::ProcessSign;
+use ferry_decisions::names::HostName;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::open_link::{open_direct, open_unrecorded};
+use super::path_keeper::asked_routers;
+use super::path_message::{ReachProof, ReachQuery};
+use super::path_query::ask_reached;
+use crate::relay::relay_core::SharedCore;
+use crate::relay::upstreams::{LinkLease, RelayUpstream};
+
+/// Time for which a new connection must stay open: a port that is held for a process that has ended may accept it and close it.
+const LASTING_TIME: Duration = Duration::from_millis(20);
+/// Time within which other routers must answer.
+const WITNESS_TIME: Duration = Duration::from_millis(250);
+
+/// A check of an upstream's process.
+#[derive(Debug, Clone, Copy)]
+pub struct EndCheck {
+    begun_at: Instant,
+    sign: ProcessSign,
+}
+
+/// The last check of an upstream, held while the next one runs.
+pub type LastEndCheck = tokio::sync::Mutex<Option<EndCheck>>;
+
+/// What is known of the process of `upstream` now, after an answer ended that came through the router `detour`, or directly.
+///
+/// Ends that wait for a check take the result of one that began after them, so that many ends at once cause few checks.
+pub async fn check_process(
+    core: &SharedCore,
+    upstream: &Arc<RelayUpstream>,
+    detour: Option<&HostName>,
+) -> ProcessSign {
+    let ended_at = Instant::now();
+    let mut last = upstream.last_end_check().lock().await;
+    if let Some(check) = last.filter(|check| check.begun_at > ended_at) {
+        return check.sign;
+    }
+    let begun_at = Instant::now();
+    let sign = find_sign(core, upstream, detour).await;
+    *last = Some(EndCheck { begun_at, sign });
+    sign
+}
+
+/// Connects to `upstream`, whatever it has said of itself; where that fails, asks other routers to, since the path may be at fault.
+async fn find_sign(
+    core: &SharedCore,
+    upstream: &Arc<RelayUpstream>,
+    detour: Option<&HostName>,
+) -> ProcessSign {
+    match own_sign(core, upstream).await {
+        ProcessSign::Accepted => ProcessSign::Accepted,
+        sign => sign.with_witness(has_witness(core, upstream, detour).await),
+    }
+}
+
+/// What a direct connection says of the process; one that stays open is kept for the next request.
+pub async fn own_sign(core: &SharedCore, upstream: &Arc<RelayUpstream>) -> ProcessSign {
+    let opened = match upstream.is_path_lost() {
+        // The probes of a lost path keep their own time.
+        true => open_unrecorded(core, upstream).await,
+        false => open_direct(core, upstream).await,
+    };
+    let link = match opened {
+        Ok(link) => link,
+        Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            return ProcessSign::Refused;
+        }
+        Err(_) => return ProcessSign::Unreached,
+    };
+    sleep(LASTING_TIME).await;
+    if link.sender.is_closed() {
+        return ProcessSign::Unreached;
+    }
+    if upstream.pause_left().is_none() {
+        LinkLease::new(Arc::clone(upstream), link).give_back(None);
+    }
+    ProcessSign::Accepted
+}
+
+/// Whether another router can connect to `upstream` now; the router `detour` is asked as well.
+async fn has_witness(
+    core: &SharedCore,
+    upstream: &RelayUpstream,
+    detour: Option<&HostName>,
+) -> bool {
+    let mut routers = asked_routers(core, 0);
+    if let Some(detour) = detour.filter(|detour| !routers.contains(detour)) {
+        routers.push(detour.clone());
+    }
+    let asking = routers.iter().map(|router| {
+        let query = ReachQuery {
+            upstreams: vec![upstream.record.incarnation.clone()],
+            proof: ReachProof::NewConnection,
+        };
+        ask_reached(core, router, query)
+    });
+    let mut answers: FuturesUnordered<_> = asking.collect();
+    let witness = async {
+        while let Some(answer) = answers.next().await {
+            if answer.is_ok_and(|reached| reached == [true]) {
+                return true;
+            }
+        }
+        false
+    };
+    // A router that gives no answer in time is no witness.
+    timeout(WITNESS_TIME, witness).await.unwrap_or(false)
+}
--- a/crates/router/src/relay/paths/open_link.rs
+++ b/crates/router/src/relay/paths/open_link.rs
@@ -70,25 +70,39 @@
     None
 }
 
-async fn open_direct(core: &RelayCore, upstream: &RelayUpstream) -> io::Result<UpstreamLink> {
+/// Opens a direct connection to `upstream`, and records whether that worked.
+///
+/// # Errors
+///
+/// As [`connect_direct`].
+pub async fn open_direct(core: &RelayCore, upstream: &RelayUpstream) -> io::Result<UpstreamLink> {
     let opened_at = Instant::now();
     let stream = connect_direct(core, upstream).await?;
     UpstreamLink::over(stream, opened_at, None).await
 }
 
+/// Opens a direct connection to `upstream`; a failure is not recorded.
+///
+/// # Errors
+///
+/// As [`connect_direct`].
+pub async fn open_unrecorded(
+    core: &RelayCore,
+    upstream: &RelayUpstream,
+) -> io::Result<UpstreamLink> {
+    let opened_at = Instant::now();
+    let stream = connect(core, upstream).await?;
+    record_success(core, upstream);
+    UpstreamLink::over(stream, opened_at, None).await
+}
+
 /// Connects to `upstream` directly, and records whether that worked.
 ///
 /// # Errors
 ///
 /// Fails when the connection is refused or cannot be established within the timeout.
 pub async fn connect_direct(core: &RelayCore, upstream: &RelayUpstream) -> io::Result<TcpStream> {
-    let own = core.settings.load().callers.ip();
-    let connecting = connect_from(own, upstream.record.address);
-    let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(stream) => stream,
-        Err(_) => Err(ErrorKind::TimedOut.into()),
-    };
-    let stream = stream.and_then(|stream| set_dead_peer_timeouts(&stream).map(|()| stream));
+    let stream = connect(core, upstream).await;
     match &stream {
         Ok(_) => record_success(core, upstream),
         Err(error) => {
@@ -101,6 +115,17 @@
     stream
 }
 
+async fn connect(core: &RelayCore, upstream: &RelayUpstream) -> io::Result<TcpStream> {
+    let own = core.settings.load().callers.ip();
+    let connecting = connect_from(own, upstream.record.address);
+    let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(stream) => stream?,
+        Err(_) => return Err(ErrorKind::TimedOut.into()),
+    };
+    set_dead_peer_timeouts(&stream)?;
+    Ok(stream)
+}
+
 /// Records that an open connection to `upstream` was lost with its path, or with the router `detour` through which it went.
 pub fn record_lost_path(core: &RelayCore, upstream: &RelayUpstream, detour: Option<&HostName>) {
     match detour {
@@ -114,22 +139,6 @@
     core.paths.report_loss();
 }
 
-/// Whether the process of `upstream` has ended, so that it refuses connections, although its entry does not say so yet.
-///
-/// Opens a connection in place of the one that ended with an answer, and keeps it for the next request.
-pub async fn has_ended(core: &RelayCore, upstream: &Arc<RelayUpstream>) -> bool {
-    if upstream.is_leaving() || upstream.pause_left().is_some() || upstream.is_path_lost() {
-        return false;
-    }
-    match open_direct(core, upstream).await {
-        Ok(link) => {
-            LinkLease::new(Arc::clone(upstream), link).give_back(None);
-            false
-        }
-        Err(error) => error.kind() == ErrorKind::ConnectionRefused,
-    }
-}
-
 /// Connects to `upstream` directly, and keeps the connection for the next request; returns whether that worked.
 pub async fn probe(core: &RelayCore, upstream: &Arc<RelayUpstream>) -> bool {
     match open_direct(core, upstream).await {
--- a/crates/router/src/relay/paths/path_query.rs
+++ b/crates/router/src/relay/paths/path_query.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::ends::ProcessSign;
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::UpstreamIncarnation;
 use futures::future::join_all;
 
+use super::end_check::own_sign;
 use super::open_link::probe;
 use super::path_message::{PathAnswer, PathMessage, ReachProof, ReachQuery, UpstreamStatement};
 use crate::peer::{PeerError, PeerMessage, PeerTopic};
@@ -94,14 +96,15 @@
     let Some(upstream) = find_upstream(core, incarnation) else {
         return false;
     };
-    if upstream.is_leaving() || upstream.is_path_lost() {
+    if upstream.is_path_lost() {
         return false;
     }
-    let is_recent = proof == ReachProof::Recent;
-    if is_recent && upstream.was_heard_within(HEARD_AGE, core.clock.now()) {
-        return true;
+    match proof {
+        ReachProof::Recent if upstream.is_leaving() => false,
+        ReachProof::Recent if upstream.was_heard_within(HEARD_AGE, core.clock.now()) => true,
+        ReachProof::Recent => probe(core, &upstream).await,
+        ReachProof::NewConnection => own_sign(core, &upstream).await == ProcessSign::Accepted,
     }
-    probe(core, &upstream).await
 }
 
 fn note(core: &RelayCore, statement: &UpstreamStatement) {
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -2,6 +2,7 @@
 
 mod answer_delivery;
 mod body_type;
+mod end_judgement;
 mod event_forwarder;
 mod planned_send;
 mod relay_run;
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::ends::{AnswerEnd, EndPlace, EndVerdict};
 use ferry_decisions::quarantine::AnswerProof;
 use ferry_decisions::retry::UpstreamFailure;
 use ferry_decisions::ruleset::RunKind;
@@ -11,9 +12,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::RelayRun;
+use super::end_judgement::{EndedAnswer, end_mark};
 use super::planned_send::PlannedSend;
 use super::upstream_send::{SendFailure, UpstreamAnswer};
-use crate::relay::paths::{has_ended, record_lost_path};
+use crate::relay::paths::record_lost_path;
 use crate::relay::request::{RefusalReason, RelayRefusal};
 use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
@@ -53,7 +55,7 @@
 enum ForwardStep {
     Events(Bytes),
     End,
-    /// The end of a connection, which proves nothing, in an answer that can only be ended as complete.
+    /// An end that doesn't prove that the stream is complete, and mustn't look as if it did.
     UnprovenEnd,
     Broken(String),
     /// The upstream completed no event for longer than `silence_limit`.
@@ -169,23 +171,32 @@
         let Some(answer) = &self.answer else {
             return ForwardStep::End;
         };
-        self.run
-            .log_end(answer.framing, self.splitter.is_inside_event(), self.pieces);
-        if answer.body_type().may_be_events() && self.splitter.is_inside_event() {
-            return ForwardStep::Broken("the stream ended inside an event".to_owned());
-        }
-        if answer.framing == BodyFraming::Delimited {
-            return ForwardStep::End;
-        }
-        if !self.has_sent_events && answer.body_type().may_be_events() {
-            return ForwardStep::Broken("the stream ended before its first event".to_owned());
-        }
-        if has_ended(&self.run.core, &answer.upstream).await {
-            return ForwardStep::Broken("the upstream ended".to_owned());
+        let ended = EndedAnswer {
+            end: AnswerEnd {
+                mark: end_mark(answer.framing),
+                place: self.end_place(answer),
+            },
+            upstream: &answer.upstream,
+            detour: answer.lease.detour(),
+            pieces: self.pieces,
+        };
+        match self.run.judge_end(&ended).await {
+            EndVerdict::Broken => ForwardStep::Broken(ended.end.place.break_reason().to_owned()),
+            EndVerdict::Unproven => ForwardStep::UnprovenEnd,
+            // Nobody can vouch for the end of an answer that its upstream did not mark.
+            EndVerdict::Whole if answer.framing != self.framing => match self.framing {
+                BodyFraming::Delimited => ForwardStep::UnprovenEnd,
+                BodyFraming::UntilClose => ForwardStep::End,
+            },
+            EndVerdict::Whole => ForwardStep::End,
         }
-        match self.framing {
-            BodyFraming::Delimited => ForwardStep::UnprovenEnd,
-            BodyFraming::UntilClose => ForwardStep::End,
+    }
+
+    fn end_place(&self, answer: &UpstreamAnswer) -> EndPlace {
+        match answer.body_type().may_be_events() {
+            true if self.splitter.is_inside_event() => EndPlace::InsideEvent,
+            true if !self.has_sent_events => EndPlace::BeforeEvents,
+            _ => EndPlace::Boundary,
         }
     }
 
--- a/crates/router/src/relay/run/run_evidence.rs
+++ b/crates/router/src/relay/run/run_evidence.rs
@@ -43,22 +43,6 @@
         });
     }
 
-    /// Logs the end of an answer that may have been cut off.
-    ///
-    /// `pieces` is the number of pieces of a stream that this answer gave.
-    pub(super) fn log_end(&self, framing: BodyFraming, is_inside_event: bool, pieces: u32) {
-        if framing == BodyFraming::Delimited && !is_inside_event {
-            return;
-        }
-        spdlog::info!("answer ended without proof that it is complete", kv: {
-            request_id = self.request.id.as_str(),
-            upstream = self.record.upstream.as_str(),
-            framing = framing.name(),
-            inside_event = is_inside_event,
-            pieces = pieces,
-        });
-    }
-
     /// Records a failure of the upstream as evidence about its version.
     pub fn record_version_failure(&mut self, upstream: &RelayUpstream) {
         self.record_sign(upstream, AnswerSign::Failure);
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -4,18 +4,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::ends::{AnswerEnd, EndPlace, EndVerdict};
 use ferry_decisions::names::{ModelName, WorkspaceName};
 use ferry_decisions::retry::{RunState, UpstreamFailure};
-use ferry_kernel::http::{BodyError, BodyFraming};
+use ferry_kernel::http::BodyError;
 use ferry_platform::headers::{ForwardFacts, forward_headers, named_model, set_resume_point};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
 use super::RelayRun;
+use super::end_judgement::{EndedAnswer, end_mark};
 use super::planned_send::PlannedSend;
 use super::relay_run::RunAnswer;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer, send};
-use crate::relay::paths::{has_ended, record_lost_path, record_success};
+use crate::relay::paths::{record_lost_path, record_success};
 use crate::relay::rollouts::AnswerSign;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -26,6 +28,14 @@
 /// Latency ratio that is recorded for a failed send that may have run.
 const FAILURE_LATENCY_RATIO: f64 = 6.0;
 
+/// Why a body is not delivered.
+enum BodyLoss {
+    /// It broke off, or is longer than the limit.
+    Broken(BodyError),
+    /// It may have been cut off; nobody is to blame.
+    Unproven,
+}
+
 impl RelayRun {
     /// Makes the send `planned`; with `last_event`, asks the upstream to resume the stream after that event.
     ///
@@ -191,7 +201,16 @@
             upstream,
             in_flight,
         } = answer;
-        match self.collect_body(&upstream, framing, body).await {
+        let ended = EndedAnswer {
+            end: AnswerEnd {
+                mark: end_mark(framing),
+                place: EndPlace::Boundary,
+            },
+            upstream: &upstream,
+            detour: lease.detour(),
+            pieces: 0,
+        };
+        match self.collect_body(&ended, body).await {
             Ok(body) => {
                 in_flight.record_end();
                 if keeps_link {
@@ -203,7 +222,10 @@
                 }
                 Ok(RunAnswer::Whole(Box::new(head), framing, body))
             }
-            Err(error) => {
+            Err(BodyLoss::Unproven) => {
+                Err(SendFailure::without_answer(UpstreamFailure::BrokenInAnswer))
+            }
+            Err(BodyLoss::Broken(error)) => {
                 spdlog::debug!(
                     "the answer of upstream {} was not read to its end: {}",
                     upstream.id(),
@@ -220,18 +242,24 @@
         }
     }
 
-    /// Reads a body to its end; the end of a connection is no end if the upstream has ended with it.
+    /// Reads a body to its end, and judges the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is too long, breaks off, or may have been cut off.
     async fn collect_body(
         &self,
-        upstream: &Arc<RelayUpstream>,
-        framing: BodyFraming,
+        answer: &EndedAnswer<'_>,
         body: Incoming,
-    ) -> Result<Bytes, BodyError> {
-        let body = self.core.answer_budget.collect(body).await?;
-        self.log_end(framing, false, 0);
-        if framing == BodyFraming::UntilClose && has_ended(&self.core, upstream).await {
-            return Err(BodyError::Truncated("the upstream ended".to_owned()));
+    ) -> Result<Bytes, BodyLoss> {
+        let body = self.core.answer_budget.collect(body).await;
+        let body = body.map_err(BodyLoss::Broken)?;
+        match self.judge_end(answer).await {
+            EndVerdict::Whole => Ok(body),
+            EndVerdict::Broken => Err(BodyLoss::Broken(BodyError::Truncated(
+                answer.end.place.break_reason().to_owned(),
+            ))),
+            EndVerdict::Unproven => Err(BodyLoss::Unproven),
         }
-        Ok(body)
     }
 }
--- a/crates/router/src/relay/upstreams/relay_upstream.rs
+++ b/crates/router/src/relay/upstreams/relay_upstream.rs
@@ -16,7 +16,7 @@
 use super::unproven_ends::UnprovenEnds;
 use super::{UnprovenEnd, UpstreamLink};
 use crate::relay::confirmation_time::ConfirmationTime;
-use crate::relay::paths::UpstreamPath;
+use crate::relay::paths::{LastEndCheck, UpstreamPath};
 use crate::relay::permits::SendPermit;
 
 /// Time for which an upstream that broke or refused a connection gets no new requests while others
@@ -53,6 +53,7 @@
     path: Mutex<UpstreamPath>,
     /// Whether it is being checked whether it survived the break of a connection.
     is_checked: AtomicBool,
+    last_end_check: LastEndCheck,
     unproven_ends: Mutex<UnprovenEnds>,
     /// Whether `unproven_ends` holds any; spares each piece of a stream the lock.
     has_unproven_ends: AtomicBool,
@@ -120,6 +121,7 @@
             idle: Mutex::default(),
             path: Mutex::default(),
             is_checked: AtomicBool::new(false),
+            last_end_check: LastEndCheck::default(),
             unproven_ends: Mutex::default(),
             has_unproven_ends: AtomicBool::new(false),
         }
@@ -348,6 +350,11 @@
         self.path.lock().is_unconfirmed(span, now)
     }
 
+    /// The last check whether its process lives.
+    pub fn last_end_check(&self) -> &LastEndCheck {
+        &self.last_end_check
+    }
+
     /// Holds the end of an answer until it is known whether the upstream lived on.
     pub fn hold_end(&self, end: UnprovenEnd) {
         self.unproven_ends.lock().add(end);
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod failures;
 mod feeds;
 mod fleet_storm;
+mod held_replica;
 mod histories;
 mod last_keys;
 mod late_answers;
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -8,7 +8,7 @@
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::headers::AnswerHeaders;
 use ferry_platform::store::UPSTREAM_TOPIC;
-use ferry_rig::{RawBytes, call_raw};
+use ferry_rig::{RawBytes, call_raw, fixture_headers, fixture_request};
 use ferry_router::relay::RelayDaemon;
 pub use ferry_standin::raw_http::{header_lines, read_request};
 use hyper::HeaderMap;
@@ -16,7 +16,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::deployment::{Deployment, SERVICE, loopback, request};
+use crate::deployment::{Deployment, SERVICE, loopback};
 
 /// End of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -155,7 +155,8 @@
     format!("HTTP/1.1 200 OK\r\n{}", header_lines(&headers))
 }
 
-fn raw_record(id: &str, address: SocketAddr) -> UpstreamRecord {
+/// Entry of an upstream with id `id` at `address`.
+pub fn raw_record(id: &str, address: SocketAddr) -> UpstreamRecord {
     UpstreamRecord {
         incarnation: UpstreamIncarnation {
             id: id.into(),
@@ -233,7 +234,13 @@
 
 /// Sends a request on a connection of its own, and reads its answer until the connection ends.
 pub async fn read_raw(relay: &RelayDaemon, path: &str, attempt_id: &str) -> RawAnswer {
-    let answer = call_raw(request(relay, path, attempt_id), "HTTP/1.1").await;
+    read_raw_at(relay.callers_address(), path, attempt_id).await
+}
+
+/// Sends a request to the relay at `callers` on a connection of its own, and reads its answer until the connection ends.
+pub async fn read_raw_at(callers: SocketAddr, path: &str, attempt_id: &str) -> RawAnswer {
+    let request = fixture_request(callers, path, &fixture_headers(attempt_id));
+    let answer = call_raw(request, "HTTP/1.1").await;
     let RawBytes {
         mut bytes,
         was_reset,
@@ -256,6 +263,13 @@
         self.head.split(' ').nth(1) == Some("200")
     }
 
+    /// Whether a caller takes it for a success with its whole body.
+    pub fn looks_complete(&self) -> bool {
+        let is_unframed =
+            !self.head.contains("transfer-encoding") && !self.head.contains("content-length");
+        self.is_success() && (self.is_framed_as_complete() || is_unframed && !self.was_reset)
+    }
+
     /// Whether the length or the last chunk says that the body is complete.
     pub fn is_framed_as_complete(&self) -> bool {
         if self.head.contains("transfer-encoding: chunked") {
--- a/crates/router/tests/relay/unframed.rs
+++ b/crates/router/tests/relay/unframed.rs
@@ -1,13 +1,21 @@
 //! Answers that end with their connection: without framing, or in the middle.
 
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
+use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::RunKind;
+use ferry_rig::{LinkProxy, PartitionScope};
+use ferry_router::relay::RelayDaemon;
 use ferry_standin::ReplicaPlan;
 use hyper::StatusCode;
+use tokio::task::JoinHandle;
 
 use crate::deployment::{Deployment, call, eventually, request, rule};
-use crate::raw_replica::{RawEnd, RawFraming, RawPlan, read_raw, start_raw_replica};
+use crate::held_replica::{HeldAnswer, HeldReplica};
+use crate::raw_replica::{
+    RawAnswer, RawEnd, RawFraming, RawPlan, read_raw, read_raw_at, start_raw_replica,
+};
 
 const WHOLE: &str = "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n";
 const INSIDE_AN_EVENT: &str = "id: 1\ndata: part 1\n\nid: 2\nda";
@@ -153,3 +161,154 @@
     })
     .await;
 }
+
+/// Answers of each kind that an upstream sends when it ends.
+const HELD_PER_KIND: usize = 4;
+/// Number of upstream connections that these take.
+const HELD: usize = HELD_PER_KIND * KINDS.len();
+
+/// What a router learns of an upstream before the upstream ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Notice {
+    /// Nothing.
+    None,
+    /// Its entry says that it is draining.
+    Draining,
+    /// It says in an answer that it is leaving.
+    Leaving,
+    /// It asks for a pause.
+    Pause,
+}
+
+/// Sends requests of all kinds to `relay`, and waits until `replica` has begun to answer each.
+async fn hold_answers(relay: &RelayDaemon, replica: &HeldReplica) -> Vec<JoinHandle<RawAnswer>> {
+    let begun = replica.begun();
+    let mut answers = Vec::new();
+    for number in 0..HELD_PER_KIND {
+        for (prefix, _) in KINDS {
+            let callers = relay.callers_address();
+            let path = format!("{prefix}{number}");
+            let answer = async move { read_raw_at(callers, &path, "a").await };
+            answers.push(tokio::spawn(answer));
+        }
+    }
+    eventually("all answers have begun", async || {
+        replica.begun() == begun + HELD
+    })
+    .await;
+    answers
+}
+
+/// Answers that look complete to their callers.
+async fn complete_answers(answers: Vec<JoinHandle<RawAnswer>>) -> Vec<RawAnswer> {
+    let mut complete = Vec::new();
+    for answer in answers {
+        let answer = answer.await.unwrap();
+        if answer.looks_complete() {
+            complete.push(answer);
+        }
+    }
+    complete
+}
+
+/// Lets `replica` give `notice`, and waits until `relay` has taken note of it.
+async fn give_notice(
+    deployment: &Deployment,
+    relay: &RelayDaemon,
+    replica: &HeldReplica,
+    notice: Notice,
+) {
+    match notice {
+        Notice::None => return,
+        Notice::Draining => replica.register(deployment, UpstreamStage::Draining, 2),
+        Notice::Leaving => replica.answer_with(HeldAnswer::Leaving),
+        Notice::Pause => replica.answer_with(HeldAnswer::Pause),
+    }
+    if notice != Notice::Draining {
+        let answer = call(request(relay, "/notes/notice", "notice")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    eventually("the router takes note", async || {
+        let status = relay.status();
+        let mut services = status.services.iter();
+        services.any(|service| service.leaving + service.paused == 1)
+    })
+    .await;
+}
+
+/// Guards against an answer that ends with its upstream's process and looks complete, since another answer, a notice or a lost path kept the
+/// router from asking whether the process lives.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_of_an_upstream_that_ended_looks_complete() {
+    for notice in [
+        Notice::None,
+        Notice::Draining,
+        Notice::Leaving,
+        Notice::Pause,
+    ] {
+        let deployment = deployment().await;
+        let replica = HeldReplica::start(&deployment, "up-1").await;
+        let relay = deployment.relay().await;
+        let answers = hold_answers(&relay, &replica).await;
+        give_notice(&deployment, &relay, &replica, notice).await;
+        replica.end();
+        let complete = complete_answers(answers).await;
+        assert!(complete.is_empty(), "{notice:?}: {complete:#?}");
+    }
+}
+
+/// The counterpart: what a process that lives on has sent to its end is delivered, whatever it said of itself meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_answer_of_an_upstream_that_lives_on_is_delivered() {
+    for notice in [
+        Notice::None,
+        Notice::Draining,
+        Notice::Leaving,
+        Notice::Pause,
+    ] {
+        let deployment = deployment().await;
+        let replica = HeldReplica::start(&deployment, "up-1").await;
+        let relay = deployment.relay().await;
+        let answers = hold_answers(&relay, &replica).await;
+        give_notice(&deployment, &relay, &replica, notice).await;
+        replica.finish_answers();
+        let complete = complete_answers(answers).await;
+        assert_eq!(complete.len(), HELD, "{notice:?}");
+    }
+}
+
+/// Routers of which the first is partitioned from the upstream, and reaches it through the second.
+async fn cut_routers(deployment: &Deployment, link: &LinkProxy) -> [RelayDaemon; 2] {
+    let address = |number: u8| -> IpAddr { Ipv4Addr::new(127, 0, 0, number).into() };
+    let cut = deployment.relay_at("entry-1", "zone-a", address(111)).await;
+    let other = deployment.relay_at("entry-2", "zone-b", address(112)).await;
+    for relay in [&cut, &other] {
+        eventually("each router lists both", async || {
+            relay.status().relays == 2
+        })
+        .await;
+    }
+    link.partition(address(111), PartitionScope::All).unwrap();
+    [cut, other]
+}
+
+/// The same for answers by way of another router.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_through_another_router_looks_complete_only_if_its_upstream_lives() {
+    for ends in [true, false] {
+        let deployment = deployment().await;
+        let replica = HeldReplica::start(&deployment, "up-1").await;
+        let link = LinkProxy::start(Ipv4Addr::LOCALHOST.into()).await.unwrap();
+        link.set_target(replica.address());
+        replica.register_at(&deployment, link.address, UpstreamStage::Ready, 2);
+        let [cut, _other] = cut_routers(&deployment, &link).await;
+        let answers = hold_answers(&cut, &replica).await;
+        match ends {
+            true => replica.end(),
+            false => replica.finish_answers(),
+        }
+        let complete = complete_answers(answers).await;
+        let expected = if ends { 0 } else { HELD };
+        assert_eq!(complete.len(), expected, "ends: {ends}: {complete:#?}");
+    }
+}
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -35,11 +35,25 @@
     answer.to_ascii_lowercase()
 }
 
-#[tokio::test]
-async fn a_service_answer_without_framing_is_not_framed_as_complete() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+/// Serves until the first answer; then the process ends, and its port with it, before the connections do.
+async fn serve_and_end(listener: TcpListener) {
+    let mut begun = Vec::new();
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4_096];
+        if matches!(stream.read(&mut request).await, Ok(length) if length > 0) {
+            let _ = stream.write_all(ANSWER.as_bytes()).await;
+            begun.push(stream);
+            break;
+        }
+    }
+    drop(listener);
+    drop(begun);
+}
+
+/// Starts a router before a service at `listener`.
+async fn start_fleet(listener: &TcpListener) -> FleetRig {
     let address: SocketAddr = listener.local_addr().unwrap();
-    tokio::spawn(serve(listener));
     let mut rig = FleetRig::start(programs(), &[]).await.unwrap();
     rig.list_host(&HostEntry {
         name: "service-1".into(),
@@ -54,6 +68,14 @@
     rig.add_router().await.unwrap();
     rig.wait_until_ready(1).await;
     rig.publish_everywhere(configuration()).await;
+    rig
+}
+
+#[tokio::test]
+async fn a_service_answer_without_framing_is_not_framed_as_complete() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let rig = start_fleet(&listener).await;
+    tokio::spawn(serve(listener));
     let router = rig.callers(0);
     let answer = eventually("the service answers", || async {
         let answer = read_answer(&router).await;
@@ -63,3 +85,16 @@
     assert!(!answer.contains("content-length"), "{answer}");
     assert!(!answer.contains("chunked"), "{answer}");
 }
+
+/// Guards against an answer that ends with the process of its service and looks complete.
+#[tokio::test]
+async fn an_unframed_answer_of_a_service_that_ended_is_no_success() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let rig = start_fleet(&listener).await;
+    let serving = tokio::spawn(serve_and_end(listener));
+    let answer = read_answer(&rig.callers(0)).await;
+    assert!(!answer.contains("half an ans"), "{answer}");
+    assert!(answer.starts_with("http/1.1 502"), "{answer}");
+    assert!(answer.contains(r#""run":"ran""#), "{answer}");
+    serving.await.unwrap();
+}
