Ask other routers for newer rules before what the store has in a new era is confirmed

Cause: what a router reads first was confirmed at once, whatever the others had in force, and the feed handed on the copy's record. Evidence: the logs of the others show the later revision only; tests with a router that reads the store and with one that syncs from another both fail.

Change: confirmations of the operator's records wait until their era was checked (EraGate): up to eight other routers are asked which revision is in force, and newer rules are fetched from one of them. That is once for each era that a router meets, by messages between routers only.

--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::crash_report::{exchange_with_some, exchange_with_sources, report_to_source};
-use crate::relay::fleet::{read_record, write_body};
+use crate::relay::fleet::{read_record, wait_for_routers, write_body};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{OutageLog, TopicReader};
 
@@ -37,10 +37,6 @@
 const START_FANOUT: usize = 8;
 /// Time for which their answers are waited for.
 const START_TIMEOUT: Duration = Duration::from_millis(600);
-/// Period of the checks whether the store can be read.
-const LIST_CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// Time for which a router that can read the store waits for the list of the routers.
-const LIST_PATIENCE: Duration = Duration::from_secs(2);
 /// Period of the checks for requests whose crashes are long ago.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
 
@@ -79,10 +75,7 @@
 
 /// Asks other routers, after the start, for rows that may not be in the store.
 pub async fn ask_at_start(core: SharedCore) {
-    tokio::select! {
-        () = core.fleet.wait_until_listed() => {}
-        () = wait_without_list(&core) => {}
-    }
+    wait_for_routers(&core).await;
     let asking = exchange_with_sources(&core, START_FANOUT);
     if timeout(START_TIMEOUT, asking).await.is_err() {
         spdlog::info!("not all routers that were asked for crashes at the start answered in time", kv: {
@@ -92,15 +85,6 @@
     core.crashes.record_asked_others();
 }
 
-/// Waits until the routers could not be listed for a while although the store can be read.
-async fn wait_without_list(core: &SharedCore) {
-    while core.operator_topic.position().is_none() {
-        sleep(LIST_CHECK_PERIOD).await;
-    }
-    sleep(LIST_PATIENCE).await;
-    spdlog::warn!("the routers could not be listed; none was asked for crashes at the start");
-}
-
 /// Stores the rows of this router and of those that sync from it, until the relay closes.
 pub async fn publish(core: SharedCore) {
     let mut outages = OutageLog::new(
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -20,6 +20,7 @@
 
 pub use feed_message::{EvidenceRecord, OngoingCount, PooledRollout, TopicPositions};
 pub use feed_source::FeedSource;
+pub use fleet_join::wait_for_routers;
 pub use fleet_manager::FleetManager;
 pub use peer_body::{read as read_body, read_record, write as write_body};
 
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -18,6 +18,7 @@
 use crate::relay::permits::{self, LimitNews};
 use crate::relay::relay_core::SharedCore;
 use crate::relay::rollouts;
+use crate::relay::watch;
 
 /// Size from which on an answer is logged, in bytes.
 const LOGGED_BYTES: usize = 64 * 1024;
@@ -30,6 +31,7 @@
         PeerTopic::Feed => answer_query(core, message).await,
         PeerTopic::Quarantine => crashes::answer_report(core, &message),
         PeerTopic::Permits => permits::answer_query(core, &message),
+        PeerTopic::Config => watch::answer_rules_query(core, &message),
         PeerTopic::Paths => paths::answer_message(core, &message).await,
         _ => None,
     }
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -35,6 +35,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a router that cannot list the others goes on without them.
 const LIST_PATIENCE: Duration = Duration::from_secs(2);
+/// Period of the checks whether the store can be read.
+const LIST_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Delay before the routers are listed again after the join, so that those that start together have registered, and
 /// after such a list failed.
 const FIRST_LIST_DELAY: Duration = Duration::from_millis(1_500);
@@ -258,3 +260,19 @@
         })
         .ok()
 }
+
+/// Waits until the routers are listed, or could not be for a while although the store can be read.
+pub async fn wait_for_routers(core: &SharedCore) {
+    tokio::select! {
+        () = core.fleet.wait_until_listed() => {}
+        () = wait_without_list(core) => {}
+    }
+}
+
+async fn wait_without_list(core: &SharedCore) {
+    while core.operator_topic.position().is_none() {
+        sleep(LIST_CHECK_PERIOD).await;
+    }
+    sleep(LIST_PATIENCE).await;
+    spdlog::warn!("the routers could not be listed; none was asked for what the store may lack");
+}
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use bytes::Bytes;
 use ferry_decisions::memory::MemoryShares;
 use ferry_decisions::names::{Incarnation, ServiceName};
 use ferry_decisions::registry::UpstreamRegistry;
@@ -46,6 +47,8 @@
     pub store: StoreClient,
     /// Rules in force here; absent until they are first read from the store or another router.
     pub rules: ArcSwapOption<RuleSet>,
+    /// Value of the operator's record from which these rules are.
+    pub rules_value: Mutex<Bytes>,
     /// Limits on callers' connections, from the rules in force.
     pub caller_limits: LimitsCell,
     /// How far the operator's records are known here, from which the rules are.
@@ -98,7 +101,8 @@
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             rules: ArcSwapOption::empty(),
             caller_limits: LimitsCell::default(),
-            operator_topic: TopicProgress::default(),
+            operator_topic: TopicProgress::with_era_checks(),
+            rules_value: Mutex::default(),
             upstream_topic: TopicProgress::default(),
             crash_topic: TopicProgress::default(),
             upstreams: UpstreamDirectory::default(),
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use ferry_decisions::topic::{StoreEra, TopicPosition};
 use ferry_kernel::http::ServerLimits;
 use ferry_platform::entries::{
@@ -139,7 +140,7 @@
                 ),
             },
             (Some(service), None) => core.rollouts.remove_order(&service),
-            (None, Some(value)) if key == CONFIG_KEY => apply_rules(core, &value),
+            (None, Some(value)) if key == CONFIG_KEY => apply_rules(core, value),
             (None, _) => {}
         }
     }
@@ -168,8 +169,8 @@
 /// Puts a configuration in force unless its revision is not newer than the one in force.
 ///
 /// While the newest one cannot be read, the one in force is confirmed no more, so that requests are refused once it may be out of date.
-fn apply_rules(core: &SharedCore, value: &[u8]) {
-    let decoded = decode_rules(value);
+pub(super) fn apply_rules(core: &SharedCore, value: Bytes) {
+    let decoded = decode_rules(&value);
     core.operator_topic.set_unreadable(decoded.is_err());
     let decoded = match decoded {
         Ok(decoded) => decoded,
@@ -199,5 +200,6 @@
         head_bytes: rules.limits.head_bytes,
         head_timeout: rules.limits.idle_time,
     });
+    *core.rules_value.lock() = value;
     core.rules.store(Some(Arc::new(rules)));
 }
--- a/crates/router/tests/relay/older_copies.rs
+++ b/crates/router/tests/relay/older_copies.rs
@@ -2,11 +2,13 @@
 //!
 //! Load pattern: several configurations follow one another, and the store loses the last of them a moment later.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::{KeyHolder, RouteRule, RunKind};
 use ferry_platform::headers::CallerHeaders;
+use ferry_rig::LinkProxy;
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::ReplicaStandin;
 use hyper::StatusCode;
@@ -135,6 +137,107 @@
     }
 }
 
+/// How a router comes to read a store that has come back from an older copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Comer {
+    /// It is added to the fleet.
+    Added,
+    /// It takes the place of one that was stopped.
+    Restarted,
+    /// Two are added at once, one in each availability zone.
+    Two,
+    /// It was cut off from the store while the key was taken away.
+    Healed,
+}
+
+/// Whether `relay` has served a request with the key that stays.
+async fn serves_kept_key(relay: &RelayDaemon) -> bool {
+    status_with_key(relay, KEY).await == StatusCode::OK
+}
+
+/// Lets routers come to a store that came back from a copy with a key that was taken away, and checks that they never let it open a request.
+async fn assert_comers_know_better(comer: Comer) {
+    let mut deployment = Deployment::start().await;
+    configure(&deployment, 10, &[KEY, TAKEN_KEY]);
+    let _replica = deployment.replica("up-1", "v1").await;
+    let mut relays = start_relays(&deployment).await;
+    let link = LinkProxy::start(Ipv4Addr::LOCALHOST.into()).await.unwrap();
+    link.set_target(deployment.store.address());
+    if comer == Comer::Healed {
+        deployment.store_address = Some(link.address);
+        relays.push(deployment.relay_in("entry-0", "zone-c").await);
+        link.cut();
+    }
+    let copy = deployment.store.copy();
+    configure(&deployment, 11, &[KEY]);
+    sleep(CALM_TIME).await;
+    if comer == Comer::Restarted {
+        relays.remove(1).stop().await;
+    }
+    sleep(CALM_TIME).await;
+    deployment.store.come_back_from(copy);
+    match comer {
+        Comer::Added => relays.push(deployment.start_in("entry-4", "zone-c").await),
+        Comer::Restarted => relays.push(deployment.start_in("entry-2", "zone-a").await),
+        Comer::Two => {
+            relays.push(deployment.start_in("entry-4", "zone-c").await);
+            relays.push(deployment.start_in("entry-5", "zone-a").await);
+        }
+        Comer::Healed => link.heal(),
+    }
+    let until = Instant::now() + CALM_TIME;
+    while Instant::now() < until {
+        for relay in &relays {
+            let status = status_with_key(relay, TAKEN_KEY).await;
+            assert_ne!(status, StatusCode::OK, "{comer:?}");
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    for relay in &relays {
+        eventually("the router serves", async || serves_kept_key(relay).await).await;
+        let status = status_with_key(relay, TAKEN_KEY).await;
+        assert_eq!(status, StatusCode::UNAUTHORIZED, "{comer:?}");
+    }
+}
+
+/// Guards against a key that was taken away and opens a router which believes the copy of the store that it reads first (CONFIG).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_is_added_after_a_loss_believes_no_older_rules() {
+    assert_comers_know_better(Comer::Added).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_restarts_after_a_loss_believes_no_older_rules() {
+    assert_comers_know_better(Comer::Restarted).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_routers_that_are_added_after_a_loss_believe_no_older_rules() {
+    assert_comers_know_better(Comer::Two).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_heals_after_a_loss_believes_no_older_rules() {
+    assert_comers_know_better(Comer::Healed).await;
+}
+
+/// What only routers knew that all have ended is lost: the first ones serve by what the store has, and don't wait for anybody.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_that_all_start_after_a_loss_serve_by_the_copy() {
+    let deployment = Deployment::start().await;
+    configure(&deployment, 10, &[KEY]);
+    let _replica = deployment.replica("up-1", "v1").await;
+    let relays = start_relays(&deployment).await;
+    let copy = deployment.store.copy();
+    for relay in relays {
+        relay.stop().await;
+    }
+    deployment.store.come_back_from(copy);
+    for relay in start_relays(&deployment).await {
+        assert!(serves_kept_key(&relay).await);
+    }
+}
+
 /// Guards against an upstream that has left and gets requests again because the copy holds its entry (DRAIN).
 #[tokio::test]
 async fn an_upstream_that_left_gets_no_request_after_the_store_came_back() {
