Learn at a start which upstreams have left, whatever the store's copy lists

Change: routers that are asked about an era also name the upstreams that are leaving, or were removed in the last minute; an older entry of the same process does not bring one back, whichever is heard first. One that registers again, or another process with its id, is taken in.

Tests: an_upstream_that_left_gets_no_request_of_a_router_that_is_added_after_a_loss, failing before (1 of 1), passes; three of the registry.

--- a/crates/decisions/src/registry/upstream_registry.rs
+++ b/crates/decisions/src/registry/upstream_registry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{UpstreamIncarnation, UpstreamRecord, UpstreamStage};
+use super::{LeftUpstream, UpstreamIncarnation, UpstreamRecord, UpstreamStage};
 use crate::names::HostName;
 use crate::time::MonotonicTime;
 
@@ -37,6 +37,8 @@
     removed: HashMap<HostName, RemovedUpstream>,
     /// The same as it was when the store came back from an older copy, which may hold these entries again.
     removed_before_era: HashMap<HostName, RemovedUpstream>,
+    /// What other routers know of upstreams that left, whose entries the store may hold as they were before.
+    left_elsewhere: HashMap<HostName, LeftUpstream>,
 }
 
 /// An upstream whose entry was removed.
@@ -63,11 +65,15 @@
     ///
     /// An entry of an earlier incarnation, or an older one than the known entry, is ignored. An
     /// upstream that is leaving remains so until it restarts.
-    pub fn observe(&mut self, record: UpstreamRecord) -> RegistryChange {
+    pub fn observe(&mut self, mut record: UpstreamRecord) -> RegistryChange {
         let id = record.incarnation.id.clone();
         if self.is_copied(&record) {
             return RegistryChange::None;
         }
+        let left = self.left_elsewhere.get(&id);
+        if left.is_some_and(|left| left.is_leaving(&record)) {
+            record.stage = UpstreamStage::Draining;
+        }
         let Some(known) = self.known.get_mut(&id) else {
             return self.insert(id, record);
         };
@@ -119,6 +125,49 @@
         RegistryChange::Gone
     }
 
+    /// Upstreams that are leaving, and those whose entries were removed of late; none that states no start, as a later process with its id
+    /// could not be told from it.
+    pub fn left(&self, now: MonotonicTime) -> Vec<LeftUpstream> {
+        let leaving = self.known.values().map(|known| &known.record);
+        let leaving = leaving
+            .filter(|record| record.stage == UpstreamStage::Draining)
+            .map(|record| LeftUpstream {
+                incarnation: record.incarnation.clone(),
+                sequence: record.sequence,
+                is_gone: false,
+            });
+        let removed = self.removed.values();
+        let removed = removed
+            .filter(|removed| now.since(removed.removed_at) < REMOVAL_RETENTION)
+            .map(|removed| LeftUpstream {
+                incarnation: removed.incarnation.clone(),
+                sequence: removed.sequence,
+                is_gone: true,
+            });
+        let left = leaving.chain(removed);
+        left.filter(|left| left.incarnation.started_at.is_some())
+            .collect()
+    }
+
+    /// Applies what another router knows of an upstream: older entries that the store holds, or that were read, don't bring it back.
+    pub fn observe_left(&mut self, left: LeftUpstream) -> RegistryChange {
+        let id = left.incarnation.id.clone();
+        let known = self.known.get_mut(&id);
+        let change = match known.filter(|known| left.covers(&known.record)) {
+            Some(_) if left.is_gone => {
+                self.known.remove(&id);
+                RegistryChange::Gone
+            }
+            Some(known) if known.record.stage == UpstreamStage::Ready => {
+                known.record.stage = UpstreamStage::Draining;
+                RegistryChange::Leaving
+            }
+            _ => RegistryChange::None,
+        };
+        self.left_elsewhere.insert(id, left);
+        change
+    }
+
     /// Records at `now` that the store came back from an older copy: entries that are missing in it are written again, and it may hold
     /// entries of upstreams that have left since.
     pub fn begin_era(&mut self, now: MonotonicTime) {
@@ -200,10 +249,13 @@
 
     /// Whether `record` is one of the copy from which the store came back, of an upstream that has left.
     fn is_copied(&self, record: &UpstreamRecord) -> bool {
-        let removed = self.removed_before_era.get(&record.incarnation.id);
-        removed.is_some_and(|removed| {
+        let id = &record.incarnation.id;
+        let removed = self.removed_before_era.get(id);
+        let is_removed = removed.is_some_and(|removed| {
             removed.incarnation == record.incarnation && record.sequence <= removed.sequence
-        })
+        });
+        let left = self.left_elsewhere.get(id);
+        is_removed || left.is_some_and(|left| left.is_gone && left.covers(record))
     }
 
     fn remember_removed(&mut self, record: UpstreamRecord, now: MonotonicTime) {
--- a/crates/decisions/tests/registry.rs
+++ b/crates/decisions/tests/registry.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use ferry_decisions::registry::{
-    RegistryChange, UpstreamIncarnation, UpstreamRecord, UpstreamRegistry, UpstreamStage,
+    LeftUpstream, RegistryChange, UpstreamIncarnation, UpstreamRecord, UpstreamRegistry,
+    UpstreamStage,
 };
 use ferry_decisions::time::{MonotonicTime, UnixMillis};
 use proptest::prelude::*;
@@ -195,3 +196,72 @@
     registry.expire(at(9_000));
     assert_eq!(ids(&registry), ["a"]);
 }
+
+fn left(id: &str, started_at: u64, sequence: u64, is_gone: bool) -> LeftUpstream {
+    LeftUpstream {
+        incarnation: ready(id, started_at, sequence).incarnation,
+        sequence,
+        is_gone,
+    }
+}
+
+/// Guards against entries of a copy of the store that bring back upstreams which another router knows to have left, whichever is heard first.
+#[test]
+fn an_upstream_that_left_elsewhere_is_not_brought_back_by_an_older_entry() {
+    for is_told_first in [true, false] {
+        let mut registry = UpstreamRegistry::default();
+        let facts = [left("gone", 10, 7, true), left("leaving", 10, 7, false)];
+        let tell = |registry: &mut UpstreamRegistry| {
+            for left in facts.clone() {
+                registry.observe_left(left);
+            }
+        };
+        if is_told_first {
+            tell(&mut registry);
+        }
+        registry.observe(ready("gone", 10, 5));
+        registry.observe(ready("leaving", 10, 5));
+        registry.observe(ready("other", 10, 5));
+        if !is_told_first {
+            tell(&mut registry);
+        }
+        assert_eq!(ids(&registry), ["leaving", "other"], "{is_told_first}");
+        let stage = |id: &str| {
+            let mut records = registry.upstreams();
+            records
+                .find(|record| record.incarnation.id.as_str() == id)
+                .map(|record| record.stage)
+        };
+        assert_eq!(stage("leaving"), Some(UpstreamStage::Draining));
+        assert_eq!(stage("other"), Some(UpstreamStage::Ready));
+    }
+}
+
+/// The counterpart: one that registers again, or another process with its id, is taken in.
+#[test]
+fn an_upstream_that_returns_is_taken_in_whatever_was_known_elsewhere() {
+    let mut registry = UpstreamRegistry::default();
+    for (id, is_gone) in [("again", true), ("restarted", true), ("replaced", false)] {
+        registry.observe_left(left(id, 10, 7, is_gone));
+    }
+    let changes = [
+        registry.observe(ready("again", 10, 8)),
+        registry.observe(ready("restarted", 11, 1)),
+        registry.observe(ready("replaced", 11, 1)),
+    ];
+    assert_eq!(changes, [RegistryChange::Appeared; 3]);
+}
+
+#[test]
+fn what_a_registry_knows_of_upstreams_that_left_is_told_for_a_while() {
+    let mut registry = UpstreamRegistry::default();
+    registry.observe(ready("a", 10, 5));
+    registry.observe(record("b", 10, 6, UpstreamStage::Draining));
+    registry.observe(ready("c", 10, 7));
+    registry.observe_removed("c", at(1_000));
+    let mut told = registry.left(at(2_000));
+    told.sort_by(|one, other| one.incarnation.cmp(&other.incarnation));
+    assert_eq!(told, [left("b", 10, 6, false), left("c", 10, 7, true)]);
+    let later = registry.left(at(100_000));
+    assert_eq!(later, [left("b", 10, 6, false)]);
+}
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -31,7 +31,7 @@
         PeerTopic::Feed => answer_query(core, message).await,
         PeerTopic::Quarantine => crashes::answer_report(core, &message),
         PeerTopic::Permits => permits::answer_query(core, &message),
-        PeerTopic::Config => watch::answer_rules_query(core, &message),
+        PeerTopic::Config => watch::answer_era_query(core, &message),
         PeerTopic::Paths => paths::answer_message(core, &message).await,
         _ => None,
     }
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -1,14 +1,14 @@
 //! Background tasks that follow the store: the operator's records and the upstreams' entries.
 
+mod era_check;
 mod operator_watch;
 mod outage_log;
-mod rules_check;
 mod topic_reader;
 mod upstream_watch;
 
+pub use era_check::answer_query as answer_era_query;
 pub use operator_watch::{apply_synced as apply_synced_operator, read_operator};
 pub use outage_log::OutageLog;
-pub use rules_check::answer_query as answer_rules_query;
 pub use topic_reader::{TopicChanges, TopicReader};
 pub use upstream_watch::{SyncedUpstreams, apply_synced as apply_synced_upstreams};
 
@@ -18,7 +18,7 @@
 /// Starts the tasks that follow the store and those that share its content with other routers.
 pub fn start(core: &SharedCore) {
     core.spawn(operator_watch::follow(core.clone()));
-    core.spawn(rules_check::follow(core.clone()));
+    core.spawn(era_check::follow(core.clone()));
     core.spawn(upstream_watch::follow(core.clone()));
     core.spawn(rollouts::follow(core.clone()));
     core.spawn(rollouts::expire_sessions(core.clone()));
--- a/crates/router/src/relay/watch/rules_check.rs
+++ b/crates/router/src/relay/watch/era_check.rs
@@ -1,18 +1,20 @@
-//! Asks other routers, in each era of the store, whether they have newer rules in force than the store.
+//! Asks other routers, in each era of the store, for newer facts than the store may hold.
 //!
-//! A store that came back from an older copy holds rules that were replaced. Routers that ran meanwhile keep the later ones in force; one that starts,
-//! or was cut off, learns them here before what it read counts as confirmed.
+//! A store that came back from an older copy holds rules that were replaced, and entries of upstreams that have left. Routers that ran meanwhile
+//! know better; one that starts, or was cut off, learns it here before what it read counts as confirmed.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
+use ferry_decisions::registry::LeftUpstream;
 use futures::future::join_all;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use super::operator_watch::apply_rules;
+use super::upstream_watch::apply_left;
 use crate::peer::{PeerMessage, PeerTopic};
 use crate::relay::fleet::{read_body, wait_for_routers, write_body};
 use crate::relay::relay_core::{RelayCore, SharedCore};
@@ -23,25 +25,35 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout for fetching rules, which may be large.
 const RULES_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of upstreams that left in one answer.
+const MAX_LEFT: usize = 1_000;
 /// Number of rounds while no router answers.
 const MAX_ROUNDS: usize = 3;
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
-/// A question about the rules in force at another router.
+/// A question about what another router knows.
 #[derive(Debug, Serialize, Deserialize)]
-struct RulesQuery {
+struct EraQuery {
     /// Whether the answer is to contain the rules.
     wants_rules: bool,
 }
 
 /// Answer to it.
 #[derive(Debug, Serialize, Deserialize)]
-struct RulesAnswer {
+struct EraAnswer {
     /// Revision in force; absent before rules are in force.
     revision: Option<u64>,
     /// Value of the operator's record, if it was wanted.
     rules: Option<Bytes>,
+    /// Upstreams that left; none in an answer with rules.
+    left: Vec<LeftUpstream>,
+}
+
+/// What a router answered.
+struct RouterFacts {
+    revision: Option<u64>,
+    host: HostName,
 }
 
 /// Checks each era of the store in which the operator's records are confirmed, until the relay closes.
@@ -56,10 +68,16 @@
 
 /// Answers the question of another router.
 pub fn answer_query(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
-    let query: RulesQuery = read_body(message, "question about rules")?;
-    let answer = RulesAnswer {
+    let query: EraQuery = read_body(message, "question about an era")?;
+    let mut left = match query.wants_rules {
+        true => Vec::new(),
+        false => core.registry.lock().left(core.clock.now()),
+    };
+    left.truncate(MAX_LEFT);
+    let answer = EraAnswer {
         revision: revision_in_force(core),
         rules: query.wants_rules.then(|| core.rules_value.lock().clone()),
+        left,
     };
     write_body(&answer, "an answer to a router")
 }
@@ -75,16 +93,16 @@
         return;
     }
     for round in 1..=MAX_ROUNDS {
-        let revisions = ask_all(core, &hosts).await;
-        if !revisions.is_empty() {
-            adopt_newest(core, revisions).await;
+        let answered = ask_all(core, &hosts).await;
+        if !answered.is_empty() {
+            adopt_newest(core, answered).await;
             return;
         }
         if round < MAX_ROUNDS {
             sleep(ROUND_PAUSE).await;
         }
     }
-    spdlog::warn!("no router answered whether it has newer rules in force; those of the store count", kv: {
+    spdlog::warn!("no router answered whether it knows more than the store; what the store has counts", kv: {
         asked = hosts.len(),
     });
 }
@@ -102,32 +120,36 @@
     hosts
 }
 
-/// Revisions in force at those of `hosts` that answer, with the host.
-async fn ask_all(core: &SharedCore, hosts: &[HostName]) -> Vec<(Option<u64>, HostName)> {
+/// Asks `hosts`, and applies what those that answer know of upstreams; returns the revisions that they have in force.
+async fn ask_all(core: &SharedCore, hosts: &[HostName]) -> Vec<RouterFacts> {
     let asking = hosts.iter().map(async |host| {
         let asked = timeout(ANSWER_TIMEOUT, ask(core, host, false)).await;
         let answer = asked.ok().flatten()?;
-        Some((answer.revision, host.clone()))
+        apply_left(core, answer.left);
+        Some(RouterFacts {
+            revision: answer.revision,
+            host: host.clone(),
+        })
     });
     join_all(asking).await.into_iter().flatten().collect()
 }
 
-async fn ask(core: &SharedCore, host: &HostName, wants_rules: bool) -> Option<RulesAnswer> {
+async fn ask(core: &SharedCore, host: &HostName, wants_rules: bool) -> Option<EraAnswer> {
     let hub = core.fleet.hub()?;
-    let query = RulesQuery { wants_rules };
+    let query = EraQuery { wants_rules };
     let answer = hub.send_query(host, PeerTopic::Config, &query, RULES_TIMEOUT);
     answer
         .await
         .inspect_err(|error| {
-            spdlog::info!("a router did not tell its rules: {}", error, kv: { router = host.as_str() });
+            spdlog::info!("a router did not tell what the store may lack: {}", error, kv: { router = host.as_str() });
         })
         .ok()
 }
 
 /// Fetches rules that are newer than those here, the newest first, until some are in force.
-async fn adopt_newest(core: &SharedCore, mut revisions: Vec<(Option<u64>, HostName)>) {
-    revisions.sort();
-    while let Some((revision, host)) = revisions.pop() {
+async fn adopt_newest(core: &SharedCore, mut answered: Vec<RouterFacts>) {
+    answered.sort_by_key(|facts| facts.revision);
+    while let Some(RouterFacts { revision, host }) = answered.pop() {
         let own = revision_in_force(core);
         if revision <= own {
             return;
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::names::HostName;
-use ferry_decisions::registry::{RegistryChange, UpstreamRecord, UpstreamRegistry};
+use ferry_decisions::registry::{LeftUpstream, RegistryChange, UpstreamRecord, UpstreamRegistry};
 use ferry_decisions::time::MonotonicTime;
 use ferry_decisions::topic::TopicPosition;
 use ferry_kernel::ticks;
@@ -138,6 +138,21 @@
     }
 }
 
+/// Applies what another router knows of upstreams that left.
+pub(super) fn apply_left(core: &SharedCore, left: Vec<LeftUpstream>) {
+    let mut registry = core.registry.lock();
+    let mut changed = false;
+    for left in left {
+        let id = left.incarnation.id.clone();
+        let change = registry.observe_left(left);
+        log_change(&id, change);
+        changed |= change != RegistryChange::None;
+    }
+    if changed {
+        publish(core, &registry);
+    }
+}
+
 /// Updates the directory that requests use, and the feed for the routers that sync from this one.
 fn publish(core: &SharedCore, registry: &UpstreamRegistry) {
     for replaced in core.upstreams.update(registry.upstreams()) {
--- a/crates/router/tests/relay/older_copies.rs
+++ b/crates/router/tests/relay/older_copies.rs
@@ -266,6 +266,34 @@
     assert_eq!(left.runs().len(), before);
 }
 
+/// The same at a router that starts after the loss and finds the entry of the copy first.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_left_gets_no_request_of_a_router_that_is_added_after_a_loss() {
+    let deployment = Deployment::start().await;
+    configure(&deployment, 10, &[KEY]);
+    let left = deployment.replica("up-1", "v1").await;
+    let leaving = deployment.replica("up-2", "v1").await;
+    let _staying = deployment.replica("up-3", "v1").await;
+    let _relays = start_relays(&deployment).await;
+    let copy = deployment.store.copy();
+    left.register(&deployment.store, UpstreamStage::Draining, 2);
+    leaving.register(&deployment.store, UpstreamStage::Draining, 2);
+    sleep(Duration::from_secs(1)).await;
+    deployment
+        .store
+        .put(ferry_platform::store::UPSTREAM_TOPIC, "up-1", b"");
+    sleep(Duration::from_secs(1)).await;
+    deployment.store.come_back_from(copy);
+    let relay = deployment.relay_in("entry-4", "zone-c").await;
+    for number in 0..60 {
+        let id = format!("a-{number}");
+        call(request(&relay, &format!("/letters/{number}"), &id)).await;
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(left.runs().len(), 0, "it was removed");
+    assert_eq!(leaving.runs().len(), 0, "it is draining");
+}
+
 /// Guards against a fleet that falls into two: a router that starts later finds neither the secret nor the entries of the others.
 #[tokio::test]
 async fn the_routers_records_are_written_again_after_the_store_came_back() {
