Let a panic cost one request, and keep background tasks running

A panic in a caller's task closed the caller's connection without an answer; one in a background task ended the task, and nobody noticed: a relay went on for ever with the configuration that it had.

Change: both programs answer a request whose task panics with a failure that promises nothing (router_failed), and log its id; bodies that are made as they are sent end with an error. One supervisor keeps the background tasks of both programs: restarts with a growing pause, and the process is given up for an essential task that fails six times in a row. The mark of a check whether an upstream survived is taken back by a guard.

The own interface's answer has no test with a panic.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod routing;
 pub mod ruleset;
 pub mod session;
+pub mod supervision;
 pub mod sync;
 pub mod time;
 pub mod topic;
--- a/crates/kernel/src/http/body.rs
+++ b/crates/kernel/src/http/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of requests and responses.
 
 use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 
 use bytes::Bytes;
@@ -59,13 +60,18 @@
         .boxed_unsync()
 }
 
-/// A body whose chunks come from `chunks`; an error closes the connection.
+/// A body whose chunks come from `chunks`; an error closes the connection, and so does a panic.
 pub fn streamed<S>(chunks: S) -> HttpBody
 where
     S: Stream<Item = Result<Bytes, BoxError>> + Send + 'static,
 {
     use futures::StreamExt;
-    StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))).boxed_unsync()
+    let caught = AssertUnwindSafe(chunks).catch_unwind();
+    let frames = caught.map(|chunk| match chunk {
+        Ok(chunk) => chunk.map(Frame::data),
+        Err(_) => Err(BoxError::from("the task that made the body panicked")),
+    });
+    StreamBody::new(frames).boxed_unsync()
 }
 
 /// A JSON response.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod panics;
 pub mod settings;
 pub mod shards;
+pub mod supervisor;
 pub mod ticks;
 pub mod wall_clock;
--- a/crates/kernel/src/panics.rs
+++ b/crates/kernel/src/panics.rs
@@ -1,8 +1,10 @@
 //! Reports each panic of the process in its log and metrics.
 
 use std::backtrace::Backtrace;
-use std::panic::{self, PanicHookInfo};
+use std::future::Future;
+use std::panic::{self, AssertUnwindSafe, PanicHookInfo};
 
+use futures::FutureExt;
 use tokio::task;
 
 /// Metric: panics since the start of the process.
@@ -27,6 +29,11 @@
     }));
 }
 
+/// Runs `work`; `None` if it panicked, which is reported like any panic.
+pub async fn caught<T>(work: impl Future<Output = T>) -> Option<T> {
+    AssertUnwindSafe(work).catch_unwind().await.ok()
+}
+
 fn log_panic(info: &PanicHookInfo<'_>) {
     let place = info.location().map(ToString::to_string);
     spdlog::error!("panic: {}", info.payload_as_str().unwrap_or(NO_MESSAGE), kv: {
--- a/crates/router/src/admission/admission_plugin.rs
+++ b/crates/router/src/admission/admission_plugin.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use ferry_decisions::admission::AdmissionConfig;
 use ferry_decisions::names::VersionName;
+use ferry_kernel::supervisor::TaskPlan;
 use ferry_kernel::ticks;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
@@ -31,7 +32,7 @@
 }
 
 fn start(core: &Arc<RouterCore>) {
-    core.spawn(exchange(Arc::clone(core)));
+    core.keep(TaskPlan::essential("demand"), exchange);
 }
 
 async fn exchange(core: Arc<RouterCore>) {
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -5,7 +5,7 @@
 use ferry_kernel::lifecycle::{HeldSignals, StopSignal, stop_signals};
 use ferry_kernel::settings::BAD_SETTINGS_EXIT;
 use ferry_kernel::{logs, memory, metrics, panics};
-use miette::{IntoDiagnostic, Report, Result};
+use miette::{IntoDiagnostic, Report, Result, miette};
 use serde_json::json;
 use tokio::sync::mpsc;
 
@@ -51,10 +51,16 @@
     drop(held);
     let daemon = RouterDaemon::start(settings).await?;
     print_addresses(&daemon);
-    signals.recv().await;
+    let mut end = Ok(());
+    tokio::select! {
+        _ = signals.recv() => {}
+        () = daemon.core().supervisor.failed() => {
+            end = Err(miette!(help = "start it again; the log names the task", "a task could not be kept running"));
+        }
+    }
     tokio::spawn(watch_signals(signals));
     daemon.stop().await;
-    Ok(())
+    end
 }
 
 /// Prints the bound addresses as JSON, which shows the actual ports after a start with port 0.
--- a/crates/router/src/bills/bill_plugin.rs
+++ b/crates/router/src/bills/bill_plugin.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_kernel::supervisor::TaskPlan;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -29,13 +30,11 @@
 
 fn start(core: &Arc<RouterCore>) {
     for index in 0..core.bills.shards().len() {
-        let shared = Arc::clone(core);
-        core.spawn(async move {
-            shared.bills.shards()[index].run(&shared).await;
+        core.keep(TaskPlan::essential("bills"), move |core| async move {
+            core.bills.shards()[index].run(&core).await;
         });
     }
-    let shared = Arc::clone(core);
-    core.spawn(maintain(shared));
+    core.keep(TaskPlan::essential("bill copies"), maintain);
 }
 
 async fn maintain(core: Arc<RouterCore>) {
--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -61,6 +61,8 @@
     NoUpstream,
     /// The upstream failed.
     UpstreamFailed,
+    /// The router's own program failed while it answered the request.
+    RouterFailed,
     /// The upstream rejected the request with a client error.
     UpstreamRefused,
 }
@@ -114,6 +116,7 @@
             Self::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
+            Self::RouterFailed => StatusCode::INTERNAL_SERVER_ERROR,
             Self::ConfigurationStale
             | Self::Stopping
             | Self::Overloaded
--- a/crates/router/src/caller/caller_server.rs
+++ b/crates/router/src/caller/caller_server.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ferry_decisions::names::{CascadeName, ModelName};
+use ferry_decisions::names::{CascadeName, ModelName, RequestId};
 use ferry_decisions::retry::RunState;
 use ferry_kernel::http::{HttpBody, json_response};
+use ferry_kernel::panics;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
@@ -22,10 +23,11 @@
 /// `Retry-After` when the router is stopping or has too many requests in progress.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Answers one request of a caller.
+/// Answers one request of a caller; a panic costs this request only.
 pub async fn handle(core: Arc<RouterCore>, request: Request<Incoming>) -> Response<HttpBody> {
     let id = caller_chosen_id(request.headers());
-    match answer(&core, request).await {
+    let answered = panics::caught(answer(&core, request)).await;
+    match answered.unwrap_or_else(|| Err(router_failed(id.as_ref()))) {
         Ok(response) => response,
         Err(refusal) => {
             count_refusal(&refusal);
@@ -34,6 +36,16 @@
     }
 }
 
+/// Refusal of the request `id`, whose task panicked.
+fn router_failed(id: Option<&RequestId>) -> CallerRefusal {
+    spdlog::error!("the task of a request panicked", kv: { request_id = id.map_or("", RequestId::as_str) });
+    CallerRefusal::permanent(
+        RefusalKind::RouterFailed,
+        "the router failed while it answered this request; send it again under the same id if it is idempotent",
+    )
+    .with_run(RunState::MayHaveRun)
+}
+
 /// Counts a refusal by its kind.
 pub(super) fn count_refusal(refusal: &CallerRefusal) {
     metrics::counter!("ferry_refusals_total", "kind" => refusal.kind.name()).increment(1);
--- a/crates/router/src/claims/claim_plugin.rs
+++ b/crates/router/src/claims/claim_plugin.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_kernel::supervisor::TaskPlan;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -26,9 +27,8 @@
 
 fn start(core: &Arc<RouterCore>) {
     for index in 0..core.claims.shards().len() {
-        let shared = Arc::clone(core);
-        core.spawn(async move {
-            shared.claims.shards()[index].run(&shared).await;
+        core.keep(TaskPlan::essential("claims"), move |core| async move {
+            core.claims.shards()[index].run(&core).await;
         });
     }
 }
--- a/crates/router/src/config/config_tail.rs
+++ b/crates/router/src/config/config_tail.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ferry_decisions::config::{ConfigFold, ConfigVerdict, RecordOutcome};
+use ferry_kernel::supervisor::TaskPlan;
 use ferry_platform::log::LogRecord;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -31,9 +32,9 @@
 }
 
 fn start(core: &Arc<RouterCore>) {
-    core.spawn(follow(Arc::clone(core)));
-    core.spawn(catch_up::run(Arc::clone(core)));
-    core.spawn(snapshot_writer::run(Arc::clone(core)));
+    core.keep(TaskPlan::essential("configuration"), follow);
+    core.keep(TaskPlan::essential("configuration of peers"), catch_up::run);
+    core.keep(TaskPlan::helper("snapshots"), snapshot_writer::run);
 }
 
 async fn follow(core: Arc<RouterCore>) {
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -11,6 +11,7 @@
 use ferry_decisions::names::Incarnation;
 use ferry_decisions::session::SessionKeys;
 use ferry_kernel::http::{HttpClient, RequestMemory};
+use ferry_kernel::supervisor::{Supervisor, TaskPlan};
 use ferry_kernel::wall_clock;
 use ferry_platform::hosts::HostsClient;
 use ferry_platform::log::LogClient;
@@ -87,6 +88,8 @@
     pub work: TaskTracker,
     /// Cancels the background tasks after all requests have finished.
     pub closing: CancellationToken,
+    /// Keeps the background tasks running until then.
+    pub supervisor: Supervisor,
     phase: PhaseCell,
     hub: OnceLock<Arc<PeerHub>>,
 }
@@ -148,6 +151,7 @@
             started_at: clock.now(),
             freshness,
         };
+        let closing = CancellationToken::new();
         Self {
             incarnation,
             clock,
@@ -173,7 +177,8 @@
             )),
             request_permits: Arc::new(Semaphore::new(settings.limits.in_progress)),
             work: TaskTracker::new(),
-            closing: CancellationToken::new(),
+            supervisor: Supervisor::new(closing.clone()),
+            closing,
             phase: PhaseCell::default(),
             hub: OnceLock::new(),
             settings,
@@ -203,7 +208,20 @@
         self.hub.get().map(|hub| hub.address())
     }
 
-    /// Spawns `task`, which is cancelled when `closing` is cancelled.
+    /// Keeps the background task that `start` gives running until `closing` is cancelled.
+    pub fn keep<T>(
+        self: &Arc<Self>,
+        plan: TaskPlan,
+        start: impl Fn(Arc<Self>) -> T + Send + 'static,
+    ) where
+        T: Future<Output = ()> + Send + 'static,
+    {
+        let core = Arc::clone(self);
+        self.supervisor.keep(plan, move || start(Arc::clone(&core)));
+    }
+
+    /// Spawns `task`, a piece of work that others don't wait for and that is cancelled when `closing` is; what must go on is kept by
+    /// [`Self::keep`].
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         tokio::spawn(self.closing.clone().run_until_cancelled_owned(task));
     }
--- a/crates/router/src/guard/guard_plugin.rs
+++ b/crates/router/src/guard/guard_plugin.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::guard::GuardDelta;
+use ferry_kernel::supervisor::TaskPlan;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
 
@@ -23,8 +24,8 @@
 }
 
 fn start(core: &Arc<RouterCore>) {
-    core.spawn(guard_exchange::run(Arc::clone(core)));
-    core.spawn(trip_writer::run(Arc::clone(core)));
+    core.keep(TaskPlan::essential("guard exchange"), guard_exchange::run);
+    core.keep(TaskPlan::essential("guard trips"), trip_writer::run);
 }
 
 fn on_message(core: Arc<RouterCore>, message: PeerMessage) -> BoxFuture<'static, Option<Bytes>> {
--- a/crates/router/src/membership/heartbeat.rs
+++ b/crates/router/src/membership/heartbeat.rs
@@ -8,6 +8,7 @@
     AppliedDelta, MemberChange, MembershipDelta, MembershipQuery, OwnReport,
 };
 use ferry_decisions::names::HostName;
+use ferry_kernel::supervisor::TaskPlan;
 use ferry_kernel::ticks;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
@@ -36,7 +37,7 @@
 }
 
 fn start(core: &Arc<RouterCore>) {
-    core.spawn(run_rounds(Arc::clone(core)));
+    core.keep(TaskPlan::essential("heartbeats"), run_rounds);
 }
 
 async fn run_rounds(core: Arc<RouterCore>) {
--- a/crates/router/src/quarantine/quarantine_plugin.rs
+++ b/crates/router/src/quarantine/quarantine_plugin.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ferry_decisions::quarantine::{CrashDelta, CrashPool};
+use ferry_kernel::supervisor::TaskPlan;
 use ferry_kernel::ticks;
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
@@ -27,7 +28,7 @@
 }
 
 fn start(core: &Arc<RouterCore>) {
-    core.spawn(send_full_reports(Arc::clone(core)));
+    core.keep(TaskPlan::helper("crash reports"), send_full_reports);
 }
 
 async fn send_full_reports(core: Arc<RouterCore>) {
--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -12,14 +12,25 @@
 pub use crash_manager::CrashManager;
 pub use crash_report::answer_report;
 
+use ferry_kernel::supervisor::TaskPlan;
+
 use super::relay_core::SharedCore;
 
 /// Starts the tasks that share the counts with the other routers.
 pub fn start(core: &SharedCore) {
-    core.spawn(crash_exchange::follow(core.clone()));
-    core.spawn(crash_exchange::ask_at_start(core.clone()));
-    core.spawn(crash_exchange::publish(core.clone()));
-    core.spawn(crash_exchange::report(core.clone()));
-    core.spawn(crash_exchange::exchange_while_lacking(core.clone()));
-    core.spawn(crash_exchange::expire(core.clone()));
+    core.keep(TaskPlan::essential("crash rows"), crash_exchange::follow);
+    core.keep(
+        TaskPlan::essential("crashes at the start").finite(),
+        crash_exchange::ask_at_start,
+    );
+    core.keep(
+        TaskPlan::essential("crash storage"),
+        crash_exchange::publish,
+    );
+    core.keep(TaskPlan::essential("crash reports"), crash_exchange::report);
+    core.keep(
+        TaskPlan::helper("crash exchange"),
+        crash_exchange::exchange_while_lacking,
+    );
+    core.keep(TaskPlan::helper("crash expiry"), crash_exchange::expire);
 }
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -24,12 +24,20 @@
 pub use fleet_manager::FleetManager;
 pub use peer_body::{read as read_body, read_record, write as write_body};
 
+use ferry_kernel::supervisor::TaskPlan;
+
 use super::relay_core::SharedCore;
 
 /// Starts the tasks that join the fleet and sync from another router.
 pub fn start(core: &SharedCore) {
-    core.spawn(fleet_join::join_fleet(core.clone()));
-    core.spawn(fleet_join::follow_routers(core.clone()));
-    core.spawn(sync_task::follow(core.clone()));
-    core.spawn(sync_task::probe_store(core.clone()));
+    core.keep(
+        TaskPlan::essential("fleet join").finite(),
+        fleet_join::join_fleet,
+    );
+    core.keep(
+        TaskPlan::essential("router list"),
+        fleet_join::follow_routers,
+    );
+    core.keep(TaskPlan::essential("feed"), sync_task::follow);
+    core.keep(TaskPlan::essential("store probes"), sync_task::probe_store);
 }
--- a/crates/router/src/relay/paths.rs
+++ b/crates/router/src/relay/paths.rs
@@ -22,10 +22,15 @@
 pub use tunnel_stream::TunnelState;
 pub use upstream_path::UpstreamPath;
 
+use ferry_kernel::supervisor::TaskPlan;
+
 use super::relay_core::SharedCore;
 
 /// Starts the tasks that probe lost paths and look for routers that reach their upstreams.
 pub fn start(core: &SharedCore) {
-    core.spawn(path_keeper::find_detours(core.clone()));
-    core.spawn(path_keeper::probe_paths(core.clone()));
+    core.keep(
+        TaskPlan::essential("detour search"),
+        path_keeper::find_detours,
+    );
+    core.keep(TaskPlan::essential("path probes"), path_keeper::probe_paths);
 }
--- a/crates/router/src/relay/paths/survival_check.rs
+++ b/crates/router/src/relay/paths/survival_check.rs
@@ -15,21 +15,37 @@
 /// Checks `upstream` in the background after the break of a direct connection: it survived if this router cannot connect to it right
 /// afterwards and another one can, which takes less time than the start of a process.
 pub fn check_survival(core: &SharedCore, upstream: &Arc<RelayUpstream>) {
-    if !upstream.begin_check() {
+    let Some(check) = SurvivalCheck::begin(upstream) else {
         return;
-    }
+    };
     let (core_of_task, upstream) = (core.clone(), Arc::clone(upstream));
     core.spawn(async move {
+        let _check = check;
         if !probe(&core_of_task, &upstream).await
             && is_reached_by_others(&core_of_task, &upstream).await
         {
             let incarnation = &upstream.record.incarnation;
             core_of_task.crashes.record_survival(incarnation);
         }
-        upstream.end_check();
     });
 }
 
+/// Marks an upstream as being checked until it is dropped.
+struct SurvivalCheck(Arc<RelayUpstream>);
+
+impl SurvivalCheck {
+    /// Begins a check of `upstream`; `None` if one is in progress.
+    fn begin(upstream: &Arc<RelayUpstream>) -> Option<Self> {
+        upstream.begin_check().then(|| Self(Arc::clone(upstream)))
+    }
+}
+
+impl Drop for SurvivalCheck {
+    fn drop(&mut self) {
+        self.0.end_check();
+    }
+}
+
 /// Whether a router that is asked now can connect to `upstream`.
 async fn is_reached_by_others(core: &SharedCore, upstream: &RelayUpstream) -> bool {
     let routers = asked_routers(core, 0);
--- a/crates/router/src/relay/permits.rs
+++ b/crates/router/src/relay/permits.rs
@@ -18,10 +18,18 @@
 pub use permit_reply::answer_query;
 pub use send_permit::SendPermit;
 
+use ferry_kernel::supervisor::TaskPlan;
+
 use super::relay_core::SharedCore;
 
 /// Starts the tasks that report ended limits and the ends of permits to the routers that issue the permits.
 pub fn start(core: &SharedCore) {
-    core.spawn(permit_query::report_ends(core.clone()));
-    core.spawn(permit_reports::send_reports(core.clone()));
+    core.keep(
+        TaskPlan::essential("ends of limits"),
+        permit_query::report_ends,
+    );
+    core.keep(
+        TaskPlan::essential("permit reports"),
+        permit_reports::send_reports,
+    );
 }
--- a/crates/router/src/relay/relay_app.rs
+++ b/crates/router/src/relay/relay_app.rs
@@ -125,9 +125,14 @@
     let daemon = RelayDaemon::start(plan.settings, plan.options).await?;
     let mut checks = ticks::every(FILE_CHECK_PERIOD);
     let mut last_modified = modified(path);
+    let mut end = Ok(());
     loop {
         tokio::select! {
             _ = signals.stops.recv() => break,
+            () = daemon.failed() => {
+                end = Err(miette!(help = "start it again; the log names the task", "a task could not be kept running"));
+                break;
+            }
             _ = signals.reloads.recv() => daemon.reload(HostSettings::read(path)),
             _ = checks.tick() => {
                 let latest = modified(path);
@@ -140,7 +145,7 @@
     }
     tokio::spawn(watch_signals(signals.stops));
     daemon.stop().await;
-    Ok(())
+    end
 }
 
 /// Modification time of the file; `None` when it cannot be read.
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -13,6 +13,7 @@
 use ferry_decisions::ruleset::RuleSet;
 use ferry_decisions::time::MonotonicTime;
 use ferry_kernel::http::{BodyBudget, LimitsCell, RequestMemory};
+use ferry_kernel::supervisor::{Supervisor, TaskPlan};
 use ferry_platform::host_settings::HostSettings;
 use ferry_platform::store::StoreClient;
 use parking_lot::Mutex;
@@ -85,6 +86,8 @@
     pub work_end: WorkEnd,
     /// Cancels the background tasks.
     pub closing: CancellationToken,
+    /// Keeps them running until then.
+    pub supervisor: Supervisor,
     retries: Mutex<HashMap<ServiceName, RetryShare>>,
     phase: PhaseCell,
 }
@@ -95,6 +98,7 @@
         let router = format!("{}/{}", settings.host, Incarnation::random().0.simple());
         let clock = ProcessClock::start();
         let shares = MemoryShares::of(settings.memory_bytes);
+        let closing = CancellationToken::new();
         Self {
             fleet: FleetManager::new(&settings, clock.now()),
             clock,
@@ -117,7 +121,8 @@
             rollouts: RolloutManager::new(&router),
             work: TaskTracker::new(),
             work_end: WorkEnd::default(),
-            closing: CancellationToken::new(),
+            supervisor: Supervisor::new(closing.clone()),
+            closing,
             retries: Mutex::default(),
             phase: PhaseCell::default(),
             settings: ArcSwap::from_pointee(settings),
@@ -160,7 +165,20 @@
         self.phase.set(phase);
     }
 
-    /// Spawns `task`, which is cancelled when the relay closes.
+    /// Keeps the background task that `start` gives running until the relay closes.
+    pub fn keep<T>(
+        self: &Arc<Self>,
+        plan: TaskPlan,
+        start: impl Fn(SharedCore) -> T + Send + 'static,
+    ) where
+        T: Future<Output = ()> + Send + 'static,
+    {
+        let core = Arc::clone(self);
+        self.supervisor.keep(plan, move || start(Arc::clone(&core)));
+    }
+
+    /// Spawns `task`, a piece of work that others don't wait for and that is cancelled when the relay closes; what must go on is kept by
+    /// [`Self::keep`].
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         tokio::spawn(self.closing.clone().run_until_cancelled_owned(task));
     }
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ferry_kernel::http::{HttpBody, ServerHandle, empty, full, json_response};
+use ferry_kernel::supervisor::TaskPlan;
 use ferry_kernel::{loop_lag, metrics};
 use ferry_platform::headers::READINESS_PATH;
 use ferry_platform::host_settings::{HostSettings, HostSettingsError};
@@ -56,7 +57,7 @@
     pub async fn start(settings: HostSettings, options: RelayOptions) -> Result<Self, PortError> {
         let core = Arc::new(RelayCore::new(settings));
         let settings = core.settings.load_full();
-        core.spawn(loop_lag::measure());
+        core.keep(TaskPlan::helper("loop lag"), |_| loop_lag::measure());
         watch::start(&core);
         let readiness = serve_readiness(&core, settings.readiness).await?;
         if let Some(port) = options.metrics_port {
@@ -91,6 +92,11 @@
         RelayStatus::of(&self.core)
     }
 
+    /// Waits until a task without which the relay is worth nothing can't be kept running.
+    pub async fn failed(&self) {
+        self.core.supervisor.failed().await;
+    }
+
     /// Whether this router gets the store's content from another router instead of the store.
     pub fn is_synced_from_peer(&self) -> bool {
         self.core.fleet.is_synced_from_peer()
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ferry_kernel::http::HttpBody;
+use ferry_kernel::panics;
 use ferry_platform::headers::RequestFacts;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -26,11 +27,15 @@
 /// Answers one request, with an upstream's answer or with a refusal.
 ///
 /// Once the relay no longer serves, responses close the caller's connection.
+/// A panic costs this request only.
 pub async fn handle(core: SharedCore, request: Request<Incoming>) -> Response<HttpBody> {
-    let mut response = match admit(&core, request).await {
-        Ok(request) => RelayRun::new(core.clone(), request).answer().await,
-        Err(refusal) => refusal.to_response(),
-    };
+    let id = RequestFacts::read(request.headers()).attempt_id;
+    let answered = panics::caught(answer(&core, request)).await;
+    let mut response = answered.unwrap_or_else(|| {
+        let refusal = RelayRefusal::router_failed();
+        report_refusal(&core, id.unwrap_or_default().as_str(), &refusal);
+        refusal.to_response()
+    });
     if core.phase() != LifecyclePhase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -38,6 +43,13 @@
     response
 }
 
+async fn answer(core: &SharedCore, request: Request<Incoming>) -> Response<HttpBody> {
+    match admit(core, request).await {
+        Ok(request) => RelayRun::new(core.clone(), request).answer().await,
+        Err(refusal) => refusal.to_response(),
+    }
+}
+
 async fn admit(
     core: &SharedCore,
     request: Request<Incoming>,
@@ -50,17 +62,19 @@
         Some(reason) => Err(RelayRefusal::not_run(reason)),
         None => read(core, request, facts, read_at).await,
     };
-    result.inspect_err(|refusal| {
-        metrics::counter!("ferry_relay_refusals_total", "reason" => refusal.reason.name())
-            .increment(1);
-        spdlog::info!("request refused", kv: {
-            request_id = id.unwrap_or_default(),
-            reason = refusal.reason.name(),
-            status = refusal.status().as_u16(),
-            rules_age_ms = core.operator_topic.age().as_millis() as u64,
-            synced = core.fleet.is_synced_from_peer(),
-        });
-    })
+    result.inspect_err(|refusal| report_refusal(core, id.unwrap_or_default().as_str(), refusal))
+}
+
+/// Counts and logs the refusal of the request `id`.
+fn report_refusal(core: &SharedCore, id: &str, refusal: &RelayRefusal) {
+    metrics::counter!("ferry_relay_refusals_total", "reason" => refusal.reason.name()).increment(1);
+    spdlog::info!("request refused", kv: {
+        request_id = id,
+        reason = refusal.reason.name(),
+        status = refusal.status().as_u16(),
+        rules_age_ms = core.operator_topic.age().as_millis() as u64,
+        synced = core.fleet.is_synced_from_peer(),
+    });
 }
 
 /// Waits, within `START_TIMEOUT` of the start, until the rules and upstreams have been read.
--- a/crates/router/src/relay/request/relay_refusal.rs
+++ b/crates/router/src/relay/request/relay_refusal.rs
@@ -55,6 +55,11 @@
     /// The upstream failed, and the request must not be sent again or no retry is left.
     #[error("the upstream failed; call again if the request may run twice")]
     UpstreamFailed,
+    /// The router's own program failed while it answered the request.
+    #[error(
+        "this router failed while it answered the request; call again if the request may run twice"
+    )]
+    RouterFailed,
     /// Several upstreams broke off while they ran the request, so it is not run again for a while.
     #[error("the request crashed the upstreams that ran it; change it before sending it again")]
     Quarantined,
@@ -78,6 +83,7 @@
             Self::Busy => "busy",
             Self::DeadlinePassed => "deadline_passed",
             Self::UpstreamFailed => "upstream_failed",
+            Self::RouterFailed => "router_failed",
             Self::Quarantined => "quarantined",
         }
     }
@@ -107,6 +113,11 @@
         }
     }
 
+    /// The refusal of a request whose task panicked: what it did is not known.
+    pub fn router_failed() -> Self {
+        Self::not_run(RefusalReason::RouterFailed).with_run(RunState::MayHaveRun)
+    }
+
     /// The same refusal, combined with the state `run` that earlier sends left.
     #[must_use]
     pub fn with_run(mut self, run: RunState) -> Self {
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -12,16 +12,27 @@
 pub use topic_reader::{TopicChanges, TopicReader};
 pub use upstream_watch::{SyncedUpstreams, apply_synced as apply_synced_upstreams};
 
+use ferry_kernel::supervisor::TaskPlan;
+
 use super::relay_core::SharedCore;
 use super::{crashes, fleet, paths, permits, rollouts};
 
 /// Starts the tasks that follow the store and those that share its content with other routers.
 pub fn start(core: &SharedCore) {
-    core.spawn(operator_watch::follow(core.clone()));
-    core.spawn(era_check::follow(core.clone()));
-    core.spawn(upstream_watch::follow(core.clone()));
-    core.spawn(rollouts::follow(core.clone()));
-    core.spawn(rollouts::expire_sessions(core.clone()));
+    core.keep(
+        TaskPlan::essential("operator records"),
+        operator_watch::follow,
+    );
+    core.keep(TaskPlan::essential("era checks"), era_check::follow);
+    core.keep(
+        TaskPlan::essential("upstream entries"),
+        upstream_watch::follow,
+    );
+    core.keep(TaskPlan::essential("roll-outs"), rollouts::follow);
+    core.keep(
+        TaskPlan::helper("session expiry"),
+        rollouts::expire_sessions,
+    );
     crashes::start(core);
     paths::start(core);
     permits::start(core);
--- a/crates/router/src/upstream/host_poll.rs
+++ b/crates/router/src/upstream/host_poll.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ferry_kernel::supervisor::TaskPlan;
 use ferry_kernel::ticks;
 use serde_json::{Value, json};
 
@@ -23,7 +24,7 @@
 }
 
 fn start(core: &Arc<RouterCore>) {
-    core.spawn(poll(Arc::clone(core)));
+    core.keep(TaskPlan::essential("host list"), poll);
 }
 
 async fn poll(core: Arc<RouterCore>) {
--- a/crates/router/src/upstream/load_poll.rs
+++ b/crates/router/src/upstream/load_poll.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ferry_kernel::http::{HttpError, HttpRequest};
+use ferry_kernel::supervisor::TaskPlan;
 use ferry_kernel::ticks;
 use ferry_platform::engine::LoadReport;
 use futures::StreamExt;
@@ -31,7 +32,7 @@
 }
 
 fn start(core: &Arc<RouterCore>) {
-    core.spawn(poll(Arc::clone(core)));
+    core.keep(TaskPlan::essential("load reports"), poll);
 }
 
 async fn poll(core: Arc<RouterCore>) {
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -63,7 +63,8 @@
         RefusalKind::Duplicate => Some(RefusalKind::Quarantined),
         RefusalKind::Quarantined => Some(RefusalKind::NoUpstream),
         RefusalKind::NoUpstream => Some(RefusalKind::UpstreamFailed),
-        RefusalKind::UpstreamFailed => Some(RefusalKind::UpstreamRefused),
+        RefusalKind::UpstreamFailed => Some(RefusalKind::RouterFailed),
+        RefusalKind::RouterFailed => Some(RefusalKind::UpstreamRefused),
         RefusalKind::UpstreamRefused => None,
     }
 }
