Move recorded metrics into their histograms by a timer of its own

Cause: values that are recorded wait in memory until run_upkeep, which was called only when the metrics were rendered. That it is not something kept per request: after one read the memory no longer grew (the review), and the upkeep alone ends the growth here.

Change: both programs call run_upkeep every 5 s, in a kept task.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -6,6 +6,8 @@
 
 use ferry_decisions::session::SessionKeys;
 use ferry_kernel::http::ServerHandle;
+use ferry_kernel::metrics;
+use ferry_kernel::supervisor::TaskPlan;
 use tokio::time::{sleep, timeout};
 
 use crate::core::{LifecyclePhase, RouterCore};
@@ -51,6 +53,7 @@
         let admin = BoundPort::bind("admin", settings.listen.admin).await?;
         let core = Arc::new(RouterCore::new(settings, sessions));
         core.set_hub(start_hub(&core).await?);
+        core.keep(TaskPlan::helper("metrics"), |_| metrics::keep_up());
         for plugin in plugin::all() {
             (plugin.start)(&core);
         }
--- a/crates/router/src/relay/relay_daemon.rs
+++ b/crates/router/src/relay/relay_daemon.rs
@@ -58,6 +58,7 @@
         let core = Arc::new(RelayCore::new(settings));
         let settings = core.settings.load_full();
         core.keep(TaskPlan::helper("loop lag"), |_| loop_lag::measure());
+        core.keep(TaskPlan::helper("metrics"), |_| metrics::keep_up());
         watch::start(&core);
         let readiness = serve_readiness(&core, settings.readiness).await?;
         if let Some(port) = options.metrics_port {
