Split the links of a router by job, and ask for witnesses in one place

The question whether other routers reach an upstream stood twice since the check of unmarked ends; both checks use witness_query.rs. Nothing changes in what runs.

--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -1,5 +1,8 @@
 //! All links of one router: accepts links, dials neighbours, and sends messages on open links.
 
+mod link_acceptor;
+mod link_dialer;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,25 +14,21 @@
 use ferry_kernel::http::PacedStream;
 use futures::future::BoxFuture;
 use parking_lot::{Mutex, RwLock};
-use rand::Rng;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
-use tokio::time::{sleep, timeout};
-use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config, client_async_with_config};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::link_table::{LinkSide, LinkTable};
 use super::on_demand_links::OnDemandLinks;
 use super::peer_frame::{EncodedFrame, FRAME_LIMIT, PeerFrame};
-use super::peer_handshake::{accept_handshake, dial_handshake};
 use super::peer_link::{FrameQueue, PeerLink};
 use super::{PeerError, PeerIdentity, PeerSettings, PeerTopic, decode, encode, peer_metrics};
-use crate::ports::{connect_from, set_dead_peer_timeouts};
+use crate::ports::set_dead_peer_timeouts;
 
 /// Timeout of connecting and the handshake together.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -314,139 +313,6 @@
         Ok(link)
     }
 
-    async fn accept_loop(self: Arc<Self>, listener: TcpListener) {
-        let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_HANDSHAKES));
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = self.stopping.cancelled() => return,
-            };
-            let Ok((stream, _)) = accepted else {
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
-            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-                continue;
-            };
-            let hub = Arc::clone(&self);
-            self.tasks.spawn(async move {
-                let opened = tokio::select! {
-                    opened = timeout(HANDSHAKE_TIMEOUT, hub.accept(stream)) => opened,
-                    () = hub.stopping.cancelled() => return,
-                };
-                drop(permit);
-                let result = match opened {
-                    Ok(Ok((socket, peer, true))) => {
-                        hub.serve_stream(peer, socket).await;
-                        Ok(())
-                    }
-                    Ok(Ok((socket, peer, false))) => {
-                        let closing = hub.stopping.child_token();
-                        let (link, queue) = hub.add_link(LinkSide::Accepted, peer, closing);
-                        hub.run_link(LinkSide::Accepted, &link, socket, queue).await
-                    }
-                    Ok(Err(error)) => Err(error),
-                    Err(_) => Err(handshake_timeout()),
-                };
-                log_link_error(result, None);
-            });
-        }
-    }
-
-    /// Accepts a connection; returns whether it is a stream.
-    async fn accept(
-        &self,
-        stream: TcpStream,
-    ) -> Result<(PeerSocket, PeerIdentity, bool), PeerError> {
-        let _ = stream.set_nodelay(true);
-        let stream = PacedStream::without_limit(stream);
-        let mut is_stream = false;
-        // The callback's type is the library's.
-        #[allow(clippy::result_large_err)]
-        let read_path = |request: &Request, response: Response| {
-            is_stream = request.uri().path() == STREAM_PATH;
-            Ok(response)
-        };
-        let mut socket = accept_hdr_async_with_config(stream, read_path, Some(socket_config()))
-            .await
-            .map_err(|error| PeerError::Handshake(error.to_string()))?;
-        let peer = accept_handshake(&mut socket, &self.settings).await?;
-        Ok((socket, peer, is_stream))
-    }
-
-    /// Serves a stream of `peer` until it ends or the hub stops.
-    async fn serve_stream(&self, peer: PeerIdentity, socket: PeerSocket) {
-        let Some(handler) = self.streams.get() else {
-            return;
-        };
-        if set_dead_peer_timeouts(socket.get_ref().inner()).is_err() {
-            return;
-        }
-        tokio::select! {
-            () = handler(peer, socket) => {}
-            () = self.stopping.cancelled() => {}
-        }
-    }
-
-    async fn dial_loop(
-        self: Arc<Self>,
-        host: HostName,
-        address: SocketAddr,
-        stopping: CancellationToken,
-    ) {
-        let mut backoff = MIN_REDIAL_BACKOFF;
-        loop {
-            let opened = tokio::select! {
-                opened = timeout(HANDSHAKE_TIMEOUT, self.dial_link(&host, address)) => opened,
-                () = stopping.cancelled() => return,
-            };
-            let result = match opened {
-                Ok(Ok((socket, peer))) => {
-                    backoff = MIN_REDIAL_BACKOFF;
-                    let closing = stopping.child_token();
-                    let (link, queue) = self.add_link(LinkSide::Dialled, peer, closing);
-                    self.run_link(LinkSide::Dialled, &link, socket, queue).await
-                }
-                Ok(Err(error)) => Err(error),
-                Err(_) => Err(handshake_timeout()),
-            };
-            log_link_error(result, Some(&host));
-            let jitter = rand::rng().random_range(0.5..1.0);
-            tokio::select! {
-                () = sleep(backoff.mul_f64(jitter)) => {}
-                () = stopping.cancelled() => return,
-            }
-            backoff = (backoff * 2).min(MAX_REDIAL_BACKOFF);
-        }
-    }
-
-    async fn dial_link(
-        &self,
-        host: &HostName,
-        address: SocketAddr,
-    ) -> Result<(PeerSocket, PeerIdentity), PeerError> {
-        self.dial(host, address, LINK_PATH).await
-    }
-
-    async fn dial(
-        &self,
-        host: &HostName,
-        address: SocketAddr,
-        path: &str,
-    ) -> Result<(PeerSocket, PeerIdentity), PeerError> {
-        let stream = connect_from(self.settings.listen.ip(), address)
-            .await
-            .map_err(|error| PeerError::Transport(error.to_string()))?;
-        let _ = stream.set_nodelay(true);
-        let stream = PacedStream::without_limit(stream);
-        let url = format!("ws://{address}{path}");
-        let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config()))
-            .await
-            .map_err(|error| PeerError::Handshake(error.to_string()))?;
-        let peer = dial_handshake(&mut socket, &self.settings, host).await?;
-        Ok((socket, peer))
-    }
-
     /// Creates a link, adds it to the table, and closes the link that it replaces.
     fn add_link(
         &self,
--- a/crates/router/src/relay/paths.rs
+++ b/crates/router/src/relay/paths.rs
@@ -11,6 +11,7 @@
 mod tunnel_server;
 mod tunnel_stream;
 mod upstream_path;
+mod witness_query;
 
 pub use end_check::{LastEndCheck, check_process};
 pub use open_link::{DETOUR_WAIT, open_link, record_lost_path, record_success};
--- a/crates/router/src/relay/paths/end_check.rs
+++ b/crates/router/src/relay/paths/end_check.rs
@@ -5,14 +5,10 @@
 
 use ferry_decisions::ends::ProcessSign;
 use ferry_decisions::names::HostName;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::open_link::{open_direct, open_unrecorded};
-use super::path_keeper::asked_routers;
-use super::path_message::{ReachProof, ReachQuery};
-use super::path_query::ask_reached;
+use super::witness_query::is_reached_by_others;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{LinkLease, RelayUpstream};
 
@@ -92,26 +88,7 @@
     upstream: &RelayUpstream,
     detour: Option<&HostName>,
 ) -> bool {
-    let mut routers = asked_routers(core, 0);
-    if let Some(detour) = detour.filter(|detour| !routers.contains(detour)) {
-        routers.push(detour.clone());
-    }
-    let asking = routers.iter().map(|router| {
-        let query = ReachQuery {
-            upstreams: vec![upstream.record.incarnation.clone()],
-            proof: ReachProof::NewConnection,
-        };
-        ask_reached(core, router, query)
-    });
-    let mut answers: FuturesUnordered<_> = asking.collect();
-    let witness = async {
-        while let Some(answer) = answers.next().await {
-            if answer.is_ok_and(|reached| reached == [true]) {
-                return true;
-            }
-        }
-        false
-    };
+    let witness = is_reached_by_others(core, upstream, detour);
     // A router that gives no answer in time is no witness.
     timeout(WITNESS_TIME, witness).await.unwrap_or(false)
 }
--- a/crates/router/src/relay/paths/survival_check.rs
+++ b/crates/router/src/relay/paths/survival_check.rs
@@ -2,13 +2,8 @@
 
 use std::sync::Arc;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
-
 use super::open_link::probe;
-use super::path_keeper::asked_routers;
-use super::path_message::{ReachProof, ReachQuery};
-use super::path_query::ask_reached;
+use super::witness_query::is_reached_by_others;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -22,7 +17,7 @@
     core.spawn(async move {
         let _check = check;
         if !probe(&core_of_task, &upstream).await
-            && is_reached_by_others(&core_of_task, &upstream).await
+            && is_reached_by_others(&core_of_task, &upstream, None).await
         {
             let incarnation = &upstream.record.incarnation;
             core_of_task.crashes.record_survival(incarnation);
@@ -45,23 +40,3 @@
         self.0.end_check();
     }
 }
-
-/// Whether a router that is asked now can connect to `upstream`.
-async fn is_reached_by_others(core: &SharedCore, upstream: &RelayUpstream) -> bool {
-    let routers = asked_routers(core, 0);
-    let asking = routers.iter().map(|router| {
-        let query = ReachQuery {
-            upstreams: vec![upstream.record.incarnation.clone()],
-            proof: ReachProof::NewConnection,
-        };
-        ask_reached(core, router, query)
-    });
-    let mut answers: FuturesUnordered<_> = asking.collect();
-    while let Some(answer) = answers.next().await {
-        // A router that gives no answer is no proof.
-        if answer.is_ok_and(|reached| reached == [true]) {
-            return true;
-        }
-    }
-    false
-}
--- a/crates/router/tests/relay/unframed.rs
+++ b/crates/router/tests/relay/unframed.rs
@@ -236,23 +236,31 @@
     .await;
 }
 
+/// Notices that an upstream may give before its end.
+const NOTICES: [Notice; 4] = [
+    Notice::None,
+    Notice::Draining,
+    Notice::Leaving,
+    Notice::Pause,
+];
+
+/// Answers that look complete where an upstream gives `notice` while it sends them, and then ends them with `end`.
+async fn complete_answers_after(notice: Notice, end: fn(&HeldReplica)) -> Vec<RawAnswer> {
+    let deployment = deployment().await;
+    let replica = HeldReplica::start(&deployment, "up-1").await;
+    let relay = deployment.relay().await;
+    let answers = hold_answers(&relay, &replica).await;
+    give_notice(&deployment, &relay, &replica, notice).await;
+    end(&replica);
+    complete_answers(answers).await
+}
+
 /// Guards against an answer that ends with its upstream's process and looks complete, since another answer, a notice or a lost path kept the
 /// router from asking whether the process lives.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_answer_of_an_upstream_that_ended_looks_complete() {
-    for notice in [
-        Notice::None,
-        Notice::Draining,
-        Notice::Leaving,
-        Notice::Pause,
-    ] {
-        let deployment = deployment().await;
-        let replica = HeldReplica::start(&deployment, "up-1").await;
-        let relay = deployment.relay().await;
-        let answers = hold_answers(&relay, &replica).await;
-        give_notice(&deployment, &relay, &replica, notice).await;
-        replica.end();
-        let complete = complete_answers(answers).await;
+    for notice in NOTICES {
+        let complete = complete_answers_after(notice, HeldReplica::end).await;
         assert!(complete.is_empty(), "{notice:?}: {complete:#?}");
     }
 }
@@ -260,19 +268,8 @@
 /// The counterpart: what a process that lives on has sent to its end is delivered, whatever it said of itself meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn each_answer_of_an_upstream_that_lives_on_is_delivered() {
-    for notice in [
-        Notice::None,
-        Notice::Draining,
-        Notice::Leaving,
-        Notice::Pause,
-    ] {
-        let deployment = deployment().await;
-        let replica = HeldReplica::start(&deployment, "up-1").await;
-        let relay = deployment.relay().await;
-        let answers = hold_answers(&relay, &replica).await;
-        give_notice(&deployment, &relay, &replica, notice).await;
-        replica.finish_answers();
-        let complete = complete_answers(answers).await;
+    for notice in NOTICES {
+        let complete = complete_answers_after(notice, HeldReplica::finish_answers).await;
         assert_eq!(complete.len(), HELD, "{notice:?}");
     }
 }
