--- a/crates/router/src/relay/paths/end_check.rs
+++ b/crates/router/src/relay/paths/end_check.rs
@@ -1,10 +1,12 @@
 //! Finds out whether the process of an upstream lived on after the end of a connection that marked the end of an answer.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ferry_decisions::ends::ProcessSign;
 use ferry_decisions::names::HostName;
+use futures::future::{Either, select};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::open_link::{open_direct, open_unrecorded};
@@ -46,15 +48,27 @@
     sign
 }
 
-/// Connects to `upstream`, whatever it has said of itself; where that fails, asks other routers to, since the path may be at fault.
+/// Connects to `upstream`, whatever it has said of itself; where that fails, asks other routers to, since the path may be at fault. Where it is
+/// known to be, both at once.
 async fn find_sign(
     core: &SharedCore,
     upstream: &Arc<RelayUpstream>,
     detour: Option<&HostName>,
 ) -> ProcessSign {
-    match own_sign(core, upstream).await {
-        ProcessSign::Accepted => ProcessSign::Accepted,
-        sign => sign.with_witness(has_witness(core, upstream, detour).await),
+    if detour.is_none() && !upstream.is_path_lost() {
+        return match own_sign(core, upstream).await {
+            ProcessSign::Accepted => ProcessSign::Accepted,
+            sign => sign.with_witness(has_witness(core, upstream, detour).await),
+        };
+    }
+    let own = pin!(own_sign(core, upstream));
+    let witness = pin!(has_witness(core, upstream, detour));
+    match select(own, witness).await {
+        Either::Left((ProcessSign::Accepted, _)) | Either::Right((true, _)) => {
+            ProcessSign::Accepted
+        }
+        Either::Left((sign, witness)) => sign.with_witness(witness.await),
+        Either::Right((false, own)) => own.await,
     }
 }
 
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -4,7 +4,7 @@
 
 use ferry_kernel::http::HttpBody;
 use ferry_kernel::panics;
-use ferry_platform::headers::RequestFacts;
+use ferry_platform::headers::{RequestFacts, attempt_id};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
@@ -29,7 +29,7 @@
 /// Once the relay no longer serves, responses close the caller's connection.
 /// A panic costs this request only.
 pub async fn handle(core: SharedCore, request: Request<Incoming>) -> Response<HttpBody> {
-    let id = RequestFacts::read(request.headers()).attempt_id;
+    let id = attempt_id(request.headers()).map(str::to_owned);
     let answered = panics::caught(answer(&core, request)).await;
     let mut response = answered.unwrap_or_else(|| {
         let refusal = RelayRefusal::router_failed();
--- a/crates/router/src/relay/watch/era_check.rs
+++ b/crates/router/src/relay/watch/era_check.rs
@@ -11,7 +11,7 @@
 use futures::future::join_all;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::operator_watch::apply_rules;
 use super::upstream_watch::apply_left;
@@ -27,8 +27,8 @@
 const RULES_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of upstreams that left in one answer.
 const MAX_LEFT: usize = 1_000;
-/// Number of rounds while no router answers.
-const MAX_ROUNDS: usize = 3;
+/// Time within which another round begins while no router answers.
+const PATIENCE: Duration = Duration::from_millis(800);
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
@@ -92,15 +92,14 @@
     if hosts.is_empty() {
         return;
     }
-    for round in 1..=MAX_ROUNDS {
+    let begun_at = Instant::now();
+    while begun_at.elapsed() < PATIENCE {
         let answered = ask_all(core, &hosts).await;
         if !answered.is_empty() {
             adopt_newest(core, answered).await;
             return;
         }
-        if round < MAX_ROUNDS {
-            sleep(ROUND_PAUSE).await;
-        }
+        sleep(ROUND_PAUSE).await;
     }
     spdlog::warn!("no router answered whether it knows more than the store; what the store has counts", kv: {
         asked = hosts.len(),
