Hold the first requests of a router until the store's era is checked

Cause: a router that starts has rules before their era is checked; requests with a key were refused as out of touch at once in that time, where requests wait up to 0.7 s for what a start lacks. The check took 0.6 s where routers that had ended were asked.

Tests: older_copies, stops and requests pass.

--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -90,7 +90,10 @@
     if core.phase() == LifecyclePhase::Draining {
         return Some(RefusalReason::Stopping);
     }
-    let known = core.rules.load().is_some() && core.upstreams.is_listed() && core.knows_crashes();
+    let known = core.rules.load().is_some()
+        && core.operator_topic.has_checked_era()
+        && core.upstreams.is_listed()
+        && core.knows_crashes();
     (!known).then_some(RefusalReason::NotReady)
 }
 
--- a/crates/router/src/relay/topic_progress.rs
+++ b/crates/router/src/relay/topic_progress.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Whether an era was checked, or none needs it: until then nothing counts as confirmed.
+    pub fn has_checked_era(&self) -> bool {
+        let gate = self.era_gate.as_ref();
+        gate.is_none_or(|gate| gate.state.lock().checked.is_some())
+    }
+
     /// Records that `era` was checked: confirmations of it take effect from now on, the one that waited too.
     pub fn set_era_checked(&self, era: StoreEra) {
         let waited = self
--- a/crates/router/src/relay/watch/era_check.rs
+++ b/crates/router/src/relay/watch/era_check.rs
@@ -8,10 +8,11 @@
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::LeftUpstream;
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::operator_watch::apply_rules;
 use super::upstream_watch::apply_left;
@@ -21,8 +22,10 @@
 
 /// Number of routers that are asked.
 const ASKED_ROUTERS: usize = 8;
-/// Time for which their answers are waited for.
+/// Time for which a first answer is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for which the others are waited for after it: routers that have ended give none.
+const SPREAD_TIME: Duration = Duration::from_millis(100);
 /// Timeout for fetching rules, which may be large.
 const RULES_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of upstreams that left in one answer.
@@ -119,18 +122,26 @@
     hosts
 }
 
-/// Asks `hosts`, and applies what those that answer know of upstreams; returns the revisions that they have in force.
+/// Asks `hosts`, and applies what those that answer in time know of upstreams; returns the revisions that they have in force.
 async fn ask_all(core: &SharedCore, hosts: &[HostName]) -> Vec<RouterFacts> {
     let asking = hosts.iter().map(async |host| {
-        let asked = timeout(ANSWER_TIMEOUT, ask(core, host, false)).await;
-        let answer = asked.ok().flatten()?;
+        let answer = ask(core, host, false).await?;
         apply_left(core, answer.left);
         Some(RouterFacts {
             revision: answer.revision,
             host: host.clone(),
         })
     });
-    join_all(asking).await.into_iter().flatten().collect()
+    let mut answers: FuturesUnordered<_> = asking.collect();
+    let mut answered = Vec::new();
+    let mut until = Instant::now() + ANSWER_TIMEOUT;
+    while let Ok(Some(facts)) = timeout_at(until, answers.next()).await {
+        if answered.is_empty() && facts.is_some() {
+            until = Instant::now() + SPREAD_TIME;
+        }
+        answered.extend(facts);
+    }
+    answered
 }
 
 async fn ask(core: &SharedCore, host: &HostName, wants_rules: bool) -> Option<EraAnswer> {
