Wait for no answer of routers that know no questions about eras

Cause: routers of the build before reply at once that they have no answer, which counted as no answer, so that the question was asked again until the patience of 0.8 s was over.

Change: such a reply is the answer of a router that knows nothing. What the store has counts then at once, as among new routers that know no better.

There is no test of it in the suite: no stand-in is a router of another build.

--- a/crates/router/src/relay/watch/era_check.rs
+++ b/crates/router/src/relay/watch/era_check.rs
@@ -16,7 +16,7 @@
 
 use super::operator_watch::apply_rules;
 use super::upstream_watch::apply_left;
-use crate::peer::{PeerMessage, PeerTopic};
+use crate::peer::{PeerError, PeerMessage, PeerTopic};
 use crate::relay::fleet::{read_body, wait_for_routers, write_body};
 use crate::relay::relay_core::{RelayCore, SharedCore};
 
@@ -42,8 +42,8 @@
     wants_rules: bool,
 }
 
-/// Answer to it.
-#[derive(Debug, Serialize, Deserialize)]
+/// Answer to it; empty from a router that knows nothing.
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct EraAnswer {
     /// Revision in force; absent before rules are in force.
     revision: Option<u64>,
@@ -148,12 +148,15 @@
     let hub = core.fleet.hub()?;
     let query = EraQuery { wants_rules };
     let answer = hub.send_query(host, PeerTopic::Config, &query, RULES_TIMEOUT);
-    answer
-        .await
-        .inspect_err(|error| {
+    match answer.await {
+        Ok(answer) => Some(answer),
+        // A router of a build that knows no such question: there is nothing to wait for.
+        Err(PeerError::Unanswered(_)) => Some(EraAnswer::default()),
+        Err(error) => {
             spdlog::info!("a router did not tell what the store may lack: {}", error, kv: { router = host.as_str() });
-        })
-        .ok()
+            None
+        }
+    }
 }
 
 /// Fetches rules that are newer than those here, the newest first, until some are in force.
