Name the revision in force in refusals, changes of source and a metric

Refusals and lines of a configuration have the revision and the era now, the loss of a sync source is logged with its reason, and ferry_rules_revision is the revision in force.

--- a/crates/router/src/relay/fleet/sync_task.rs
+++ b/crates/router/src/relay/fleet/sync_task.rs
@@ -81,11 +81,24 @@
         Err(FeedError::Peer(_) | FeedError::Record(_)) => SyncOutcome::Failed,
     };
     if let Err(error) = result {
-        spdlog::debug!("no recent content from another router: {}", error, kv: { router = source.as_str() });
+        log_failure(core, source, error);
     }
     core.fleet.record_sync(source, outcome, now);
 }
 
+/// Logs why a query gave no recent content; visibly if this router synced from that one so far.
+fn log_failure(core: &SharedCore, source: &HostName, error: &FeedError) {
+    if core.fleet.sync_source().as_ref() != Some(source) {
+        spdlog::debug!("no recent content from another router: {}", error, kv: { router = source.as_str() });
+        return;
+    }
+    spdlog::info!("no recent content any more from the router that this one synced from: {}", error, kv: {
+        router = source.as_str(),
+        revision = core.revision_in_force().unwrap_or_default(),
+        rules_age_ms = core.operator_topic.age().as_millis() as u64,
+    });
+}
+
 /// Reads the store once when that is due although this router is no reader, until the relay closes.
 pub async fn probe_store(core: SharedCore) {
     let reader = TopicReader::new(core.store.clone(), OPERATOR_TOPIC);
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -155,6 +155,11 @@
         self.crash_topic.position().is_some() && self.crashes.has_asked_others()
     }
 
+    /// Revision of the configuration in force here; `None` before the first one.
+    pub fn revision_in_force(&self) -> Option<u64> {
+        self.rules.load().as_ref().map(|rules| rules.revision)
+    }
+
     /// Lifecycle phase of the relay.
     pub fn phase(&self) -> LifecyclePhase {
         self.phase.get()
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -72,6 +72,7 @@
         request_id = id,
         reason = refusal.reason.name(),
         status = refusal.status().as_u16(),
+        revision = core.revision_in_force().unwrap_or_default(),
         rules_age_ms = core.operator_topic.age().as_millis() as u64,
         synced = core.fleet.is_synced_from_peer(),
     });
--- a/crates/router/src/relay/watch/era_check.rs
+++ b/crates/router/src/relay/watch/era_check.rs
@@ -78,17 +78,13 @@
     };
     left.truncate(MAX_LEFT);
     let answer = EraAnswer {
-        revision: revision_in_force(core),
+        revision: core.revision_in_force(),
         rules: query.wants_rules.then(|| core.rules_value.lock().clone()),
         left,
     };
     write_body(&answer, "an answer to a router")
 }
 
-fn revision_in_force(core: &RelayCore) -> Option<u64> {
-    core.rules.load().as_ref().map(|rules| rules.revision)
-}
-
 /// Asks other routers, and puts the newest rules that one of them has in force, if they are newer than those here.
 async fn check(core: &SharedCore) {
     let hosts = asked_hosts(core);
@@ -163,7 +159,7 @@
 async fn adopt_newest(core: &SharedCore, mut answered: Vec<RouterFacts>) {
     answered.sort_by_key(|facts| facts.revision);
     while let Some(RouterFacts { revision, host }) = answered.pop() {
-        let own = revision_in_force(core);
+        let own = core.revision_in_force();
         if revision <= own {
             return;
         }
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -27,6 +27,8 @@
 const LOGGED_PARTS: usize = 10;
 /// Metric: parts of the newest configuration that cannot be read, by kind; the kind `configuration` for all of it.
 const UNREADABLE_METRIC: &str = "ferry_unreadable_entries";
+/// Metric: revision of the configuration in force.
+const REVISION_METRIC: &str = "ferry_rules_revision";
 /// Delay after a list of all keys, which follows each change while the store keeps no history.
 const LIST_DELAY: Duration = Duration::from_millis(100);
 
@@ -185,16 +187,18 @@
     };
     set_unreadable_count("configuration", 0);
     let rules = decoded.rules;
-    let current = core.rules.load().as_ref().map(|current| current.revision);
+    let current = core.revision_in_force();
     if current.is_some_and(|current| current >= rules.revision) {
         return;
     }
     spdlog::info!("configuration in force", kv: {
         revision = rules.revision,
         replaced = current.unwrap_or_default(),
+        era = core.store.eras().newest().0,
         rules = rules.rule_count(),
         keys:? = rules.key_count(),
     });
+    metrics::gauge!(REVISION_METRIC).set(rules.revision as f64);
     show_unreadable(&decoded.unreadable);
     core.caller_limits.set(ServerLimits {
         head_bytes: rules.limits.head_bytes,
