Show that routers which start one after another believe the store's older copy

Sixteen routers; a key is taken away and all refuse it; the store is away and comes back from a copy that still has the key, while most routers start again one each 0.13 to 0.22 s.

--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -25,7 +25,7 @@
 /// Availability zone of a relay unless a test names another one.
 const ZONE: &str = "zone-a";
 /// Start options of all relays.
-const OPTIONS: RelayOptions = RelayOptions { metrics_port: None };
+pub const OPTIONS: RelayOptions = RelayOptions { metrics_port: None };
 /// Timeout of [`eventually`].
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of a test's request.
@@ -136,7 +136,8 @@
         start.await.unwrap()
     }
 
-    fn settings(&self, host: &str, zone: &str) -> HostSettings {
+    /// Settings of the relay on `host` in `zone`, on free ports.
+    pub fn settings(&self, host: &str, zone: &str) -> HostSettings {
         HostSettings {
             host: host.into(),
             zone: zone.into(),
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -32,6 +32,7 @@
 mod retry_budget;
 mod rollouts;
 mod rules;
+mod starts_in_turn;
 mod stops;
 mod unframed;
 mod usual_times;
