Take no revision for confirmed while another router has a later one

What callers saw: a key that had been taken away opened requests at routers that started one after another around the store's return from an older copy, until the operator had written its configuration again.

Cause: a fact that only goes one way was asked for once, of those who were known at that moment. A router that could not join while the store was away had an empty list, asked nobody, and counted the era as checked; one whose answers came from routers that had just started too took their ignorance for knowledge; and the feed handed on the record of the copy, never the revision in force.

Change: a router's revision in force is in each query and answer of the feed and of the check. Whoever hears of a later one confirms nothing until it has it, fetches it, and after a second refuses all requests and fails its readiness. The check goes on until a router answers whose rules are confirmed; others' answers tell nothing. It waits for the join, which is tried again as soon as the store can be read.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quarantine;
 pub mod registry;
 pub mod retry;
+pub mod revision;
 pub mod rollout;
 pub mod routing;
 pub mod ruleset;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -13,6 +13,8 @@
 mod relay_flags;
 mod request;
 mod rollouts;
+mod rules_progress;
+mod rules_record;
 mod run;
 pub mod status;
 mod topic_progress;
--- a/crates/router/src/relay/confirmation_time.rs
+++ b/crates/router/src/relay/confirmation_time.rs
@@ -29,6 +29,11 @@
         self.confirmed_ms.fetch_max(millis, Ordering::AcqRel);
     }
 
+    /// Whether there was a confirmation.
+    pub fn was_confirmed(&self) -> bool {
+        self.confirmed_ms.load(Ordering::Acquire) > 0
+    }
+
     /// Time since the last confirmation; since boot if there was none.
     pub fn age(&self) -> Duration {
         let confirmed = Duration::from_millis(self.confirmed_ms.load(Ordering::Acquire));
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -23,6 +23,7 @@
 pub use fleet_join::wait_for_routers;
 pub use fleet_manager::FleetManager;
 pub use peer_body::{read as read_body, read_record, write as write_body};
+pub use record_patch::{compress, decompress};
 
 use ferry_kernel::supervisor::TaskPlan;
 
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -31,6 +31,9 @@
     /// Era of these offsets; absent from routers of an older build.
     #[serde(default)]
     pub known_era: Option<StoreEra>,
+    /// Revision of the configuration in force at the requesting router; absent before the first one, and from routers of an older build.
+    #[serde(default)]
+    pub rules_revision: Option<u64>,
     /// Roll-out evidence of the requesting router.
     pub evidence: Vec<EvidenceRecord>,
     /// Crash counts that may not be in the store yet, from a router of an older build, which repeats them until the feed has them; others
@@ -83,6 +86,10 @@
     /// How far it knows the topics of the store; the changes contain all of that.
     #[serde(default)]
     pub positions: FeedPositions,
+    /// Revision of the configuration in force at the answering router, which may be later than that of the records: the store can come back
+    /// from an older copy. Absent before the first one, and from routers of an older build.
+    #[serde(default)]
+    pub rules_revision: Option<u64>,
     /// Milliseconds since the answering router was last confirmed to have the operator's newest records.
     pub rules_age_ms: u64,
     /// Milliseconds since it was last confirmed to have the upstreams' newest entries.
--- a/crates/router/src/relay/fleet/feed_query.rs
+++ b/crates/router/src/relay/fleet/feed_query.rs
@@ -119,11 +119,14 @@
     let own = core.topic_positions();
     let positions = answer.positions.resolve(&own);
     let origin = answer.origin.clone();
+    let rules_revision = answer.rules_revision;
     apply_answer(core, answer, &positions, position)?;
+    let now = core.clock.now();
+    core.operator_topic.hear(source, rules_revision, now);
     // A router that knows nothing of a topic states the time since its own start.
     if let Some(operator) = positions.operator {
         core.operator_topic
-            .confirm(operator.era, requested_at.saturating_sub(rules));
+            .confirm(operator.era, requested_at.saturating_sub(rules), now);
     }
     if let Some(upstreams) = positions.upstreams {
         core.upstream_topic
@@ -163,6 +166,7 @@
         revision: position.revision,
         known: Some(known.offsets),
         known_era: known.era,
+        rules_revision: core.revision_in_force(),
         evidence: rollouts::own_evidence(core),
         crashes: Vec::new(),
         limits: news.limits,
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -31,7 +31,7 @@
         PeerTopic::Feed => answer_query(core, message).await,
         PeerTopic::Quarantine => crashes::answer_report(core, &message),
         PeerTopic::Permits => permits::answer_query(core, &message),
-        PeerTopic::Config => watch::answer_era_query(core, &message),
+        PeerTopic::Config => watch::answer_rules_query(core, &message),
         PeerTopic::Paths => paths::answer_message(core, &message).await,
         _ => None,
     }
@@ -43,6 +43,8 @@
         era: query.known_era,
         offsets: query.known.take()?,
     };
+    core.operator_topic
+        .hear(&message.from, query.rules_revision, core.clock.now());
     merge_evidence(core, std::mem::take(&mut query.evidence));
     core.crashes.merge(query.crashes.clone(), RowOrigin::Router);
     let news = LimitNews {
@@ -142,6 +144,7 @@
         changes,
         operator: feed.record_patches(positions.operator.unwrap_or_default().era, known),
         positions: positions.into(),
+        rules_revision: core.revision_in_force(),
         rules_age_ms: rules_age.as_millis() as u64,
         listing_age_ms: listing_age.as_millis() as u64,
         holds_missing,
--- a/crates/router/src/relay/fleet/fleet_join.rs
+++ b/crates/router/src/relay/fleet/fleet_join.rs
@@ -63,11 +63,25 @@
             core.fleet.record_list(core.clock.now());
         }
         let jitter = rand::rng().random_range(0.5..1.0);
-        sleep(delay.mul_f64(jitter)).await;
+        wait_for_store(&core, delay.mul_f64(jitter)).await;
         delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
 }
 
+/// Waits for `delay`, or until the store could be read for the first time: what is read then is believed only after the others were asked.
+async fn wait_for_store(core: &SharedCore, delay: Duration) {
+    if core.operator_topic.position().is_some() {
+        return sleep(delay).await;
+    }
+    let first_read = async {
+        while core.operator_topic.position().is_none() {
+            sleep(LIST_CHECK_PERIOD).await;
+        }
+    };
+    // Ignores which one it is.
+    let _ = timeout(delay, first_read).await;
+}
+
 /// Reads the entries of other routers while this one reads the store, until the relay closes. The others get them with the feed.
 pub async fn follow_routers(core: SharedCore) {
     let reader = TopicReader::new(core.store.clone(), ROUTER_TOPIC);
@@ -261,10 +275,10 @@
         .ok()
 }
 
-/// Waits until the routers are listed, or could not be for a while although the store can be read.
+/// Waits until the routers are listed and can be asked, or could not be listed for a while although the store can be read.
 pub async fn wait_for_routers(core: &SharedCore) {
     tokio::select! {
-        () = core.fleet.wait_until_listed() => {}
+        () = core.fleet.wait_until_joined() => {}
         () = wait_without_list(core) => {}
     }
 }
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -49,8 +49,10 @@
     directory: Mutex<RouterDirectory>,
     planner: Mutex<SyncPlanner>,
     state: watch::Sender<SyncState>,
-    /// Whether the routers were listed at least once.
+    /// Whether the routers were listed at least once, or this router goes on without a list.
     is_listed: watch::Sender<bool>,
+    /// Whether this router joined the fleet, so that it can ask the others.
+    has_joined: watch::Sender<bool>,
     /// Whether they were listed after routers that started together with this one had time to register.
     has_full_list: AtomicBool,
     /// Router that read the content of the last recent answer from the store; absent if that is not known.
@@ -70,6 +72,7 @@
             planner: Mutex::new(SyncPlanner::new(own, now)),
             state: watch::Sender::default(),
             is_listed: watch::Sender::new(false),
+            has_joined: watch::Sender::new(false),
             has_full_list: AtomicBool::new(false),
             origin: Mutex::default(),
             upstreams_read_at: Mutex::default(),
@@ -87,6 +90,13 @@
         set_directory(&hub, &self.order());
         // Ignores a second call: it comes from a repeated join, which reuses the first links.
         let _ = self.hub.set(hub);
+        self.has_joined.send_replace(true);
+    }
+
+    /// Waits until this router has listed the others and has links to them.
+    pub async fn wait_until_joined(&self) {
+        // Cannot fail, because `self` keeps the sender.
+        let _ = self.has_joined.subscribe().wait_for(|joined| *joined).await;
     }
 
     /// Adds or replaces entries of registered routers.
--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bytes::Bytes;
 use ferry_decisions::memory::MemoryShares;
 use ferry_decisions::names::{Incarnation, ServiceName};
 use ferry_decisions::registry::UpstreamRegistry;
@@ -26,6 +25,8 @@
 use super::paths::PathManager;
 use super::permits::PermitManager;
 use super::rollouts::RolloutManager;
+use super::rules_progress::RulesProgress;
+use super::rules_record::RulesRecord;
 use super::topic_progress::TopicProgress;
 use super::upstreams::UpstreamDirectory;
 use super::work_end::WorkEnd;
@@ -35,6 +36,9 @@
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time in which later rules that another router has in force come here.
+const OUTRUN_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum size of an answer that is read completely before it is forwarded, in bytes.
 const WHOLE_ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -48,12 +52,12 @@
     pub store: StoreClient,
     /// Rules in force here; absent until they are first read from the store or another router.
     pub rules: ArcSwapOption<RuleSet>,
-    /// Value of the operator's record from which these rules are.
-    pub rules_value: Mutex<Bytes>,
+    /// The operator's record from which these rules are.
+    pub rules_record: Mutex<RulesRecord>,
     /// Limits on callers' connections, from the rules in force.
     pub caller_limits: LimitsCell,
     /// How far the operator's records are known here, from which the rules are.
-    pub operator_topic: TopicProgress,
+    pub operator_topic: RulesProgress,
     /// How far the upstreams' entries are known here.
     pub upstream_topic: TopicProgress,
     /// How far the routers' rows of crashes are known here.
@@ -105,8 +109,8 @@
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             rules: ArcSwapOption::empty(),
             caller_limits: LimitsCell::default(),
-            operator_topic: TopicProgress::with_era_checks(),
-            rules_value: Mutex::default(),
+            operator_topic: RulesProgress::default(),
+            rules_record: Mutex::default(),
             upstream_topic: TopicProgress::default(),
             crash_topic: TopicProgress::default(),
             upstreams: UpstreamDirectory::default(),
@@ -130,15 +134,27 @@
     }
 
     /// Whether requests can be answered: the relay is not stopping, rules, upstreams, crashes and the phases of
-    /// roll-outs are known, and the rules were confirmed within the revocation bound.
+    /// roll-outs are known, the rules were confirmed within the revocation bound, and no other router has later ones for long.
     pub fn is_ready(&self) -> bool {
-        let revocation = self.settings.load().bounds.revocation;
         self.phase() == LifecyclePhase::Serving
             && self.rules.load().is_some()
             && self.upstreams.is_listed()
             && self.knows_crashes()
             && self.rollouts.has_all_phases()
-            && self.operator_topic.covers(revocation)
+            && self.is_in_touch()
+            && !self.is_outrun()
+    }
+
+    /// Whether the rules in force were confirmed within the revocation bound.
+    pub fn is_in_touch(&self) -> bool {
+        let revocation = self.settings.load().bounds.revocation;
+        self.operator_topic.covers(revocation)
+    }
+
+    /// Whether another router has had later rules in force for longer than they take to come here: those here must not be used any more.
+    pub fn is_outrun(&self) -> bool {
+        self.operator_topic
+            .is_outrun_for(OUTRUN_TIME, self.clock.now())
     }
 
     /// How far the topics of the store are known here.
--- a/crates/router/src/relay/request/ingress.rs
+++ b/crates/router/src/relay/request/ingress.rs
@@ -92,7 +92,7 @@
         return Some(RefusalReason::Stopping);
     }
     let known = core.rules.load().is_some()
-        && core.operator_topic.has_checked_era()
+        && core.operator_topic.was_confirmed()
         && core.upstreams.is_listed()
         && core.knows_crashes();
     (!known).then_some(RefusalReason::NotReady)
@@ -110,11 +110,15 @@
     let result = core.work_end.run(reading).await;
     let result = result.map_err(RelayRefusal::not_run).flatten();
     result.map_err(|refusal| match refusal.reason {
-        RefusalReason::UnknownRoute | RefusalReason::UnknownKey
-            if core.operator_topic.age() > MAX_RULES_AGE =>
-        {
+        RefusalReason::UnknownRoute | RefusalReason::UnknownKey if may_be_outdated(core) => {
             RelayRefusal::not_run(RefusalReason::Disconnected)
         }
         _ => refusal,
     })
 }
+
+/// Whether a route or key that is not known here may have been added since.
+fn may_be_outdated(core: &SharedCore) -> bool {
+    let missing = core.operator_topic.missing(core.clock.now());
+    missing.is_some() || core.operator_topic.age() > MAX_RULES_AGE
+}
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -143,8 +143,8 @@
         if self.service.is_none() || revision != self.request.revision {
             self.pick_service()?;
         }
-        let revocation = self.core.settings.load().bounds.revocation;
-        if self.request.holder.is_some() && !self.core.operator_topic.covers(revocation) {
+        let is_out_of_touch = self.request.holder.is_some() && !self.core.is_in_touch();
+        if is_out_of_touch || self.core.is_outrun() {
             let refusal = refuse(RefusalReason::Disconnected).with_run(self.run);
             return Err(refusal.with_retry_after(DISCONNECTED_RETRY_AFTER));
         }
--- a/crates/router/src/relay/status/relay_status.rs
+++ b/crates/router/src/relay/status/relay_status.rs
@@ -19,6 +19,9 @@
     pub ready: bool,
     /// Revision of the configuration in force; 0 before the first one.
     pub revision: u64,
+    /// Later revision that another relay has in force; absent if none is known.
+    #[serde(default)]
+    pub missing_revision: Option<u64>,
     /// Number of its rules that cannot be read, whose requests are refused.
     #[serde(default)]
     pub unreadable_rules: usize,
@@ -81,6 +84,7 @@
             phase: core.phase(),
             ready: core.is_ready(),
             revision: rules.as_ref().map_or(0, |rules| rules.revision),
+            missing_revision: core.operator_topic.missing(now),
             unreadable_rules: rules.as_ref().map_or(0, |rules| rules.unreadable_count()),
             newest_unreadable: core.operator_topic.is_unreadable(),
             rules_age_ms: core.operator_topic.age().as_millis() as u64,
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -3,12 +3,14 @@
 mod era_check;
 mod operator_watch;
 mod outage_log;
+mod rules_fetch;
+mod rules_query;
 mod topic_reader;
 mod upstream_watch;
 
-pub use era_check::answer_query as answer_era_query;
 pub use operator_watch::{apply_synced as apply_synced_operator, read_operator};
 pub use outage_log::OutageLog;
+pub use rules_query::answer_query as answer_rules_query;
 pub use topic_reader::{TopicChanges, TopicReader};
 pub use upstream_watch::{SyncedUpstreams, apply_synced as apply_synced_upstreams};
 
@@ -24,6 +26,10 @@
         operator_watch::follow,
     );
     core.keep(TaskPlan::essential("era checks"), era_check::follow);
+    core.keep(
+        TaskPlan::essential("rules of other routers"),
+        rules_fetch::follow,
+    );
     core.keep(
         TaskPlan::essential("upstream entries"),
         upstream_watch::follow,
--- a/crates/router/src/relay/watch/era_check.rs
+++ b/crates/router/src/relay/watch/era_check.rs
@@ -5,172 +5,108 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use ferry_decisions::names::HostName;
-use ferry_decisions::registry::LeftUpstream;
+use ferry_decisions::revision::{EraCheck, EraRound, EraStep};
+use ferry_decisions::topic::StoreEra;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::operator_watch::apply_rules;
+use super::rules_query::{RulesQuery, ask};
 use super::upstream_watch::apply_left;
-use crate::peer::{PeerError, PeerMessage, PeerTopic};
-use crate::relay::fleet::{read_body, wait_for_routers, write_body};
-use crate::relay::relay_core::{RelayCore, SharedCore};
+use crate::relay::fleet::wait_for_routers;
+use crate::relay::relay_core::SharedCore;
 
-/// Number of routers that are asked.
+/// Number of routers that are asked in one round.
 const ASKED_ROUTERS: usize = 8;
 /// Time for which a first answer is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which the others are waited for after it: routers that have ended give none.
 const SPREAD_TIME: Duration = Duration::from_millis(100);
-/// Timeout for fetching rules, which may be large.
-const RULES_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum number of upstreams that left in one answer.
-const MAX_LEFT: usize = 1_000;
-/// Time within which another round begins while no router answers.
-const PATIENCE: Duration = Duration::from_millis(800);
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
-/// A question about what another router knows.
-#[derive(Debug, Serialize, Deserialize)]
-struct EraQuery {
-    /// Whether the answer is to contain the rules.
-    wants_rules: bool,
-}
-
-/// Answer to it; empty from a router that knows nothing.
-#[derive(Debug, Default, Serialize, Deserialize)]
-struct EraAnswer {
-    /// Revision in force; absent before rules are in force.
-    revision: Option<u64>,
-    /// Value of the operator's record, if it was wanted.
-    rules: Option<Bytes>,
-    /// Upstreams that left; none in an answer with rules.
-    left: Vec<LeftUpstream>,
-}
-
-/// What a router answered.
-struct RouterFacts {
-    revision: Option<u64>,
-    host: HostName,
-}
-
 /// Checks each era of the store in which the operator's records are confirmed, until the relay closes.
 pub async fn follow(core: SharedCore) {
     loop {
         let era = core.operator_topic.wait_for_unchecked_era().await;
-        wait_for_routers(&core).await;
-        check(&core).await;
-        core.operator_topic.set_era_checked(era);
+        check(&core, era).await;
+        core.operator_topic.set_era_checked(era, core.clock.now());
     }
 }
 
-/// Answers the question of another router.
-pub fn answer_query(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
-    let query: EraQuery = read_body(message, "question about an era")?;
-    let mut left = match query.wants_rules {
-        true => Vec::new(),
-        false => core.registry.lock().left(core.clock.now()),
-    };
-    left.truncate(MAX_LEFT);
-    let answer = EraAnswer {
-        revision: core.revision_in_force(),
-        rules: query.wants_rules.then(|| core.rules_value.lock().clone()),
-        left,
-    };
-    write_body(&answer, "an answer to a router")
-}
-
-/// Asks other routers, and puts the newest rules that one of them has in force, if they are newer than those here.
-async fn check(core: &SharedCore) {
-    let hosts = asked_hosts(core);
-    if hosts.is_empty() {
-        return;
-    }
-    let begun_at = Instant::now();
-    while begun_at.elapsed() < PATIENCE {
-        let answered = ask_all(core, &hosts).await;
-        if !answered.is_empty() {
-            adopt_newest(core, answered).await;
-            return;
+/// Asks other routers until what the store has in `era` may count.
+async fn check(core: &SharedCore, era: StoreEra) {
+    let check = EraCheck::begin(era, core.is_in_touch(), core.clock.now());
+    wait_for_routers(core).await;
+    let mut hosts = first_hosts(core);
+    loop {
+        let round = ask_all(core, &hosts).await;
+        match check.step(round, core.clock.now()) {
+            EraStep::Pass => return,
+            EraStep::PassUnheard => return log_unheard(core, era),
+            EraStep::AskAgain => {
+                sleep(ROUND_PAUSE).await;
+                hosts = random_hosts(core, ASKED_ROUTERS, &[]);
+            }
         }
-        sleep(ROUND_PAUSE).await;
     }
-    spdlog::warn!("no router answered whether it knows more than the store; what the store has counts", kv: {
-        asked = hosts.len(),
+}
+
+fn log_unheard(core: &SharedCore, era: StoreEra) {
+    spdlog::warn!("no router that was there before told whether it knows more than the store; what the store has counts", kv: {
+        era = era.0,
+        routers = core.fleet.router_count(),
+        revision = core.revision_in_force().unwrap_or_default(),
     });
 }
 
 /// Routers that read the store for others, and further ones at random.
-fn asked_hosts(core: &SharedCore) -> Vec<HostName> {
+fn first_hosts(core: &SharedCore) -> Vec<HostName> {
     let settings = core.settings.load_full();
     let mut hosts = core.fleet.order().first_of_zones(&settings.zone);
-    hosts.truncate(ASKED_ROUTERS);
-    let mut others = core.fleet.hosts();
-    others.retain(|host| !hosts.contains(host));
-    let missing = ASKED_ROUTERS.saturating_sub(hosts.len());
-    hosts.extend(others.choose_multiple(&mut rand::rng(), missing).cloned());
     hosts.retain(|host| *host != settings.host);
+    hosts.truncate(ASKED_ROUTERS);
+    let missing = ASKED_ROUTERS - hosts.len();
+    let further = random_hosts(core, missing, &hosts);
+    hosts.extend(further);
     hosts
 }
 
-/// Asks `hosts`, and applies what those that answer in time know of upstreams; returns the revisions that they have in force.
-async fn ask_all(core: &SharedCore, hosts: &[HostName]) -> Vec<RouterFacts> {
+/// `count` of the registered routers other than this one and `chosen`.
+fn random_hosts(core: &SharedCore, count: usize, chosen: &[HostName]) -> Vec<HostName> {
+    let own = core.settings.load().host.clone();
+    let mut hosts = core.fleet.hosts();
+    hosts.retain(|host| *host != own && !chosen.contains(host));
+    let drawn = hosts.choose_multiple(&mut rand::rng(), count);
+    drawn.cloned().collect()
+}
+
+/// Asks `hosts`, and applies what those that answer in time know.
+async fn ask_all(core: &SharedCore, hosts: &[HostName]) -> EraRound {
     let asking = hosts.iter().map(async |host| {
-        let answer = ask(core, host, false).await?;
+        let answer = ask(core, host, RulesQuery::facts(core)).await?;
         apply_left(core, answer.left);
-        Some(RouterFacts {
-            revision: answer.revision,
-            host: host.clone(),
-        })
+        core.operator_topic
+            .hear(host, answer.revision, core.clock.now());
+        Some(answer.is_in_touch)
     });
     let mut answers: FuturesUnordered<_> = asking.collect();
-    let mut answered = Vec::new();
+    let mut round = EraRound {
+        asked: hosts.len(),
+        ..EraRound::default()
+    };
     let mut until = Instant::now() + ANSWER_TIMEOUT;
-    while let Ok(Some(facts)) = timeout_at(until, answers.next()).await {
-        if answered.is_empty() && facts.is_some() {
+    while let Ok(Some(answer)) = timeout_at(until, answers.next()).await {
+        let Some(is_in_touch) = answer else {
+            continue;
+        };
+        if round.answered == 0 {
             until = Instant::now() + SPREAD_TIME;
         }
-        answered.extend(facts);
-    }
-    answered
-}
-
-async fn ask(core: &SharedCore, host: &HostName, wants_rules: bool) -> Option<EraAnswer> {
-    let hub = core.fleet.hub()?;
-    let query = EraQuery { wants_rules };
-    let answer = hub.send_query(host, PeerTopic::Config, &query, RULES_TIMEOUT);
-    match answer.await {
-        Ok(answer) => Some(answer),
-        // A router of a build that knows no such question: there is nothing to wait for.
-        Err(PeerError::Unanswered(_)) => Some(EraAnswer::default()),
-        Err(error) => {
-            spdlog::info!("a router did not tell what the store may lack: {}", error, kv: { router = host.as_str() });
-            None
-        }
-    }
-}
-
-/// Fetches rules that are newer than those here, the newest first, until some are in force.
-async fn adopt_newest(core: &SharedCore, mut answered: Vec<RouterFacts>) {
-    answered.sort_by_key(|facts| facts.revision);
-    while let Some(RouterFacts { revision, host }) = answered.pop() {
-        let own = core.revision_in_force();
-        if revision <= own {
-            return;
-        }
-        spdlog::warn!("another router has newer rules in force than the store", kv: {
-            router = host.as_str(),
-            revision = revision.unwrap_or_default(),
-            own = own.unwrap_or_default(),
-        });
-        let answer = ask(core, &host, true).await;
-        if let Some(rules) = answer.and_then(|answer| answer.rules) {
-            apply_rules(core, rules);
-        }
+        round.answered += 1;
+        round.informed += usize::from(is_in_touch);
     }
+    round
 }
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -17,6 +17,7 @@
 use super::upstream_watch;
 use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::relay_core::SharedCore;
+use crate::relay::rules_record::RulesRecord;
 
 /// Time for which a read waits for new records; the rules are confirmed at least this often.
 const READ_WAIT: Duration = Duration::from_millis(550);
@@ -76,7 +77,9 @@
 ) -> Result<(), StoreError> {
     let requested_at = ConfirmationTime::now();
     let known_keys = core.fleet.feed.operator_keys();
-    let changes = reader.next(&core.operator_topic, known_keys, wait).await?;
+    let changes = reader
+        .next(core.operator_topic.topic(), known_keys, wait)
+        .await?;
     let confirmed = confirmed_at(requested_at, wait, &changes);
     let is_repeated = changes.whole;
     if !core.operator_topic.is_beyond(Some(changes.position)) {
@@ -84,7 +87,9 @@
         core.operator_topic.advance(changes.position);
     }
     if let Some(moment) = confirmed {
-        core.operator_topic.confirm(changes.position.era, moment);
+        let now = core.clock.now();
+        core.operator_topic
+            .confirm(changes.position.era, moment, now);
     }
     if is_repeated {
         sleep(LIST_DELAY).await;
@@ -204,6 +209,8 @@
         head_bytes: rules.limits.head_bytes,
         head_timeout: rules.limits.idle_time,
     });
-    *core.rules_value.lock() = value;
+    *core.rules_record.lock() = RulesRecord::new(value);
+    let revision = rules.revision;
     core.rules.store(Some(Arc::new(rules)));
+    core.operator_topic.apply(revision, core.clock.now());
 }
--- /dev/null
+++ b/crates/router/src/relay/watch/rules_fetch.rs
@@ -0,0 +1,76 @@
+//! Fetches the rules that another router has in force, when they are later than those here and come no other way.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::HostName;
+use rand::seq::IndexedRandom;
+use tokio::time::sleep;
+
+use super::operator_watch::apply_rules;
+use super::rules_query::{RulesAnswer, RulesQuery, ask};
+use crate::relay::fleet::decompress;
+use crate::relay::relay_core::SharedCore;
+
+/// Time in which a new configuration comes from the store or the sync source, which is waited for first.
+const USUAL_TIME: Duration = Duration::from_millis(300);
+/// Pause after an attempt that brought nothing, and its maximum after several.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(200);
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Metric: attempts to fetch rules from other routers, by outcome.
+const FETCHES_METRIC: &str = "ferry_rules_fetches_total";
+
+/// Fetches later rules whenever another router states that it has them, until the relay closes.
+pub async fn follow(core: SharedCore) {
+    loop {
+        core.operator_topic.wait_until_outrun().await;
+        // A router whose rules were never confirmed serves nobody until then.
+        if core.operator_topic.was_confirmed() {
+            sleep(USUAL_TIME).await;
+        }
+        fetch_missing(&core).await;
+    }
+}
+
+/// Asks one of the routers that have the latest rules after the other, until they are in force here or nobody has them any more.
+async fn fetch_missing(core: &SharedCore) {
+    let mut pause = MIN_RETRY_PAUSE;
+    while let Some(revision) = core.operator_topic.missing(core.clock.now()) {
+        let holders = core.operator_topic.holders(core.clock.now());
+        let Some(holder) = holders.choose(&mut rand::rng()) else {
+            return;
+        };
+        spdlog::warn!("another router has later rules in force", kv: {
+            router = holder.as_str(),
+            revision = revision,
+            own = core.revision_in_force().unwrap_or_default(),
+            rules_age_ms = core.operator_topic.age().as_millis() as u64,
+        });
+        let outcome = match fetch(core, holder).await {
+            Some(rules) => {
+                apply_rules(core, rules);
+                "fetched"
+            }
+            None => "failed",
+        };
+        metrics::counter!(FETCHES_METRIC, "outcome" => outcome).increment(1);
+        if core.operator_topic.missing(core.clock.now()).is_some() {
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+        }
+    }
+}
+
+/// Value of the operator's record from which `holder` has its rules; `None` if it can't be had.
+async fn fetch(core: &SharedCore, holder: &HostName) -> Option<Bytes> {
+    let answer = ask(core, holder, RulesQuery::rules(core)).await?;
+    let RulesAnswer {
+        rules, compressed, ..
+    } = answer;
+    match compressed {
+        Some(compressed) => decompress(&[], &compressed)
+            .inspect_err(|error| spdlog::error!("rules of another router cannot be restored: {}", error, kv: { router = holder.as_str() }))
+            .ok(),
+        None => rules,
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/watch/rules_query.rs
@@ -0,0 +1,107 @@
+//! Questions between routers about the rules in force, and about upstreams that left.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ferry_decisions::names::HostName;
+use ferry_decisions::registry::LeftUpstream;
+use serde::{Deserialize, Serialize};
+
+use crate::peer::{PeerError, PeerMessage, PeerTopic};
+use crate::relay::fleet::{read_body, write_body};
+use crate::relay::relay_core::{RelayCore, SharedCore};
+
+/// Timeout of a question; an answer with rules may be large.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of upstreams that left in one answer.
+const MAX_LEFT: usize = 1_000;
+
+/// A question about what another router knows.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(super) struct RulesQuery {
+    /// Whether the answer is to contain the rules.
+    wants_rules: bool,
+    /// Whether they may be compressed; false from routers of an older build.
+    takes_compressed: bool,
+    /// Revision in force at the router that asks; absent before rules are in force, and from routers of an older build.
+    revision: Option<u64>,
+}
+
+/// Answer to it; empty from a router that knows nothing.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(super) struct RulesAnswer {
+    /// Revision in force; absent before rules are in force.
+    pub revision: Option<u64>,
+    /// Whether the rules in force are confirmed; false from routers of an older build, of which that is not known.
+    pub is_in_touch: bool,
+    /// Value of the operator's record, if it was wanted and must not be compressed.
+    pub rules: Option<Bytes>,
+    /// The same, compressed.
+    pub compressed: Option<Bytes>,
+    /// Upstreams that left; none in an answer with rules.
+    pub left: Vec<LeftUpstream>,
+}
+
+impl RulesQuery {
+    /// A question about facts that only go one way.
+    pub(super) fn facts(core: &RelayCore) -> Self {
+        Self {
+            wants_rules: false,
+            takes_compressed: true,
+            revision: core.revision_in_force(),
+        }
+    }
+
+    /// A question for the rules in force.
+    pub(super) fn rules(core: &RelayCore) -> Self {
+        Self {
+            wants_rules: true,
+            ..Self::facts(core)
+        }
+    }
+}
+
+/// Answers the question of another router.
+pub fn answer_query(core: &RelayCore, message: &PeerMessage) -> Option<Bytes> {
+    let query: RulesQuery = read_body(message, "question about the rules in force")?;
+    let now = core.clock.now();
+    core.operator_topic.hear(&message.from, query.revision, now);
+    let mut answer = RulesAnswer {
+        revision: core.revision_in_force(),
+        is_in_touch: core.is_in_touch(),
+        ..RulesAnswer::default()
+    };
+    if query.wants_rules {
+        let mut record = core.rules_record.lock();
+        let compressed = query.takes_compressed.then(|| record.compressed());
+        answer.compressed = compressed.flatten();
+        if answer.compressed.is_none() {
+            answer.rules = Some(record.value());
+        }
+    } else {
+        answer.left = core.registry.lock().left(now);
+        answer.left.truncate(MAX_LEFT);
+    }
+    write_body(&answer, "an answer to a router")
+}
+
+/// Asks `host`; `None` without an answer.
+pub(super) async fn ask(
+    core: &SharedCore,
+    host: &HostName,
+    query: RulesQuery,
+) -> Option<RulesAnswer> {
+    let hub = core.fleet.hub()?;
+    let answer = hub.send_query(host, PeerTopic::Config, &query, QUERY_TIMEOUT);
+    match answer.await {
+        Ok(answer) => Some(answer),
+        // A router of a build that knows no such question: there is nothing to wait for.
+        Err(PeerError::Unanswered(_)) => Some(RulesAnswer::default()),
+        Err(error) => {
+            spdlog::info!("a router did not tell which rules it has in force: {}", error, kv: { router = host.as_str() });
+            None
+        }
+    }
+}
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -19,6 +19,7 @@
 mod last_keys;
 mod late_answers;
 mod late_reads;
+mod later_rules;
 mod limits;
 mod mass_failure;
 mod odd_callers;
