--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -26,7 +26,7 @@
     BodyError, BoxError, HttpBody, collect_limited, empty, full, json_response, streamed,
 };
 pub use body_budget::BodyBudget;
-pub use client::{HttpClient, HttpError, HttpRequest, successful_body};
+pub use client::{CallTimes, HttpClient, HttpError, HttpRequest, successful_body};
 pub use event_splitter::{EventSplitter, EventTooLong, complete_events};
 pub use framing::BodyFraming;
 pub use joined_body::{JoinedBody, held_piece_bytes};
--- a/crates/kernel/src/http/body.rs
+++ b/crates/kernel/src/http/body.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -13,6 +14,7 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 use tokio::task::yield_now;
+use tokio::time::timeout;
 
 use super::JoinedBody;
 
@@ -43,6 +45,12 @@
         /// Maximum size of all bodies, in bytes.
         limit: usize,
     },
+    /// Nothing more of the body came for a time.
+    #[error("nothing of the body came for {pause:?}; check the connection, and send it again")]
+    Silent {
+        /// Longest pause allowed between two pieces.
+        pause: Duration,
+    },
     /// The body ended before its announced length, or the connection broke.
     #[error("the body ended early: {0}; send the whole body")]
     Truncated(String),
@@ -95,16 +103,35 @@
     B: Body<Data = Bytes>,
     B::Error: Into<BoxError>,
 {
-    collect_checked(body, |joined| match joined.len() > limit {
+    collect_steady(body, limit, Duration::MAX).await
+}
+
+/// Reads a whole body of at most `limit` bytes, whose pieces must not be more than `pause` apart.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `limit`, ends early, or pauses for longer.
+pub(super) async fn collect_steady<B>(
+    body: B,
+    limit: usize,
+    pause: Duration,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
+    collect_checked(body, pause, |joined| match joined.len() > limit {
         true => Err(BodyError::TooLarge { limit }),
         false => Ok(()),
     })
     .await
 }
 
-/// Reads a whole body, which `check` may refuse after each piece because of what it has taken so far.
+/// Reads a whole body, whose pieces must not be more than `pause` apart, and which `check` may refuse after each piece because of what it has
+/// taken so far.
 pub(super) async fn collect_checked<B>(
     body: B,
+    pause: Duration,
     mut check: impl FnMut(&JoinedBody) -> Result<(), BodyError>,
 ) -> Result<Bytes, BodyError>
 where
@@ -113,7 +140,8 @@
 {
     let mut body = pin!(body);
     let mut joined = JoinedBody::default();
-    while let Some(frame) = body.frame().await {
+    let silent = |_| BodyError::Silent { pause };
+    while let Some(frame) = timeout(pause, body.frame()).await.map_err(silent)? {
         let frame = frame.map_err(truncated)?;
         if let Ok(piece) = frame.into_data() {
             joined.push(piece);
--- a/crates/kernel/src/http/body_budget.rs
+++ b/crates/kernel/src/http/body_budget.rs
@@ -1,6 +1,7 @@
 //! Limit on the memory of all bodies that are being read at the same time.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Body;
@@ -48,7 +49,7 @@
             budget: self,
             count: 0,
         };
-        collect_checked(body, |joined| taken.update(joined)).await
+        collect_checked(body, Duration::MAX, |joined| taken.update(joined)).await
     }
 }
 
--- a/crates/kernel/src/http/client.rs
+++ b/crates/kernel/src/http/client.rs
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use super::KEEP_ALIVE;
-use super::body::{BodyError, collect_limited};
+use super::body::{BodyError, collect_steady};
 use super::paced_connector::PacedConnector;
 
 /// Longest response body that [`HttpClient::fetch`] reads, in bytes.
@@ -129,6 +129,28 @@
     }
 }
 
+/// How long a call may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallTimes {
+    /// Until the head of the answer has come.
+    pub head: Duration,
+    /// Between two pieces of its body.
+    pub pause: Duration,
+    /// In total.
+    pub total: Duration,
+}
+
+impl From<Duration> for CallTimes {
+    /// A call whose answer must be complete after `timeout`.
+    fn from(timeout: Duration) -> Self {
+        Self {
+            head: timeout,
+            pause: timeout,
+            total: timeout,
+        }
+    }
+}
+
 /// Client with a pool of connections; clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -196,12 +218,12 @@
     pub async fn fetch(&self, request: HttpRequest, timeout: Duration) -> Result<Bytes, HttpError> {
         let url = request.url.clone();
         let response = self
-            .fetch_response(request, timeout, RESPONSE_LIMIT)
+            .fetch_response(request, timeout.into(), RESPONSE_LIMIT)
             .await?;
         successful_body(url, response)
     }
 
-    /// Sends `request` and reads the whole response of at most `limit` bytes, whatever its status.
+    /// Sends `request` and reads the whole response of at most `limit` bytes within `times`, whatever its status.
     ///
     /// # Errors
     ///
@@ -209,24 +231,28 @@
     pub async fn fetch_response(
         &self,
         request: HttpRequest,
-        timeout: Duration,
+        times: CallTimes,
         limit: usize,
     ) -> Result<Response<Bytes>, HttpError> {
         let url = request.url.clone();
+        let timed_out = |timeout| HttpError::Timeout {
+            url: url.clone(),
+            timeout,
+        };
         let exchange = async {
-            let (head, body) = self.send(request, timeout).await?.into_parts();
-            let body = collect_limited(body, limit)
-                .await
-                .map_err(|error: BodyError| HttpError::Broken {
+            let (head, body) = self.send(request, times.head).await?.into_parts();
+            let body = collect_steady(body, limit, times.pause).await;
+            let body = body.map_err(|error| match error {
+                BodyError::Silent { pause } => timed_out(pause),
+                error => HttpError::Broken {
                     url: url.clone(),
                     reason: error.to_string(),
-                })?;
+                },
+            })?;
             Ok(Response::from_parts(head, body))
         };
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(HttpError::Timeout { url, timeout }),
-        }
+        let exchange = tokio::time::timeout(times.total, exchange);
+        exchange.await.map_err(|_| timed_out(times.total))?
     }
 
     /// Sends `request` and decodes the response body as JSON.
--- a/crates/rig/src/link_proxy.rs
+++ b/crates/rig/src/link_proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy between two processes that can cut or reset all connections, stall them, or cut those of one source: by closing
+//! A TCP proxy between two processes that can cut or reset all connections, stall them, let them go silent, slow them, or cut those of one source: by closing
 //! them, or by a partition that drops packets.
 
 mod link_copy;
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -29,6 +29,8 @@
     listener: Arc<TcpListener>,
     /// True while connections stay open but no data is forwarded.
     stalled: Arc<watch::Sender<bool>>,
+    /// Speed of each connection towards its source; 0 without a limit.
+    bytes_per_s: Arc<AtomicU64>,
 }
 
 /// Which packets a partition from one source drops.
@@ -64,6 +66,8 @@
     socket: Weak<Socket>,
     /// True while no data is forwarded.
     stalled: Arc<watch::Sender<bool>>,
+    /// Whether nothing is ever forwarded any more.
+    is_silent: bool,
 }
 
 impl LinkProxy {
@@ -79,6 +83,7 @@
             state: Arc::default(),
             listener,
             stalled: Arc::default(),
+            bytes_per_s: Arc::default(),
         };
         tokio::spawn(proxy.clone().accept());
         Ok(proxy)
@@ -146,7 +151,20 @@
         self.stalled.send_replace(true);
     }
 
-    /// Ends all cuts and the stall; data held back by the stall is forwarded.
+    /// Lets the connections that are open now go silent for good, without closing any; new ones work.
+    pub fn silence(&self) {
+        for link in &mut self.state.lock().open {
+            link.is_silent = true;
+            link.stalled.send_replace(true);
+        }
+    }
+
+    /// Limits the speed of each connection from the target to its source, in bytes per second, from its next piece of data on.
+    pub fn limit_speed(&self, bytes_per_s: u64) {
+        self.bytes_per_s.store(bytes_per_s, Ordering::Release);
+    }
+
+    /// Ends all cuts and the stall; data held back by the stall is forwarded. Silent connections stay silent.
     pub fn heal(&self) {
         self.stalled.send_replace(false);
         let mut state = self.state.lock();
@@ -168,8 +186,8 @@
             if let Some(socket) = link.socket.upgrade() {
                 drop_packets_from(&SockRef::from(&*socket), sources)?;
             }
-            link.stalled
-                .send_replace(scope == Some(&PartitionScope::All));
+            let is_stalled = link.is_silent || scope == Some(&PartitionScope::All);
+            link.stalled.send_replace(is_stalled);
         }
         Ok(())
     }
@@ -184,7 +202,7 @@
                 continue;
             };
             let stalls = [self.stalled.subscribe(), link.stalled.subscribe()];
-            let copying = copy_both(stream, target, stalls);
+            let copying = copy_both(stream, target, stalls, Arc::clone(&self.bytes_per_s));
             tokio::spawn(copy_until_cut(copying, link, socket));
         }
     }
@@ -201,6 +219,7 @@
             resets: Arc::default(),
             socket: Arc::downgrade(socket),
             stalled: Arc::default(),
+            is_silent: false,
         };
         state.open.retain(|open| !open.token.is_cancelled());
         state.open.push(link.clone());
--- a/crates/rig/src/link_proxy/link_copy.rs
+++ b/crates/rig/src/link_proxy/link_copy.rs
@@ -2,27 +2,35 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// Buffer size per direction, in bytes.
 const BUFFER_BYTES: usize = 64 * 1024;
+/// Size of the pieces in which a slow connection forwards data, in bytes.
+const PIECE_BYTES: usize = 8 * 1024;
 
-/// Copies between `client` and `target` until both directions are closed or one fails; copies nothing while one of `stalls` is true.
+/// Copies between `client` and `target` until both directions are closed or one fails; copies nothing while one of `stalls` is true, and towards
+/// the client no faster than `bytes_per_s` unless that is 0.
 pub(super) async fn copy_both(
     client: TcpStream,
     target: SocketAddr,
     stalls: [watch::Receiver<bool>; 2],
+    bytes_per_s: Arc<AtomicU64>,
 ) -> io::Result<()> {
     let server = TcpStream::connect(target).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = server.into_split();
-    let to_server = copy_direction(client_in, server_out, stalls.clone());
-    let to_client = copy_direction(server_in, client_out, stalls);
+    let to_server = copy_direction(client_in, server_out, stalls.clone(), Arc::default());
+    let to_client = copy_direction(server_in, client_out, stalls, bytes_per_s);
     tokio::try_join!(to_server, to_client).map(drop)
 }
 
@@ -30,6 +38,7 @@
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
     mut stalls: [watch::Receiver<bool>; 2],
+    bytes_per_s: Arc<AtomicU64>,
 ) -> io::Result<()> {
     let mut chunk = vec![0; BUFFER_BYTES];
     loop {
@@ -42,6 +51,12 @@
         if length == 0 {
             return to.shutdown().await;
         }
-        to.write_all(&chunk[..length]).await?;
+        let speed = bytes_per_s.load(Ordering::Acquire);
+        for piece in chunk[..length].chunks(PIECE_BYTES) {
+            if speed > 0 {
+                sleep(Duration::from_secs_f64(piece.len() as f64 / speed as f64)).await;
+            }
+            to.write_all(piece).await?;
+        }
     }
 }
--- a/crates/router/src/caller/caller_refusal.rs
+++ b/crates/router/src/caller/caller_refusal.rs
@@ -241,7 +241,9 @@
         let detail = error.to_string();
         match error {
             BodyError::TooLarge { .. } => Self::permanent(RefusalKind::BodyTooLarge, detail),
-            BodyError::Truncated(_) => Self::permanent(RefusalKind::BadRequest, detail),
+            BodyError::Truncated(_) | BodyError::Silent { .. } => {
+                Self::permanent(RefusalKind::BadRequest, detail)
+            }
             BodyError::NoRoom { .. } => {
                 Self::retry_after(RefusalKind::Overloaded, detail, OTHER_ROUTER_RETRY_AFTER)
             }
--- a/crates/router/src/relay/request/relay_request.rs
+++ b/crates/router/src/relay/request/relay_request.rs
@@ -182,7 +182,7 @@
     let reason = match timeout_at(until, reading).await {
         Ok(Ok(body)) => return Ok(body.into_bytes()),
         Ok(Err(BodyError::TooLarge { .. })) => RefusalReason::BodyTooLarge,
-        Ok(Err(BodyError::Truncated(_))) => RefusalReason::Malformed,
+        Ok(Err(BodyError::Truncated(_) | BodyError::Silent { .. })) => RefusalReason::Malformed,
         Ok(Err(BodyError::NoRoom { .. })) => RefusalReason::NoMemory,
         Err(_) => RefusalReason::DeadlinePassed,
     };
