Notice by what comes on a link whether another router's answer is on its way

What callers saw: 503 out_of_touch, and requests handled by rules that were replaced up to 4.8 s before, after the connections between routers had gone silent for good while new ones worked.

Cause: a query waited for a time that said nothing about the link. The first query to a source waited 3 s because its answer is large, also on a link that had gone silent; later ones gave up after 0.5 or 0.9 s and were repeated on the same link, until its own timeout of 4 s. The rounds of the feed wait for their slowest query, so that rules grew old although other sources had newer ones. The same limit gave up large answers over slow links that were on their way.

Change: a link measures what comes on it. A query ends when no part of an answer has come for 0.5 or 0.9 s, and goes on for 3 s in total while parts come. A link on which nothing at all has come for the last half a second of such a wait is not used again: the query is repeated at once, and the next ones are sent, on a new one. Dials that a query waits for end after 1.5 s instead of 3.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -30,6 +30,6 @@
 pub use event_splitter::{EventSplitter, EventTooLong, complete_events};
 pub use framing::BodyFraming;
 pub use joined_body::{JoinedBody, held_piece_bytes};
-pub use paced_stream::{HeadLimit, PacedStream};
+pub use paced_stream::{HeadLimit, PacedStream, ReadMeter};
 pub use request_memory::{BodyRoom, HeldBody, RequestMemory};
 pub use server::{LimitsCell, Server, ServerHandle, ServerLimits, dropped_connection};
--- a/crates/kernel/src/http/paced_stream.rs
+++ b/crates/kernel/src/http/paced_stream.rs
@@ -3,13 +3,15 @@
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::coop::{has_budget_remaining, poll_proceed};
+use tokio::time::Instant;
 
 /// Most bytes of one read.
 const READ_BYTES: usize = 16 * 1024;
@@ -35,11 +37,55 @@
     left: Arc<AtomicUsize>,
 }
 
+/// What was read from a connection so far. Clones share it.
+#[derive(Debug, Clone)]
+pub struct ReadMeter {
+    opened_at: Instant,
+    state: Arc<ReadState>,
+}
+
+#[derive(Debug, Default)]
+struct ReadState {
+    bytes: AtomicU64,
+    /// Milliseconds from the opening to the last read that brought something.
+    last_ms: AtomicU64,
+}
+
+impl Default for ReadMeter {
+    fn default() -> Self {
+        Self {
+            opened_at: Instant::now(),
+            state: Arc::default(),
+        }
+    }
+}
+
+impl ReadMeter {
+    /// Number of bytes.
+    pub fn bytes(&self) -> u64 {
+        self.state.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Time since something was read last; since the opening if nothing was.
+    pub fn quiet_time(&self) -> Duration {
+        let last = Duration::from_millis(self.state.last_ms.load(Ordering::Relaxed));
+        self.opened_at.elapsed().saturating_sub(last)
+    }
+
+    fn record(&self, bytes: usize) {
+        let elapsed = self.opened_at.elapsed().as_millis();
+        let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX);
+        self.state.last_ms.store(elapsed, Ordering::Relaxed);
+        self.state.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
 /// A client's side of a connection.
 #[derive(Debug)]
 pub struct PacedStream<S> {
     stream: S,
     head: HeadLimit,
+    meter: ReadMeter,
 }
 
 impl HeadLimit {
@@ -81,7 +127,11 @@
 impl<S> PacedStream<S> {
     /// A connection on which `head` counts.
     pub fn new(stream: S, head: HeadLimit) -> Self {
-        Self { stream, head }
+        Self {
+            stream,
+            head,
+            meter: ReadMeter::default(),
+        }
     }
 
     /// A connection on which nothing counts the heads of answers.
@@ -89,6 +139,11 @@
         Self::new(stream, HeadLimit::new(usize::MAX))
     }
 
+    /// What was read from the connection.
+    pub fn meter(&self) -> &ReadMeter {
+        &self.meter
+    }
+
     /// The connection itself.
     pub fn inner(&self) -> &S {
         &self.stream
@@ -125,6 +180,7 @@
         buffer.advance(count);
         progress.made_progress();
         self.head.count(count);
+        self.meter.record(count);
         count_as_work(count, cx);
         Poll::Ready(Ok(()))
     }
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -20,5 +20,6 @@
 pub use peer_error::{Delivery, PeerError};
 pub use peer_handshake::{PROTOCOL_VERSION, PeerIdentity};
 pub use peer_hub::{PeerHandler, PeerHub, PeerMessage, PeerSocket, StreamHandler};
+pub use peer_link::ReplyTimes;
 pub use peer_settings::PeerSettings;
 pub use peer_topic::PeerTopic;
--- a/crates/router/src/peer/peer_error.rs
+++ b/crates/router/src/peer/peer_error.rs
@@ -52,6 +52,9 @@
     /// The reply did not arrive in time.
     #[error("{0} did not answer in time; retry if the query may be repeated")]
     TimedOut(HostName),
+    /// Nothing at all came on the link while the reply was waited for: the connection may have gone silent, and the next query opens another one.
+    #[error("nothing came from {0} while its answer was waited for; ask again, on a new link")]
+    NothingCame(HostName),
     /// The peer's reply is not a value of the expected type.
     #[error(
         "the answer of {host} cannot be decoded: {detail}; check that it runs the same release"
@@ -106,7 +109,7 @@
     /// Whether the message may have reached the peer's handler.
     pub fn delivery(&self) -> Delivery {
         match self {
-            Self::LinkLost(_) | Self::TimedOut(_) => Delivery::Unknown,
+            Self::LinkLost(_) | Self::TimedOut(_) | Self::NothingCame(_) => Delivery::Unknown,
             Self::Unanswered(_) | Self::BadAnswer { .. } => Delivery::Delivered,
             Self::Listen { .. }
             | Self::NotConnected(_)
@@ -140,6 +143,7 @@
             Self::Unanswered(_) => "unanswered",
             Self::LinkLost(_) => "link_lost",
             Self::TimedOut(_) => "timed_out",
+            Self::NothingCame(_) => "nothing_came",
             Self::BadAnswer { .. } => "bad_answer",
             Self::Malformed(_) => "malformed",
             Self::Unencodable(_) => "unencodable",
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -26,12 +26,14 @@
 use super::link_table::{LinkSide, LinkTable};
 use super::on_demand_links::OnDemandLinks;
 use super::peer_frame::{EncodedFrame, FRAME_LIMIT, PeerFrame};
-use super::peer_link::{FrameQueue, PeerLink};
+use super::peer_link::{FrameQueue, PeerLink, ReplyTimes};
 use super::{PeerError, PeerIdentity, PeerSettings, PeerTopic, decode, encode, peer_metrics};
 use crate::ports::set_dead_peer_timeouts;
 
 /// Timeout of connecting and the handshake together.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a link that a query waits for.
+const ON_DEMAND_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of concurrent handshakes of accepted connections; further connections are dropped.
 const MAX_CONCURRENT_HANDSHAKES: usize = 64;
 /// Shortest delay before a neighbour is redialled.
@@ -236,7 +238,7 @@
     }
 
     /// Sends a query to one host and waits for its reply; dials the host first if it is not a
-    /// neighbour.
+    /// neighbour, and again if the link to it has gone silent.
     ///
     /// # Errors
     ///
@@ -246,11 +248,11 @@
         to: &HostName,
         topic: PeerTopic,
         query: &Q,
-        timeout: Duration,
+        times: impl Into<ReplyTimes>,
     ) -> Result<R, PeerError> {
         let body = encode(query)?;
         let link = self.link_on_demand(to).await?;
-        let reply = link.send_query(topic, body, timeout).await?;
+        let reply = link.send_query(topic, body, times.into()).await?;
         decode(&reply).map_err(|error| PeerError::BadAnswer {
             host: to.clone(),
             detail: error.to_string(),
@@ -284,24 +286,26 @@
 
     /// The link to `host`; dials a host that is in the directory but not a neighbour.
     async fn link_on_demand(self: &Arc<Self>, host: &HostName) -> Result<Arc<PeerLink>, PeerError> {
-        let not_connected = match self.link(host) {
-            Ok(link) => return Ok(link),
-            Err(error) => error,
-        };
+        let present = self.link(host);
+        if present.as_ref().is_ok_and(|link| !link.is_silent()) {
+            return present;
+        }
         let address = self.directory.read().get(host).copied();
         let Some(address) = address.filter(|_| !self.dialers.lock().contains_key(host)) else {
-            return Err(not_connected);
+            return present;
         };
         let _lock = self.on_demand.dial_lock(host).await;
-        if let Ok(link) = self.link(host) {
-            return Ok(link);
+        let present = self.link(host);
+        if present.as_ref().is_ok_and(|link| !link.is_silent()) {
+            return present;
         }
-        let permit = self.on_demand.try_permit().ok_or(not_connected)?;
-        let (socket, peer) = timeout(HANDSHAKE_TIMEOUT, self.dial_link(host, address))
+        let permit = self.on_demand.try_permit();
+        let permit = permit.ok_or_else(|| PeerError::NotConnected(host.clone()))?;
+        let (socket, peer) = timeout(ON_DEMAND_TIMEOUT, self.dial_link(host, address))
             .await
             .map_err(|_| handshake_timeout())??;
         let closing = self.stopping.child_token();
-        let (link, queue) = self.add_link(LinkSide::Dialled, peer, closing);
+        let (link, queue) = self.add_link(LinkSide::Dialled, peer, &socket, closing);
         let hub = Arc::clone(self);
         let running = Arc::clone(&link);
         self.tasks.spawn(async move {
@@ -313,14 +317,16 @@
         Ok(link)
     }
 
-    /// Creates a link, adds it to the table, and closes the link that it replaces.
+    /// Creates a link on `socket`, adds it to the table, and closes the link that it replaces.
     fn add_link(
         &self,
         side: LinkSide,
         peer: PeerIdentity,
+        socket: &PeerSocket,
         closing: CancellationToken,
     ) -> (Arc<PeerLink>, FrameQueue) {
-        let (link, queue) = PeerLink::new(peer, closing, Arc::clone(&self.sent_bytes));
+        let received = socket.get_ref().meter().clone();
+        let (link, queue) = PeerLink::new(peer, closing, Arc::clone(&self.sent_bytes), received);
         if let Some(replaced) = self.links.write().insert(side, Arc::clone(&link)) {
             replaced.close();
         }
--- a/crates/router/src/peer/peer_hub/link_acceptor.rs
+++ b/crates/router/src/peer/peer_hub/link_acceptor.rs
@@ -48,7 +48,8 @@
                     }
                     Ok(Ok((socket, peer, false))) => {
                         let closing = hub.stopping.child_token();
-                        let (link, queue) = hub.add_link(LinkSide::Accepted, peer, closing);
+                        let (link, queue) =
+                            hub.add_link(LinkSide::Accepted, peer, &socket, closing);
                         hub.run_link(LinkSide::Accepted, &link, socket, queue).await
                     }
                     Ok(Err(error)) => Err(error),
--- a/crates/router/src/peer/peer_hub/link_dialer.rs
+++ b/crates/router/src/peer/peer_hub/link_dialer.rs
@@ -37,7 +37,7 @@
                 Ok(Ok((socket, peer))) => {
                     backoff = MIN_REDIAL_BACKOFF;
                     let closing = stopping.child_token();
-                    let (link, queue) = self.add_link(LinkSide::Dialled, peer, closing);
+                    let (link, queue) = self.add_link(LinkSide::Dialled, peer, &socket, closing);
                     self.run_link(LinkSide::Dialled, &link, socket, queue).await
                 }
                 Ok(Err(error)) => Err(error),
--- a/crates/router/src/peer/peer_link.rs
+++ b/crates/router/src/peer/peer_link.rs
@@ -8,12 +8,14 @@
 
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
+use ferry_kernel::http::ReadMeter;
 use ferry_kernel::ticks;
 use futures::stream::{SplitSink, SplitStream};
 use futures::{FutureExt, SinkExt, StreamExt};
 use parking_lot::Mutex;
+use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::{Semaphore, mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
 use tokio_util::sync::CancellationToken;
 
@@ -37,6 +39,30 @@
 /// Timeout of one write.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time without anything at all, at the end of a wait in vain, after which a link counts as silent.
+const SILENT_TIME: Duration = Duration::from_millis(500);
+/// Bytes that come with pings and their replies alone; an answer that is on its way brings more.
+const IDLE_BYTES: u64 = 256;
+
+/// How long a query waits for its reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplyTimes {
+    /// While no part of it comes.
+    pub silence: Duration,
+    /// In total.
+    pub total: Duration,
+}
+
+impl From<Duration> for ReplyTimes {
+    /// A reply that must be complete after `timeout`.
+    fn from(timeout: Duration) -> Self {
+        Self {
+            silence: timeout,
+            total: timeout,
+        }
+    }
+}
+
 /// A link whose handshake is complete.
 #[derive(Debug)]
 pub struct PeerLink {
@@ -50,17 +76,23 @@
     closing: CancellationToken,
     /// Bytes of all frames that the router's links have sent.
     sent_bytes: Arc<AtomicU64>,
+    /// What was received on this link.
+    received: ReadMeter,
+    /// Bytes that had been received when the link counted as silent; `u64::MAX` if it never did.
+    silent_at: AtomicU64,
 }
 
 /// The receiving end of a link's send queue.
 pub type FrameQueue = mpsc::Receiver<EncodedFrame>;
 
 impl PeerLink {
-    /// Creates a link to `peer` that ends when `closing` is cancelled, and counts the bytes that it sends in `sent_bytes`.
+    /// Creates a link to `peer` that ends when `closing` is cancelled, and counts the bytes that it sends in `sent_bytes`; `received` measures what
+    /// comes on it.
     pub fn new(
         peer: PeerIdentity,
         closing: CancellationToken,
         sent_bytes: Arc<AtomicU64>,
+        received: ReadMeter,
     ) -> (Arc<Self>, FrameQueue) {
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
         let link = Self {
@@ -71,6 +103,8 @@
             next_query: AtomicU64::new(0),
             closing,
             sent_bytes,
+            received,
+            silent_at: AtomicU64::new(u64::MAX),
         };
         (Arc::new(link), receiver)
     }
@@ -103,12 +137,17 @@
         Err(PeerError::QueueFull(self.host()))
     }
 
+    /// Whether a query waited in vain and nothing has come since.
+    pub fn is_silent(&self) -> bool {
+        self.silent_at.load(Ordering::Acquire) == self.received.bytes()
+    }
+
     /// Sends a query and waits for its reply.
     pub async fn send_query(
         &self,
         topic: PeerTopic,
         body: Bytes,
-        reply_timeout: Duration,
+        times: ReplyTimes,
     ) -> Result<Bytes, PeerError> {
         let id = self.next_query.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
@@ -116,13 +155,42 @@
         self.pending.lock().insert(id, sender);
         let _entry = PendingEntry { link: self, id };
         self.send(frame)?;
-        match timeout(reply_timeout, receiver).await {
-            Ok(Ok(QueryOutcome::Answer(body))) => Ok(body),
-            Ok(Ok(QueryOutcome::Unanswered)) => Err(PeerError::Unanswered(self.host())),
-            Ok(Ok(QueryOutcome::Busy)) => Err(PeerError::Busy(self.host())),
-            Ok(Err(_)) => Err(PeerError::LinkLost(self.host())),
-            Err(_) => Err(PeerError::TimedOut(self.host())),
+        match self.wait_for_reply(receiver, times).await? {
+            Ok(QueryOutcome::Answer(body)) => Ok(body),
+            Ok(QueryOutcome::Unanswered) => Err(PeerError::Unanswered(self.host())),
+            Ok(QueryOutcome::Busy) => Err(PeerError::Busy(self.host())),
+            Err(_) => Err(PeerError::LinkLost(self.host())),
+        }
+    }
+
+    /// Waits as long as parts of an answer come.
+    async fn wait_for_reply(
+        &self,
+        mut receiver: oneshot::Receiver<QueryOutcome>,
+        times: ReplyTimes,
+    ) -> Result<Result<QueryOutcome, RecvError>, PeerError> {
+        let begun_at = Instant::now();
+        let end = begun_at + times.total;
+        let mut received = self.received.bytes();
+        loop {
+            let until = end.min(Instant::now() + times.silence);
+            if let Ok(reply) = timeout_at(until, &mut receiver).await {
+                return Ok(reply);
+            }
+            let before = std::mem::replace(&mut received, self.received.bytes());
+            if received - before <= IDLE_BYTES || Instant::now() >= end {
+                return Err(self.give_up(begun_at.elapsed(), received));
+            }
+        }
+    }
+
+    /// Why a reply is not waited for any more, after `waited` and `received` bytes; marks a link on which nothing comes.
+    fn give_up(&self, waited: Duration, received: u64) -> PeerError {
+        if waited.min(self.received.quiet_time()) < SILENT_TIME {
+            return PeerError::TimedOut(self.host());
         }
+        self.silent_at.store(received, Ordering::Release);
+        PeerError::NothingCame(self.host())
     }
 
     /// Runs the link until it fails or is closed.
--- a/crates/router/src/relay/fleet/feed_query.rs
+++ b/crates/router/src/relay/fleet/feed_query.rs
@@ -17,7 +17,7 @@
 use super::fleet_manager::own_entry;
 use super::operator_records::{KnownOffsets, KnownRecords};
 use super::record_patch::RecordPatch;
-use crate::peer::{self, PeerError, PeerTopic};
+use crate::peer::{self, PeerError, PeerTopic, ReplyTimes};
 use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::crashes;
 use crate::relay::permits::LimitNews;
@@ -25,12 +25,15 @@
 use crate::relay::rollouts;
 use crate::relay::watch::{self, SyncedUpstreams};
 
-/// Timeout of a feed request whose answer may wait for a change.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(900);
-/// Timeout of a feed request that is answered at once.
-const PROMPT_QUERY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout of the first feed request to a router, which is longer because its answer holds the full state.
-const FIRST_QUERY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which nothing may come after a feed request whose answer may wait for a change, and after the first one to a router, whose answer
+/// holds the full state.
+const SILENCE: Duration = Duration::from_millis(900);
+/// The same after a feed request that is answered at once.
+const PROMPT_SILENCE: Duration = Duration::from_millis(500);
+/// Time in which an answer must be complete: one that goes on coming, over a slow link, is worth more than another request.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
+/// Time for a second attempt, on a new link.
+const SECOND_TIME: Duration = Duration::from_millis(700);
 /// Highest age of another router's rules at which they count as recent.
 const MAX_RULES_AGE: Duration = Duration::from_millis(1_300);
 /// Highest age of its upstream entries, as a fraction of the time in which a draining upstream must be noticed.
@@ -100,16 +103,22 @@
 ) -> Result<(), FeedError> {
     let hub = core.fleet.hub().ok_or(FeedError::NoLinks)?;
     let query = build_query(core, position, urgency);
-    let limit = match (position.source.is_empty(), urgency) {
-        (true, _) => FIRST_QUERY_TIMEOUT,
-        (false, QueryUrgency::Waits) => QUERY_TIMEOUT,
-        (false, QueryUrgency::AtOnce) => PROMPT_QUERY_TIMEOUT,
+    let times = ReplyTimes {
+        silence: match (position.source.is_empty(), urgency) {
+            (true, _) | (false, QueryUrgency::Waits) => SILENCE,
+            (false, QueryUrgency::AtOnce) => PROMPT_SILENCE,
+        },
+        total: ANSWER_TIME,
     };
     let requested_at = ConfirmationTime::now();
-    let sending = hub.send_query(source, PeerTopic::Feed, &query, limit);
-    let answer: FeedAnswer = timeout(limit, sending)
-        .await
-        .map_err(|_| PeerError::TimedOut(source.clone()))??;
+    let send = || hub.send_query(source, PeerTopic::Feed, &query, times);
+    let answer: FeedAnswer = match send().await {
+        // The router may well live: only the connection may have gone silent.
+        Err(PeerError::NothingCame(_)) => timeout(SECOND_TIME, send())
+            .await
+            .map_err(|_| PeerError::TimedOut(source.clone()))??,
+        answer => answer?,
+    };
     core.crashes.record_incarnation(source, &answer.source);
     if answer.holds_missing && answer.outage.is_none() {
         return Err(FeedError::MissingUpstreams);
--- a/crates/router/tests/peer_links.rs
+++ b/crates/router/tests/peer_links.rs
@@ -1,13 +1,15 @@
 //! Links between routers over loopback.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use ferry_decisions::names::{HostName, Incarnation, ZoneName};
+use ferry_rig::LinkProxy;
 use ferry_router::peer::{
     PROTOCOL_VERSION, PeerError, PeerHandler, PeerHub, PeerIdentity, PeerMessage, PeerSettings,
-    PeerTopic, decode, encode,
+    PeerTopic, ReplyTimes, decode, encode,
 };
 use futures::future::FutureExt;
 use futures::{SinkExt, StreamExt};
@@ -18,6 +20,11 @@
 use tokio_tungstenite::tungstenite::Message;
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which an answer must come although the open link has gone silent.
+const SILENCE_BOUND: Duration = Duration::from_millis(1_500);
+/// Size of a large answer, and the speed of a link over which it takes longer than a link may be silent.
+const LARGE_ANSWER: usize = 800_000;
+const SLOW_BYTES_PER_S: u64 = 400_000;
 
 fn settings(host: &str, secret: &str) -> PeerSettings {
     PeerSettings {
@@ -306,3 +313,75 @@
     assert_eq!(source.ip(), c.address().ip());
     c.stop().await;
 }
+
+/// Two routers, the first of which reaches the second one through a proxy.
+async fn start_proxied() -> (Arc<PeerHub>, Arc<PeerHub>, LinkProxy, HostName) {
+    let (handler, _received) = doubling_handler();
+    let a = PeerHub::start(settings("a", "s"), doubling_handler().0);
+    let b = PeerHub::start(settings("b", "s"), handler);
+    let (a, b) = (a.await.unwrap(), b.await.unwrap());
+    let proxy = LinkProxy::start(Ipv4Addr::LOCALHOST.into()).await.unwrap();
+    proxy.set_target(b.address());
+    let host = HostName::new("b");
+    a.set_directory(&[(host.clone(), proxy.address)]);
+    (a, b, proxy, host)
+}
+
+/// Guards against queries that go on over a connection that has gone silent, until the link's own timeout.
+#[tokio::test]
+async fn a_query_after_one_on_a_silent_link_uses_a_new_one() {
+    let (a, _b, proxy, host) = start_proxied().await;
+    let times = ReplyTimes {
+        silence: Duration::from_millis(600),
+        total: TEST_TIMEOUT,
+    };
+    let doubled = a.send_query(&host, PeerTopic::Claims, &21_u64, times).await;
+    assert_eq!(doubled.unwrap_or(0_u64), 42);
+    proxy.silence();
+    let begun_at = Instant::now();
+    let silent: Result<u64, _> = a.send_query(&host, PeerTopic::Claims, &21_u64, times).await;
+    assert!(
+        matches!(silent, Err(PeerError::NothingCame(_))),
+        "{silent:?}"
+    );
+    let doubled = a.send_query(&host, PeerTopic::Claims, &4_u64, times).await;
+    assert_eq!(doubled.unwrap_or(0_u64), 8);
+    assert!(
+        begun_at.elapsed() < SILENCE_BOUND,
+        "{:?}",
+        begun_at.elapsed()
+    );
+}
+
+/// Guards against a large answer over a slow link that is given up, and asked for again from its beginning, for ever.
+#[tokio::test]
+async fn an_answer_that_goes_on_coming_is_waited_for() {
+    let handler: PeerHandler =
+        Arc::new(|_| async { Some(encode(&large_answer()).unwrap()) }.boxed());
+    let a = PeerHub::start(settings("a", "s"), doubling_handler().0);
+    let b = PeerHub::start(settings("b", "s"), handler);
+    let (a, b) = (a.await.unwrap(), b.await.unwrap());
+    let proxy = LinkProxy::start(Ipv4Addr::LOCALHOST.into()).await.unwrap();
+    proxy.set_target(b.address());
+    proxy.limit_speed(SLOW_BYTES_PER_S);
+    let host = HostName::new("b");
+    a.set_directory(&[(host.clone(), proxy.address)]);
+    let times = ReplyTimes {
+        silence: Duration::from_millis(600),
+        total: TEST_TIMEOUT,
+    };
+    let begun_at = Instant::now();
+    let answer: Bytes = a
+        .send_query(&host, PeerTopic::Claims, &1_u64, times)
+        .await
+        .unwrap();
+    assert_eq!(answer.len(), LARGE_ANSWER);
+    assert!(
+        begun_at.elapsed() > times.silence * 2,
+        "the link is not slow"
+    );
+}
+
+fn large_answer() -> Bytes {
+    vec![7; LARGE_ANSWER].into()
+}
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -33,6 +33,7 @@
 mod retry_budget;
 mod rollouts;
 mod rules;
+mod silent_links;
 mod starts_in_turn;
 mod stops;
 mod unframed;
