Give no position to a router that can't be given the records before it

The router that asked then took its older rules for confirmed. It gets no position with such an answer now, confirms nothing by it, and counts the source as outdated. No test: the compressor can't be made to fail.

--- a/crates/router/src/relay/fleet/feed_query.rs
+++ b/crates/router/src/relay/fleet/feed_query.rs
@@ -143,7 +143,8 @@
     }
     let drain = core.settings.load().bounds.drain;
     let is_old = rules > MAX_RULES_AGE || listing > drain.mul_f64(MAX_LISTING_AGE_FRACTION);
-    if is_old || is_of_past_era(&positions, &own) {
+    let lacks_records = positions.operator.is_none();
+    if is_old || lacks_records || is_of_past_era(&positions, &own) {
         return Err(FeedError::Outdated { rules, listing });
     }
     if origin.as_ref() == Some(&core.settings.load().host) {
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -118,7 +118,7 @@
 
 fn build_answer(core: &SharedCore, query: &FeedQuery, known: &KnownRecords) -> FeedAnswer {
     // Taken before the changes, which therefore contain all that they state.
-    let positions = core.topic_positions();
+    let mut positions = core.topic_positions();
     let (rules_age, listing_age) = (core.operator_topic.age(), core.upstream_topic.age());
     let feed = &core.fleet.feed;
     let (revision, mut changes) = feed.changes_since(&query.source, query.revision);
@@ -138,11 +138,15 @@
     let holds_missing = registry.holds_missing();
     drop(registry);
     let news = core.permits.news(now);
+    let era = positions.operator.unwrap_or_default().era;
+    let records = feed.record_patches(era, known);
+    // A router that gets no records must not take the position for its own.
+    positions.operator = positions.operator.filter(|_| records.is_some());
     FeedAnswer {
         source: feed.incarnation().to_owned(),
         revision,
         changes,
-        operator: feed.record_patches(positions.operator.unwrap_or_default().era, known),
+        operator: records.unwrap_or_default(),
         positions: positions.into(),
         rules_revision: core.revision_in_force(),
         rules_age_ms: rules_age.as_millis() as u64,
--- a/crates/router/src/relay/fleet/feed_source.rs
+++ b/crates/router/src/relay/fleet/feed_source.rs
@@ -98,13 +98,17 @@
         self.state.lock().operator.has_news(known)
     }
 
-    /// Records of the operator, as of `era`, that a router that has `known` lacks; none if those kept here are of another era.
-    pub fn record_patches(&self, era: StoreEra, known: &KnownRecords) -> Vec<RecordPatch> {
+    /// All records of the operator, as of `era`, that a router that has `known` lacks; `None` if they cannot be given, so that it must not take
+    /// what it has for all.
+    pub fn record_patches(&self, era: StoreEra, known: &KnownRecords) -> Option<Vec<RecordPatch>> {
         let operator = &mut self.state.lock().operator;
-        match operator.era() == era {
-            true => operator.patches(known),
-            false => Vec::new(),
+        if operator.era() != era {
+            return None;
         }
+        operator
+            .patches(known)
+            .inspect_err(|error| spdlog::error!("a record cannot be compressed: {}", error))
+            .ok()
     }
 
     /// Restores a record of the operator that another router sent.
--- a/crates/router/src/relay/fleet/operator_records.rs
+++ b/crates/router/src/relay/fleet/operator_records.rs
@@ -104,14 +104,18 @@
         newest.any(|record| is_news(record, &offsets))
     }
 
-    /// The records that a router that knows `known` lacks, as differences to those that it has.
-    pub fn patches(&mut self, known: &KnownRecords) -> Vec<RecordPatch> {
+    /// All records that a router that knows `known` lacks, as differences to those that it has.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one of them cannot be compressed.
+    pub fn patches(&mut self, known: &KnownRecords) -> io::Result<Vec<RecordPatch>> {
         let Some(offsets) = self.comparable(known) else {
-            return Vec::new();
+            return Ok(Vec::new());
         };
         let histories = self.by_key.iter_mut();
         histories
-            .filter_map(|(key, history)| history.patch(offsets.get(key).copied()))
+            .filter_map(|(key, history)| history.patch(offsets.get(key).copied()).transpose())
             .collect()
     }
 
@@ -165,11 +169,11 @@
     }
 
     /// The newest record for a router that has the one at `known`; `None` if that is the newest or a later one.
-    fn patch(&mut self, known: Option<u64>) -> Option<RecordPatch> {
-        let newest = self.newest()?;
-        if known >= Some(newest.offset) {
-            return None;
-        }
+    fn patch(&mut self, known: Option<u64>) -> io::Result<Option<RecordPatch>> {
+        let newest = self.newest().filter(|newest| known < Some(newest.offset));
+        let Some(newest) = newest else {
+            return Ok(None);
+        };
         let (key, offset) = (newest.key.clone(), newest.offset);
         let value = newest.value.clone();
         let base = known.filter(|known| self.value_at(*known).is_some());
@@ -177,25 +181,23 @@
             Some(value) => Some(self.content(base, &value)?),
             None => None,
         };
-        Some(RecordPatch {
+        Ok(Some(RecordPatch {
             key,
             offset,
             base,
             content,
-        })
+        }))
     }
 
     /// The newest `value` as a difference to the record at `base`, compressed once for all routers that have that one.
-    fn content(&mut self, base: Option<u64>, value: &[u8]) -> Option<Bytes> {
+    fn content(&mut self, base: Option<u64>, value: &[u8]) -> io::Result<Bytes> {
         if let Some((_, content)) = self.patches.iter().find(|(offset, _)| *offset == base) {
-            return Some(content.clone());
+            return Ok(content.clone());
         }
         let base_value = base.and_then(|offset| self.value_at(offset));
-        let content = compress(&base_value.unwrap_or_default(), value)
-            .inspect_err(|error| spdlog::error!("a record cannot be compressed: {}", error))
-            .ok()?;
+        let content = compress(&base_value.unwrap_or_default(), value)?;
         self.patches.push((base, content.clone()));
-        Some(content)
+        Ok(content)
     }
 }
 
