--- a/crates/operator/src/ctl_app/relays_command.rs
+++ b/crates/operator/src/ctl_app/relays_command.rs
@@ -65,6 +65,7 @@
         "PHASE",
         "READY",
         "REVISION",
+        "MISSING",
         "UNREADABLE",
         "RULES AGE",
         "UPSTREAMS AGE",
@@ -118,6 +119,9 @@
         json!(relay.phase).as_str().unwrap_or_default().to_owned(),
         yes_or_no(relay.ready),
         relay.revision.to_string(),
+        relay
+            .missing_revision
+            .map_or_else(|| "-".to_owned(), |revision| revision.to_string()),
         unreadable(relay),
         format!("{} ms", relay.rules_age_ms),
         format!("{} ms", relay.upstreams_age_ms),
--- a/crates/rig/tests/store_calls.rs
+++ b/crates/rig/tests/store_calls.rs
@@ -3,15 +3,14 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use ferry_platform::store::{ReadQuery, StoreClient, TopicPartition};
+use ferry_platform::entries::CONFIG_KEY;
+use ferry_platform::store::{OPERATOR_TOPIC, ReadQuery, StoreClient, TopicPartition};
 use ferry_rig::LinkProxy;
 use ferry_standin::StoreStandin;
 use futures::future::join_all;
 
 /// Time in which an answer must begin.
 const TIMEOUT: Duration = Duration::from_millis(400);
-/// Topic of the test.
-const TOPIC: &str = "keyed.op";
 /// Size of a large record, and the speed of a link over which it takes longer than an answer may take to begin.
 const LARGE_RECORD: usize = 200_000;
 const SLOW_BYTES_PER_S: u64 = 200_000;
@@ -33,7 +32,9 @@
         wait: Duration::ZERO,
         most_bytes: LARGE_RECORD * 2,
     };
-    let read = client.read(TopicPartition::only(TOPIC), query).await;
+    let read = client
+        .read(TopicPartition::only(OPERATOR_TOPIC), query)
+        .await;
     read.ok().map(|(_, batch)| batch.records.len())
 }
 
@@ -41,7 +42,7 @@
 #[tokio::test]
 async fn one_call_at_most_is_lost_to_connections_that_went_silent() {
     let (store, proxy, client) = start().await;
-    store.put(TOPIC, "config", b"1");
+    store.put(OPERATOR_TOPIC, CONFIG_KEY, b"1");
     let answered = join_all((0..CALLS).map(|_| read(&client))).await;
     assert_eq!(answered, [Some(1); CALLS]);
     proxy.silence();
@@ -54,7 +55,7 @@
 #[tokio::test]
 async fn an_answer_that_goes_on_coming_is_read_to_its_end() {
     let (store, proxy, client) = start().await;
-    store.put(TOPIC, "config", &vec![7; LARGE_RECORD]);
+    store.put(OPERATOR_TOPIC, CONFIG_KEY, &vec![7; LARGE_RECORD]);
     proxy.limit_speed(SLOW_BYTES_PER_S);
     let begun_at = Instant::now();
     assert_eq!(read(&client).await, Some(1));
