Bound by the time for configurations how long rules serve that are known to be replaced

What callers would see: requests handled for one more second by rules that were replaced long before, at a router that had been cut off and hears of later ones; and 503 at routers that are more than a second behind a fleet whose configuration changes all the time, although their rules are still allowed.

Cause: a router refused all requests a second after it had heard of a later revision, whatever the age of its own rules.

Change: it refuses them while it knows of a later revision and its own rules were last confirmed longer ago than configApplyMs. What was written after that confirmation is due only then. It asks for the later rules at once in that case.

--- a/crates/router/src/relay/relay_core.rs
+++ b/crates/router/src/relay/relay_core.rs
@@ -36,9 +36,6 @@
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time in which later rules that another router has in force come here.
-const OUTRUN_TIME: Duration = Duration::from_secs(1);
-
 /// Maximum size of an answer that is read completely before it is forwarded, in bytes.
 const WHOLE_ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -134,7 +131,7 @@
     }
 
     /// Whether requests can be answered: the relay is not stopping, rules, upstreams, crashes and the phases of
-    /// roll-outs are known, the rules were confirmed within the revocation bound, and no other router has later ones for long.
+    /// roll-outs are known, the rules were confirmed within the revocation bound, and are not replaced.
     pub fn is_ready(&self) -> bool {
         self.phase() == LifecyclePhase::Serving
             && self.rules.load().is_some()
@@ -142,7 +139,7 @@
             && self.knows_crashes()
             && self.rollouts.has_all_phases()
             && self.is_in_touch()
-            && !self.is_outrun()
+            && !self.has_replaced_rules()
     }
 
     /// Whether the rules in force were confirmed within the revocation bound.
@@ -151,9 +148,11 @@
         self.operator_topic.covers(revocation)
     }
 
-    /// Whether another router has had later rules in force for longer than they take to come here: those here must not be used any more.
-    pub fn is_outrun(&self) -> bool {
-        self.operator_topic.is_outrun_for(OUTRUN_TIME)
+    /// Whether another router has later rules in force, which may have been written longer ago than a configuration takes to be in force
+    /// everywhere: those here must not be used any more.
+    pub fn has_replaced_rules(&self) -> bool {
+        let bound = self.settings.load().bounds.config_apply;
+        !self.operator_topic.covers(bound) && self.operator_topic.missing().is_some()
     }
 
     /// How far the topics of the store are known here.
--- a/crates/router/src/relay/run/run_plan.rs
+++ b/crates/router/src/relay/run/run_plan.rs
@@ -144,7 +144,7 @@
             self.pick_service()?;
         }
         let is_out_of_touch = self.request.holder.is_some() && !self.core.is_in_touch();
-        if is_out_of_touch || self.core.is_outrun() {
+        if is_out_of_touch || self.core.has_replaced_rules() {
             let refusal = refuse(RefusalReason::Disconnected).with_run(self.run);
             return Err(refusal.with_retry_after(DISCONNECTED_RETRY_AFTER));
         }
--- a/crates/router/src/relay/watch/rules_fetch.rs
+++ b/crates/router/src/relay/watch/rules_fetch.rs
@@ -66,7 +66,7 @@
 /// Whether later rules are asked for now: they did not come in the usual time, or those here serve nobody until then.
 fn is_due(core: &SharedCore) -> bool {
     let topic = &core.operator_topic;
-    topic.is_outrun_for(USUAL_TIME) || !topic.was_confirmed()
+    topic.is_outrun_for(USUAL_TIME) || !topic.was_confirmed() || core.has_replaced_rules()
 }
 
 /// Value of the operator's record from which `holder` has its rules; `None` if it can't be had.
--- a/crates/router/tests/relay/deployment.rs
+++ b/crates/router/tests/relay/deployment.rs
@@ -10,8 +10,10 @@
 use ferry_kernel::logs::{self, LogLevel};
 use ferry_platform::headers::{CallerHeaders, READINESS_PATH};
 use ferry_platform::host_settings::{DeploymentBounds, HostSettings};
+use ferry_platform::store::READ_PATH;
 use ferry_rig::{RelayFixture, fixture_headers, fixture_request};
 use ferry_router::relay::{RelayDaemon, RelayOptions};
+use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -67,6 +69,18 @@
         }
     }
 
+    /// Lets the store answer reads as unavailable, or as before; other faults of it end.
+    pub fn fail_reads(&self, fails: bool) {
+        let outage = OutageOrder {
+            answer: OutageAnswer::Unavailable,
+            path: READ_PATH.to_owned(),
+        };
+        self.store.set_faults(FaultOrder {
+            outage: fails.then_some(outage),
+            ..FaultOrder::default()
+        });
+    }
+
     /// Starts an upstream of `version` and registers it.
     pub async fn replica(&self, id: &str, version: &str) -> ReplicaStandin {
         self.fixture.start_replica(id, version).await.unwrap()
@@ -178,6 +192,7 @@
     DeploymentBounds {
         drain: Duration::from_millis(600),
         stop_grace: Duration::from_secs(8),
+        config_apply: Duration::from_secs(2),
         revocation: Duration::from_secs(5),
         retry_ratio: 10.0,
         retry_burst: 100.0,
--- a/crates/router/tests/relay/fleet_storm.rs
+++ b/crates/router/tests/relay/fleet_storm.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use ferry_decisions::ruleset::{RouteRule, RunKind};
-use ferry_platform::store::READ_PATH;
 use ferry_router::relay::RelayDaemon;
-use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::store::StoreLimits;
 use tokio::time::{Instant, sleep};
 
@@ -69,17 +67,6 @@
     relays
 }
 
-fn fail_reads(deployment: &Deployment, fails: bool) {
-    let outage = OutageOrder {
-        answer: OutageAnswer::Unavailable,
-        path: READ_PATH.to_owned(),
-    };
-    deployment.store.set_faults(FaultOrder {
-        outage: fails.then_some(outage),
-        ..FaultOrder::default()
-    });
-}
-
 /// Changes the configuration until the time is over; returns its last number.
 async fn change_rules(deployment: &Deployment, first: u64, time: Duration) -> u64 {
     let end = Instant::now() + time;
@@ -109,7 +96,7 @@
         ..StoreLimits::default()
     });
     deployment.store.forget_history(true);
-    fail_reads(&deployment, true);
+    deployment.fail_reads(true);
     let before = deployment.store.calls();
     let number = change_rules(&deployment, 1, OUTAGE).await;
     let calls = deployment.store.calls() - before;
@@ -119,7 +106,7 @@
         "{calls} calls during the outage, {most} are allowed"
     );
 
-    fail_reads(&deployment, false);
+    deployment.fail_reads(false);
     let number = change_rules(&deployment, number, RECOVERY_TIME).await;
     let age = oldest_rules(&relays);
     assert!(age <= RECENT_AGE, "rules are {age:?} old after the outage");
--- a/crates/router/tests/relay/histories.rs
+++ b/crates/router/tests/relay/histories.rs
@@ -5,9 +5,8 @@
 use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_platform::entries::encode_upstream;
-use ferry_platform::store::{READ_PATH, UPSTREAM_TOPIC};
+use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_router::relay::RelayDaemon;
-use ferry_standin::faults::{FaultOrder, OutageAnswer, OutageOrder};
 use ferry_standin::store::StoreLimits;
 use hyper::StatusCode;
 use tokio::runtime::Runtime;
@@ -70,16 +69,6 @@
     Instant::now()
 }
 
-fn fail_reads(deployment: &Deployment) {
-    deployment.store.set_faults(FaultOrder {
-        outage: Some(OutageOrder {
-            answer: OutageAnswer::Unavailable,
-            path: READ_PATH.to_owned(),
-        }),
-        ..FaultOrder::default()
-    });
-}
-
 /// Requests the new route until `WATCH_TIME` after `written_at`. Returns when it was first served, and the number of requests that
 /// were refused as unknown later than the bound.
 async fn watch_route(relay: &RelayDaemon, written_at: Instant) -> (Option<Duration>, usize) {
@@ -103,10 +92,10 @@
     let deployment = start_deployment().await;
     let _replica = deployment.replica("up-1", "v1").await;
     let relay = deployment.relay().await;
-    fail_reads(&deployment);
+    deployment.fail_reads(true);
     let written_at = write_history(&deployment);
     sleep(OUTAGE).await;
-    deployment.store.set_faults(FaultOrder::default());
+    deployment.fail_reads(false);
     let (served_after, late_refusals) = watch_route(&relay, written_at).await;
     assert_eq!(
         late_refusals, 0,
@@ -164,7 +153,7 @@
     let leaving = deployment.replica("up-1", "v1").await;
     let staying = deployment.replica("up-2", "v1").await;
     let relay = deployment.relay().await;
-    fail_reads(&deployment);
+    deployment.fail_reads(true);
     for sequence in 2..HEARTBEATS {
         let entry = encode_upstream(&staying.record(UpstreamStage::Ready, sequence));
         deployment.store.put(UPSTREAM_TOPIC, "up-2", &entry);
@@ -172,7 +161,7 @@
     leaving.register(&deployment.store, UpstreamStage::Draining, 2);
     let written_at = Instant::now();
     sleep(OUTAGE).await;
-    deployment.store.set_faults(FaultOrder::default());
+    deployment.fail_reads(false);
     while written_at.elapsed() < WATCH_TIME {
         call(request(&relay, "/letters/7", "a")).await;
         sleep(Duration::from_millis(25)).await;
--- a/crates/router/tests/relay/later_rules.rs
+++ b/crates/router/tests/relay/later_rules.rs
@@ -36,6 +36,8 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a router that hears of later rules must have them, or use its own no more: as a configuration's bound.
 const APPLY_BOUND: Duration = Duration::from_secs(2);
+/// A longer one, during which rules that were recent go on being used.
+const LONG_APPLY_BOUND: Duration = Duration::from_secs(5);
 /// Time after which rules that nobody can give out must count as lost.
 const LOST_BOUND: Duration = Duration::from_secs(15);
 
@@ -113,7 +115,15 @@
 }
 
 async fn start() -> (Deployment, RelayDaemon, ferry_standin::ReplicaStandin) {
-    let deployment = Deployment::start().await;
+    start_bound_by(APPLY_BOUND).await
+}
+
+/// A deployment in which configurations must be in force everywhere within `bound`.
+async fn start_bound_by(
+    bound: Duration,
+) -> (Deployment, RelayDaemon, ferry_standin::ReplicaStandin) {
+    let mut deployment = Deployment::start().await;
+    deployment.bounds.config_apply = bound;
     deployment.configure(STORED, &rules(&["/letters/"]));
     let replica = deployment.replica("up-1", "v1").await;
     let relay = deployment.relay_on(HOST).await;
@@ -171,3 +181,36 @@
     })
     .await;
 }
+
+/// Guards against a fleet that refuses requests each time that one router is a moment ahead, although the rules of the others are still allowed.
+#[tokio::test]
+async fn a_router_that_lacks_later_rules_serves_while_its_own_are_recent() {
+    let (deployment, relay, _replica) = start_bound_by(LONG_APPLY_BOUND).await;
+    let other = start_other(&deployment, None).await;
+    state_revision(&deployment, &other).await;
+    sleep(APPLY_BOUND).await;
+    assert_eq!(relay.status().missing_revision, Some(LATER));
+    let answer = answer_to(&relay, "/letters/7").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(is_ready(&relay).await);
+    sleep(LONG_APPLY_BOUND - APPLY_BOUND).await;
+    let answer = answer_to(&relay, "/letters/7").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Guards against a router that comes back from being cut off and goes on for a time by rules of which it knows that they are replaced.
+#[tokio::test]
+async fn a_router_with_old_rules_refuses_at_once_when_it_hears_of_later_ones() {
+    let (deployment, relay, _replica) = start().await;
+    let other = start_other(&deployment, None).await;
+    deployment.fail_reads(true);
+    eventually("the rules are old", async || {
+        relay.status().rules_age_ms > APPLY_BOUND.as_millis() as u64
+    })
+    .await;
+    let answer = answer_to(&relay, "/letters/7").await;
+    assert_eq!(answer.status, StatusCode::OK, "nobody has later rules");
+    state_revision(&deployment, &other).await;
+    let answer = answer_to(&relay, "/letters/7").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
