Pass on that the store was read before its era is checked here

What operators would see: all routers of a fleet read the store for three seconds, and for three more, after they started as a whole on a store that has come back from a copy.

Cause: shown by the sync planner's state in each line. A router gave the age of its confirmed rules, which is that of the host until the era is checked. Those that sync from it took its content for old, read the store themselves, and stood in for it for three seconds.

Change: the age that a router states counts from the last read of the store, checked or not, unless another router has a later revision. Whoever gets it checks the era itself.

--- a/crates/decisions/src/revision/rules_confirmation.rs
+++ b/crates/decisions/src/revision/rules_confirmation.rs
@@ -79,6 +79,12 @@
         (self.checked != Some(era)).then_some(era)
     }
 
+    /// Latest confirmation that is held back by nothing but the check of its era, which each router makes itself.
+    pub fn latest_unchecked(&self, now: Duration) -> Option<Duration> {
+        let (_, moment) = self.waiting?;
+        (!self.known.was_known_at(moment, now)).then_some(moment)
+    }
+
     /// Highest revision that another router has in force and that is later than the one here.
     pub fn missing(&self, now: Duration) -> Option<u64> {
         self.known.newest(now)
--- a/crates/router/src/relay/fleet/feed_message.rs
+++ b/crates/router/src/relay/fleet/feed_message.rs
@@ -90,7 +90,8 @@
     /// from an older copy. Absent before the first one, and from routers of an older build.
     #[serde(default)]
     pub rules_revision: Option<u64>,
-    /// Milliseconds since the answering router was last confirmed to have the operator's newest records.
+    /// Milliseconds since the answering router was last confirmed to have the operator's newest records, whether or not it has checked their
+    /// era.
     pub rules_age_ms: u64,
     /// Milliseconds since it was last confirmed to have the upstreams' newest entries.
     pub listing_age_ms: u64,
--- a/crates/router/src/relay/fleet/feed_reply.rs
+++ b/crates/router/src/relay/fleet/feed_reply.rs
@@ -119,7 +119,8 @@
 fn build_answer(core: &SharedCore, query: &FeedQuery, known: &KnownRecords) -> FeedAnswer {
     // Taken before the changes, which therefore contain all that they state.
     let mut positions = core.topic_positions();
-    let (rules_age, listing_age) = (core.operator_topic.age(), core.upstream_topic.age());
+    let rules_age = core.operator_topic.age_for_others();
+    let listing_age = core.upstream_topic.age();
     let feed = &core.fleet.feed;
     let (revision, mut changes) = feed.changes_since(&query.source, query.revision);
     if let FeedChanges::Since(changes) = &mut changes
--- a/crates/router/src/relay/rules_progress.rs
+++ b/crates/router/src/relay/rules_progress.rs
@@ -137,6 +137,14 @@
         self.topic.age()
     }
 
+    /// The same for routers that sync from this one, and check the era themselves: they need not wait for the check here.
+    pub fn age_for_others(&self) -> Duration {
+        let now = ConfirmationTime::now();
+        let unchecked = self.confirmation.lock().latest_unchecked(now);
+        let age = unchecked.map(|moment| now.saturating_sub(moment));
+        self.age().min(age.unwrap_or(Duration::MAX))
+    }
+
     /// Whether rules of `bound` ago are certainly in force here, with a margin for sending a request.
     pub fn covers(&self, bound: Duration) -> bool {
         self.topic.covers(bound)
--- a/crates/router/tests/relay/fleet_storm.rs
+++ b/crates/router/tests/relay/fleet_storm.rs
@@ -31,6 +31,8 @@
 const RECENT_AGE: Duration = Duration::from_secs(2);
 /// Time for which the fleet is watched after that.
 const WATCH_TIME: Duration = Duration::from_secs(4);
+/// Part of the time for which routers that all start after a loss wait for one that knows more.
+const CHECK_TIME: Duration = Duration::from_secs(1);
 /// Calls to the store per second that the fleet may make while it is unavailable: for each zone, not for each router.
 const CALLS_PER_ZONE: u64 = 30;
 
@@ -122,3 +124,30 @@
     })
     .await;
 }
+
+/// Guards against a fleet in which every router reads the store while nobody can tell whether the store has lost something.
+#[tokio::test]
+async fn routers_that_all_start_after_a_loss_do_not_all_read_the_store() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &rules(1));
+    let _replica = deployment.replica("up-1", "v1").await;
+    deployment.store.come_back_from(deployment.store.copy());
+    let mut relays = Vec::new();
+    for number in 0..ROUTERS_PER_ZONE {
+        for zone in ZONES {
+            let host = format!("entry-{zone}-{number}");
+            relays.push(deployment.start_in(&host, zone).await);
+        }
+    }
+    eventually("all routers but one of each zone sync", async || {
+        let synced = relays.iter().filter(|relay| relay.is_synced_from_peer());
+        synced.count() == relays.len() - ZONES.len()
+    })
+    .await;
+    assert!(!is_ready(&relays[0]).await, "the era is checked already");
+    let before = deployment.store.calls();
+    sleep(CHECK_TIME).await;
+    let calls = deployment.store.calls() - before;
+    let most = CALLS_PER_ZONE * ZONES.len() as u64 * CHECK_TIME.as_secs();
+    assert!(calls <= most, "{calls} calls, {most} are allowed");
+}
