Put rules in force one at a time

What callers would see: 503 for ever from a router that waits for a revision which it has in force. The relay's runtime has one thread, where this cannot come; it came in the tests, which have several.

Cause: rules come from the store, the sync source and other routers.

--- a/crates/decisions/src/revision/rules_confirmation.rs
+++ b/crates/decisions/src/revision/rules_confirmation.rs
@@ -28,9 +28,9 @@
 }
 
 impl RulesConfirmation {
-    /// Records that `revision` is in force, which is later than the one before; returns the confirmation that counts now.
+    /// Records that `revision` is in force, unless a later one is; returns the confirmation that counts now.
     pub fn apply(&mut self, revision: u64, now: Duration) -> Option<Duration> {
-        self.in_force = Some(revision);
+        self.in_force = self.in_force.max(Some(revision));
         self.known.settle(revision);
         self.release(now)
     }
--- a/crates/decisions/tests/known_revisions.rs
+++ b/crates/decisions/tests/known_revisions.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use ferry_decisions::names::HostName;
-use ferry_decisions::revision::KnownRevisions;
+use ferry_decisions::revision::{KnownRevisions, RulesConfirmation};
+use ferry_decisions::topic::StoreEra;
 use proptest::prelude::*;
 
 /// Time for which a statement counts, as the page of the feed says.
@@ -124,3 +125,16 @@
     known.settle(1_000);
     assert_eq!(known.known_since(now), None);
 }
+
+/// Guards against a router that waits for ever for a revision that it has in force.
+#[test]
+fn an_earlier_revision_that_is_applied_late_changes_nothing() {
+    let mut confirmation = RulesConfirmation::default();
+    let era = StoreEra(1);
+    confirmation.set_checked(era, BEGIN);
+    confirmation.apply(4, BEGIN);
+    confirmation.apply(2, BEGIN);
+    assert!(!confirmation.hear(&host(0), Some(4), BEGIN));
+    assert_eq!(confirmation.missing(BEGIN), None);
+    assert_eq!(confirmation.confirm(era, BEGIN, BEGIN), Some(BEGIN));
+}
--- a/crates/router/src/relay/watch/operator_watch.rs
+++ b/crates/router/src/relay/watch/operator_watch.rs
@@ -190,6 +190,8 @@
     };
     set_unreadable_count("configuration", 0);
     let rules = decoded.rules;
+    // Held until the rules are in force: others may come at the same time from the store, the sync source, and another router.
+    let mut record = core.rules_record.lock();
     let current = core.revision_in_force();
     if current.is_some_and(|current| current >= rules.revision) {
         return;
@@ -207,7 +209,7 @@
         head_bytes: rules.limits.head_bytes,
         head_timeout: rules.limits.idle_time,
     });
-    *core.rules_record.lock() = RulesRecord::new(value);
+    *record = RulesRecord::new(value);
     let revision = rules.revision;
     core.rules.store(Some(Arc::new(rules)));
     core.operator_topic.apply(revision);
