Keep what the store holds unread while rules of another router are put in force

What callers would see: a key that the newest configuration takes away goes on opening requests at a router that can't read that configuration, once it has fetched an earlier one from another router.

Cause: put fetched rules in force as if they were the store's newest record, which also says whether that can be read.

Change: rules come in force by one of two ways, of which only the one for the store's newest record says that; both are in a file of their own.

Result: fetched_rules_are_not_confirmed_while_the_newest_cannot_be_read failed before and passes.

--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -5,6 +5,7 @@
 mod outage_log;
 mod rules_fetch;
 mod rules_query;
+mod rules_update;
 mod topic_reader;
 mod upstream_watch;
 
--- a/crates/router/src/relay/watch/rules_fetch.rs
+++ b/crates/router/src/relay/watch/rules_fetch.rs
@@ -7,8 +7,8 @@
 use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 
-use super::operator_watch::apply_rules;
 use super::rules_query::{RulesAnswer, RulesQuery, ask};
+use super::rules_update::apply_fetched;
 use crate::relay::fleet::decompress;
 use crate::relay::relay_core::SharedCore;
 
@@ -49,10 +49,7 @@
             rules_age_ms = core.operator_topic.age().as_millis() as u64,
         });
         let outcome = match fetch(core, holder).await {
-            Some(rules) => {
-                apply_rules(core, rules);
-                "fetched"
-            }
+            Some(rules) => apply(core, holder, rules),
             None => "failed",
         };
         metrics::counter!(FETCHES_METRIC, "outcome" => outcome).increment(1);
@@ -69,6 +66,17 @@
     topic.is_outrun_for(USUAL_TIME) || !topic.was_confirmed() || core.has_replaced_rules()
 }
 
+/// Puts `rules` of `holder` in force; returns the outcome for the metric.
+fn apply(core: &SharedCore, holder: &HostName, rules: Bytes) -> &'static str {
+    match apply_fetched(core, rules) {
+        Ok(()) => "fetched",
+        Err(error) => {
+            spdlog::error!("rules of another router cannot be read: {}", error, kv: { router = holder.as_str() });
+            "unreadable"
+        }
+    }
+}
+
 /// Value of the operator's record from which `holder` has its rules; `None` if it can't be had.
 async fn fetch(core: &SharedCore, holder: &HostName) -> Option<Bytes> {
     let answer = ask(core, holder, RulesQuery::rules(core)).await?;
--- a/crates/router/tests/relay/later_rules.rs
+++ b/crates/router/tests/relay/later_rules.rs
@@ -9,6 +9,8 @@
 use ferry_decisions::names::{HostName, Incarnation, ZoneName};
 use ferry_decisions::ruleset::{RouteRule, RunKind};
 use ferry_decisions::sync::RouterEntry;
+use ferry_platform::entries::CONFIG_KEY;
+use ferry_platform::store::OPERATOR_TOPIC;
 use ferry_router::peer::{
     PeerError, PeerHandler, PeerHub, PeerMessage, PeerSettings, PeerTopic, decode, encode,
 };
@@ -32,6 +34,8 @@
 /// Revision of the store's configuration, and the one that the other router has.
 const STORED: u64 = 10;
 const LATER: u64 = 99;
+/// A configuration without what it must have.
+const UNREADABLE_RULES: &[u8] = b"{\"version\":11}";
 /// Timeout of a message to the router.
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a router that hears of later rules must have them, or use its own no more: as a configuration's bound.
@@ -214,3 +218,32 @@
     let answer = answer_to(&relay, "/letters/7").await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+/// Guards against rules of another router that hide that the store holds newer ones, which nobody can read.
+#[tokio::test]
+async fn fetched_rules_are_not_confirmed_while_the_newest_cannot_be_read() {
+    let (deployment, relay, _replica) = start().await;
+    deployment
+        .store
+        .put(OPERATOR_TOPIC, CONFIG_KEY, UNREADABLE_RULES);
+    eventually("the newest rules cannot be read", async || {
+        relay.status().newest_unreadable
+    })
+    .await;
+    let later = deployment.configuration(LATER, &rules(&["/letters/"]));
+    let other = start_other(&deployment, Some(later.into())).await;
+    state_revision(&deployment, &other).await;
+    eventually("the later rules are in force", async || {
+        relay.status().revision == LATER
+    })
+    .await;
+    assert!(relay.status().newest_unreadable);
+    let age = relay.status().rules_age_ms;
+    sleep(APPLY_BOUND).await;
+    assert!(relay.status().rules_age_ms > age, "they were confirmed");
+    deployment.configure(LATER + 1, &rules(&["/letters/"]));
+    eventually("rules are confirmed again", async || {
+        !relay.status().newest_unreadable && is_ready(&relay).await
+    })
+    .await;
+}
