State how far a list was read only when it can be passed on

What callers saw: routers that start together beside many entries may refuse all requests for want of upstreams, although the upstreams are listed, until these write their entries again.

Cause: a router noted its position in the upstreams' topic before it had looked through the entries and put them where other routers get them. An answer to another router in between stated the position with an empty list as the whole one; that router took it, and could give it back to the first. Many entries make the time in between long, and odd ones that sort first are many.

Evidence: RelayStatus of such a router showed a confirmed list of the present and no upstream.

Change: the position is noted after the entries are published, under the same lock; for the crashes of requests likewise.

No test shows it each time: the moment can't be held open from outside.

--- a/crates/router/src/relay/crashes/crash_exchange.rs
+++ b/crates/router/src/relay/crashes/crash_exchange.rs
@@ -189,12 +189,13 @@
         true => core.crashes.begin_era(rows),
         false => core.crashes.merge(rows, RowOrigin::Store),
     };
-    if let Some(position) = position {
-        core.crash_topic.advance(position);
-    }
     core.fleet
         .feed
         .put_crashes(&core.crashes.near_rows_of(&subjects));
+    // Stated to other routers only from now on, when they get the rows before it too.
+    if let Some(position) = position {
+        core.crash_topic.advance(position);
+    }
     if quarantines {
         core.fleet.feed.wake();
     }
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -66,15 +66,17 @@
         if had_outage {
             registry.record_store_recovery(now);
         }
-        let era = changes.position.era;
+        let position = changes.position;
         let changed = apply(&core, &mut registry, changes);
         let expired = registry.expire(now.after(period));
         if changed || expired || !core.upstreams.is_listed() {
             publish(&core, &registry);
         }
+        // Stated to other routers only from now on, when they get the entries before it too.
+        core.upstream_topic.advance(position);
         drop(registry);
         if !is_behind {
-            core.upstream_topic.confirm(era, requested_at);
+            core.upstream_topic.confirm(position.era, requested_at);
         }
     }
 }
@@ -112,13 +114,14 @@
     let mut changed = registry.expire(now);
     if !core.upstream_topic.is_beyond(Some(position)) {
         enter_era(core, &mut registry, position, now);
-        core.upstream_topic.advance(position);
         changed |= synced.is_whole || !synced.changes.is_empty();
         apply_changes(&mut registry, synced, now);
     }
     if changed {
         publish(core, &registry);
     }
+    // Stated to other routers only from now on, when they get the entries before it too.
+    core.upstream_topic.advance(position);
 }
 
 fn apply_changes(registry: &mut UpstreamRegistry, synced: SyncedUpstreams, now: MonotonicTime) {
@@ -200,7 +203,6 @@
     }
     let now = core.clock.now();
     enter_era(core, registry, changes.position, now);
-    core.upstream_topic.advance(changes.position);
     let mut changed = changes.whole;
     if changes.whole {
         let listed: HashSet<HostName> = changes
