--- a/crates/router/tests/relay/odd_names.rs
+++ b/crates/router/tests/relay/odd_names.rs
@@ -16,6 +16,8 @@
 
 /// Number of odd entries that come before those of the upstreams: more than two pages hold.
 const ODD_ENTRIES: usize = 1_100;
+/// Number of entries that a page holds.
+const PAGE_ENTRIES: usize = 500;
 /// Values that are no entry.
 const ODD_VALUES: [&[u8]; 5] = [
     b"\xff\xfe",
@@ -35,7 +37,7 @@
 type NameForm = fn(usize) -> Vec<u8>;
 
 /// Forms of names; all sort before the names of the upstreams.
-const FORMS: [(&str, NameForm); 22] = [
+const FORMS: [(&str, NameForm); 24] = [
     ("plain", |n| text(format!("a{n:04}"))),
     ("ampersand before", |n| text(format!("a&b{n:04}"))),
     ("ampersand behind", |n| text(format!("a{n:04}&b"))),
@@ -58,10 +60,26 @@
     ("letter beyond ASCII", |n| text(format!("a\u{e9}{n:04}"))),
     ("path", |n| text(format!("a/../{n:04}"))),
     ("long", |n| text(format!("{}{n:04}", "&".repeat(200)))),
+    ("half no UTF-8", |n| match n % 2 == 1 {
+        true => [text(format!("a{n:04}")).as_slice(), b"\xff"].concat(),
+        false => text(format!("a{n:04}&b")),
+    }),
+    ("one a page", |n| {
+        match n % PAGE_ENTRIES == PAGE_ENTRIES - 1 {
+            true => [text(format!("a{n:04}")).as_slice(), b" &\xff"].concat(),
+            false => text(format!("a{n:04}")),
+        }
+    }),
 ];
 
 /// Names of the forms that are played in each list.
-const USUAL: [&str; 3] = ["ampersand before", "blank inside", "control byte"];
+const USUAL: [&str; 5] = [
+    "ampersand before",
+    "blank inside",
+    "control byte",
+    "half no UTF-8",
+    "one a page",
+];
 /// Forms that are played at the same time.
 const FORMS_AT_ONCE: usize = 8;
 
@@ -167,6 +185,14 @@
     assert!(failing.iter().all(Vec::is_empty), "{topics:?}: {failing:?}");
 }
 
+/// The same where a page holds no name that is text, so that the key after which the next page begins cannot be named.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_start_beside_pages_without_a_name_that_is_text() {
+    let form: NameForm = |n| [b"a\xff", text(format!("{n:04}")).as_slice()].concat();
+    let failing = failing_forms(UPSTREAM_TOPIC, &[("no UTF-8", form)]).await;
+    assert!(failing.is_empty(), "{failing:?}");
+}
+
 /// Lists the upstreams' topic beside odd entries; returns how many entries and pages it took, or the failure.
 async fn list_beside(form: NameForm) -> Result<(usize, u64), String> {
     let deployment = Deployment::start().await;
