--- a/crates/standin/src/store/topic_log.rs
+++ b/crates/standin/src/store/topic_log.rs
@@ -96,6 +96,7 @@
             entries,
             has_more,
             end: self.end(),
+            left_out: 0,
         }
     }
 
