Take no status outside 200 to 599 for an answer, on both interfaces

What callers saw: an upstream in trouble answered with status 101, though no upgrade was asked for, 600 or 999, and the caller got it as an answer; the upstream went on getting its share.

Cause: the HTTP library reads any three digits from 100 on, and nothing else judged the status.

Change: one decision (AnswerStatus, in crates/decisions) says which statuses final answers have. It is asked where a relay takes the head of an answer, directly or by way of another router, in the client that services, engines, the store and the log share, and for answers that routers of the own interface pass to each other. Anything else counts as a malformed answer: it may have run, it is tried elsewhere only if it may run twice, and a log line names the upstream.

Result: a_status_of_no_answer_reaches_no_caller, no_such_answer_reaches_a_caller_by_way_of_another_router and, on the own interface, what_is_no_answer_of_a_service_reaches_no_caller failed before for 101, 600 and 999, in all four kinds of runs, and pass. Held before, and keep their tests: statuses 000, 099, 100, 199 and others that are no number of three digits; names of fields with a blank, a tab, a control byte or none; two lengths; a 200 without a length that is reset during an upload of 3 MB (24 forms).

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 mod macros;
 
 pub mod admission;
+pub mod answer;
 pub mod bill;
 pub mod cascade;
 pub mod choice;
--- a/crates/kernel/src/http/client.rs
+++ b/crates/kernel/src/http/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::answer::{AnswerStatus, StatusError};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderValue};
@@ -60,6 +61,14 @@
         /// Body of the response.
         body: String,
     },
+    /// The response has a status that no answer has; the server may have received the request.
+    #[error("{url} sent no answer: {reason}")]
+    NoAnswer {
+        /// Address that was called.
+        url: String,
+        /// What is wrong with the status.
+        reason: StatusError,
+    },
     /// The response could not be decoded.
     #[error(
         "the answer of {url} cannot be read: {reason}; check that the address belongs to the right service"
@@ -170,7 +179,7 @@
 
 impl HttpClient {
     /// Sends `request` and returns as soon as the head of the response is received, whatever its
-    /// status.
+    /// status, if it is one of an answer.
     ///
     /// # Errors
     ///
@@ -206,7 +215,10 @@
                     HttpError::Broken { url, reason }
                 })
             }
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => match AnswerStatus::try_from(response.status().as_u16()) {
+                Ok(_) => Ok(response),
+                Err(reason) => Err(HttpError::NoAnswer { url, reason }),
+            },
         }
     }
 
--- a/crates/router/src/claims/joined_answer.rs
+++ b/crates/router/src/claims/joined_answer.rs
@@ -1,5 +1,6 @@
 //! Answer of a run in the form in which duplicates of its request receive it.
 
+use ferry_decisions::answer::AnswerStatus;
 use ferry_kernel::http::BodyFraming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
@@ -47,8 +48,9 @@
             let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
             headers.append(name, HeaderValue::from_bytes(&header.value).ok()?);
         }
+        let status = AnswerStatus::try_from(self.status).ok()?;
         Some(ServiceAnswer {
-            status: StatusCode::from_u16(self.status).ok()?,
+            status: StatusCode::from_u16(status.number()).ok()?,
             headers,
             framing: match self.until_close {
                 true => BodyFraming::UntilClose,
--- a/crates/router/src/dispatch/dispatch_failure.rs
+++ b/crates/router/src/dispatch/dispatch_failure.rs
@@ -113,7 +113,9 @@
             }
             HttpError::Timeout { .. } => return Self::deadline_passed(),
             HttpError::Broken { .. } => UpstreamFailure::BrokenBeforeAnswer,
-            HttpError::Unreadable { .. } => UpstreamFailure::MalformedAnswer,
+            HttpError::NoAnswer { .. } | HttpError::Unreadable { .. } => {
+                UpstreamFailure::MalformedAnswer
+            }
             HttpError::Status { .. } => UpstreamFailure::ServerError,
         };
         Self::new(kind, error.to_string())
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ferry_decisions::answer::{AnswerStatus, StatusError};
 use ferry_decisions::limits::StatedLimits;
 use ferry_decisions::names::HostName;
 use ferry_decisions::retry::UpstreamFailure;
@@ -99,6 +100,9 @@
         lease.link().heads.end();
         let may_lack_model = self.may_lack_model();
         let (head, body) = response.into_parts();
+        if let Err(reason) = AnswerStatus::try_from(head.status.as_u16()) {
+            return Err(self.no_answer(reason));
+        }
         let answer = UpstreamAnswer {
             facts: AnswerFacts::read(&head.headers),
             framing: BodyFraming::of(&self.outgoing.method, &head),
@@ -126,6 +130,15 @@
         }
     }
 
+    /// The failure of an exchange in which the upstream sent something else than an answer, of which nothing is believed.
+    fn no_answer(&self, reason: StatusError) -> SendFailure {
+        spdlog::warn!("upstream sent no answer: {}", reason, kv: {
+            request_id = self.attempt_id.as_str(),
+            upstream = self.upstream.id(),
+        });
+        SendFailure::without_answer(UpstreamFailure::MalformedAnswer)
+    }
+
     /// Whether the upstream may be right and sound that refuses the request as misdirected: its caller named a model that the service isn't
     /// known to have.
     fn may_lack_model(&self) -> bool {
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -22,6 +22,7 @@
 mod later_rules;
 mod limits;
 mod mass_failure;
+mod odd_answers;
 mod odd_callers;
 mod odd_entries;
 mod odd_names;
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -260,7 +260,17 @@
 impl RawAnswer {
     /// Whether the status is 200.
     pub fn is_success(&self) -> bool {
-        self.head.split(' ').nth(1) == Some("200")
+        self.status() == Some(200)
+    }
+
+    /// Status; `None` when the first line has none.
+    pub fn status(&self) -> Option<u16> {
+        self.head.split(' ').nth(1)?.parse().ok()
+    }
+
+    /// Whether a line of the head behind the first one contains `text`, in lower case.
+    pub fn head_contains(&self, text: &str) -> bool {
+        self.head.lines().skip(1).any(|line| line.contains(text))
     }
 
     /// Whether a caller takes it for a success with its whole body.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod letters;
 mod log_outage;
 mod logged_bills;
+mod odd_answers;
 mod odd_usage;
 mod operator;
 mod planned_stop;
