--- a/crates/router/tests/relay/odd_names.rs
+++ b/crates/router/tests/relay/odd_names.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use ferry_decisions::registry::UpstreamStage;
 use ferry_decisions::ruleset::RunKind;
+use ferry_platform::entries::encode_upstream;
 use ferry_platform::store::{
     OPERATOR_TOPIC, STATUS_TOPIC, StoreClient, TopicPartition, UPSTREAM_TOPIC,
 };
@@ -12,7 +14,7 @@
 use tokio::runtime::Runtime;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::deployment::{Deployment, call, is_ready, request, rule};
+use crate::deployment::{Deployment, call, eventually, is_ready, request, rule};
 
 /// Number of odd entries that come before those of the upstreams: more than two pages hold.
 const ODD_ENTRIES: usize = 1_100;
@@ -185,6 +187,31 @@
     assert!(failing.iter().all(Vec::is_empty), "{topics:?}: {failing:?}");
 }
 
+/// Guards against requests that are bound to no upstream, since no header can state the id of the one that they are for.
+#[tokio::test]
+async fn no_request_is_sent_to_an_upstream_whose_id_no_header_can_state() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &[rule("/letters/", RunKind::Idempotent)]);
+    let other = deployment.replica("up-1", "v1").await;
+    let entry = encode_upstream(&other.record(UpstreamStage::Ready, 1));
+    deployment.store.put(UPSTREAM_TOPIC, "up-1", b"");
+    for id in [
+        "up\u{1}",
+        "up\r\nx: 1",
+        "up\0",
+        "up\u{7f}",
+        "up-1 ",
+        " up-1",
+        "up\u{fffd}",
+    ] {
+        deployment.store.put(UPSTREAM_TOPIC, id, &entry);
+    }
+    let relay = deployment.unready_relay("entry-1").await;
+    eventually("the router is ready", async || is_ready(&relay).await).await;
+    assert!(!serves(&relay).await);
+    assert_eq!(other.runs().len(), 0);
+}
+
 /// The same where a page holds no name that is text, so that the key after which the next page begins cannot be named.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_start_beside_pages_without_a_name_that_is_text() {
