Log an upstream's entry that cannot be read once, not with each list

Cause: the line was written where an entry was decoded, whether it was known or not.

Records of the operator, of crashes, of routers and of phases are logged as before.

--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -7,12 +7,14 @@
 mod rules_query;
 mod rules_update;
 mod topic_reader;
+mod unreadable_log;
 mod upstream_watch;
 
 pub use operator_watch::{apply_synced as apply_synced_operator, read_operator};
 pub use outage_log::OutageLog;
 pub use rules_query::answer_query as answer_rules_query;
 pub use topic_reader::{TopicChanges, TopicReader};
+use unreadable_log::{UnreadableLog, UnreadableRecord};
 pub use upstream_watch::{SyncedUpstreams, apply_synced as apply_synced_upstreams};
 
 use ferry_kernel::supervisor::TaskPlan;
--- a/crates/router/src/relay/watch/upstream_watch.rs
+++ b/crates/router/src/relay/watch/upstream_watch.rs
@@ -11,8 +11,8 @@
 use ferry_platform::entries::decode_upstream;
 use ferry_platform::store::{KeyedRecord, UPSTREAM_TOPIC};
 
-use super::OutageLog;
 use super::topic_reader::{TopicChanges, TopicReader};
+use super::{OutageLog, UnreadableLog, UnreadableRecord};
 use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::permits::count_brittle_end;
 use crate::relay::relay_core::SharedCore;
@@ -37,6 +37,7 @@
         "the upstreams' topic cannot be read",
         "the upstreams' topic is read again",
     );
+    let mut unreadable = UnreadableLog::new("invalid upstream entry ignored");
     let mut is_behind = false;
     loop {
         if !is_behind && !core.fleet.sync_state().is_reader {
@@ -67,7 +68,7 @@
             registry.record_store_recovery(now);
         }
         let position = changes.position;
-        let changed = apply(&core, &mut registry, changes);
+        let changed = apply(&core, &mut registry, changes, &mut unreadable);
         let expired = registry.expire(now.after(period));
         if changed || expired || !core.upstreams.is_listed() {
             publish(&core, &registry);
@@ -197,7 +198,12 @@
 }
 
 /// Applies changes of the topic to the registry, unless it has newer ones; returns whether one of them affects requests.
-fn apply(core: &SharedCore, registry: &mut UpstreamRegistry, changes: TopicChanges) -> bool {
+fn apply(
+    core: &SharedCore,
+    registry: &mut UpstreamRegistry,
+    changes: TopicChanges,
+    log: &mut UnreadableLog,
+) -> bool {
     if core.upstream_topic.is_beyond(Some(changes.position)) {
         return false;
     }
@@ -212,11 +218,17 @@
             .collect();
         registry.retain_listed(|id| listed.contains(id), now);
     }
-    for KeyedRecord { key, value, .. } in changes.records {
+    let mut unreadable = Vec::new();
+    for KeyedRecord { key, value, offset } in changes.records {
         let change = match value.map(|value| decode_upstream(&key, &value)) {
             Some(Ok(record)) => registry.observe(record),
             Some(Err(error)) => {
-                spdlog::warn!("invalid upstream entry ignored: {}", error, kv: { upstream = key.as_str() });
+                let position = TopicPosition::new(changes.position.era, offset);
+                let record = UnreadableRecord {
+                    key: key.clone(),
+                    reason: error.to_string(),
+                };
+                unreadable.push((position, record));
                 registry.observe_malformed(&key)
             }
             None => registry.observe_removed(&key, now),
@@ -224,5 +236,6 @@
         log_change(&key.as_str().into(), change);
         changed |= change != RegistryChange::None;
     }
+    log.report(unreadable);
     changed
 }
