--- a/crates/router/tests/relay/odd_names.rs
+++ b/crates/router/tests/relay/odd_names.rs
@@ -93,7 +93,7 @@
 fn put_odd_entries(deployment: &Deployment, topic: &str, form: NameForm) {
     for number in 0..ODD_ENTRIES {
         let value = ODD_VALUES[number % ODD_VALUES.len()];
-        deployment.store.put(topic, form(number), value);
+        deployment.store.put(topic, &form(number), value);
     }
 }
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -44,7 +44,7 @@
     }
 
     /// Appends a value of `key` to a keyed topic; an empty value removes the key. The key need not be UTF-8.
-    pub fn put(&self, topic: &str, key: impl AsRef<[u8]>, value: &[u8]) {
+    pub fn put(&self, topic: &str, key: &(impl AsRef<[u8]> + ?Sized), value: &[u8]) {
         self.state.put(topic, key, value);
     }
 
--- a/crates/standin/src/store/store_state.rs
+++ b/crates/standin/src/store/store_state.rs
@@ -65,7 +65,7 @@
 }
 
 impl StoreState {
-    pub(super) fn put(&self, topic: &str, key: impl AsRef<[u8]>, value: &[u8]) {
+    pub(super) fn put(&self, topic: &str, key: &(impl AsRef<[u8]> + ?Sized), value: &[u8]) {
         if let Some(record) = encode_keyed(key, value) {
             let condition = AppendCondition::None;
             // An append without a condition is never refused.
