Ask the process that wrote an answer without framing who it is

Cause: the check after such an end connected to the address and took any process that accepted for the one that wrote the answer. The question to other routers, and the survival of a crash that rests on it, did the same.

Change: the check is a health check that is bound to the upstream's id. Another id or 421 is the end of the process; a full upstream's refusal is its own. The same id with another start time in the list of upstreams is another process too; the list is waited for where it may be from before a suspension. Routers ask one another the same under a new name, which earlier builds do not answer. A service without a health path is judged as before. In a pause, other routers are asked first.

Ruled out: that nobody asks (the verdict in the log needs a check).

--- a/crates/decisions/src/ends/answer_end.rs
+++ b/crates/decisions/src/ends/answer_end.rs
@@ -30,9 +30,13 @@
         BeforeEvents,
     }
 
-    /// What is known of the process that sent an answer, by a connection that was opened to it after the answer's end.
+    /// What is known of the process that sent an answer, by a connection that was opened to its address after the answer's end.
     pub enum ProcessSign {
-        /// The connection was accepted and stayed open.
+        /// The upstream that sent the answer replied on it.
+        Same,
+        /// Another one replied: the process that sent the answer has ended.
+        Replaced,
+        /// The connection stayed open, and its process can't be asked who it is.
         Accepted,
         /// It was refused: no process listens there any more.
         Refused,
@@ -52,12 +56,17 @@
 }
 
 impl ProcessSign {
-    /// The sign of a connection of one's own, where another router that tried after the end too has connected to the process if
+    /// Whether the process is known to have outlived the answer, as far as it can be asked.
+    pub fn is_alive(self) -> bool {
+        matches!(self, Self::Same | Self::Accepted)
+    }
+
+    /// The sign of a connection of one's own, where another router that asked after the end too has reached the same process if
     /// `is_reached`: the path may be at fault.
     pub fn with_witness(self, is_reached: bool) -> Self {
-        match is_reached {
-            true => Self::Accepted,
-            false => self,
+        match (self, is_reached) {
+            (Self::Refused | Self::Unreached, true) => Self::Same,
+            (sign, _) => sign,
         }
     }
 }
@@ -103,9 +112,11 @@
             return verdict;
         }
         match sign {
-            ProcessSign::Accepted => EndVerdict::Whole,
-            ProcessSign::Refused if !is_leaving => EndVerdict::Broken,
-            ProcessSign::Refused | ProcessSign::Unreached => EndVerdict::Unproven,
+            ProcessSign::Same | ProcessSign::Accepted => EndVerdict::Whole,
+            ProcessSign::Replaced | ProcessSign::Refused if !is_leaving => EndVerdict::Broken,
+            ProcessSign::Replaced | ProcessSign::Refused | ProcessSign::Unreached => {
+                EndVerdict::Unproven
+            }
         }
     }
 }
--- a/crates/decisions/src/ruleset/rule_set.rs
+++ b/crates/decisions/src/ruleset/rule_set.rs
@@ -52,6 +52,8 @@
     pub models: Vec<ModelCost>,
     /// Limit on requests to cold upstreams.
     pub cold: ColdSpec,
+    /// Path of the health check, whose answer names the upstream; absent if the service has none.
+    pub health_path: Option<String>,
 }
 
 /// Workspace that an API key belongs to.
--- a/crates/decisions/tests/answer_ends.rs
+++ b/crates/decisions/tests/answer_ends.rs
@@ -82,12 +82,13 @@
         self
     }
 
-    /// What a connection says that the router opens now.
+    /// What a connection says that the router opens now, and on which it asks the process who it is.
     fn own_sign(&self) -> ProcessSign {
         match (self.is_path_lost, self.listener) {
             (true, _) => ProcessSign::Unreached,
             (false, Listener::Nobody) => ProcessSign::Refused,
-            (false, _) => ProcessSign::Accepted,
+            (false, Listener::Sender) => ProcessSign::Same,
+            (false, Listener::Successor) => ProcessSign::Replaced,
         }
     }
 
@@ -97,7 +98,7 @@
             mark: EndMark::Close,
             place,
         };
-        let is_reached = has_witness && self.listener != Listener::Nobody;
+        let is_reached = has_witness && self.listener == Listener::Sender;
         let sign = self.own_sign().with_witness(is_reached);
         end.plain_verdict()
             .unwrap_or_else(|| end.verdict(sign, self.is_leaving))
@@ -124,13 +125,13 @@
     }
 }
 
-/// Guards against an answer that its upstream's end cut off and that counts as whole. Only one kind of sequence can't be told apart: a process
-/// that starts again at the same address before anybody asks.
+/// Guards against an answer that its upstream's end cut off and that counts as whole, also where the next process listens at the same address
+/// before anybody asks.
 #[test]
 fn no_answer_that_a_dead_process_cut_off_counts_as_whole() {
     let mut cut = 0;
     for_each_life(|events, life| {
-        if life.is_whole != Some(false) || life.listener == Listener::Successor {
+        if life.is_whole != Some(false) {
             return;
         }
         cut += 1;
@@ -168,7 +169,7 @@
 #[test]
 fn the_end_of_a_process_that_leaves_is_not_held_against_it() {
     for_each_life(|events, life| {
-        if life.is_leaving && life.listener == Listener::Nobody {
+        if life.is_leaving && life.listener != Listener::Sender {
             let verdict = life.verdict(EndPlace::Boundary, true);
             assert_eq!(verdict, EndVerdict::Unproven, "{events:?}");
         }
--- a/crates/rig/src/relay_fixture.rs
+++ b/crates/rig/src/relay_fixture.rs
@@ -16,7 +16,7 @@
 use ferry_platform::entries::{CONFIG_KEY, encode_evacuation, encode_rules, evacuation_key};
 use ferry_platform::headers::CallerHeaders;
 use ferry_platform::store::OPERATOR_TOPIC;
-use ferry_standin::replica::DEFAULT_ZONE;
+use ferry_standin::replica::{DEFAULT_ZONE, HEALTH_PATH};
 use ferry_standin::{ReplicaOptions, ReplicaStandin, StoreStandin};
 use hyper::Method;
 use hyper::header::{HOST, HeaderValue};
@@ -117,6 +117,7 @@
             connections: CONNECTION_LIMIT,
             models: self.models.clone(),
             cold: self.cold,
+            health_path: Some(HEALTH_PATH.to_owned()),
         };
         let others = self.services.iter().cloned();
         let services: Vec<ServiceSpec> = [service].into_iter().chain(others).collect();
--- a/crates/router/src/relay/paths.rs
+++ b/crates/router/src/relay/paths.rs
@@ -2,6 +2,7 @@
 //! reached.
 
 mod end_check;
+mod identity_query;
 mod open_link;
 mod path_keeper;
 mod path_manager;
--- a/crates/router/src/relay/paths/end_check.rs
+++ b/crates/router/src/relay/paths/end_check.rs
@@ -9,12 +9,14 @@
 use futures::future::{Either, select};
 use tokio::time::{Instant, sleep, timeout};
 
+use super::identity_query::{ask_identity, health_path};
 use super::open_link::{open_direct, open_unrecorded};
 use super::witness_query::is_reached_by_others;
 use crate::relay::relay_core::SharedCore;
-use crate::relay::upstreams::{LinkLease, RelayUpstream};
+use crate::relay::upstreams::{LinkLease, RelayUpstream, UpstreamLink};
 
-/// Time for which a new connection must stay open: a port that is held for a process that has ended may accept it and close it.
+/// Time for which a new connection must stay open where its process can't be asked who it is: a port that is held for a process that has ended
+/// may accept it and close it.
 const LASTING_TIME: Duration = Duration::from_millis(20);
 /// Time within which other routers must answer.
 const WITNESS_TIME: Duration = Duration::from_millis(250);
@@ -48,31 +50,38 @@
     sign
 }
 
-/// Connects to `upstream`, whatever it has said of itself; where that fails, asks other routers to, since the path may be at fault. Where it is
-/// known to be, both at once.
+/// Asks the process at the address of `upstream` who it is, whatever it has said of itself; where it can't be asked, other routers are to,
+/// since the path may be at fault. Where it is known to be, both at once.
 async fn find_sign(
     core: &SharedCore,
     upstream: &Arc<RelayUpstream>,
     detour: Option<&HostName>,
 ) -> ProcessSign {
+    // In a pause, a health check is one of the requests that the upstream wants none of from this router.
+    if upstream.pause_left().is_some() && has_witness(core, upstream, detour).await {
+        return ProcessSign::Same;
+    }
     if detour.is_none() && !upstream.is_path_lost() {
         return match own_sign(core, upstream).await {
-            ProcessSign::Accepted => ProcessSign::Accepted,
-            sign => sign.with_witness(has_witness(core, upstream, detour).await),
+            sign @ (ProcessSign::Refused | ProcessSign::Unreached) => {
+                sign.with_witness(has_witness(core, upstream, detour).await)
+            }
+            sign => sign,
         };
     }
     let own = pin!(own_sign(core, upstream));
     let witness = pin!(has_witness(core, upstream, detour));
     match select(own, witness).await {
-        Either::Left((ProcessSign::Accepted, _)) | Either::Right((true, _)) => {
-            ProcessSign::Accepted
+        Either::Right((true, _)) => ProcessSign::Same,
+        Either::Left((sign @ (ProcessSign::Refused | ProcessSign::Unreached), witness)) => {
+            sign.with_witness(witness.await)
         }
-        Either::Left((sign, witness)) => sign.with_witness(witness.await),
+        Either::Left((sign, _)) => sign,
         Either::Right((false, own)) => own.await,
     }
 }
 
-/// What a direct connection says of the process; one that stays open is kept for the next request.
+/// What a direct connection says of the process; one that works is kept for the next request.
 pub async fn own_sign(core: &SharedCore, upstream: &Arc<RelayUpstream>) -> ProcessSign {
     let opened = match upstream.is_path_lost() {
         // The probes of a lost path keep their own time.
@@ -86,6 +95,14 @@
         }
         Err(_) => return ProcessSign::Unreached,
     };
+    match health_path(core, upstream) {
+        Some(path) => ask_identity(core, upstream, link, &path).await,
+        None => lasting_sign(upstream, link).await,
+    }
+}
+
+/// What it says of the process that `link` stays open, for a service without a health check.
+async fn lasting_sign(upstream: &Arc<RelayUpstream>, link: UpstreamLink) -> ProcessSign {
     sleep(LASTING_TIME).await;
     if link.sender.is_closed() {
         return ProcessSign::Unreached;
@@ -96,7 +113,7 @@
     ProcessSign::Accepted
 }
 
-/// Whether another router can connect to `upstream` now; the router `detour` is asked as well.
+/// Whether another router reaches the process of `upstream` now; the router `detour` is asked as well.
 async fn has_witness(
     core: &SharedCore,
     upstream: &RelayUpstream,
--- a/crates/router/src/relay/paths/path_message.rs
+++ b/crates/router/src/relay/paths/path_message.rs
@@ -29,8 +29,10 @@
 pub enum ReachProof {
     /// Data heard a moment ago, or a new connection.
     Recent,
-    /// A connection that is opened after the question.
+    /// The same as [`Self::SameProcess`]; routers of builds before that one ask so, and take a new connection for it.
     NewConnection,
+    /// The upstream's own reply, in the listed incarnation, on a connection that is opened after the question.
+    SameProcess,
 }
 
 /// Answer to a message.
--- a/crates/router/src/relay/paths/path_query.rs
+++ b/crates/router/src/relay/paths/path_query.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ferry_decisions::ends::ProcessSign;
 use ferry_decisions::names::HostName;
 use ferry_decisions::registry::UpstreamIncarnation;
 use futures::future::join_all;
@@ -103,7 +102,12 @@
         ReachProof::Recent if upstream.is_leaving() => false,
         ReachProof::Recent if upstream.was_heard_within(HEARD_AGE, core.clock.now()) => true,
         ReachProof::Recent => probe(core, &upstream).await,
-        ReachProof::NewConnection => own_sign(core, &upstream).await == ProcessSign::Accepted,
+        ReachProof::NewConnection | ReachProof::SameProcess if upstream.pause_left().is_some() => {
+            false
+        }
+        ReachProof::NewConnection | ReachProof::SameProcess => {
+            own_sign(core, &upstream).await.is_alive()
+        }
     }
 }
 
--- a/crates/router/src/relay/paths/survival_check.rs
+++ b/crates/router/src/relay/paths/survival_check.rs
@@ -8,7 +8,7 @@
 use crate::relay::upstreams::RelayUpstream;
 
 /// Checks `upstream` in the background after the break of a direct connection: it survived if this router cannot connect to it right
-/// afterwards and another one can, which takes less time than the start of a process.
+/// afterwards and another one still reaches the same process.
 pub fn check_survival(core: &SharedCore, upstream: &Arc<RelayUpstream>) {
     let Some(check) = SurvivalCheck::begin(upstream) else {
         return;
--- a/crates/router/src/relay/paths/witness_query.rs
+++ b/crates/router/src/relay/paths/witness_query.rs
@@ -1,4 +1,4 @@
-//! Asks other routers whether they can connect to an upstream that this one doesn't reach.
+//! Asks other routers whether they reach the process of an upstream that this one doesn't reach.
 
 use ferry_decisions::names::HostName;
 use futures::StreamExt;
@@ -10,7 +10,7 @@
 use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::RelayUpstream;
 
-/// Whether a router that is asked now can connect to `upstream`; the router `also` is asked beside the usual ones.
+/// Whether a router that is asked now reaches the process of `upstream`; the router `also` is asked beside the usual ones.
 pub async fn is_reached_by_others(
     core: &SharedCore,
     upstream: &RelayUpstream,
@@ -23,7 +23,7 @@
     let asking = routers.iter().map(|router| {
         let query = ReachQuery {
             upstreams: vec![upstream.record.incarnation.clone()],
-            proof: ReachProof::NewConnection,
+            proof: ReachProof::SameProcess,
         };
         ask_reached(core, router, query)
     });
--- a/crates/router/src/relay/run/end_judgement.rs
+++ b/crates/router/src/relay/run/end_judgement.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ferry_decisions::ends::{AnswerEnd, EndMark, EndVerdict};
+use ferry_decisions::ends::{AnswerEnd, EndMark, EndVerdict, ProcessSign};
 use ferry_decisions::names::HostName;
 use ferry_kernel::http::BodyFraming;
 
@@ -35,17 +35,18 @@
     pub(super) async fn judge_end(&self, answer: &EndedAnswer<'_>) -> EndVerdict {
         if let Some(verdict) = answer.end.plain_verdict() {
             if verdict != EndVerdict::Whole {
-                self.log_end(answer, verdict);
+                self.log_end(answer, verdict, None);
             }
             return verdict;
         }
         let sign = check_process(&self.core, answer.upstream, answer.detour).await;
         let verdict = answer.end.verdict(sign, answer.upstream.is_leaving());
-        self.log_end(answer, verdict);
+        self.log_end(answer, verdict, Some(sign));
         verdict
     }
 
-    fn log_end(&self, answer: &EndedAnswer<'_>, verdict: EndVerdict) {
+    /// Logs an end with its verdict, and with the sign of the process if that was needed.
+    fn log_end(&self, answer: &EndedAnswer<'_>, verdict: EndVerdict, sign: Option<ProcessSign>) {
         let service = answer.upstream.record.service.to_string();
         metrics::counter!("ferry_relay_unmarked_ends_total", "service" => service, "verdict" => verdict.name())
             .increment(1);
@@ -54,6 +55,7 @@
             upstream = answer.upstream.id(),
             mark:? = answer.end.mark,
             place:? = answer.end.place,
+            sign:? = sign,
             verdict = verdict.name(),
             leaving = answer.upstream.is_leaving(),
             pieces = answer.pieces,
--- a/crates/router/src/relay/upstreams/upstream_link.rs
+++ b/crates/router/src/relay/upstreams/upstream_link.rs
@@ -122,6 +122,11 @@
         Self { upstream, link }
     }
 
+    /// Upstream that the connection leads to.
+    pub fn upstream(&self) -> &RelayUpstream {
+        &self.upstream
+    }
+
     /// The leased connection.
     pub fn link(&mut self) -> &mut UpstreamLink {
         &mut self.link
--- a/crates/router/tests/relay/held_replica.rs
+++ b/crates/router/tests/relay/held_replica.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ferry_decisions::registry::{UpstreamRecord, UpstreamStage};
+use ferry_decisions::time::UnixMillis;
 use ferry_platform::entries::encode_upstream;
 use ferry_platform::headers::AnswerHeaders;
 use ferry_platform::store::UPSTREAM_TOPIC;
@@ -16,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::deployment::{Deployment, loopback};
-use crate::raw_replica::{answer_head, header_lines, raw_record, read_request};
+use crate::raw_replica::{answer_head, header_lines, raw_record, read_run};
 
 /// Part of an answer that is sent at once.
 const BEGINNING: &str = "id: 1\ndata: part 1\n\n";
@@ -44,6 +45,8 @@
 
 #[derive(Debug)]
 struct HeldState {
+    /// Identifier of the process that listens.
+    id: Mutex<String>,
     answer: Mutex<HeldAnswer>,
     /// Answers that were begun.
     begun: AtomicUsize,
@@ -61,6 +64,7 @@
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             state: Arc::new(HeldState {
+                id: Mutex::new(id.to_owned()),
                 answer: Mutex::new(HeldAnswer::Begin),
                 begun: AtomicUsize::new(0),
                 finished: CancellationToken::new(),
@@ -119,6 +123,21 @@
     pub fn finish_answers(&self) {
         self.state.finished.cancel();
     }
+
+    /// Ends the process, and with it all answers, when the next one, with id `id`, already listens at its address: a router that was suspended
+    /// meanwhile sees the end so.
+    pub fn replace(&self, id: &str) {
+        *self.state.id.lock() = id.to_owned();
+        self.state.finished.cancel();
+    }
+
+    /// Writes the entry of the process's next start under its id.
+    pub fn register_restart(&self, deployment: &Deployment) {
+        let mut record = raw_record(&self.id, self.address);
+        record.incarnation.started_at = Some(UnixMillis(2));
+        let store = &deployment.store;
+        store.put(UPSTREAM_TOPIC, &self.id, &encode_upstream(&record));
+    }
 }
 
 impl HeldState {
@@ -135,7 +154,8 @@
     }
 
     async fn answer(self: Arc<Self>, mut stream: TcpStream) {
-        let Some(bound) = read_request(&mut stream).await else {
+        let id = self.id.lock().clone();
+        let Some(bound) = read_run(&mut stream, &id).await else {
             return;
         };
         let answer = *self.answer.lock();
--- a/crates/router/tests/relay/raw_replica.rs
+++ b/crates/router/tests/relay/raw_replica.rs
@@ -10,7 +10,7 @@
 use ferry_platform::store::UPSTREAM_TOPIC;
 use ferry_rig::{RawBytes, call_raw, fixture_headers, fixture_request};
 use ferry_router::relay::RelayDaemon;
-pub use ferry_standin::raw_http::{header_lines, read_request};
+pub use ferry_standin::raw_http::{header_lines, read_request, read_run};
 use hyper::HeaderMap;
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
@@ -72,7 +72,7 @@
 pub async fn start_raw_replica(deployment: &Deployment, id: &str, plan: RawPlan) {
     let listener = TcpListener::bind(loopback()).await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(serve(listener, plan));
+    tokio::spawn(serve(listener, id.to_owned(), plan));
     register_raw(deployment, id, address);
 }
 
@@ -173,19 +173,20 @@
     }
 }
 
-async fn serve(listener: TcpListener, plan: RawPlan) {
+async fn serve(listener: TcpListener, id: String, plan: RawPlan) {
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
         if plan.exits {
-            if let Some(answered) = answer(&mut stream, plan).await {
+            if let Some(answered) = answer(&mut stream, &id, plan).await {
                 drop(listener);
                 finish(answered, stream, plan.end).await;
                 return;
             }
             continue;
         }
+        let id = id.clone();
         tokio::spawn(async move {
-            if let Some(answered) = answer(&mut stream, plan).await {
+            if let Some(answered) = answer(&mut stream, &id, plan).await {
                 finish(answered, stream, plan.end).await;
             }
         });
@@ -195,9 +196,9 @@
 /// Bytes of the answer that have been sent.
 struct Answered;
 
-/// Reads one request and sends the planned part of its answer; `None` if no request arrives.
-async fn answer(stream: &mut TcpStream, plan: RawPlan) -> Option<Answered> {
-    let bound = read_request(stream).await?;
+/// Reads one request and sends the planned part of its answer, after the health checks before it; `None` if no request arrives.
+async fn answer(stream: &mut TcpStream, id: &str, plan: RawPlan) -> Option<Answered> {
+    let bound = read_run(stream, id).await?;
     let mut bytes = answer_head(bound.attempt_id);
     bytes.push_str(&match plan.framing {
         RawFraming::Length => format!("Content-Length: {}\r\n\r\n{}", plan.whole.len(), plan.sent),
--- a/crates/router/tests/relay/unframed.rs
+++ b/crates/router/tests/relay/unframed.rs
@@ -265,6 +265,37 @@
     }
 }
 
+/// Guards against an answer that ended with its upstream's process and looks complete, since the next process accepts connections at the same
+/// address when the router asks: the router was suspended, or the end came late.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_of_an_upstream_that_another_one_replaced_looks_complete() {
+    for notice in NOTICES {
+        let complete = complete_answers_after(notice, |replica| replica.replace("up-1-next")).await;
+        assert!(complete.is_empty(), "{notice:?}: {complete:#?}");
+    }
+}
+
+/// The same where the next process has the same id, so that only the start time in its entry differs.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_of_an_upstream_that_restarted_under_its_id_looks_complete() {
+    let deployment = deployment().await;
+    let replica = HeldReplica::start(&deployment, "up-1").await;
+    let relay = deployment.relay().await;
+    let answers = hold_answers(&relay, &replica).await;
+    replica.register_restart(&deployment);
+    eventually("the router lists the next start", async || {
+        relay
+            .status()
+            .services
+            .iter()
+            .any(|service| service.in_flight == 0)
+    })
+    .await;
+    replica.finish_answers();
+    let complete = complete_answers(answers).await;
+    assert!(complete.is_empty(), "{complete:#?}");
+}
+
 /// The counterpart: what a process that lives on has sent to its end is delivered, whatever it said of itself meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn each_answer_of_an_upstream_that_lives_on_is_delivered() {
@@ -274,6 +305,15 @@
     }
 }
 
+/// What becomes of an upstream's process when its answers end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HeldEnd {
+    Ends,
+    /// The next process listens at its address.
+    IsReplaced,
+    LivesOn,
+}
+
 /// Routers of which the first is partitioned from the upstream, and reaches it through the second.
 async fn cut_routers(deployment: &Deployment, link: &LinkProxy) -> [RelayDaemon; 2] {
     let address = |number: u8| -> IpAddr { Ipv4Addr::new(127, 0, 0, number).into() };
@@ -292,7 +332,7 @@
 /// The same for answers by way of another router.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_through_another_router_looks_complete_only_if_its_upstream_lives() {
-    for ends in [true, false] {
+    for end in [HeldEnd::Ends, HeldEnd::IsReplaced, HeldEnd::LivesOn] {
         let deployment = deployment().await;
         let replica = HeldReplica::start(&deployment, "up-1").await;
         let link = LinkProxy::start(Ipv4Addr::LOCALHOST.into()).await.unwrap();
@@ -300,12 +340,13 @@
         replica.register_at(&deployment, link.address, UpstreamStage::Ready, 2);
         let [cut, _other] = cut_routers(&deployment, &link).await;
         let answers = hold_answers(&cut, &replica).await;
-        match ends {
-            true => replica.end(),
-            false => replica.finish_answers(),
+        match end {
+            HeldEnd::Ends => replica.end(),
+            HeldEnd::IsReplaced => replica.replace("up-1-next"),
+            HeldEnd::LivesOn => replica.finish_answers(),
         }
         let complete = complete_answers(answers).await;
-        let expected = if ends { 0 } else { HELD };
-        assert_eq!(complete.len(), expected, "ends: {ends}: {complete:#?}");
+        let expected = if end == HeldEnd::LivesOn { HELD } else { 0 };
+        assert_eq!(complete.len(), expected, "{end:?}: {complete:#?}");
     }
 }
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -8,7 +8,7 @@
 
 pub use replica_run::{ReplicaRun, RunStatus};
 pub(crate) use replica_state::ReplicaState;
-pub use replica_state::{DEFAULT_ZONE, ReplicaOptions, ReplicaPlan};
+pub use replica_state::{DEFAULT_ZONE, HEALTH_PATH, ReplicaOptions, ReplicaPlan};
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/standin/src/replica/replica_state.rs
+++ b/crates/standin/src/replica/replica_state.rs
@@ -20,6 +20,9 @@
 /// Maximum size of a request body, in bytes.
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
 
+/// Path of an upstream stand-in's health check.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// Availability zone of an upstream stand-in unless another one is given.
 pub const DEFAULT_ZONE: &str = "zone-a";
 
@@ -190,6 +193,9 @@
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
         let (head, body) = request.into_parts();
         let bound = BoundRequest::read(&head.headers);
+        if head.uri.path() == HEALTH_PATH {
+            return self.answer_health_check(&bound);
+        }
         let target = format!("{} {}", head.method, head.uri);
         let Ok(body) = collect_limited(body, BODY_LIMIT).await else {
             let plan = self.plan.lock().clone();
@@ -229,6 +235,22 @@
         self.run(&bound, &plan, guard)
     }
 
+    /// Answers a health check, which takes no slot here and is not recorded.
+    fn answer_health_check(&self, bound: &BoundRequest) -> Response<HttpBody> {
+        let plan = self.plan.lock().clone();
+        let id = self.options.id.as_str();
+        if bound.bound_to.as_deref().is_some_and(|named| named != id) {
+            return self.refuse(bound, StatusCode::MISDIRECTED_REQUEST, None, &plan);
+        }
+        let mut response = Response::new(full("healthy"));
+        let headers = AnswerHeaders {
+            upstream_id: Some(id.to_owned()),
+            ..self.answer_headers(bound, &plan)
+        };
+        headers.write(response.headers_mut());
+        response
+    }
+
     /// Number of requests that run.
     fn running(&self) -> usize {
         let runs = self.runs.lock();
--- a/tests/soak/cold_load.rs
+++ b/tests/soak/cold_load.rs
@@ -9,7 +9,7 @@
 use ferry_decisions::ruleset::{RunKind, ServiceSpec};
 use ferry_kernel::http::{HttpClient, collect_limited};
 use ferry_rig::{fixture_headers, fixture_request};
-use ferry_standin::replica::DEFAULT_ZONE;
+use ferry_standin::replica::{DEFAULT_ZONE, HEALTH_PATH};
 use ferry_standin::{ReplicaPlan, ReplicaStandin};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -88,6 +88,7 @@
         connections: CONNECTIONS,
         models: Vec::new(),
         cold: SPEC,
+        health_path: Some(HEALTH_PATH.to_owned()),
     }
 }
 
