Let queries to another router share the dial that they wait for

Cause: the lock was held while a host was dialled, and the next in line dialled again.

Change: one dial a host is in progress; it runs as a task of its own, and all queries that wait for it get its result, as the new error Unreached. No host waits for another.

--- a/crates/router/src/peer/peer_error.rs
+++ b/crates/router/src/peer/peer_error.rs
@@ -1,6 +1,7 @@
 //! Errors of the links between routers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use ferry_decisions::names::HostName;
 
@@ -29,6 +30,14 @@
     /// No link to the host is up.
     #[error("no link to {0} is up; send again once it is connected, or choose another peer")]
     NotConnected(HostName),
+    /// The host could not be dialled, for this query or for one that waited at the same time.
+    #[error("no link to {host} could be opened: {error}")]
+    Unreached {
+        /// Host that was dialled.
+        host: HostName,
+        /// Why the dial failed.
+        error: Arc<PeerError>,
+    },
     /// The link's send queue is full.
     #[error("the send queue to {0} is full; send again later")]
     QueueFull(HostName),
@@ -113,6 +122,7 @@
             Self::Unanswered(_) | Self::BadAnswer { .. } => Delivery::Delivered,
             Self::Listen { .. }
             | Self::NotConnected(_)
+            | Self::Unreached { .. }
             | Self::QueueFull(_)
             | Self::TooLarge { .. }
             | Self::Busy(_)
@@ -137,6 +147,7 @@
         match self {
             Self::Listen { .. } => "listen",
             Self::NotConnected(_) => "not_connected",
+            Self::Unreached { .. } => "unreached",
             Self::QueueFull(_) => "queue_full",
             Self::TooLarge { .. } => "too_large",
             Self::Busy(_) => "busy",
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use ferry_decisions::names::HostName;
 use ferry_kernel::http::PacedStream;
+use futures::FutureExt;
 use futures::future::BoxFuture;
 use parking_lot::{Mutex, RwLock};
 use serde::Serialize;
@@ -284,7 +285,8 @@
         link.ok_or_else(|| PeerError::NotConnected(host.clone()))
     }
 
-    /// The link to `host`; dials a host that is in the directory but not a neighbour.
+    /// The link to `host`; dials a host that is in the directory but not a neighbour. All queries that wait for a dial share its result, so that
+    /// none of them waits for more than one that fails.
     async fn link_on_demand(self: &Arc<Self>, host: &HostName) -> Result<Arc<PeerLink>, PeerError> {
         let present = self.link(host);
         if present.as_ref().is_ok_and(|link| !link.is_silent()) {
@@ -294,7 +296,29 @@
         let Some(address) = address.filter(|_| !self.dialers.lock().contains_key(host)) else {
             return present;
         };
-        let _lock = self.on_demand.dial_lock(host).await;
+        let hub = Arc::clone(self);
+        let dialled = host.clone();
+        let dial = async move {
+            let opening = hub.dial_on_demand(&dialled, address);
+            let stopped = || Err(PeerError::NotConnected(dialled.clone()));
+            let result = hub.stopping.run_until_cancelled(opening).await;
+            hub.on_demand.end_dial(&dialled);
+            result.unwrap_or_else(stopped).map_err(Arc::new)
+        };
+        let spawn = |dial| drop(self.tasks.spawn(dial));
+        let dial = self.on_demand.join_dial(host, || dial.boxed(), spawn);
+        dial.await.map_err(|error| PeerError::Unreached {
+            host: host.clone(),
+            error,
+        })
+    }
+
+    /// Opens a link to `host`, which is no neighbour, unless there is one that works by now.
+    async fn dial_on_demand(
+        self: &Arc<Self>,
+        host: &HostName,
+        address: SocketAddr,
+    ) -> Result<Arc<PeerLink>, PeerError> {
         let present = self.link(host);
         if present.as_ref().is_ok_and(|link| !link.is_silent()) {
             return present;
--- a/crates/router/tests/peer_links.rs
+++ b/crates/router/tests/peer_links.rs
@@ -1,6 +1,6 @@
 //! Links between routers over loopback.
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,10 +11,10 @@
     PROTOCOL_VERSION, PeerError, PeerHandler, PeerHub, PeerIdentity, PeerMessage, PeerSettings,
     PeerTopic, ReplyTimes, decode, encode,
 };
-use futures::future::FutureExt;
+use futures::future::{FutureExt, join_all};
 use futures::{SinkExt, StreamExt};
 use serde::Serialize;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
@@ -353,6 +353,81 @@
     );
 }
 
+/// Time in which a query to a host that doesn't answer fails: that of one dial, with a margin.
+const DIAL_BOUND: Duration = Duration::from_millis(2_200);
+/// Number of queries to it, and the time between two.
+const DEAD_QUERIES: u32 = 6;
+const DEAD_QUERY_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of other hosts that don't answer.
+const DEAD_HOSTS: usize = 40;
+/// Time in which a host that answers is linked meanwhile.
+const LIVE_BOUND: Duration = Duration::from_secs(1);
+
+/// Address at which connections are accepted and never served.
+async fn start_dead_host() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            open.push(stream);
+        }
+    });
+    address
+}
+
+/// Guards against queries to a host that doesn't answer which wait in line, each for a dial of its own, the feed among them (CONFIG).
+#[tokio::test]
+async fn queries_to_a_host_that_does_not_answer_share_one_dial() {
+    let a = PeerHub::start(settings("a", "s"), doubling_handler().0);
+    let a = a.await.unwrap();
+    let host = HostName::new("dead");
+    a.set_directory(&[(host.clone(), start_dead_host().await)]);
+    let queries = (0..DEAD_QUERIES).map(|number| {
+        let (a, host) = (Arc::clone(&a), host.clone());
+        async move {
+            tokio::time::sleep(DEAD_QUERY_INTERVAL * number).await;
+            let begun_at = Instant::now();
+            let topic = PeerTopic::Claims;
+            let result: Result<u64, _> = a.send_query(&host, topic, &1_u64, TEST_TIMEOUT).await;
+            (result, begun_at.elapsed())
+        }
+    });
+    for (result, time) in join_all(queries).await {
+        let error = result.unwrap_err();
+        assert!(matches!(error, PeerError::Unreached { .. }), "{error}");
+        assert!(error.is_undelivered());
+        assert!(time < DIAL_BOUND, "failed after {time:?}");
+    }
+}
+
+/// Guards against a query to a host that answers which waits for the dial of another one.
+#[tokio::test]
+async fn a_query_does_not_wait_for_the_dial_of_another_host() {
+    let a = PeerHub::start(settings("a", "s"), doubling_handler().0);
+    let b = PeerHub::start(settings("b", "s"), doubling_handler().0);
+    let (a, b) = (a.await.unwrap(), b.await.unwrap());
+    let dead = start_dead_host().await;
+    let mut hosts: Vec<_> = (0..DEAD_HOSTS)
+        .map(|number| (HostName::new(&format!("dead-{number}")), dead))
+        .collect();
+    let live = HostName::new("b");
+    hosts.push((live.clone(), b.address()));
+    a.set_directory(&hosts);
+    for (host, _) in &hosts[..DEAD_HOSTS] {
+        let (a, host) = (Arc::clone(&a), host.clone());
+        tokio::spawn(async move {
+            let topic = PeerTopic::Claims;
+            let _: Result<u64, _> = a.send_query(&host, topic, &1_u64, TEST_TIMEOUT).await;
+        });
+    }
+    tokio::time::sleep(DEAD_QUERY_INTERVAL).await;
+    let begun_at = Instant::now();
+    let doubled = a.send_query(&live, PeerTopic::Claims, &21_u64, TEST_TIMEOUT);
+    assert_eq!(doubled.await.unwrap_or(0_u64), 42);
+    assert!(begun_at.elapsed() < LIVE_BOUND, "{:?}", begun_at.elapsed());
+}
+
 /// Guards against a large answer over a slow link that is given up, and asked for again from its beginning, for ever.
 #[tokio::test]
 async fn an_answer_that_goes_on_coming_is_waited_for() {
