Read the store until another router has given recent content

Cause: a router that reads the store stopped as soon as the back-off of a router before it was over, and went on once that one had failed again. A router that syncs from another zone had the same: a round of queries waited for all sources, the dead one too.

Change: the planner lets a reader go on while it has read within three seconds and no source is proven. Queries to sources run each on its own, and a source is asked again as soon as it has answered. A source that answers after the first one of its zone does not displace it.

Ruled out as the cause here: the round of queries (the router had no other source); it has a test of its own.

--- a/crates/decisions/src/sync/sync_planner.rs
+++ b/crates/decisions/src/sync/sync_planner.rs
@@ -13,8 +13,8 @@
 /// Shortest and longest time for which a router that did not answer is not asked again; it doubles with each failure.
 const MIN_FAILURE_BACKOFF: Duration = Duration::from_secs(3);
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(24);
-/// Time for which a router whose content was outdated is not preferred, and for which one that reads the store in place of
-/// another one goes on.
+/// Time for which a router whose content was outdated is not preferred, and for which one that reads the store goes on in place of another one, or
+/// while reads fail.
 const HOLD_TIME: Duration = Duration::from_secs(3);
 /// Time since its last read of the store after which a router counts as cut off from it.
 const MAX_READ_AGE: Duration = Duration::from_millis(900);
@@ -50,7 +50,8 @@
 ///
 /// In each availability zone the first router of the order that answers reads the store, and the others sync from it. A router without recent
 /// content asks the next ones of its zone, and the first ones of other zones; only if none of them has recent content, it
-/// tries the store itself, one router of the zone after the other.
+/// tries the store itself, one router of the zone after the other. One that reads the store goes on until another router has given it recent
+/// content: that one may be asked is no sign that it answers.
 #[derive(Debug)]
 pub struct SyncPlanner {
     own: RouterEntry,
@@ -96,7 +97,9 @@
 
     /// Whether this router reads the store: for its availability zone, or in place of a router that is cut off from it.
     pub fn is_reader(&self, order: &SyncOrder, now: MonotonicTime) -> bool {
-        self.stands_in_until.is_some_and(|end| now < end) || self.preferred(order, now).is_none()
+        self.stands_in_until.is_some_and(|end| now < end)
+            || self.preferred(order, now).is_none()
+            || self.proven.is_none() && self.has_read_within(HOLD_TIME, now)
     }
 
     /// The router that gave this one recent content; `None` while none does.
@@ -151,6 +154,12 @@
         sources
     }
 
+    /// Whether the router that is asked first has given recent content, so that another one is no source, whatever it answers.
+    pub fn is_superseded(&self, host: &HostName, order: &SyncOrder, now: MonotonicTime) -> bool {
+        let proven = self.proven();
+        proven.is_some_and(|proven| proven != host) && proven == self.preferred(order, now)
+    }
+
     /// Records how a query to `host` ended at `now`.
     pub fn record(&mut self, host: &HostName, outcome: SyncOutcome, now: MonotonicTime) {
         match outcome {
@@ -228,7 +237,11 @@
     }
 
     fn has_read_recently(&self, now: MonotonicTime) -> bool {
-        self.read_at.is_some_and(|at| now.since(at) < MAX_READ_AGE)
+        self.has_read_within(MAX_READ_AGE, now)
+    }
+
+    fn has_read_within(&self, time: Duration, now: MonotonicTime) -> bool {
+        self.read_at.is_some_and(|at| now.since(at) < time)
     }
 
     /// Whether this router has contact with the store, or has just started.
--- a/crates/decisions/tests/sync_model.rs
+++ b/crates/decisions/tests/sync_model.rs
@@ -22,6 +22,8 @@
 const PROMPT_ANSWER: Duration = Duration::from_millis(50);
 /// Time after which a query without an answer is given up.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same where others wait for the link to that router too.
+const LONG_QUERY_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time between two rounds of queries, if none had recent content and if none was asked.
 const ROUND_DELAY: Duration = Duration::from_millis(200);
 const CHECK_PERIOD: Duration = Duration::from_millis(350);
@@ -73,6 +75,7 @@
     order: SyncOrder,
     now: MonotonicTime,
     store_down_until: MonotonicTime,
+    query_timeout: Duration,
     /// Reads of the store by second.
     reads: Vec<usize>,
     random: StdRng,
@@ -133,6 +136,7 @@
             routers,
             now,
             store_down_until: MonotonicTime(i64::MIN),
+            query_timeout: QUERY_TIMEOUT,
             reads: Vec::new(),
             random: StdRng::seed_from_u64(seed),
         }
@@ -167,7 +171,7 @@
         for source in sources {
             let is_away = self.routers[self.index[&source]].is_away(now);
             let time = match (is_away, proven.as_ref() == Some(&source)) {
-                (true, _) => QUERY_TIMEOUT,
+                (true, _) => self.query_timeout,
                 (false, true) => WAITING_ANSWER,
                 (false, false) => PROMPT_ANSWER,
             };
@@ -392,3 +396,26 @@
         .retain(|router| !heads.contains(&router.entry.host));
     fleet.assert_recent("after the loss");
 }
+
+/// Guards against a router that reads the store, and stops as soon as it may ask one again that did not answer (CONFIG).
+#[test]
+fn the_last_router_of_a_zone_stays_recent_while_it_asks_those_that_have_left() {
+    let mut fleet = ModelFleet::new(7, 3, 1);
+    fleet.query_timeout = LONG_QUERY_TIMEOUT;
+    fleet.run(Duration::from_secs(3));
+    let end = fleet.now.after(Duration::from_secs(600));
+    let zone = zone(0);
+    let hosts: Vec<HostName> = fleet.order.of_zone(&zone).cloned().collect();
+    let (left, gone) = hosts.split_last().unwrap();
+    for host in gone {
+        let index = fleet.index[host];
+        fleet.routers[index].away_until = end;
+    }
+    fleet.run(LONG_QUERY_TIMEOUT * 2);
+    let index = fleet.index[left];
+    for _ in 0..600 {
+        fleet.run(Duration::from_millis(100));
+        let age = fleet.routers[index].age(fleet.now);
+        assert!(age.is_some_and(|age| age <= AGE_BOUND), "{age:?} old");
+    }
+}
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -17,6 +17,7 @@
 mod peer_body;
 mod record_patch;
 mod router_directory;
+mod source_queries;
 mod sync_task;
 
 pub use feed_message::{EvidenceRecord, OngoingCount, PooledRollout, TopicPositions};
--- a/crates/router/src/relay/fleet/fleet_manager.rs
+++ b/crates/router/src/relay/fleet/fleet_manager.rs
@@ -181,6 +181,12 @@
         sources
     }
 
+    /// Whether another router, which is asked first, has given recent content, so that `host` is no source any more.
+    pub fn is_superseded(&self, host: &HostName, now: MonotonicTime) -> bool {
+        let order = self.order();
+        self.planner.lock().is_superseded(host, &order, now)
+    }
+
     /// Records how a query to `host` ended.
     pub fn record_sync(&self, host: &HostName, outcome: SyncOutcome, now: MonotonicTime) {
         self.planner.lock().record(host, outcome, now);
--- a/crates/router/src/relay/fleet/sync_task.rs
+++ b/crates/router/src/relay/fleet/sync_task.rs
@@ -3,74 +3,56 @@
 use std::time::Duration;
 
 use ferry_decisions::names::HostName;
-use ferry_decisions::sync::{SourceList, SyncOutcome};
+use ferry_decisions::sync::SyncOutcome;
 use ferry_platform::store::OPERATOR_TOPIC;
-use futures::future::join_all;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::feed_position::FeedPositionMap;
-use super::feed_query::{FeedError, QueryUrgency, ask_source};
+use super::feed_query::FeedError;
+use super::source_queries::SourceQueries;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::watch::{self, TopicReader};
 
-/// Period of the checks for a sync source while there is none.
+/// Period of the checks for further sync sources, also while queries to others are in progress.
 const SOURCE_CHECK_PERIOD: Duration = Duration::from_millis(350);
-/// Delay between two rounds of queries while no source has recent content, and its maximum after rounds without one.
-const MIN_ROUND_DELAY: Duration = Duration::from_millis(100);
-const MAX_ROUND_DELAY: Duration = Duration::from_millis(400);
+/// Delay between two queries while no source has recent content, and its maximum after several.
+const MIN_QUERY_DELAY: Duration = Duration::from_millis(100);
+const MAX_QUERY_DELAY: Duration = Duration::from_millis(400);
 /// Period of the checks whether the store is to be probed.
 const PROBE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Syncs from other routers while there is a source, until the relay closes.
+///
+/// Each source is asked again as soon as it has answered: one that doesn't answer holds up no other.
 pub async fn follow(core: SharedCore) {
-    let mut positions = FeedPositionMap::default();
-    let mut delay = MIN_ROUND_DELAY;
+    let mut queries = SourceQueries::default();
+    let mut delay = MIN_QUERY_DELAY;
     core.fleet.wait_until_listed().await;
+    let mut next_begin = Instant::now();
     loop {
-        let sources = core.fleet.next_sources(core.clock.now());
-        if sources.is_empty() {
-            sleep(SOURCE_CHECK_PERIOD).await;
-            continue;
-        }
-        if sync_round(&core, &sources, &mut positions).await {
-            delay = MIN_ROUND_DELAY;
-        } else {
-            sleep(delay).await;
-            delay = (delay * 2).min(MAX_ROUND_DELAY);
+        if next_begin <= Instant::now() {
+            let sources = core.fleet.next_sources(core.clock.now());
+            queries.begin(&core, &sources);
+            next_begin = Instant::now() + SOURCE_CHECK_PERIOD;
         }
-    }
-}
-
-/// Asks all of `sources`; returns whether one of them has recent content.
-async fn sync_round(
-    core: &SharedCore,
-    sources: &SourceList,
-    positions: &mut FeedPositionMap,
-) -> bool {
-    let proven = core.fleet.sync_source();
-    let queries = sources.iter().map(|source| {
-        let urgency = match proven.as_ref() == Some(source) {
-            true => QueryUrgency::Waits,
-            false => QueryUrgency::AtOnce,
+        let Ok((source, result)) = timeout_at(next_begin, queries.next()).await else {
+            continue;
         };
-        let position = positions.take(source);
-        async move {
-            let result = ask_source(core, source, position, urgency).await;
-            (source, result)
+        record_result(&core, &source, &result);
+        next_begin = Instant::now();
+        if result.is_ok() {
+            delay = MIN_QUERY_DELAY;
+        } else if core.fleet.sync_source().is_none() {
+            next_begin += delay;
+            delay = (delay * 2).min(MAX_QUERY_DELAY);
         }
-    });
-    let mut is_recent = false;
-    for (source, (position, result)) in join_all(queries).await {
-        positions.put(source, position);
-        is_recent |= result.is_ok();
-        record_result(core, source, &result);
     }
-    is_recent
 }
 
 fn record_result(core: &SharedCore, source: &HostName, result: &Result<(), FeedError>) {
     let now = core.clock.now();
     let outcome = match result {
+        // A nearer source has answered meanwhile; what this one gave is applied.
+        Ok(()) if core.fleet.is_superseded(source, now) => return,
         Ok(()) => SyncOutcome::Recent,
         Err(FeedError::NoLinks) => {
             core.fleet.record_lack(now);
--- a/crates/router/tests/relay/silent_links.rs
+++ b/crates/router/tests/relay/silent_links.rs
@@ -3,7 +3,7 @@
 //! Load pattern: all open connections of a zone's routers go silent at the same moment, and again a second later, while the configuration
 //! changes.
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use ferry_decisions::ruleset::{RouteRule, RunKind};
@@ -11,10 +11,12 @@
 use ferry_rig::LinkProxy;
 use ferry_router::peer::{decode, encode};
 use ferry_router::relay::RelayDaemon;
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::deployment::{Deployment, eventually, loopback, rule};
+use crate::raw_replica::{read_raw_at, register_raw};
 
 /// Topic of the routers' entries.
 const ROUTER_TOPIC: &str = "keyed.routers";
@@ -46,22 +48,32 @@
     zone: &str,
 ) -> (RelayDaemon, LinkProxy) {
     let relay = deployment.relay_at(host, zone, ip).await;
-    let key = format!("router/{host}");
-    let mut entry = None;
-    eventually("the router is registered", async || {
-        entry = deployment.store.newest(ROUTER_TOPIC, &key);
-        entry.is_some()
-    })
-    .await;
-    let mut entry: RouterEntry = decode(&entry.unwrap()).unwrap();
+    let mut entry = router_entry(deployment, host).await;
     let proxy = LinkProxy::start(loopback().ip()).await.unwrap();
     proxy.set_target(entry.address);
     entry.address = proxy.address;
     let entry = encode(&entry).unwrap();
-    deployment.store.put(ROUTER_TOPIC, &key, &entry);
+    deployment
+        .store
+        .put(ROUTER_TOPIC, &router_key(host), &entry);
     (relay, proxy)
 }
 
+fn router_key(host: &str) -> String {
+    format!("router/{host}")
+}
+
+/// Entry of a router, once it is registered.
+async fn router_entry(deployment: &Deployment, host: &str) -> RouterEntry {
+    let mut entry = None;
+    eventually("the router is registered", async || {
+        entry = deployment.store.newest(ROUTER_TOPIC, &router_key(host));
+        entry.is_some()
+    })
+    .await;
+    decode(&entry.unwrap()).unwrap()
+}
+
 fn oldest_rules(relays: &[RelayDaemon]) -> Duration {
     let ages = relays.iter().map(|relay| relay.status().rules_age_ms);
     Duration::from_millis(ages.max().unwrap_or(0))
@@ -114,3 +126,95 @@
         "rules are {age:?} old, {oldest:?} at most"
     );
 }
+
+/// Number of routers of the zone, of which only the last one in the order of sync sources stays.
+const ZONE_ROUTERS: usize = 3;
+/// Address of the first of them; the others have the next ones.
+const LEFT_ADDRESS: [u8; 4] = [127, 0, 22, 1];
+/// Time for which the last one is watched: the others are asked again after 3, 9 and 21 s.
+const WATCH_TIME: Duration = Duration::from_secs(14);
+
+/// Starts the routers of a zone, and stops all but the last one in the order of sync sources: connections to the addresses of the others hang
+/// from then on.
+async fn start_last_of_zone(deployment: &Deployment) -> RelayDaemon {
+    let names = (0..ZONE_ROUTERS).map(|number| format!("entry-{number}"));
+    let mut hosts: Vec<String> = names.collect();
+    hosts.sort_by_key(|host| xxh3_64(host.as_bytes()));
+    let mut routers = Vec::new();
+    for (number, host) in hosts.iter().enumerate() {
+        let [a, b, c, d] = LEFT_ADDRESS;
+        let ip = IpAddr::V4(Ipv4Addr::new(a, b, c, d + number as u8));
+        let relay = deployment.relay_at(host, "zone-a", ip).await;
+        routers.push((relay, router_entry(deployment, host).await.address));
+    }
+    let (last, _) = routers.pop().unwrap();
+    for (relay, address) in routers {
+        relay.stop().await;
+        tokio::spawn(hold_connections(TcpListener::bind(address).await.unwrap()));
+    }
+    last
+}
+
+/// Accepts connections and never answers.
+async fn hold_connections(listener: TcpListener) {
+    let mut open = Vec::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        open.push(stream);
+    }
+}
+
+/// Highest age of the rules of `relay` over [`WATCH_TIME`], while requests find an upstream that is gone, for which it asks other routers.
+async fn oldest_rules_meanwhile(relay: &RelayDaemon) -> Duration {
+    let begun_at = Instant::now();
+    let mut oldest = Duration::ZERO;
+    for number in 0.. {
+        if begun_at.elapsed() > WATCH_TIME {
+            break;
+        }
+        let address = relay.callers_address();
+        let path = format!("/letters-1/{number}");
+        tokio::spawn(async move { read_raw_at(address, &path, "a").await });
+        oldest = oldest.max(oldest_rules(std::slice::from_ref(relay)));
+        sleep(Duration::from_millis(20)).await;
+    }
+    oldest
+}
+
+/// Guards against a router that reads the store for its zone, and stops whenever it asks one again that has left (CONFIG).
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_router_of_a_zone_keeps_recent_rules() {
+    let deployment = Deployment::start().await;
+    deployment.configure(1, &rules(1));
+    let _replica = deployment.replica("up-1", "v1").await;
+    let last = start_last_of_zone(&deployment).await;
+    register_raw(&deployment, "up-gone", closed_port().await);
+    let oldest = oldest_rules_meanwhile(&last).await;
+    assert!(oldest < RECENT_AGE, "rules were {oldest:?} old");
+}
+
+/// Guards against a router that syncs from another zone, and waits for the answer of one that has left before it asks that one again (CONFIG).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_syncs_from_another_zone_keeps_recent_rules() {
+    let mut deployment = Deployment::start().await;
+    deployment.configure(1, &rules(1));
+    let _replica = deployment.replica("up-1", "v1").await;
+    let _other = deployment.relay_in("other", "zone-b").await;
+    let store_link = LinkProxy::start(loopback().ip()).await.unwrap();
+    store_link.set_target(deployment.store.address());
+    deployment.store_address = Some(store_link.address);
+    let last = start_last_of_zone(&deployment).await;
+    store_link.cut();
+    register_raw(&deployment, "up-gone", closed_port().await);
+    eventually("it syncs from the other zone", async || {
+        last.is_synced_from_peer()
+    })
+    .await;
+    let oldest = oldest_rules_meanwhile(&last).await;
+    assert!(oldest < RECENT_AGE, "rules were {oldest:?} old");
+}
+
+/// Address at which nobody listens.
+async fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    listener.local_addr().unwrap()
+}
