Keep the handler's future out of idle connections

Cause: a connection's future holds that of its service, which held that of the handler by value, from the acceptance on.

Change: the server boxes the handler's future when a request arrives. It is the server of both interfaces.

Ruled out: buffers; connections that never sent a byte took as much.

--- a/crates/kernel/src/http/server.rs
+++ b/crates/kernel/src/http/server.rs
@@ -212,7 +212,8 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(requests.of_request());
         let version = request.version();
-        let answer = handler(request, peer);
+        // Keeps the size of the handler's future out of the connection, which holds room for it while idle.
+        let answer = Box::pin(handler(request, peer));
         let end = answers_end.clone();
         async move {
             let response = answer.await;
