--- a/crates/rig/src/relay_fixture.rs
+++ b/crates/rig/src/relay_fixture.rs
@@ -50,6 +50,8 @@
     pub models: Vec<ModelCost>,
     /// Limit on requests to cold upstreams in the configurations that are written next.
     pub cold: ColdSpec,
+    /// Path of the service's health check in the configurations that are written next; absent if it has none.
+    pub health_path: Option<String>,
     /// Further services of the configurations that are written next.
     pub services: Vec<ServiceSpec>,
 }
@@ -69,6 +71,7 @@
             },
             models: Vec::new(),
             cold: ColdSpec::default(),
+            health_path: Some(HEALTH_PATH.to_owned()),
             services: Vec::new(),
         })
     }
@@ -117,7 +120,7 @@
             connections: CONNECTION_LIMIT,
             models: self.models.clone(),
             cold: self.cold,
-            health_path: Some(HEALTH_PATH.to_owned()),
+            health_path: self.health_path.clone(),
         };
         let others = self.services.iter().cloned();
         let services: Vec<ServiceSpec> = [service].into_iter().chain(others).collect();
--- a/crates/router/tests/relay/unframed.rs
+++ b/crates/router/tests/relay/unframed.rs
@@ -305,6 +305,23 @@
     }
 }
 
+/// Guards against answers of a service without a health check that are all taken for cut, or all for whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_of_a_service_without_a_health_check_is_whole_if_its_port_stays_open() {
+    let ends: [fn(&HeldReplica); 2] = [HeldReplica::finish_answers, HeldReplica::end];
+    for (end, expected) in ends.into_iter().zip([HELD, 0]) {
+        let mut deployment = Deployment::start().await;
+        deployment.health_path = None;
+        deployment.configure(1, &KINDS.map(|(prefix, run)| rule(prefix, run)));
+        let replica = HeldReplica::start(&deployment, "up-1").await;
+        let relay = deployment.relay().await;
+        let answers = hold_answers(&relay, &replica).await;
+        end(&replica);
+        let complete = complete_answers(answers).await;
+        assert_eq!(complete.len(), expected, "{complete:#?}");
+    }
+}
+
 /// What becomes of an upstream's process when its answers end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HeldEnd {
