Remember hosts that did not answer a dial

Each search for paths, each exchange of crashes and each feed request to a router that has left began another dial of 1.5 s, one after the other.

Cause: a dial that failed was forgotten at once.

Change: the table of dials remembers a host that did not answer for a second, in which all queries to it fail at once, as Unreached. A refused connection is not remembered, as it costs no time. A link that the host opens itself is used in any case. The time-out of such a dial has its own error.

--- a/crates/router/src/peer/peer_error.rs
+++ b/crates/router/src/peer/peer_error.rs
@@ -38,6 +38,9 @@
         /// Why the dial failed.
         error: Arc<PeerError>,
     },
+    /// The host did not answer the dial of an on-demand link in time.
+    #[error("it did not answer in time; it is dialled again after a moment")]
+    DialTimedOut,
     /// The link's send queue is full.
     #[error("the send queue to {0} is full; send again later")]
     QueueFull(HostName),
@@ -123,6 +126,7 @@
             Self::Listen { .. }
             | Self::NotConnected(_)
             | Self::Unreached { .. }
+            | Self::DialTimedOut
             | Self::QueueFull(_)
             | Self::TooLarge { .. }
             | Self::Busy(_)
@@ -148,6 +152,7 @@
             Self::Listen { .. } => "listen",
             Self::NotConnected(_) => "not_connected",
             Self::Unreached { .. } => "unreached",
+            Self::DialTimedOut => "dial_timed_out",
             Self::QueueFull(_) => "queue_full",
             Self::TooLarge { .. } => "too_large",
             Self::Busy(_) => "busy",
--- a/crates/router/src/peer/peer_hub.rs
+++ b/crates/router/src/peer/peer_hub.rs
@@ -302,12 +302,16 @@
             let opening = hub.dial_on_demand(&dialled, address);
             let stopped = || Err(PeerError::NotConnected(dialled.clone()));
             let result = hub.stopping.run_until_cancelled(opening).await;
-            hub.on_demand.end_dial(&dialled);
-            result.unwrap_or_else(stopped).map_err(Arc::new)
+            let result = result.unwrap_or_else(stopped).map_err(Arc::new);
+            hub.on_demand.end_dial(&dialled, &result);
+            result
         };
         let spawn = |dial| drop(self.tasks.spawn(dial));
-        let dial = self.on_demand.join_dial(host, || dial.boxed(), spawn);
-        dial.await.map_err(|error| PeerError::Unreached {
+        let link = match self.on_demand.join_dial(host, || dial.boxed(), spawn) {
+            Ok(dial) => dial.await,
+            Err(error) => Err(error),
+        };
+        link.map_err(|error| PeerError::Unreached {
             host: host.clone(),
             error,
         })
@@ -327,7 +331,7 @@
         let permit = permit.ok_or_else(|| PeerError::NotConnected(host.clone()))?;
         let (socket, peer) = timeout(ON_DEMAND_TIMEOUT, self.dial_link(host, address))
             .await
-            .map_err(|_| handshake_timeout())??;
+            .map_err(|_| PeerError::DialTimedOut)??;
         let closing = self.stopping.child_token();
         let (link, queue) = self.add_link(LinkSide::Dialled, peer, &socket, closing);
         let hub = Arc::clone(self);
--- a/crates/router/tests/peer_links.rs
+++ b/crates/router/tests/peer_links.rs
@@ -401,6 +401,49 @@
     }
 }
 
+/// Time in which a query fails while the failure of a dial is remembered.
+const AT_ONCE: Duration = Duration::from_millis(200);
+
+/// Guards against callers that each dial a host once more which has just not answered, and wait for it.
+#[tokio::test]
+async fn a_host_that_did_not_answer_is_not_dialled_again_for_a_moment() {
+    let (a, _b, proxy, host) = start_proxied().await;
+    proxy.stall();
+    let query = async || -> Result<u64, PeerError> {
+        let topic = PeerTopic::Claims;
+        a.send_query(&host, topic, &21_u64, TEST_TIMEOUT).await
+    };
+    assert!(query().await.is_err());
+    let begun_at = Instant::now();
+    let error = query().await.unwrap_err();
+    assert!(begun_at.elapsed() < AT_ONCE, "{:?}", begun_at.elapsed());
+    assert!(matches!(error, PeerError::Unreached { .. }), "{error}");
+
+    proxy.heal();
+    let healed_at = Instant::now();
+    while query().await.is_err() {
+        assert!(healed_at.elapsed() < DIAL_BOUND, "the host is not dialled");
+        tokio::time::sleep(DEAD_QUERY_INTERVAL).await;
+    }
+}
+
+/// Guards against a router that is away for a moment and can't be asked although it has opened a link itself.
+#[tokio::test]
+async fn a_host_that_opens_a_link_itself_is_reached_at_once() {
+    let (a, b, proxy, host) = start_proxied().await;
+    proxy.stall();
+    let silent: Result<u64, _> = a
+        .send_query(&host, PeerTopic::Claims, &21_u64, TEST_TIMEOUT)
+        .await;
+    assert!(silent.is_err());
+    b.set_neighbours(&[(HostName::new("a"), a.address())]);
+    wait_until(|| a.connected() == [host.clone()]).await;
+    let begun_at = Instant::now();
+    let doubled = a.send_query(&host, PeerTopic::Claims, &4_u64, TEST_TIMEOUT);
+    assert_eq!(doubled.await.unwrap_or(0_u64), 8);
+    assert!(begun_at.elapsed() < AT_ONCE, "{:?}", begun_at.elapsed());
+}
+
 /// Guards against a query to a host that answers which waits for the dial of another one.
 #[tokio::test]
 async fn a_query_does_not_wait_for_the_dial_of_another_host() {
