Judge an unmarked end by the entries that the store had when the process replied

The health check can't tell such a process from the one before.

Cause: the router waited 0.2 s for any news of the list of upstreams if it was older than a second. An answer that had come before the suspension counted as news, and a fresh list says nothing of a process that started after it was read.

Change: an answer has a meter of how long nothing was read of it. After a second, the time that a process is at least away, the router waits up to 1.5 s for a confirmation of the list from after the process's reply; one that is shared, so that a long outage delays none. Without such a silence there is no wait.

Ruled out: that the health check was answered by the process before (the processes had been killed).

The test with a blocked router failed before (16 of 16 looked complete) and passes, as do the other tests of ends in unframed.rs.

--- a/crates/router/src/relay/confirmation_time.rs
+++ b/crates/router/src/relay/confirmation_time.rs
@@ -40,6 +40,11 @@
         Self::now().saturating_sub(confirmed)
     }
 
+    /// Whether the data was current at `moment` or later.
+    pub fn is_since(&self, moment: Duration) -> bool {
+        self.confirmed_ms.load(Ordering::Acquire) >= moment.as_millis() as u64
+    }
+
     /// Whether a change of `bound` ago is certainly known here, with a margin for sending a request.
     pub fn covers(&self, bound: Duration) -> bool {
         self.age() + SEND_MARGIN < bound
--- a/crates/router/src/relay/paths/end_check.rs
+++ b/crates/router/src/relay/paths/end_check.rs
@@ -9,15 +9,21 @@
 use futures::future::{Either, select};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::identity_query::{ask_identity, health_path};
+use super::identity_query::{ask_identity, health_path, is_replaced};
 use super::open_link::{open_direct, open_unrecorded};
 use super::witness_query::is_reached_by_others;
+use crate::relay::confirmation_time::ConfirmationTime;
 use crate::relay::relay_core::SharedCore;
 use crate::relay::upstreams::{LinkLease, RelayUpstream, UpstreamLink};
 
 /// Time for which a new connection must stay open where its process can't be asked who it is: a port that is held for a process that has ended
 /// may accept it and close it.
 const LASTING_TIME: Duration = Duration::from_millis(20);
+/// Time that a process is at least away before its next one serves at its address.
+const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
+/// Time for which the next confirmation of the list of upstreams is waited for, which another router's reads may have to bring here. All that wait
+/// at the same time share it, so that a long outage delays none.
+const LIST_WAIT: Duration = Duration::from_millis(1_500);
 /// Time within which other routers must answer.
 const WITNESS_TIME: Duration = Duration::from_millis(250);
 
@@ -25,6 +31,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct EndCheck {
     begun_at: Instant,
+    /// When the sign was known, a value of [`ConfirmationTime::now`].
+    ended_at: Duration,
     sign: ProcessSign,
 }
 
@@ -33,21 +41,50 @@
 
 /// What is known of the process of `upstream` now, after an answer ended that came through the router `detour`, or directly.
 ///
-/// Ends that wait for a check take the result of one that began after them, so that many ends at once cause few checks.
+/// The next process may have the id of the one before; then only the start time in its entry differs. An answer with no `silence` of
+/// [`MIN_RESTART_TIME`] leaves no time for a restart before its end was read. After a longer one, as by a suspension of this router, the entries
+/// count that the store had when the process replied.
 pub async fn check_process(
     core: &SharedCore,
     upstream: &Arc<RelayUpstream>,
     detour: Option<&HostName>,
+    silence: Duration,
 ) -> ProcessSign {
+    let check = check_once(core, upstream, detour).await;
+    if check.sign != ProcessSign::Same {
+        return check.sign;
+    }
+    if silence >= MIN_RESTART_TIME {
+        core.upstream_topic
+            .settle_since(check.ended_at, LIST_WAIT)
+            .await;
+    }
+    match is_replaced(core, upstream) {
+        true => ProcessSign::Replaced,
+        false => ProcessSign::Same,
+    }
+}
+
+/// A check that begins after now. Ends that wait for one share the next, so that many ends at once cause few checks.
+async fn check_once(
+    core: &SharedCore,
+    upstream: &Arc<RelayUpstream>,
+    detour: Option<&HostName>,
+) -> EndCheck {
     let ended_at = Instant::now();
     let mut last = upstream.last_end_check().lock().await;
     if let Some(check) = last.filter(|check| check.begun_at > ended_at) {
-        return check.sign;
+        return check;
     }
     let begun_at = Instant::now();
     let sign = find_sign(core, upstream, detour).await;
-    *last = Some(EndCheck { begun_at, sign });
-    sign
+    let check = EndCheck {
+        begun_at,
+        ended_at: ConfirmationTime::now(),
+        sign,
+    };
+    *last = Some(check);
+    check
 }
 
 /// Asks the process at the address of `upstream` who it is, whatever it has said of itself; where it can't be asked, other routers are to,
--- a/crates/router/src/relay/paths/identity_query.rs
+++ b/crates/router/src/relay/paths/identity_query.rs
@@ -19,8 +19,6 @@
 
 /// Time within which an upstream must say who it is; a sound one may be silent for a second.
 const IDENTITY_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Age up to which the list of upstreams shows a restart under the same id: a process that ended is back no sooner than after some seconds.
-const LIST_AGE: Duration = Duration::from_secs(1);
 /// Maximum size of the answer to a health check, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -42,14 +40,9 @@
     let asking = exchange(core, upstream, link, health_path);
     let sign = timeout(IDENTITY_TIMEOUT, asking).await;
     let sign = sign.ok().flatten().unwrap_or(ProcessSign::Unreached);
-    if sign != ProcessSign::Same {
-        return sign;
-    }
-    // The next process may have the same id, but not the same start time in its entry.
-    core.upstream_topic.settle(LIST_AGE).await;
-    match is_replaced(core, upstream) {
-        true => ProcessSign::Replaced,
-        false => ProcessSign::Same,
+    match sign {
+        ProcessSign::Same if is_replaced(core, upstream) => ProcessSign::Replaced,
+        sign => sign,
     }
 }
 
@@ -136,7 +129,7 @@
 }
 
 /// Whether another incarnation of `upstream` is listed. That none is listed is no evidence: entries lapse while the store is out of reach.
-fn is_replaced(core: &RelayCore, upstream: &RelayUpstream) -> bool {
+pub fn is_replaced(core: &RelayCore, upstream: &RelayUpstream) -> bool {
     let incarnation = &upstream.record.incarnation;
     let listed = core.upstreams.find(&incarnation.id);
     listed.is_some_and(|listed| listed.record.incarnation != *incarnation)
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -17,6 +17,7 @@
 mod run_send;
 mod run_start;
 mod session_hold;
+mod silence_meter;
 mod upstream_exchange;
 mod upstream_filter;
 mod upstream_send;
--- a/crates/router/src/relay/run/end_judgement.rs
+++ b/crates/router/src/relay/run/end_judgement.rs
@@ -7,6 +7,7 @@
 use ferry_kernel::http::BodyFraming;
 
 use super::RelayRun;
+use super::silence_meter::SilenceMeter;
 use crate::relay::paths::check_process;
 use crate::relay::upstreams::RelayUpstream;
 
@@ -18,6 +19,8 @@
     pub(super) upstream: &'a Arc<RelayUpstream>,
     /// Router through which it came; absent if it came directly.
     pub(super) detour: Option<&'a HostName>,
+    /// How long nothing was read of it; a body that is read as a whole counts as one piece.
+    pub(super) silence: &'a SilenceMeter,
     /// Number of pieces of a stream that the answer gave.
     pub(super) pieces: u32,
 }
@@ -39,7 +42,8 @@
             }
             return verdict;
         }
-        let sign = check_process(&self.core, answer.upstream, answer.detour).await;
+        let silence = answer.silence.longest();
+        let sign = check_process(&self.core, answer.upstream, answer.detour, silence).await;
         let verdict = answer.end.verdict(sign, answer.upstream.is_leaving());
         self.log_end(answer, verdict, Some(sign));
         verdict
@@ -56,6 +60,7 @@
             mark:? = answer.end.mark,
             place:? = answer.end.place,
             sign:? = sign,
+            silence_ms = answer.silence.longest().as_millis() as u64,
             verdict = verdict.name(),
             leaving = answer.upstream.is_leaving(),
             pieces = answer.pieces,
--- a/crates/router/src/relay/run/event_forwarder.rs
+++ b/crates/router/src/relay/run/event_forwarder.rs
@@ -138,6 +138,7 @@
                 Some(Err(error)) => return Some(ForwardStep::Broken(error.to_string())),
                 Some(Ok(frame)) => frame,
             };
+            answer.silence.record_piece();
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -191,6 +192,7 @@
             },
             upstream: &answer.upstream,
             detour: answer.lease.detour(),
+            silence: &answer.silence,
             pieces: self.pieces,
         };
         match self.run.judge_end(&ended).await {
--- a/crates/router/src/relay/run/run_send.rs
+++ b/crates/router/src/relay/run/run_send.rs
@@ -247,6 +247,7 @@
             facts,
             framing,
             body,
+            silence,
             lease,
             upstream,
             in_flight,
@@ -258,6 +259,7 @@
             },
             upstream: &upstream,
             detour: lease.detour(),
+            silence: &silence,
             pieces: 0,
         };
         match self.collect_body(&ended, body).await {
--- a/crates/router/src/relay/run/upstream_exchange.rs
+++ b/crates/router/src/relay/run/upstream_exchange.rs
@@ -20,6 +20,7 @@
 
 use super::body_type::BodyType;
 use super::planned_send::PlannedSend;
+use super::silence_meter::SilenceMeter;
 use super::upstream_send::{OutgoingRequest, SendFailure, UpstreamAnswer, hold_if_evacuated};
 use crate::relay::paths::{UpstreamStatement, record_lost_path, tell_router};
 use crate::relay::permits::{
@@ -93,6 +94,7 @@
         if let Some(permit) = permit {
             permit.record_send();
         }
+        let silence = SilenceMeter::start();
         lease.link().heads.begin();
         let response = match lease.link().sender.try_send_request(request).await {
             Ok(response) => response,
@@ -115,6 +117,7 @@
             framing: BodyFraming::of(&self.outgoing.method, &head),
             head,
             body,
+            silence,
             lease,
             in_flight: self.in_flight,
             upstream: Arc::clone(&self.upstream),
--- a/crates/router/src/relay/run/upstream_send.rs
+++ b/crates/router/src/relay/run/upstream_send.rs
@@ -16,6 +16,7 @@
 
 use super::body_type::BodyType;
 use super::planned_send::PlannedSend;
+use super::silence_meter::SilenceMeter;
 use super::upstream_exchange::UpstreamExchange;
 use crate::relay::paths::open_link;
 use crate::relay::permits::cold_rate;
@@ -63,6 +64,8 @@
     pub framing: BodyFraming,
     /// Body, still to be read.
     pub body: Incoming,
+    /// How long nothing was read of the answer.
+    pub silence: SilenceMeter,
     /// Connection that carries the answer.
     pub lease: LinkLease,
     /// Counts the request as in flight at the upstream until the answer is dropped.
--- a/crates/router/src/relay/topic_progress.rs
+++ b/crates/router/src/relay/topic_progress.rs
@@ -87,9 +87,31 @@
         if self.covers(bound) {
             return;
         }
-        let since = *self.overdue_since.lock().get_or_insert_with(Instant::now);
+        let until = self.overdue_since() + SETTLE_TIME;
         // Ignores the timeout: the caller goes on with what is known.
-        let _ = timeout_at(since + SETTLE_TIME, confirmation).await;
+        let _ = timeout_at(until, confirmation).await;
+    }
+
+    /// When the first of those that wait for the next confirmation began to.
+    fn overdue_since(&self) -> Instant {
+        *self.overdue_since.lock().get_or_insert_with(Instant::now)
+    }
+
+    /// Waits up to `limit` for a confirmation of `moment`, a value of [`ConfirmationTime::now`], or a later one.
+    ///
+    /// All that wait at the same time share the limit, so that a long outage delays none.
+    pub async fn settle_since(&self, moment: Duration, limit: Duration) {
+        let mut until = None;
+        loop {
+            let confirmation = self.confirmations.notified();
+            if self.confirmed.is_since(moment) {
+                return;
+            }
+            let until = *until.get_or_insert_with(|| self.overdue_since() + limit);
+            if timeout_at(until, confirmation).await.is_err() {
+                return;
+            }
+        }
     }
 
     /// Whether a record of `bound` ago is certainly applied here, with a margin for sending a request.
--- a/crates/router/tests/relay/unframed.rs
+++ b/crates/router/tests/relay/unframed.rs
@@ -1,6 +1,7 @@
 //! Answers that end with their connection: without framing, or in the middle.
 
 use std::net::{IpAddr, Ipv4Addr};
+use std::thread;
 use std::time::Duration;
 
 use ferry_decisions::registry::UpstreamStage;
@@ -9,9 +10,11 @@
 use ferry_router::relay::RelayDaemon;
 use ferry_standin::ReplicaPlan;
 use hyper::StatusCode;
+use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
-use crate::deployment::{Deployment, call, eventually, request, rule};
+use crate::deployment::{Deployment, call, eventually, is_ready, request, rule};
 use crate::held_replica::{HeldAnswer, HeldReplica};
 use crate::raw_replica::{
     RawAnswer, RawEnd, RawFraming, RawPlan, read_raw, read_raw_at, start_raw_replica,
@@ -296,6 +299,66 @@
     assert!(complete.is_empty(), "{complete:#?}");
 }
 
+/// Time for which a router is suspended, and the part of it after which an upstream's answers end.
+const SUSPENSION: Duration = Duration::from_millis(2_000);
+const END_IN_SUSPENSION: Duration = Duration::from_millis(1_900);
+
+/// A router that syncs from another one, and its runtime, whose only thread a test can block.
+async fn start_synced(deployment: &Deployment) -> (Vec<(Runtime, RelayDaemon)>, usize) {
+    let mut routers = Vec::new();
+    for host in ["entry-1", "entry-2"] {
+        let mut builder = Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).enable_all().build().unwrap();
+        let relay = deployment.start_on(&runtime, host).await;
+        eventually("the router is ready", async || is_ready(&relay).await).await;
+        routers.push((runtime, relay));
+    }
+    let is_synced = |(_, relay): &(Runtime, RelayDaemon)| relay.is_synced_from_peer();
+    eventually("one syncs from the other", async || {
+        routers.iter().filter(|router| is_synced(router)).count() == 1
+    })
+    .await;
+    let synced = routers.iter().position(is_synced).unwrap();
+    (routers, synced)
+}
+
+/// Answers that look complete where they end with `end` just before the end of a suspension of their router.
+async fn complete_answers_after_suspension(end: fn(&Deployment, &HeldReplica)) -> usize {
+    let mut deployment = deployment().await;
+    // Entries are read as often as on the users' platform.
+    deployment.bounds.drain = Duration::from_secs(2);
+    let replica = HeldReplica::start(&deployment, "up-1").await;
+    let (routers, synced) = start_synced(&deployment).await;
+    let (runtime, relay) = &routers[synced];
+    let answers = hold_answers(relay, &replica).await;
+    runtime.spawn(async { thread::sleep(SUSPENSION) });
+    sleep(END_IN_SUSPENSION).await;
+    end(&deployment, &replica);
+    let complete = complete_answers(answers).await.len();
+    for (runtime, _relay) in routers {
+        runtime.shutdown_background();
+    }
+    complete
+}
+
+/// Guards against a cut answer that looks complete, since the next process has the same id, and its entry is not known yet to a router that
+/// was suspended.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_of_an_upstream_that_restarted_in_a_suspension_looks_complete() {
+    let complete = complete_answers_after_suspension(|deployment, replica| {
+        replica.register_restart(deployment);
+        replica.finish_answers();
+    });
+    assert_eq!(complete.await, 0);
+}
+
+/// The counterpart: a whole answer that is read after a suspension is delivered.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_whole_answer_is_delivered_after_a_suspension() {
+    let complete = complete_answers_after_suspension(|_, replica| replica.finish_answers());
+    assert_eq!(complete.await, HELD);
+}
+
 /// The counterpart: what a process that lives on has sent to its end is delivered, whatever it said of itself meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn each_answer_of_an_upstream_that_lives_on_is_delivered() {
