Ask the next source at once when the one synced from fails

What callers saw: nothing of their own; the model of the sync shows it.

Cause: after the source that a router synced from gave no recent content any more, it paused as after each failure, although nobody had been asked yet.

Change: no pause after that one. The model asks sources independently, as the product; its test of routers that have left plays one, two and all but one of zones of two to five, and others than the first.

--- a/crates/decisions/tests/sync_model.rs
+++ b/crates/decisions/tests/sync_model.rs
@@ -24,7 +24,7 @@
 const QUERY_TIMEOUT: Duration = Duration::from_millis(900);
 /// The same where others wait for the link to that router too.
 const LONG_QUERY_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time between two rounds of queries, if none had recent content and if none was asked.
+/// Time until a router asks again if no source has recent content, and until it looks for further sources while queries run.
 const ROUND_DELAY: Duration = Duration::from_millis(200);
 const CHECK_PERIOD: Duration = Duration::from_millis(350);
 /// Age up to which content is recent.
@@ -49,11 +49,9 @@
     /// Router that read this content from the store.
     origin: Option<HostName>,
     next_read_at: MonotonicTime,
-    next_round_at: MonotonicTime,
+    next_begin_at: MonotonicTime,
     /// Queries in progress, with the time of their end.
     queries: Vec<(HostName, MonotonicTime)>,
-    /// Whether a query of the present round gave recent content.
-    is_round_recent: bool,
     /// Time until which it is dead or frozen; a dead one has lost its state.
     away_until: MonotonicTime,
     /// Time until which the store turns it away.
@@ -102,9 +100,8 @@
             confirmed_at: None,
             origin: None,
             next_read_at: now,
-            next_round_at: now,
+            next_begin_at: now,
             queries: Vec::new(),
-            is_round_recent: false,
             away_until: MonotonicTime(i64::MIN),
             refused_until: MonotonicTime(i64::MIN),
         }
@@ -159,15 +156,13 @@
         self.end_queries(index);
         let now = self.now;
         let router = &mut self.routers[index];
-        if !router.queries.is_empty() || now < router.next_round_at {
+        if now < router.next_begin_at {
             return;
         }
+        router.next_begin_at = now.after(CHECK_PERIOD);
         let proven = router.planner.proven().cloned();
-        let sources: SourceList = router.planner.sources(&self.order, now);
-        if sources.is_empty() {
-            router.next_round_at = now.after(CHECK_PERIOD);
-        }
-        router.is_round_recent = false;
+        let mut sources: SourceList = router.planner.sources(&self.order, now);
+        sources.retain(|source| router.queries.iter().all(|(asked, _)| asked != source));
         for source in sources {
             let is_away = self.routers[self.index[&source]].is_away(now);
             let time = match (is_away, proven.as_ref() == Some(&source)) {
@@ -210,13 +205,10 @@
         self.reads[second] += 1;
     }
 
-    /// Ends the queries whose time has come, and the round after the last of them.
+    /// Ends the queries whose time has come. Each source is asked again on its own.
     fn end_queries(&mut self, index: usize) {
         let now = self.now;
         let queries = std::mem::take(&mut self.routers[index].queries);
-        if queries.is_empty() {
-            return;
-        }
         let (ended, left): (Vec<_>, Vec<_>) = queries.into_iter().partition(|(_, end)| *end <= now);
         for (source, _) in ended {
             let other = &self.routers[self.index[&source]];
@@ -234,14 +226,17 @@
             if outcome == SyncOutcome::Recent {
                 router.origin = origin;
             }
-            router.planner.record(&source, outcome, now);
-            router.is_round_recent |= outcome == SyncOutcome::Recent;
-        }
-        let router = &mut self.routers[index];
-        if left.is_empty() && !router.is_round_recent {
-            router.next_round_at = now.after(ROUND_DELAY);
+            let was_synced_from = router.planner.proven() == Some(&source);
+            let is_superseded = router.planner.is_superseded(&source, &self.order, now);
+            if outcome != SyncOutcome::Recent || !is_superseded {
+                router.planner.record(&source, outcome, now);
+            }
+            router.next_begin_at = match router.planner.proven() {
+                None if !was_synced_from => now.after(ROUND_DELAY),
+                _ => now,
+            };
         }
-        router.queries = left;
+        self.routers[index].queries = left;
     }
 
     fn strike(&mut self, fault: &Fault, time: Duration) {
@@ -397,25 +392,42 @@
     fleet.assert_recent("after the loss");
 }
 
-/// Guards against a router that reads the store, and stops as soon as it may ask one again that did not answer (CONFIG).
-#[test]
-fn the_last_router_of_a_zone_stays_recent_while_it_asks_those_that_have_left() {
-    let mut fleet = ModelFleet::new(7, 3, 1);
+/// Plays a fleet of three zones with `size` routers each, of which the routers of the first zone at the places `gone` of the order leave for good.
+fn assert_zone_stays_recent(size: usize, gone: &[usize]) {
+    let mut fleet = ModelFleet::new(size * 3, 3, 1);
     fleet.query_timeout = LONG_QUERY_TIMEOUT;
     fleet.run(Duration::from_secs(3));
     let end = fleet.now.after(Duration::from_secs(600));
     let zone = zone(0);
     let hosts: Vec<HostName> = fleet.order.of_zone(&zone).cloned().collect();
-    let (left, gone) = hosts.split_last().unwrap();
-    for host in gone {
-        let index = fleet.index[host];
+    for place in gone {
+        let index = fleet.index[&hosts[*place]];
         fleet.routers[index].away_until = end;
     }
+    let left = (0..size).filter(|place| !gone.contains(place));
+    let left: Vec<usize> = left.map(|place| fleet.index[&hosts[place]]).collect();
     fleet.run(LONG_QUERY_TIMEOUT * 2);
-    let index = fleet.index[left];
-    for _ in 0..600 {
+    for _ in 0..400 {
         fleet.run(Duration::from_millis(100));
-        let age = fleet.routers[index].age(fleet.now);
-        assert!(age.is_some_and(|age| age <= AGE_BOUND), "{age:?} old");
+        for index in &left {
+            let age = fleet.routers[*index].age(fleet.now);
+            let is_recent = age.is_some_and(|age| age <= AGE_BOUND);
+            assert!(is_recent, "{gone:?} of {size} are gone: {age:?} old");
+        }
+    }
+}
+
+/// Guards against a router that reads the store, and stops as soon as it may ask one again that did not answer (CONFIG): whichever of the first
+/// ones of its zone have left, one, two or all but one.
+#[test]
+fn the_routers_that_are_left_of_a_zone_stay_recent_while_they_ask_those_that_have_left() {
+    for size in 2..=5 {
+        for count in 1..size {
+            let first: Vec<usize> = (0..count).collect();
+            assert_zone_stays_recent(size, &first);
+        }
     }
+    assert_zone_stays_recent(4, &[0, 2]);
+    assert_zone_stays_recent(4, &[1, 2]);
+    assert_zone_stays_recent(5, &[0, 1, 3]);
 }
--- a/crates/router/src/relay/fleet/sync_task.rs
+++ b/crates/router/src/relay/fleet/sync_task.rs
@@ -37,11 +37,12 @@
         let Ok((source, result)) = timeout_at(next_begin, queries.next()).await else {
             continue;
         };
+        let was_synced_from = core.fleet.sync_source().as_ref() == Some(&source);
         record_result(&core, &source, &result);
         next_begin = Instant::now();
         if result.is_ok() {
             delay = MIN_QUERY_DELAY;
-        } else if core.fleet.sync_source().is_none() {
+        } else if core.fleet.sync_source().is_none() && !was_synced_from {
             next_begin += delay;
             delay = (delay * 2).min(MAX_QUERY_DELAY);
         }
