Make the two changes of the concurrency scenario on one configuration

Cause: "Of two concurrent changes one is accepted" joined two calls, each of which reads the configuration before it appends its change. Under load the second read comes after the first change is in force; then nothing is concurrent, and both changes are rightly accepted.

Change: the configuration is read once, and both changes have it as their base. The step asks for the same verdicts as before; a router that accepts both now always fails it.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -331,6 +331,29 @@
     /// Panics when the log does not accept the record.
     pub async fn publish(&self, changes: Vec<(ObjectKey, Option<ObjectSpec>)>) -> Uuid {
         let known = self.newest_config().await;
+        self.append_change(&known, changes).await
+    }
+
+    /// Publishes two changes that are both made on the same configuration; returns their ids.
+    pub async fn publish_both(
+        &self,
+        first: Vec<(ObjectKey, Option<ObjectSpec>)>,
+        second: Vec<(ObjectKey, Option<ObjectSpec>)>,
+    ) -> [Uuid; 2] {
+        let known = self.newest_config().await;
+        let (first, second) = tokio::join!(
+            self.append_change(&known, first),
+            self.append_change(&known, second),
+        );
+        [first, second]
+    }
+
+    /// Appends `changes` that are made on the configuration `known`; returns the id of the change.
+    async fn append_change(
+        &self,
+        known: &Value,
+        changes: Vec<(ObjectKey, Option<ObjectSpec>)>,
+    ) -> Uuid {
         let id = Uuid::new_v4();
         let with_base = |(key, spec): (ObjectKey, Option<ObjectSpec>)| ObjectChange {
             base: known["state"]["objects"][key.to_string()]["revision"].as_u64(),
--- a/tests/scenarios/config_steps.rs
+++ b/tests/scenarios/config_steps.rs
@@ -29,12 +29,9 @@
 async fn change_concurrently(world: &mut ScenarioWorld) {
     let withdrawal = version("small-1", "small", VersionPhase::Withdrawn);
     let retirement = version("small-1", "small", VersionPhase::Retiring);
-    let (first, second) = tokio::join!(
-        world.rig().publish(vec![withdrawal]),
-        world.rig().publish(vec![retirement]),
-    );
+    let changes = world.rig().publish_both(vec![withdrawal], vec![retirement]);
     let mut verdicts = Vec::new();
-    for id in [first, second] {
+    for id in changes.await {
         let path = format!("/verdicts/{id}");
         let verdict = eventually("the change is judged", || world.rig().admin(0, &path)).await;
         verdicts.push(verdict["verdict"]["verdict"].as_str().unwrap().to_owned());
